--- /dev/null
+++ b/src/core/context.cc
@@ -0,0 +1,45 @@
+#include "core/context.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+#include "hibiscusstand/rendezvous.h"
+
+namespace hibiscus {
+
+void InvariantFailed(const char* condition, const std::string& ids, const char* hint) {
+  std::fprintf(stderr, "invariant: %s does not hold for %s. %s\n", condition, ids.c_str(), hint);
+  std::abort();
+}
+
+CoreContext::CoreContext(HostSettings host_settings, const Clock& host_clock, uint64_t seed)
+    : settings(std::move(host_settings)), clock(host_clock), random(seed), live({settings.name}) {
+  recovering_until = Now() + settings.recover;
+}
+
+void CoreContext::Send(const HostName& to, PeerMessage message) {
+  if (to == settings.name) {
+    to_self.push_back(std::move(message));
+    return;
+  }
+  Act(SendPeer{to, std::move(message)});
+}
+
+HostName CoreContext::HomeOf(const RequestKey& key) const {
+  return RendezvousPick(key.ToString(), live);
+}
+
+HostName CoreContext::OwnerOf(const std::string& worker_or_server) const {
+  return RendezvousPick(worker_or_server, live);
+}
+
+bool CoreContext::IsLive(const HostName& host) const {
+  return std::binary_search(live.begin(), live.end(), host);
+}
+
+bool CoreContext::IsReachable(const HostName& host) const {
+  return host == settings.name || std::binary_search(reachable.begin(), reachable.end(), host);
+}
+
+}  // namespace hibiscus
--- /dev/null
+++ b/src/core/context.h
@@ -0,0 +1,85 @@
+// The state that all roles of one host share: settings, clock, random numbers, the list, who is live, the
+// configuration, and the actions to be taken. There is no other shared state.
+#ifndef HIBISCUSSTAND_SRC_CORE_CONTEXT_H_
+#define HIBISCUSSTAND_SRC_CORE_CONTEXT_H_
+
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/messages.h"
+#include "hibiscusstand/clock.h"
+
+namespace hibiscus {
+
+// What a host is told at its start. Durations are checked by the daemon.
+struct HostSettings {
+  HostName name;
+  DataCentre data_centre;
+  Duration heartbeat_every = 250ms;  // Beat towards the own data centre.
+  Duration suspect_after = 1s;       // A peer this silent is not live.
+  Duration control_lease = 4s;       // Length of a worker's control lease.
+  Duration renew_wait = 1200ms;      // How long a worker may hold a renewal open.
+  Duration worker_timeout = 2500ms;  // An unanswered worker call is given up.
+  Duration hold = 2s;                // A reservation without a commit lapses.
+  Duration resend_every = 500ms;     // Commits and reports without an answer.
+  Duration probe_every = 800ms;      // Health probes of backend servers.
+  Duration probe_fresh = 2400ms;     // No new call to a server whose good probe is older.
+  Duration store_timeout = 1s;       // An unanswered store call is given up.
+  Duration watch_wait = 20s;         // How long the store may hold a watch open.
+  Duration pause_limit = 2s;         // A longer gap between two ticks is a pause: every lease counts as lost.
+  Duration recover = 1s;             // Callers are refused this long after a start or a pause.
+  Duration remember = 5min;          // How long ended requests are remembered for repeats.
+};
+
+// Stops the process when an invariant is broken, in every build. `hint` says how to mend the call or what to report.
+[[noreturn]] void InvariantFailed(const char* condition, const std::string& ids, const char* hint);
+
+#define HIBISCUS_INVARIANT(condition, ids, hint)              \
+  do {                                                        \
+    if (!(condition)) {                                       \
+      ::hibiscus::InvariantFailed(#condition, (ids), (hint)); \
+    }                                                         \
+  } while (false)
+
+struct CoreContext {
+  CoreContext(HostSettings host_settings, const Clock& host_clock, uint64_t seed);
+
+  TimePoint Now() const { return clock.Now(); }
+  uint64_t NextId() { return next_id++; }
+  uint64_t RandomNumber() { return random(); }
+
+  // Sends to a host; a message to this host itself is handled before Handle returns.
+  void Send(const HostName& to, PeerMessage message);
+  void Act(Action action) { actions.push_back(std::move(action)); }
+  void Log(const char* part, std::string text) { Act(LogLine{part, std::move(text)}); }
+
+  // The host that a key falls to among the live hosts of the own data centre.
+  HostName HomeOf(const RequestKey& key) const;
+  HostName OwnerOf(const std::string& worker_or_server) const;
+  bool IsLive(const HostName& host) const;       // Heard lately and not leaving.
+  bool IsReachable(const HostName& host) const;  // Heard lately, or this host itself.
+  bool IsRecovering() const { return Now() < recovering_until; }
+
+  const HostSettings settings;
+  const Clock& clock;
+  std::mt19937_64 random;
+  uint64_t next_id = 1;
+
+  std::vector<ListEntry> list;      // As the platform last gave it.
+  std::vector<HostName> live;       // Live hosts of the own data centre, sorted, this one among them.
+  std::vector<HostName> reachable;  // The live hosts and those that leave, sorted.
+  TimePoint recovering_until{};     // After a start or a pause: requests of unknown age may arrive until then.
+  uint64_t view = 0;                // Digest of `live`.
+  bool leaving = false;             // This host leaves.
+  Configuration configuration;      // Version 0: none known.
+  Heartbeat own_load;               // What the next heartbeat says; roles fill in their parts.
+
+  std::vector<Action> actions;      // To be taken by the ports.
+  std::deque<PeerMessage> to_self;  // Handled before Handle returns.
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_CORE_CONTEXT_H_
--- /dev/null
+++ b/src/core/entry_role.cc
@@ -0,0 +1,127 @@
+#include "core/entry_role.h"
+
+#include <vector>
+
+namespace hibiscus {
+
+namespace {
+
+constexpr Duration kAnswerGrace = 500ms;  // The home host answers by the finish target; this is for the way back.
+constexpr Duration kQueryTimeout = 2s;    // Queries and cancellations without an answer.
+constexpr Duration kComeBack = 1s;        // Retry-After of refusals that name no better time.
+
+}  // namespace
+
+void EntryRole::OnSubmit(const CallerSubmit& submit) {
+  const Request& request = submit.request;
+  const ResultCode code = Check(request);
+  if (code != ResultCode::kOk) {
+    Refuse(submit.exchange, request.key, code);
+    return;
+  }
+  const ClassSpec* spec = context_.configuration.FindClass(request.class_name);
+  const TimePoint give_up = context_.Now() + spec->finish_within + kAnswerGrace;
+  Open(Exchange{submit.exchange, Kind::kSubmit, request, request.key, {}, give_up});
+}
+
+void EntryRole::OnQuery(const CallerQuery& query) {
+  Open(Exchange{query.exchange, Kind::kQuery, {}, query.key, {}, context_.Now() + kQueryTimeout});
+}
+
+void EntryRole::OnCancel(const CallerCancel& cancel) {
+  Open(Exchange{cancel.exchange, Kind::kCancel, {}, cancel.key, {}, context_.Now() + kQueryTimeout});
+}
+
+void EntryRole::OnAnswer(const ForwardAnswer& answer) {
+  const auto exchange = open_.find(answer.forward_id);
+  if (exchange == open_.end()) {
+    return;  // Late: the caller has its answer.
+  }
+  HIBISCUS_INVARIANT(exchange->second.key == answer.answer.key, exchange->second.key.ToString(),
+                     "An answer must go to its own caller: report which hosts forwarded it.");
+  context_.Act(AnswerCaller{exchange->second.id, answer.answer});
+  open_.erase(exchange);
+}
+
+void EntryRole::OnMoved(const ForwardMoved& moved) {
+  const auto exchange = open_.find(moved.forward_id);
+  if (exchange == open_.end()) {
+    return;
+  }
+  exchange->second.home = moved.home;
+  Forward(moved.forward_id, exchange->second, true);
+}
+
+void EntryRole::OnTick() {
+  std::vector<uint64_t> overdue;
+  for (auto& [forward_id, exchange] : open_) {
+    if (context_.Now() >= exchange.give_up) {
+      overdue.push_back(forward_id);
+    } else if (!context_.IsReachable(exchange.home) && !context_.live.empty()) {
+      exchange.home = context_.HomeOf(exchange.key);
+      Forward(forward_id, exchange, true);
+    }
+  }
+  for (const uint64_t forward_id : overdue) {
+    context_.Act(AnswerCaller{open_[forward_id].id, GiveUpAnswer(open_[forward_id])});
+    open_.erase(forward_id);
+  }
+}
+
+ResultCode EntryRole::Check(const Request& request) const {
+  if (context_.leaving) {
+    return ResultCode::kHostLeaving;
+  }
+  if (context_.IsRecovering()) {
+    return ResultCode::kHostRecovering;
+  }
+  if (context_.configuration.version == 0) {
+    return ResultCode::kNoConfiguration;
+  }
+  const ClassSpec* spec = context_.configuration.FindClass(request.class_name);
+  if (spec == nullptr) {
+    return ResultCode::kUnknownClass;
+  }
+  const bool members_fit = spec->kind == WorkKind::kGang ? request.members >= 1 : request.members == 1;
+  const bool names = !request.key.tenant.empty() && !request.key.id.empty();
+  if (!names || !members_fit || !request.size.IsValid() || request.run_time < 0us || request.attempt < 0) {
+    return ResultCode::kBadRequest;
+  }
+  return ResultCode::kOk;
+}
+
+void EntryRole::Open(Exchange exchange) {
+  exchange.home = context_.HomeOf(exchange.key);
+  if (exchange.home.empty()) {
+    Refuse(exchange.id, exchange.key, ResultCode::kHostLeaving);
+    return;
+  }
+  const uint64_t forward_id = context_.NextId();
+  open_[forward_id] = exchange;
+  Forward(forward_id, exchange, false);
+}
+
+void EntryRole::Forward(uint64_t forward_id, const Exchange& exchange, bool resubmit) {
+  switch (exchange.kind) {
+    case Kind::kSubmit:
+      context_.Send(exchange.home, ForwardRequest{forward_id, exchange.request, resubmit});
+      return;
+    case Kind::kQuery:
+      context_.Send(exchange.home, ForwardQuery{forward_id, exchange.key});
+      return;
+    case Kind::kCancel:
+      context_.Send(exchange.home, ForwardCancel{forward_id, exchange.key});
+      return;
+  }
+}
+
+void EntryRole::Refuse(ExchangeId exchange, const RequestKey& key, ResultCode code) {
+  const Duration retry_after = InfoOf(code).come_back ? kComeBack : 0us;
+  context_.Act(AnswerCaller{exchange, Answer{key, code, Verdict::kNotRun, {}, retry_after}});
+}
+
+Answer EntryRole::GiveUpAnswer(const Exchange& exchange) const {
+  return Answer{exchange.key, ResultCode::kUnknownOutcome, Verdict::kUnknown, {}, 0us};
+}
+
+}  // namespace hibiscus
--- /dev/null
+++ b/src/core/entry_role.h
@@ -0,0 +1,50 @@
+// The caller's side: checks a request, hands it to its home host, and answers the caller exactly once. When the home
+// host is lost, the request goes to the next one, marked as resubmitted.
+#ifndef HIBISCUSSTAND_SRC_CORE_ENTRY_ROLE_H_
+#define HIBISCUSSTAND_SRC_CORE_ENTRY_ROLE_H_
+
+#include <map>
+
+#include "core/context.h"
+
+namespace hibiscus {
+
+class EntryRole {
+ public:
+  explicit EntryRole(CoreContext& context) : context_(context) {}
+
+  void OnSubmit(const CallerSubmit& submit);
+  void OnQuery(const CallerQuery& query);
+  void OnCancel(const CallerCancel& cancel);
+  void OnAnswer(const ForwardAnswer& answer);
+  void OnMoved(const ForwardMoved& moved);
+  void OnTick();
+
+  // Exchanges that still wait for their answer.
+  size_t open() const { return open_.size(); }
+
+ private:
+  enum class Kind { kSubmit, kQuery, kCancel };
+
+  struct Exchange {
+    ExchangeId id = 0;
+    Kind kind = Kind::kSubmit;
+    Request request;  // Submit.
+    RequestKey key;
+    HostName home;
+    TimePoint give_up;  // The caller is answered by then in any case.
+  };
+
+  ResultCode Check(const Request& request) const;
+  void Open(Exchange exchange);
+  void Forward(uint64_t forward_id, const Exchange& exchange, bool resubmit);
+  void Refuse(ExchangeId exchange, const RequestKey& key, ResultCode code);
+  Answer GiveUpAnswer(const Exchange& exchange) const;
+
+  CoreContext& context_;
+  std::map<uint64_t, Exchange> open_;  // By forward id.
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_CORE_ENTRY_ROLE_H_
--- /dev/null
+++ b/src/core/home_role.cc
@@ -0,0 +1,262 @@
+#include "core/home_role.h"
+
+#include <algorithm>
+
+#include <fmt/core.h>
+
+namespace hibiscus {
+
+namespace {
+
+constexpr Duration kClaimRetry = 250ms;  // Between rounds of questions about an earlier attempt.
+constexpr Duration kComeBack = 1s;       // Retry-After of refusals that name no better time.
+
+// Two attempts carry the same work. Attempt numbers and waiting differ between them.
+bool SameWork(const Request& a, const Request& b) {
+  return a.class_name == b.class_name && a.size == b.size && a.members == b.members && a.payload == b.payload;
+}
+
+}  // namespace
+
+HomeRole::HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims)
+    : context_(context), membership_(membership), claims_(claims) {}
+
+void HomeRole::OnForward(const HostName& from, const ForwardRequest& forward) {
+  Job* job = Find(forward.request.key);
+  if (job == nullptr) {
+    Accept(from, forward);
+    return;
+  }
+  if (!SameWork(job->request, forward.request)) {
+    const Answer answer{forward.request.key, ResultCode::kIdReused, Verdict::kNotRun, {}, 0us};
+    context_.Send(from, ForwardAnswer{forward.forward_id, answer});
+    return;
+  }
+  if (job->phase == JobPhase::kEnded) {
+    context_.Send(from, ForwardAnswer{forward.forward_id, job->answer});
+    return;
+  }
+  job->waiters.push_back(Waiter{from, forward.forward_id});
+}
+
+void HomeRole::OnQuery(const HostName& from, const ForwardQuery& query) {
+  const Job* job = Find(query.key);
+  Answer answer{query.key, ResultCode::kNotFound, Verdict::kUnknown, {}, 0us};
+  if (job != nullptr) {
+    const Answer pending{query.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
+    answer = job->phase == JobPhase::kEnded ? job->answer : pending;
+  }
+  context_.Send(from, ForwardAnswer{query.forward_id, answer});
+}
+
+void HomeRole::OnCancel(const HostName& from, const ForwardCancel& cancel) {
+  Job* job = Find(cancel.key);
+  if (job == nullptr) {
+    const Answer answer{cancel.key, ResultCode::kNotFound, Verdict::kUnknown, {}, 0us};
+    context_.Send(from, ForwardAnswer{cancel.forward_id, answer});
+    return;
+  }
+  if (job->phase != JobPhase::kEnded) {
+    StopMembers(*job);
+    End(*job, ResultCode::kCancelled, Verdict::kCancelled, {});
+  }
+  context_.Send(from, ForwardAnswer{cancel.forward_id, job->answer});
+}
+
+void HomeRole::Accept(const HostName& from, const ForwardRequest& forward) {
+  const Request& request = forward.request;
+  const ClassSpec* spec = context_.configuration.FindClass(request.class_name);
+  if (spec == nullptr) {
+    const Answer answer{request.key, ResultCode::kUnknownClass, Verdict::kNotRun, {}, 0us};
+    context_.Send(from, ForwardAnswer{forward.forward_id, answer});
+    return;
+  }
+  Job& job = jobs_[request.key];
+  job.request = request;
+  job.spec = *spec;
+  job.start_by = context_.Now() + spec->start_within;
+  job.finish_by = context_.Now() + spec->finish_within;
+  job.waiters = {Waiter{from, forward.forward_id}};
+  job.members.resize(static_cast<size_t>(request.members));
+
+  const bool first = request.attempt == 1 && !forward.resubmit;
+  const bool idempotent_call = spec->kind == WorkKind::kCall && spec->may_run_twice;
+  if (!claims_.Allows(request.key, context_.settings.name)) {
+    Refuse(job, ResultCode::kRepeatUnverified);
+  } else if (first || idempotent_call) {
+    Begin(job);
+  } else {
+    StartClaim(job);
+  }
+}
+
+void HomeRole::StartClaim(Job& job) {
+  job.phase = JobPhase::kClaiming;
+  job.claim_answers.clear();
+  job.next_claim = context_.Now() + kClaimRetry;
+  claims_.Put(job.request.key, context_.settings.name);
+  for (const HostName& host : context_.live) {
+    context_.Send(host, Claim{job.request.key, context_.view});
+  }
+}
+
+void HomeRole::OnClaimAnswer(const HostName& from, const ClaimAnswer& answer) {
+  Job* job = Find(answer.key);
+  if (job == nullptr || job->phase != JobPhase::kClaiming) {
+    return;
+  }
+  if (answer.known_elsewhere) {
+    YieldClaim(answer.key, from);
+    return;
+  }
+  job->claim_answers[from] = answer;
+  FinishClaim(*job);
+}
+
+// A claim holds when every live host gave its word under the same view, and every worker is under somebody's lease:
+// then each earlier run is either in an answer or can never start any more.
+void HomeRole::FinishClaim(Job& job) {
+  const auto has_word = [&](const HostName& host) {
+    const auto answer = job.claim_answers.find(host);
+    return answer != job.claim_answers.end() && answer->second.view == context_.view && answer->second.covered;
+  };
+  if (!std::all_of(context_.live.begin(), context_.live.end(), has_word)) {
+    return;
+  }
+  bool adopted = false;
+  const std::map<HostName, ClaimAnswer> answers = std::move(job.claim_answers);
+  job.phase = JobPhase::kActive;
+  for (const auto& [host, answer] : answers) {
+    for (const RunReport& run : answer.runs) {
+      adopted = true;
+      AdoptRun(job, run);
+    }
+  }
+  if (adopted) {
+    FinishIfAllEnded(job);
+  } else if (job.spec.may_run_twice) {
+    Begin(job);
+  } else {
+    End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
+  }
+}
+
+void HomeRole::YieldClaim(const RequestKey& key, const HostName& to) {
+  const auto job = jobs_.find(key);
+  for (const Waiter& waiter : job->second.waiters) {
+    context_.Send(waiter.host, ForwardMoved{waiter.forward_id, to});
+  }
+  claims_.Put(key, to);
+  jobs_.erase(job);
+}
+
+void HomeRole::Begin(Job& job) {
+  job.phase = JobPhase::kActive;
+  if (job.spec.kind == WorkKind::kCall) {
+    BeginCall(job);
+  } else {
+    BeginTasks(job);
+  }
+}
+
+void HomeRole::End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after) {
+  HIBISCUS_INVARIANT(job.phase != JobPhase::kEnded, job.request.key.ToString(),
+                     "A request has one final answer: check the phase before calling End.");
+  job.phase = JobPhase::kEnded;
+  job.ended = context_.Now();
+  job.answer = Answer{job.request.key, code, verdict, std::move(body), retry_after};
+  for (const Waiter& waiter : job.waiters) {
+    context_.Send(waiter.host, ForwardAnswer{waiter.forward_id, job.answer});
+  }
+  job.waiters.clear();
+}
+
+void HomeRole::Refuse(Job& job, ResultCode code) {
+  for (const Member& member : job.members) {
+    HIBISCUS_INVARIANT(member.phase != MemberPhase::kCommitted && member.phase != MemberPhase::kRunning,
+                       job.request.key.ToString(), "Only what never started may be refused as not run.");
+  }
+  ReleaseMembers(job);
+  End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? kComeBack : 0us);
+}
+
+void HomeRole::OnDeadline(Job& job) {
+  if (job.phase == JobPhase::kClaiming) {
+    Refuse(job, ResultCode::kRepeatUnverified);
+    return;
+  }
+  const auto started = [](const Member& member) {
+    return member.phase == MemberPhase::kCommitted || member.phase == MemberPhase::kRunning ||
+           member.phase == MemberPhase::kEnded;
+  };
+  if (job.spec.kind != WorkKind::kCall && std::none_of(job.members.begin(), job.members.end(), started)) {
+    Refuse(job, ResultCode::kStartTargetMissed);
+    return;
+  }
+  StopMembers(job);
+  End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
+}
+
+void HomeRole::OnTick() {
+  for (auto& [key, job] : jobs_) {
+    if (job.phase != JobPhase::kEnded) {
+      TickJob(job);
+    }
+  }
+  std::erase_if(jobs_, [&](const auto& entry) {
+    const Job& job = entry.second;
+    const bool refused = job.answer.verdict == Verdict::kNotRun;  // A repeat may try afresh.
+    const Duration keep = refused ? 0us : context_.settings.remember;
+    return job.phase == JobPhase::kEnded && context_.Now() - job.ended >= keep;
+  });
+}
+
+void HomeRole::TickJob(Job& job) {
+  const TimePoint deadline = job.phase == JobPhase::kClaiming ? job.start_by : job.finish_by;
+  if (context_.Now() >= deadline) {
+    OnDeadline(job);
+  } else if (job.phase == JobPhase::kClaiming) {
+    if (context_.Now() >= job.next_claim) {
+      StartClaim(job);
+    }
+  } else if (job.spec.kind == WorkKind::kCall) {
+    TickCall(job);
+  } else {
+    TickTasks(job);
+  }
+}
+
+bool HomeRole::Knows(const RequestKey& key) const {
+  const auto job = jobs_.find(key);
+  return job != jobs_.end() && job->second.phase != JobPhase::kClaiming;
+}
+
+bool HomeRole::IsClaiming(const RequestKey& key) const {
+  const auto job = jobs_.find(key);
+  return job != jobs_.end() && job->second.phase == JobPhase::kClaiming;
+}
+
+size_t HomeRole::active() const {
+  return static_cast<size_t>(std::count_if(jobs_.begin(), jobs_.end(),
+                                           [](const auto& entry) { return entry.second.phase != JobPhase::kEnded; }));
+}
+
+RunId HomeRole::NewRun(Job& job, int member) {
+  ++job.runs;
+  return RunId{TaskId{job.request.key, member}, context_.RandomNumber()};
+}
+
+Job* HomeRole::Find(const RequestKey& key) {
+  const auto job = jobs_.find(key);
+  return job == jobs_.end() ? nullptr : &job->second;
+}
+
+Member* HomeRole::FindMember(Job& job, const RunId& run) {
+  const auto index = static_cast<size_t>(run.task.member);
+  if (index >= job.members.size() || job.members[index].run != run) {
+    return nullptr;
+  }
+  return &job.members[index];
+}
+
+}  // namespace hibiscus
--- /dev/null
+++ b/src/core/home_role.h
@@ -0,0 +1,140 @@
+// The home host's part: one table of requests, so that repeats join the first attempt, and the life of each request
+// from acceptance to its one final answer.
+//
+// The rule that carries this file: a second run begins only when the first surely ended or surely never started.
+// Nothing but a report of the worker's present owner, who holds the worker's lease, can say so.
+#ifndef HIBISCUSSTAND_SRC_CORE_HOME_ROLE_H_
+#define HIBISCUSSTAND_SRC_CORE_HOME_ROLE_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/claim_table.h"
+#include "core/context.h"
+#include "core/membership.h"
+
+namespace hibiscus {
+
+// Where one task of a request stands.
+enum class MemberPhase {
+  kIdle,       // Nothing is out; a reservation may be asked for.
+  kReserving,  // An owner was asked for room.
+  kHeld,       // Room is held; nothing has started.
+  kCommitted,  // The start was ordered; whether it happened is not known yet.
+  kRunning,    // The worker's owner reported the start.
+  kEnded,      // It ran to its end; the body is here.
+};
+
+struct Member {
+  MemberPhase phase = MemberPhase::kIdle;
+  RunId run;       // Of the present try.
+  HostName owner;  // Who was asked last.
+  WorkerName worker;
+  uint64_t token = 0;     // The worker's lease under which room is held.
+  TimePoint since{};      // When the phase began.
+  TimePoint next_send{};  // Next reservation, or repeat of the commit.
+  std::map<HostName, ResultCode> refused_by;
+  std::set<WorkerName> failed_on;
+  std::string body;
+};
+
+enum class JobPhase {
+  kClaiming,  // Asking whether an earlier attempt exists.
+  kActive,
+  kEnded,
+};
+
+// Someone who waits for the answer: a forward of an entry host.
+struct Waiter {
+  HostName host;
+  uint64_t forward_id = 0;
+};
+
+// A request and all that is known of it.
+struct Job {
+  Request request;
+  ClassSpec spec;
+  JobPhase phase = JobPhase::kActive;
+  TimePoint start_by{};
+  TimePoint finish_by{};
+  TimePoint ended{};
+  std::vector<Waiter> waiters;
+  Answer answer;                                  // Once ended.
+  std::vector<Member> members;                    // Tasks, or the one call.
+  std::map<HostName, ClaimAnswer> claim_answers;  // While claiming.
+  TimePoint next_claim{};
+  int runs = 0;  // Tries begun.
+};
+
+class HomeRole {
+ public:
+  HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims);
+
+  void OnForward(const HostName& from, const ForwardRequest& forward);
+  void OnQuery(const HostName& from, const ForwardQuery& query);
+  void OnCancel(const HostName& from, const ForwardCancel& cancel);
+  void OnReserved(const HostName& from, const Reserved& reserved);
+  void OnReport(const HostName& from, const RunReport& report);
+  void OnCallResult(const HostName& from, const CallResult& result);
+  void OnClaimAnswer(const HostName& from, const ClaimAnswer& answer);
+  void OnTick();
+
+  // Has this host the request, in any phase but claiming?
+  bool Knows(const RequestKey& key) const;
+  // Does this host itself claim the request?
+  bool IsClaiming(const RequestKey& key) const;
+  // Gives up its own claim in favour of another host's.
+  void YieldClaim(const RequestKey& key, const HostName& to);
+
+  size_t active() const;
+
+ private:
+  // Admission and endings: home_role.cc.
+  void Accept(const HostName& from, const ForwardRequest& forward);
+  void StartClaim(Job& job);
+  void FinishClaim(Job& job);
+  void Begin(Job& job);
+  void End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after = 0us);
+  void Refuse(Job& job, ResultCode code);
+  void OnDeadline(Job& job);
+  void TickJob(Job& job);
+
+  // Calls: home_calls.cc.
+  void BeginCall(Job& job);
+  void TickCall(Job& job);
+  HostName PickCallOwner(const Member& member);
+  void OnCallUnknown(Job& job);
+
+  // Tasks: home_tasks.cc.
+  void BeginTasks(Job& job);
+  void TickTasks(Job& job);
+  void TickMember(Job& job, Member& member);
+  void AskForRoom(Job& job, Member& member);
+  HostName PickTaskOwner(const Job& job, const Member& member);
+  void OnAllRefused(Job& job, Member& member);
+  void CommitMember(Job& job, Member& member);
+  void SendCommit(const Job& job, Member& member);
+  void ReleaseMembers(Job& job);
+  void OnRunEnded(Job& job, Member& member, const RunReport& report);
+  void OnRunFailed(Job& job, Member& member, const RunReport& report);
+  void Rerun(Job& job, Member& member, Duration after);
+  void AdoptRun(Job& job, const RunReport& report);
+  void StopMembers(Job& job);
+  void FinishIfAllEnded(Job& job);
+  static void Enter(Member& member, MemberPhase phase, TimePoint now);
+
+  RunId NewRun(Job& job, int member);
+  Job* Find(const RequestKey& key);
+  Member* FindMember(Job& job, const RunId& run);
+
+  CoreContext& context_;
+  Membership& membership_;
+  ClaimTable& claims_;
+  std::map<RequestKey, Job> jobs_;
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_CORE_HOME_ROLE_H_
--- /dev/null
+++ b/src/core/home_tasks.cc
@@ -0,0 +1,274 @@
+// Tasks on workers: reserve, then commit. A gang holds room for all of its members before it commits any.
+#include <algorithm>
+
+#include "core/home_role.h"
+
+namespace hibiscus {
+
+namespace {
+
+constexpr Duration kRetryRoom = 200ms;     // Between tries of a gang, or after an owner was lost.
+constexpr Duration kReserveGrace = 500ms;  // An owner answers by the start target; this is for the way back.
+constexpr Duration kGangHold = 1s;         // Members wait no longer than this for the others.
+constexpr size_t kMostFailedWorkers = 3;   // A task that fails on so many workers is ended.
+constexpr Duration kRerunAfterFailure = 300ms;
+
+}  // namespace
+
+void HomeRole::BeginTasks(Job& job) {
+  for (Member& member : job.members) {
+    member.next_send = context_.Now();
+  }
+  TickTasks(job);
+}
+
+void HomeRole::TickTasks(Job& job) {
+  for (Member& member : job.members) {
+    TickMember(job, member);
+    if (job.phase == JobPhase::kEnded) {
+      return;
+    }
+  }
+}
+
+void HomeRole::TickMember(Job& job, Member& member) {
+  const TimePoint now = context_.Now();
+  switch (member.phase) {
+    case MemberPhase::kIdle:
+      if (now >= member.next_send) {
+        AskForRoom(job, member);
+      }
+      return;
+    case MemberPhase::kReserving:
+      if (!context_.IsReachable(member.owner) || now > std::max(member.since, job.start_by) + kReserveGrace) {
+        context_.Send(member.owner, ReleaseHold{member.run});
+        Rerun(job, member, kRetryRoom);
+      }
+      return;
+    case MemberPhase::kHeld:
+      if (now - member.since > kGangHold) {
+        context_.Send(member.owner, ReleaseHold{member.run});
+        Rerun(job, member, kRetryRoom + Duration(context_.RandomNumber() % 200'000));
+      }
+      return;
+    case MemberPhase::kCommitted:
+      if (now >= member.next_send) {
+        SendCommit(job, member);
+      }
+      return;
+    case MemberPhase::kRunning:
+      if (context_.OwnerOf(member.worker) != member.owner) {
+        SendCommit(job, member);  // A new owner: ask what became of the run.
+      }
+      return;
+    case MemberPhase::kEnded:
+      return;
+  }
+}
+
+void HomeRole::AskForRoom(Job& job, Member& member) {
+  member.owner = PickTaskOwner(job, member);
+  if (member.owner.empty()) {
+    OnAllRefused(job, member);
+    return;
+  }
+  member.run = NewRun(job, static_cast<int>(&member - job.members.data()));
+  Enter(member, MemberPhase::kReserving, context_.Now());
+  const bool queue = job.spec.kind != WorkKind::kGang;
+  const Duration start_within = std::max(job.start_by - context_.Now(), Duration(0));
+  context_.Send(member.owner, Reserve{member.run, job.spec.name, job.spec.kind, job.request.size, job.request.run_time,
+                                      start_within, queue});
+}
+
+// An owner whose largest free worker fits, with the most free processors; else anyone who has not refused.
+HostName HomeRole::PickTaskOwner(const Job& job, const Member& member) {
+  HostName best;
+  bool best_fits = false;
+  int64_t best_free = 0;
+  for (const HostName& host : context_.live) {
+    const Heartbeat* load = membership_.LoadOf(host);
+    if (load == nullptr || member.refused_by.contains(host)) {
+      continue;
+    }
+    const bool fits = job.request.size.FitsIn(load->largest);
+    const bool better = fits > best_fits || (fits == best_fits && load->free.cpu_millis > best_free);
+    if (best.empty() || better) {
+      best = host;
+      best_fits = fits;
+      best_free = load->free.cpu_millis;
+    }
+  }
+  return best;
+}
+
+void HomeRole::OnAllRefused(Job& job, Member& member) {
+  const auto impossible = [](const auto& refusal) { return refusal.second == ResultCode::kNeverFits; };
+  const bool all_impossible =
+      !member.refused_by.empty() && std::all_of(member.refused_by.begin(), member.refused_by.end(), impossible);
+  const bool started = std::any_of(job.members.begin(), job.members.end(), [](const Member& other) {
+    return other.phase == MemberPhase::kCommitted || other.phase == MemberPhase::kRunning ||
+           other.phase == MemberPhase::kEnded;
+  });
+  if (started || (!all_impossible && context_.Now() < job.start_by)) {
+    member.refused_by.clear();
+    member.next_send = context_.Now() + kRetryRoom;
+    return;
+  }
+  Refuse(job, all_impossible ? ResultCode::kNeverFits : ResultCode::kNoCapacity);
+}
+
+void HomeRole::OnReserved(const HostName& from, const Reserved& reserved) {
+  Job* job = Find(reserved.run.task.key);
+  Member* member = job == nullptr || job->phase != JobPhase::kActive ? nullptr : FindMember(*job, reserved.run);
+  if (member == nullptr || member->phase != MemberPhase::kReserving) {
+    if (reserved.code == ResultCode::kOk) {
+      context_.Send(from, ReleaseHold{reserved.run});
+    }
+    return;
+  }
+  if (reserved.code != ResultCode::kOk) {
+    member->refused_by[from] = reserved.code;
+    Rerun(*job, *member, 0us);
+    return;
+  }
+  member->worker = reserved.worker;
+  member->token = reserved.token;
+  Enter(*member, MemberPhase::kHeld, context_.Now());
+  const bool all_held = std::none_of(job->members.begin(), job->members.end(), [](const Member& other) {
+    return other.phase == MemberPhase::kIdle || other.phase == MemberPhase::kReserving;
+  });
+  if (!all_held) {
+    return;
+  }
+  for (Member& each : job->members) {
+    if (each.phase == MemberPhase::kHeld) {
+      CommitMember(*job, each);
+    }
+  }
+}
+
+void HomeRole::CommitMember(Job& job, Member& member) {
+  Enter(member, MemberPhase::kCommitted, context_.Now());
+  SendCommit(job, member);
+}
+
+void HomeRole::SendCommit(const Job& job, Member& member) {
+  member.next_send = context_.Now() + context_.settings.resend_every;
+  if (member.phase == MemberPhase::kRunning || !context_.IsReachable(member.owner)) {
+    member.owner = context_.OwnerOf(member.worker);
+  }
+  context_.Send(member.owner, Commit{member.run, member.worker, member.token, job.spec.name, job.request.size,
+                                     job.request.run_time, job.request.payload});
+}
+
+void HomeRole::OnReport(const HostName& from, const RunReport& report) {
+  const bool ended = report.phase != RunPhase::kStarted;
+  if (ended) {
+    context_.Send(from, RunReportAck{report.run, report.worker});
+  }
+  Job* job = Find(report.run.task.key);
+  Member* member = job == nullptr || job->phase != JobPhase::kActive ? nullptr : FindMember(*job, report.run);
+  if (member == nullptr || member->phase == MemberPhase::kEnded || member->phase == MemberPhase::kIdle) {
+    return;
+  }
+  if (ended) {
+    OnRunEnded(*job, *member, report);
+    return;
+  }
+  member->owner = from;
+  member->worker = report.worker;
+  if (member->phase != MemberPhase::kRunning) {
+    Enter(*member, MemberPhase::kRunning, context_.Now());
+  }
+}
+
+void HomeRole::OnRunEnded(Job& job, Member& member, const RunReport& report) {
+  switch (report.phase) {
+    case RunPhase::kDone:
+      member.body = report.body;
+      Enter(member, MemberPhase::kEnded, context_.Now());
+      FinishIfAllEnded(job);
+      return;
+    case RunPhase::kFailed:
+    case RunPhase::kStopped:
+      OnRunFailed(job, member, report);
+      return;
+    case RunPhase::kNotStarted:
+      Rerun(job, member, kRetryRoom);
+      return;
+    case RunPhase::kStarted:
+      return;
+  }
+}
+
+void HomeRole::OnRunFailed(Job& job, Member& member, const RunReport& report) {
+  member.failed_on.insert(report.worker);
+  const bool poison = member.failed_on.size() >= kMostFailedWorkers;
+  if (job.spec.may_run_twice && !poison) {
+    Rerun(job, member, kRerunAfterFailure);
+    return;
+  }
+  Enter(member, MemberPhase::kIdle, context_.Now());
+  StopMembers(job);
+  End(job, poison ? ResultCode::kPoisonJob : ResultCode::kTaskFailed, Verdict::kFailed, report.body);
+}
+
+void HomeRole::Rerun(Job&, Member& member, Duration after) {
+  Enter(member, MemberPhase::kIdle, context_.Now());
+  member.next_send = context_.Now() + after;
+}
+
+void HomeRole::AdoptRun(Job& job, const RunReport& report) {
+  const auto index = static_cast<size_t>(report.run.task.member);
+  if (index >= job.members.size()) {
+    return;
+  }
+  Member& member = job.members[index];
+  member.run = report.run;
+  member.worker = report.worker;
+  member.token = report.token;
+  member.owner = context_.OwnerOf(report.worker);
+  Enter(member, MemberPhase::kRunning, context_.Now());
+  if (report.phase == RunPhase::kDone) {
+    member.body = report.body;
+    Enter(member, MemberPhase::kEnded, context_.Now());
+  }
+}
+
+void HomeRole::StopMembers(Job& job) {
+  ReleaseMembers(job);
+  for (Member& member : job.members) {
+    const bool may_run = member.phase == MemberPhase::kCommitted || member.phase == MemberPhase::kRunning;
+    if (may_run && job.spec.kind != WorkKind::kCall) {
+      context_.Send(context_.OwnerOf(member.worker), StopRun{member.run, member.worker});
+    }
+  }
+}
+
+void HomeRole::ReleaseMembers(Job& job) {
+  for (Member& member : job.members) {
+    if (member.phase == MemberPhase::kReserving || member.phase == MemberPhase::kHeld) {
+      context_.Send(member.owner, ReleaseHold{member.run});
+      Enter(member, MemberPhase::kIdle, context_.Now());
+    }
+  }
+}
+
+void HomeRole::FinishIfAllEnded(Job& job) {
+  const auto ended = [](const Member& member) { return member.phase == MemberPhase::kEnded; };
+  if (!std::all_of(job.members.begin(), job.members.end(), ended)) {
+    return;
+  }
+  std::string body;
+  for (const Member& member : job.members) {
+    body += member.body;
+  }
+  End(job, ResultCode::kOk, Verdict::kDone, body);
+}
+
+void HomeRole::Enter(Member& member, MemberPhase phase, TimePoint now) {
+  member.phase = phase;
+  member.since = now;
+}
+
+}  // namespace hibiscus
--- /dev/null
+++ b/src/core/host_core.cc
@@ -0,0 +1,142 @@
+#include "core/host_core.h"
+
+#include <utility>
+
+#include <fmt/core.h>
+
+namespace hibiscus {
+
+namespace {
+
+template <class... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+}  // namespace
+
+HostCore::HostCore(const HostSettings& settings, const Clock& clock, uint64_t seed)
+    : context_(settings, clock, seed),
+      membership_(context_),
+      claims_(context_),
+      config_(context_),
+      entry_(context_),
+      home_(context_, membership_, claims_),
+      workers_(context_, claims_),
+      servers_(context_),
+      last_event_(clock.Now()) {}
+
+std::vector<Action> HostCore::Handle(const Event& event) {
+  NoticePause();
+  std::visit(Overloaded{
+                 [&](const TickEvent&) { Tick(); },
+                 [&](const LeaveEvent&) { context_.leaving = true; },
+                 [&](const ListEvent& list) {
+                   membership_.OnList(list.entries);
+                   workers_.OnList(list.entries);
+                   servers_.OnList(list.entries);
+                 },
+                 [&](const PeerEvent& peer) { Dispatch(peer.from, peer.message); },
+                 [&](const WorkerEvent& reply) { workers_.OnWorker(reply); },
+                 [&](const ServerEvent& reply) { servers_.OnServer(reply); },
+                 [&](const StoreEvent& reply) { config_.OnStore(reply); },
+                 [&](const CallerSubmit& submit) { entry_.OnSubmit(submit); },
+                 [&](const CallerQuery& query) { entry_.OnQuery(query); },
+                 [&](const CallerCancel& cancel) { entry_.OnCancel(cancel); },
+                 [&](const OperatorConfigSet& set) { config_.OnSet(set); },
+             },
+             event);
+  while (!context_.to_self.empty()) {
+    const PeerMessage message = std::move(context_.to_self.front());
+    context_.to_self.pop_front();
+    Dispatch(context_.settings.name, message);
+  }
+  return std::exchange(context_.actions, {});
+}
+
+// A gap between two events longer than any lease margin means that this process was paused. Before anything else is
+// done, every lease counts as lost and every peer as unheard.
+void HostCore::NoticePause() {
+  const TimePoint now = context_.Now();
+  const Duration gap = now - std::exchange(last_event_, now);
+  if (gap <= context_.settings.pause_limit) {
+    return;
+  }
+  context_.Log("core", fmt::format("paused for {} ms; every lease counts as lost", Millis(gap)));
+  context_.recovering_until = now + context_.settings.recover;
+  membership_.OnPause();
+  workers_.OnPause();
+}
+
+void HostCore::Dispatch(const HostName& from, const PeerMessage& message) {
+  std::visit(Overloaded{
+                 [&](const Heartbeat& m) { OnHeartbeat(from, m); },
+                 [&](const ForwardRequest& m) { home_.OnForward(from, m); },
+                 [&](const ForwardAnswer& m) { entry_.OnAnswer(m); },
+                 [&](const ForwardMoved& m) { entry_.OnMoved(m); },
+                 [&](const ForwardCancel& m) { home_.OnCancel(from, m); },
+                 [&](const ForwardQuery& m) { home_.OnQuery(from, m); },
+                 [&](const Reserve& m) { workers_.OnReserve(from, m); },
+                 [&](const Reserved& m) { home_.OnReserved(from, m); },
+                 [&](const Commit& m) { workers_.OnCommit(from, m); },
+                 [&](const ReleaseHold& m) { workers_.OnReleaseHold(m); },
+                 [&](const StopRun& m) { workers_.OnStopRun(from, m); },
+                 [&](const RunReport& m) { home_.OnReport(from, m); },
+                 [&](const RunReportAck& m) { workers_.OnReportAck(m); },
+                 [&](const CallDispatch& m) { servers_.OnDispatch(from, m); },
+                 [&](const CallResult& m) { home_.OnCallResult(from, m); },
+                 [&](const Claim& m) { OnClaim(from, m); },
+                 [&](const ClaimAnswer& m) { home_.OnClaimAnswer(from, m); },
+                 [&](const ConfigPush& m) { config_.OnPush(m); },
+             },
+             message);
+}
+
+void HostCore::OnHeartbeat(const HostName& from, const Heartbeat& heartbeat) {
+  membership_.OnHeartbeat(from, heartbeat);
+  config_.OnHeartbeat(from, heartbeat);
+}
+
+// Two hosts that claim the same request: the smaller name goes on, the other yields.
+void HostCore::OnClaim(const HostName& from, const Claim& claim) {
+  const HostName& self = context_.settings.name;
+  ClaimAnswer answer{claim.key, context_.view, workers_.Covered(), false, {}};
+  if (from != self && home_.IsClaiming(claim.key)) {
+    if (self < from) {
+      answer.known_elsewhere = true;
+    } else {
+      home_.YieldClaim(claim.key, from);
+    }
+  }
+  if (from != self && home_.Knows(claim.key)) {
+    answer.known_elsewhere = true;
+  }
+  if (!answer.known_elsewhere) {
+    claims_.Put(claim.key, from);
+    answer.runs = workers_.RunsOf(claim.key);
+  }
+  context_.Send(from, answer);
+}
+
+void HostCore::Tick() {
+  membership_.OnTick();
+  claims_.OnTick();
+  config_.OnTick();
+  entry_.OnTick();
+  home_.OnTick();
+  workers_.OnTick();
+  servers_.OnTick();
+  ExitIfDone();
+}
+
+void HostCore::ExitIfDone() {
+  const bool busy = entry_.open() + home_.active() + servers_.open() + workers_.leases() > 0;
+  if (context_.leaving && !busy && !exited_) {
+    exited_ = true;
+    context_.Act(Exit{});
+  }
+}
+
+}  // namespace hibiscus
--- /dev/null
+++ b/src/core/host_core.h
@@ -0,0 +1,58 @@
+// The whole decision-making of one host as a state machine: events and a clock in, actions out. It does no I/O, starts
+// no thread and reads no global state, so that tests can run many of them in virtual time.
+//
+// Use: hand every event to Handle, on one thread, and carry out the actions it returns, in order. Hand in a TickEvent
+// at least every kTickEvery.
+#ifndef HIBISCUSSTAND_SRC_CORE_HOST_CORE_H_
+#define HIBISCUSSTAND_SRC_CORE_HOST_CORE_H_
+
+#include <vector>
+
+#include "core/claim_table.h"
+#include "core/config_role.h"
+#include "core/context.h"
+#include "core/entry_role.h"
+#include "core/home_role.h"
+#include "core/membership.h"
+#include "core/server_role.h"
+#include "core/worker_role.h"
+
+namespace hibiscus {
+
+// How often the core wants a TickEvent.
+inline constexpr Duration kTickEvery = 20ms;
+
+class HostCore {
+ public:
+  HostCore(const HostSettings& settings, const Clock& clock, uint64_t seed);
+
+  std::vector<Action> Handle(const Event& event);
+
+  const Configuration& configuration() const { return context_.configuration; }
+  const std::vector<HostName>& live() const { return context_.live; }
+  size_t leases() const { return workers_.leases(); }
+  size_t active_requests() const { return home_.active(); }
+
+ private:
+  void NoticePause();
+  void Dispatch(const HostName& from, const PeerMessage& message);
+  void OnHeartbeat(const HostName& from, const Heartbeat& heartbeat);
+  void OnClaim(const HostName& from, const Claim& claim);
+  void Tick();
+  void ExitIfDone();
+
+  CoreContext context_;
+  Membership membership_;
+  ClaimTable claims_;
+  ConfigRole config_;
+  EntryRole entry_;
+  HomeRole home_;
+  WorkerRole workers_;
+  ServerRole servers_;
+  TimePoint last_event_;
+  bool exited_ = false;
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_CORE_HOST_CORE_H_
--- /dev/null
+++ b/src/core/membership.cc
@@ -0,0 +1,88 @@
+#include "core/membership.h"
+
+#include <algorithm>
+
+#include <fmt/core.h>
+#include <fmt/ranges.h>
+
+#include "hibiscusstand/rendezvous.h"
+
+namespace hibiscus {
+
+Membership::Membership(CoreContext& context)
+    : context_(context), incarnation_(context.RandomNumber()), next_beat_(context.Now()) {}
+
+void Membership::OnList(const std::vector<ListEntry>& entries) {
+  context_.list = entries;
+}
+
+void Membership::OnHeartbeat(const HostName& from, const Heartbeat& heartbeat) {
+  if (heartbeat.data_centre != context_.settings.data_centre) {
+    return;
+  }
+  peers_[from] = PeerState{heartbeat, context_.Now()};
+  RecomputeLive();
+}
+
+void Membership::OnTick() {
+  RecomputeLive();
+  if (context_.Now() < next_beat_) {
+    return;
+  }
+  next_beat_ = context_.Now() + context_.settings.heartbeat_every;
+  SendHeartbeats();
+}
+
+void Membership::OnPause() {
+  peers_.clear();
+  RecomputeLive();
+}
+
+const Heartbeat* Membership::LoadOf(const HostName& host) const {
+  if (host == context_.settings.name) {
+    return &context_.own_load;
+  }
+  const auto peer = peers_.find(host);
+  return peer == peers_.end() ? nullptr : &peer->second.heartbeat;
+}
+
+void Membership::RecomputeLive() {
+  std::vector<HostName> live;
+  context_.reachable = {context_.settings.name};
+  if (!context_.leaving) {
+    live.push_back(context_.settings.name);
+  }
+  for (const auto& [name, peer] : peers_) {
+    if (context_.Now() - peer.heard >= context_.settings.suspect_after) {
+      continue;
+    }
+    context_.reachable.push_back(name);
+    if (!peer.heartbeat.leaving) {
+      live.push_back(name);
+    }
+  }
+  std::sort(context_.reachable.begin(), context_.reachable.end());
+  std::sort(live.begin(), live.end());
+  if (live == context_.live) {
+    return;
+  }
+  context_.live = live;
+  context_.view = RendezvousScore(fmt::format("{}", fmt::join(live, ",")), "view");
+  context_.Log("membership", fmt::format("live hosts: {}", fmt::join(live, ", ")));
+}
+
+void Membership::SendHeartbeats() {
+  Heartbeat heartbeat = context_.own_load;
+  heartbeat.data_centre = context_.settings.data_centre;
+  heartbeat.incarnation = incarnation_;
+  heartbeat.leaving = context_.leaving;
+  heartbeat.config_version = context_.configuration.version;
+  for (const ListEntry& entry : context_.list) {
+    const bool peer = entry.kind == ListKind::kEntryHost && entry.name != context_.settings.name;
+    if (peer) {
+      context_.Send(entry.name, heartbeat);
+    }
+  }
+}
+
+}  // namespace hibiscus
--- /dev/null
+++ b/src/core/membership.h
@@ -0,0 +1,45 @@
+// Who is live: heartbeats inside the data centre, with the platform's list as a hint only. Nothing rests on two hosts
+// agreeing here: leases at the workers decide who may start what.
+#ifndef HIBISCUSSTAND_SRC_CORE_MEMBERSHIP_H_
+#define HIBISCUSSTAND_SRC_CORE_MEMBERSHIP_H_
+
+#include <map>
+#include <vector>
+
+#include "core/context.h"
+
+namespace hibiscus {
+
+// The last word of a peer.
+struct PeerState {
+  Heartbeat heartbeat;
+  TimePoint heard;  // When it arrived here.
+};
+
+class Membership {
+ public:
+  explicit Membership(CoreContext& context);
+
+  void OnList(const std::vector<ListEntry>& entries);
+  void OnHeartbeat(const HostName& from, const Heartbeat& heartbeat);
+  void OnTick();
+
+  // Forgets when peers were last heard, after a pause of this process.
+  void OnPause();
+
+  // What a live peer, or this host itself, last said of its load; null if nothing is known.
+  const Heartbeat* LoadOf(const HostName& host) const;
+
+ private:
+  void RecomputeLive();
+  void SendHeartbeats();
+
+  CoreContext& context_;
+  std::map<HostName, PeerState> peers_;
+  uint64_t incarnation_;
+  TimePoint next_beat_;
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_CORE_MEMBERSHIP_H_
--- /dev/null
+++ b/src/core/messages.h
@@ -0,0 +1,519 @@
+// Every value that enters or leaves the core: events in, actions out, and the messages between the hosts of the system.
+// Nothing here does I/O. Ports translate: gRPC for peers, HTTP and JSON for everything else.
+//
+// Index:
+//   1. Ids
+//   2. The platform's list
+//   3. Workers
+//   4. Backend servers
+//   5. The store
+//   6. Peers
+//   7. Callers and operators
+//   8. Events and actions
+#ifndef HIBISCUSSTAND_SRC_CORE_MESSAGES_H_
+#define HIBISCUSSTAND_SRC_CORE_MESSAGES_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "hibiscusstand/types.h"
+
+namespace hibiscus {
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. Ids
+// ---------------------------------------------------------------------------------------------------------------------
+
+// One task: a member of a request. Requests that are no gangs have the member 0 only.
+struct TaskId {
+  RequestKey key;
+  int member = 0;
+
+  friend auto operator<=>(const TaskId&, const TaskId&) = default;
+  std::string ToString() const { return key.ToString() + "/" + std::to_string(member); }
+};
+
+// One execution of a task. The run number is drawn at random by the home host and never used twice.
+struct RunId {
+  TaskId task;
+  uint64_t run = 0;
+
+  friend auto operator<=>(const RunId&, const RunId&) = default;
+  std::string ToString() const { return task.ToString() + "#" + std::to_string(run); }
+};
+
+// Identifies an outside call, so that its reply finds the part that made it.
+using CallId = uint64_t;
+
+// How far an outside call got when no reply came.
+enum class Delivery {
+  kAnswered,  // The reply is here.
+  kNotSent,   // It surely never reached the far side.
+  kUnknown,   // It may have taken effect.
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. The platform's list
+// ---------------------------------------------------------------------------------------------------------------------
+
+enum class ListKind { kEntryHost, kWorker, kServer };
+
+// One line of the platform's list. It lags: an entry may be gone or leaving for seconds already.
+struct ListEntry {
+  ListKind kind = ListKind::kWorker;
+  std::string name;
+  DataCentre data_centre;
+  std::string rack;
+  std::string address;   // "ip:port".
+  bool leaving = false;  // True: give it nothing new.
+
+  friend bool operator==(const ListEntry&, const ListEntry&) = default;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. Workers
+// ---------------------------------------------------------------------------------------------------------------------
+
+enum class RunState { kRunning, kDone, kFailed };
+
+// A run as its worker knows it.
+struct WorkerTask {
+  RunId run;
+  std::string class_name;
+  HostName home;  // Who is told of its end.
+  Resources size;
+  RunState state = RunState::kRunning;
+  std::string body;  // The whole output, once ended.
+
+  friend bool operator==(const WorkerTask&, const WorkerTask&) = default;
+};
+
+enum class WorkerOp {
+  kAcquire,  // Take or renew the control lease; renews the run leases too and waits for ended runs.
+  kStart,    // Start a run under the token.
+  kStop,     // Stop a run under the token.
+  kRelease,  // Give the control lease back.
+};
+
+struct WorkerCall {
+  WorkerOp op = WorkerOp::kAcquire;
+  HostName holder;
+  uint64_t token = 0;       // Fencing token; 0 asks for a new lease.
+  Duration ttl = 0us;       // Length of the control lease.
+  Duration wait = 0us;      // Acquire: answer only after this long, or when a run ends.
+  std::vector<RunId> acks;  // Acquire: ended runs that the worker may forget.
+  WorkerTask task;          // Start and stop.
+  Duration run_time = 0us;  // Start: declared run time.
+  std::string payload;      // Start: the task's input.
+
+  friend bool operator==(const WorkerCall&, const WorkerCall&) = default;
+};
+
+enum class WorkerStatus {
+  kOk,
+  kHeldByOther,  // The control lease belongs to another host.
+  kStaleToken,   // The token is old: nothing was done.
+  kNoRoom,       // Start: does not fit: nothing was done.
+  kDuplicate,    // Start: the task runs here already: nothing was done.
+  kNoSuchRun,    // Stop: no such run here.
+};
+
+struct WorkerReply {
+  WorkerStatus status = WorkerStatus::kOk;
+  uint64_t token = 0;  // Acquire: the lease's token.
+  Resources capacity;  // Acquire with a new token.
+  bool full = false;   // True: `tasks` lists all runs; false: only those that ended.
+  std::vector<WorkerTask> tasks;
+
+  friend bool operator==(const WorkerReply&, const WorkerReply&) = default;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. Backend servers
+// ---------------------------------------------------------------------------------------------------------------------
+
+enum class ServerOp { kProbe, kExecute };
+
+struct ServerCall {
+  ServerOp op = ServerOp::kProbe;
+  RunId run;
+  std::string payload;
+  Duration deadline = 0us;  // The server drops the call if it has not begun by then.
+
+  friend bool operator==(const ServerCall&, const ServerCall&) = default;
+};
+
+enum class ServerStatus {
+  kOk,
+  kRefused,  // Busy or leaving: the call did not run.
+  kFailed,   // The call ran and failed.
+};
+
+struct ServerReply {
+  ServerStatus status = ServerStatus::kOk;
+  bool leaving = false;
+  int slots = 0;     // Probe: how many calls it serves at once.
+  std::string body;  // Whole: the port checks the length.
+
+  friend bool operator==(const ServerReply&, const ServerReply&) = default;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 5. The store
+// ---------------------------------------------------------------------------------------------------------------------
+
+enum class StoreOp { kGet, kPut, kDelete, kWatch };
+
+struct StoreCall {
+  StoreOp op = StoreOp::kGet;
+  std::string key;
+  std::string value;
+  uint64_t expected = 0;  // Put: the revision it replaces, 0 for none. Watch: answer when the revision differs.
+  Duration wait = 0us;    // Watch: answer no later than this.
+
+  friend bool operator==(const StoreCall&, const StoreCall&) = default;
+};
+
+enum class StoreStatus { kOk, kConflict, kAbsent };
+
+struct StoreReply {
+  StoreStatus status = StoreStatus::kOk;
+  std::string value;
+  uint64_t revision = 0;
+
+  friend bool operator==(const StoreReply&, const StoreReply&) = default;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 6. Peers
+// ---------------------------------------------------------------------------------------------------------------------
+
+// Sent to every host of the own data centre at a fixed beat.
+struct Heartbeat {
+  DataCentre data_centre;
+  uint64_t incarnation = 0;  // Drawn at start; tells a restart from a pause.
+  bool leaving = false;
+  uint64_t config_version = 0;  // A peer that knows less asks for more.
+  Resources free;               // Sum over the sender's workers.
+  Resources largest;            // The most that one of its workers has free.
+  int free_slots = 0;           // Backend server slots, less the calls that wait.
+
+  friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
+};
+
+// Entry host to home host: a caller's request. Answered by ForwardAnswer, maybe much later.
+struct ForwardRequest {
+  uint64_t forward_id = 0;
+  Request request;
+  bool resubmit = false;  // True: an earlier home host may have acted on it.
+
+  friend bool operator==(const ForwardRequest&, const ForwardRequest&) = default;
+};
+
+struct ForwardAnswer {
+  uint64_t forward_id = 0;
+  Answer answer;
+
+  friend bool operator==(const ForwardAnswer&, const ForwardAnswer&) = default;
+};
+
+// Home host to entry host: another host has this request, ask there.
+struct ForwardMoved {
+  uint64_t forward_id = 0;
+  HostName home;
+
+  friend bool operator==(const ForwardMoved&, const ForwardMoved&) = default;
+};
+
+// Entry host to home host: cancel, or ask for the result. Answered by ForwardAnswer.
+struct ForwardCancel {
+  uint64_t forward_id = 0;
+  RequestKey key;
+
+  friend bool operator==(const ForwardCancel&, const ForwardCancel&) = default;
+};
+
+struct ForwardQuery {
+  uint64_t forward_id = 0;
+  RequestKey key;
+
+  friend bool operator==(const ForwardQuery&, const ForwardQuery&) = default;
+};
+
+// Home host to owner: find room on one of your workers and hold it. Nothing starts before the commit.
+struct Reserve {
+  RunId run;
+  std::string class_name;
+  WorkKind kind = WorkKind::kBatch;
+  Resources size;
+  Duration run_time = 0us;
+  Duration start_within = 0us;  // What is left of the start target; the owner may queue until then.
+  bool queue = true;            // False: answer at once, as gangs need.
+
+  friend bool operator==(const Reserve&, const Reserve&) = default;
+};
+
+// Owner to home host: the hold, or why there is none.
+struct Reserved {
+  RunId run;
+  ResultCode code = ResultCode::kOk;
+  WorkerName worker;
+  uint64_t token = 0;
+  Duration retry_after = 0us;
+
+  friend bool operator==(const Reserved&, const Reserved&) = default;
+};
+
+// Home host to the worker's present owner: start the run that is held under this token. Repeated until a report comes:
+// an owner that finds the run reports its state, one that surely never started it says so.
+struct Commit {
+  RunId run;
+  WorkerName worker;
+  uint64_t token = 0;
+  std::string class_name;
+  Resources size;
+  Duration run_time = 0us;
+  std::string payload;
+
+  friend bool operator==(const Commit&, const Commit&) = default;
+};
+
+// Home host to owner: forget the hold. The run will never be committed.
+struct ReleaseHold {
+  RunId run;
+
+  friend bool operator==(const ReleaseHold&, const ReleaseHold&) = default;
+};
+
+// Home host to the worker's present owner: stop the run.
+struct StopRun {
+  RunId run;
+  WorkerName worker;
+
+  friend bool operator==(const StopRun&, const StopRun&) = default;
+};
+
+enum class RunPhase {
+  kStarted,
+  kNotStarted,  // Surely never started.
+  kDone,
+  kFailed,
+  kStopped,  // Surely ended, without an answer.
+};
+
+// Owner to home host. Ends are repeated until acknowledged.
+struct RunReport {
+  RunId run;
+  WorkerName worker;
+  uint64_t token = 0;
+  RunPhase phase = RunPhase::kStarted;
+  std::string body;
+
+  friend bool operator==(const RunReport&, const RunReport&) = default;
+};
+
+struct RunReportAck {
+  RunId run;
+  WorkerName worker;
+
+  friend bool operator==(const RunReportAck&, const RunReportAck&) = default;
+};
+
+// Home host to owner of a backend server: carry out a call.
+struct CallDispatch {
+  RunId run;
+  std::string class_name;
+  std::string payload;
+  Duration start_within = 0us;
+  Duration finish_within = 0us;
+
+  friend bool operator==(const CallDispatch&, const CallDispatch&) = default;
+};
+
+struct CallResult {
+  RunId run;
+  ResultCode code = ResultCode::kOk;
+  Verdict verdict = Verdict::kNotRun;
+  std::string body;
+  Duration retry_after = 0us;
+
+  friend bool operator==(const CallResult&, const CallResult&) = default;
+};
+
+// Home host to every live host of the data centre: I want to run this request; do you know of an earlier attempt?
+// Who answers "unknown to me" refuses every other home host from then on.
+struct Claim {
+  RequestKey key;
+  uint64_t view = 0;  // Digest of the sender's live hosts.
+
+  friend bool operator==(const Claim&, const Claim&) = default;
+};
+
+struct ClaimAnswer {
+  RequestKey key;
+  uint64_t view = 0;             // Digest of the answerer's live hosts.
+  bool covered = false;          // True: every worker that falls to the answerer is under its lease.
+  bool known_elsewhere = false;  // True: another home host has it.
+  std::vector<RunReport> runs;   // Runs of this request on the answerer's workers.
+
+  friend bool operator==(const ClaimAnswer&, const ClaimAnswer&) = default;
+};
+
+// The whole configuration, to a peer that knows less.
+struct ConfigPush {
+  Configuration configuration;
+
+  friend bool operator==(const ConfigPush&, const ConfigPush&) = default;
+};
+
+using PeerMessage = std::variant<Heartbeat,
+                                 ForwardRequest,
+                                 ForwardAnswer,
+                                 ForwardMoved,
+                                 ForwardCancel,
+                                 ForwardQuery,
+                                 Reserve,
+                                 Reserved,
+                                 Commit,
+                                 ReleaseHold,
+                                 StopRun,
+                                 RunReport,
+                                 RunReportAck,
+                                 CallDispatch,
+                                 CallResult,
+                                 Claim,
+                                 ClaimAnswer,
+                                 ConfigPush>;
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 7. Callers and operators
+// ---------------------------------------------------------------------------------------------------------------------
+
+// Identifies an open exchange with a caller or operator on this host.
+using ExchangeId = uint64_t;
+
+struct CallerSubmit {
+  ExchangeId exchange = 0;
+  Request request;
+};
+
+struct CallerQuery {
+  ExchangeId exchange = 0;
+  RequestKey key;
+};
+
+struct CallerCancel {
+  ExchangeId exchange = 0;
+  RequestKey key;
+};
+
+// An operator's new configuration, to replace the version named.
+struct OperatorConfigSet {
+  ExchangeId exchange = 0;
+  uint64_t expected_version = 0;
+  Configuration configuration;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 8. Events and actions
+// ---------------------------------------------------------------------------------------------------------------------
+
+struct TickEvent {};
+
+// The platform asked this host to leave.
+struct LeaveEvent {};
+
+struct ListEvent {
+  std::vector<ListEntry> entries;
+};
+
+struct PeerEvent {
+  HostName from;
+  PeerMessage message;
+};
+
+struct WorkerEvent {
+  CallId call = 0;
+  Delivery delivery = Delivery::kAnswered;
+  WorkerReply reply;
+};
+
+struct ServerEvent {
+  CallId call = 0;
+  Delivery delivery = Delivery::kAnswered;
+  ServerReply reply;
+};
+
+struct StoreEvent {
+  CallId call = 0;
+  Delivery delivery = Delivery::kAnswered;
+  StoreReply reply;
+};
+
+using Event = std::variant<TickEvent,
+                           LeaveEvent,
+                           ListEvent,
+                           PeerEvent,
+                           WorkerEvent,
+                           ServerEvent,
+                           StoreEvent,
+                           CallerSubmit,
+                           CallerQuery,
+                           CallerCancel,
+                           OperatorConfigSet>;
+
+struct SendPeer {
+  HostName to;
+  PeerMessage message;
+};
+
+struct SendWorker {
+  CallId call = 0;
+  WorkerName worker;
+  std::string address;
+  WorkerCall request;
+  Duration timeout = 0us;
+};
+
+struct SendServer {
+  CallId call = 0;
+  ServerName server;
+  std::string address;
+  ServerCall request;
+  Duration timeout = 0us;
+};
+
+struct SendStore {
+  CallId call = 0;
+  StoreCall request;
+  Duration timeout = 0us;
+};
+
+struct AnswerCaller {
+  ExchangeId exchange = 0;
+  Answer answer;
+};
+
+struct AnswerOperator {
+  ExchangeId exchange = 0;
+  ResultCode code = ResultCode::kOk;
+  Configuration configuration;
+};
+
+// A line for the log.
+struct LogLine {
+  std::string part;  // The fixed prefix.
+  std::string text;
+};
+
+// The planned stop is complete: nothing is open any more.
+struct Exit {};
+
+using Action = std::variant<SendPeer, SendWorker, SendServer, SendStore, AnswerCaller, AnswerOperator, LogLine, Exit>;
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_CORE_MESSAGES_H_
--- /dev/null
+++ b/src/core/worker_role.cc
@@ -0,0 +1,222 @@
+// Control leases: taking, renewing, releasing, and the takeover that reads what runs before it places.
+#include "core/worker_role.h"
+
+#include <algorithm>
+
+#include <fmt/core.h>
+
+namespace hibiscus {
+
+namespace {
+constexpr Duration kAcquireRetry = 300ms;
+}  // namespace
+
+void WorkerRole::OnList(const std::vector<ListEntry>& entries) {
+  for (const ListEntry& entry : entries) {
+    if (entry.kind == ListKind::kWorker && entry.data_centre == context_.settings.data_centre) {
+      workers_[entry.name].entry = entry;
+    }
+  }
+}
+
+void WorkerRole::OnTick() {
+  for (auto& [name, worker] : workers_) {
+    TickWorker(worker);
+  }
+  PlaceQueued();
+  RefreshLoad();
+}
+
+void WorkerRole::OnPause() {
+  for (auto& [name, worker] : workers_) {
+    LoseLease(worker);
+  }
+}
+
+void WorkerRole::TickWorker(OwnedWorker& worker) {
+  const TimePoint now = context_.Now();
+  if (worker.token != 0 && now >= worker.lease_until) {
+    LoseLease(worker);
+  }
+  DropExpiredHolds(worker);
+  for (auto& [run, owned] : worker.runs) {
+    const bool known = owned.phase != OwnedRun::Phase::kStarting;
+    if (known && HasLease(worker) && now >= owned.next_report) {
+      Report(worker, owned);
+    }
+  }
+  const bool ours = context_.OwnerOf(worker.entry.name) == context_.settings.name;
+  if (ours && worker.acquire == 0 && now >= worker.next_acquire) {
+    Acquire(worker);
+  }
+  const bool starting = std::any_of(worker.runs.begin(), worker.runs.end(),
+                                    [](const auto& entry) { return entry.second.phase == OwnedRun::Phase::kStarting; });
+  if (!ours && HasLease(worker) && worker.holds.empty() && !starting && !worker.releasing) {
+    Release(worker);
+  }
+}
+
+void WorkerRole::Acquire(OwnedWorker& worker) {
+  WorkerCall request;
+  request.op = WorkerOp::kAcquire;
+  request.holder = context_.settings.name;
+  request.token = worker.token;
+  request.ttl = context_.settings.control_lease;
+  request.wait = worker.token == 0 ? 0us : context_.settings.renew_wait;
+  request.acks = std::move(worker.acks);
+  worker.acks.clear();
+  worker.acquire_sent = context_.Now();
+  worker.acquire = Call(worker, request, context_.settings.worker_timeout);
+}
+
+void WorkerRole::Release(OwnedWorker& worker) {
+  worker.releasing = true;
+  WorkerCall request;
+  request.op = WorkerOp::kRelease;
+  request.holder = context_.settings.name;
+  request.token = worker.token;
+  Call(worker, request, context_.settings.worker_timeout);
+}
+
+// The token is void and with it every hold. What runs goes on running and is found again by the next holder.
+void WorkerRole::LoseLease(OwnedWorker& worker) {
+  worker.token = 0;
+  worker.releasing = false;
+  worker.acquire = 0;
+  for (const auto& [run, hold] : worker.holds) {
+    worker.ledger.Remove(run);
+  }
+  worker.holds.clear();
+}
+
+CallId WorkerRole::Call(const OwnedWorker& worker, WorkerCall request, Duration timeout) {
+  const CallId call = context_.NextId();
+  calls_[call] = PendingCall{worker.entry.name, request.op, request.task.run, request.token, {}};
+  context_.Act(SendWorker{call, worker.entry.name, worker.entry.address, std::move(request), timeout});
+  return call;
+}
+
+bool WorkerRole::OnWorker(const WorkerEvent& event) {
+  const auto entry = calls_.extract(event.call);
+  if (entry.empty()) {
+    return false;
+  }
+  const PendingCall& call = entry.mapped();
+  OwnedWorker& worker = workers_[call.worker];
+  switch (call.op) {
+    case WorkerOp::kAcquire:
+      if (event.call == worker.acquire) {
+        worker.acquire = 0;
+        OnAcquireReply(worker, event);
+      }
+      break;
+    case WorkerOp::kStart:
+      OnStartReply(worker, call, event);
+      break;
+    case WorkerOp::kStop:
+      OnStopReply(worker, call, event);
+      break;
+    case WorkerOp::kRelease:
+      if (call.token == worker.token) {
+        LoseLease(worker);
+        worker.runs.clear();
+        worker.ledger.Reset({});
+      }
+      break;
+  }
+  return true;
+}
+
+void WorkerRole::OnAcquireReply(OwnedWorker& worker, const WorkerEvent& event) {
+  const bool granted = event.delivery == Delivery::kAnswered && event.reply.status == WorkerStatus::kOk;
+  if (!granted) {
+    worker.next_acquire = context_.Now() + kAcquireRetry;
+    const bool fenced = event.delivery == Delivery::kAnswered;
+    if (fenced) {
+      LoseLease(worker);
+    }
+    return;
+  }
+  HIBISCUS_INVARIANT(event.reply.token >= worker.token, worker.entry.name,
+                     "A worker's token must only grow: check the worker's protocol.");
+  const bool fresh = event.reply.token != worker.token;
+  worker.token = event.reply.token;
+  worker.lease_until = worker.acquire_sent + context_.settings.control_lease;
+  worker.next_acquire = context_.Now();
+  if (fresh || event.reply.full) {
+    Adopt(worker, event.reply);
+  } else {
+    TakeEnded(worker, event.reply.tasks);
+  }
+}
+
+// A new lease: the worker's own word replaces everything believed before.
+void WorkerRole::Adopt(OwnedWorker& worker, const WorkerReply& reply) {
+  const std::map<RunId, OwnedRun> before = std::move(worker.runs);
+  worker.runs.clear();
+  worker.holds.clear();
+  worker.ledger.Reset(reply.capacity);
+  for (const WorkerTask& task : reply.tasks) {
+    OwnedRun& run = worker.runs[task.run];
+    run.task = task;
+    run.phase = OwnedRun::Phase::kRunning;
+    worker.ledger.Force(task.run, task.size);
+  }
+  for (const auto& [id, old] : before) {
+    if (worker.runs.contains(id)) {
+      continue;
+    }
+    if (old.phase == OwnedRun::Phase::kEnded) {
+      worker.runs[id] = old;  // Not acknowledged yet.
+      continue;
+    }
+    OwnedRun& gone = worker.runs[id] = old;
+    gone.phase = OwnedRun::Phase::kEnded;
+    gone.end = old.phase == OwnedRun::Phase::kStarting ? RunPhase::kNotStarted : RunPhase::kStopped;
+  }
+  TakeEnded(worker, reply.tasks);
+  context_.Log("worker",
+               fmt::format("{} leased, token {}, {} runs", worker.entry.name, worker.token, reply.tasks.size()));
+}
+
+void WorkerRole::TakeEnded(OwnedWorker& worker, const std::vector<WorkerTask>& tasks) {
+  for (const WorkerTask& task : tasks) {
+    if (task.state == RunState::kRunning) {
+      continue;
+    }
+    OwnedRun& run = worker.runs[task.run];
+    run.task = task;
+    EndRun(worker, task.run, task.state == RunState::kDone ? RunPhase::kDone : RunPhase::kFailed);
+  }
+}
+
+bool WorkerRole::HasLease(const OwnedWorker& worker) const {
+  return worker.token != 0 && context_.Now() < worker.lease_until;
+}
+
+bool WorkerRole::Covered() const {
+  return std::all_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    return context_.OwnerOf(entry.first) != context_.settings.name || HasLease(entry.second);
+  });
+}
+
+std::vector<RunReport> WorkerRole::RunsOf(const RequestKey& key) const {
+  std::vector<RunReport> reports;
+  for (const auto& [name, worker] : workers_) {
+    for (const auto& [id, run] : worker.runs) {
+      const bool gone = run.phase == OwnedRun::Phase::kEnded && run.end != RunPhase::kDone;
+      if (id.task.key == key && !gone) {
+        const RunPhase phase = run.phase == OwnedRun::Phase::kEnded ? RunPhase::kDone : RunPhase::kStarted;
+        reports.push_back(RunReport{id, name, worker.token, phase, run.task.body});
+      }
+    }
+  }
+  return reports;
+}
+
+size_t WorkerRole::leases() const {
+  return static_cast<size_t>(
+      std::count_if(workers_.begin(), workers_.end(), [&](const auto& entry) { return HasLease(entry.second); }));
+}
+
+}  // namespace hibiscus
--- /dev/null
+++ b/src/core/worker_role.h
@@ -0,0 +1,121 @@
+// The owner's part for workers: takes control leases, reads what runs before it places, keeps the ledger, starts and
+// stops runs under the fencing token, and reports their ends until the home host has taken note.
+#ifndef HIBISCUSSTAND_SRC_CORE_WORKER_ROLE_H_
+#define HIBISCUSSTAND_SRC_CORE_WORKER_ROLE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/claim_table.h"
+#include "core/context.h"
+#include "core/ledger.h"
+
+namespace hibiscus {
+
+// A run on a worker of ours.
+struct OwnedRun {
+  enum class Phase {
+    kStarting,  // The start is out.
+    kRunning,
+    kEnded,  // Reported until acknowledged.
+  };
+
+  WorkerTask task;
+  Phase phase = Phase::kStarting;
+  RunPhase end = RunPhase::kDone;  // Once ended.
+  TimePoint next_report{};
+};
+
+// Room kept for a run until its commit.
+struct Hold {
+  HostName home;
+  TimePoint until{};
+};
+
+// A worker that falls to this host, or did.
+struct OwnedWorker {
+  ListEntry entry;
+  uint64_t token = 0;       // 0: no lease.
+  TimePoint lease_until{};  // On our clock, counted from before we asked.
+  CallId acquire = 0;       // The call that is out, or 0.
+  TimePoint acquire_sent{};
+  TimePoint next_acquire{};
+  bool releasing = false;
+  Ledger ledger;
+  std::map<RunId, Hold> holds;
+  std::map<RunId, OwnedRun> runs;
+  std::vector<RunId> acks;  // Ended runs that the worker may forget.
+};
+
+// A task that waits for room.
+struct QueuedReserve {
+  HostName home;
+  Reserve reserve;
+  TimePoint start_by{};
+};
+
+class WorkerRole {
+ public:
+  WorkerRole(CoreContext& context, const ClaimTable& claims) : context_(context), claims_(claims) {}
+
+  void OnList(const std::vector<ListEntry>& entries);
+  void OnTick();
+  void OnPause();
+  bool OnWorker(const WorkerEvent& event);  // False: the call was not ours.
+
+  void OnReserve(const HostName& from, const Reserve& reserve);
+  void OnCommit(const HostName& from, const Commit& commit);
+  void OnReleaseHold(const ReleaseHold& release);
+  void OnStopRun(const HostName& from, const StopRun& stop);
+  void OnReportAck(const RunReportAck& ack);
+
+  // Every worker that falls to this host is under its lease, and has told what it runs.
+  bool Covered() const;
+  std::vector<RunReport> RunsOf(const RequestKey& key) const;
+  size_t leases() const;
+
+ private:
+  struct PendingCall {
+    WorkerName worker;
+    WorkerOp op = WorkerOp::kAcquire;
+    RunId run;
+    uint64_t token = 0;
+    HostName asked_by;  // Stop.
+  };
+
+  // Leases: worker_role.cc.
+  void TickWorker(OwnedWorker& worker);
+  void Acquire(OwnedWorker& worker);
+  void Release(OwnedWorker& worker);
+  void LoseLease(OwnedWorker& worker);
+  void OnAcquireReply(OwnedWorker& worker, const WorkerEvent& event);
+  void Adopt(OwnedWorker& worker, const WorkerReply& reply);
+  void TakeEnded(OwnedWorker& worker, const std::vector<WorkerTask>& tasks);
+  bool HasLease(const OwnedWorker& worker) const;
+  CallId Call(const OwnedWorker& worker, WorkerCall request, Duration timeout);
+
+  // Runs: worker_runs.cc.
+  void PlaceQueued();
+  OwnedWorker* FindRoom(const Reserve& reserve);
+  void HoldRoom(OwnedWorker& worker, const HostName& home, const Reserve& reserve);
+  bool NeverFits(const Resources& size) const;
+  void Start(OwnedWorker& worker, const HostName& home, const Commit& commit);
+  void OnStartReply(OwnedWorker& worker, const PendingCall& call, const WorkerEvent& event);
+  void OnStopReply(OwnedWorker& worker, const PendingCall& call, const WorkerEvent& event);
+  void EndRun(OwnedWorker& worker, const RunId& run, RunPhase end);
+  void Report(OwnedWorker& worker, OwnedRun& run);
+  void ReportTo(const HostName& home, const RunReport& report) { context_.Send(home, report); }
+  void DropExpiredHolds(OwnedWorker& worker);
+  void RefreshLoad();
+
+  CoreContext& context_;
+  const ClaimTable& claims_;
+  std::map<WorkerName, OwnedWorker> workers_;
+  std::map<CallId, PendingCall> calls_;
+  std::vector<QueuedReserve> queue_;  // Earliest start target first.
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_CORE_WORKER_ROLE_H_
--- /dev/null
+++ b/src/daemon/control_loop.h
@@ -0,0 +1,42 @@
+// The one thread that owns the core. Other threads post events; the actions go to a sink.
+#ifndef HIBISCUSSTAND_SRC_DAEMON_CONTROL_LOOP_H_
+#define HIBISCUSSTAND_SRC_DAEMON_CONTROL_LOOP_H_
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <vector>
+
+#include "core/host_core.h"
+
+namespace hibiscus {
+
+class ControlLoop {
+ public:
+  // Carries out the actions of one round. Called on the control thread.
+  using Sink = std::function<void(std::vector<Action>)>;
+  // A look at the core, on the control thread.
+  using Look = std::function<void(HostCore&)>;
+
+  ControlLoop(HostCore& core, Sink sink) : core_(core), sink_(std::move(sink)) {}
+
+  void Post(Event event);
+  void PostLook(Look look);
+  void Run();  // Returns after Stop.
+  void Stop();
+
+ private:
+  void HandleRound(const std::vector<Event>& events, const std::vector<Look>& looks);
+
+  HostCore& core_;
+  Sink sink_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::vector<Event> events_;
+  std::vector<Look> looks_;
+  bool stopping_ = false;
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_DAEMON_CONTROL_LOOP_H_
--- /dev/null
+++ b/src/ports/caller_api.cc
@@ -0,0 +1,195 @@
+#include "ports/caller_api.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <fmt/core.h>
+#include <nlohmann/json.hpp>
+
+#include "core/records.h"
+
+namespace hibiscus {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kLongestName = 200;  // Bytes of a tenant, an id or a class name.
+constexpr int kMostMembers = 1024;    // Tasks of one gang.
+constexpr int64_t kMostRunMs = int64_t{366} * 24 * 3600 * 1000;
+constexpr std::string_view kRequests = "/v1/requests";
+
+ApiError Bad(std::string detail) {
+  return ApiError{ResultCode::kBadRequest, std::move(detail)};
+}
+
+std::string NameFrom(const Json& json, const char* field) {
+  auto name = json.at(field).get<std::string>();
+  if (name.empty() || name.size() > kLongestName) {
+    throw std::invalid_argument(fmt::format("'{}' must have 1 to {} bytes", field, kLongestName));
+  }
+  return name;
+}
+
+int64_t NumberFrom(const Json& json, const char* field, int64_t fallback, int64_t least, int64_t most) {
+  if (!json.contains(field)) {
+    return fallback;
+  }
+  const Json& value = json.at(field);
+  if (!value.is_number_integer()) {
+    throw std::invalid_argument(fmt::format("'{}' must be a whole number", field));
+  }
+  const auto number = value.get<int64_t>();
+  if (number < least || number > most) {
+    throw std::invalid_argument(fmt::format("'{}' is {}, it must be {} to {}", field, number, least, most));
+  }
+  return number;
+}
+
+Request RequestFrom(const Json& json) {
+  constexpr int64_t kMost = int64_t{1} << 40;
+  Request request;
+  request.key.tenant = NameFrom(json, "tenant");
+  request.key.id = NameFrom(json, "id");
+  request.class_name = NameFrom(json, "class");
+  request.attempt = static_cast<int>(NumberFrom(json, "attempt", 0, 0, 1'000'000));
+  request.size.cpu_millis = NumberFrom(json, "cpu_millis", 0, 0, kMost);
+  request.size.memory_mb = NumberFrom(json, "memory_mb", 0, 0, kMost);
+  request.size.accelerators = NumberFrom(json, "accelerators", 0, 0, kMost);
+  request.members = static_cast<int>(NumberFrom(json, "members", 1, 1, kMostMembers));
+  request.run_time = std::chrono::milliseconds(NumberFrom(json, "run_ms", 1000, 0, kMostRunMs));
+  request.deferred = json.value("deferred", false);
+  request.payload = json.value("payload", std::string());
+  return request;
+}
+
+tl::expected<ApiAsk, ApiError> ParseSubmit(ExchangeId exchange, const std::string& body) {
+  try {
+    return CallerSubmit{exchange, RequestFrom(Json::parse(body))};
+  } catch (const std::exception& error) {
+    return tl::unexpected(Bad(error.what()));
+  }
+}
+
+tl::expected<ApiAsk, ApiError> ParseConfigSet(ExchangeId exchange, const std::string& body) {
+  try {
+    const Json json = Json::parse(body);
+    const auto configuration = DecodeConfiguration(json.at("configuration").dump());
+    if (!configuration) {
+      return tl::unexpected(Bad(configuration.error()));
+    }
+    if (std::string problem = CheckConfiguration(*configuration); !problem.empty()) {
+      return tl::unexpected(Bad(problem));
+    }
+    OperatorConfigSet set{exchange, json.at("expected_version").get<uint64_t>(), *configuration};
+    set.configuration.change_id = NameFrom(json, "change_id");
+    return set;
+  } catch (const std::exception& error) {
+    return tl::unexpected(Bad(error.what()));
+  }
+}
+
+// "/v1/requests/<tenant>/<id>"
+tl::expected<RequestKey, ApiError> KeyFromPath(const std::string& path) {
+  const size_t begin = kRequests.size() + 1;
+  const size_t slash = path.find('/', begin);
+  if (slash == std::string::npos || slash == begin || slash + 1 == path.size()) {
+    return tl::unexpected(Bad("the path must be /v1/requests/TENANT/ID"));
+  }
+  return RequestKey{path.substr(begin, slash - begin), path.substr(slash + 1)};
+}
+
+int SecondsUp(Duration duration) {
+  return static_cast<int>((Millis(duration) + 999) / 1000);
+}
+
+}  // namespace
+
+tl::expected<ApiAsk, ApiError> ParseApi(ExchangeId exchange, const HttpRequest& request) {
+  const std::string& path = request.path;
+  if (path == kRequests && request.method == "POST") {
+    return ParseSubmit(exchange, request.body);
+  }
+  if (path.starts_with(fmt::format("{}/", kRequests))) {
+    const auto key = KeyFromPath(path);
+    if (!key) {
+      return tl::unexpected(key.error());
+    }
+    if (request.method == "GET") {
+      return CallerQuery{exchange, *key};
+    }
+    if (request.method == "DELETE") {
+      return CallerCancel{exchange, *key};
+    }
+  }
+  if (path == "/v1/config" && request.method == "GET") {
+    return ConfigAsk{};
+  }
+  if (path == "/v1/config" && request.method == "PUT") {
+    return ParseConfigSet(exchange, request.body);
+  }
+  if (path == "/v1/status" && request.method == "GET") {
+    return StatusAsk{};
+  }
+  if (path == "/v1/health" && request.method == "GET") {
+    return HealthAsk{};
+  }
+  if (path == "/v1/leave" && request.method == "POST") {
+    return LeaveAsk{};
+  }
+  if (path == "/metrics" && request.method == "GET") {
+    return MetricsAsk{};
+  }
+  return tl::unexpected(ApiError{ResultCode::kNotFound, fmt::format("no such call: {} {}", request.method, path)});
+}
+
+HttpReply RenderAnswer(const Answer& answer) {
+  const ResultInfo& info = InfoOf(answer.code);
+  Json json{{"tenant", answer.key.tenant},           {"id", answer.key.id},
+            {"code", static_cast<int>(answer.code)}, {"name", info.name},
+            {"verdict", NameOf(answer.verdict)},     {"meaning", info.meaning}};
+  if (!answer.body.empty()) {
+    json["body"] = answer.body;
+  }
+  if (answer.retry_after > 0us) {
+    json["retry_after_ms"] = Millis(answer.retry_after);
+  }
+  return HttpReply{info.http_status, json.dump(-1, ' ', false, Json::error_handler_t::replace), "application/json",
+                   SecondsUp(answer.retry_after)};
+}
+
+HttpReply RenderConfig(ResultCode code, const Configuration& configuration) {
+  const ResultInfo& info = InfoOf(code);
+  const Json json{{"code", static_cast<int>(code)},
+                  {"name", info.name},
+                  {"meaning", info.meaning},
+                  {"configuration", Json::parse(EncodeConfiguration(configuration))}};
+  return HttpReply{info.http_status, json.dump()};
+}
+
+HttpReply RenderError(const ApiError& error) {
+  const ResultInfo& info = InfoOf(error.code);
+  const Json json{{"code", static_cast<int>(error.code)},
+                  {"name", info.name},
+                  {"verdict", NameOf(Verdict::kNotRun)},
+                  {"meaning", info.meaning},
+                  {"detail", error.detail}};
+  return HttpReply{info.http_status, json.dump(-1, ' ', false, Json::error_handler_t::replace)};
+}
+
+std::string RenderSubmit(const Request& request) {
+  const Json json{{"tenant", request.key.tenant},
+                  {"id", request.key.id},
+                  {"class", request.class_name},
+                  {"attempt", request.attempt},
+                  {"cpu_millis", request.size.cpu_millis},
+                  {"memory_mb", request.size.memory_mb},
+                  {"accelerators", request.size.accelerators},
+                  {"members", request.members},
+                  {"run_ms", Millis(request.run_time)},
+                  {"deferred", request.deferred},
+                  {"payload", request.payload}};
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+}  // namespace hibiscus
--- /dev/null
+++ b/src/ports/caller_api.h
@@ -0,0 +1,49 @@
+// The HTTP and JSON interface for callers and operators, as docs/API.md describes it: texts in, typed values out, and
+// back. Nothing here decides anything.
+#ifndef HIBISCUSSTAND_SRC_PORTS_CALLER_API_H_
+#define HIBISCUSSTAND_SRC_PORTS_CALLER_API_H_
+
+#include <string>
+#include <variant>
+
+#include <tl/expected.hpp>
+
+#include "core/messages.h"
+#include "ports/http_server.h"
+
+namespace hibiscus {
+
+// What an HTTP request asks for.
+struct StatusAsk {};
+struct HealthAsk {};
+struct MetricsAsk {};
+struct ConfigAsk {};
+struct LeaveAsk {};
+
+using ApiAsk = std::variant<CallerSubmit,
+                            CallerQuery,
+                            CallerCancel,
+                            OperatorConfigSet,
+                            StatusAsk,
+                            HealthAsk,
+                            MetricsAsk,
+                            ConfigAsk,
+                            LeaveAsk>;
+
+// Why a request is refused before the core sees it.
+struct ApiError {
+  ResultCode code = ResultCode::kBadRequest;
+  std::string detail;
+};
+
+tl::expected<ApiAsk, ApiError> ParseApi(ExchangeId exchange, const HttpRequest& request);
+HttpReply RenderAnswer(const Answer& answer);
+HttpReply RenderConfig(ResultCode code, const Configuration& configuration);
+HttpReply RenderError(const ApiError& error);
+
+// A request as the submit call takes it.
+std::string RenderSubmit(const Request& request);
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_PORTS_CALLER_API_H_
--- /dev/null
+++ b/src/ports/http_client.h
@@ -0,0 +1,48 @@
+// An HTTP client on libcurl: one thread, many calls at once, connections kept open.
+#ifndef HIBISCUSSTAND_SRC_PORTS_HTTP_CLIENT_H_
+#define HIBISCUSSTAND_SRC_PORTS_HTTP_CLIENT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/messages.h"
+
+namespace hibiscus {
+
+struct HttpCall {
+  std::string method = "POST";
+  std::string url;
+  std::string body;
+  Duration timeout = 1s;
+};
+
+struct HttpResult {
+  Delivery delivery = Delivery::kUnknown;  // Answered: `status` and the whole `body` are here.
+  int status = 0;
+  std::string body;
+};
+
+class HttpClient {
+ public:
+  // Called once per call, on the client's thread. Must not block.
+  using Done = std::function<void(HttpResult)>;
+
+  HttpClient();
+  ~HttpClient();  // Calls that are out end with Delivery::kUnknown.
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  void Send(HttpCall call, Done done);
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+// One call, waited for. For the command line.
+HttpResult HttpFetch(const HttpCall& call);
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_PORTS_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/ports/http_server.h
@@ -0,0 +1,58 @@
+// An HTTP server on libmicrohttpd. Requests arrive whole, on traffic threads; replies may be given at any time from any
+// thread.
+#ifndef HIBISCUSSTAND_SRC_PORTS_HTTP_SERVER_H_
+#define HIBISCUSSTAND_SRC_PORTS_HTTP_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hibiscus {
+
+struct HttpServerOptions {
+  std::string address = "127.0.0.1";
+  uint16_t port = 0;                   // 0: any free port.
+  unsigned connection_limit = 12'000;  // Open connections; more are closed at once.
+  unsigned idle_timeout_s = 30;        // A connection without traffic is closed after this.
+  size_t body_limit = 1'048'576;       // Bytes; more is answered with 413.
+  size_t header_limit = 32'768;        // Bytes per connection; more is answered with 431.
+  unsigned threads = 2;
+};
+
+struct HttpRequest {
+  std::string method;
+  std::string path;  // Without the query.
+  std::string body;
+};
+
+struct HttpReply {
+  int status = 200;
+  std::string body;
+  std::string content_type = "application/json";
+  int retry_after_s = 0;  // 0: no Retry-After.
+};
+
+class HttpServer {
+ public:
+  using ExchangeId = uint64_t;
+  // Must not block. Every exchange is owed one Reply.
+  using Handler = std::function<void(ExchangeId, const HttpRequest&)>;
+
+  // Throws std::runtime_error if the port cannot be opened.
+  HttpServer(const HttpServerOptions& options, Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  void Reply(ExchangeId exchange, HttpReply reply);
+  uint16_t port() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_PORTS_HTTP_SERVER_H_
--- /dev/null
+++ b/src/ports/json_codec.h
@@ -0,0 +1,94 @@
+// JSON forms of the core's messages, through nlohmann-json. Peers send them as CBOR, the platform's ports as text.
+// Durations are whole microseconds. Missing fields take their defaults, so that hosts of two versions understand each
+// other.
+#ifndef HIBISCUSSTAND_SRC_PORTS_JSON_CODEC_H_
+#define HIBISCUSSTAND_SRC_PORTS_JSON_CODEC_H_
+
+#include <string>
+
+#include <nlohmann/json.hpp>
+#include <tl/expected.hpp>
+
+#include "core/messages.h"
+
+namespace nlohmann {
+template <>
+struct adl_serializer<hibiscus::Duration> {
+  static void to_json(json& target, const hibiscus::Duration& value) { target = value.count(); }
+  static void from_json(const json& source, hibiscus::Duration& value) {
+    value = hibiscus::Duration(source.get<int64_t>());
+  }
+};
+}  // namespace nlohmann
+
+namespace hibiscus {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Resources, cpu_millis, memory_mb, accelerators)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RequestKey, tenant, id)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClassSpec, name, kind, start_within, finish_within, may_run_twice)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TenantQuota, tenant, limit, max_calls)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Configuration, version, change_id, classes, quotas)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Request,
+                                                key,
+                                                attempt,
+                                                class_name,
+                                                size,
+                                                members,
+                                                run_time,
+                                                deferred,
+                                                payload)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Answer, key, code, verdict, body, retry_after)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TaskId, key, member)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunId, task, run)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ListEntry, kind, name, data_centre, rack, address, leaving)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerTask, run, class_name, home, size, state, body)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerCall, op, holder, token, ttl, wait, acks, task, run_time, payload)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerReply, status, token, capacity, full, tasks)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ServerCall, op, run, payload, deadline)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ServerReply, status, leaving, slots, body)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StoreCall, op, key, value, expected, wait)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StoreReply, status, value, revision)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Heartbeat,
+                                                data_centre,
+                                                incarnation,
+                                                leaving,
+                                                config_version,
+                                                free,
+                                                largest,
+                                                free_slots)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardRequest, forward_id, request, resubmit)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardAnswer, forward_id, answer)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardMoved, forward_id, home)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardCancel, forward_id, key)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardQuery, forward_id, key)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Reserve, run, class_name, kind, size, run_time, start_within, queue)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Reserved, run, code, worker, token, retry_after)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Commit, run, worker, token, class_name, size, run_time, payload)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReleaseHold, run)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StopRun, run, worker)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReport, run, worker, token, phase, body)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReportAck, run, worker)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallDispatch, run, class_name, payload, start_within, finish_within)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallResult, run, code, verdict, body, retry_after)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Claim, key, view)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClaimAnswer, key, view, covered, known_elsewhere, runs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigPush, configuration)
+
+// A value as text, and back. Unreadable text is an error in one sentence.
+template <class Value>
+std::string EncodeJson(const Value& value) {
+  return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+template <class Value>
+tl::expected<Value, std::string> DecodeJson(const std::string& text) {
+  try {
+    return nlohmann::json::parse(text).get<Value>();
+  } catch (const std::exception& error) {
+    return tl::unexpected(std::string(error.what()));
+  }
+}
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_PORTS_JSON_CODEC_H_
--- /dev/null
+++ b/src/ports/log.cc
@@ -0,0 +1,70 @@
+#include "ports/log.h"
+
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <map>
+#include <mutex>
+
+#include <fmt/chrono.h>
+#include <fmt/core.h>
+
+namespace hibiscus {
+
+namespace {
+
+constexpr std::chrono::seconds kRepeatWindow(1);
+constexpr size_t kMostRemembered = 1000;  // Lines whose repeats are counted.
+
+struct Repeat {
+  std::chrono::steady_clock::time_point shown;
+  int held_back = 0;
+};
+
+std::atomic<LogLevel> g_level{LogLevel::kInfo};
+
+char LetterOf(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return 'D';
+    case LogLevel::kInfo:
+      return 'I';
+    case LogLevel::kWarning:
+      return 'W';
+    case LogLevel::kError:
+      return 'E';
+  }
+  return '?';
+}
+
+}  // namespace
+
+void SetLogLevel(LogLevel level) {
+  g_level = level;
+}
+
+void Log(LogLevel level, std::string_view part, const std::string& text) {
+  static std::mutex mutex;
+  static std::map<std::string, Repeat> repeats;
+  if (level < g_level) {
+    return;
+  }
+  const std::lock_guard lock(mutex);
+  const auto now = std::chrono::steady_clock::now();
+  if (repeats.size() > kMostRemembered) {
+    repeats.clear();
+  }
+  const auto [entry, fresh] = repeats.try_emplace(fmt::format("{}:{}", part, text), Repeat{now, 0});
+  Repeat& repeat = entry->second;
+  if (!fresh && now - repeat.shown < kRepeatWindow) {
+    ++repeat.held_back;
+    return;
+  }
+  const std::string again = repeat.held_back > 0 ? fmt::format(" (and {} times before)", repeat.held_back) : "";
+  repeat = Repeat{now, 0};
+  fmt::print(stderr, "{:%H:%M:%S} {} {}: {}{}\n", fmt::localtime(std::time(nullptr)), LetterOf(level), part, text,
+             again);
+}
+
+}  // namespace hibiscus
--- /dev/null
+++ b/standins/fakes.cc
@@ -0,0 +1,313 @@
+#include "standins/fakes.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/core.h>
+
+namespace hibiscus {
+
+namespace {
+
+constexpr Duration kRunLease = 20s;  // Runs end this long after the last renewal, whoever sent it.
+
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+std::string ExpectedBody(const TaskId& task) {
+  return fmt::format("<{}>", task.ToString());
+}
+
+// --- RunLog ----------------------------------------------------------------------------------------------------------
+
+void RunLog::Started(const RunId& run, const std::string& where, bool may_overlap) {
+  ++starts_;
+  ++starts_of_[run.task];
+  std::set<std::string>& places = running_[run.task];
+  places.insert(where);
+  if (places.size() > 1 && !may_overlap) {
+    Broken(fmt::format("{} runs in {} places", run.ToString(), places.size()));
+  }
+}
+
+void RunLog::Ended(const RunId& run, const std::string& where) {
+  running_[run.task].erase(where);
+}
+
+int RunLog::StartsOf(const TaskId& task) const {
+  const auto starts = starts_of_.find(task);
+  return starts == starts_of_.end() ? 0 : starts->second;
+}
+
+// --- FakeStore -------------------------------------------------------------------------------------------------------
+
+void FakeStore::Handle(const StoreCall& call, Reply reply) {
+  ++calls_;
+  switch (call.op) {
+    case StoreOp::kGet:
+      reply(Read(call.key));
+      return;
+    case StoreOp::kWatch: {
+      const StoreReply now = Read(call.key);
+      if (now.revision != call.expected) {
+        reply(now);
+      } else {
+        watches_.push_back(Watch{call, std::move(reply), clock_.Now() + call.wait});
+      }
+      return;
+    }
+    case StoreOp::kPut:
+      ++writes_;
+      reply(Write(call));
+      AnswerWatches(call.key);
+      return;
+    case StoreOp::kDelete:
+      ++writes_;
+      records_.erase(call.key);
+      reply(StoreReply{});
+      return;
+  }
+}
+
+void FakeStore::Tick() {
+  std::vector<Watch> due;
+  std::erase_if(watches_, [&](const Watch& watch) {
+    const bool over = clock_.Now() >= watch.until;
+    if (over) {
+      due.push_back(watch);
+    }
+    return over;
+  });
+  for (const Watch& watch : due) {
+    watch.reply(Read(watch.call.key));
+  }
+}
+
+StoreReply FakeStore::Read(const std::string& key) const {
+  const auto record = records_.find(key);
+  if (record == records_.end()) {
+    return StoreReply{StoreStatus::kAbsent, {}, 0};
+  }
+  return StoreReply{StoreStatus::kOk, record->second.value, record->second.revision};
+}
+
+StoreReply FakeStore::Write(const StoreCall& call) {
+  const StoreReply now = Read(call.key);
+  if (now.revision != call.expected) {
+    return StoreReply{StoreStatus::kConflict, now.value, now.revision};
+  }
+  records_[call.key] = Record{call.value, next_revision_};
+  return StoreReply{StoreStatus::kOk, {}, next_revision_++};
+}
+
+void FakeStore::AnswerWatches(const std::string& key) {
+  const StoreReply now = Read(key);
+  std::vector<Watch> due;
+  std::erase_if(watches_, [&](const Watch& watch) {
+    const bool changed = watch.call.key == key && watch.call.expected != now.revision;
+    if (changed) {
+      due.push_back(watch);
+    }
+    return changed;
+  });
+  for (const Watch& watch : due) {
+    watch.reply(now);
+  }
+}
+
+// --- FakeWorker ------------------------------------------------------------------------------------------------------
+
+void FakeWorker::Handle(const WorkerCall& call, const Reply& reply) {
+  LapseRuns();
+  if (call.op == WorkerOp::kAcquire) {
+    Acquire(call, reply);
+    return;
+  }
+  WorkerReply answer;
+  answer.token = token_;
+  const bool lapsed = clock_.Now() >= lease_until_;
+  if (call.token != token_ || lapsed) {
+    answer.status = WorkerStatus::kStaleToken;
+  } else if (call.op == WorkerOp::kStart) {
+    answer.status = Start(call);
+  } else if (call.op == WorkerOp::kStop) {
+    answer.status = Stop(call);
+  } else {
+    holder_.clear();
+    lease_until_ = clock_.Now();
+  }
+  reply(answer);
+}
+
+void FakeWorker::Acquire(const WorkerCall& call, const Reply& reply) {
+  const bool lapsed = clock_.Now() >= lease_until_;
+  if (!lapsed && holder_ != call.holder) {
+    reply(WorkerReply{WorkerStatus::kHeldByOther, 0, {}, false, {}});
+    return;
+  }
+  if (call.token != 0 && (call.token != token_ || lapsed)) {
+    reply(WorkerReply{WorkerStatus::kStaleToken, 0, {}, false, {}});
+    return;
+  }
+  holder_ = call.holder;
+  lease_until_ = clock_.Now() + call.ttl;
+  runs_until_ = clock_.Now() + kRunLease;
+  for (const RunId& run : call.acks) {
+    runs_.erase(run);
+  }
+  if (call.token == 0) {
+    ++token_;
+    WorkerReply answer{WorkerStatus::kOk, token_, capacity_, true, {}};
+    for (auto& [id, run] : runs_) {
+      run.told = run.task.state != RunState::kRunning;
+      answer.tasks.push_back(run.task);
+    }
+    reply(answer);
+    return;
+  }
+  renewals_.push_back(Renewal{call, reply, clock_.Now() + call.wait});
+  AnswerRenewal();
+}
+
+WorkerStatus FakeWorker::Start(const WorkerCall& call) {
+  const RunId& run = call.task.run;
+  const bool twice = std::any_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
+    return entry.first == run || (entry.first.task == run.task && entry.second.task.state == RunState::kRunning);
+  });
+  if (twice) {
+    return WorkerStatus::kDuplicate;
+  }
+  if (!(used_ + call.task.size).FitsIn(capacity_)) {
+    log_.Broken(fmt::format("{} was offered {} beyond its capacity", name_, run.ToString()));
+    return WorkerStatus::kNoRoom;
+  }
+  used_ += call.task.size;
+  runs_[run] = Run{call.task, clock_.Now() + Scaled(call.run_time, slowness_), false};
+  log_.Started(run, name_, false);
+  return WorkerStatus::kOk;
+}
+
+WorkerStatus FakeWorker::Stop(const WorkerCall& call) {
+  const auto run = runs_.find(call.task.run);
+  if (run == runs_.end()) {
+    return WorkerStatus::kNoSuchRun;
+  }
+  if (run->second.task.state == RunState::kRunning) {
+    EndRun(run->second, RunState::kFailed);
+  }
+  runs_.erase(run);
+  return WorkerStatus::kOk;
+}
+
+void FakeWorker::Tick() {
+  LapseRuns();
+  for (auto& [id, run] : runs_) {
+    if (run.task.state == RunState::kRunning && clock_.Now() >= run.ends) {
+      run.task.body = fails_everything_ ? std::string("failed") : ExpectedBody(id.task);
+      EndRun(run, fails_everything_ ? RunState::kFailed : RunState::kDone);
+    }
+  }
+  AnswerRenewal();
+}
+
+void FakeWorker::Restart() {
+  for (auto& [id, run] : runs_) {
+    if (run.task.state == RunState::kRunning) {
+      EndRun(run, RunState::kFailed);
+    }
+  }
+  runs_.clear();
+  renewals_.clear();
+  holder_.clear();
+  lease_until_ = clock_.Now();
+}
+
+size_t FakeWorker::running() const {
+  return static_cast<size_t>(std::count_if(
+      runs_.begin(), runs_.end(), [](const auto& entry) { return entry.second.task.state == RunState::kRunning; }));
+}
+
+// Runs whose lease has lapsed are stopped before anything else is done.
+void FakeWorker::LapseRuns() {
+  if (clock_.Now() < runs_until_) {
+    return;
+  }
+  for (auto& [id, run] : runs_) {
+    if (run.task.state == RunState::kRunning) {
+      EndRun(run, RunState::kFailed);
+    }
+  }
+}
+
+void FakeWorker::EndRun(Run& run, RunState state) {
+  run.task.state = state;
+  used_ -= run.task.size;
+  log_.Ended(run.task.run, name_);
+}
+
+void FakeWorker::AnswerRenewal() {
+  const bool untold = AnyUntold();
+  std::vector<Renewal> due;
+  std::erase_if(renewals_, [&](const Renewal& renewal) {
+    const bool over = untold || clock_.Now() >= renewal.until;
+    if (over) {
+      due.push_back(renewal);
+    }
+    return over;
+  });
+  for (const Renewal& renewal : due) {
+    renewal.reply(Ended());
+  }
+}
+
+bool FakeWorker::AnyUntold() const {
+  return std::any_of(runs_.begin(), runs_.end(), [](const auto& entry) {
+    return entry.second.task.state != RunState::kRunning && !entry.second.told;
+  });
+}
+
+WorkerReply FakeWorker::Ended() {
+  WorkerReply answer{WorkerStatus::kOk, token_, capacity_, false, {}};
+  for (auto& [id, run] : runs_) {
+    if (run.task.state != RunState::kRunning) {
+      run.told = true;
+      answer.tasks.push_back(run.task);
+    }
+  }
+  return answer;
+}
+
+// --- FakeServer ------------------------------------------------------------------------------------------------------
+
+void FakeServer::Handle(const ServerCall& call, const Reply& reply) {
+  if (call.op == ServerOp::kProbe) {
+    reply(ServerReply{ServerStatus::kOk, leaving_, slots_, {}});
+    return;
+  }
+  if (leaving_ || static_cast<int>(calls_.size()) >= slots_) {
+    reply(ServerReply{ServerStatus::kRefused, leaving_, slots_, {}});
+    return;
+  }
+  log_.Started(call.run, name_, true);
+  calls_.push_back(Execution{call, reply, clock_.Now() + Scaled(service_time_, slowness_)});
+}
+
+void FakeServer::Tick() {
+  std::vector<Execution> due;
+  std::erase_if(calls_, [&](const Execution& execution) {
+    const bool over = clock_.Now() >= execution.ends;
+    if (over) {
+      due.push_back(execution);
+    }
+    return over;
+  });
+  for (const Execution& execution : due) {
+    log_.Ended(execution.call.run, name_);
+    execution.reply(ServerReply{ServerStatus::kOk, leaving_, slots_, ExpectedBody(execution.call.run.task)});
+  }
+}
+
+}  // namespace hibiscus
--- /dev/null
+++ b/standins/fakes.h
@@ -0,0 +1,160 @@
+// Small fakes of the outside systems, without I/O and in any clock: a store, a worker, a backend server, and a run log
+// that sees every execution. The stand-in programs put them behind HTTP; the tests drive them in virtual time.
+#ifndef HIBISCUSSTAND_STANDINS_FAKES_H_
+#define HIBISCUSSTAND_STANDINS_FAKES_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/messages.h"
+
+namespace hibiscus {
+
+// Sees every start and end of every run, on all workers and backend servers, and notes each broken promise.
+class RunLog {
+ public:
+  void Started(const RunId& run, const std::string& where, bool may_overlap);
+  void Ended(const RunId& run, const std::string& where);
+  void Broken(std::string what) { broken_.push_back(std::move(what)); }
+
+  // How often any task of a request has started.
+  int StartsOf(const TaskId& task) const;
+  size_t starts() const { return starts_; }
+  const std::vector<std::string>& broken() const { return broken_; }
+
+ private:
+  std::map<TaskId, int> starts_of_;
+  std::map<TaskId, std::set<std::string>> running_;
+  size_t starts_ = 0;
+  std::vector<std::string> broken_;
+};
+
+class FakeStore {
+ public:
+  using Reply = std::function<void(const StoreReply&)>;
+
+  explicit FakeStore(const Clock& clock) : clock_(clock) {}
+  void Handle(const StoreCall& call, Reply reply);
+  void Tick();  // Answers watches whose time is over.
+
+  size_t calls() const { return calls_; }
+  size_t writes() const { return writes_; }
+
+ private:
+  struct Record {
+    std::string value;
+    uint64_t revision = 0;
+  };
+  struct Watch {
+    StoreCall call;
+    Reply reply;
+    TimePoint until;
+  };
+
+  StoreReply Read(const std::string& key) const;
+  StoreReply Write(const StoreCall& call);
+  void AnswerWatches(const std::string& key);
+
+  const Clock& clock_;
+  std::map<std::string, Record> records_;
+  std::vector<Watch> watches_;
+  uint64_t next_revision_ = 1;
+  size_t calls_ = 0;
+  size_t writes_ = 0;
+};
+
+class FakeWorker {
+ public:
+  using Reply = std::function<void(const WorkerReply&)>;
+
+  FakeWorker(WorkerName name, const Resources& capacity, const Clock& clock, RunLog& log)
+      : name_(std::move(name)), capacity_(capacity), clock_(clock), log_(log) {}
+
+  void Handle(const WorkerCall& call, const Reply& reply);
+  void Tick();     // Ends runs whose time is over, lapsed leases, and held-open renewals.
+  void Restart();  // Everything that ran is gone; the token goes on growing.
+
+  // Runs take this many times their declared time.
+  void set_slowness(double factor) { slowness_ = factor; }
+  void set_fails_everything(bool fails) { fails_everything_ = fails; }
+
+  const Resources& used() const { return used_; }
+  const Resources& capacity() const { return capacity_; }
+  size_t running() const;
+  const HostName& holder() const { return holder_; }
+
+ private:
+  struct Run {
+    WorkerTask task;
+    TimePoint ends;
+    bool told = false;  // Its end stood in a reply already.
+  };
+  struct Renewal {
+    WorkerCall call;
+    Reply reply;
+    TimePoint until;
+  };
+
+  void Acquire(const WorkerCall& call, const Reply& reply);
+  WorkerStatus Start(const WorkerCall& call);
+  WorkerStatus Stop(const WorkerCall& call);
+  void LapseRuns();
+  void EndRun(Run& run, RunState state);
+  void AnswerRenewal();
+  bool AnyUntold() const;
+  WorkerReply Ended();
+
+  WorkerName name_;
+  Resources capacity_;
+  const Clock& clock_;
+  RunLog& log_;
+  Resources used_;
+  HostName holder_;
+  uint64_t token_ = 0;
+  TimePoint lease_until_{};
+  TimePoint runs_until_{};
+  std::map<RunId, Run> runs_;
+  std::vector<Renewal> renewals_;
+  double slowness_ = 1.0;
+  bool fails_everything_ = false;
+};
+
+class FakeServer {
+ public:
+  using Reply = std::function<void(const ServerReply&)>;
+
+  FakeServer(ServerName name, int slots, Duration service_time, const Clock& clock, RunLog& log)
+      : name_(std::move(name)), slots_(slots), service_time_(service_time), clock_(clock), log_(log) {}
+
+  void Handle(const ServerCall& call, const Reply& reply);
+  void Tick();  // Answers the calls whose time is over.
+  void set_leaving(bool leaving) { leaving_ = leaving; }
+  void set_slowness(double factor) { slowness_ = factor; }
+  size_t in_progress() const { return calls_.size(); }
+
+ private:
+  struct Execution {
+    ServerCall call;
+    Reply reply;
+    TimePoint ends;
+  };
+
+  ServerName name_;
+  int slots_;
+  Duration service_time_;
+  const Clock& clock_;
+  RunLog& log_;
+  bool leaving_ = false;
+  double slowness_ = 1.0;
+  std::vector<Execution> calls_;
+};
+
+// What a run of this task answers: lets a test check that the answer is whole and the caller's own.
+std::string ExpectedBody(const TaskId& task);
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_STANDINS_FAKES_H_
--- /dev/null
+++ b/tests/codec_test.cc
@@ -0,0 +1,41 @@
+#include <catch2/catch.hpp>
+
+#include "ports/caller_api.h"
+#include "ports/peer_codec.h"
+
+namespace hibiscus {
+
+TEST_CASE("peer messages survive their bytes") {
+  const RunId run{TaskId{{"tenant", "id"}, 3}, 0xffff'ffff'ffff'ffffULL};
+  const std::vector<PeerMessage> messages = {
+      Heartbeat{"dc", 5, true, 6, Resources{1, 2, 3}, Resources{4, 5, 6}, -7},
+      Reserve{run, "class", WorkKind::kGang, Resources{1, 2, 3}, 5s, 6s, false},
+      RunReport{run, "worker", 9, RunPhase::kDone, std::string("\0body", 5)},
+      ClaimAnswer{run.task.key, 8, true, false, {RunReport{run, "worker", 9, RunPhase::kStarted, {}}}},
+  };
+  for (const PeerMessage& message : messages) {
+    const auto read = DecodePeerMessage(EncodePeerMessage(message));
+    REQUIRE(read);
+    REQUIRE(*read == message);
+  }
+  REQUIRE_FALSE(DecodePeerMessage("no cbor"));
+}
+
+TEST_CASE("a submit is read as it was written, and bad ones say what is wrong") {
+  Request request;
+  request.key = {"abay", "17"};
+  request.attempt = 1;
+  request.class_name = "quick";
+  request.run_time = 7ms;
+  request.payload = "p";
+  const auto ask = ParseApi(4, HttpRequest{"POST", "/v1/requests", RenderSubmit(request)});
+  REQUIRE(ask);
+  REQUIRE(std::get<CallerSubmit>(*ask).request == request);
+
+  const auto bad =
+      ParseApi(4, HttpRequest{"POST", "/v1/requests", R"({"tenant":"a","id":"b","class":"c","cpu_millis":-1})"});
+  REQUIRE_FALSE(bad);
+  REQUIRE(bad.error().detail == "'cpu_millis' is -1, it must be 0 to 1099511627776");
+}
+
+}  // namespace hibiscus
--- /dev/null
+++ b/tests/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
