--- a/src/ports/http_client.cc
+++ b/src/ports/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <future>
 #include <map>
 #include <mutex>
@@ -22,6 +23,7 @@
   HttpClient::Done done;
   std::string body;
   curl_slist* headers = nullptr;
+  int sends = 0;  // How often the request went out on a connection.
 };
 
 size_t OnBody(char* data, size_t size, size_t count, void* target) {
@@ -33,6 +35,14 @@
   return size * count;
 }
 
+// Called just before a request goes out. The library sends a request again on its own when a kept connection closes
+// without an answer; the far side may have acted on the first one, so the second is stopped.
+int OnBeforeSend(void* target, char* /*to_ip*/, char* /*from_ip*/, int /*to_port*/, int /*from_port*/) {
+  auto* transfer = static_cast<Transfer*>(target);
+  ++transfer->sends;
+  return transfer->sends == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
 void InitCurlOnce() {
   static const CURLcode kInit = curl_global_init(CURL_GLOBAL_DEFAULT);
   (void)kInit;
@@ -110,6 +120,8 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer->body);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
   running[easy] = std::move(transfer);
   curl_multi_add_handle(multi, easy);
 }
@@ -128,14 +140,12 @@
   running.erase(easy);
   HttpResult result;
   long status = 0;
-  long request_bytes = 0;
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   result.status = static_cast<int>(status);
   if (code == CURLE_OK) {
     result.delivery = Delivery::kAnswered;
     result.body = std::move(transfer->body);
-  } else if (code == CURLE_COULDNT_CONNECT || request_bytes == 0) {
+  } else if (transfer->sends == 0) {
     result.delivery = Delivery::kNotSent;
   }
   curl_multi_remove_handle(multi, easy);
--- /dev/null
+++ b/standins/load_main.cc
@@ -0,0 +1,312 @@
+// hibiscus_load: plays the callers of one customer's day against running hosts, and checks every answer: whole, of the
+// right request, and one. A refusal or a lost answer is repeated through another host of the same data centre with a
+// raised attempt number, as docs/API.md asks of callers; what surely reached no host keeps its number. Exits non-zero
+// if any caller had a wrong answer or none.
+#include <algorithm>
+#include <condition_variable>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <queue>
+#include <random>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <fmt/core.h>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include "ports/caller_api.h"
+#include "ports/http_client.h"
+#include "standins/day.h"
+
+DEFINE_string(server, "", "ip:port of the hosts; commas inside a data centre, semicolons between data centres");
+DEFINE_string(day, "", "file that describes the customer's day (workloads/*.json)");
+DEFINE_uint64(seed, 1, "what the day is drawn from");
+DEFINE_double(seconds, 0.0, "length of the day, seconds; 0 takes the file's");
+DEFINE_double(rate, 1.0, "multiplies every arrival rate");
+DEFINE_bool(progress, true, "print a progress line each second");
+
+namespace hibiscus {
+
+namespace {
+
+constexpr int kMostTries = 12;           // Per caller; then the last word of the system stands.
+constexpr Duration kRepeatLost = 300ms;  // Pause before a repeat after a lost connection.
+constexpr Duration kMostPatience = 60s;  // A caller waits no longer for one try.
+constexpr Duration kPatienceGrace = 2s;  // Beyond the finish target.
+constexpr Duration kProgressEvery = 1s;
+
+using Json = nlohmann::json;
+
+// How a caller's request ended.
+enum class Outcome { kWhole, kRefused, kFailed, kUnknown, kUnanswered, kWrong };
+
+constexpr const char* kOutcomeNames[] = {"whole", "refused", "failed", "unknown", "no answer", "wrong"};
+
+struct CallerState {
+  Request request;
+  size_t centre = 0;
+  size_t host = 0;
+  TimePoint begun;
+  int tries = 0;
+  bool ended = false;
+};
+
+// What is counted for one class.
+struct Tally {
+  std::map<Outcome, int> outcomes;
+  std::map<std::string, int> codes;  // Names of the last code.
+  std::vector<Duration> whole_after;
+  int repeats = 0;
+
+  int Count(Outcome outcome) const {
+    const auto found = outcomes.find(outcome);
+    return found == outcomes.end() ? 0 : found->second;
+  }
+};
+
+std::vector<std::string> Split(const std::string& text, char separator) {
+  std::vector<std::string> parts;
+  std::stringstream stream(text);
+  for (std::string part; std::getline(stream, part, separator);) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+class Load {
+ public:
+  Load(Day day, std::vector<std::vector<std::string>> centres)
+      : day_(std::move(day)), centres_(std::move(centres)), random_(FLAGS_seed) {}
+
+  bool Run();  // True if every caller was answered rightly.
+
+ private:
+  using CallerRef = std::shared_ptr<CallerState>;
+  struct Due {
+    TimePoint at;
+    CallerRef caller;
+    bool operator<(const Due& other) const { return at > other.at; }  // The earliest is on top.
+  };
+
+  void Plan();
+  void Begin(const CallerRef& caller);
+  void OnResult(const CallerRef& caller, const HttpResult& result);
+  void OnAnswer(const CallerRef& caller, const Json& json);
+  bool Repeat(const CallerRef& caller, Duration after);
+  void End(const CallerRef& caller, Outcome outcome, const std::string& code);
+  void Progress(TimePoint now);
+  bool Report() const;
+
+  Day day_;
+  std::vector<std::vector<std::string>> centres_;
+  std::mt19937_64 random_;
+  SteadyClock clock_;
+  TimePoint begun_;
+  TimePoint next_progress_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::priority_queue<Due> due_;
+  std::map<std::string, Tally> tallies_;
+  size_t planned_ = 0;
+  size_t ended_ = 0;
+  HttpClient client_;  // Last: its thread stops first.
+};
+
+void Load::Plan() {
+  begun_ = clock_.Now();
+  next_progress_ = begun_;
+  const std::string run_name = fmt::format("{:08x}", std::random_device()());
+  for (const Arrival& arrival : DrawDay(day_, FLAGS_seed, run_name)) {
+    auto caller = std::make_shared<CallerState>();
+    caller->request = arrival.request;
+    caller->centre = random_() % centres_.size();
+    caller->host = random_() % centres_[caller->centre].size();
+    due_.push(Due{begun_ + arrival.at, caller});
+  }
+  planned_ = due_.size();
+}
+
+bool Load::Run() {
+  Plan();
+  std::unique_lock lock(mutex_);
+  while (ended_ < planned_) {
+    const TimePoint now = clock_.Now();
+    if (now >= next_progress_) {
+      Progress(now);
+    }
+    if (!due_.empty() && due_.top().at <= now) {
+      const CallerRef caller = due_.top().caller;
+      due_.pop();
+      Begin(caller);
+      continue;
+    }
+    wake_.wait_until(lock, due_.empty() ? next_progress_ : std::min(next_progress_, due_.top().at));
+  }
+  Progress(clock_.Now());
+  return Report();
+}
+
+// Called with the lock held; the client never calls back from Send.
+void Load::Begin(const CallerRef& caller) {
+  if (caller->tries++ == 0) {
+    caller->begun = clock_.Now();
+  }
+  const std::string& host = centres_[caller->centre][caller->host];
+  const ClassSpec* spec = day_.FindClass(caller->request.class_name);
+  const Duration patience = std::min(kMostPatience, spec->finish_within + kPatienceGrace);
+  HttpCall call{"POST", fmt::format("http://{}/v1/requests", host), RenderSubmit(caller->request), patience};
+  client_.Send(std::move(call), [this, caller](const HttpResult& result) { OnResult(caller, result); });
+}
+
+void Load::OnResult(const CallerRef& caller, const HttpResult& result) {
+  const std::lock_guard lock(mutex_);
+  wake_.notify_one();
+  if (caller->ended) {
+    End(caller, Outcome::kWrong, "second answer");
+    return;
+  }
+  if (result.delivery != Delivery::kAnswered) {
+    caller->request.attempt += result.delivery == Delivery::kUnknown ? 1 : 0;
+    if (!Repeat(caller, kRepeatLost)) {
+      End(caller, Outcome::kUnanswered, "no answer");
+    }
+    return;
+  }
+  const Json json = Json::parse(result.body, nullptr, false);
+  if (!json.is_object() || !json.contains("code") || json.value("id", "") != caller->request.key.id ||
+      json.value("tenant", "") != caller->request.key.tenant) {
+    End(caller, Outcome::kWrong, fmt::format("unreadable or another's answer: {}", result.body));
+    return;
+  }
+  OnAnswer(caller, json);
+}
+
+void Load::OnAnswer(const CallerRef& caller, const Json& json) {
+  const std::string name = json.value("name", "");
+  const std::string verdict = json.value("verdict", "");
+  const auto code = static_cast<ResultCode>(json.at("code").get<int>());
+  if (code == ResultCode::kOk) {
+    const bool whole = json.value("body", "") == ExpectedAnswer(caller->request) && verdict == "done";
+    End(caller, whole ? Outcome::kWhole : Outcome::kWrong, name);
+  } else if (verdict == NameOf(Verdict::kNotRun)) {
+    const int64_t retry_ms = json.value("retry_after_ms", int64_t{0});
+    const bool plain = retry_ms > 0 || code == ResultCode::kNeverFits;
+    ++caller->request.attempt;
+    if (retry_ms == 0 || !Repeat(caller, std::chrono::milliseconds(retry_ms))) {
+      End(caller, plain ? Outcome::kRefused : Outcome::kWrong, name);
+    }
+  } else if (verdict == NameOf(Verdict::kFailed)) {
+    End(caller, Outcome::kFailed, name);
+  } else {
+    End(caller, verdict == NameOf(Verdict::kUnknown) ? Outcome::kUnknown : Outcome::kWrong, name);
+  }
+}
+
+// False: the caller has tried often enough.
+bool Load::Repeat(const CallerRef& caller, Duration after) {
+  if (caller->tries >= kMostTries) {
+    return false;
+  }
+  ++tallies_[caller->request.class_name].repeats;
+  caller->host = (caller->host + 1) % centres_[caller->centre].size();
+  due_.push(Due{clock_.Now() + after, caller});
+  return true;
+}
+
+void Load::End(const CallerRef& caller, Outcome outcome, const std::string& code) {
+  Tally& tally = tallies_[caller->request.class_name];
+  ++tally.outcomes[outcome];
+  ++tally.codes[code];
+  if (outcome == Outcome::kWhole) {
+    tally.whole_after.push_back(clock_.Now() - caller->begun);
+  }
+  ended_ += caller->ended ? 0 : 1;
+  caller->ended = true;
+  if (outcome == Outcome::kWrong || outcome == Outcome::kUnanswered) {
+    fmt::print(stderr, "load: {} of {}: {}\n", kOutcomeNames[static_cast<size_t>(outcome)],
+               caller->request.key.ToString(), code);
+  }
+}
+
+void Load::Progress(TimePoint now) {
+  next_progress_ = now + kProgressEvery;
+  if (!FLAGS_progress) {
+    return;
+  }
+  std::map<Outcome, int> sums;
+  for (const auto& [name, tally] : tallies_) {
+    for (const auto& [outcome, count] : tally.outcomes) {
+      sums[outcome] += count;
+    }
+  }
+  fmt::print("{:4} s: {} of {} ended, {} whole, {} refused, {} failed, {} unknown, {} wrong\n",
+             Millis(now - begun_) / 1000, ended_, planned_, sums[Outcome::kWhole], sums[Outcome::kRefused],
+             sums[Outcome::kFailed], sums[Outcome::kUnknown], sums[Outcome::kWrong] + sums[Outcome::kUnanswered]);
+  std::fflush(stdout);
+}
+
+Duration Quantile(std::vector<Duration> values, double share) {
+  if (values.empty()) {
+    return 0us;
+  }
+  std::sort(values.begin(), values.end());
+  const auto place = static_cast<size_t>(share * static_cast<double>(values.size() - 1));
+  return values[place];
+}
+
+bool Load::Report() const {
+  bool good = true;
+  fmt::print("\n{:<16}{:>7}{:>9}{:>8}{:>9}{:>7}{:>9}{:>12}{:>12}\n", "class", "whole", "refused", "failed", "unknown",
+             "wrong", "repeats", "median ms", "99 of 100");
+  for (const auto& [name, tally] : tallies_) {
+    const int wrong = tally.Count(Outcome::kWrong) + tally.Count(Outcome::kUnanswered);
+    good = good && wrong == 0;
+    fmt::print("{:<16}{:>7}{:>9}{:>8}{:>9}{:>7}{:>9}{:>12}{:>12}\n", name, tally.Count(Outcome::kWhole),
+               tally.Count(Outcome::kRefused), tally.Count(Outcome::kFailed), tally.Count(Outcome::kUnknown), wrong, tally.repeats,
+               Millis(Quantile(tally.whole_after, 0.5)), Millis(Quantile(tally.whole_after, 0.99)));
+    for (const auto& [code, ends] : tally.codes) {
+      if (code != "ok") {
+        fmt::print("    {} {}\n", ends, code);
+      }
+    }
+  }
+  return good;
+}
+
+int RunLoad() {
+  std::ifstream file(FLAGS_day);
+  std::stringstream text;
+  text << file.rdbuf();
+  auto day = ReadDay(text.str());
+  if (!day) {
+    fmt::print(stderr, "load: --day is '{}': {}\n", FLAGS_day, day.error());
+    return 2;
+  }
+  day->seconds = FLAGS_seconds > 0.0 ? FLAGS_seconds : day->seconds;
+  for (DayStream& stream : day->streams) {
+    stream.per_second *= FLAGS_rate;
+  }
+  std::vector<std::vector<std::string>> centres;
+  for (const std::string& centre : Split(FLAGS_server, ';')) {
+    centres.push_back(Split(centre, ','));
+  }
+  if (centres.empty()) {
+    fmt::print(stderr, "load: --server is empty; it must name at least one host\n");
+    return 2;
+  }
+  return Load(*day, centres).Run() ? 0 : 1;
+}
+
+}  // namespace
+
+}  // namespace hibiscus
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("plays the callers of one customer's day");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return hibiscus::RunLoad();
+}
--- a/standins/standin_main.cc
+++ b/standins/standin_main.cc
@@ -1,7 +1,8 @@
 // hibiscus_standin: plays one outside system on loopback: the store, the host list, workers or backend servers.
 // It exists for tests and the demo; docs/PLATFORM.md states what the real ones must do.
+#include <algorithm>
 #include <chrono>
-#include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <map>
 #include <memory>
@@ -36,6 +37,19 @@
 
 constexpr std::chrono::milliseconds kTick(2);
 
+// A task's payload may state how long it really runs, whatever was declared.
+constexpr std::string_view kRealRunTime = "run_ms=";
+
+void ApplyPayload(WorkerCall& call) {
+  if (call.payload.starts_with(kRealRunTime)) {
+    const std::string text = call.payload.substr(kRealRunTime.size());
+    call.run_time = std::chrono::milliseconds(std::strtoll(text.c_str(), nullptr, 10));
+  }
+}
+
+void ApplyPayload(const ServerCall& /*call*/) {}
+void ApplyPayload(const StoreCall& /*call*/) {}
+
 std::vector<std::string> Names() {
   std::vector<std::string> names;
   std::stringstream stream(FLAGS_names);
@@ -70,10 +84,31 @@
   }
 
  private:
+  // Processors in use of each worker: the mean since the start, and the peak.
+  struct Use {
+    double cpu_millis_sum = 0.0;
+    int64_t cpu_millis_peak = 0;
+    int64_t samples = 0;
+  };
+
+  std::string Usage() {
+    nlohmann::json json = nlohmann::json::object();
+    for (const auto& [name, worker] : workers_) {
+      const Use& use = uses_[name];
+      const double mean = use.samples == 0 ? 0.0 : use.cpu_millis_sum / static_cast<double>(use.samples);
+      json[name] = {{"cpu_millis", worker.capacity().cpu_millis}, {"mean", mean}, {"peak", use.cpu_millis_peak}};
+    }
+    return json.dump();
+  }
+
   void Tick() {
     store_.Tick();
     for (auto& [name, worker] : workers_) {
       worker.Tick();
+      Use& use = uses_[name];
+      use.cpu_millis_sum += static_cast<double>(worker.used().cpu_millis);
+      use.cpu_millis_peak = std::max(use.cpu_millis_peak, worker.used().cpu_millis);
+      ++use.samples;
     }
     for (auto& [name, server] : servers_) {
       server.Tick();
@@ -89,6 +124,8 @@
       ReplyText(exchange, ReadHosts());
     } else if (request.path == "/log") {
       ReplyText(exchange, nlohmann::json{{"starts", log_.starts()}, {"broken", log_.broken()}}.dump());
+    } else if (request.path == "/usage") {
+      ReplyText(exchange, Usage());
     } else if (request.path == "/counts") {
       ReplyText(exchange, nlohmann::json{{"calls", store_.calls()}, {"writes", store_.writes()}}.dump());
     } else if (request.path.starts_with("/workers/") && workers_.contains(name)) {
@@ -109,11 +146,12 @@
 
   template <class Call, class Reply, class Fake>
   void Forward(HttpServer::ExchangeId exchange, const std::string& body, Fake& fake) {
-    const auto call = DecodeJson<Call>(body);
+    auto call = DecodeJson<Call>(body);
     if (!call) {
       http_->Reply(exchange, HttpReply{400, "{}"});
       return;
     }
+    ApplyPayload(*call);
     fake.Handle(*call, [this, exchange](const Reply& reply) { ReplyText(exchange, EncodeJson(reply)); });
   }
 
@@ -133,6 +171,7 @@
   std::mutex mutex_;
   FakeStore store_;
   std::map<std::string, FakeWorker> workers_;
+  std::map<std::string, Use> uses_;
   std::map<std::string, FakeServer> servers_;
   std::unique_ptr<HttpServer> http_;
 };
