Close holes in takeover, pause and restart that a reading of the protocol shows

Cause: five cases in which a host could speak beyond its knowledge. (1) An owner with a newer token called an absent run 'not started' although the worker may have lost its memory in a restart since; a never-twice task could then run again. (2) A home host that woke from a pause went on with its requests although another had claimed them. (3) An entry host took an answer from a former home host, so a stale 'not run' could reach the caller while the new one ran the request. (4) A restarted host with the same name was never noticed as gone by those who waited for the old one. (5) A stop order that was lost left a run of an ended request going. Ruled out: a boot number of the worker for (1): the platform's protocol is not known yet, and the cautious answer costs only an 'unknown' where an owner dies between hold and start. Change: RunPhase::kGone; HomeRole::OnPause claims again; answers count only from the present home host; an incarnation is live only after a settling time; stops are repeated until an end is reported; a recovering home host refuses fresh requests; Covered() needs a list. Conclusion: each rule is now in one place; the randomised driver has to show that no further case is left.

--- a/src/core/context.h
+++ b/src/core/context.h
@@ -19,6 +19,7 @@
   DataCentre data_centre;
   Duration heartbeat_every = 250ms;  // Beat towards the own data centre.
   Duration suspect_after = 1s;       // A peer this silent is not live.
+  Duration settle = 300ms;           // A new incarnation is not live before this: all notice that the old one is gone.
   Duration control_lease = 4s;       // Length of a worker's control lease.
   Duration renew_wait = 1200ms;      // How long a worker may hold a renewal open.
   Duration worker_timeout = 2500ms;  // An unanswered worker call is given up.
--- a/src/core/entry_role.cc
+++ b/src/core/entry_role.cc
@@ -32,10 +32,10 @@
   Open(Exchange{cancel.exchange, Kind::kCancel, {}, cancel.key, {}, context_.Now() + kQueryTimeout});
 }
 
-void EntryRole::OnAnswer(const ForwardAnswer& answer) {
+void EntryRole::OnAnswer(const HostName& from, const ForwardAnswer& answer) {
   const auto exchange = open_.find(answer.forward_id);
-  if (exchange == open_.end()) {
-    return;  // Late: the caller has its answer.
+  if (exchange == open_.end() || exchange->second.home != from) {
+    return;  // Late: the caller has its answer, or another home host has the request now.
   }
   HIBISCUS_INVARIANT(exchange->second.key == answer.answer.key, exchange->second.key.ToString(),
                      "An answer must go to its own caller: report which hosts forwarded it.");
--- a/src/core/entry_role.h
+++ b/src/core/entry_role.h
@@ -16,7 +16,7 @@
   void OnSubmit(const CallerSubmit& submit);
   void OnQuery(const CallerQuery& query);
   void OnCancel(const CallerCancel& cancel);
-  void OnAnswer(const ForwardAnswer& answer);
+  void OnAnswer(const HostName& from, const ForwardAnswer& answer);
   void OnMoved(const ForwardMoved& moved);
   void OnTick();
 
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -23,6 +23,11 @@
 
 void HomeRole::OnForward(const HostName& from, const ForwardRequest& forward) {
   Job* job = Find(forward.request.key);
+  if (job == nullptr && context_.IsRecovering()) {
+    const Answer answer{forward.request.key, ResultCode::kHostRecovering, Verdict::kNotRun, {}, kComeBack};
+    context_.Send(from, ForwardAnswer{forward.forward_id, answer});
+    return;
+  }
   if (job == nullptr) {
     Accept(from, forward);
     return;
@@ -80,6 +85,7 @@
   job.members.resize(static_cast<size_t>(request.members));
 
   const bool first = request.attempt == 1 && !forward.resubmit;
+  job.surely_first = first;
   const bool idempotent_call = spec->kind == WorkKind::kCall && spec->may_run_twice;
   if (!claims_.Allows(request.key, context_.settings.name)) {
     Refuse(job, ResultCode::kRepeatUnverified);
@@ -124,6 +130,11 @@
     return;
   }
   bool adopted = false;
+  for (Member& member : job.members) {
+    if (member.phase != MemberPhase::kEnded) {
+      Enter(member, MemberPhase::kIdle, context_.Now());
+    }
+  }
   const std::map<HostName, ClaimAnswer> answers = std::move(job.claim_answers);
   job.phase = JobPhase::kActive;
   for (const auto& [host, answer] : answers) {
@@ -134,7 +145,7 @@
   }
   if (adopted) {
     FinishIfAllEnded(job);
-  } else if (job.spec.may_run_twice) {
+  } else if (job.spec.may_run_twice || (job.surely_first && !job.committed)) {
     Begin(job);
   } else {
     End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
@@ -181,7 +192,7 @@
 }
 
 void HomeRole::OnDeadline(Job& job) {
-  if (job.phase == JobPhase::kClaiming) {
+  if (job.phase == JobPhase::kClaiming && !job.committed) {
     Refuse(job, ResultCode::kRepeatUnverified);
     return;
   }
@@ -197,22 +208,32 @@
   End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
 }
 
+void HomeRole::OnPause() {
+  for (auto& [key, job] : jobs_) {
+    if (job.phase == JobPhase::kActive && job.spec.kind != WorkKind::kCall) {
+      StartClaim(job);
+    }
+  }
+}
+
 void HomeRole::OnTick() {
   for (auto& [key, job] : jobs_) {
     if (job.phase != JobPhase::kEnded) {
       TickJob(job);
     }
+    TickStops(job);
   }
   std::erase_if(jobs_, [&](const auto& entry) {
     const Job& job = entry.second;
     const bool refused = job.answer.verdict == Verdict::kNotRun;  // A repeat may try afresh.
     const Duration keep = refused ? 0us : context_.settings.remember;
-    return job.phase == JobPhase::kEnded && context_.Now() - job.ended >= keep;
+    return job.phase == JobPhase::kEnded && job.stops.empty() && context_.Now() - job.ended >= keep;
   });
 }
 
 void HomeRole::TickJob(Job& job) {
-  const TimePoint deadline = job.phase == JobPhase::kClaiming ? job.start_by : job.finish_by;
+  const bool unstarted_claim = job.phase == JobPhase::kClaiming && !job.committed;
+  const TimePoint deadline = unstarted_claim ? job.start_by : job.finish_by;
   if (context_.Now() >= deadline) {
     OnDeadline(job);
   } else if (job.phase == JobPhase::kClaiming) {
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -65,7 +65,11 @@
   std::vector<Member> members;                    // Tasks, or the one call.
   std::map<HostName, ClaimAnswer> claim_answers;  // While claiming.
   TimePoint next_claim{};
-  int runs = 0;  // Tries begun.
+  int runs = 0;                // Tries begun.
+  bool surely_first = false;   // No earlier attempt can exist.
+  bool committed = false;      // A run of it may have started, by this host's order.
+  std::vector<StopRun> stops;  // Runs to be stopped, repeated until their end is reported.
+  TimePoint next_stop{};
 };
 
 class HomeRole {
@@ -81,6 +85,9 @@
   void OnClaimAnswer(const HostName& from, const ClaimAnswer& answer);
   void OnTick();
 
+  // After a pause other hosts may have taken requests over: asks before anything else is done with them.
+  void OnPause();
+
   // Has this host the request, in any phase but claiming?
   bool Knows(const RequestKey& key) const;
   // Does this host itself claim the request?
@@ -115,13 +122,15 @@
   HostName PickTaskOwner(const Job& job, const Member& member);
   void OnAllRefused(Job& job, Member& member);
   void CommitMember(Job& job, Member& member);
-  void SendCommit(const Job& job, Member& member);
+  void SendCommit(Job& job, Member& member);
   void ReleaseMembers(Job& job);
   void OnRunEnded(Job& job, Member& member, const RunReport& report);
   void OnRunFailed(Job& job, Member& member, const RunReport& report);
+  void OnRunGone(Job& job, Member& member);
   void Rerun(Job& job, Member& member, Duration after);
   void AdoptRun(Job& job, const RunReport& report);
   void StopMembers(Job& job);
+  void TickStops(Job& job);
   void FinishIfAllEnded(Job& job);
   static void Enter(Member& member, MemberPhase phase, TimePoint now);
 
--- a/src/core/home_tasks.cc
+++ b/src/core/home_tasks.cc
@@ -152,7 +152,8 @@
   SendCommit(job, member);
 }
 
-void HomeRole::SendCommit(const Job& job, Member& member) {
+void HomeRole::SendCommit(Job& job, Member& member) {
+  job.committed = true;
   member.next_send = context_.Now() + context_.settings.resend_every;
   if (member.phase == MemberPhase::kRunning || !context_.IsReachable(member.owner)) {
     member.owner = context_.OwnerOf(member.worker);
@@ -167,6 +168,9 @@
     context_.Send(from, RunReportAck{report.run, report.worker});
   }
   Job* job = Find(report.run.task.key);
+  if (job != nullptr && ended) {
+    std::erase_if(job->stops, [&](const StopRun& stop) { return stop.run == report.run; });
+  }
   Member* member = job == nullptr || job->phase != JobPhase::kActive ? nullptr : FindMember(*job, report.run);
   if (member == nullptr || member->phase == MemberPhase::kEnded || member->phase == MemberPhase::kIdle) {
     return;
@@ -196,6 +200,9 @@
     case RunPhase::kNotStarted:
       Rerun(job, member, kRetryRoom);
       return;
+    case RunPhase::kGone:
+      OnRunGone(job, member);
+      return;
     case RunPhase::kStarted:
       return;
   }
@@ -213,6 +220,16 @@
   End(job, poison ? ResultCode::kPoisonJob : ResultCode::kTaskFailed, Verdict::kFailed, report.body);
 }
 
+void HomeRole::OnRunGone(Job& job, Member& member) {
+  if (job.spec.may_run_twice) {
+    Rerun(job, member, kRerunAfterFailure);
+    return;
+  }
+  Enter(member, MemberPhase::kIdle, context_.Now());
+  StopMembers(job);
+  End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
+}
+
 void HomeRole::Rerun(Job&, Member& member, Duration after) {
   Enter(member, MemberPhase::kIdle, context_.Now());
   member.next_send = context_.Now() + after;
@@ -240,11 +257,21 @@
   for (Member& member : job.members) {
     const bool may_run = member.phase == MemberPhase::kCommitted || member.phase == MemberPhase::kRunning;
     if (may_run && job.spec.kind != WorkKind::kCall) {
-      context_.Send(context_.OwnerOf(member.worker), StopRun{member.run, member.worker});
+      job.stops.push_back(StopRun{member.run, member.worker});
     }
   }
 }
 
+void HomeRole::TickStops(Job& job) {
+  if (job.stops.empty() || context_.Now() < job.next_stop) {
+    return;
+  }
+  job.next_stop = context_.Now() + context_.settings.resend_every;
+  for (const StopRun& stop : job.stops) {
+    context_.Send(context_.OwnerOf(stop.worker), stop);
+  }
+}
+
 void HomeRole::ReleaseMembers(Job& job) {
   for (Member& member : job.members) {
     if (member.phase == MemberPhase::kReserving || member.phase == MemberPhase::kHeld) {
--- a/src/core/host_core.cc
+++ b/src/core/host_core.cc
@@ -68,13 +68,14 @@
   context_.recovering_until = now + context_.settings.recover;
   membership_.OnPause();
   workers_.OnPause();
+  home_.OnPause();
 }
 
 void HostCore::Dispatch(const HostName& from, const PeerMessage& message) {
   std::visit(Overloaded{
                  [&](const Heartbeat& m) { OnHeartbeat(from, m); },
                  [&](const ForwardRequest& m) { home_.OnForward(from, m); },
-                 [&](const ForwardAnswer& m) { entry_.OnAnswer(m); },
+                 [&](const ForwardAnswer& m) { entry_.OnAnswer(from, m); },
                  [&](const ForwardMoved& m) { entry_.OnMoved(m); },
                  [&](const ForwardCancel& m) { home_.OnCancel(from, m); },
                  [&](const ForwardQuery& m) { home_.OnQuery(from, m); },
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -20,7 +20,10 @@
   if (heartbeat.data_centre != context_.settings.data_centre) {
     return;
   }
-  peers_[from] = PeerState{heartbeat, context_.Now()};
+  const auto known = peers_.find(from);
+  const bool same = known != peers_.end() && known->second.heartbeat.incarnation == heartbeat.incarnation;
+  const TimePoint since = same ? known->second.since : context_.Now();
+  peers_[from] = PeerState{heartbeat, context_.Now(), since};
   RecomputeLive();
 }
 
@@ -53,7 +56,9 @@
     live.push_back(context_.settings.name);
   }
   for (const auto& [name, peer] : peers_) {
-    if (context_.Now() - peer.heard >= context_.settings.suspect_after) {
+    const bool silent = context_.Now() - peer.heard >= context_.settings.suspect_after;
+    const bool fresh = context_.Now() - peer.since < context_.settings.settle;
+    if (silent || fresh) {
       continue;
     }
     context_.reachable.push_back(name);
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -14,6 +14,7 @@
 struct PeerState {
   Heartbeat heartbeat;
   TimePoint heard;  // When it arrived here.
+  TimePoint since;  // When this incarnation was first heard.
 };
 
 class Membership {
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -302,6 +302,7 @@
   kDone,
   kFailed,
   kStopped,  // Surely ended, without an answer.
+  kGone,     // Surely does not run now; it may have run, on a worker that has lost its memory since.
 };
 
 // Owner to home host. Ends are repeated until acknowledged.
--- a/src/core/worker_role.cc
+++ b/src/core/worker_role.cc
@@ -195,7 +195,7 @@
 }
 
 bool WorkerRole::Covered() const {
-  return std::all_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+  return !context_.list.empty() && std::all_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
     return context_.OwnerOf(entry.first) != context_.settings.name || HasLease(entry.second);
   });
 }
--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -97,6 +97,9 @@
   }
   OwnedWorker& worker = found->second;
   if (const auto run = worker.runs.find(commit.run); run != worker.runs.end()) {
+    if (!claims_.Allows(commit.run.task.key, from)) {
+      return;  // Another home host has taken the request over.
+    }
     run->second.task.home = from;
     if (run->second.phase != OwnedRun::Phase::kStarting) {
       Report(worker, run->second);
@@ -109,7 +112,8 @@
     return;
   }
   OnReleaseHold(ReleaseHold{commit.run});
-  context_.Send(from, RunReport{commit.run, commit.worker, worker.token, RunPhase::kNotStarted, {}});
+  const RunPhase phase = worker.token == commit.token ? RunPhase::kNotStarted : RunPhase::kGone;
+  context_.Send(from, RunReport{commit.run, commit.worker, worker.token, phase, {}});
 }
 
 void WorkerRole::Start(OwnedWorker& worker, const HostName& home, const Commit& commit) {
@@ -171,7 +175,12 @@
     return;
   }
   const auto run = worker->second.runs.find(stop.run);
-  if (run == worker->second.runs.end() || run->second.phase == OwnedRun::Phase::kEnded) {
+  if (run == worker->second.runs.end()) {
+    context_.Send(from, RunReport{stop.run, stop.worker, worker->second.token, RunPhase::kStopped, {}});
+    return;
+  }
+  if (run->second.phase == OwnedRun::Phase::kEnded) {
+    Report(worker->second, run->second);
     return;
   }
   WorkerCall request;
