--- a/src/core/context.h
+++ b/src/core/context.h
@@ -31,6 +31,7 @@
   Duration watch_wait = 20s;         // How long the store may hold a watch open.
   Duration pause_limit = 2s;         // A longer gap between two ticks is a pause: every lease counts as lost.
   Duration recover = 1s;             // Callers are refused this long after a start or a pause.
+  Duration leave_limit = 30s;        // A planned stop takes no longer: what is open then is answered as unknown.
   Duration remember = 5min;          // How long ended requests are remembered for repeats.
 };
 
--- a/src/core/entry_role.cc
+++ b/src/core/entry_role.cc
@@ -68,6 +68,13 @@
   }
 }
 
+void EntryRole::GiveUpAll() {
+  for (const auto& [forward_id, exchange] : open_) {
+    context_.Act(AnswerCaller{exchange.id, GiveUpAnswer(exchange)});
+  }
+  open_.clear();
+}
+
 ResultCode EntryRole::Check(const Request& request) const {
   if (context_.leaving) {
     return ResultCode::kHostLeaving;
--- a/src/core/entry_role.h
+++ b/src/core/entry_role.h
@@ -19,6 +19,7 @@
   void OnAnswer(const HostName& from, const ForwardAnswer& answer);
   void OnMoved(const ForwardMoved& moved);
   void OnTick();
+  void GiveUpAll();  // Answers every open exchange as unknown.
 
   // Exchanges that still wait for their answer.
   size_t open() const { return open_.size(); }
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -176,12 +176,18 @@
   job.phase = JobPhase::kEnded;
   job.ended = context_.Now();
   job.answer = Answer{job.request.key, code, verdict, std::move(body), retry_after};
+  Observe(job, Observed::What::kEnded);
   for (const Waiter& waiter : job.waiters) {
     context_.Send(waiter.host, ForwardAnswer{waiter.forward_id, job.answer});
   }
   job.waiters.clear();
 }
 
+void HomeRole::Observe(const Job& job, Observed::What what) {
+  const TimePoint accepted = job.start_by - job.spec.start_within;
+  context_.Act(Observed{what, job.request.key.tenant, job.spec.name, context_.Now() - accepted});
+}
+
 void HomeRole::Refuse(Job& job, ResultCode code) {
   for (const Member& member : job.members) {
     HIBISCUS_INVARIANT(member.phase != MemberPhase::kCommitted && member.phase != MemberPhase::kRunning,
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -105,6 +105,7 @@
   void Begin(Job& job);
   void End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after = 0us);
   void Refuse(Job& job, ResultCode code);
+  void Observe(const Job& job, Observed::What what);
   void OnDeadline(Job& job);
   void TickJob(Job& job);
 
--- a/src/core/home_tasks.cc
+++ b/src/core/home_tasks.cc
@@ -183,6 +183,7 @@
   member->worker = report.worker;
   if (member->phase != MemberPhase::kRunning) {
     Enter(*member, MemberPhase::kRunning, context_.Now());
+    Observe(*job, Observed::What::kStarted);
   }
 }
 
--- a/src/core/host_core.cc
+++ b/src/core/host_core.cc
@@ -32,7 +32,7 @@
   NoticePause();
   std::visit(Overloaded{
                  [&](const TickEvent&) { Tick(); },
-                 [&](const LeaveEvent&) { context_.leaving = true; },
+                 [&](const LeaveEvent&) { BeginLeave(); },
                  [&](const ListEvent& list) {
                    membership_.OnList(list.entries);
                    workers_.OnList(list.entries);
@@ -132,12 +132,27 @@
   ExitIfDone();
 }
 
+void HostCore::BeginLeave() {
+  if (!context_.leaving) {
+    context_.leaving = true;
+    leave_by_ = context_.Now() + context_.settings.leave_limit;
+  }
+}
+
 void HostCore::ExitIfDone() {
+  if (!context_.leaving || exited_) {
+    return;
+  }
   const bool busy = entry_.open() + home_.active() + servers_.open() + workers_.leases() > 0;
-  if (context_.leaving && !busy && !exited_) {
-    exited_ = true;
-    context_.Act(Exit{});
+  if (busy && context_.Now() < leave_by_) {
+    return;
+  }
+  if (busy) {
+    context_.Log("core", "the planned stop reached its limit; open requests are answered as unknown");
+    entry_.GiveUpAll();
   }
+  exited_ = true;
+  context_.Act(Exit{});
 }
 
 }  // namespace hibiscus
--- a/src/core/host_core.h
+++ b/src/core/host_core.h
@@ -32,6 +32,8 @@
   const std::vector<HostName>& live() const { return context_.live; }
   size_t leases() const { return workers_.leases(); }
   size_t active_requests() const { return home_.active(); }
+  size_t queued_tasks() const { return workers_.queued(); }
+  size_t queued_calls() const { return servers_.queued(); }
 
  private:
   void NoticePause();
@@ -39,6 +41,7 @@
   void OnHeartbeat(const HostName& from, const Heartbeat& heartbeat);
   void OnClaim(const HostName& from, const Claim& claim);
   void Tick();
+  void BeginLeave();
   void ExitIfDone();
 
   CoreContext context_;
@@ -50,6 +53,7 @@
   WorkerRole workers_;
   ServerRole servers_;
   TimePoint last_event_;
+  TimePoint leave_by_{};  // While leaving: the planned stop ends by then.
   bool exited_ = false;
 };
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -513,7 +513,21 @@
 // The planned stop is complete: nothing is open any more.
 struct Exit {};
 
-using Action = std::variant<SendPeer, SendWorker, SendServer, SendStore, AnswerCaller, AnswerOperator, LogLine, Exit>;
+// A fact about a request, for the metrics.
+struct Observed {
+  enum class What {
+    kStarted,  // A task or call started; `after` its acceptance.
+    kEnded,    // The request has its final answer; `after` its acceptance.
+  };
+
+  What what = What::kStarted;
+  std::string tenant;
+  std::string class_name;
+  Duration after = 0us;
+};
+
+using Action =
+    std::variant<SendPeer, SendWorker, SendServer, SendStore, AnswerCaller, AnswerOperator, LogLine, Exit, Observed>;
 
 }  // namespace hibiscus
 
--- a/src/core/server_role.cc
+++ b/src/core/server_role.cc
@@ -139,6 +139,7 @@
   HIBISCUS_INVARIANT(context_.Now() - server.good_probe < context_.settings.probe_fresh, server.entry.name,
                      "A backend server gets new work only while its last good probe is fresh: use FindSlot.");
   ++server.in_progress;
+  ObserveStart(call);
   const CallId id = context_.NextId();
   executions_[id] = Execution{server.entry.name, call};
   const Duration left = call.finish_by - context_.Now();
@@ -146,6 +147,17 @@
   context_.Act(SendServer{id, server.entry.name, server.entry.address, std::move(request), left});
 }
 
+// What is left of the start target tells how long ago the request was accepted.
+void ServerRole::ObserveStart(const QueuedCall& call) {
+  const ClassSpec* spec = context_.configuration.FindClass(call.dispatch.class_name);
+  if (spec == nullptr) {
+    return;
+  }
+  const Duration waited = std::max(spec->start_within - (call.start_by - context_.Now()), Duration(0));
+  const std::string& tenant = call.dispatch.run.task.key.tenant;
+  context_.Act(Observed{Observed::What::kStarted, tenant, spec->name, waited});
+}
+
 void ServerRole::Refuse(const QueuedCall& call, ResultCode code) {
   context_.Send(call.home, CallResult{call.dispatch.run, code, Verdict::kNotRun, {}, kComeBack});
 }
--- a/src/core/server_role.h
+++ b/src/core/server_role.h
@@ -38,6 +38,8 @@
   bool OnServer(const ServerEvent& event);  // False: the call was not ours.
   void OnDispatch(const HostName& from, const CallDispatch& dispatch);
 
+  // Calls that wait for a slot.
+  size_t queued() const { return queue_.size(); }
   size_t open() const { return queue_.size() + executions_.size(); }
 
  private:
@@ -54,6 +56,7 @@
   void ServeQueue();
   OwnedServer* FindSlot();
   void Execute(OwnedServer& server, const QueuedCall& call);
+  void ObserveStart(const QueuedCall& call);
   void Refuse(const QueuedCall& call, ResultCode code);
   void RefreshLoad();
 
--- a/src/core/worker_role.h
+++ b/src/core/worker_role.h
@@ -74,6 +74,8 @@
   bool Covered() const;
   std::vector<RunReport> RunsOf(const RequestKey& key) const;
   size_t leases() const;
+  // Tasks that wait for room.
+  size_t queued() const { return queue_.size(); }
 
  private:
   struct PendingCall {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Duration kListTimeout = 800ms;
+constexpr Duration kDrainLimit = 3s;  // The last answers of a planned stop are out by then.
 
 uint64_t FreshSeed() {
   std::random_device device;
@@ -43,7 +44,8 @@
 Daemon::Daemon(const DaemonSettings& settings)
     : settings_(settings),
       core_(settings.host, clock_, FreshSeed()),
-      loop_(core_, [this](std::vector<Action> actions) { Execute(std::move(actions)); }) {
+      loop_(core_, [this](std::vector<Action> actions) { Execute(std::move(actions)); }),
+      metrics_(settings.host.data_centre) {
   peers_ = std::make_unique<PeerLink>(settings_.host.name, settings_.peer_address,
                                       [this](const HostName& from, PeerMessage message) {
                                         loop_.Post(PeerEvent{from, std::move(message)});
@@ -58,20 +60,60 @@
   Log(LogLevel::kInfo, "daemon",
       fmt::format("{} serves callers on port {}, peers on port {}", settings_.host.name, http_->port(),
                   peers_->port()));
-  std::thread reader([this] {
-    while (!leaving_) {
-      ReadList();
-      std::this_thread::sleep_for(settings_.list_every);
-    }
-  });
+  std::thread reader([this] { ReadListUntilStop(); });
+  std::thread stopper([this] { StopAfterLeave(); });
   loop_.Run();
-  leaving_ = true;
+  EndThreads();
   reader.join();
+  stopper.join();
+}
+
+void Daemon::EndThreads() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopped_ = true;
+  }
+  wake_.notify_all();
+}
+
+void Daemon::ReadListUntilStop() {
+  std::unique_lock lock(mutex_);
+  while (!stopped_) {
+    lock.unlock();
+    ReadList();
+    lock.lock();
+    wake_.wait_for(lock, settings_.list_every, [&] { return stopped_; });
+  }
+}
+
+// A planned stop: refuse callers until the balancer has turned away, finish what is open, then answer the last.
+void Daemon::StopAfterLeave() {
+  std::unique_lock lock(mutex_);
+  wake_.wait(lock, [&] { return leaving_ || stopped_; });
+  if (stopped_) {
+    return;
+  }
+  const TimePoint asked = clock_.Now();
+  wake_.wait(lock, [&] { return left_ || stopped_; });
+  wake_.wait_until(lock, asked + settings_.leave_linger, [&] { return stopped_; });
+  lock.unlock();
+  http_->Drain(kDrainLimit);
+  Log(LogLevel::kInfo, "daemon", "the planned stop is complete");
+  loop_.Stop();
 }
 
 void Daemon::Leave() {
+  {
+    const std::lock_guard lock(mutex_);
+    if (leaving_) {
+      return;
+    }
+    leaving_ = true;
+  }
   Log(LogLevel::kInfo, "daemon", "leaving: no new work, requests in progress finish");
+  http_->CloseAfterReplies();
   loop_.Post(LeaveEvent{});
+  wake_.notify_all();
 }
 
 void Daemon::Stop() {
@@ -96,7 +138,7 @@
   loop_.PostLook([this, entries = *entries](HostCore&) {
     for (const ListEntry& entry : entries) {
       if (entry.kind == ListKind::kEntryHost) {
-        peer_addresses_[entry.name] = entry.address;
+        hosts_[entry.name] = entry;
       }
     }
   });
@@ -138,10 +180,18 @@
     ExecuteOne(action, to_peers);
   }
   for (const auto& [host, messages] : to_peers) {
-    const auto address = peer_addresses_.find(host);
-    if (address != peer_addresses_.end()) {
-      peers_->Send(address->second, messages);
-    }
+    SendToPeer(host, messages);
+  }
+}
+
+void Daemon::SendToPeer(const HostName& host, const std::vector<PeerMessage>& messages) {
+  const auto entry = hosts_.find(host);
+  if (entry == hosts_.end()) {
+    return;
+  }
+  const std::vector<size_t> sizes = peers_->Send(entry->second.address, messages);
+  for (size_t i = 0; i < messages.size(); ++i) {
+    metrics_.OnPeerSent(host, entry->second.data_centre, messages[i], sizes[i]);
   }
 }
 
@@ -155,18 +205,25 @@
   } else if (const auto* store = std::get_if<SendStore>(&action)) {
     SendToStore(*store);
   } else if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
+    metrics_.OnAnswer(answer->answer.code);
     http_->Reply(answer->exchange, RenderAnswer(answer->answer));
   } else if (const auto* config = std::get_if<AnswerOperator>(&action)) {
     http_->Reply(config->exchange, RenderConfig(config->code, config->configuration));
   } else if (const auto* line = std::get_if<LogLine>(&action)) {
     Log(LogLevel::kInfo, line->part, line->text);
   } else if (std::holds_alternative<Exit>(action)) {
-    Log(LogLevel::kInfo, "daemon", "the planned stop is complete");
-    loop_.Stop();
+    {
+      const std::lock_guard lock(mutex_);
+      left_ = true;
+    }
+    wake_.notify_all();
+  } else if (const auto* fact = std::get_if<Observed>(&action)) {
+    metrics_.OnObserved(*fact);
   }
 }
 
 void Daemon::SendToWorker(const SendWorker& action) {
+  metrics_.OnWorkerCall(action.request.op);
   HttpCall call{"POST", fmt::format("http://{}/workers/{}", action.address, action.worker), EncodeJson(action.request),
                 action.timeout};
   client_.Send(std::move(call), [this, id = action.call](const HttpResult& result) {
@@ -175,6 +232,7 @@
 }
 
 void Daemon::SendToServer(const SendServer& action) {
+  metrics_.OnServerCall(action.request.op);
   HttpCall call{"POST", fmt::format("http://{}/servers/{}", action.address, action.server), EncodeJson(action.request),
                 action.timeout};
   client_.Send(std::move(call), [this, id = action.call](const HttpResult& result) {
@@ -183,7 +241,7 @@
 }
 
 void Daemon::SendToStore(const SendStore& action) {
-  ++store_calls_;
+  metrics_.OnStoreCall(action.request.op);
   HttpCall call{"POST", fmt::format("http://{}/store", settings_.store_address), EncodeJson(action.request),
                 action.timeout};
   client_.Send(std::move(call), [this, id = action.call](const HttpResult& result) {
@@ -198,6 +256,9 @@
                               {"live", core.live()},
                               {"workers_leased", core.leases()},
                               {"requests_active", core.active_requests()},
+                              {"queued_tasks", core.queued_tasks()},
+                              {"queued_calls", core.queued_calls()},
+                              {"leaving", leaving_.load()},
                               {"config_version", core.configuration().version}};
     http_->Reply(exchange, HttpReply{200, json.dump()});
   });
@@ -211,10 +272,15 @@
 
 void Daemon::AnswerMetrics(ExchangeId exchange) {
   loop_.PostLook([this, exchange](HostCore& core) {
-    const std::string text = fmt::format(
-        "hibiscus_peer_bytes_total {}\nhibiscus_peer_messages_total {}\nhibiscus_store_calls_total {}\n"
-        "hibiscus_workers_leased {}\n",
-        peers_->bytes_sent(), peers_->messages_sent(), store_calls_.load(), core.leases());
+    const Gauges gauges{core.leases(),
+                        core.active_requests(),
+                        core.queued_tasks(),
+                        core.queued_calls(),
+                        core.live().size(),
+                        core.configuration().version,
+                        leaving_,
+                        http_->open_connections()};
+    const std::string text = metrics_.Render(gauges);
     http_->Reply(exchange, HttpReply{200, text, "text/plain; version=0.0.4", 0});
   });
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,12 +3,15 @@
 #define HIBISCUSSTAND_SRC_DAEMON_DAEMON_H_
 
 #include <atomic>
+#include <condition_variable>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
 #include "daemon/control_loop.h"
+#include "daemon/metrics.h"
 #include "ports/caller_api.h"
 #include "ports/http_client.h"
 #include "ports/http_server.h"
@@ -23,7 +26,7 @@
   std::string store_address;   // "ip:port" of the platform's store.
   std::string list_address;    // "ip:port" of the platform's list.
   Duration list_every = 1s;    // How often the list is read.
-  Duration leave_limit = 30s;  // A planned stop takes no longer.
+  Duration leave_linger = 2s;  // A leaving host goes on refusing callers this long, until the balancer knows.
 };
 
 class Daemon {
@@ -35,12 +38,18 @@
   void Leave();  // Begins the planned stop.
   void Stop();   // Ends at once.
 
+  uint16_t http_port() const { return http_->port(); }
+
  private:
   void OnHttp(ExchangeId exchange, const HttpRequest& request);
   void OnList(const HttpResult& result);
+  void ReadListUntilStop();
   void ReadList();
+  void StopAfterLeave();
+  void EndThreads();
   void Execute(std::vector<Action> actions);
   void ExecuteOne(Action& action, std::map<HostName, std::vector<PeerMessage>>& to_peers);
+  void SendToPeer(const HostName& host, const std::vector<PeerMessage>& messages);
   void SendToWorker(const SendWorker& action);
   void SendToServer(const SendServer& action);
   void SendToStore(const SendStore& action);
@@ -53,9 +62,13 @@
   HostCore core_;
   ControlLoop loop_;
   HttpClient client_;
-  std::map<HostName, std::string> peer_addresses_;  // Control thread only.
+  Metrics metrics_;                      // Control thread only.
+  std::map<HostName, ListEntry> hosts_;  // Control thread only: entry hosts as the list last gave them.
   std::atomic<bool> leaving_{false};
-  std::atomic<uint64_t> store_calls_{0};
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  bool left_ = false;     // Under mutex_: the core has nothing open any more.
+  bool stopped_ = false;  // Under mutex_: the control loop has returned.
   std::unique_ptr<PeerLink> peers_;
   std::unique_ptr<HttpServer> http_;
 };
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -31,6 +31,10 @@
     fmt::print(stderr, "settings: {}\n", settings.error());
     return 2;
   }
+  if (settings->help_only) {
+    fmt::print("{}", hibiscus::SettingsHelp());
+    return 0;
+  }
   if (settings->check_only) {
     fmt::print("settings are valid\n");
     return 0;
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -1,92 +1,198 @@
 #include "daemon/settings.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <charconv>
+#include <iterator>
+#include <vector>
 
 #include <fmt/core.h>
 #include <gflags/gflags.h>
 
 #include "ports/log.h"
 
-DEFINE_string(name, "", "name of this host, as in the platform's list");
-DEFINE_string(data_centre, "", "data centre of this host, as in the platform's list");
-DEFINE_string(http, "127.0.0.1:8080", "ip:port for callers, operators and metrics");
-DEFINE_string(peer, "127.0.0.1:8081", "ip:port for the other hosts of the system");
-DEFINE_string(store, "127.0.0.1:7001", "ip:port of the platform's store");
-DEFINE_string(list, "127.0.0.1:7002", "ip:port of the platform's host list");
-DEFINE_int32(leave_limit_ms, 30'000, "a planned stop takes no longer; milliseconds, 100 to 3600000");
-DEFINE_int32(connections, 12'000, "open caller connections; 16 to 20000");
-DEFINE_int32(idle_timeout_s, 30, "a caller's connection without traffic is closed after this; seconds, 1 to 3600");
-DEFINE_int32(heartbeat_ms, 250, "beat between the hosts of a data centre; milliseconds, 50 to 5000");
-DEFINE_int32(suspect_ms, 1000, "a host this silent is not live; milliseconds, 200 to 60000");
-DEFINE_int32(control_lease_ms, 4000, "length of a worker's control lease; milliseconds, 1000 to 60000");
-DEFINE_string(log_level, "info", "lines below this level are dropped: debug, info, warning or error");
-DEFINE_bool(check, false, "check the settings and exit");
+// Numbers are strings here, so that a value that is no number gets the same message as one out of range.
+DEFINE_string(name, "", "");
+DEFINE_string(data_centre, "", "");
+DEFINE_string(http, "127.0.0.1:8080", "");
+DEFINE_string(peer, "127.0.0.1:8081", "");
+DEFINE_string(store, "127.0.0.1:7001", "");
+DEFINE_string(list, "127.0.0.1:7002", "");
+DEFINE_string(connections, "12000", "");
+DEFINE_string(idle_timeout_s, "30", "");
+DEFINE_string(request_limit_s, "30", "");
+DEFINE_string(body_limit_kb, "1024", "");
+DEFINE_string(heartbeat_ms, "250", "");
+DEFINE_string(suspect_ms, "1000", "");
+DEFINE_string(control_lease_ms, "4000", "");
+DEFINE_string(leave_limit_ms, "30000", "");
+DEFINE_string(leave_linger_ms, "2000", "");
+DEFINE_string(log_level, "info", "");
+DEFINE_bool(check, false, "");
+DECLARE_bool(help);
+DECLARE_bool(helpshort);
 
 namespace hibiscus {
 
 namespace {
 
-constexpr char kFromEnvironment[] =
-    "name,data_centre,http,peer,store,list,leave_limit_ms,connections,idle_timeout_s,heartbeat_ms,suspect_ms,"
-    "control_lease_ms,log_level";
+enum class SettingKind { kName, kAddress, kNumber, kLevel };
 
-std::string CheckRange(const char* flag, int value, int least, int most, const char* unit) {
-  if (value >= least && value <= most) {
-    return {};
+// One setting: how it is explained, and what its value may be.
+struct Setting {
+  const char* flag;
+  std::string* value;
+  SettingKind kind;
+  const char* help;
+  int least = 0;  // Numbers.
+  int most = 0;
+  const char* unit = "";
+};
+
+struct SettingGroup {
+  const char* title;
+  std::vector<Setting> settings;
+};
+
+const std::vector<SettingGroup>& Groups() {
+  using Kind = SettingKind;
+  static const std::vector<SettingGroup> kGroups = {
+      {"This host",
+       {{"name", &FLAGS_name, Kind::kName, "name of this host, as in the platform's list"},
+        {"data_centre", &FLAGS_data_centre, Kind::kName, "its data centre, as in the platform's list"}}},
+      {"Addresses",
+       {{"http", &FLAGS_http, Kind::kAddress, "where it serves callers, operators and metrics"},
+        {"peer", &FLAGS_peer, Kind::kAddress, "where it serves the other hosts of the system"},
+        {"store", &FLAGS_store, Kind::kAddress, "the platform's store"},
+        {"list", &FLAGS_list, Kind::kAddress, "the platform's host list"}}},
+      {"Callers",
+       {{"connections", &FLAGS_connections, Kind::kNumber, "open connections of callers", 16, 20'000, "connections"},
+        {"idle_timeout_s", &FLAGS_idle_timeout_s, Kind::kNumber, "a connection without traffic is closed", 1, 3600,
+         "seconds"},
+        {"request_limit_s", &FLAGS_request_limit_s, Kind::kNumber, "a whole request must arrive within this", 1, 3600,
+         "seconds"},
+        {"body_limit_kb", &FLAGS_body_limit_kb, Kind::kNumber, "the largest body of a request", 1, 65'536,
+         "kibibytes"}}},
+      {"Failure detection",
+       {{"heartbeat_ms", &FLAGS_heartbeat_ms, Kind::kNumber, "beat between the hosts of a data centre", 50, 5000,
+         "milliseconds"},
+        {"suspect_ms", &FLAGS_suspect_ms, Kind::kNumber, "a host this silent is not live; at least 3 beats", 200,
+         60'000, "milliseconds"},
+        {"control_lease_ms", &FLAGS_control_lease_ms, Kind::kNumber, "length of a worker's control lease", 1000, 60'000,
+         "milliseconds"}}},
+      {"Planned stop",
+       {{"leave_limit_ms", &FLAGS_leave_limit_ms, Kind::kNumber, "what is open then is answered as unknown", 100,
+         3'600'000, "milliseconds"},
+        {"leave_linger_ms", &FLAGS_leave_linger_ms, Kind::kNumber,
+         "callers are refused this long, until the balancer knows", 0, 600'000, "milliseconds"}}},
+      {"Log", {{"log_level", &FLAGS_log_level, Kind::kLevel, "debug, info, warning or error"}}},
+  };
+  return kGroups;
+}
+
+// Empty if the text is no whole number of this size.
+tl::expected<int, std::string> NumberFrom(const std::string& text) {
+  int number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return tl::unexpected(std::string("no number"));
   }
-  return fmt::format("--{} is {}; it must be {} to {} {}", flag, value, least, most, unit);
+  return number;
 }
 
-std::string CheckAddress(const char* flag, const std::string& value) {
+bool IsAddress(const std::string& value) {
   const size_t colon = value.rfind(':');
-  int port = -1;
-  if (colon != std::string::npos) {
-    std::from_chars(value.data() + colon + 1, value.data() + value.size(), port);
+  if (colon == std::string::npos || colon == 0) {
+    return false;
   }
-  const bool good = colon != std::string::npos && colon > 0 && port >= 0 && port <= 65535;
-  return good ? std::string() : fmt::format("--{} is '{}'; it must be ip:port, port 0 to 65535", flag, value);
+  const auto port = NumberFrom(value.substr(colon + 1));
+  return port && *port >= 0 && *port <= 65'535;
 }
 
-std::string CheckNotEmpty(const char* flag, const std::string& value) {
-  return value.empty() ? fmt::format("--{} is empty; it must be given", flag) : std::string();
+std::string Check(const Setting& setting) {
+  const std::string& value = *setting.value;
+  switch (setting.kind) {
+    case SettingKind::kName:
+      return value.empty() ? fmt::format("--{} is '{}'; it must be a name of at least 1 letter", setting.flag, value)
+                           : std::string();
+    case SettingKind::kAddress:
+      return IsAddress(value) ? std::string()
+                              : fmt::format("--{} is '{}'; it must be ip:port, port 0 to 65535", setting.flag, value);
+    case SettingKind::kNumber: {
+      const auto number = NumberFrom(value);
+      const bool good = number && *number >= setting.least && *number <= setting.most;
+      return good ? std::string()
+                  : fmt::format("--{} is '{}'; it must be {} to {} {}", setting.flag, value, setting.least,
+                                setting.most, setting.unit);
+    }
+    case SettingKind::kLevel: {
+      const bool good = value == "debug" || value == "info" || value == "warning" || value == "error";
+      return good ? std::string()
+                  : fmt::format("--{} is '{}'; it must be debug, info, warning or error", setting.flag, value);
+    }
+  }
+  return {};
 }
 
-std::string CheckLevel(const std::string& value) {
-  const bool good = value == "debug" || value == "info" || value == "warning" || value == "error";
-  return good ? std::string() : fmt::format("--log_level is '{}'; it must be debug, info, warning or error", value);
+int Number(const std::string& checked) {
+  return *NumberFrom(checked);
 }
 
 std::string CheckTogether() {
-  if (FLAGS_suspect_ms < 3 * FLAGS_heartbeat_ms) {
-    return fmt::format("--suspect_ms is {}; it must be at least 3 times --heartbeat_ms ({}) milliseconds",
-                       FLAGS_suspect_ms, FLAGS_heartbeat_ms);
+  const int least = 3 * Number(FLAGS_heartbeat_ms);
+  if (Number(FLAGS_suspect_ms) < least) {
+    return fmt::format("--suspect_ms is '{}'; it must be {} to 60000 milliseconds, 3 times --heartbeat_ms at least",
+                       FLAGS_suspect_ms, least);
   }
   return {};
 }
 
+// The process must be able to open as many files as it takes connections; the soft limit is raised if need be.
+std::string CheckFiles() {
+  constexpr rlim_t kOtherFiles = 1000;  // Workers, backend servers, peers and the rest.
+  rlimit files{};
+  getrlimit(RLIMIT_NOFILE, &files);
+  const rlim_t wanted = static_cast<rlim_t>(Number(FLAGS_connections)) + kOtherFiles;
+  if (files.rlim_cur >= wanted) {
+    return {};
+  }
+  if (files.rlim_max < wanted) {
+    return fmt::format("--connections is '{}'; this process may open {} files, so it must be 16 to {} connections",
+                       FLAGS_connections, files.rlim_max, files.rlim_max - std::min(files.rlim_max, kOtherFiles));
+  }
+  files.rlim_cur = wanted;
+  setrlimit(RLIMIT_NOFILE, &files);
+  return {};
+}
+
 std::string FirstProblem() {
-  const std::string problems[] = {
-      CheckNotEmpty("name", FLAGS_name),
-      CheckNotEmpty("data_centre", FLAGS_data_centre),
-      CheckAddress("http", FLAGS_http),
-      CheckAddress("peer", FLAGS_peer),
-      CheckAddress("store", FLAGS_store),
-      CheckAddress("list", FLAGS_list),
-      CheckRange("leave_limit_ms", FLAGS_leave_limit_ms, 100, 3'600'000, "milliseconds"),
-      CheckRange("connections", FLAGS_connections, 16, 20'000, "connections"),
-      CheckRange("idle_timeout_s", FLAGS_idle_timeout_s, 1, 3600, "seconds"),
-      CheckRange("heartbeat_ms", FLAGS_heartbeat_ms, 50, 5000, "milliseconds"),
-      CheckRange("suspect_ms", FLAGS_suspect_ms, 200, 60'000, "milliseconds"),
-      CheckRange("control_lease_ms", FLAGS_control_lease_ms, 1000, 60'000, "milliseconds"),
-      CheckLevel(FLAGS_log_level),
-      CheckTogether(),
-  };
-  for (const std::string& problem : problems) {
-    if (!problem.empty()) {
-      return problem;
+  for (const SettingGroup& group : Groups()) {
+    for (const Setting& setting : group.settings) {
+      if (std::string problem = Check(setting); !problem.empty()) {
+        return problem;
+      }
     }
   }
-  return {};
+  if (std::string problem = CheckTogether(); !problem.empty()) {
+    return problem;
+  }
+  return CheckFiles();
+}
+
+std::string FlagNames() {
+  std::string names;
+  for (const SettingGroup& group : Groups()) {
+    for (const Setting& setting : group.settings) {
+      names += (names.empty() ? "" : ",") + std::string(setting.flag);
+    }
+  }
+  return names;
+}
+
+std::string RangeOf(const Setting& setting) {
+  return setting.kind == SettingKind::kNumber ? fmt::format("; {} to {} {}", setting.least, setting.most, setting.unit)
+                                              : std::string(setting.kind == SettingKind::kAddress ? "; ip:port" : "");
 }
 
 LogLevel LevelOf(const std::string& name) {
@@ -99,12 +205,55 @@
   return name == "error" ? LogLevel::kError : LogLevel::kInfo;
 }
 
+DaemonSettings SettingsFromFlags() {
+  const auto millis = [](const std::string& value) { return std::chrono::milliseconds(Number(value)); };
+  DaemonSettings settings;
+  settings.host.name = FLAGS_name;
+  settings.host.data_centre = FLAGS_data_centre;
+  settings.host.heartbeat_every = millis(FLAGS_heartbeat_ms);
+  settings.host.suspect_after = millis(FLAGS_suspect_ms);
+  settings.host.control_lease = millis(FLAGS_control_lease_ms);
+  settings.host.leave_limit = millis(FLAGS_leave_limit_ms);
+  const size_t colon = FLAGS_http.rfind(':');
+  settings.http.address = FLAGS_http.substr(0, colon);
+  settings.http.port = static_cast<uint16_t>(Number(FLAGS_http.substr(colon + 1)));
+  settings.http.connection_limit = static_cast<unsigned>(Number(FLAGS_connections));
+  settings.http.idle_timeout_s = static_cast<unsigned>(Number(FLAGS_idle_timeout_s));
+  settings.http.request_limit = std::chrono::seconds(Number(FLAGS_request_limit_s));
+  settings.http.body_limit = static_cast<size_t>(Number(FLAGS_body_limit_kb)) * 1024;
+  settings.peer_address = FLAGS_peer;
+  settings.store_address = FLAGS_store;
+  settings.list_address = FLAGS_list;
+  settings.leave_linger = millis(FLAGS_leave_linger_ms);
+  return settings;
+}
+
 }  // namespace
 
+std::string SettingsHelp() {
+  std::string text =
+      "hibiscusd: one host of hibiscusstand. Every setting is a flag (--name=a1) or a variable of the environment\n"
+      "(FLAGS_name=a1); the flag goes first. docs/OPERATIONS.md says more.\n";
+  for (const SettingGroup& group : Groups()) {
+    text += fmt::format("\n{}\n", group.title);
+    for (const Setting& setting : group.settings) {
+      const std::string standard = gflags::GetCommandLineFlagInfoOrDie(setting.flag).default_value;
+      const std::string fallback = standard.empty() ? "must be given" : fmt::format("default {}", standard);
+      text += fmt::format("  --{:<18} {}{} ({})\n", setting.flag, setting.help, RangeOf(setting), fallback);
+    }
+  }
+  text += "\nOnce\n  --check              checks the settings and exits\n  --help               prints this text\n";
+  return text;
+}
+
 tl::expected<ReadSettingsResult, std::string> ReadSettings(int* argc, char*** argv) {
-  gflags::SetUsageMessage("one host of hibiscusstand; see docs/OPERATIONS.md");
-  gflags::SetCommandLineOption("tryfromenv", kFromEnvironment);
-  gflags::ParseCommandLineFlags(argc, argv, true);
+  gflags::SetCommandLineOption("tryfromenv", FlagNames().c_str());
+  gflags::ParseCommandLineNonHelpFlags(argc, argv, true);
+  ReadSettingsResult result;
+  result.help_only = FLAGS_help || FLAGS_helpshort;
+  if (result.help_only) {
+    return result;
+  }
   if (*argc > 1) {
     return tl::unexpected(fmt::format("'{}' is no flag; see --help", (*argv)[1]));
   }
@@ -112,23 +261,8 @@
     return tl::unexpected(problem);
   }
   SetLogLevel(LevelOf(FLAGS_log_level));
-  ReadSettingsResult result;
   result.check_only = FLAGS_check;
-  HostSettings& host = result.daemon.host;
-  host.name = FLAGS_name;
-  host.data_centre = FLAGS_data_centre;
-  host.heartbeat_every = std::chrono::milliseconds(FLAGS_heartbeat_ms);
-  host.suspect_after = std::chrono::milliseconds(FLAGS_suspect_ms);
-  host.control_lease = std::chrono::milliseconds(FLAGS_control_lease_ms);
-  const size_t colon = FLAGS_http.rfind(':');
-  result.daemon.http.address = FLAGS_http.substr(0, colon);
-  result.daemon.http.port = static_cast<uint16_t>(std::stoi(FLAGS_http.substr(colon + 1)));
-  result.daemon.http.connection_limit = static_cast<unsigned>(FLAGS_connections);
-  result.daemon.http.idle_timeout_s = static_cast<unsigned>(FLAGS_idle_timeout_s);
-  result.daemon.peer_address = FLAGS_peer;
-  result.daemon.store_address = FLAGS_store;
-  result.daemon.list_address = FLAGS_list;
-  result.daemon.leave_limit = std::chrono::milliseconds(FLAGS_leave_limit_ms);
+  result.daemon = SettingsFromFlags();
   return result;
 }
 
--- a/src/ports/caller_api.cc
+++ b/src/ports/caller_api.cc
@@ -24,6 +24,12 @@
 }
 
 std::string NameFrom(const Json& json, const char* field) {
+  if (!json.contains(field)) {
+    throw std::invalid_argument(fmt::format("'{}' is missing", field));
+  }
+  if (!json.at(field).is_string()) {
+    throw std::invalid_argument(fmt::format("'{}' must be a string", field));
+  }
   auto name = json.at(field).get<std::string>();
   if (name.empty() || name.size() > kLongestName) {
     throw std::invalid_argument(fmt::format("'{}' must have 1 to {} bytes", field, kLongestName));
@@ -39,14 +45,26 @@
   if (!value.is_number_integer()) {
     throw std::invalid_argument(fmt::format("'{}' must be a whole number", field));
   }
-  const auto number = value.get<int64_t>();
-  if (number < least || number > most) {
-    throw std::invalid_argument(fmt::format("'{}' is {}, it must be {} to {}", field, number, least, most));
+  const bool beyond = value.is_number_unsigned() && value.get<uint64_t>() > static_cast<uint64_t>(most);
+  if (beyond || value.get<int64_t>() < least) {
+    throw std::invalid_argument(fmt::format("'{}' is {}, it must be {} to {}", field, value.dump(), least, most));
+  }
+  return value.get<int64_t>();
+}
+
+template <class Value>
+Value FieldFrom(const Json& json, const char* field, Value fallback, const char* what) {
+  try {
+    return json.value(field, std::move(fallback));
+  } catch (const Json::exception&) {
+    throw std::invalid_argument(fmt::format("'{}' must be {}", field, what));
   }
-  return number;
 }
 
 Request RequestFrom(const Json& json) {
+  if (!json.is_object()) {
+    throw std::invalid_argument("the body must be a JSON object");
+  }
   constexpr int64_t kMost = int64_t{1} << 40;
   Request request;
   request.key.tenant = NameFrom(json, "tenant");
@@ -58,8 +76,8 @@
   request.size.accelerators = NumberFrom(json, "accelerators", 0, 0, kMost);
   request.members = static_cast<int>(NumberFrom(json, "members", 1, 1, kMostMembers));
   request.run_time = std::chrono::milliseconds(NumberFrom(json, "run_ms", 1000, 0, kMostRunMs));
-  request.deferred = json.value("deferred", false);
-  request.payload = json.value("payload", std::string());
+  request.deferred = FieldFrom(json, "deferred", false, "true or false");
+  request.payload = FieldFrom(json, "payload", std::string(), "a string");
   return request;
 }
 
--- /dev/null
+++ b/src/ports/connection_guard.h
@@ -0,0 +1,61 @@
+// Limits what one caller's connection may cost: a whole request must arrive within a time, however steadily its bytes
+// drip, and when connections run short those that have brought nothing for longest are closed. Thread-safe.
+#ifndef HIBISCUSSTAND_SRC_PORTS_CONNECTION_GUARD_H_
+#define HIBISCUSSTAND_SRC_PORTS_CONNECTION_GUARD_H_
+
+#include <cstddef>
+#include <map>
+#include <mutex>
+
+#include "hibiscusstand/clock.h"
+
+namespace hibiscus {
+
+struct ConnectionLimits {
+  Duration request_limit = 30s;  // From the connection's begin, or its last answer, to the next whole request.
+  size_t most_open = 10'000;     // More than these: idle ones are closed, the longest idle first.
+
+  friend auto operator<=>(const ConnectionLimits&, const ConnectionLimits&) = default;
+};
+
+class ConnectionGuard {
+ public:
+  ConnectionGuard(const ConnectionLimits& limits, const Clock& clock) : limits_(limits), clock_(clock) {}
+
+  // A connection's life. The socket must stay open until Closed returns.
+  void Opened(const void* connection, int socket);
+  void RequestBegun(const void* connection);  // Its first line is here.
+  void RequestWhole(const void* connection);  // No limit until its answer is out.
+  void RequestOver(const void* connection);
+  void Closed(const void* connection);
+
+  // Ends what has passed a limit. Call it a few times a second.
+  void Sweep();
+
+  size_t open() const;
+  // Connections with a request that has begun and is not over.
+  size_t busy() const;
+
+ private:
+  enum class Phase { kIdle, kReceiving, kAnswering };
+  struct Entry {
+    int socket = -1;
+    Phase phase = Phase::kIdle;
+    TimePoint since{};  // Begin of the connection, or its last answer.
+    bool ended = false;
+  };
+
+  void Enter(const void* connection, Phase phase);
+  void EndOverdue();
+  void EndLongestIdle();
+  static void End(Entry& entry);
+
+  const ConnectionLimits limits_;
+  const Clock& clock_;
+  mutable std::mutex mutex_;
+  std::map<const void*, Entry> entries_;
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_PORTS_CONNECTION_GUARD_H_
--- a/src/ports/http_server.cc
+++ b/src/ports/http_server.cc
@@ -3,18 +3,32 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <unistd.h>
 
 #include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdlib>
 #include <map>
 #include <mutex>
 #include <stdexcept>
+#include <thread>
 
 #include <fmt/core.h>
 
+#include "ports/connection_guard.h"
+
 namespace hibiscus {
 
 namespace {
 
+constexpr std::chrono::milliseconds kSweepEvery(100);
+constexpr std::chrono::milliseconds kDrainPoll(5);
+constexpr unsigned kSpareTenth = 10;  // A tenth of the connections is kept free for callers that bring work.
+constexpr size_t kDrainFactor = 16;   // A body longer than so many limits is refused unread.
+
+constexpr char kTooLarge[] = R"({"code":505,"name":"too_large","verdict":"not_run"})";
+
 struct Exchange {
   HttpServer::ExchangeId id = 0;
   MHD_Connection* connection = nullptr;
@@ -25,13 +39,21 @@
   bool replied = false;
 };
 
-MHD_Result QueueReply(MHD_Connection* connection, const HttpReply& reply) {
+size_t DeclaredLength(MHD_Connection* connection) {
+  const char* text = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+  return text == nullptr ? 0 : std::strtoull(text, nullptr, 10);
+}
+
+MHD_Result QueueReply(MHD_Connection* connection, const HttpReply& reply, bool close) {
   auto* body = const_cast<char*>(reply.body.data());  // NOLINT: the library takes it non-const and copies it.
   MHD_Response* response = MHD_create_response_from_buffer(reply.body.size(), body, MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, reply.content_type.c_str());
   if (reply.retry_after_s > 0) {
     MHD_add_response_header(response, MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(reply.retry_after_s).c_str());
   }
+  if (close) {
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+  }
   const MHD_Result result = MHD_queue_response(connection, static_cast<unsigned>(reply.status), response);
   MHD_destroy_response(response);
   return result;
@@ -40,7 +62,20 @@
 }  // namespace
 
 struct HttpServer::State {
-  HttpServerOptions options;
+  explicit State(const HttpServerOptions& server_options)
+      : options(server_options),
+        guard(
+            ConnectionLimits{options.request_limit, options.connection_limit - options.connection_limit / kSpareTenth},
+            clock) {}
+
+  const HttpServerOptions options;
+  SteadyClock clock;
+  ConnectionGuard guard;
+  std::atomic<bool> close_after_replies{false};
+  std::mutex sweep_mutex;
+  std::condition_variable sweep_wake;
+  bool stopping = false;  // Under sweep_mutex.
+  std::thread sweeper;
   Handler handler;
   MHD_Daemon* daemon = nullptr;
   std::atomic<ExchangeId> next_id{1};
@@ -56,6 +91,10 @@
                              size_t* size,
                              void** slot);
   static void OnCompleted(void* cls, MHD_Connection* connection, void** slot, MHD_RequestTerminationCode code);
+  static void OnConnection(void* cls, MHD_Connection* connection, void** slot, MHD_ConnectionNotificationCode code);
+  static void* OnFirstLine(void* cls, const char* url, MHD_Connection* connection);
+  MHD_Result OnHeader(MHD_Connection* connection, const char* url, const char* method, void** slot);
+  void Sweep();
   void HandOver(Exchange& exchange);
 };
 
@@ -69,13 +108,7 @@
                                        void** slot) {
   auto* state = static_cast<State*>(cls);
   if (*slot == nullptr) {
-    auto* fresh = new Exchange;
-    fresh->id = state->next_id++;
-    fresh->connection = connection;
-    fresh->request.method = method;
-    fresh->request.path = url;
-    *slot = fresh;
-    return MHD_YES;
+    return state->OnHeader(connection, url, method, slot);
   }
   auto* exchange = static_cast<Exchange*>(*slot);
   if (*size > 0) {
@@ -87,18 +120,59 @@
     return MHD_YES;
   }
   if (exchange->too_large) {
-    const HttpReply reply{413, R"({"code":505,"name":"too_large","verdict":"not_run"})", "application/json", 0};
-    return QueueReply(connection, reply);
+    return QueueReply(connection, HttpReply{413, kTooLarge}, true);
   }
   if (exchange->handed_over) {
-    return QueueReply(connection, exchange->reply);
+    return QueueReply(connection, exchange->reply, state->close_after_replies);
   }
   state->HandOver(*exchange);
   return MHD_YES;
 }
 
+MHD_Result HttpServer::State::OnHeader(MHD_Connection* connection, const char* url, const char* method, void** slot) {
+  if (DeclaredLength(connection) > kDrainFactor * options.body_limit) {
+    return QueueReply(connection, HttpReply{413, kTooLarge}, true);
+  }
+  auto* fresh = new Exchange;
+  fresh->id = next_id++;
+  fresh->connection = connection;
+  fresh->request.method = method;
+  fresh->request.path = url;
+  *slot = fresh;
+  return MHD_YES;
+}
+
+void HttpServer::State::OnConnection(void* cls,
+                                     MHD_Connection* connection,
+                                     void** /*slot*/,
+                                     MHD_ConnectionNotificationCode code) {
+  auto* state = static_cast<State*>(cls);
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+    state->guard.Closed(connection);
+    return;
+  }
+  const MHD_ConnectionInfo* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (info != nullptr) {
+    state->guard.Opened(connection, info->connect_fd);
+  }
+}
+
+// Returns the slot's first value: none.
+void* HttpServer::State::OnFirstLine(void* cls, const char* /*url*/, MHD_Connection* connection) {
+  static_cast<State*>(cls)->guard.RequestBegun(connection);
+  return nullptr;
+}
+
+void HttpServer::State::Sweep() {
+  std::unique_lock lock(sweep_mutex);
+  while (!sweep_wake.wait_for(lock, kSweepEvery, [&] { return stopping; })) {
+    guard.Sweep();
+  }
+}
+
 void HttpServer::State::HandOver(Exchange& exchange) {
   exchange.handed_over = true;
+  guard.RequestWhole(exchange.connection);
   MHD_suspend_connection(exchange.connection);
   {
     const std::lock_guard lock(mutex);
@@ -108,10 +182,11 @@
 }
 
 void HttpServer::State::OnCompleted(void* cls,
-                                    MHD_Connection* /*connection*/,
+                                    MHD_Connection* connection,
                                     void** slot,
                                     MHD_RequestTerminationCode /*code*/) {
   auto* state = static_cast<State*>(cls);
+  state->guard.RequestOver(connection);
   auto* exchange = static_cast<Exchange*>(*slot);
   if (exchange == nullptr) {
     return;
@@ -124,8 +199,7 @@
   *slot = nullptr;
 }
 
-HttpServer::HttpServer(const HttpServerOptions& options, Handler handler) : state_(std::make_unique<State>()) {
-  state_->options = options;
+HttpServer::HttpServer(const HttpServerOptions& options, Handler handler) : state_(std::make_unique<State>(options)) {
   state_->handler = std::move(handler);
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -141,13 +215,22 @@
                                     MHD_OPTION_CONNECTION_TIMEOUT, options.idle_timeout_s,                  //
                                     MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.header_limit,               //
                                     MHD_OPTION_NOTIFY_COMPLETED, &State::OnCompleted, state_.get(),         //
+                                    MHD_OPTION_NOTIFY_CONNECTION, &State::OnConnection, state_.get(),       //
+                                    MHD_OPTION_URI_LOG_CALLBACK, &State::OnFirstLine, state_.get(),         //
                                     MHD_OPTION_END);
   if (state_->daemon == nullptr) {
     throw std::runtime_error(fmt::format("cannot listen on {}:{}", options.address, options.port));
   }
+  state_->sweeper = std::thread([state = state_.get()] { state->Sweep(); });
 }
 
 HttpServer::~HttpServer() {
+  {
+    const std::lock_guard lock(state_->sweep_mutex);
+    state_->stopping = true;
+  }
+  state_->sweep_wake.notify_one();
+  state_->sweeper.join();
   {
     const std::lock_guard lock(state_->mutex);
     for (const auto& [id, exchange] : state_->open) {
@@ -170,6 +253,25 @@
   state_->open.erase(found);
 }
 
+void HttpServer::CloseAfterReplies() {
+  state_->close_after_replies = true;
+}
+
+void HttpServer::Drain(Duration limit) {
+  const int listener = MHD_quiesce_daemon(state_->daemon);
+  if (listener >= 0) {
+    close(listener);
+  }
+  const TimePoint until = state_->clock.Now() + limit;
+  while (state_->guard.busy() > 0 && state_->clock.Now() < until) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+}
+
+size_t HttpServer::open_connections() const {
+  return state_->guard.open();
+}
+
 uint16_t HttpServer::port() const {
   const MHD_DaemonInfo* info = MHD_get_daemon_info(state_->daemon, MHD_DAEMON_INFO_BIND_PORT);
   return info == nullptr ? state_->options.port : info->port;
--- a/src/ports/http_server.h
+++ b/src/ports/http_server.h
@@ -8,13 +8,16 @@
 #include <memory>
 #include <string>
 
+#include "hibiscusstand/clock.h"
+
 namespace hibiscus {
 
 struct HttpServerOptions {
   std::string address = "127.0.0.1";
   uint16_t port = 0;                   // 0: any free port.
-  unsigned connection_limit = 12'000;  // Open connections; more are closed at once.
+  unsigned connection_limit = 12'000;  // Open connections; near it, the longest idle ones are closed.
   unsigned idle_timeout_s = 30;        // A connection without traffic is closed after this.
+  Duration request_limit = 30s;        // A whole request must arrive within this, however its bytes drip.
   size_t body_limit = 1'048'576;       // Bytes; more is answered with 413.
   size_t header_limit = 32'768;        // Bytes per connection; more is answered with 431.
   unsigned threads = 2;
@@ -46,6 +49,13 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   void Reply(ExchangeId exchange, HttpReply reply);
+
+  // From now on each answer closes its connection, so that callers turn to other hosts.
+  void CloseAfterReplies();
+  // Takes no new connections and waits until every request that has begun is answered, at most `limit`.
+  void Drain(Duration limit);
+
+  size_t open_connections() const;
   uint16_t port() const;
 
  private:
--- a/src/ports/peer_link.cc
+++ b/src/ports/peer_link.cc
@@ -62,9 +62,7 @@
   int port = 0;
   std::mutex mutex;
   std::map<std::string, std::unique_ptr<peer::Peer::Stub>> stubs;  // By address.
-  std::atomic<uint64_t> bytes{0};
-  std::atomic<uint64_t> messages{0};
-  std::atomic<int> out{0};  // Deliveries not over yet.
+  std::atomic<int> out{0};                                         // Deliveries not over yet.
 
   peer::Peer::Stub& StubOf(const std::string& address);
 };
@@ -103,32 +101,25 @@
   }
 }
 
-void PeerLink::Send(const std::string& address, const std::vector<PeerMessage>& messages) {
+std::vector<size_t> PeerLink::Send(const std::string& address, const std::vector<PeerMessage>& messages) {
   auto delivering = std::make_shared<Delivering>();
   delivering->batch.set_from(state_->self);
+  std::vector<size_t> sizes;
   for (const PeerMessage& message : messages) {
     std::string* bytes = delivering->batch.add_messages();
     *bytes = EncodePeerMessage(message);
-    state_->bytes += bytes->size();
+    sizes.push_back(bytes->size());
   }
-  state_->messages += messages.size();
   delivering->context.set_deadline(std::chrono::system_clock::now() + kDeliveryTimeout);
   ++state_->out;
   State* state = state_.get();
   state_->StubOf(address).async()->Deliver(&delivering->context, &delivering->batch, &delivering->received,
                                            [delivering, state](const grpc::Status&) { --state->out; });
+  return sizes;
 }
 
 int PeerLink::port() const {
   return state_->port;
 }
 
-uint64_t PeerLink::bytes_sent() const {
-  return state_->bytes;
-}
-
-uint64_t PeerLink::messages_sent() const {
-  return state_->messages;
-}
-
 }  // namespace hibiscus
--- a/src/ports/peer_link.h
+++ b/src/ports/peer_link.h
@@ -23,12 +23,10 @@
   PeerLink(const PeerLink&) = delete;
   PeerLink& operator=(const PeerLink&) = delete;
 
-  // Sends without waiting. Messages may be lost; the core repeats what matters.
-  void Send(const std::string& address, const std::vector<PeerMessage>& messages);
+  // Sends without waiting. Messages may be lost; the core repeats what matters. Returns the bytes of each message.
+  std::vector<size_t> Send(const std::string& address, const std::vector<PeerMessage>& messages);
 
   int port() const;
-  uint64_t bytes_sent() const;  // Payload bytes handed to gRPC.
-  uint64_t messages_sent() const;
 
  private:
   struct State;
--- /dev/null
+++ b/standins/standin.cc
@@ -0,0 +1,198 @@
+#include "standins/standin.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include <fmt/core.h>
+#include <nlohmann/json.hpp>
+
+#include "ports/json_codec.h"
+
+namespace hibiscus {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick(2);
+constexpr std::string_view kRealRunTime = "run_ms=";  // A payload may state how long the task really runs.
+constexpr std::string_view kStatusNames[] = {"ok",      "held_by_other", "stale_token",
+                                             "no_room", "duplicate",     "no_such_run"};
+
+void ApplyPayload(WorkerCall& call) {
+  if (call.payload.starts_with(kRealRunTime)) {
+    const std::string text = call.payload.substr(kRealRunTime.size());
+    call.run_time = std::chrono::milliseconds(std::strtoll(text.c_str(), nullptr, 10));
+  }
+}
+
+void ApplyPayload(const ServerCall& /*call*/) {}
+void ApplyPayload(const StoreCall& /*call*/) {}
+
+// Which counter an answered call belongs to; empty if it is not counted.
+std::string CounterOf(const WorkerCall& call, const WorkerReply& reply) {
+  if (call.op != WorkerOp::kStart) {
+    return {};
+  }
+  return fmt::format("{} {}", call.holder, kStatusNames[static_cast<size_t>(reply.status)]);
+}
+
+std::string CounterOf(const ServerCall& /*call*/, const ServerReply& /*reply*/) {
+  return {};
+}
+std::string CounterOf(const StoreCall& /*call*/, const StoreReply& /*reply*/) {
+  return {};
+}
+
+}  // namespace
+
+Standin::Standin(const StandinOptions& options) : options_(options), store_delay_(options.store_delay), store_(clock_) {
+  for (const std::string& name : options_.workers) {
+    workers_.emplace(name, FakeWorker(name, options_.worker_capacity, clock_, log_));
+  }
+  for (const std::string& name : options_.servers) {
+    servers_.emplace(name, FakeServer(name, options_.slots, options_.service_time, clock_, log_));
+  }
+  HttpServerOptions http;
+  http.port = options_.port;
+  http_ = std::make_unique<HttpServer>(
+      http, [this](HttpServer::ExchangeId exchange, const HttpRequest& request) { OnHttp(exchange, request); });
+  ticker_ = std::thread([this] { TickForever(); });
+}
+
+Standin::~Standin() {
+  stopping_ = true;
+  ticker_.join();
+}
+
+void Standin::SetHosts(std::string json) {
+  const std::lock_guard lock(mutex_);
+  hosts_ = std::move(json);
+}
+
+void Standin::TickForever() {
+  while (!stopping_) {
+    std::this_thread::sleep_for(kTick);
+    const std::lock_guard lock(mutex_);
+    Tick();
+  }
+}
+
+void Standin::Tick() {
+  std::vector<DelayedStoreCall> due;
+  std::erase_if(delayed_, [&](const DelayedStoreCall& call) {
+    const bool over = clock_.Now() >= call.at;
+    if (over) {
+      due.push_back(call);
+    }
+    return over;
+  });
+  for (const DelayedStoreCall& call : due) {
+    Forward<StoreCall, StoreReply>(call.exchange, call.body, store_);
+  }
+  store_.Tick();
+  for (auto& [name, worker] : workers_) {
+    worker.Tick();
+    Use& use = uses_[name];
+    use.cpu_millis_sum += static_cast<double>(worker.used().cpu_millis);
+    use.cpu_millis_peak = std::max(use.cpu_millis_peak, worker.used().cpu_millis);
+    ++use.samples;
+  }
+  for (auto& [name, server] : servers_) {
+    server.Tick();
+  }
+}
+
+void Standin::OnHttp(HttpServer::ExchangeId exchange, const HttpRequest& request) {
+  const std::lock_guard lock(mutex_);
+  const std::string name = request.path.substr(request.path.rfind('/') + 1);
+  if (request.path == "/store") {
+    OnStore(exchange, request.body);
+  } else if (request.path == "/hosts") {
+    ReplyText(exchange, Hosts());
+  } else if (request.path == "/log") {
+    ReplyText(exchange, RunsAndBrokenPromises());
+  } else if (request.path == "/usage") {
+    ReplyText(exchange, Usage());
+  } else if (request.path == "/counts") {
+    ReplyText(exchange, nlohmann::json{{"calls", store_.calls()}, {"writes", store_.writes()}}.dump());
+  } else if (request.path.starts_with("/workers/") && workers_.contains(name)) {
+    Forward<WorkerCall, WorkerReply>(exchange, request.body, workers_.at(name));
+  } else if (request.path.starts_with("/servers/") && servers_.contains(name)) {
+    Forward<ServerCall, ServerReply>(exchange, request.body, servers_.at(name));
+  } else if (!OnSwitch(exchange, request)) {
+    http_->Reply(exchange, HttpReply{404, "{}"});
+  }
+}
+
+void Standin::OnStore(HttpServer::ExchangeId exchange, const std::string& body) {
+  if (store_delay_ > 0us) {
+    delayed_.push_back(DelayedStoreCall{clock_.Now() + store_delay_, exchange, body});
+  } else {
+    Forward<StoreCall, StoreReply>(exchange, body, store_);
+  }
+}
+
+// Faults on demand: POST /fault/delay_ms/N slows the store, /fault/leave/SERVER and /fault/stay/SERVER.
+bool Standin::OnSwitch(HttpServer::ExchangeId exchange, const HttpRequest& request) {
+  const std::string last = request.path.substr(request.path.rfind('/') + 1);
+  if (request.path.starts_with("/fault/delay_ms/")) {
+    store_delay_ = std::chrono::milliseconds(std::strtoll(last.c_str(), nullptr, 10));
+  } else if (request.path.starts_with("/fault/leave/") && servers_.contains(last)) {
+    servers_.at(last).set_leaving(true);
+  } else if (request.path.starts_with("/fault/stay/") && servers_.contains(last)) {
+    servers_.at(last).set_leaving(false);
+  } else {
+    return false;
+  }
+  ReplyText(exchange, "{}");
+  return true;
+}
+
+template <class Call, class Reply, class Fake>
+void Standin::Forward(HttpServer::ExchangeId exchange, const std::string& body, Fake& fake) {
+  auto call = DecodeJson<Call>(body);
+  if (!call) {
+    http_->Reply(exchange, HttpReply{400, "{}"});
+    return;
+  }
+  ApplyPayload(*call);
+  fake.Handle(*call, [this, exchange, call = *call](const Reply& reply) {
+    if (const std::string counter = CounterOf(call, reply); !counter.empty()) {
+      ++worker_statuses_[counter];
+    }
+    ReplyText(exchange, EncodeJson(reply));
+  });
+}
+
+void Standin::ReplyText(HttpServer::ExchangeId exchange, std::string text) {
+  http_->Reply(exchange, HttpReply{200, std::move(text)});
+}
+
+std::string Standin::Hosts() const {
+  if (options_.hosts_file.empty()) {
+    return hosts_.empty() ? "[]" : hosts_;
+  }
+  std::ifstream file(options_.hosts_file);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string Standin::Usage() {
+  nlohmann::json json = nlohmann::json::object();
+  for (const auto& [name, worker] : workers_) {
+    const Use& use = uses_[name];
+    const double mean = use.samples == 0 ? 0.0 : use.cpu_millis_sum / static_cast<double>(use.samples);
+    json[name] = {{"cpu_millis", worker.capacity().cpu_millis}, {"mean", mean}, {"peak", use.cpu_millis_peak}};
+  }
+  return json.dump();
+}
+
+std::string Standin::RunsAndBrokenPromises() const {
+  return nlohmann::json{{"starts", log_.starts()}, {"broken", log_.broken()}, {"start_replies", worker_statuses_}}
+      .dump();
+}
+
+}  // namespace hibiscus
--- /dev/null
+++ b/standins/standin.h
@@ -0,0 +1,84 @@
+// The outside systems of a small cell behind one HTTP port on loopback: store, host list, workers and backend servers,
+// as docs/PLATFORM.md states them. hibiscus_standin runs one; tests embed one.
+#ifndef HIBISCUSSTAND_STANDINS_STANDIN_H_
+#define HIBISCUSSTAND_STANDINS_STANDIN_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "ports/http_server.h"
+#include "standins/fakes.h"
+
+namespace hibiscus {
+
+struct StandinOptions {
+  uint16_t port = 0;                 // 0: any free port.
+  std::string hosts_file;            // The list as a JSON array; read at every question.
+  std::vector<std::string> workers;  // Names.
+  Resources worker_capacity{64'000, 262'144, 0};
+  std::vector<std::string> servers;  // Names.
+  int slots = 8;                     // Calls that each server serves at once.
+  Duration service_time = 20ms;      // Of a call.
+  Duration store_delay = 0us;        // Before each answer of the store.
+};
+
+class Standin {
+ public:
+  explicit Standin(const StandinOptions& options);
+  ~Standin();
+  Standin(const Standin&) = delete;
+  Standin& operator=(const Standin&) = delete;
+
+  uint16_t port() const { return http_->port(); }
+  void SetHosts(std::string json);  // In place of the file.
+
+ private:
+  // Processors in use of one worker: the mean since the start, and the peak.
+  struct Use {
+    double cpu_millis_sum = 0.0;
+    int64_t cpu_millis_peak = 0;
+    int64_t samples = 0;
+  };
+  struct DelayedStoreCall {
+    TimePoint at;
+    HttpServer::ExchangeId exchange = 0;
+    std::string body;
+  };
+
+  void TickForever();
+  void Tick();
+  void OnHttp(HttpServer::ExchangeId exchange, const HttpRequest& request);
+  void OnStore(HttpServer::ExchangeId exchange, const std::string& body);
+  bool OnSwitch(HttpServer::ExchangeId exchange, const HttpRequest& request);
+  template <class Call, class Reply, class Fake>
+  void Forward(HttpServer::ExchangeId exchange, const std::string& body, Fake& fake);
+  void ReplyText(HttpServer::ExchangeId exchange, std::string text);
+  std::string Hosts() const;
+  std::string Usage();
+  std::string RunsAndBrokenPromises() const;
+
+  const StandinOptions options_;
+  SteadyClock clock_;
+  RunLog log_;
+  std::mutex mutex_;
+  std::string hosts_;
+  Duration store_delay_;
+  FakeStore store_;
+  std::map<std::string, FakeWorker> workers_;
+  std::map<std::string, Use> uses_;
+  std::map<std::string, FakeServer> servers_;
+  std::vector<DelayedStoreCall> delayed_;
+  std::map<std::string, uint64_t> worker_statuses_;  // Replies to starts, by holder and status.
+  std::unique_ptr<HttpServer> http_;
+  std::atomic<bool> stopping_{false};
+  std::thread ticker_;
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_STANDINS_STANDIN_H_
