Rerun the tasks of a dead worker once their run leases have surely lapsed

Cause: a worker that nobody can reach kept its tasks 'running' for ever; only its return could end them. Ruled out: counting from the last answered renewal (an unanswered one may have arrived and renewed the runs); renewing runs by a request for a new lease (a holder that hears no answers could then keep runs alive and never be sure). Change: renewals under a valid token, and starts, carry the length of the run lease; the holder counts from the last one it sent, answered or not, plus timeout and drift margin, then reports the runs as ended. A worker that the list has dropped for that long is answered for by its owner. A release keeps ends that the home host has not acknowledged. Conclusion: holds as long as a worker ends its runs by its own clock; docs/PLATFORM.md has to say so.

--- a/src/core/context.h
+++ b/src/core/context.h
@@ -21,6 +21,8 @@
   Duration suspect_after = 1s;       // A peer this silent is not live.
   Duration settle = 300ms;           // A new incarnation is not live before this: all notice that the old one is gone.
   Duration control_lease = 4s;       // Length of a worker's control lease.
+  Duration run_lease = 20s;          // Runs on a worker that nobody renews end after this.
+  Duration drift_margin = 2s;        // Added to the far side's lease before it counts as ended.
   Duration renew_wait = 1200ms;      // How long a worker may hold a renewal open.
   Duration worker_timeout = 2500ms;  // An unanswered worker call is given up.
   Duration hold = 2s;                // A reservation without a commit lapses.
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -101,8 +101,10 @@
 struct WorkerCall {
   WorkerOp op = WorkerOp::kAcquire;
   HostName holder;
-  uint64_t token = 0;       // Fencing token; 0 asks for a new lease.
-  Duration ttl = 0us;       // Length of the control lease.
+  uint64_t token = 0;  // Fencing token; 0 asks for a new lease.
+  Duration ttl = 0us;  // Length of the control lease.
+  Duration run_ttl =
+      0us;  // Renewal and start: runs end this long after the last one. A new lease alone does not renew them.
   Duration wait = 0us;      // Acquire: answer only after this long, or when a run ends.
   std::vector<RunId> acks;  // Acquire: ended runs that the worker may forget.
   WorkerTask task;          // Start and stop.
--- a/src/core/worker_role.cc
+++ b/src/core/worker_role.cc
@@ -2,6 +2,7 @@
 #include "core/worker_role.h"
 
 #include <algorithm>
+#include <set>
 
 #include <fmt/core.h>
 
@@ -12,9 +13,18 @@
 }  // namespace
 
 void WorkerRole::OnList(const std::vector<ListEntry>& entries) {
+  std::set<WorkerName> listed;
   for (const ListEntry& entry : entries) {
     if (entry.kind == ListKind::kWorker && entry.data_centre == context_.settings.data_centre) {
       workers_[entry.name].entry = entry;
+      listed.insert(entry.name);
+    }
+  }
+  for (auto& [name, worker] : workers_) {
+    if (listed.contains(name)) {
+      worker.unlisted = TimePoint{};
+    } else if (worker.unlisted == TimePoint{}) {
+      worker.unlisted = context_.Now();
     }
   }
 }
@@ -39,9 +49,11 @@
     LoseLease(worker);
   }
   DropExpiredHolds(worker);
+  EndLapsedRuns(worker);
   for (auto& [run, owned] : worker.runs) {
-    const bool known = owned.phase != OwnedRun::Phase::kStarting;
-    if (known && HasLease(worker) && now >= owned.next_report) {
+    const bool ended = owned.phase == OwnedRun::Phase::kEnded;
+    const bool sure = ended || (owned.phase == OwnedRun::Phase::kRunning && HasLease(worker));
+    if (sure && now >= owned.next_report) {
       Report(worker, owned);
     }
   }
@@ -62,10 +74,14 @@
   request.holder = context_.settings.name;
   request.token = worker.token;
   request.ttl = context_.settings.control_lease;
+  request.run_ttl = context_.settings.run_lease;
   request.wait = worker.token == 0 ? 0us : context_.settings.renew_wait;
   request.acks = std::move(worker.acks);
   worker.acks.clear();
   worker.acquire_sent = context_.Now();
+  if (worker.token != 0) {
+    worker.last_renewal = context_.Now();
+  }
   worker.acquire = Call(worker, request, context_.settings.worker_timeout);
 }
 
@@ -89,6 +105,25 @@
   worker.holds.clear();
 }
 
+// Counted from the last renewal that was sent, answered or not: it may have arrived as late as its timeout.
+Duration WorkerRole::RunsSurelyEndAfter() const {
+  return context_.settings.worker_timeout + context_.settings.run_lease + context_.settings.drift_margin;
+}
+
+// A worker that this host held last and that nobody can reach: its runs have lapsed there by now.
+void WorkerRole::EndLapsedRuns(OwnedWorker& worker) {
+  const bool renewed = worker.token != 0 || worker.last_renewal == TimePoint{};
+  if (renewed || context_.Now() < worker.last_renewal + RunsSurelyEndAfter()) {
+    return;
+  }
+  for (auto& [id, run] : worker.runs) {
+    if (run.phase != OwnedRun::Phase::kEnded) {
+      const bool started = run.phase == OwnedRun::Phase::kRunning;
+      EndRun(worker, id, started ? RunPhase::kStopped : RunPhase::kGone);
+    }
+  }
+}
+
 CallId WorkerRole::Call(const OwnedWorker& worker, WorkerCall request, Duration timeout) {
   const CallId call = context_.NextId();
   calls_[call] = PendingCall{worker.entry.name, request.op, request.task.run, request.token, {}};
@@ -119,7 +154,8 @@
     case WorkerOp::kRelease:
       if (call.token == worker.token) {
         LoseLease(worker);
-        worker.runs.clear();
+        worker.acks.clear();
+        std::erase_if(worker.runs, [](const auto& run) { return run.second.phase != OwnedRun::Phase::kEnded; });
         worker.ledger.Reset({});
       }
       break;
@@ -172,7 +208,7 @@
     }
     OwnedRun& gone = worker.runs[id] = old;
     gone.phase = OwnedRun::Phase::kEnded;
-    gone.end = old.phase == OwnedRun::Phase::kStarting ? RunPhase::kNotStarted : RunPhase::kStopped;
+    gone.end = old.phase == OwnedRun::Phase::kStarting ? RunPhase::kGone : RunPhase::kStopped;
   }
   TakeEnded(worker, reply.tasks);
   context_.Log("worker",
@@ -194,9 +230,16 @@
   return worker.token != 0 && context_.Now() < worker.lease_until;
 }
 
+bool WorkerRole::IsLongUnlisted(const OwnedWorker& worker) const {
+  const bool unlisted = worker.unlisted != TimePoint{};
+  return unlisted && context_.Now() >= worker.unlisted + RunsSurelyEndAfter();
+}
+
 bool WorkerRole::Covered() const {
   return !context_.list.empty() && std::all_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
-    return context_.OwnerOf(entry.first) != context_.settings.name || HasLease(entry.second);
+    const OwnedWorker& worker = entry.second;
+    const bool ours = context_.OwnerOf(entry.first) == context_.settings.name;
+    return !ours || HasLease(worker) || IsLongUnlisted(worker);
   });
 }
 
--- a/src/core/worker_role.h
+++ b/src/core/worker_role.h
@@ -41,6 +41,8 @@
   CallId acquire = 0;       // The call that is out, or 0.
   TimePoint acquire_sent{};
   TimePoint next_acquire{};
+  TimePoint last_renewal{};  // When a renewal under a valid token was last sent.
+  TimePoint unlisted{};      // Since when the list no longer names it; the clock's origin while it does.
   bool releasing = false;
   Ledger ledger;
   std::map<RunId, Hold> holds;
@@ -89,9 +91,12 @@
   void Acquire(OwnedWorker& worker);
   void Release(OwnedWorker& worker);
   void LoseLease(OwnedWorker& worker);
+  Duration RunsSurelyEndAfter() const;
+  void EndLapsedRuns(OwnedWorker& worker);
   void OnAcquireReply(OwnedWorker& worker, const WorkerEvent& event);
   void Adopt(OwnedWorker& worker, const WorkerReply& reply);
   void TakeEnded(OwnedWorker& worker, const std::vector<WorkerTask>& tasks);
+  bool IsLongUnlisted(const OwnedWorker& worker) const;
   bool HasLease(const OwnedWorker& worker) const;
   CallId Call(const OwnedWorker& worker, WorkerCall request, Duration timeout);
 
@@ -100,6 +105,7 @@
   OwnedWorker* FindRoom(const Reserve& reserve);
   void HoldRoom(OwnedWorker& worker, const HostName& home, const Reserve& reserve);
   bool NeverFits(const Resources& size) const;
+  void ReportUnlisted(const OwnedWorker& worker, const HostName& home, const Commit& commit);
   void Start(OwnedWorker& worker, const HostName& home, const Commit& commit);
   void OnStartReply(OwnedWorker& worker, const PendingCall& call, const WorkerEvent& event);
   void OnStopReply(OwnedWorker& worker, const PendingCall& call, const WorkerEvent& event);
--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -92,9 +92,13 @@
 
 void WorkerRole::OnCommit(const HostName& from, const Commit& commit) {
   const auto found = workers_.find(commit.worker);
-  if (found == workers_.end() || !HasLease(found->second)) {
+  if (found == workers_.end()) {
     return;  // Not ours to say; the home host asks again.
   }
+  if (!HasLease(found->second)) {
+    ReportUnlisted(found->second, from, commit);
+    return;
+  }
   OwnedWorker& worker = found->second;
   if (const auto run = worker.runs.find(commit.run); run != worker.runs.end()) {
     if (!claims_.Allows(commit.run.task.key, from)) {
@@ -116,6 +120,13 @@
   context_.Send(from, RunReport{commit.run, commit.worker, worker.token, phase, {}});
 }
 
+// The platform has taken the worker away for longer than any run could last there without a renewal.
+void WorkerRole::ReportUnlisted(const OwnedWorker& worker, const HostName& home, const Commit& commit) {
+  if (IsLongUnlisted(worker)) {
+    ReportTo(home, RunReport{commit.run, commit.worker, worker.token, RunPhase::kGone, {}});
+  }
+}
+
 void WorkerRole::Start(OwnedWorker& worker, const HostName& home, const Commit& commit) {
   worker.holds.erase(commit.run);
   OwnedRun& run = worker.runs[commit.run];
@@ -126,10 +137,12 @@
   WorkerCall request;
   request.op = WorkerOp::kStart;
   request.holder = context_.settings.name;
+  request.run_ttl = context_.settings.run_lease;
   request.token = worker.token;
   request.task = run.task;
   request.run_time = commit.run_time;
   request.payload = commit.payload;
+  worker.last_renewal = context_.Now();
   Call(worker, request, context_.settings.worker_timeout);
 }
 
--- a/src/ports/json_codec.h
+++ b/src/ports/json_codec.h
@@ -42,7 +42,17 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunId, task, run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ListEntry, kind, name, data_centre, rack, address, leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerTask, run, class_name, home, size, state, body)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerCall, op, holder, token, ttl, wait, acks, task, run_time, payload)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerCall,
+                                                op,
+                                                holder,
+                                                token,
+                                                ttl,
+                                                run_ttl,
+                                                wait,
+                                                acks,
+                                                task,
+                                                run_time,
+                                                payload)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerReply, status, token, capacity, full, tasks)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ServerCall, op, run, payload, deadline)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ServerReply, status, leaving, slots, body)
--- a/standins/fakes.cc
+++ b/standins/fakes.cc
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr Duration kRunLease = 20s;  // Runs end this long after the last renewal, whoever sent it.
-
 Duration Scaled(Duration duration, double factor) {
   return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
 }
@@ -154,7 +152,9 @@
   }
   holder_ = call.holder;
   lease_until_ = clock_.Now() + call.ttl;
-  runs_until_ = clock_.Now() + kRunLease;
+  if (call.token != 0) {
+    runs_until_ = clock_.Now() + call.run_ttl;
+  }
   for (const RunId& run : call.acks) {
     runs_.erase(run);
   }
@@ -184,6 +184,7 @@
     log_.Broken(fmt::format("{} was offered {} beyond its capacity", name_, run.ToString()));
     return WorkerStatus::kNoRoom;
   }
+  runs_until_ = std::max(runs_until_, clock_.Now() + call.run_ttl);
   used_ += call.task.size;
   runs_[run] = Run{call.task, clock_.Now() + Scaled(call.run_time, slowness_), false};
   log_.Started(run, name_, false);
--- a/tests/failure_test.cc
+++ b/tests/failure_test.cc
@@ -118,4 +118,37 @@
   REQUIRE(host.core.live() == std::vector<HostName>{"a1"});
 }
 
+TEST_CASE("runs on a worker that cannot be reached count as ended once their lease has surely lapsed, not before") {
+  OneHost host("a1");
+  host.Configure({kOnceTask});
+  LeaseWorker(host, 5);
+  host.Pass(1s);
+  host.Do(CallerSubmit{9, OnceRequest()});
+  host.Pass(100ms);
+  for (const SendWorker& call : host.Take<SendWorker>()) {
+    const bool start = call.request.op == WorkerOp::kStart;
+    const Delivery delivery = start ? Delivery::kAnswered : Delivery::kUnknown;
+    host.Do(WorkerEvent{call.call, delivery, WorkerReply{WorkerStatus::kOk, 5, {}, false, {}}});
+  }
+  // From here on the worker answers nothing. Renewals go on for as long as the lease is believed, 4 s at the most.
+  const auto silence = [&](Duration duration) {
+    std::vector<AnswerCaller> answers;
+    for (const TimePoint end = host.clock.Now() + duration; host.clock.Now() < end;) {
+      host.Pass(kTickEvery);
+      for (const Action& action : std::exchange(host.actions, {})) {
+        if (const auto* call = std::get_if<SendWorker>(&action)) {
+          host.Do(WorkerEvent{call->call, Delivery::kUnknown, {}});
+        } else if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
+          answers.push_back(*answer);
+        }
+      }
+    }
+    return answers;
+  };
+  REQUIRE(silence(20s).empty());
+  const auto answers = silence(12s);
+  REQUIRE(answers.size() == 1);
+  REQUIRE(answers[0].answer.verdict == Verdict::kFailed);
+}
+
 }  // namespace hibiscus
