Add the seeded driver in virtual time: several hosts, all faults of the table, two at a time

Cause: the invariants had no run that could break them. Ruled out: a model of racks or networks beyond delay, loss and cuts; it would cost more lines than it finds faults.

--- /dev/null
+++ b/tests/chaos_faults.cc
@@ -0,0 +1,242 @@
+#include "tests/chaos_faults.h"
+
+#include <algorithm>
+
+namespace hibiscus {
+
+namespace {
+
+constexpr Duration kFaultsFrom = 3s;    // Until then the hosts find each other and take their leases.
+constexpr Duration kFaultsUntil = 11s;  // No fault begins later.
+constexpr Duration kLongestFault = 7s;  // Longer than every lease.
+constexpr Duration kHealed = kFaultsUntil + kLongestFault + 100ms;
+constexpr Duration kProbeAt = kHealed + 9s;
+constexpr Duration kRest = kProbeAt + 9s;
+constexpr Duration kListLag = 2s;
+constexpr Duration kLeavingServes = 5s;  // Then a leaving backend server is gone.
+
+constexpr std::string_view kNames[kFaultCount] = {
+    "host killed",      "host paused",      "messages lost",   "messages late",     "link cut",
+    "cut from store",   "store down",       "store slow",      "store answer lost", "worker restarted",
+    "worker cut",       "worker fails all", "wrong run times", "impossible job",    "cancel wave",
+    "racing operators", "server leaves",    "server dies",     "planned stop",
+};
+
+}  // namespace
+
+std::string_view NameOf(Fault fault) {
+  return kNames[static_cast<size_t>(fault)];
+}
+
+const ChaosRun::Action ChaosRun::kActions[kFaultCount] = {
+    &ChaosRun::KillHost,         &ChaosRun::PauseHost,        &ChaosRun::LoseMessages, &ChaosRun::DelayMessages,
+    &ChaosRun::CutLink,          &ChaosRun::CutFromStore,     &ChaosRun::StopStore,    &ChaosRun::SlowStore,
+    &ChaosRun::LoseStoreAnswers, &ChaosRun::RestartWorker,    &ChaosRun::CutWorker,    &ChaosRun::FailAllOnWorker,
+    &ChaosRun::ChangeRunTimes,   &ChaosRun::SubmitImpossible, &ChaosRun::CancelAll,    &ChaosRun::RaceOperators,
+    &ChaosRun::ServerLeaves,     &ChaosRun::ServerDies,       &ChaosRun::StopHost,
+};
+
+ChaosRun::ChaosRun(uint64_t seed, bool trace) : world_(seed, trace), callers_(world_) {}
+
+ChaosReport ChaosRun::Run() {
+  const TimePoint start = world_.Now();
+  Schedule();
+  callers_.Start(start + kFaultsUntil + kLongestFault / 2);
+  world_.At(kProbeAt, [this] { callers_.Probe(); });
+  world_.RunUntil(start + kRest);
+  callers_.CheckAtRest();
+  ChaosReport report;
+  report.broken = world_.log().broken();
+  report.faults = faults_;
+  report.events = world_.events();
+  report.requests = callers_.errands();
+  report.starts = world_.log().starts();
+  report.done = callers_.answers_of(Verdict::kDone);
+  report.not_run = callers_.answers_of(Verdict::kNotRun);
+  report.unknown = callers_.answers_of(Verdict::kUnknown);
+  return report;
+}
+
+// Up to three draws; half of the draws are of two faults at the same moment.
+void ChaosRun::Schedule() {
+  const uint64_t draws = 1 + world_.Draw(3);
+  for (uint64_t i = 0; i < draws; ++i) {
+    const Duration at = world_.DrawTime(kFaultsFrom, kFaultsUntil);
+    const uint64_t together = 1 + world_.Draw(2);
+    for (uint64_t j = 0; j < together; ++j) {
+      const auto fault = static_cast<Fault>(world_.Draw(kFaultCount));
+      const Duration length = world_.DrawTime(200ms, kLongestFault);
+      faults_.push_back(fault);
+      world_.At(at + world_.DrawTime(0us, 50ms), [this, fault, length] { Begin(fault, length); });
+    }
+  }
+}
+
+void ChaosRun::Begin(Fault fault, Duration length) {
+  world_.Trace("FAULT {} for {} ms", NameOf(fault), Millis(length));
+  (this->*kActions[static_cast<size_t>(fault)])(length);
+}
+
+Node* ChaosRun::AnyHost() {
+  std::vector<Node*> hosts;
+  for (Node& node : world_.nodes()) {
+    if (node.up && !node.paused && !node.leaving) {
+      hosts.push_back(&node);
+    }
+  }
+  return hosts.empty() ? nullptr : hosts[world_.Draw(hosts.size())];
+}
+
+void ChaosRun::KillHost(Duration length) {
+  if (Node* host = AnyHost(); host != nullptr) {
+    world_.Kill(*host);
+    callers_.OnHostDied(*host);
+    world_.At(length, [this, host] { world_.Boot(*host); });
+  }
+}
+
+void ChaosRun::PauseHost(Duration length) {
+  if (Node* host = AnyHost(); host != nullptr) {
+    world_.Pause(*host);
+    world_.At(length, [this, host] { world_.Wake(*host); });
+  }
+}
+
+void ChaosRun::LoseMessages(Duration length) {
+  world_.weather().loss = 0.02 + 0.01 * static_cast<double>(world_.Draw(30));
+  world_.At(length, [this] { world_.weather().loss = 0; });
+}
+
+void ChaosRun::DelayMessages(Duration length) {
+  world_.weather().late = 0.02 + 0.01 * static_cast<double>(world_.Draw(30));
+  world_.At(length, [this] { world_.weather().late = 0; });
+}
+
+void ChaosRun::CutLink(Duration length) {
+  const auto& centres = world_.data_centres();
+  const std::pair<DataCentre, DataCentre> link{centres[world_.Draw(centres.size())],
+                                               centres[world_.Draw(centres.size())]};
+  if (link.first != link.second) {
+    world_.weather().cut_links.insert(link);
+    world_.At(length, [this, link] { world_.weather().cut_links.erase(link); });
+  }
+}
+
+void ChaosRun::CutFromStore(Duration length) {
+  const auto& centres = world_.data_centres();
+  const DataCentre centre = centres[world_.Draw(centres.size())];
+  world_.weather().cut_from_store.insert(centre);
+  world_.At(length, [this, centre] { world_.weather().cut_from_store.erase(centre); });
+}
+
+void ChaosRun::StopStore(Duration length) {
+  world_.weather().store_down = true;
+  world_.At(length, [this] { world_.weather().store_down = false; });
+}
+
+void ChaosRun::SlowStore(Duration length) {
+  world_.weather().store_slow = true;
+  world_.At(length, [this] { world_.weather().store_slow = false; });
+}
+
+void ChaosRun::LoseStoreAnswers(Duration length) {
+  world_.weather().store_loses_answers = true;
+  world_.At(length, [this] { world_.weather().store_loses_answers = false; });
+  RaceOperators(length);
+}
+
+void ChaosRun::RestartWorker(Duration length) {
+  WorkerNode& worker = world_.workers()[world_.Draw(world_.workers().size())];
+  worker.up = false;
+  worker.fake.Restart();
+  world_.At(length, [&worker] { worker.up = true; });
+}
+
+void ChaosRun::CutWorker(Duration length) {
+  WorkerNode& worker = world_.workers()[world_.Draw(world_.workers().size())];
+  worker.cut = true;
+  world_.At(length, [&worker] { worker.cut = false; });
+}
+
+void ChaosRun::FailAllOnWorker(Duration length) {
+  WorkerNode& worker = world_.workers()[world_.Draw(world_.workers().size())];
+  worker.fake.set_fails_everything(true);
+  world_.At(length, [&worker] { worker.fake.set_fails_everything(false); });
+}
+
+void ChaosRun::ChangeRunTimes(Duration length) {
+  constexpr double kFactors[] = {0.1, 0.5, 3, 8};
+  WorkerNode& worker = world_.workers()[world_.Draw(world_.workers().size())];
+  ServerNode& server = world_.servers()[world_.Draw(world_.servers().size())];
+  worker.fake.set_slowness(kFactors[world_.Draw(std::size(kFactors))]);
+  server.fake.set_slowness(kFactors[world_.Draw(std::size(kFactors))]);
+  world_.At(length, [&worker, &server] {
+    worker.fake.set_slowness(1);
+    server.fake.set_slowness(1);
+  });
+}
+
+void ChaosRun::SubmitImpossible(Duration) {
+  const auto& centres = world_.data_centres();
+  callers_.Submit(world_.Chance(0.5) ? "batch" : "crew", centres[world_.Draw(centres.size())],
+                  Resources{64'000, 100, 0}, false);
+}
+
+void ChaosRun::CancelAll(Duration) {
+  callers_.CancelWave();
+}
+
+void ChaosRun::RaceOperators(Duration) {
+  const uint64_t operators = 2 + world_.Draw(2);
+  for (uint64_t i = 0; i < operators; ++i) {
+    if (Node* host = AnyHost(); host != nullptr) {
+      callers_.ChangeConfiguration(*host);
+    }
+  }
+}
+
+void ChaosRun::ServerLeaves(Duration) {
+  ServerNode& server = world_.servers()[world_.Draw(world_.servers().size())];
+  if (server.left != TimePoint::max() || !server.up) {
+    return;
+  }
+  server.left = world_.Now();
+  server.fake.set_leaving(true);
+  world_.At(kListLag, [&server] { server.listed_leaving = true; });
+  world_.At(kLeavingServes, [&server] { server.up = false; });
+  world_.At(kLongestFault, [&server] {
+    server.up = true;
+    server.left = TimePoint::max();
+    server.listed_leaving = false;
+    server.fake.set_leaving(false);
+  });
+}
+
+void ChaosRun::ServerDies(Duration length) {
+  ServerNode& server = world_.servers()[world_.Draw(world_.servers().size())];
+  if (server.left == TimePoint::max()) {
+    server.up = false;
+    world_.At(length, [&server] { server.up = true; });
+  }
+}
+
+void ChaosRun::StopHost(Duration length) {
+  Node* host = AnyHost();
+  if (host == nullptr || world_.UpHosts(host->data_centre).size() < 2) {
+    return;
+  }
+  host->leaving = true;
+  const int generation = host->generation;
+  world_.Trace("{} is asked to leave", host->name);
+  world_.Deliver(*host, LeaveEvent{});
+  world_.At(kLongestFault + length, [this, host, generation] {
+    if (host->generation == generation && host->up) {
+      world_.Broken(host->name + " was asked to leave long ago and is still here");
+    }
+    if (!host->up) {
+      world_.Boot(*host);
+    }
+  });
+}
+
+}  // namespace hibiscus
