A former home host cannot stop a run that another has taken over

Cause: a home host paused for less than the pause limit wakes without noticing; its request was claimed and its run adopted meanwhile. At its finish target it sent a stop for that run, and the owner obeyed. Ruled out: a shorter pause limit (ticks may be late under load, and every false pause drops all leases). Change: the owner checks the claim before it stops a run.

--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -182,6 +182,10 @@
 }
 
 void WorkerRole::OnStopRun(const HostName& from, const StopRun& stop) {
+  if (!claims_.Allows(stop.run.task.key, from)) {
+    context_.Send(from, RunReport{stop.run, stop.worker, 0, RunPhase::kGone, {}});  // No longer its run to stop.
+    return;
+  }
   OnReleaseHold(ReleaseHold{stop.run});
   const auto worker = workers_.find(stop.worker);
   if (worker == workers_.end() || !HasLease(worker->second)) {
--- a/tests/failure_test.cc
+++ b/tests/failure_test.cc
@@ -151,4 +151,27 @@
   REQUIRE(answers[0].answer.verdict == Verdict::kFailed);
 }
 
+TEST_CASE("a home host whose request was claimed by another cannot stop the run that the other took over") {
+  OneHost host("a1");
+  LeaseWorker(host, 5);
+  host.Do(PeerEvent{"a2", Reserve{kRun, "once-task", WorkKind::kBatch, Resources{1, 1, 0}, 1s, 5s, true}});
+  host.Do(PeerEvent{"a2", Commit{kRun, "w1", 5, "once-task", Resources{1, 1, 0}, 1s, {}}});
+  for (const SendWorker& call : host.Take<SendWorker>()) {
+    if (call.request.op == WorkerOp::kStart) {
+      host.Do(WorkerEvent{call.call, Delivery::kAnswered, WorkerReply{WorkerStatus::kOk, 5, {}, false, {}}});
+    }
+  }
+  host.Do(PeerEvent{"a3", Claim{kRun.task.key, 0}});
+  const auto claimed = host.TakeSent<ClaimAnswer>();
+  REQUIRE(claimed.size() == 1);
+  REQUIRE(claimed[0].second.runs.size() == 1);
+  const auto stop = [&](const HostName& from) {
+    host.Take<SendWorker>();
+    host.Do(PeerEvent{from, StopRun{kRun, "w1"}});
+    return host.Take<SendWorker>().size();
+  };
+  REQUIRE(stop("a2") == 0);
+  REQUIRE(stop("a3") == 1);
+}
+
 }  // namespace hibiscus
