Entry host: ids that no earlier process used, and no 'not run' for a request that two home hosts had

Ruled out: dropping the invariant; it showed a real collision. Change: ids begin at a random number; a 'not run' for a resubmitted exchange becomes unknown; a whole answer counts from an earlier home host too.

--- a/src/core/context.cc
+++ b/src/core/context.cc
@@ -16,6 +16,7 @@
 CoreContext::CoreContext(HostSettings host_settings, const Clock& host_clock, uint64_t seed)
     : settings(std::move(host_settings)), clock(host_clock), random(seed), live({settings.name}) {
   recovering_until = Now() + settings.recover;
+  next_id = RandomNumber() >> 1;
 }
 
 void CoreContext::Send(const HostName& to, PeerMessage message) {
--- a/src/core/context.h
+++ b/src/core/context.h
@@ -66,7 +66,7 @@
   const HostSettings settings;
   const Clock& clock;
   std::mt19937_64 random;
-  uint64_t next_id = 1;
+  uint64_t next_id;  // Starts at random: late replies to an earlier process of this name match nothing.
 
   std::vector<ListEntry> list;      // As the platform last gave it.
   std::vector<HostName> live;       // Live hosts of the own data centre, sorted, this one among them.
--- a/src/core/entry_role.cc
+++ b/src/core/entry_role.cc
@@ -21,25 +21,30 @@
   }
   const ClassSpec* spec = context_.configuration.FindClass(request.class_name);
   const TimePoint give_up = context_.Now() + spec->finish_within + kAnswerGrace;
-  Open(Exchange{submit.exchange, Kind::kSubmit, request, request.key, {}, give_up});
+  Open(Exchange{submit.exchange, Kind::kSubmit, request, request.key, {}, give_up, false});
 }
 
 void EntryRole::OnQuery(const CallerQuery& query) {
-  Open(Exchange{query.exchange, Kind::kQuery, {}, query.key, {}, context_.Now() + kQueryTimeout});
+  Open(Exchange{query.exchange, Kind::kQuery, {}, query.key, {}, context_.Now() + kQueryTimeout, false});
 }
 
 void EntryRole::OnCancel(const CallerCancel& cancel) {
-  Open(Exchange{cancel.exchange, Kind::kCancel, {}, cancel.key, {}, context_.Now() + kQueryTimeout});
+  Open(Exchange{cancel.exchange, Kind::kCancel, {}, cancel.key, {}, context_.Now() + kQueryTimeout, false});
 }
 
 void EntryRole::OnAnswer(const HostName& from, const ForwardAnswer& answer) {
   const auto exchange = open_.find(answer.forward_id);
-  if (exchange == open_.end() || exchange->second.home != from) {
-    return;  // Late: the caller has its answer, or another home host has the request now.
+  if (exchange == open_.end()) {
+    return;  // Late: the caller has its answer.
+  }
+  if (exchange->second.home != from && answer.answer.verdict != Verdict::kDone) {
+    return;  // Another home host has the request now: only a whole answer counts from an earlier one.
   }
   HIBISCUS_INVARIANT(exchange->second.key == answer.answer.key, exchange->second.key.ToString(),
                      "An answer must go to its own caller: report which hosts forwarded it.");
-  context_.Act(AnswerCaller{exchange->second.id, answer.answer});
+  // The present home host speaks for itself only: an earlier one may have started it.
+  const bool doubtful = answer.answer.verdict == Verdict::kNotRun && exchange->second.resubmitted;
+  context_.Act(AnswerCaller{exchange->second.id, doubtful ? GiveUpAnswer(exchange->second) : answer.answer});
   open_.erase(exchange);
 }
 
@@ -49,6 +54,7 @@
     return;
   }
   exchange->second.home = moved.home;
+  exchange->second.resubmitted = true;
   Forward(moved.forward_id, exchange->second, true);
 }
 
@@ -59,6 +65,7 @@
       overdue.push_back(forward_id);
     } else if (!context_.IsReachable(exchange.home) && !context_.live.empty()) {
       exchange.home = context_.HomeOf(exchange.key);
+      exchange.resubmitted = true;
       Forward(forward_id, exchange, true);
     }
   }
--- a/src/core/entry_role.h
+++ b/src/core/entry_role.h
@@ -32,7 +32,8 @@
     Request request;  // Submit.
     RequestKey key;
     HostName home;
-    TimePoint give_up;  // The caller is answered by then in any case.
+    TimePoint give_up;         // The caller is answered by then in any case.
+    bool resubmitted = false;  // An earlier home host may have acted on it, or may still.
   };
 
   ResultCode Check(const Request& request) const;
