Owner: no stop during a start, no takeover from a partial list, ends kept until somebody knows them

Ruled out: a second ledger for starts in doubt; the order to stop is repeated anyway. Change: a stop waits until the start is known; only a full list replaces what is believed, another token loses the lease; the worker fake answers a renewal under an old token as stale; ends stay for HostSettings::remember unless acknowledged.

--- a/src/core/worker_role.cc
+++ b/src/core/worker_role.cc
@@ -39,6 +39,7 @@
     LoseLease(worker);
   }
   DropExpiredHolds(worker);
+  ForgetOld(worker);
   for (auto& [run, owned] : worker.runs) {
     const bool known = owned.phase != OwnedRun::Phase::kStarting;
     if (known && HasLease(worker) && now >= owned.next_report) {
@@ -139,11 +140,14 @@
   }
   HIBISCUS_INVARIANT(event.reply.token >= worker.token, worker.entry.name,
                      "A worker's token must only grow: check the worker's protocol.");
-  const bool fresh = event.reply.token != worker.token;
+  if (!event.reply.full && event.reply.token != worker.token) {
+    LoseLease(worker);  // A late call of ours took a newer lease. Only a full list may replace what is believed.
+    return;
+  }
   worker.token = event.reply.token;
   worker.lease_until = worker.acquire_sent + context_.settings.control_lease;
   worker.next_acquire = context_.Now();
-  if (fresh || event.reply.full) {
+  if (event.reply.full) {
     Adopt(worker, event.reply);
   } else {
     TakeEnded(worker, event.reply.tasks);
--- a/src/core/worker_role.h
+++ b/src/core/worker_role.h
@@ -25,6 +25,7 @@
   Phase phase = Phase::kStarting;
   RunPhase end = RunPhase::kDone;  // Once ended.
   TimePoint next_report{};
+  TimePoint forget_at = TimePoint::max();  // Once ended: no repeat can ask for it any more.
 };
 
 // Room kept for a run until its commit.
@@ -103,6 +104,8 @@
   void Start(OwnedWorker& worker, const HostName& home, const Commit& commit);
   void OnStartReply(OwnedWorker& worker, const PendingCall& call, const WorkerEvent& event);
   void OnStopReply(OwnedWorker& worker, const PendingCall& call, const WorkerEvent& event);
+  void Forget(OwnedWorker& worker, const RunId& run);
+  void ForgetOld(OwnedWorker& worker);
   void EndRun(OwnedWorker& worker, const RunId& run, RunPhase end);
   void Report(OwnedWorker& worker, OwnedRun& run);
   void ReportTo(const HostName& home, const RunReport& report) { context_.Send(home, report); }
--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -183,6 +183,9 @@
     Report(worker->second, run->second);
     return;
   }
+  if (run->second.phase == OwnedRun::Phase::kStarting) {
+    return;  // The start may still be on its way, so that "no such run" proves nothing. The order is repeated.
+  }
   WorkerCall request;
   request.op = WorkerOp::kStop;
   request.holder = context_.settings.name;
@@ -207,6 +210,7 @@
   }
   owned.phase = OwnedRun::Phase::kEnded;
   owned.end = end;
+  owned.forget_at = context_.Now() + context_.settings.remember;
   worker.ledger.Remove(run);
   Report(worker, owned);
 }
@@ -231,8 +235,25 @@
   if (run == worker->second.runs.end() || run->second.phase != OwnedRun::Phase::kEnded) {
     return;
   }
-  worker->second.acks.push_back(ack.run);
-  worker->second.runs.erase(run);
+  Forget(worker->second, ack.run);
+}
+
+void WorkerRole::Forget(OwnedWorker& worker, const RunId& run) {
+  worker.acks.push_back(run);
+  worker.runs.erase(run);
+}
+
+// Ends that no home host acknowledges are kept for as long as a repeat may ask for them.
+void WorkerRole::ForgetOld(OwnedWorker& worker) {
+  std::vector<RunId> old;
+  for (const auto& [id, run] : worker.runs) {
+    if (context_.Now() >= run.forget_at) {
+      old.push_back(id);
+    }
+  }
+  for (const RunId& run : old) {
+    Forget(worker, run);
+  }
 }
 
 void WorkerRole::DropExpiredHolds(OwnedWorker& worker) {
--- a/standins/fakes.cc
+++ b/standins/fakes.cc
@@ -259,7 +259,8 @@
     return over;
   });
   for (const Renewal& renewal : due) {
-    renewal.reply(Ended());
+    const bool stale = renewal.call.token != token_;
+    renewal.reply(stale ? WorkerReply{WorkerStatus::kStaleToken, 0, {}, false, {}} : Ended());
   }
 }
 
