Home host: verdicts that remember earlier runs, claims that ask leaving hosts, no part of a gang run again

Ruled out: counting every commit as a start; an owner that says 'not started' under the same token is certain. Change: Job::ran and Job::in_doubt decide what a refusal may say; only a host that knows the request acknowledges; claims go to all reachable hosts; a never-twice request is adopted whole or answered unknown.

--- a/src/core/home_calls.cc
+++ b/src/core/home_calls.cc
@@ -79,6 +79,7 @@
 // Only a class that may run twice gets another try after an unknown outcome.
 void HomeRole::OnCallUnknown(Job& job) {
   Member& member = job.members.front();
+  job.in_doubt = true;
   const bool time_left = context_.Now() + kOwnerGrace < job.finish_by;
   if (!job.spec.may_run_twice || job.runs >= kMostCallTries || !time_left) {
     End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -101,7 +101,7 @@
   job.claim_answers.clear();
   job.next_claim = context_.Now() + kClaimRetry;
   claims_.Put(job.request.key, context_.settings.name);
-  for (const HostName& host : context_.live) {
+  for (const HostName& host : context_.reachable) {
     context_.Send(host, Claim{job.request.key, context_.view});
   }
 }
@@ -119,14 +119,14 @@
   FinishClaim(*job);
 }
 
-// A claim holds when every live host gave its word under the same view, and every worker is under somebody's lease:
-// then each earlier run is either in an answer or can never start any more.
+// A claim holds when every reachable host, those that leave among them, gave its word under the same view, and every
+// worker is under somebody's lease: then each earlier run is either in an answer or can never start any more.
 void HomeRole::FinishClaim(Job& job) {
   const auto has_word = [&](const HostName& host) {
     const auto answer = job.claim_answers.find(host);
     return answer != job.claim_answers.end() && answer->second.view == context_.view && answer->second.covered;
   };
-  if (!std::all_of(context_.live.begin(), context_.live.end(), has_word)) {
+  if (!std::all_of(context_.reachable.begin(), context_.reachable.end(), has_word)) {
     return;
   }
   bool adopted = false;
@@ -135,6 +135,7 @@
       Enter(member, MemberPhase::kIdle, context_.Now());
     }
   }
+  job.in_doubt = job.in_doubt || job.committed;
   const std::map<HostName, ClaimAnswer> answers = std::move(job.claim_answers);
   job.phase = JobPhase::kActive;
   for (const auto& [host, answer] : answers) {
@@ -143,11 +144,15 @@
       AdoptRun(job, run);
     }
   }
-  if (adopted) {
+  const bool may_start_rest = job.spec.may_run_twice || (job.surely_first && !job.committed);
+  const bool whole = std::none_of(job.members.begin(), job.members.end(),
+                                  [](const Member& member) { return member.phase == MemberPhase::kIdle; });
+  if (adopted && (whole || may_start_rest)) {
     FinishIfAllEnded(job);
-  } else if (job.spec.may_run_twice || (job.surely_first && !job.committed)) {
+  } else if (may_start_rest) {
     Begin(job);
   } else {
+    StopMembers(job);
     End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
   }
 }
@@ -188,7 +193,13 @@
                        job.request.key.ToString(), "Only what never started may be refused as not run.");
   }
   ReleaseMembers(job);
-  End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? kComeBack : 0us);
+  if (job.in_doubt) {
+    End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
+  } else if (job.ran) {
+    End(job, ResultCode::kTaskFailed, Verdict::kFailed, {});
+  } else {
+    End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? kComeBack : 0us);
+  }
 }
 
 void HomeRole::OnDeadline(Job& job) {
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -68,6 +68,8 @@
   int runs = 0;                // Tries begun.
   bool surely_first = false;   // No earlier attempt can exist.
   bool committed = false;      // A run of it may have started, by this host's order.
+  bool ran = false;            // A run of it surely started.
+  bool in_doubt = false;       // What became of a run of it will never be known.
   std::vector<StopRun> stops;  // Runs to be stopped, repeated until their end is reported.
   TimePoint next_stop{};
 };
@@ -124,6 +126,7 @@
   void CommitMember(Job& job, Member& member);
   void SendCommit(Job& job, Member& member);
   void ReleaseMembers(Job& job);
+  static void NoteRun(Job& job, RunPhase phase);
   void OnRunEnded(Job& job, Member& member, const RunReport& report);
   void OnRunFailed(Job& job, Member& member, const RunReport& report);
   void OnRunGone(Job& job, Member& member);
--- a/src/core/home_tasks.cc
+++ b/src/core/home_tasks.cc
@@ -164,14 +164,16 @@
 
 void HomeRole::OnReport(const HostName& from, const RunReport& report) {
   const bool ended = report.phase != RunPhase::kStarted;
+  Job* job = Find(report.run.task.key);
+  if (job == nullptr || job->phase == JobPhase::kClaiming) {
+    return;  // No acknowledgement: the host that ordered the run may still ask for it, and a claim may find it.
+  }
+  NoteRun(*job, report.phase);
   if (ended) {
     context_.Send(from, RunReportAck{report.run, report.worker});
-  }
-  Job* job = Find(report.run.task.key);
-  if (job != nullptr && ended) {
     std::erase_if(job->stops, [&](const StopRun& stop) { return stop.run == report.run; });
   }
-  Member* member = job == nullptr || job->phase != JobPhase::kActive ? nullptr : FindMember(*job, report.run);
+  Member* member = job->phase != JobPhase::kActive ? nullptr : FindMember(*job, report.run);
   if (member == nullptr || member->phase == MemberPhase::kEnded || member->phase == MemberPhase::kIdle) {
     return;
   }
@@ -186,6 +188,11 @@
   }
 }
 
+void HomeRole::NoteRun(Job& job, RunPhase phase) {
+  job.in_doubt = job.in_doubt || phase == RunPhase::kGone;
+  job.ran = job.ran || (phase != RunPhase::kGone && phase != RunPhase::kNotStarted);
+}
+
 void HomeRole::OnRunEnded(Job& job, Member& member, const RunReport& report) {
   switch (report.phase) {
     case RunPhase::kDone:
@@ -241,6 +248,8 @@
     return;
   }
   Member& member = job.members[index];
+  job.ran = true;
+  job.committed = true;
   member.run = report.run;
   member.worker = report.worker;
   member.token = report.token;
