Configuration: a change whose answer was lost is refused only when another one surely stands in its place

Ruled out: reading back until something newer stands; it can take as long as nobody changes anything. Change: what stood under the change's own version decides, seen by read-back, watch or a peer's push; otherwise unknown.

--- a/src/core/config_role.cc
+++ b/src/core/config_role.cc
@@ -17,7 +17,7 @@
 }
 
 void ConfigRole::OnSet(const OperatorConfigSet& set) {
-  PendingSet pending{set.exchange, set.configuration};
+  PendingSet pending{set.exchange, set.configuration, {}};
   pending.configuration.version = set.expected_version + 1;
   if (!CheckConfiguration(pending.configuration).empty()) {
     AnswerSet(pending, ResultCode::kBadRequest);
@@ -58,9 +58,11 @@
     if (answered) {
       Learn(event.reply);
     }
-    const bool ours = context_.configuration.change_id == read.mapped().configuration.change_id;
-    const ResultCode code = !answered ? ResultCode::kUnknownOutcome : ours ? ResultCode::kOk : ResultCode::kConflict;
-    AnswerSet(read.mapped(), code);
+    PendingSet& set = read.mapped();
+    if (context_.configuration.version == set.configuration.version) {
+      set.standing = context_.configuration.change_id;
+    }
+    AnswerSet(set, OutcomeOf(set));
     return true;
   }
   return false;
@@ -71,6 +73,7 @@
     return;
   }
   context_.configuration = configuration;
+  NoteStanding(configuration);
   context_.Log("config", fmt::format("version {} is in force", configuration.version));
 }
 
@@ -114,6 +117,26 @@
   AnswerSet(set, ResultCode::kOk);
 }
 
+// Which change stands under a version is decided once for all: remembered for the writes whose answer was lost.
+void ConfigRole::NoteStanding(const Configuration& configuration) {
+  for (auto* pending : {&writes_, &read_backs_}) {
+    for (auto& [call, set] : *pending) {
+      if (set.configuration.version == configuration.version) {
+        set.standing = configuration.change_id;
+      }
+    }
+  }
+}
+
+// What became of a write whose answer was lost. An older version read back proves nothing, since the write may still
+// arrive; nor does a newer one, since ours may have stood in between.
+ResultCode ConfigRole::OutcomeOf(const PendingSet& set) {
+  if (set.standing.empty()) {
+    return ResultCode::kUnknownOutcome;
+  }
+  return set.standing == set.configuration.change_id ? ResultCode::kOk : ResultCode::kConflict;
+}
+
 void ConfigRole::AnswerSet(const PendingSet& set, ResultCode code) {
   context_.Act(AnswerOperator{set.exchange, code, context_.configuration});
 }
--- a/src/core/config_role.h
+++ b/src/core/config_role.h
@@ -26,12 +26,15 @@
   struct PendingSet {
     ExchangeId exchange = 0;
     Configuration configuration;
+    std::string standing;  // Change id that was seen in force under this version; empty: none was seen.
   };
 
   void Apply(const Configuration& configuration);
   void Watch();
   void Learn(const StoreReply& reply);
   void OnSetReply(const PendingSet& set, const StoreEvent& event);
+  void NoteStanding(const Configuration& configuration);
+  static ResultCode OutcomeOf(const PendingSet& set);
   void AnswerSet(const PendingSet& set, ResultCode code);
 
   CoreContext& context_;
--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "core/records.h"
 #include "tests/one_host.h"
 
 namespace hibiscus {
@@ -170,4 +171,28 @@
   REQUIRE(CallsOf(host, WorkerOp::kStart).empty());
 }
 
+TEST_CASE("a change whose answer was lost is a conflict only if another one stands under its version") {
+  const auto outcome = [](const Configuration& read_back) {
+    OneHost host("a1");
+    host.Configure({ClassSpec{"quick", WorkKind::kCall, 1s, 5s, true}});
+    host.Take<SendStore>();
+    Configuration change = host.core.configuration();
+    change.change_id = "mine";
+    host.Do(OperatorConfigSet{4, 1, change});
+    const auto write = host.Take<SendStore>();
+    REQUIRE(write.size() == 1);
+    host.Do(StoreEvent{write[0].call, Delivery::kUnknown, {}});
+    const auto read = host.Take<SendStore>();
+    REQUIRE(read.size() == 1);
+    host.Do(StoreEvent{read[0].call, Delivery::kAnswered, {StoreStatus::kOk, EncodeConfiguration(read_back), 9}});
+    const auto answers = host.Take<AnswerOperator>();
+    REQUIRE(answers.size() == 1);
+    return answers[0].code;
+  };
+  REQUIRE(outcome(Configuration{2, "mine", {}, {}}) == ResultCode::kOk);
+  REQUIRE(outcome(Configuration{2, "other", {}, {}}) == ResultCode::kConflict);
+  REQUIRE(outcome(Configuration{1, "c", {}, {}}) == ResultCode::kUnknownOutcome);
+  REQUIRE(outcome(Configuration{3, "other", {}, {}}) == ResultCode::kUnknownOutcome);
+}
+
 }  // namespace hibiscus
