--- /dev/null
+++ b/bench/bench_main.cc
@@ -0,0 +1,119 @@
+// hibiscus_bench: the policy under load, in virtual time, beside its baselines. Prints tables; writes JSON with --json.
+//   hibiscus_bench --workloads=abay,formularios --days=plain,burst --loads=60,90,120,200 --seed=1
+//   hibiscus_bench --mode=speed --workers=2000 --queue=10000
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <fmt/core.h>
+#include <gflags/gflags.h>
+
+#include "bench/bench_report.h"
+#include "bench/bench_world.h"
+#include "bench/workload.h"
+
+DEFINE_string(mode, "days", "days: the policy under load; speed: real time of decisions");
+DEFINE_string(workload_directory, "workloads", "where the workloads are described");
+DEFINE_string(workloads, "abay,formularios", "which of them");
+DEFINE_string(days, "plain,burst,slow,misdeclared,flood", "what goes wrong");
+DEFINE_string(loads, "60,90,120,200", "percent of capacity");
+DEFINE_string(json, "", "file for the figures as JSON");
+DEFINE_uint64(seed, 1, "seed of the arrivals");
+DEFINE_int32(hosts, 3, "hosts of the system");
+DEFINE_int32(workers, 50, "workers");
+DEFINE_int32(servers, 50, "backend servers");
+DEFINE_int32(seconds, 30, "virtual time that counts");
+DEFINE_bool(calls, true, "offer calls");
+DEFINE_bool(tasks, true, "offer tasks");
+DEFINE_double(rate, 10000, "speed: tasks a second");
+DEFINE_int32(queue, 0, "speed: tasks that wait for room throughout");
+
+namespace hibiscus {
+namespace {
+
+std::vector<std::string> Split(const std::string& text) {
+  std::vector<std::string> words;
+  std::istringstream stream(text);
+  for (std::string word; std::getline(stream, word, ',');) {
+    words.push_back(word);
+  }
+  return words;
+}
+
+BenchOptions OptionsFromFlags() {
+  BenchOptions options;
+  options.seed = FLAGS_seed;
+  options.hosts = FLAGS_hosts;
+  options.workers = FLAGS_workers;
+  options.servers = FLAGS_servers;
+  options.length = std::chrono::seconds(FLAGS_seconds);
+  options.calls = FLAGS_calls;
+  options.tasks = FLAGS_tasks;
+  return options;
+}
+
+RunFigures RunOne(const Workload& workload, const BenchOptions& options, const std::string& policy) {
+  BenchWorld world(workload, options);
+  world.Run();
+  return Summarise(workload, options, policy, world);
+}
+
+std::vector<RunFigures> RunDays() {
+  std::vector<RunFigures> runs;
+  for (const std::string& name : Split(FLAGS_workloads)) {
+    const Workload workload = ReadWorkload(FLAGS_workload_directory, name);
+    for (const Day& day : Days()) {
+      if (("," + FLAGS_days + ",").find("," + day.name + ",") == std::string::npos) {
+        continue;
+      }
+      for (const std::string& load : Split(FLAGS_loads)) {
+        BenchOptions options = OptionsFromFlags();
+        options.day = day;
+        options.load = std::stod(load) / 100;
+        runs.push_back(RunOne(workload, options, "policy"));
+        std::fputs(TableOf(runs.back()).c_str(), stdout);
+        std::fflush(stdout);
+      }
+    }
+  }
+  return runs;
+}
+
+// One host, small tasks at a steady rate at 60% of the workers, and a queue of large tasks that never find room.
+std::vector<RunFigures> RunSpeed() {
+  constexpr double kShare = 0.6;
+  Workload workload;
+  workload.name = "speed";
+  workload.worker = Resources{64'000, 262'144, 0};
+  workload.configuration.version = 1;
+  workload.configuration.classes = {ClassSpec{"small", WorkKind::kBatch, 10s, 60s, true},
+                                    ClassSpec{"large", WorkKind::kBatch, 1h, 2h, true}};
+  BenchOptions options = OptionsFromFlags();
+  options.hosts = 1;
+  options.servers = 0;
+  options.ramp = 2s;
+  options.load = kShare;
+  options.waiting = FLAGS_queue;
+  const double cores = 64.0 * FLAGS_workers * kShare / FLAGS_rate;  // Core seconds of each task.
+  const Duration run_time(static_cast<int64_t>(std::max(0.02, cores) * 1e6));
+  workload.streams = {LoadStream{"small", "t", WorkKind::kBatch, 1.0, run_time, Resources{1000, 1024, 0}, 1, 1},
+                      LoadStream{"large", "u", WorkKind::kBatch, 0, 1h, workload.worker, 1, 1}};
+  const RunFigures figures = RunOne(workload, options, "policy");
+  const std::string what = fmt::format("{} workers, {}/s, queue {}", FLAGS_workers, FLAGS_rate, FLAGS_queue);
+  std::fputs(SpeedLineOf(what, figures).c_str(), stdout);
+  return {figures};
+}
+
+}  // namespace
+}  // namespace hibiscus
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const auto runs = FLAGS_mode == "speed" ? hibiscus::RunSpeed() : hibiscus::RunDays();
+  if (!FLAGS_json.empty()) {
+    std::ofstream(FLAGS_json) << hibiscus::JsonOf(runs) << "\n";
+  }
+  return 0;
+}
