The home and entry hosts look only at requests whose time has come

Change: timers by deadline, a list of requests touched by an event, and one walk when the reachable hosts change.

--- a/src/core/entry_role.cc
+++ b/src/core/entry_role.cc
@@ -40,7 +40,7 @@
   HIBISCUS_INVARIANT(exchange->second.key == answer.answer.key, exchange->second.key.ToString(),
                      "An answer must go to its own caller: report which hosts forwarded it.");
   context_.Act(AnswerCaller{exchange->second.id, answer.answer});
-  open_.erase(exchange);
+  Close(exchange);
 }
 
 void EntryRole::OnMoved(const ForwardMoved& moved) {
@@ -49,23 +49,38 @@
     return;
   }
   exchange->second.home = moved.home;
+  if (!context_.IsReachable(moved.home)) {
+    seen_reachable_.clear();  // The next tick looks at every home again.
+  }
   Forward(moved.forward_id, exchange->second, true);
 }
 
 void EntryRole::OnTick() {
-  std::vector<uint64_t> overdue;
+  FollowHomes();
+  while (!deadlines_.empty() && deadlines_.begin()->first <= context_.Now()) {
+    const auto exchange = open_.find(deadlines_.begin()->second);
+    context_.Act(AnswerCaller{exchange->second.id, GiveUpAnswer(exchange->second)});
+    Close(exchange);
+  }
+}
+
+// What was forwarded to a host that is silent now goes to the next one.
+void EntryRole::FollowHomes() {
+  if (context_.live.empty() || seen_reachable_ == context_.reachable) {
+    return;
+  }
+  seen_reachable_ = context_.reachable;
   for (auto& [forward_id, exchange] : open_) {
-    if (context_.Now() >= exchange.give_up) {
-      overdue.push_back(forward_id);
-    } else if (!context_.IsReachable(exchange.home) && !context_.live.empty()) {
+    if (!context_.IsReachable(exchange.home)) {
       exchange.home = context_.HomeOf(exchange.key);
       Forward(forward_id, exchange, true);
     }
   }
-  for (const uint64_t forward_id : overdue) {
-    context_.Act(AnswerCaller{open_[forward_id].id, GiveUpAnswer(open_[forward_id])});
-    open_.erase(forward_id);
-  }
+}
+
+void EntryRole::Close(std::map<uint64_t, Exchange>::iterator exchange) {
+  deadlines_.erase({exchange->second.give_up, exchange->first});
+  open_.erase(exchange);
 }
 
 ResultCode EntryRole::Check(const Request& request) const {
@@ -98,6 +113,7 @@
   }
   const uint64_t forward_id = context_.NextId();
   open_[forward_id] = exchange;
+  deadlines_.insert({exchange.give_up, forward_id});
   Forward(forward_id, exchange, false);
 }
 
--- a/src/core/entry_role.h
+++ b/src/core/entry_role.h
@@ -4,6 +4,9 @@
 #define HIBISCUSSTAND_SRC_CORE_ENTRY_ROLE_H_
 
 #include <map>
+#include <set>
+#include <utility>
+#include <vector>
 
 #include "core/context.h"
 
@@ -39,10 +42,14 @@
   void Open(Exchange exchange);
   void Forward(uint64_t forward_id, const Exchange& exchange, bool resubmit);
   void Refuse(ExchangeId exchange, const RequestKey& key, ResultCode code);
+  void Close(std::map<uint64_t, Exchange>::iterator exchange);
+  void FollowHomes();
   Answer GiveUpAnswer(const Exchange& exchange) const;
 
   CoreContext& context_;
-  std::map<uint64_t, Exchange> open_;  // By forward id.
+  std::map<uint64_t, Exchange> open_;                   // By forward id.
+  std::set<std::pair<TimePoint, uint64_t>> deadlines_;  // Of all that are open.
+  std::vector<HostName> seen_reachable_;                // Of the last tick.
 };
 
 }  // namespace hibiscus
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -1,6 +1,7 @@
 #include "core/home_role.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/core.h>
 
@@ -77,6 +78,8 @@
     return;
   }
   Job& job = jobs_[request.key];
+  ++active_;
+  touched_.push_back(request.key);
   job.request = request;
   job.spec = *spec;
   job.start_by = context_.Now() + spec->start_within;
@@ -158,7 +161,9 @@
     context_.Send(waiter.host, ForwardMoved{waiter.forward_id, to});
   }
   claims_.Put(key, to);
+  timers_.erase({job->second.wake, key});
   jobs_.erase(job);
+  --active_;
 }
 
 void HomeRole::Begin(Job& job) {
@@ -174,6 +179,7 @@
   HIBISCUS_INVARIANT(job.phase != JobPhase::kEnded, job.request.key.ToString(),
                      "A request has one final answer: check the phase before calling End.");
   job.phase = JobPhase::kEnded;
+  --active_;
   job.ended = context_.Now();
   job.answer = Answer{job.request.key, code, verdict, std::move(body), retry_after};
   for (const Waiter& waiter : job.waiters) {
@@ -213,22 +219,80 @@
     if (job.phase == JobPhase::kActive && job.spec.kind != WorkKind::kCall) {
       StartClaim(job);
     }
+    touched_.push_back(key);
   }
 }
 
+// Only jobs whose time has come, or that an event concerned, are looked at.
 void HomeRole::OnTick() {
-  for (auto& [key, job] : jobs_) {
-    if (job.phase != JobPhase::kEnded) {
-      TickJob(job);
-    }
-    TickStops(job);
-  }
-  std::erase_if(jobs_, [&](const auto& entry) {
-    const Job& job = entry.second;
-    const bool refused = job.answer.verdict == Verdict::kNotRun;  // A repeat may try afresh.
-    const Duration keep = refused ? 0us : context_.settings.remember;
-    return job.phase == JobPhase::kEnded && job.stops.empty() && context_.Now() - job.ended >= keep;
-  });
+  WakeAllIfPeersChanged();
+  while (!timers_.empty() && timers_.begin()->first <= context_.Now()) {
+    touched_.push_back(timers_.begin()->second);
+    jobs_.at(timers_.begin()->second).wake = TimePoint::max();
+    timers_.erase(timers_.begin());
+  }
+  for (const RequestKey& key : std::exchange(touched_, {})) {
+    Wake(key);
+  }
+}
+
+// Which owners and peers can be reached decides in every phase.
+void HomeRole::WakeAllIfPeersChanged() {
+  if (seen_live_ == context_.live && seen_reachable_ == context_.reachable) {
+    return;
+  }
+  seen_live_ = context_.live;
+  seen_reachable_ = context_.reachable;
+  for (const auto& [key, job] : jobs_) {
+    touched_.push_back(key);
+  }
+}
+
+void HomeRole::Wake(const RequestKey& key) {
+  const auto found = jobs_.find(key);
+  if (found == jobs_.end()) {
+    return;
+  }
+  Job& job = found->second;
+  if (job.phase != JobPhase::kEnded) {
+    TickJob(job);
+  }
+  TickStops(job);
+  if (!IsForgotten(job)) {
+    Schedule(job);
+    return;
+  }
+  timers_.erase({job.wake, key});
+  jobs_.erase(found);
+}
+
+void HomeRole::Schedule(Job& job) {
+  const TimePoint wake = NextWake(job);
+  if (wake != job.wake) {
+    timers_.erase({job.wake, job.request.key});
+    timers_.insert({wake, job.request.key});
+    job.wake = wake;
+  }
+}
+
+TimePoint HomeRole::NextWake(const Job& job) const {
+  TimePoint wake = job.stops.empty() ? TimePoint::max() : job.next_stop;
+  if (job.phase == JobPhase::kEnded) {
+    return std::min(wake, job.ended + context_.settings.remember);
+  }
+  const bool claiming = job.phase == JobPhase::kClaiming;
+  wake = std::min(
+      {wake, claiming && !job.committed ? job.start_by : job.finish_by, claiming ? job.next_claim : TimePoint::max()});
+  for (const Member& member : job.members) {
+    wake = std::min(wake, NextWakeOf(job, member));
+  }
+  return wake;
+}
+
+bool HomeRole::IsForgotten(const Job& job) const {
+  const bool refused = job.answer.verdict == Verdict::kNotRun;  // A repeat may try afresh.
+  const Duration keep = refused ? 0us : context_.settings.remember;
+  return job.phase == JobPhase::kEnded && job.stops.empty() && context_.Now() - job.ended >= keep;
 }
 
 void HomeRole::TickJob(Job& job) {
@@ -257,11 +321,6 @@
   return job != jobs_.end() && job->second.phase == JobPhase::kClaiming;
 }
 
-size_t HomeRole::active() const {
-  return static_cast<size_t>(std::count_if(jobs_.begin(), jobs_.end(),
-                                           [](const auto& entry) { return entry.second.phase != JobPhase::kEnded; }));
-}
-
 RunId HomeRole::NewRun(Job& job, int member) {
   ++job.runs;
   return RunId{TaskId{job.request.key, member}, context_.RandomNumber()};
@@ -269,7 +328,11 @@
 
 Job* HomeRole::Find(const RequestKey& key) {
   const auto job = jobs_.find(key);
-  return job == jobs_.end() ? nullptr : &job->second;
+  if (job == jobs_.end()) {
+    return nullptr;
+  }
+  touched_.push_back(key);  // What is asked for by an event may change: the next tick looks at it.
+  return &job->second;
 }
 
 Member* HomeRole::FindMember(Job& job, const RunId& run) {
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/claim_table.h"
@@ -70,6 +71,7 @@
   bool committed = false;      // A run of it may have started, by this host's order.
   std::vector<StopRun> stops;  // Runs to be stopped, repeated until their end is reported.
   TimePoint next_stop{};
+  TimePoint wake = TimePoint::max();  // Its place among the timers; max: none.
 };
 
 class HomeRole {
@@ -95,7 +97,7 @@
   // Gives up its own claim in favour of another host's.
   void YieldClaim(const RequestKey& key, const HostName& to);
 
-  size_t active() const;
+  size_t active() const { return active_; }
 
  private:
   // Admission and endings: home_role.cc.
@@ -107,6 +109,11 @@
   void Refuse(Job& job, ResultCode code);
   void OnDeadline(Job& job);
   void TickJob(Job& job);
+  void WakeAllIfPeersChanged();
+  void Wake(const RequestKey& key);
+  void Schedule(Job& job);
+  TimePoint NextWake(const Job& job) const;
+  bool IsForgotten(const Job& job) const;
 
   // Calls: home_calls.cc.
   void BeginCall(Job& job);
@@ -132,6 +139,7 @@
   void StopMembers(Job& job);
   void TickStops(Job& job);
   void FinishIfAllEnded(Job& job);
+  static TimePoint NextWakeOf(const Job& job, const Member& member);
   static void Enter(Member& member, MemberPhase phase, TimePoint now);
 
   RunId NewRun(Job& job, int member);
@@ -142,6 +150,11 @@
   Membership& membership_;
   ClaimTable& claims_;
   std::map<RequestKey, Job> jobs_;
+  size_t active_ = 0;                                  // Jobs that have not ended.
+  std::set<std::pair<TimePoint, RequestKey>> timers_;  // When a job next needs a look, if no event comes before.
+  std::vector<RequestKey> touched_;                    // Jobs that an event concerned since the last tick.
+  std::vector<HostName> seen_live_;                    // Of the last tick: a change concerns every job.
+  std::vector<HostName> seen_reachable_;
 };
 
 }  // namespace hibiscus
--- a/src/core/home_tasks.cc
+++ b/src/core/home_tasks.cc
@@ -66,6 +66,26 @@
   }
 }
 
+// When TickMember next has something to do, if no event comes before. Calls wait for events only.
+TimePoint HomeRole::NextWakeOf(const Job& job, const Member& member) {
+  if (job.spec.kind == WorkKind::kCall) {
+    return TimePoint::max();
+  }
+  switch (member.phase) {
+    case MemberPhase::kIdle:
+    case MemberPhase::kCommitted:
+      return member.next_send;
+    case MemberPhase::kReserving:
+      return std::max(member.since, job.start_by) + kReserveGrace + 1us;
+    case MemberPhase::kHeld:
+      return member.since + kGangHold + 1us;
+    case MemberPhase::kRunning:
+    case MemberPhase::kEnded:
+      break;
+  }
+  return TimePoint::max();
+}
+
 void HomeRole::AskForRoom(Job& job, Member& member) {
   member.owner = PickTaskOwner(job, member);
   if (member.owner.empty()) {
