--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -19,6 +19,7 @@
 DEFINE_string(workloads, "abay,formularios", "which of them");
 DEFINE_string(days, "plain,burst,slow,misdeclared,flood", "what goes wrong");
 DEFINE_string(loads, "60,90,120,200", "percent of capacity");
+DEFINE_string(policies, "policy,fcfs,random,two-random,no-admission", "the policy and its baselines");
 DEFINE_string(json, "", "file for the figures as JSON");
 DEFINE_uint64(seed, 1, "seed of the arrivals");
 DEFINE_int32(hosts, 3, "hosts of the system");
@@ -60,6 +61,31 @@
   return Summarise(workload, options, policy, world);
 }
 
+// The policy as it is by default, and the baselines that it is measured against.
+Policy PolicyNamed(const std::string& name) {
+  Policy policy;
+  policy.admission = name == "policy";
+  if (name == "policy" || name == "no-admission") {
+    return policy;
+  }
+  policy.queue = QueueOrder::kArrival;
+  policy.best_fit = false;
+  policy.avoid_slow = false;
+  policy.choice = name == "random"       ? ChoiceRule::kRandom
+                  : name == "two-random" ? ChoiceRule::kTwoRandom
+                                         : ChoiceRule::kFirst;
+  return policy;
+}
+
+void RunPolicies(const Workload& workload, BenchOptions options, std::vector<RunFigures>& runs) {
+  for (const std::string& policy : Split(FLAGS_policies)) {
+    options.settings.policy = PolicyNamed(policy);
+    runs.push_back(RunOne(workload, options, policy));
+    std::fputs(TableOf(runs.back()).c_str(), stdout);
+    std::fflush(stdout);
+  }
+}
+
 std::vector<RunFigures> RunDays() {
   std::vector<RunFigures> runs;
   for (const std::string& name : Split(FLAGS_workloads)) {
@@ -72,9 +98,7 @@
         BenchOptions options = OptionsFromFlags();
         options.day = day;
         options.load = std::stod(load) / 100;
-        runs.push_back(RunOne(workload, options, "policy"));
-        std::fputs(TableOf(runs.back()).c_str(), stdout);
-        std::fflush(stdout);
+        RunPolicies(workload, options, runs);
       }
     }
   }
--- a/bench/bench_world.h
+++ b/bench/bench_world.h
@@ -111,7 +111,7 @@
   void ScheduleArrivals();
   void NextArrival(size_t stream, double rate);
   double RateNow(size_t stream, double rate) const;
-  void Arrive(size_t stream);
+  void Arrive(size_t index);
   double TaskScale() const;
   Duration Factor(Duration mean, double low, double high);
 
--- /dev/null
+++ b/include/hibiscusstand/admission.h
@@ -0,0 +1,64 @@
+// Admission: predicts when a request would start, from the work that waits and the rate at which it is served, so that
+// what cannot start in time is refused at once and the caller learns when to come back.
+//
+// Work is counted in seconds of the whole capacity's unit: a call is one slot for its run time, a task is its share of
+// the scarcest resource for its run time. It matches the order of DeadlineQueue: a request waits for its tenant's fair
+// share of its own class, for what other classes have with an earlier deadline, and for what they will send meanwhile.
+#ifndef HIBISCUSSTAND_ADMISSION_H_
+#define HIBISCUSSTAND_ADMISSION_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "hibiscusstand/clock.h"
+
+namespace hibiscus {
+
+// A request, as far as admission goes.
+struct Demand {
+  std::string class_name;
+  std::string tenant;
+  TimePoint start_by{};
+  double cost = 0;  // Seconds of one unit of capacity.
+};
+
+class AdmissionControl {
+ public:
+  // What is admitted must be noted with Queued, and with Dequeued once it started, expired or was cancelled.
+  void Queued(const Demand& demand, TimePoint now);
+  void Dequeued(const Demand& demand);
+
+  // How long a new request would wait. `capacity` is in units: slots, or 1 for all workers together.
+  Duration Wait(const Demand& demand, double capacity, TimePoint now) const;
+
+  // True if it would start in time, with some room for error.
+  bool Admits(const Demand& demand, double capacity, TimePoint now) const;
+
+  // When a refused request had best come back: the queue will be short enough by then.
+  Duration RetryAfter(const Demand& demand, double capacity, TimePoint now) const;
+
+ private:
+  static constexpr size_t kBuckets = 64;
+
+  struct Backlog {
+    Duration target = 0us;                   // Longest time to start seen.
+    double work = 0;                         // All that waits.
+    std::map<std::string, double> tenants;   // Of each tenant.
+    std::array<double, kBuckets> buckets{};  // By deadline; a ring.
+    Duration width = 1ms;                    // Of a bucket.
+    double rate = 0;                         // Work admitted a second, decayed.
+    TimePoint rate_at{};
+  };
+
+  static size_t BucketOf(const Backlog& backlog, TimePoint start_by);
+  static double Before(const Backlog& backlog, TimePoint deadline, TimePoint now);
+  static double RateOf(const Backlog& backlog, TimePoint now);
+
+  std::map<std::string, Backlog> classes_;
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_ADMISSION_H_
--- /dev/null
+++ b/src/core/admission.cc
@@ -0,0 +1,118 @@
+#include "hibiscusstand/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hibiscus {
+
+namespace {
+
+constexpr double kSafety = 0.85;        // Share of the start target that a predicted wait may take.
+constexpr double kRateMemory = 2.0;     // Seconds over which admitted work is averaged.
+constexpr int kRefinements = 3;         // Steps of the estimate of what comes meanwhile.
+constexpr double kForgotten = 1e-9;     // Work below this is rounding.
+constexpr Duration kLeastRetry = 50ms;  // Bounds of RetryAfter.
+constexpr Duration kMostRetry = 30s;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+}  // namespace
+
+void AdmissionControl::Queued(const Demand& demand, TimePoint now) {
+  Backlog& backlog = classes_[demand.class_name];
+  if (backlog.target == 0us) {
+    backlog.width = std::max(Duration(1ms), (demand.start_by - now) / 32);
+  }
+  backlog.target = std::max(backlog.target, demand.start_by - now);
+  backlog.work += demand.cost;
+  backlog.tenants[demand.tenant] += demand.cost;
+  backlog.buckets[BucketOf(backlog, demand.start_by)] += demand.cost;
+  backlog.rate = RateOf(backlog, now) + demand.cost / kRateMemory;
+  backlog.rate_at = now;
+}
+
+void AdmissionControl::Dequeued(const Demand& demand) {
+  const auto found = classes_.find(demand.class_name);
+  if (found == classes_.end()) {
+    return;
+  }
+  Backlog& backlog = found->second;
+  const auto take = [&](double& from) { from = std::max(0.0, from - demand.cost); };
+  take(backlog.work);
+  take(backlog.buckets[BucketOf(backlog, demand.start_by)]);
+  const auto tenant = backlog.tenants.find(demand.tenant);
+  if (tenant == backlog.tenants.end()) {
+    return;  // What waited had no known cost.
+  }
+  take(tenant->second);
+  if (tenant->second < kForgotten) {
+    backlog.tenants.erase(tenant);
+  }
+}
+
+Duration AdmissionControl::Wait(const Demand& demand, double capacity, TimePoint now) const {
+  if (capacity <= 0) {
+    return kMostRetry;
+  }
+  double ahead = 0;
+  const auto own = classes_.find(demand.class_name);
+  if (own != classes_.end()) {
+    const auto mine = own->second.tenants.find(demand.tenant);
+    const double share = (mine == own->second.tenants.end() ? 0 : mine->second) + demand.cost;
+    for (const auto& [tenant, work] : own->second.tenants) {
+      ahead += tenant == demand.tenant ? work : std::min(work, share);
+    }
+  }
+  for (const auto& [name, backlog] : classes_) {
+    ahead += name == demand.class_name ? 0 : Before(backlog, demand.start_by, now);
+  }
+  double wait = ahead / capacity;
+  for (int i = 0; i < kRefinements; ++i) {
+    double meanwhile = 0;
+    for (const auto& [name, backlog] : classes_) {
+      const double lead = Seconds(demand.start_by - now - backlog.target);
+      const bool overtakes = name != demand.class_name && lead > 0 && backlog.work > kForgotten;
+      meanwhile += overtakes ? RateOf(backlog, now) * std::min(lead, wait) : 0;
+    }
+    wait = (ahead + meanwhile) / capacity;
+  }
+  return FromSeconds(std::min(wait, Seconds(kMostRetry)));
+}
+
+bool AdmissionControl::Admits(const Demand& demand, double capacity, TimePoint now) const {
+  return Seconds(Wait(demand, capacity, now)) <= kSafety * Seconds(demand.start_by - now);
+}
+
+Duration AdmissionControl::RetryAfter(const Demand& demand, double capacity, TimePoint now) const {
+  const Duration over = Wait(demand, capacity, now) - FromSeconds(kSafety * Seconds(demand.start_by - now));
+  return std::clamp(over, kLeastRetry, kMostRetry);
+}
+
+size_t AdmissionControl::BucketOf(const Backlog& backlog, TimePoint start_by) {
+  return static_cast<size_t>(start_by.time_since_epoch() / backlog.width) % kBuckets;
+}
+
+// Work whose deadline comes before another one's.
+double AdmissionControl::Before(const Backlog& backlog, TimePoint deadline, TimePoint now) {
+  if (backlog.work < kForgotten || deadline >= now + backlog.target) {
+    return backlog.work;
+  }
+  double sum = 0;
+  const int64_t last = deadline.time_since_epoch() / backlog.width;
+  for (int64_t bucket = now.time_since_epoch() / backlog.width; bucket <= last; ++bucket) {
+    sum += backlog.buckets[static_cast<size_t>(bucket) % kBuckets];
+  }
+  return sum;
+}
+
+double AdmissionControl::RateOf(const Backlog& backlog, TimePoint now) {
+  return backlog.rate * std::exp(-Seconds(now - backlog.rate_at) / kRateMemory);
+}
+
+}  // namespace hibiscus
--- a/src/core/context.h
+++ b/src/core/context.h
@@ -10,6 +10,7 @@
 
 #include "core/messages.h"
 #include "hibiscusstand/clock.h"
+#include "hibiscusstand/policy.h"
 
 namespace hibiscus {
 
@@ -34,6 +35,7 @@
   Duration pause_limit = 2s;         // A longer gap between two ticks is a pause: every lease counts as lost.
   Duration recover = 1s;             // Callers are refused this long after a start or a pause.
   Duration remember = 5min;          // How long ended requests are remembered for repeats.
+  Policy policy;                     // Strategies; only benches and tests change them.
 };
 
 // Stops the process when an invariant is broken, in every build. `hint` says how to mend the call or what to report.
--- a/src/core/server_role.cc
+++ b/src/core/server_role.cc
@@ -8,7 +8,10 @@
 
 constexpr Duration kProbeTimeout = 700ms;
 constexpr Duration kRefusedPause = 50ms;  // A server that refused gets nothing new for this long.
-constexpr Duration kComeBack = 500ms;     // Retry-After when no slot comes free in time.
+constexpr Duration kComeBack = 500ms;     // Retry-After when no slot came free in time.
+constexpr Duration kWayToServer = 5ms;    // A call begins this long after it was sent, at most.
+constexpr Duration kJudgeEvery = 200ms;   // Which servers are slow.
+constexpr double kPatience = 0.25;        // Share of its start target that a call waits before it takes a slow server.
 constexpr int kMostSlots = 8;             // Calls that one server serves at once.
 
 }  // namespace
@@ -19,12 +22,26 @@
       servers_[entry.name].entry = entry;
     }
   }
+  RefreshOwned();
+}
+
+void ServerRole::RefreshOwned() {
+  seen_view_ = context_.view;
+  for (auto& [name, server] : servers_) {
+    server.ours = context_.OwnerOf(name) == context_.settings.name;
+  }
 }
 
 void ServerRole::OnTick() {
+  if (seen_view_ != context_.view) {
+    RefreshOwned();
+  }
+  if (context_.Now() >= next_judgement_) {
+    next_judgement_ = context_.Now() + kJudgeEvery;
+    outliers_.Judge();
+  }
   for (auto& [name, server] : servers_) {
-    const bool ours = context_.OwnerOf(name) == context_.settings.name;
-    if (ours && server.probe == 0 && context_.Now() >= server.next_probe) {
+    if (server.ours && server.probe == 0 && context_.Now() >= server.next_probe) {
       Probe(server);
     }
   }
@@ -34,8 +51,20 @@
 
 void ServerRole::OnDispatch(const HostName& from, const CallDispatch& dispatch) {
   const TimePoint now = context_.Now();
-  Enqueue(QueuedCall{from, dispatch, now + dispatch.start_within, now + dispatch.finish_within});
-  ServeQueue();
+  const double cost = run_times_.Seconds(dispatch.class_name, 0);
+  const TimePoint start_by = now + dispatch.start_within - kWayToServer;
+  const QueuedCall call{from, dispatch, now, start_by, now + dispatch.finish_within, cost};
+  OwnedServer* server = queue_.empty() ? FindSlot(call) : nullptr;
+  const double capacity = Capacity();
+  const bool checked = context_.settings.policy.admission && capacity > 0;
+  if (server != nullptr) {
+    Execute(*server, call);
+  } else if (checked && !admission_.Admits(DemandOf(call), capacity, now)) {
+    Refuse(call, ResultCode::kOverloaded, admission_.RetryAfter(DemandOf(call), capacity, now));
+  } else {
+    Enqueue(call);
+    ServeQueue();
+  }
   RefreshLoad();
 }
 
@@ -54,14 +83,25 @@
   return true;
 }
 
-bool ServerRole::Usable(const OwnedServer& server) const {
-  const TimePoint now = context_.Now();
-  const bool ours = context_.OwnerOf(server.entry.name) == context_.settings.name;
-  const bool fresh = now - server.good_probe < context_.settings.probe_fresh;
-  return ours && fresh && server.healthy && !server.entry.leaving && now >= server.not_before &&
+bool ServerRole::IsServing(const OwnedServer& server) const {
+  const bool fresh = context_.Now() - server.good_probe < context_.settings.probe_fresh;
+  return server.ours && fresh && server.healthy && !server.entry.leaving;
+}
+
+bool ServerRole::HasFreeSlot(const OwnedServer& server) const {
+  return IsServing(server) && context_.Now() >= server.not_before &&
          server.in_progress < std::min(server.slots, kMostSlots);
 }
 
+// Slots of all servers that serve, free or not.
+double ServerRole::Capacity() const {
+  int slots = 0;
+  for (const auto& [name, server] : servers_) {
+    slots += IsServing(server) ? std::min(server.slots, kMostSlots) : 0;
+  }
+  return slots;
+}
+
 void ServerRole::Probe(OwnedServer& server) {
   server.probe = context_.NextId();
   server.probe_sent = context_.Now();
@@ -97,42 +137,85 @@
     Enqueue(call);
     return;
   }
+  LearnTime(execution);
   const bool ok = event.reply.status == ServerStatus::kOk;
   context_.Send(call.home, CallResult{call.dispatch.run, ok ? ResultCode::kOk : ResultCode::kTaskFailed,
                                       ok ? Verdict::kDone : Verdict::kFailed, event.reply.body, 0us});
 }
 
+void ServerRole::LearnTime(const Execution& execution) {
+  const std::string& class_name = execution.call.dispatch.class_name;
+  const Duration took = context_.Now() - execution.started;
+  run_times_.Learn(class_name, took);
+  const double usual = run_times_.Seconds(class_name, 0);
+  if (usual > 0) {
+    outliers_.Record(execution.server, std::chrono::duration<double>(took).count() / usual);
+  }
+}
+
+Demand ServerRole::DemandOf(const QueuedCall& call) const {
+  return Demand{call.dispatch.class_name, call.dispatch.run.task.key.tenant, call.start_by, call.cost};
+}
+
 void ServerRole::Enqueue(QueuedCall call) {
-  const auto place = std::upper_bound(queue_.begin(), queue_.end(), call,
-                                      [](const auto& a, const auto& b) { return a.start_by < b.start_by; });
-  queue_.insert(place, std::move(call));
+  admission_.Queued(DemandOf(call), context_.Now());
+  const QueuePlace place{call.dispatch.class_name, call.dispatch.run.task.key.tenant, {}, call.start_by, 1};
+  queue_.Push(place, std::move(call));
 }
 
 void ServerRole::ServeQueue() {
-  size_t served = 0;
-  for (; served < queue_.size(); ++served) {
-    const QueuedCall& call = queue_[served];
-    if (context_.Now() >= call.start_by) {
-      Refuse(call, ResultCode::kStartTargetMissed);
-      continue;
-    }
-    OwnedServer* server = FindSlot();
-    if (server == nullptr) {
-      break;
+  while (const std::optional<QueuedCall> late = queue_.TakeExpired(context_.Now())) {
+    admission_.Dequeued(DemandOf(*late));
+    Refuse(*late, ResultCode::kStartTargetMissed, kComeBack);
+  }
+  const auto has_slot = [&](const auto& entry) { return HasFreeSlot(entry.second); };
+  while (!queue_.empty() && std::any_of(servers_.begin(), servers_.end(), has_slot)) {
+    OwnedServer* server = nullptr;
+    const std::optional<QueuedCall> next = queue_.TakeNext([&](const QueuedCall& call) {
+      server = FindSlot(call);
+      return server != nullptr;
+    });
+    if (!next) {
+      return;
     }
-    Execute(*server, call);
+    admission_.Dequeued(DemandOf(*next));
+    Execute(*server, *next);
   }
-  queue_.erase(queue_.begin(), queue_.begin() + static_cast<std::ptrdiff_t>(served));
 }
 
-OwnedServer* ServerRole::FindSlot() {
-  OwnedServer* best = nullptr;
+// A sound server by the policy's choice; a slow one on trial, or when the call has waited long.
+OwnedServer* ServerRole::FindSlot(const QueuedCall& call) {
+  std::vector<OwnedServer*> sound;
+  std::vector<OwnedServer*> slow;
+  std::vector<double> loads;
   for (auto& [name, server] : servers_) {
-    if (Usable(server) && (best == nullptr || server.in_progress < best->in_progress)) {
-      best = &server;
+    if (!HasFreeSlot(server)) {
+      continue;
+    }
+    if (context_.settings.policy.avoid_slow && outliers_.IsSlow(name)) {
+      slow.push_back(&server);
+      continue;
+    }
+    sound.push_back(&server);
+    loads.push_back(static_cast<double>(server.in_progress) / std::min(server.slots, kMostSlots));
+  }
+  for (OwnedServer* server : slow) {
+    if (MayUseSlow(*server, call) && outliers_.TakeTrial(server->entry.name, context_.Now())) {
+      return server;
     }
   }
-  return best;
+  if (!sound.empty()) {
+    return sound[ChoiceFor(context_.settings.policy.choice).Pick(loads, context_.random)];
+  }
+  const bool waited = context_.Now() - call.arrived >= (call.start_by - call.arrived) * kPatience;
+  const bool usable = waited && !slow.empty() && MayUseSlow(*slow.front(), call);
+  return usable ? slow.front() : nullptr;
+}
+
+// A slow server must still be able to answer within the target, with a factor of two to spare.
+bool ServerRole::MayUseSlow(const OwnedServer& server, const QueuedCall& call) const {
+  const double expected = 2 * call.cost * outliers_.Slowness(server.entry.name);
+  return expected < std::chrono::duration<double>(call.finish_by - context_.Now()).count();
 }
 
 void ServerRole::Execute(OwnedServer& server, const QueuedCall& call) {
@@ -140,22 +223,20 @@
                      "A backend server gets new work only while its last good probe is fresh: use FindSlot.");
   ++server.in_progress;
   const CallId id = context_.NextId();
-  executions_[id] = Execution{server.entry.name, call};
+  executions_[id] = Execution{server.entry.name, call, context_.Now()};
   const Duration left = call.finish_by - context_.Now();
   ServerCall request{ServerOp::kExecute, call.dispatch.run, call.dispatch.payload, left};
   context_.Act(SendServer{id, server.entry.name, server.entry.address, std::move(request), left});
 }
 
-void ServerRole::Refuse(const QueuedCall& call, ResultCode code) {
-  context_.Send(call.home, CallResult{call.dispatch.run, code, Verdict::kNotRun, {}, kComeBack});
+void ServerRole::Refuse(const QueuedCall& call, ResultCode code, Duration retry_after) {
+  context_.Send(call.home, CallResult{call.dispatch.run, code, Verdict::kNotRun, {}, retry_after});
 }
 
 void ServerRole::RefreshLoad() {
   int free = 0;
   for (const auto& [name, server] : servers_) {
-    if (Usable(server)) {
-      free += std::min(server.slots, kMostSlots) - server.in_progress;
-    }
+    free += HasFreeSlot(server) ? std::min(server.slots, kMostSlots) - server.in_progress : 0;
   }
   context_.own_load.free_slots = free - static_cast<int>(queue_.size());
 }
--- a/src/core/server_role.h
+++ b/src/core/server_role.h
@@ -4,14 +4,20 @@
 #define HIBISCUSSTAND_SRC_CORE_SERVER_ROLE_H_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "core/context.h"
+#include "core/run_times.h"
+#include "hibiscusstand/admission.h"
+#include "hibiscusstand/deadline_queue.h"
+#include "hibiscusstand/outlier_detector.h"
 
 namespace hibiscus {
 
 struct OwnedServer {
   ListEntry entry;
+  bool ours = false;  // It falls to this host, under the present view.
   bool healthy = false;
   int slots = 0;
   int in_progress = 0;
@@ -25,13 +31,15 @@
 struct QueuedCall {
   HostName home;
   CallDispatch dispatch;
+  TimePoint arrived{};
   TimePoint start_by{};
   TimePoint finish_by{};
+  double cost = 0;  // Expected seconds of a slot.
 };
 
 class ServerRole {
  public:
-  explicit ServerRole(CoreContext& context) : context_(context) {}
+  explicit ServerRole(CoreContext& context) : context_(context), queue_(context.settings.policy.queue) {}
 
   void OnList(const std::vector<ListEntry>& entries);
   void OnTick();
@@ -44,24 +52,36 @@
   struct Execution {
     ServerName server;
     QueuedCall call;
+    TimePoint started{};
   };
 
-  bool Usable(const OwnedServer& server) const;
+  void RefreshOwned();
+  bool IsServing(const OwnedServer& server) const;
+  bool HasFreeSlot(const OwnedServer& server) const;
+  double Capacity() const;
   void Probe(OwnedServer& server);
   void OnProbe(OwnedServer& server, const ServerEvent& event);
   void OnExecuted(const Execution& execution, const ServerEvent& event);
+  void LearnTime(const Execution& execution);
+  Demand DemandOf(const QueuedCall& call) const;
   void Enqueue(QueuedCall call);
   void ServeQueue();
-  OwnedServer* FindSlot();
+  OwnedServer* FindSlot(const QueuedCall& call);
+  bool MayUseSlow(const OwnedServer& server, const QueuedCall& call) const;
   void Execute(OwnedServer& server, const QueuedCall& call);
-  void Refuse(const QueuedCall& call, ResultCode code);
+  void Refuse(const QueuedCall& call, ResultCode code, Duration retry_after);
   void RefreshLoad();
 
   CoreContext& context_;
   std::map<ServerName, OwnedServer> servers_;
   std::map<CallId, ServerName> probes_;
   std::map<CallId, Execution> executions_;
-  std::vector<QueuedCall> queue_;  // Earliest start target first.
+  DeadlineQueue<QueuedCall> queue_;
+  AdmissionControl admission_;
+  OutlierDetector outliers_;
+  RunTimes run_times_;
+  TimePoint next_judgement_{};
+  uint64_t seen_view_ = 0;  // Of the last RefreshOwned.
 };
 
 }  // namespace hibiscus
--- /dev/null
+++ b/tests/policy_test.cc
@@ -0,0 +1,209 @@
+// The strategies of the policy, each against the failure it is for.
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "hibiscusstand/admission.h"
+#include "hibiscusstand/choice.h"
+#include "hibiscusstand/deadline_queue.h"
+#include "hibiscusstand/outlier_detector.h"
+#include "tests/one_host.h"
+
+namespace hibiscus {
+
+namespace {
+
+constexpr TimePoint kNow{1h};
+
+bool Anything(const std::string&) {
+  return true;
+}
+
+std::string Next(DeadlineQueue<std::string>& queue) {
+  return queue.TakeNext(Anything).value_or("nothing");
+}
+
+}  // namespace
+
+TEST_CASE("a tenant that floods a class leaves the others their share of it") {
+  DeadlineQueue<std::string> queue;
+  for (int i = 0; i < 1000; ++i) {
+    queue.Push(QueuePlace{"quick", "flooder", {}, kNow + 1s, 1}, "flooder");
+  }
+  for (int i = 0; i < 10; ++i) {
+    queue.Push(QueuePlace{"quick", "clerk", {}, kNow + 2s, 1}, "clerk");
+  }
+  std::map<std::string, int> served;
+  for (int i = 0; i < 20; ++i) {
+    ++served[Next(queue)];
+  }
+  REQUIRE(served["clerk"] == 10);
+}
+
+TEST_CASE("a tenant earns no credit by being idle") {
+  DeadlineQueue<std::string> queue;
+  for (int i = 0; i < 100; ++i) {
+    queue.Push(QueuePlace{"quick", "busy", {}, kNow + 1s, 1}, "busy");
+    REQUIRE(Next(queue) == "busy");
+  }
+  for (int i = 0; i < 20; ++i) {
+    queue.Push(QueuePlace{"quick", "busy", {}, kNow + 1s, 1}, "busy");
+    queue.Push(QueuePlace{"quick", "late", {}, kNow + 1s, 1}, "late");
+  }
+  std::map<std::string, int> served;
+  for (int i = 0; i < 20; ++i) {
+    ++served[Next(queue)];
+  }
+  REQUIRE(served["busy"] >= 9);
+}
+
+TEST_CASE("the class with the earliest deadline goes first, and what does not fit lets others pass") {
+  DeadlineQueue<std::string> queue;
+  queue.Push(QueuePlace{"batch", "t", Resources{64'000, 0, 0}, kNow + 9s, 1}, "large");
+  queue.Push(QueuePlace{"batch", "t", Resources{1'000, 0, 0}, kNow + 10s, 1}, "small");
+  queue.Push(QueuePlace{"urgent", "t", {}, kNow + 1s, 1}, "urgent");
+  REQUIRE(Next(queue) == "urgent");
+  REQUIRE(queue.TakeNext([](const std::string& item) { return item != "large"; }) == "small");
+  REQUIRE(Next(queue) == "large");
+  REQUIRE(queue.empty());
+}
+
+TEST_CASE("what expires leaves the queue at its deadline, and what is removed does not come back") {
+  DeadlineQueue<std::string> queue;
+  queue.Push(QueuePlace{"a", "t", {}, kNow + 2s, 1}, "second");
+  queue.Push(QueuePlace{"b", "t", {}, kNow + 1s, 1}, "first");
+  const auto removed = queue.Push(QueuePlace{"b", "t", {}, kNow + 1s, 1}, "removed");
+  REQUIRE(queue.Remove(removed) == "removed");
+  REQUIRE_FALSE(queue.TakeExpired(kNow));
+  REQUIRE(queue.TakeExpired(kNow + 1s) == "first");
+  REQUIRE_FALSE(queue.TakeExpired(kNow + 1s));
+  REQUIRE(queue.TakeExpired(kNow + 2s) == "second");
+}
+
+TEST_CASE("admission refuses what cannot start in time, and says when it could") {
+  AdmissionControl admission;
+  const Demand demand{"quick", "t", kNow + 1s, 0.1};
+  int admitted = 0;
+  while (admission.Admits(demand, 1, kNow)) {
+    admission.Queued(demand, kNow);
+    ++admitted;
+  }
+  REQUIRE(admitted >= 7);
+  REQUIRE(admitted <= 10);
+  const Duration retry_after = admission.RetryAfter(demand, 1, kNow);
+  for (Duration served = 0us; served < retry_after; served += 100ms) {
+    admission.Dequeued(demand);
+  }
+  REQUIRE(admission.Admits(Demand{"quick", "t", kNow + retry_after + 1s, 0.1}, 1, kNow + retry_after));
+}
+
+TEST_CASE("admission does not refuse a tenant for the queue of another one in its class") {
+  AdmissionControl admission;
+  for (int i = 0; i < 100; ++i) {
+    admission.Queued(Demand{"quick", "flooder", kNow + 1s, 0.1}, kNow);
+  }
+  REQUIRE_FALSE(admission.Admits(Demand{"quick", "flooder", kNow + 1s, 0.1}, 1, kNow));
+  REQUIRE(admission.Admits(Demand{"quick", "clerk", kNow + 1s, 0.1}, 1, kNow));
+}
+
+TEST_CASE("admission counts what a more urgent class will send before the target") {
+  AdmissionControl admission;
+  for (int i = 0; i < 9; ++i) {
+    admission.Queued(Demand{"urgent", "t", kNow + 1s, 0.1}, kNow);
+  }
+  const Demand patient{"patient", "t", kNow + 10s, 0.1};
+  REQUIRE(admission.Admits(patient, 1, kNow));
+  REQUIRE(admission.Wait(patient, 1, kNow) > 1s);
+}
+
+TEST_CASE("a slow target is noticed, tried now and then, and trusted again") {
+  OutlierDetector detector;
+  const auto record = [&](double slow) {
+    for (int i = 0; i < 20; ++i) {
+      for (const char* sound : {"a", "b", "c", "d"}) {
+        detector.Record(sound, 1.0);
+      }
+      detector.Record("slow", slow);
+    }
+    detector.Judge();
+  };
+  record(4.0);
+  REQUIRE(detector.IsSlow("slow"));
+  REQUIRE_FALSE(detector.IsSlow("a"));
+  REQUIRE(detector.TakeTrial("slow", kNow));
+  REQUIRE_FALSE(detector.TakeTrial("slow", kNow + 1ms));
+  REQUIRE(detector.TakeTrial("slow", kNow + 1s));
+  REQUIRE_FALSE(detector.TakeTrial("a", kNow));
+  record(1.0);
+  REQUIRE_FALSE(detector.IsSlow("slow"));
+}
+
+namespace {
+
+// A host that owns one backend server with two slots, and its calls.
+struct ServerScene {
+  ServerScene() {
+    host.Configure({ClassSpec{"quick", WorkKind::kCall, 1s, 5s, true}});
+    host.Do(ListEvent{{ListEntry{ListKind::kServer, "server", "dc", "rack", "", false}}});
+    host.Pass(40ms);
+    Answer(ServerOp::kProbe, ServerReply{ServerStatus::kOk, false, 2, {}});
+  }
+
+  void Answer(ServerOp op, const ServerReply& reply) {
+    for (const SendServer& send : host.Take<SendServer>()) {
+      if (send.request.op == op) {
+        host.Do(ServerEvent{send.call, Delivery::kAnswered, reply});
+      }
+    }
+  }
+
+  void Dispatch(uint64_t run) {
+    CallDispatch dispatch;
+    dispatch.run = RunId{TaskId{{"t", std::to_string(run)}, 0}, run};
+    dispatch.class_name = "quick";
+    dispatch.start_within = 1s;
+    dispatch.finish_within = 5s;
+    host.Do(PeerEvent{"peer", dispatch});
+  }
+
+  OneHost host{"host"};
+};
+
+}  // namespace
+
+TEST_CASE("a burst is refused at once beyond what can start in time, with a time to come back") {
+  ServerScene scene;
+  scene.Dispatch(1);
+  scene.host.Pass(400ms);
+  scene.Answer(ServerOp::kExecute, ServerReply{ServerStatus::kOk, false, 2, "body"});
+  scene.host.Take<SendPeer>();
+  for (uint64_t run = 2; run < 40; ++run) {
+    scene.Dispatch(run);
+  }
+  const auto results = scene.host.TakeSent<CallResult>();
+  REQUIRE(results.size() > 30);
+  REQUIRE(results.size() < 36);
+  for (const auto& [to, result] : results) {
+    REQUIRE(result.code == ResultCode::kOverloaded);
+    REQUIRE(result.verdict == Verdict::kNotRun);
+    REQUIRE(result.retry_after > 0us);
+  }
+}
+
+TEST_CASE("a call that expires in the queue is answered at that moment, as not run") {
+  ServerScene scene;
+  for (uint64_t run = 1; run <= 3; ++run) {
+    scene.Dispatch(run);
+  }
+  scene.host.Pass(960ms);
+  REQUIRE(scene.host.TakeSent<CallResult>().empty());
+  scene.host.Pass(60ms);
+  const auto results = scene.host.TakeSent<CallResult>();
+  REQUIRE(results.size() == 1);
+  REQUIRE(results.front().second.code == ResultCode::kStartTargetMissed);
+  REQUIRE(results.front().second.verdict == Verdict::kNotRun);
+}
+
+}  // namespace hibiscus
