--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -72,6 +72,8 @@
   TimePoint next_stop{};
 };
 
+struct RequestExplanation;
+
 class HomeRole {
  public:
   HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims);
@@ -96,6 +98,7 @@
   void YieldClaim(const RequestKey& key, const HostName& to);
 
   size_t active() const;
+  RequestExplanation Explain(const RequestKey& key) const;  // In explain.cc.
 
  private:
   // Admission and endings: home_role.cc.
--- a/src/core/host_core.h
+++ b/src/core/host_core.h
@@ -30,6 +30,8 @@
 
   const Configuration& configuration() const { return context_.configuration; }
   const std::vector<HostName>& live() const { return context_.live; }
+  RequestExplanation ExplainRequest(const RequestKey& key) const;
+  WorkerExplanation ExplainWorker(const WorkerName& name) const;
   size_t leases() const { return workers_.leases(); }
   size_t active_requests() const { return home_.active(); }
   size_t queued_tasks() const { return workers_.queued(); }
--- a/src/core/worker_role.h
+++ b/src/core/worker_role.h
@@ -57,6 +57,8 @@
   TimePoint start_by{};
 };
 
+struct WorkerExplanation;
+
 class WorkerRole {
  public:
   WorkerRole(CoreContext& context, const ClaimTable& claims) : context_(context), claims_(claims) {}
@@ -76,6 +78,7 @@
   bool Covered() const;
   std::vector<RunReport> RunsOf(const RequestKey& key) const;
   size_t leases() const;
+  WorkerExplanation Explain(const WorkerName& name) const;  // In explain.cc.
   // Tasks that wait for room.
   size_t queued() const { return queue_.size(); }
 
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,10 +1,12 @@
 // hibiscusctl: the command line of callers and operators.
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <random>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <fmt/core.h>
@@ -12,10 +14,11 @@
 #include <nlohmann/json.hpp>
 
 #include "core/records.h"
+#include "ctl/table.h"
 #include "ports/caller_api.h"
 #include "ports/http_client.h"
 
-DEFINE_string(server, "127.0.0.1:8080", "ip:port of one or more hosts, separated by commas; tried in turn");
+DEFINE_string(server, "127.0.0.1:8080", "ip:port of a host; may be repeated, or several separated by commas; tried in turn");
 DEFINE_string(tenant, "default", "submit: tenant");
 DEFINE_string(id, "", "submit: request id; drawn at random if empty");
 DEFINE_string(class_name, "", "submit: class of work");
@@ -129,8 +132,139 @@
   return Print(Ask("DELETE", fmt::format("/v1/requests/{}/{}", words[1], words[2]), {}));
 }
 
+// Asks one host only.
+HttpResult AskOne(const std::string& server, const std::string& method, const std::string& path) {
+  return HttpFetch({method, fmt::format("http://{}{}", server, path), {}, std::chrono::milliseconds(FLAGS_timeout_ms)});
+}
+
+// The answer as an object, or null.
+Json ObjectOf(const HttpResult& result) {
+  if (result.delivery != Delivery::kAnswered) {
+    return nullptr;
+  }
+  Json json = Json::parse(result.body, nullptr, false);
+  return json.is_object() ? json : Json(nullptr);
+}
+
+std::string Text(const Json& json, const char* field) {
+  if (!json.contains(field)) {
+    return "-";
+  }
+  const Json& value = json.at(field);
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+// One row for each object, one column for each field.
+void PrintObjects(const Json& objects, const std::vector<std::string>& fields) {
+  if (FLAGS_json) {
+    fmt::print("{}\n", objects.dump(2));
+    return;
+  }
+  std::vector<Row> rows = {fields};
+  for (const Json& object : objects) {
+    Row& row = rows.emplace_back();
+    for (const std::string& field : fields) {
+      row.push_back(Text(object, field.c_str()));
+    }
+  }
+  fmt::print("{}", FormatTable(rows));
+}
+
+int NoHostAnswered() {
+  fmt::print(stderr, "ctl: no host answered\n");
+  return kExitUnreachable;
+}
+
+// Asks every host named; those that do not answer stand in the table without figures.
 int Status(const Words&) {
-  return Print(Ask("GET", "/v1/status", {}));
+  Json rows = Json::array();
+  bool any = false;
+  for (const std::string& server : Servers()) {
+    Json row = ObjectOf(AskOne(server, "GET", "/v1/status"));
+    any = any || !row.is_null();
+    if (row.is_null()) {
+      row = Json{{"state", "unreachable"}};
+    } else {
+      row["state"] = row.value("leaving", false) ? "leaving" : "serving";
+      row["live"] = row.value("live", Json::array()).size();
+    }
+    row["server"] = server;
+    rows.push_back(row);
+  }
+  PrintObjects(rows, {"server", "name", "data_centre", "state", "live", "workers_leased", "requests_active",
+                      "queued_tasks", "queued_calls", "config_version"});
+  return any ? kExitOk : kExitUnreachable;
+}
+
+// The host that knows most: one that has the request, or the worker's lease; else any that answered.
+int Explain(const std::string& path, const char* best_field) {
+  Json best;
+  for (const std::string& server : Servers()) {
+    const Json view = ObjectOf(AskOne(server, "GET", path));
+    const bool better = !view.is_null() && (best.is_null() || (view.value("known", false) && !best.value("known", false)) ||
+                                            (view.value(best_field, false) && !best.value(best_field, false)));
+    best = better ? view : best;
+  }
+  if (best.is_null()) {
+    return NoHostAnswered();
+  }
+  if (FLAGS_json) {
+    fmt::print("{}\n", best.dump(2));
+  } else {
+    for (const auto& [field, value] : best.items()) {
+      PrintField(best, field.c_str());
+    }
+  }
+  return best.value("known", false) ? kExitOk : kExitRefused;
+}
+
+int ExplainRequest(const Words& words) {
+  return Explain(fmt::format("/v1/explain/requests/{}/{}", words[2], words[3]), "known");
+}
+
+int ExplainWorker(const Words& words) {
+  return Explain(fmt::format("/v1/explain/workers/{}", words[2]), "leased");
+}
+
+// Asks for the result until there is one.
+int Wait(const Words& words) {
+  constexpr std::chrono::milliseconds kAskEvery(200);
+  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(FLAGS_timeout_ms);
+  while (true) {
+    const HttpResult result = Ask("GET", fmt::format("/v1/requests/{}/{}", words[1], words[2]), {});
+    const Json json = ObjectOf(result);
+    const bool pending = !json.is_null() && json.value("code", 0) == static_cast<int>(ResultCode::kAccepted);
+    if ((!pending && !json.is_null()) || std::chrono::steady_clock::now() >= until) {
+      Print(result);
+      return pending ? kExitUnknown : json.is_null() ? kExitUnreachable : ExitOf(json);
+    }
+    std::this_thread::sleep_for(kAskEvery);
+  }
+}
+
+int Classes(const Words&) {
+  const Json answer = ObjectOf(Ask("GET", "/v1/config", {}));
+  if (answer.is_null()) {
+    return NoHostAnswered();
+  }
+  PrintObjects(answer.at("configuration").at("classes"),
+               {"name", "kind", "start_within_ms", "finish_within_ms", "may_run_twice"});
+  return kExitOk;
+}
+
+int Quotas(const Words&) {
+  const Json answer = ObjectOf(Ask("GET", "/v1/config", {}));
+  if (answer.is_null()) {
+    return NoHostAnswered();
+  }
+  Json quotas = answer.at("configuration").at("quotas");
+  for (Json& quota : quotas) {
+    const Json limit = quota.value("limit", Json::object());
+    quota.update(limit);
+    quota.erase("limit");
+  }
+  PrintObjects(quotas, {"tenant", "cpu_millis", "memory_mb", "accelerators", "max_calls"});
+  return kExitOk;
 }
 
 int ConfigGet(const Words&) {
@@ -138,22 +272,21 @@
 }
 
 int ConfigSet(const Words& words) {
-  std::ifstream file(words[1]);
+  std::ifstream file(words[2]);
   std::stringstream text;
   text << file.rdbuf();
   const auto configuration = DecodeConfiguration(text.str());
   if (!configuration) {
-    fmt::print(stderr, "ctl: {} is no configuration: {}\n", words[1], configuration.error());
+    fmt::print(stderr, "ctl: {} is no configuration: {}\n", words[2], configuration.error());
     return kExitUsage;
   }
   if (const std::string problem = CheckConfiguration(*configuration); !problem.empty()) {
     fmt::print(stderr, "ctl: {}\n", problem);
     return kExitUsage;
   }
-  const Json now = Json::parse(Ask("GET", "/v1/config", {}).body, nullptr, false);
-  if (now.is_discarded()) {
-    fmt::print(stderr, "ctl: no host answered\n");
-    return kExitUnreachable;
+  const Json now = ObjectOf(Ask("GET", "/v1/config", {}));
+  if (now.is_null()) {
+    return NoHostAnswered();
   }
   const uint64_t version = now.at("configuration").at("version");
   const Json set{{"expected_version", version},
@@ -162,55 +295,103 @@
   return Print(Ask("PUT", "/v1/config", set.dump()));
 }
 
-int Leave(const Words&) {
+int Drain(const Words&) {
+  if (Servers().size() != 1) {
+    fmt::print(stderr, "ctl: drain stops one host; --server is '{}', it must name exactly 1\n", FLAGS_server);
+    return kExitUsage;
+  }
   return Print(Ask("POST", "/v1/leave", {}));
 }
 
 struct Command {
-  std::string name;
-  size_t words;  // Words after the name.
+  Words name;
+  Words arguments;
   std::string help;
-  int (*run)(const Words&);
+  int (*run)(const Words&);  // Gets the name's words and the arguments.
+
+  std::string Usage() const {
+    std::string text;
+    for (const Words& words : {name, arguments}) {
+      for (const std::string& word : words) {
+        text += word + " ";
+      }
+    }
+    return text;
+  }
 };
 
 const std::vector<Command>& Commands() {
   static const std::vector<Command> kCommands = {
-      {"submit", 0, "submit                   send a request and wait for its answer (see --help for its flags)",
-       Submit},
-      {"result", 2, "result TENANT ID         the result of a request", Result},
-      {"cancel", 2, "cancel TENANT ID         cancel a request", Cancel},
-      {"status", 0, "status                   what a host knows", Status},
-      {"config-get", 0, "config-get               the configuration in force", ConfigGet},
-      {"config-set", 1, "config-set FILE          replace the configuration", ConfigSet},
-      {"drain", 0, "drain                    ask a host for its planned stop", Leave},
+      {{"submit"}, {}, "send a request and wait for its answer; --help lists its flags", Submit},
+      {{"result"}, {"TENANT", "ID"}, "the result of a request, or that it is not there yet", Result},
+      {{"wait"}, {"TENANT", "ID"}, "wait for the result of a request", Wait},
+      {{"cancel"}, {"TENANT", "ID"}, "cancel a request", Cancel},
+      {{"status"}, {}, "what each host named by --server knows", Status},
+      {{"explain", "request"}, {"TENANT", "ID"}, "who is home of a request, and what it waits for", ExplainRequest},
+      {{"explain", "worker"}, {"NAME"}, "who owns a worker, its lease and its room", ExplainWorker},
+      {{"classes"}, {}, "the classes of work in force", Classes},
+      {{"quotas"}, {}, "the quotas in force", Quotas},
+      {{"config", "get"}, {}, "the configuration in force", ConfigGet},
+      {{"config", "set"}, {"FILE"}, "replace the configuration, if nobody else has meanwhile", ConfigSet},
+      {{"drain"}, {}, "ask one host for its planned stop", Drain},
   };
   return kCommands;
 }
 
 int Usage() {
-  fmt::print(stderr, "usage: hibiscusctl [flags] COMMAND\n\n");
+  fmt::print(stderr, "usage: hibiscusctl [--server=IP:PORT]... [--json] COMMAND\n\n");
+  std::vector<Row> rows;
   for (const Command& command : Commands()) {
-    fmt::print(stderr, "  {}\n", command.help);
+    rows.push_back({"  " + command.Usage(), command.help});
   }
+  fmt::print(stderr, "{}\nexit codes: 0 done, 1 refused or failed, 2 usage, 3 no host answered, 4 unknown\n",
+             FormatTable(rows));
   return kExitUsage;
 }
 
 int Run(const Words& words) {
   for (const Command& command : Commands()) {
-    if (!words.empty() && command.name == words[0] && command.words == words.size() - 1) {
+    const bool fits = words.size() == command.name.size() + command.arguments.size();
+    if (fits && std::equal(command.name.begin(), command.name.end(), words.begin())) {
       return command.run(words);
     }
   }
   return Usage();
 }
 
+// Repeated --server flags become one, separated by commas; the flag library would keep the last only.
+Words JoinServers(const Words& words) {
+  constexpr std::string_view kFlag = "--server=";
+  Words joined;
+  std::string servers;
+  for (const std::string& word : words) {
+    if (word.starts_with(kFlag)) {
+      servers += (servers.empty() ? "" : ",") + word.substr(kFlag.size());
+    } else {
+      joined.push_back(word);
+    }
+  }
+  if (!servers.empty()) {
+    joined.insert(joined.begin() + 1, std::string(kFlag) + servers);
+  }
+  return joined;
+}
+
 }  // namespace
 
 }  // namespace hibiscus
 
 int main(int argc, char** argv) {
+  hibiscus::Words words = hibiscus::JoinServers(hibiscus::Words(argv, argv + argc));
+  std::vector<char*> pointers;
+  pointers.reserve(words.size());
+  for (std::string& word : words) {
+    pointers.push_back(word.data());
+  }
+  int count = static_cast<int>(pointers.size());
+  char** arguments = pointers.data();
   gflags::SetUsageMessage("hibiscusctl [flags] COMMAND; without a command it lists them");
   gflags::SetCommandLineOption("tryfromenv", "server,tenant");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  return hibiscus::Run(std::vector<std::string>(argv + 1, argv + argc));
+  gflags::ParseCommandLineFlags(&count, &arguments, true);
+  return hibiscus::Run(hibiscus::Words(arguments + 1, arguments + count));
 }
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -6,6 +6,7 @@
 #include <fmt/core.h>
 #include <nlohmann/json.hpp>
 
+#include "ports/explain_api.h"
 #include "ports/json_codec.h"
 #include "ports/log.h"
 
@@ -165,6 +166,10 @@
     AnswerConfig(exchange);
   } else if (std::holds_alternative<MetricsAsk>(*ask)) {
     AnswerMetrics(exchange);
+  } else if (const auto* request_ask = std::get_if<ExplainRequestAsk>(&*ask)) {
+    AnswerExplain(exchange, request_ask->key);
+  } else if (const auto* worker_ask = std::get_if<ExplainWorkerAsk>(&*ask)) {
+    AnswerExplain(exchange, worker_ask->worker);
   } else if (std::holds_alternative<LeaveAsk>(*ask)) {
     Leave();
     http_->Reply(exchange, HttpReply{202, R"({"leaving":true})"});
@@ -270,6 +275,18 @@
   });
 }
 
+void Daemon::AnswerExplain(ExchangeId exchange, const RequestKey& key) {
+  loop_.PostLook([this, exchange, key](HostCore& core) {
+    http_->Reply(exchange, HttpReply{200, RenderExplanation(core.ExplainRequest(key))});
+  });
+}
+
+void Daemon::AnswerExplain(ExchangeId exchange, const WorkerName& worker) {
+  loop_.PostLook([this, exchange, worker](HostCore& core) {
+    http_->Reply(exchange, HttpReply{200, RenderExplanation(core.ExplainWorker(worker))});
+  });
+}
+
 void Daemon::AnswerMetrics(ExchangeId exchange) {
   loop_.PostLook([this, exchange](HostCore& core) {
     const Gauges gauges{core.leases(),
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -56,6 +56,8 @@
   void AnswerStatus(ExchangeId exchange);
   void AnswerConfig(ExchangeId exchange);
   void AnswerMetrics(ExchangeId exchange);
+  void AnswerExplain(ExchangeId exchange, const RequestKey& key);
+  void AnswerExplain(ExchangeId exchange, const WorkerName& worker);
 
   DaemonSettings settings_;
   SteadyClock clock_;
--- a/src/ports/caller_api.cc
+++ b/src/ports/caller_api.cc
@@ -18,6 +18,8 @@
 constexpr int kMostMembers = 1024;    // Tasks of one gang.
 constexpr int64_t kMostRunMs = int64_t{366} * 24 * 3600 * 1000;
 constexpr std::string_view kRequests = "/v1/requests";
+constexpr std::string_view kExplainRequests = "/v1/explain/requests";
+constexpr std::string_view kExplainWorkers = "/v1/explain/workers/";
 
 ApiError Bad(std::string detail) {
   return ApiError{ResultCode::kBadRequest, std::move(detail)};
@@ -107,12 +109,12 @@
   }
 }
 
-// "/v1/requests/<tenant>/<id>"
-tl::expected<RequestKey, ApiError> KeyFromPath(const std::string& path) {
-  const size_t begin = kRequests.size() + 1;
+// "<prefix>/<tenant>/<id>"
+tl::expected<RequestKey, ApiError> KeyFromPath(const std::string& path, std::string_view prefix) {
+  const size_t begin = prefix.size() + 1;
   const size_t slash = path.find('/', begin);
   if (slash == std::string::npos || slash == begin || slash + 1 == path.size()) {
-    return tl::unexpected(Bad("the path must be /v1/requests/TENANT/ID"));
+    return tl::unexpected(Bad(fmt::format("the path must be {}/TENANT/ID", prefix)));
   }
   return RequestKey{path.substr(begin, slash - begin), path.substr(slash + 1)};
 }
@@ -129,7 +131,7 @@
     return ParseSubmit(exchange, request.body);
   }
   if (path.starts_with(fmt::format("{}/", kRequests))) {
-    const auto key = KeyFromPath(path);
+    const auto key = KeyFromPath(path, kRequests);
     if (!key) {
       return tl::unexpected(key.error());
     }
@@ -140,6 +142,13 @@
       return CallerCancel{exchange, *key};
     }
   }
+  if (path.starts_with(fmt::format("{}/", kExplainRequests)) && request.method == "GET") {
+    const auto key = KeyFromPath(path, kExplainRequests);
+    return key ? tl::expected<ApiAsk, ApiError>(ExplainRequestAsk{*key}) : tl::unexpected(key.error());
+  }
+  if (path.starts_with(kExplainWorkers) && request.method == "GET") {
+    return ExplainWorkerAsk{path.substr(kExplainWorkers.size())};
+  }
   if (path == "/v1/config" && request.method == "GET") {
     return ConfigAsk{};
   }
--- a/src/ports/caller_api.h
+++ b/src/ports/caller_api.h
@@ -19,6 +19,12 @@
 struct MetricsAsk {};
 struct ConfigAsk {};
 struct LeaveAsk {};
+struct ExplainRequestAsk {
+  RequestKey key;
+};
+struct ExplainWorkerAsk {
+  WorkerName worker;
+};
 
 using ApiAsk = std::variant<CallerSubmit,
                             CallerQuery,
@@ -28,7 +34,9 @@
                             HealthAsk,
                             MetricsAsk,
                             ConfigAsk,
-                            LeaveAsk>;
+                            LeaveAsk,
+                            ExplainRequestAsk,
+                            ExplainWorkerAsk>;
 
 // Why a request is refused before the core sees it.
 struct ApiError {
--- /dev/null
+++ b/src/ports/explain_api.h
@@ -0,0 +1,16 @@
+// Explanations for operators as JSON, each with one plain sentence under "why".
+#ifndef HIBISCUSSTAND_SRC_PORTS_EXPLAIN_API_H_
+#define HIBISCUSSTAND_SRC_PORTS_EXPLAIN_API_H_
+
+#include <string>
+
+#include "core/explain.h"
+
+namespace hibiscus {
+
+std::string RenderExplanation(const RequestExplanation& view);
+std::string RenderExplanation(const WorkerExplanation& view);
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_PORTS_EXPLAIN_API_H_
--- a/standins/load_main.cc
+++ b/standins/load_main.cc
@@ -27,6 +27,7 @@
 DEFINE_uint64(seed, 1, "what the day is drawn from");
 DEFINE_double(seconds, 0.0, "length of the day, seconds; 0 takes the file's");
 DEFINE_double(rate, 1.0, "multiplies every arrival rate");
+DEFINE_bool(strict, false, "fail also if any caller's answer is unknown or a failure");
 DEFINE_bool(progress, true, "print a progress line each second");
 
 namespace hibiscus {
@@ -264,7 +265,8 @@
              "wrong", "repeats", "median ms", "99 of 100");
   for (const auto& [name, tally] : tallies_) {
     const int wrong = tally.Count(Outcome::kWrong) + tally.Count(Outcome::kUnanswered);
-    good = good && wrong == 0;
+    const int bad = tally.Count(Outcome::kFailed) + tally.Count(Outcome::kUnknown);
+    good = good && wrong == 0 && (!FLAGS_strict || bad == 0);
     fmt::print("{:<16}{:>7}{:>9}{:>8}{:>9}{:>7}{:>9}{:>12}{:>12}\n", name, tally.Count(Outcome::kWhole),
                tally.Count(Outcome::kRefused), tally.Count(Outcome::kFailed), tally.Count(Outcome::kUnknown), wrong, tally.repeats,
                Millis(Quantile(tally.whole_after, 0.5)), Millis(Quantile(tally.whole_after, 0.99)));
--- a/standins/standin.cc
+++ b/standins/standin.cc
@@ -27,24 +27,6 @@
   }
 }
 
-void ApplyPayload(const ServerCall& /*call*/) {}
-void ApplyPayload(const StoreCall& /*call*/) {}
-
-// Which counter an answered call belongs to; empty if it is not counted.
-std::string CounterOf(const WorkerCall& call, const WorkerReply& reply) {
-  if (call.op != WorkerOp::kStart) {
-    return {};
-  }
-  return fmt::format("{} {}", call.holder, kStatusNames[static_cast<size_t>(reply.status)]);
-}
-
-std::string CounterOf(const ServerCall& /*call*/, const ServerReply& /*reply*/) {
-  return {};
-}
-std::string CounterOf(const StoreCall& /*call*/, const StoreReply& /*reply*/) {
-  return {};
-}
-
 }  // namespace
 
 Standin::Standin(const StandinOptions& options) : options_(options), store_delay_(options.store_delay), store_(clock_) {
@@ -54,6 +36,7 @@
   for (const std::string& name : options_.servers) {
     servers_.emplace(name, FakeServer(name, options_.slots, options_.service_time, clock_, log_));
   }
+  ReplayJournal();
   HttpServerOptions http;
   http.port = options_.port;
   http_ = std::make_unique<HttpServer>(
@@ -89,7 +72,7 @@
     return over;
   });
   for (const DelayedStoreCall& call : due) {
-    Forward<StoreCall, StoreReply>(call.exchange, call.body, store_);
+    HandleStore(call.exchange, call.body);
   }
   store_.Tick();
   for (auto& [name, worker] : workers_) {
@@ -118,9 +101,9 @@
   } else if (request.path == "/counts") {
     ReplyText(exchange, nlohmann::json{{"calls", store_.calls()}, {"writes", store_.writes()}}.dump());
   } else if (request.path.starts_with("/workers/") && workers_.contains(name)) {
-    Forward<WorkerCall, WorkerReply>(exchange, request.body, workers_.at(name));
+    OnWorker(exchange, name, request.body);
   } else if (request.path.starts_with("/servers/") && servers_.contains(name)) {
-    Forward<ServerCall, ServerReply>(exchange, request.body, servers_.at(name));
+    OnServer(exchange, name, request.body);
   } else if (!OnSwitch(exchange, request)) {
     http_->Reply(exchange, HttpReply{404, "{}"});
   }
@@ -130,7 +113,7 @@
   if (store_delay_ > 0us) {
     delayed_.push_back(DelayedStoreCall{clock_.Now() + store_delay_, exchange, body});
   } else {
-    Forward<StoreCall, StoreReply>(exchange, body, store_);
+    HandleStore(exchange, body);
   }
 }
 
@@ -141,8 +124,10 @@
     store_delay_ = std::chrono::milliseconds(std::strtoll(last.c_str(), nullptr, 10));
   } else if (request.path.starts_with("/fault/leave/") && servers_.contains(last)) {
     servers_.at(last).set_leaving(true);
+    leaving_[last] = Leaving{clock_.Now()};
   } else if (request.path.starts_with("/fault/stay/") && servers_.contains(last)) {
     servers_.at(last).set_leaving(false);
+    leaving_.erase(last);
   } else {
     return false;
   }
@@ -150,22 +135,83 @@
   return true;
 }
 
-template <class Call, class Reply, class Fake>
-void Standin::Forward(HttpServer::ExchangeId exchange, const std::string& body, Fake& fake) {
-  auto call = DecodeJson<Call>(body);
+void Standin::HandleStore(HttpServer::ExchangeId exchange, const std::string& body) {
+  const auto call = DecodeJson<StoreCall>(body);
+  if (!call) {
+    http_->Reply(exchange, HttpReply{400, "{}"});
+    return;
+  }
+  store_.Handle(*call, [this, exchange, call = *call](const StoreReply& reply) {
+    Note(call, reply);
+    ReplyText(exchange, EncodeJson(reply));
+  });
+}
+
+void Standin::OnWorker(HttpServer::ExchangeId exchange, const std::string& name, const std::string& body) {
+  auto call = DecodeJson<WorkerCall>(body);
   if (!call) {
     http_->Reply(exchange, HttpReply{400, "{}"});
     return;
   }
   ApplyPayload(*call);
-  fake.Handle(*call, [this, exchange, call = *call](const Reply& reply) {
-    if (const std::string counter = CounterOf(call, reply); !counter.empty()) {
-      ++worker_statuses_[counter];
-    }
+  workers_.at(name).Handle(*call, [this, exchange, name, call = *call](const WorkerReply& reply) {
+    Note(name, call, reply);
     ReplyText(exchange, EncodeJson(reply));
   });
 }
 
+void Standin::OnServer(HttpServer::ExchangeId exchange, const std::string& name, const std::string& body) {
+  const auto call = DecodeJson<ServerCall>(body);
+  if (!call) {
+    http_->Reply(exchange, HttpReply{400, "{}"});
+    return;
+  }
+  Note(name, *call);
+  servers_.at(name).Handle(*call,
+                           [this, exchange](const ServerReply& reply) { ReplyText(exchange, EncodeJson(reply)); });
+}
+
+// The same writes in the same order give a restarted store the same revisions.
+void Standin::ReplayJournal() {
+  std::ifstream file(options_.journal_file);
+  for (std::string line; std::getline(file, line);) {
+    if (const auto call = DecodeJson<StoreCall>(line)) {
+      store_.Handle(*call, [](const StoreReply&) {});
+    }
+  }
+}
+
+void Standin::Note(const StoreCall& call, const StoreReply& reply) {
+  const bool write = call.op == StoreOp::kPut || call.op == StoreOp::kDelete;
+  if (write && reply.status == StoreStatus::kOk && !options_.journal_file.empty()) {
+    std::ofstream(options_.journal_file, std::ios::app) << EncodeJson(call) << '\n';
+  }
+}
+
+// Watches the fencing apart from the fake: a start under a token that is not the newest must never be accepted.
+void Standin::Note(const std::string& worker, const WorkerCall& call, const WorkerReply& reply) {
+  uint64_t& newest = newest_token_[worker];
+  if (call.op == WorkerOp::kAcquire && reply.status == WorkerStatus::kOk) {
+    newest = std::max(newest, reply.token);
+  }
+  if (call.op != WorkerOp::kStart) {
+    return;
+  }
+  ++start_replies_[fmt::format("{} {}", call.holder, kStatusNames[static_cast<size_t>(reply.status)])];
+  if (reply.status == WorkerStatus::kOk && call.token < newest) {
+    log_.Broken(fmt::format("{} accepted a start of {} under token {}, the newest is {}", worker, call.holder,
+                            call.token, newest));
+  }
+}
+
+void Standin::Note(const std::string& server, const ServerCall& call) {
+  const auto leaving = leaving_.find(server);
+  if (call.op == ServerOp::kExecute && leaving != leaving_.end()) {
+    ++leaving->second.offers;
+    leaving->second.last_offer = clock_.Now() - leaving->second.since;
+  }
+}
+
 void Standin::ReplyText(HttpServer::ExchangeId exchange, std::string text) {
   http_->Reply(exchange, HttpReply{200, std::move(text)});
 }
@@ -191,7 +237,14 @@
 }
 
 std::string Standin::RunsAndBrokenPromises() const {
-  return nlohmann::json{{"starts", log_.starts()}, {"broken", log_.broken()}, {"start_replies", worker_statuses_}}
+  nlohmann::json offers = nlohmann::json::object();
+  for (const auto& [server, leaving] : leaving_) {
+    offers[server] = {{"count", leaving.offers}, {"last_ms", Millis(leaving.last_offer)}};
+  }
+  return nlohmann::json{{"starts", log_.starts()},
+                        {"broken", log_.broken()},
+                        {"start_replies", start_replies_},
+                        {"offers_while_leaving", offers}}
       .dump();
 }
 
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -25,6 +25,7 @@
   int slots = 8;                     // Calls that each server serves at once.
   Duration service_time = 20ms;      // Of a call.
   Duration store_delay = 0us;        // Before each answer of the store.
+  std::string journal_file;          // The store's writes, so that a restarted one has them; empty: none.
 };
 
 class Standin {
@@ -44,6 +45,12 @@
     int64_t cpu_millis_peak = 0;
     int64_t samples = 0;
   };
+  // What a leaving backend server was still offered.
+  struct Leaving {
+    TimePoint since;
+    uint64_t offers = 0;
+    Duration last_offer = 0us;  // After it began to leave.
+  };
   struct DelayedStoreCall {
     TimePoint at;
     HttpServer::ExchangeId exchange = 0;
@@ -53,10 +60,15 @@
   void TickForever();
   void Tick();
   void OnHttp(HttpServer::ExchangeId exchange, const HttpRequest& request);
+  void ReplayJournal();
+  void Note(const StoreCall& call, const StoreReply& reply);
+  void Note(const std::string& worker, const WorkerCall& call, const WorkerReply& reply);
+  void Note(const std::string& server, const ServerCall& call);
   void OnStore(HttpServer::ExchangeId exchange, const std::string& body);
   bool OnSwitch(HttpServer::ExchangeId exchange, const HttpRequest& request);
-  template <class Call, class Reply, class Fake>
-  void Forward(HttpServer::ExchangeId exchange, const std::string& body, Fake& fake);
+  void OnWorker(HttpServer::ExchangeId exchange, const std::string& name, const std::string& body);
+  void OnServer(HttpServer::ExchangeId exchange, const std::string& name, const std::string& body);
+  void HandleStore(HttpServer::ExchangeId exchange, const std::string& body);
   void ReplyText(HttpServer::ExchangeId exchange, std::string text);
   std::string Hosts() const;
   std::string Usage();
@@ -73,7 +85,9 @@
   std::map<std::string, Use> uses_;
   std::map<std::string, FakeServer> servers_;
   std::vector<DelayedStoreCall> delayed_;
-  std::map<std::string, uint64_t> worker_statuses_;  // Replies to starts, by holder and status.
+  std::map<std::string, uint64_t> start_replies_;  // By holder and status.
+  std::map<std::string, uint64_t> newest_token_;   // By worker.
+  std::map<std::string, Leaving> leaving_;         // By backend server.
   std::unique_ptr<HttpServer> http_;
   std::atomic<bool> stopping_{false};
   std::thread ticker_;
--- a/standins/standin_main.cc
+++ b/standins/standin_main.cc
@@ -22,6 +22,7 @@
 DEFINE_int32(slots, 8, "servers: calls that each serves at once");
 DEFINE_int32(service_ms, 20, "servers: time of a call, milliseconds");
 DEFINE_int32(delay_ms, 0, "store: delay of each answer, milliseconds");
+DEFINE_string(journal, "", "store: file that keeps its writes over a restart");
 
 namespace hibiscus {
 
@@ -44,6 +45,7 @@
   options.slots = FLAGS_slots;
   options.service_time = std::chrono::milliseconds(FLAGS_service_ms);
   options.store_delay = std::chrono::milliseconds(FLAGS_delay_ms);
+  options.journal_file = FLAGS_journal;
   if (FLAGS_role == "workers") {
     options.workers = Names();
   }
