--- a/src/core/context.h
+++ b/src/core/context.h
@@ -10,6 +10,7 @@
 
 #include "core/messages.h"
 #include "hibiscusstand/clock.h"
+#include "hibiscusstand/policy.h"
 
 namespace hibiscus {
 
@@ -35,6 +36,7 @@
   Duration recover = 1s;             // Callers are refused this long after a start or a pause.
   Duration leave_limit = 30s;        // A planned stop takes no longer: what is open then is answered as unknown.
   Duration remember = 5min;          // How long ended requests are remembered for repeats.
+  Policy policy;                     // Strategies; only benches and tests change them.
 };
 
 // Stops the process when an invariant is broken, in every build. `hint` says how to mend the call or what to report.
@@ -69,7 +71,7 @@
   const HostSettings settings;
   const Clock& clock;
   std::mt19937_64 random;
-  uint64_t next_id = 1;
+  uint64_t next_id;  // Starts at random: late replies to an earlier process of this name match nothing.
 
   std::vector<ListEntry> list;      // As the platform last gave it.
   std::vector<HostName> live;       // Live hosts of the own data centre, sorted, this one among them.
--- a/src/core/entry_role.cc
+++ b/src/core/entry_role.cc
@@ -21,26 +21,31 @@
   }
   const ClassSpec* spec = context_.configuration.FindClass(request.class_name);
   const TimePoint give_up = context_.Now() + spec->finish_within + kAnswerGrace;
-  Open(Exchange{submit.exchange, Kind::kSubmit, request, request.key, {}, give_up});
+  Open(Exchange{submit.exchange, Kind::kSubmit, request, request.key, {}, give_up, false});
 }
 
 void EntryRole::OnQuery(const CallerQuery& query) {
-  Open(Exchange{query.exchange, Kind::kQuery, {}, query.key, {}, context_.Now() + kQueryTimeout});
+  Open(Exchange{query.exchange, Kind::kQuery, {}, query.key, {}, context_.Now() + kQueryTimeout, false});
 }
 
 void EntryRole::OnCancel(const CallerCancel& cancel) {
-  Open(Exchange{cancel.exchange, Kind::kCancel, {}, cancel.key, {}, context_.Now() + kQueryTimeout});
+  Open(Exchange{cancel.exchange, Kind::kCancel, {}, cancel.key, {}, context_.Now() + kQueryTimeout, false});
 }
 
 void EntryRole::OnAnswer(const HostName& from, const ForwardAnswer& answer) {
   const auto exchange = open_.find(answer.forward_id);
-  if (exchange == open_.end() || exchange->second.home != from) {
-    return;  // Late: the caller has its answer, or another home host has the request now.
+  if (exchange == open_.end()) {
+    return;  // Late: the caller has its answer.
+  }
+  if (exchange->second.home != from && answer.answer.verdict != Verdict::kDone) {
+    return;  // Another home host has the request now: only a whole answer counts from an earlier one.
   }
   HIBISCUS_INVARIANT(exchange->second.key == answer.answer.key, exchange->second.key.ToString(),
                      "An answer must go to its own caller: report which hosts forwarded it.");
-  context_.Act(AnswerCaller{exchange->second.id, answer.answer});
-  open_.erase(exchange);
+  // The present home host speaks for itself only: an earlier one may have started it.
+  const bool doubtful = answer.answer.verdict == Verdict::kNotRun && exchange->second.resubmitted;
+  context_.Act(AnswerCaller{exchange->second.id, doubtful ? GiveUpAnswer(exchange->second) : answer.answer});
+  Close(exchange);
 }
 
 void EntryRole::OnMoved(const ForwardMoved& moved) {
@@ -49,23 +54,40 @@
     return;
   }
   exchange->second.home = moved.home;
+  exchange->second.resubmitted = true;
+  if (!context_.IsReachable(moved.home)) {
+    seen_reachable_.clear();  // The next tick looks at every home again.
+  }
   Forward(moved.forward_id, exchange->second, true);
 }
 
 void EntryRole::OnTick() {
-  std::vector<uint64_t> overdue;
+  FollowHomes();
+  while (!deadlines_.empty() && deadlines_.begin()->first <= context_.Now()) {
+    const auto exchange = open_.find(deadlines_.begin()->second);
+    context_.Act(AnswerCaller{exchange->second.id, GiveUpAnswer(exchange->second)});
+    Close(exchange);
+  }
+}
+
+// What was forwarded to a host that is silent now goes to the next one.
+void EntryRole::FollowHomes() {
+  if (context_.live.empty() || seen_reachable_ == context_.reachable) {
+    return;
+  }
+  seen_reachable_ = context_.reachable;
   for (auto& [forward_id, exchange] : open_) {
-    if (context_.Now() >= exchange.give_up) {
-      overdue.push_back(forward_id);
-    } else if (!context_.IsReachable(exchange.home) && !context_.live.empty()) {
+    if (!context_.IsReachable(exchange.home)) {
       exchange.home = context_.HomeOf(exchange.key);
+      exchange.resubmitted = true;
       Forward(forward_id, exchange, true);
     }
   }
-  for (const uint64_t forward_id : overdue) {
-    context_.Act(AnswerCaller{open_[forward_id].id, GiveUpAnswer(open_[forward_id])});
-    open_.erase(forward_id);
-  }
+}
+
+void EntryRole::Close(std::map<uint64_t, Exchange>::iterator exchange) {
+  deadlines_.erase({exchange->second.give_up, exchange->first});
+  open_.erase(exchange);
 }
 
 void EntryRole::GiveUpAll() {
@@ -73,6 +95,7 @@
     context_.Act(AnswerCaller{exchange.id, GiveUpAnswer(exchange)});
   }
   open_.clear();
+  deadlines_.clear();
 }
 
 ResultCode EntryRole::Check(const Request& request) const {
@@ -105,6 +128,7 @@
   }
   const uint64_t forward_id = context_.NextId();
   open_[forward_id] = exchange;
+  deadlines_.insert({exchange.give_up, forward_id});
   Forward(forward_id, exchange, false);
 }
 
--- a/src/core/home_tasks.cc
+++ b/src/core/home_tasks.cc
@@ -66,6 +66,26 @@
   }
 }
 
+// When TickMember next has something to do, if no event comes before. Calls wait for events only.
+TimePoint HomeRole::NextWakeOf(const Job& job, const Member& member) {
+  if (job.spec.kind == WorkKind::kCall) {
+    return TimePoint::max();
+  }
+  switch (member.phase) {
+    case MemberPhase::kIdle:
+    case MemberPhase::kCommitted:
+      return member.next_send;
+    case MemberPhase::kReserving:
+      return std::max(member.since, job.start_by) + kReserveGrace + 1us;
+    case MemberPhase::kHeld:
+      return member.since + kGangHold + 1us;
+    case MemberPhase::kRunning:
+    case MemberPhase::kEnded:
+      break;
+  }
+  return TimePoint::max();
+}
+
 void HomeRole::AskForRoom(Job& job, Member& member) {
   member.owner = PickTaskOwner(job, member);
   if (member.owner.empty()) {
@@ -164,14 +184,16 @@
 
 void HomeRole::OnReport(const HostName& from, const RunReport& report) {
   const bool ended = report.phase != RunPhase::kStarted;
+  Job* job = Find(report.run.task.key);
+  if (job == nullptr || job->phase == JobPhase::kClaiming) {
+    return;  // No acknowledgement: the host that ordered the run may still ask for it, and a claim may find it.
+  }
+  NoteRun(*job, report.phase);
   if (ended) {
     context_.Send(from, RunReportAck{report.run, report.worker});
-  }
-  Job* job = Find(report.run.task.key);
-  if (job != nullptr && ended) {
     std::erase_if(job->stops, [&](const StopRun& stop) { return stop.run == report.run; });
   }
-  Member* member = job == nullptr || job->phase != JobPhase::kActive ? nullptr : FindMember(*job, report.run);
+  Member* member = job->phase != JobPhase::kActive ? nullptr : FindMember(*job, report.run);
   if (member == nullptr || member->phase == MemberPhase::kEnded || member->phase == MemberPhase::kIdle) {
     return;
   }
@@ -187,6 +209,11 @@
   }
 }
 
+void HomeRole::NoteRun(Job& job, RunPhase phase) {
+  job.in_doubt = job.in_doubt || phase == RunPhase::kGone;
+  job.ran = job.ran || (phase != RunPhase::kGone && phase != RunPhase::kNotStarted);
+}
+
 void HomeRole::OnRunEnded(Job& job, Member& member, const RunReport& report) {
   switch (report.phase) {
     case RunPhase::kDone:
@@ -242,6 +269,8 @@
     return;
   }
   Member& member = job.members[index];
+  job.ran = true;
+  job.committed = true;
   member.run = report.run;
   member.worker = report.worker;
   member.token = report.token;
