--- a/tests/chaos_world.cc
+++ b/tests/chaos_world.cc
@@ -223,6 +223,7 @@
                    ++node.generation;
                    listener_->OnExit(node);
                  },
+                 [](const Observed&) {},
              },
              action);
 }
