Owners with an outdated lease say nothing; a leaving host stays until heard; the driver cuts single hosts

Ruled out: a restarted worker that waits out its old lease; it would hide the fault from the driver. Change: a commit with a greater token than the owner's ends the owner's lease; a planned stop lasts at least suspect_after.

--- a/src/core/host_core.cc
+++ b/src/core/host_core.cc
@@ -135,6 +135,7 @@
 void HostCore::BeginLeave() {
   if (!context_.leaving) {
     context_.leaving = true;
+    heard_leaving_ = context_.Now() + context_.settings.suspect_after;
     leave_by_ = context_.Now() + context_.settings.leave_limit;
   }
 }
@@ -143,6 +144,9 @@
   if (!context_.leaving || exited_) {
     return;
   }
+  if (context_.Now() < heard_leaving_) {
+    return;  // A peer may still hand a request on to this host.
+  }
   const bool busy = entry_.open() + home_.active() + servers_.open() + workers_.leases() > 0;
   if (busy && context_.Now() < leave_by_) {
     return;
--- a/src/core/host_core.h
+++ b/src/core/host_core.h
@@ -53,7 +53,8 @@
   WorkerRole workers_;
   ServerRole servers_;
   TimePoint last_event_;
-  TimePoint leave_by_{};  // While leaving: the planned stop ends by then.
+  TimePoint heard_leaving_{};  // By then every peer has heard that this host leaves, or counts it as lost.
+  TimePoint leave_by_{};       // While leaving: the planned stop ends by then.
   bool exited_ = false;
 };
 
--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -100,6 +100,10 @@
     return;
   }
   OwnedWorker& worker = found->second;
+  if (commit.token > worker.token) {
+    LoseLease(worker);  // The worker has granted a newer lease since, as after a restart: not ours to say.
+    return;
+  }
   if (const auto run = worker.runs.find(commit.run); run != worker.runs.end()) {
     if (!claims_.Allows(commit.run.task.key, from)) {
       return;  // Another home host has taken the request over.
--- a/tests/chaos_callers.cc
+++ b/tests/chaos_callers.cc
@@ -12,6 +12,7 @@
 
 constexpr Duration kAnswerSlack = 700ms;  // Past the finish target: the entry host's own grace and the way.
 constexpr int kMostAttempts = 4;
+constexpr Duration kInForceWithin = 5s;  // A configuration is in force everywhere after this.
 
 constexpr Duration kMeanGap = 90ms;  // Between two requests.
 
@@ -223,6 +224,10 @@
       world_.Broken(fmt::format("{} was left without an answer by {}", name, attempt.host->name));
     }
   }
+  const Attempt& first = errand.attempts.front();
+  if (expect_no_unknown_ && errand.marked && first.answers > 0 && first.answer.verdict == Verdict::kUnknown) {
+    world_.Broken(fmt::format("{} was left in doubt though nothing failed", name));
+  }
   const bool served = std::any_of(errand.attempts.begin(), errand.attempts.end(),
                                   [](const Attempt& a) { return a.answer.verdict == Verdict::kDone && a.answers > 0; });
   if (errand.probe && !served) {
@@ -250,6 +255,21 @@
   }
   change.answered = true;
   change.code = answer.code;
+  if (answer.code == ResultCode::kOk && world_.disturbed_until() <= world_.Now()) {
+    world_.At(kInForceWithin, [this, version = change.version, accepted = world_.Now()] {
+      if (world_.disturbed_until() <= accepted) {
+        CheckInForce(version);
+      }
+    });
+  }
+}
+
+void ChaosCallers::CheckInForce(uint64_t version) {
+  for (const Node& node : world_.nodes()) {
+    if (node.up && node.core->configuration().version < version) {
+      world_.Broken(fmt::format("{} has not applied configuration {} in time", node.name, version));
+    }
+  }
 }
 
 void ChaosCallers::OnConfiguration(const Node& host) {
--- a/tests/chaos_callers.h
+++ b/tests/chaos_callers.h
@@ -45,6 +45,9 @@
   void ChangeConfiguration(Node& host);
   void OnHostDied(const Node& host);
 
+  // In a seed whose faults leave no outcome in doubt: no first attempt may be answered as unknown.
+  void ExpectNoUnknown() { expect_no_unknown_ = true; }
+
   // Everything that must be true when the world has come to rest.
   void CheckAtRest();
 
@@ -70,6 +73,7 @@
   void CheckAnswer(const Errand& errand, const Attempt& attempt);
   void CheckErrand(const Errand& errand);
   void CheckConfigurations();
+  void CheckInForce(uint64_t version);
   int StartsOf(const Errand& errand) const;
 
   ChaosWorld& world_;
@@ -80,6 +84,7 @@
   std::map<uint64_t, std::string> in_force_;  // Change id of each version that any host ever applied.
   ExchangeId next_exchange_ = 1;
   size_t verdicts_[5] = {};
+  bool expect_no_unknown_ = false;
 };
 
 }  // namespace hibiscus
--- a/tests/chaos_faults.cc
+++ b/tests/chaos_faults.cc
@@ -8,20 +8,31 @@
 
 constexpr Duration kFaultsFrom = 3s;    // Until then the hosts find each other and take their leases.
 constexpr Duration kFaultsUntil = 11s;  // No fault begins later.
-constexpr Duration kLongestFault = 7s;  // Longer than every lease.
-constexpr Duration kHealed = kFaultsUntil + kLongestFault + 100ms;
-constexpr Duration kProbeAt = kHealed + 9s;
-constexpr Duration kRest = kProbeAt + 9s;
+constexpr Duration kLongestFault = 7s;  // Longer than every control lease.
+constexpr Duration kLongFault = 14s;    // In some seeds: longer than every run lease too.
+constexpr Duration kUntilProbe = 9s;    // Between the end of the last fault and the probes.
+constexpr Duration kUntilRest = 9s;     // Between the probes and the last check.
+constexpr Duration kLongestStop = 10s;  // A planned stop is over by then.
 constexpr Duration kListLag = 2s;
 constexpr Duration kLeavingServes = 5s;  // Then a leaving backend server is gone.
 
 constexpr std::string_view kNames[kFaultCount] = {
-    "host killed",      "host paused",      "messages lost",   "messages late",     "link cut",
-    "cut from store",   "store down",       "store slow",      "store answer lost", "worker restarted",
-    "worker cut",       "worker fails all", "wrong run times", "impossible job",    "cancel wave",
-    "racing operators", "server leaves",    "server dies",     "planned stop",
+    "host killed",      "host paused",    "messages lost",
+    "messages late",    "link cut",       "cut from store",
+    "store down",       "store slow",     "store answer lost",
+    "worker restarted", "worker cut",     "worker fails all",
+    "wrong run times",  "impossible job", "cancel wave",
+    "racing operators", "server leaves",  "server dies",
+    "planned stop",     "host cut",       "host cut from workers",
+    "worker gone",
 };
 
+bool LeavesNoDoubt(Fault fault) {
+  return fault == Fault::kPlannedStop || fault == Fault::kImpossibleJob || fault == Fault::kRacingOperators ||
+         fault == Fault::kServerLeaves || fault == Fault::kStoreDown || fault == Fault::kStoreSlow ||
+         fault == Fault::kCutFromStore || fault == Fault::kLinkCut;
+}
+
 }  // namespace
 
 std::string_view NameOf(Fault fault) {
@@ -29,11 +40,14 @@
 }
 
 const ChaosRun::Action ChaosRun::kActions[kFaultCount] = {
-    &ChaosRun::KillHost,         &ChaosRun::PauseHost,        &ChaosRun::LoseMessages, &ChaosRun::DelayMessages,
-    &ChaosRun::CutLink,          &ChaosRun::CutFromStore,     &ChaosRun::StopStore,    &ChaosRun::SlowStore,
-    &ChaosRun::LoseStoreAnswers, &ChaosRun::RestartWorker,    &ChaosRun::CutWorker,    &ChaosRun::FailAllOnWorker,
-    &ChaosRun::ChangeRunTimes,   &ChaosRun::SubmitImpossible, &ChaosRun::CancelAll,    &ChaosRun::RaceOperators,
-    &ChaosRun::ServerLeaves,     &ChaosRun::ServerDies,       &ChaosRun::StopHost,
+    &ChaosRun::KillHost,       &ChaosRun::PauseHost,        &ChaosRun::LoseMessages,
+    &ChaosRun::DelayMessages,  &ChaosRun::CutLink,          &ChaosRun::CutFromStore,
+    &ChaosRun::StopStore,      &ChaosRun::SlowStore,        &ChaosRun::LoseStoreAnswers,
+    &ChaosRun::RestartWorker,  &ChaosRun::CutWorker,        &ChaosRun::FailAllOnWorker,
+    &ChaosRun::ChangeRunTimes, &ChaosRun::SubmitImpossible, &ChaosRun::CancelAll,
+    &ChaosRun::RaceOperators,  &ChaosRun::ServerLeaves,     &ChaosRun::ServerDies,
+    &ChaosRun::StopHost,       &ChaosRun::CutHost,          &ChaosRun::CutHostFromWorkers,
+    &ChaosRun::RemoveWorker,
 };
 
 ChaosRun::ChaosRun(uint64_t seed, bool trace) : world_(seed, trace), callers_(world_) {}
@@ -41,9 +55,14 @@
 ChaosReport ChaosRun::Run() {
   const TimePoint start = world_.Now();
   Schedule();
-  callers_.Start(start + kFaultsUntil + kLongestFault / 2);
-  world_.At(kProbeAt, [this] { callers_.Probe(); });
-  world_.RunUntil(start + kRest);
+  callers_.Start(start + kFaultsUntil + longest_ / 2);
+  const Duration healed = kFaultsUntil + longest_ + kListLag + 100ms;
+  world_.At(healed + 2s, [this] { RaceOperators(0us); });
+  world_.At(healed + kUntilProbe, [this] { callers_.Probe(); });
+  world_.RunUntil(start + healed + kUntilProbe + kUntilRest);
+  if (std::all_of(faults_.begin(), faults_.end(), LeavesNoDoubt)) {
+    callers_.ExpectNoUnknown();
+  }
   callers_.CheckAtRest();
   ChaosReport report;
   report.broken = world_.log().broken();
@@ -59,13 +78,14 @@
 
 // Up to three draws; half of the draws are of two faults at the same moment.
 void ChaosRun::Schedule() {
+  longest_ = world_.Chance(0.2) ? kLongFault : kLongestFault;
   const uint64_t draws = 1 + world_.Draw(3);
   for (uint64_t i = 0; i < draws; ++i) {
     const Duration at = world_.DrawTime(kFaultsFrom, kFaultsUntil);
     const uint64_t together = 1 + world_.Draw(2);
     for (uint64_t j = 0; j < together; ++j) {
       const auto fault = static_cast<Fault>(world_.Draw(kFaultCount));
-      const Duration length = world_.DrawTime(200ms, kLongestFault);
+      const Duration length = world_.DrawTime(200ms, longest_);
       faults_.push_back(fault);
       world_.At(at + world_.DrawTime(0us, 50ms), [this, fault, length] { Begin(fault, length); });
     }
@@ -73,6 +93,7 @@
 }
 
 void ChaosRun::Begin(Fault fault, Duration length) {
+  world_.DisturbFor(std::max(length, kLongestFault) + kListLag);
   world_.Trace("FAULT {} for {} ms", NameOf(fault), Millis(length));
   (this->*kActions[static_cast<size_t>(fault)])(length);
 }
@@ -220,7 +241,7 @@
   }
 }
 
-void ChaosRun::StopHost(Duration length) {
+void ChaosRun::StopHost(Duration) {
   Node* host = AnyHost();
   if (host == nullptr || world_.UpHosts(host->data_centre).size() < 2) {
     return;
@@ -229,7 +250,7 @@
   const int generation = host->generation;
   world_.Trace("{} is asked to leave", host->name);
   world_.Deliver(*host, LeaveEvent{});
-  world_.At(kLongestFault + length, [this, host, generation] {
+  world_.At(std::max(longest_, kLongestStop), [this, host, generation] {
     if (host->generation == generation && host->up) {
       world_.Broken(host->name + " was asked to leave long ago and is still here");
     }
@@ -239,4 +260,61 @@
   });
 }
 
+void ChaosRun::CutPair(const std::string& from, const std::string& to, Duration length) {
+  world_.weather().cut_pairs.insert({from, to});
+  world_.At(length, [this, from, to] { world_.weather().cut_pairs.erase({from, to}); });
+}
+
+// One way, the other, or both; from some or all of the peers.
+void ChaosRun::CutHost(Duration length) {
+  const Node* host = AnyHost();
+  if (host == nullptr) {
+    return;
+  }
+  const uint64_t ways = 1 + world_.Draw(3);
+  const double share = world_.Chance(0.5) ? 1.0 : 0.5;
+  for (const Node& peer : world_.nodes()) {
+    if (&peer == host || !world_.Chance(share)) {
+      continue;
+    }
+    if ((ways & 1) != 0) {
+      CutPair(host->name, peer.name, length);
+    }
+    if ((ways & 2) != 0) {
+      CutPair(peer.name, host->name, length);
+    }
+  }
+}
+
+void ChaosRun::CutHostFromWorkers(Duration length) {
+  const Node* host = AnyHost();
+  if (host == nullptr) {
+    return;
+  }
+  const uint64_t ways = 1 + world_.Draw(3);
+  for (const WorkerNode& worker : world_.workers()) {
+    if (worker.data_centre != host->data_centre || !world_.Chance(0.7)) {
+      continue;
+    }
+    if ((ways & 1) != 0) {
+      CutPair(host->name, worker.name, length);
+    }
+    if ((ways & 2) != 0) {
+      CutPair(worker.name, host->name, length);
+    }
+  }
+}
+
+// Cut off for good, as far as anyone can see, and dropped from the list; it runs on. Its return is a restart.
+void ChaosRun::RemoveWorker(Duration length) {
+  WorkerNode& worker = world_.workers()[world_.Draw(world_.workers().size())];
+  worker.cut = true;
+  world_.At(kListLag, [&worker] { worker.listed = false; });
+  world_.At(kListLag + length, [&worker] {
+    worker.cut = false;
+    worker.listed = true;
+    worker.fake.Restart();
+  });
+}
+
 }  // namespace hibiscus
--- a/tests/chaos_faults.h
+++ b/tests/chaos_faults.h
@@ -31,8 +31,11 @@
   kServerLeaves,
   kServerDies,
   kPlannedStop,
+  kHostCut,
+  kHostCutFromWorkers,
+  kWorkerGone,
 };
-inline constexpr size_t kFaultCount = static_cast<size_t>(Fault::kPlannedStop) + 1;
+inline constexpr size_t kFaultCount = static_cast<size_t>(Fault::kWorkerGone) + 1;
 
 std::string_view NameOf(Fault fault);
 
@@ -79,11 +82,17 @@
   void ServerLeaves(Duration length);
   void ServerDies(Duration length);
   void StopHost(Duration length);
+  void CutHost(Duration length);
+  void CutHostFromWorkers(Duration length);
+  void RemoveWorker(Duration length);
+
+  void CutPair(const std::string& from, const std::string& to, Duration length);
 
   static const Action kActions[kFaultCount];
 
   ChaosWorld world_;
   ChaosCallers callers_;
+  Duration longest_{};
   std::vector<Fault> faults_;
 };
 
--- a/tests/chaos_world.cc
+++ b/tests/chaos_world.cc
@@ -44,6 +44,10 @@
 }
 
 void ChaosWorld::Build() {
+  if (Chance(0.5)) {  // Run leases that lapse within the time of a seed.
+    settings_.run_lease = 6s;
+    settings_.drift_margin = 500ms;
+  }
   const uint64_t centres = 1 + Draw(3);
   for (uint64_t d = 1; d <= centres; ++d) {
     const DataCentre& data_centre = data_centres_.emplace_back(fmt::format("dc{}", d));
@@ -128,7 +132,9 @@
     list.entries.push_back(ListEntry{ListKind::kEntryHost, node.name, node.data_centre, {}, {}, false});
   }
   for (const WorkerNode& worker : workers_) {
-    list.entries.push_back(ListEntry{ListKind::kWorker, worker.name, worker.data_centre, {}, {}, false});
+    if (worker.listed) {
+      list.entries.push_back(ListEntry{ListKind::kWorker, worker.name, worker.data_centre, {}, {}, false});
+    }
   }
   for (const ServerNode& server : servers_) {
     list.entries.push_back(
@@ -145,7 +151,7 @@
 }
 
 void ChaosWorld::Boot(Node& node) {
-  HostSettings settings;
+  HostSettings settings = settings_;
   settings.name = node.name;
   settings.data_centre = node.data_centre;
   node.clock.Set(Now() + node.clock_offset);
@@ -233,7 +239,7 @@
   return weather_.late > 0 && Chance(weather_.late) ? base + DrawTime(0s, kLateness) : base;
 }
 
-bool ChaosWorld::Lost(const DataCentre& from, const DataCentre& to) {
+bool ChaosWorld::LostBetween(const DataCentre& from, const DataCentre& to) {
   const bool cut = weather_.cut_links.contains({from, to}) || weather_.cut_links.contains({to, from});
   return cut || (weather_.loss > 0 && Chance(weather_.loss));
 }
@@ -243,7 +249,7 @@
   if (to == nodes_.end()) {
     return;
   }
-  const bool lost = Lost(node.data_centre, to->data_centre);
+  const bool lost = Lost(node, *to);
   if (trace_on_ && !std::holds_alternative<Heartbeat>(send.message)) {
     Trace("{} -> {} {}{}", node.name, send.to, Describe(send.message), lost ? " LOST" : "");
   }
@@ -274,7 +280,7 @@
           send.request.task.run.ToString());
   }
   At(send.timeout, [this, outside] { Finish<WorkerEvent>(outside, Delivery::kUnknown, WorkerReply{}); });
-  if (worker.cut || Lost(centre, worker.data_centre)) {
+  if (worker.cut || Lost(node, worker)) {
     return;
   }
   At(Latency(centre, worker.data_centre), [this, &worker, outside, request = send.request] {
@@ -284,7 +290,7 @@
     }
     const bool traced = request.op != WorkerOp::kAcquire || request.token == 0;
     worker.fake.Handle(request, [this, &worker, outside, traced](const WorkerReply& reply) {
-      const bool lost = worker.cut || !worker.up || Lost(worker.data_centre, outside.node->data_centre);
+      const bool lost = worker.cut || !worker.up || Lost(worker, *outside.node);
       if (traced) {
         Trace("{} -> {} status {} token {} tasks {}{}", worker.name, outside.node->name, static_cast<int>(reply.status),
               reply.token, reply.tasks.size(), lost ? " LOST" : "");
@@ -310,7 +316,7 @@
     }
   }
   At(send.timeout, [this, outside] { Finish<ServerEvent>(outside, Delivery::kUnknown, ServerReply{}); });
-  if (Lost(node.data_centre, server.data_centre)) {
+  if (Lost(node, server)) {
     return;
   }
   At(Latency(node.data_centre, server.data_centre), [this, &server, outside, request = send.request] {
@@ -319,7 +325,7 @@
       return;
     }
     server.fake.Handle(request, [this, &server, outside](const ServerReply& reply) {
-      if (!server.up || Lost(server.data_centre, outside.node->data_centre)) {
+      if (!server.up || Lost(server, *outside.node)) {
         return;
       }
       At(Latency(server.data_centre, outside.node->data_centre),
@@ -332,7 +338,7 @@
   const Outside outside{&node, node.generation, send.call};
   Trace("{} -> store op {} {}", node.name, static_cast<int>(send.request.op), send.request.key);
   At(send.timeout, [this, outside] { Finish<StoreEvent>(outside, Delivery::kUnknown, StoreReply{}); });
-  if (weather_.cut_from_store.contains(node.data_centre) || Lost(node.data_centre, kStoreHome)) {
+  if (weather_.cut_from_store.contains(node.data_centre) || LostBetween(node.data_centre, kStoreHome)) {
     return;
   }
   const auto travel = [this, &node] {
@@ -348,7 +354,8 @@
     const bool mute = write && weather_.store_loses_answers;
     store_.Handle(request, [this, outside, travel, mute](const StoreReply& reply) {
       const DataCentre& centre = outside.node->data_centre;
-      const bool lost = weather_.store_down || weather_.cut_from_store.contains(centre) || Lost(kStoreHome, centre);
+      const bool lost =
+          weather_.store_down || weather_.cut_from_store.contains(centre) || LostBetween(kStoreHome, centre);
       if (mute || lost) {
         return;
       }
--- a/tests/chaos_world.h
+++ b/tests/chaos_world.h
@@ -41,6 +41,7 @@
   FakeWorker fake;
   bool up = true;
   bool cut = false;
+  bool listed = true;
 };
 
 struct ServerNode {
@@ -57,6 +58,7 @@
   double loss = 0;  // Share of messages lost.
   double late = 0;  // Share of messages that come up to kLateness later.
   std::set<std::pair<DataCentre, DataCentre>> cut_links;
+  std::set<std::pair<std::string, std::string>> cut_pairs;  // From one host, worker or server to another; one way.
   std::set<DataCentre> cut_from_store;
   bool store_down = false;
   bool store_slow = false;
@@ -112,6 +114,10 @@
   Weather& weather() { return weather_; }
   size_t events() const { return events_; }
 
+  // Until when the faults begun so far may be felt.
+  TimePoint disturbed_until() const { return disturbed_until_; }
+  void DisturbFor(Duration length) { disturbed_until_ = std::max(disturbed_until_, Now() + length); }
+
  private:
   struct Scheduled {
     TimePoint at;
@@ -141,7 +147,11 @@
   void Finish(const Outside& outside, Delivery delivery, const Reply& reply);
   void Say(const std::string& line) const;
   Duration Latency(const DataCentre& from, const DataCentre& to);
-  bool Lost(const DataCentre& from, const DataCentre& to);
+  bool LostBetween(const DataCentre& from, const DataCentre& to);
+  template <class From, class To>
+  bool Lost(const From& from, const To& to) {
+    return weather_.cut_pairs.contains({from.name, to.name}) || LostBetween(from.data_centre, to.data_centre);
+  }
 
   std::mt19937_64 random_;
   bool trace_on_;
@@ -150,6 +160,7 @@
   RunLog log_;
   FakeStore store_;
   Weather weather_;
+  HostSettings settings_;  // Of every host, but for name and data centre.
   std::vector<DataCentre> data_centres_;
   std::deque<Node> nodes_;
   std::deque<WorkerNode> workers_;
@@ -159,6 +170,7 @@
   size_t events_ = 0;
   size_t broken_said_ = 0;
   Listener* listener_ = nullptr;
+  TimePoint disturbed_until_{};
 };
 
 // The configuration that every seed starts with: calls, tasks and gangs, each kind once with and once without leave to
--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -110,6 +110,24 @@
   REQUIRE(CallsOf(host, WorkerOp::kStop).size() == 1);
 }
 
+TEST_CASE("an owner whose lease is older than the commit's token says nothing") {
+  OneHost host("a1");
+  LeaseWorker(host, 5);
+  host.Do(PeerEvent{"a2", Commit{kRun, "w1", 6, "batch", kSize, 1s, {}}});
+  REQUIRE(host.TakeSent<RunReport>().empty());
+  REQUIRE(host.core.leases() == 0);
+}
+
+TEST_CASE("a host that leaves stays until every peer has heard of it") {
+  OneHost host("a1");
+  host.Pass(2s, {"a2"});
+  host.Do(LeaveEvent{});
+  host.Pass(500ms, {"a2"});
+  REQUIRE(host.Take<Exit>().empty());
+  host.Pass(1s, {"a2"});
+  REQUIRE(host.Take<Exit>().size() == 1);
+}
+
 TEST_CASE("only a full list replaces what is believed of a worker") {
   OneHost host("a1");
   LeaseWorker(host, 5, {WorkerTask{kRun, "batch", "a2", kCapacity, RunState::kRunning, {}}});
