Tasks: an index of free room, a deadline queue and admission at the owner

Cause: FindRoom, PlaceQueued, OnReleaseHold and the tick walked all workers, runs or waiting tasks. Change: RoomIndex (best fit by the scarcest resource, services spread over racks), DeadlineQueue and AdmissionControl with learned run times; the queue is served when room comes free, not at the next tick.

--- a/include/hibiscusstand/admission.h
+++ b/include/hibiscusstand/admission.h
@@ -30,6 +30,9 @@
   void Queued(const Demand& demand, TimePoint now);
   void Dequeued(const Demand& demand);
 
+  // What a wait came to that was predicted once: corrects the predictions to come.
+  void Learn(Duration predicted, Duration waited);
+
   // How long a new request would wait. `capacity` is in units: slots, or 1 for all workers together.
   Duration Wait(const Demand& demand, double capacity, TimePoint now) const;
 
@@ -57,6 +60,7 @@
   static double RateOf(const Backlog& backlog, TimePoint now);
 
   std::map<std::string, Backlog> classes_;
+  double correction_ = 1;  // Waits over predictions, decayed.
 };
 
 }  // namespace hibiscus
--- a/include/hibiscusstand/placement.h
+++ b/include/hibiscusstand/placement.h
@@ -62,7 +62,7 @@
   void Count(Id id, bool add);
 
   std::vector<Room> rooms_;
-  std::array<Order, kKinds> by_free_;     // Usable rooms.
+  std::array<Order, kKinds> by_free_;    // Usable rooms.
   std::map<Resources, int> capacities_;  // Of rooms whose capacity is known, usable or not.
   Resources free_;
   Resources capacity_;
--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -13,6 +13,11 @@
 constexpr double kForgotten = 1e-9;     // Work below this is rounding.
 constexpr Duration kLeastRetry = 50ms;  // Bounds of RetryAfter.
 constexpr Duration kMostRetry = 30s;
+constexpr Duration kMostWait = 24h;        // Predictions beyond it mean nothing.
+constexpr Duration kLeastLearned = 100ms;  // Predictions below it are not learned from.
+constexpr double kLearnWeight = 0.02;      // Of one wait in the correction.
+constexpr double kLeastCorrection = 0.5;
+constexpr double kMostCorrection = 3;
 
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -58,7 +63,7 @@
 
 Duration AdmissionControl::Wait(const Demand& demand, double capacity, TimePoint now) const {
   if (capacity <= 0) {
-    return kMostRetry;
+    return kMostWait;
   }
   double ahead = 0;
   const auto own = classes_.find(demand.class_name);
@@ -82,7 +87,16 @@
     }
     wait = (ahead + meanwhile) / capacity;
   }
-  return FromSeconds(std::min(wait, Seconds(kMostRetry)));
+  return FromSeconds(std::min(wait * correction_, Seconds(kMostWait)));
+}
+
+// Short waits say little, and both are known only roughly.
+void AdmissionControl::Learn(Duration predicted, Duration waited) {
+  if (predicted < kLeastLearned) {
+    return;
+  }
+  const double ratio = std::clamp(Seconds(waited) / Seconds(predicted), 0.2, 5.0);
+  correction_ = std::clamp(correction_ * std::pow(ratio, kLearnWeight), kLeastCorrection, kMostCorrection);
 }
 
 bool AdmissionControl::Admits(const Demand& demand, double capacity, TimePoint now) const {
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
-constexpr size_t kMostLooked = 96;        // Rooms looked at from one end of an order.
-constexpr size_t kMostCompared = 12;      // Rooms that fit and are compared.
-constexpr double kWasteOfDevices = 100;   // Added where a task without need of accelerators would sit beside some.
+constexpr size_t kMostLooked = 96;       // Rooms looked at from one end of an order.
+constexpr size_t kMostCompared = 12;     // Rooms that fit and are compared.
+constexpr double kWasteOfDevices = 100;  // Added where a task without need of accelerators would sit beside some.
 
 std::array<int64_t, 3> KindsOf(const Resources& resources) {
   return {resources.cpu_millis, resources.memory_mb, resources.accelerators};
@@ -109,7 +109,8 @@
     consider(room->second);
   }
   looked = 0;
-  for (auto from_top = order.rbegin(); !best && from_top != order.rend() && looked < kMostLooked; ++from_top, ++looked) {
+  for (auto from_top = order.rbegin(); !best && from_top != order.rend() && looked < kMostLooked;
+       ++from_top, ++looked) {
     consider(from_top->second);
   }
   return best;
--- a/src/core/server_role.cc
+++ b/src/core/server_role.cc
@@ -53,7 +53,7 @@
   const TimePoint now = context_.Now();
   const double cost = run_times_.Seconds(dispatch.class_name, 0);
   const TimePoint start_by = now + dispatch.start_within - kWayToServer;
-  const QueuedCall call{from, dispatch, now, start_by, now + dispatch.finish_within, cost};
+  QueuedCall call{from, dispatch, now, start_by, now + dispatch.finish_within, cost, 0us};
   OwnedServer* server = queue_.empty() ? FindSlot(call) : nullptr;
   const double capacity = Capacity();
   const bool checked = context_.settings.policy.admission && capacity > 0;
@@ -62,7 +62,8 @@
   } else if (checked && !admission_.Admits(DemandOf(call), capacity, now)) {
     Refuse(call, ResultCode::kOverloaded, admission_.RetryAfter(DemandOf(call), capacity, now));
   } else {
-    Enqueue(call);
+    call.predicted = admission_.Wait(DemandOf(call), capacity, now);
+    Enqueue(std::move(call));
     ServeQueue();
   }
   RefreshLoad();
@@ -166,6 +167,7 @@
 void ServerRole::ServeQueue() {
   while (const std::optional<QueuedCall> late = queue_.TakeExpired(context_.Now())) {
     admission_.Dequeued(DemandOf(*late));
+    admission_.Learn(late->predicted, context_.Now() - late->arrived);
     Refuse(*late, ResultCode::kStartTargetMissed, kComeBack);
   }
   const auto has_slot = [&](const auto& entry) { return HasFreeSlot(entry.second); };
@@ -179,6 +181,7 @@
       return;
     }
     admission_.Dequeued(DemandOf(*next));
+    admission_.Learn(next->predicted, context_.Now() - next->arrived);
     Execute(*server, *next);
   }
 }
--- a/src/core/server_role.h
+++ b/src/core/server_role.h
@@ -34,7 +34,8 @@
   TimePoint arrived{};
   TimePoint start_by{};
   TimePoint finish_by{};
-  double cost = 0;  // Expected seconds of a slot.
+  double cost = 0;       // Expected seconds of a slot.
+  Duration predicted{};  // Wait, as admission saw it.
 };
 
 class ServerRole {
--- /dev/null
+++ b/src/core/worker_queue.cc
@@ -0,0 +1,199 @@
+// Room on the workers of this host: holds, the queue of tasks that wait, and admission to it.
+#include <algorithm>
+#include <optional>
+
+#include "core/worker_role.h"
+
+namespace hibiscus {
+
+namespace {
+
+constexpr Duration kComeBack = 1s;        // Retry-After when room is lacking.
+constexpr Duration kStartMargin = 300ms;  // A lease that ends sooner takes no new start.
+constexpr Duration kWayToWorker = 5ms;    // From the hold to the start, at most, where nothing fails.
+constexpr double kServiceTurn = 5;        // Seconds for which a service counts in the queue: it never ends.
+constexpr double kUnknownRunTime = 1;     // Seconds, for a task that declares none.
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+void WorkerRole::OnReserve(const HostName& from, const Reserve& reserve) {
+  const auto refuse = [&](ResultCode code, Duration retry_after) {
+    context_.Send(from, Reserved{reserve.run, code, {}, 0, retry_after});
+  };
+  if (!claims_.Allows(reserve.run.task.key, from)) {
+    refuse(ResultCode::kRepeatUnverified, kComeBack);
+  } else if (rooms_.NeverFits(reserve.size)) {
+    refuse(ResultCode::kNeverFits, 0us);
+  } else if (OwnedWorker* worker = FindRoom(reserve); worker != nullptr) {
+    HoldRoom(*worker, from, reserve);
+  } else if (!reserve.queue || context_.leaving) {
+    refuse(ResultCode::kNoCapacity, kComeBack);
+  } else {
+    Enqueue(from, reserve);
+  }
+}
+
+// Refuses at once what would not start in time.
+void WorkerRole::Enqueue(const HostName& home, const Reserve& reserve) {
+  const TimePoint now = context_.Now();
+  QueuedReserve queued{home, reserve, now, now + reserve.start_within - kWayToWorker, CostOf(reserve), 0us};
+  const Demand demand = DemandOf(queued);
+  const bool checked = context_.settings.policy.admission && rooms_.capacity() != Resources{};
+  if (checked && !admission_.Admits(demand, 1, now)) {
+    const Duration retry_after = admission_.RetryAfter(demand, 1, now);
+    context_.Send(home, Reserved{reserve.run, ResultCode::kOverloaded, {}, 0, retry_after});
+    return;
+  }
+  queued.predicted = admission_.Wait(demand, 1, now);
+  admission_.Queued(demand, now);
+  // Members of gangs wait in deadline order alone: two gangs that each got half of their room would wait for ever.
+  const std::string tenant = reserve.kind == WorkKind::kGang ? std::string() : reserve.run.task.key.tenant;
+  const QueuePlace place{reserve.class_name, tenant, reserve.size, queued.start_by, queued.cost};
+  queued_[reserve.run] = queue_.Push(place, std::move(queued));
+}
+
+void WorkerRole::Dequeued(const QueuedReserve& queued) {
+  queued_.erase(queued.reserve.run);
+  admission_.Dequeued(DemandOf(queued));
+}
+
+double WorkerRole::CostOf(const Reserve& reserve) const {
+  const double declared = reserve.run_time > 0us ? Seconds(reserve.run_time) : kUnknownRunTime;
+  const bool service = reserve.kind == WorkKind::kService;
+  return rooms_.ShareOf(reserve.size) * (service ? kServiceTurn : run_times_.Seconds(reserve.class_name, declared));
+}
+
+Demand WorkerRole::DemandOf(const QueuedReserve& queued) const {
+  return Demand{queued.reserve.class_name, queued.reserve.run.task.key.tenant, queued.start_by, queued.cost};
+}
+
+void WorkerRole::AnswerExpired() {
+  while (const std::optional<QueuedReserve> late = queue_.TakeExpired(context_.Now())) {
+    Dequeued(*late);
+    admission_.Learn(late->predicted, context_.Now() - late->arrived);
+    context_.Send(late->home, Reserved{late->reserve.run, ResultCode::kStartTargetMissed, {}, 0, kComeBack});
+  }
+}
+
+void WorkerRole::PlaceQueued() {
+  room_freed_ = false;
+  AnswerExpired();
+  std::vector<Resources> full;  // Sizes that found no room: what is no smaller need not ask.
+  while (!queue_.empty()) {
+    OwnedWorker* worker = nullptr;
+    const std::optional<QueuedReserve> next = queue_.TakeNext([&](const QueuedReserve& queued) {
+      const Resources& size = queued.reserve.size;
+      if (std::any_of(full.begin(), full.end(), [&](const Resources& none) { return none.FitsIn(size); })) {
+        return false;
+      }
+      worker = FindRoom(queued.reserve);
+      if (worker == nullptr) {
+        full.push_back(size);
+      }
+      return worker != nullptr;
+    });
+    if (!next) {
+      return;
+    }
+    Dequeued(*next);
+    admission_.Learn(next->predicted, context_.Now() - next->arrived);
+    HoldRoom(*worker, next->home, next->reserve);
+  }
+}
+
+OwnedWorker* WorkerRole::FindRoom(const Reserve& reserve) {
+  const Policy& policy = context_.settings.policy;
+  std::optional<RoomIndex::Id> room;
+  do {
+    if (!policy.best_fit) {
+      room = rooms_.Choose(reserve.size, policy.choice, context_.random);
+    } else if (reserve.kind == WorkKind::kService) {
+      room = rooms_.Spread(reserve.size,
+                           [&](RoomIndex::Id id) { return Crowding(reserve.class_name, by_room_[id]->entry.rack); });
+    } else {
+      room = rooms_.BestFit(reserve.size);
+    }
+    if (room) {
+      RefreshRoom(*by_room_[*room]);  // Its lease may have run low since.
+    }
+  } while (room && !rooms_.room(*room).usable);
+  return room ? by_room_[*room] : nullptr;
+}
+
+// Tasks of a class on a rack, as far as they are on workers of this host.
+int WorkerRole::Crowding(const std::string& class_name, const std::string& rack) const {
+  int tasks = 0;
+  const auto members = racks_.find(rack);
+  if (members == racks_.end()) {
+    return 0;
+  }
+  for (const OwnedWorker* worker : members->second) {
+    for (const auto& [id, run] : worker->runs) {
+      tasks += run.phase != OwnedRun::Phase::kEnded && run.task.class_name == class_name ? 1 : 0;
+    }
+  }
+  return tasks;
+}
+
+void WorkerRole::HoldRoom(OwnedWorker& worker, const HostName& home, const Reserve& reserve) {
+  const bool added = worker.ledger.Add(reserve.run, reserve.size);
+  HIBISCUS_INVARIANT(added, reserve.run.ToString(), "FindRoom must only name a worker with room.");
+  worker.holds[reserve.run] = Hold{home, context_.Now() + context_.settings.hold};
+  held_by_[reserve.run] = &worker;
+  RefreshRoom(worker);
+  context_.Send(home, Reserved{reserve.run, ResultCode::kOk, worker.entry.name, worker.token, 0us});
+}
+
+void WorkerRole::DropHold(OwnedWorker& worker, const RunId& run) {
+  worker.holds.erase(run);
+  held_by_.erase(run);
+  worker.ledger.Remove(run);
+  RefreshRoom(worker);
+  room_freed_ = true;
+}
+
+void WorkerRole::OnReleaseHold(const ReleaseHold& release) {
+  if (const auto queued = queued_.find(release.run); queued != queued_.end()) {
+    const std::optional<QueuedReserve> item = queue_.Remove(queued->second);
+    Dequeued(*item);
+  }
+  if (const auto held = held_by_.find(release.run); held != held_by_.end()) {
+    DropHold(*held->second, RunId(release.run));
+  }
+}
+
+// A hold of a gang's member stays for as long as another member waits here for room.
+void WorkerRole::DropExpiredHolds(OwnedWorker& worker) {
+  std::vector<RunId> expired;
+  for (auto& [run, hold] : worker.holds) {
+    if (context_.Now() < hold.until) {
+      continue;
+    }
+    const auto waiting = queued_.lower_bound(RunId{TaskId{run.task.key, 0}, 0});
+    if (waiting != queued_.end() && waiting->first.task.key == run.task.key) {
+      hold.until = context_.Now() + context_.settings.hold;
+    } else {
+      expired.push_back(run);
+    }
+  }
+  for (const RunId& run : expired) {
+    DropHold(worker, run);
+  }
+}
+
+void WorkerRole::RefreshRoom(const OwnedWorker& worker) {
+  const bool usable = HasLease(worker) && !worker.releasing && !worker.entry.leaving &&
+                      context_.Now() + kStartMargin < worker.lease_until;
+  rooms_.Update(worker.room, Room{worker.ledger.capacity(), worker.ledger.free(), usable});
+}
+
+void WorkerRole::RefreshLoad() {
+  context_.own_load.free = rooms_.free();
+  context_.own_load.largest = rooms_.Largest();
+}
+
+}  // namespace hibiscus
--- a/src/core/worker_role.cc
+++ b/src/core/worker_role.cc
@@ -10,13 +10,14 @@
 
 namespace {
 constexpr Duration kAcquireRetry = 300ms;
+constexpr Duration kTickEvery = 20ms;  // Runs whose state is not known yet are looked at this often.
 }  // namespace
 
 void WorkerRole::OnList(const std::vector<ListEntry>& entries) {
   std::set<WorkerName> listed;
   for (const ListEntry& entry : entries) {
     if (entry.kind == ListKind::kWorker && entry.data_centre == context_.settings.data_centre) {
-      workers_[entry.name].entry = entry;
+      RefreshRoom(Enlist(entry));
       listed.insert(entry.name);
     }
   }
@@ -27,9 +28,32 @@
       worker.unlisted = context_.Now();
     }
   }
+  RefreshOwned();
+}
+
+OwnedWorker& WorkerRole::Enlist(const ListEntry& entry) {
+  const auto [found, added] = workers_.try_emplace(entry.name);
+  OwnedWorker& worker = found->second;
+  worker.entry = entry;
+  if (added) {
+    worker.room = rooms_.Add();
+    by_room_.push_back(&worker);
+    racks_[entry.rack].push_back(&worker);
+  }
+  return worker;
+}
+
+void WorkerRole::RefreshOwned() {
+  seen_view_ = context_.view;
+  for (auto& [name, worker] : workers_) {
+    worker.ours = context_.OwnerOf(name) == context_.settings.name;
+  }
 }
 
 void WorkerRole::OnTick() {
+  if (seen_view_ != context_.view) {
+    RefreshOwned();
+  }
   for (auto& [name, worker] : workers_) {
     TickWorker(worker);
   }
@@ -50,22 +74,36 @@
   }
   DropExpiredHolds(worker);
   EndLapsedRuns(worker);
+  if (now >= worker.next_look) {
+    TickRuns(worker);
+  }
+  if (worker.ours && worker.acquire == 0 && now >= worker.next_acquire) {
+    Acquire(worker);
+  }
+  RefreshRoom(worker);
+  if (worker.ours || !HasLease(worker) || !worker.holds.empty() || worker.releasing) {
+    return;
+  }
+  const bool starting = std::any_of(worker.runs.begin(), worker.runs.end(),
+                                    [](const auto& entry) { return entry.second.phase == OwnedRun::Phase::kStarting; });
+  if (!starting) {
+    Release(worker);
+  }
+}
+
+// Reports what is due and forgets what is old, and notes when to look again.
+void WorkerRole::TickRuns(OwnedWorker& worker) {
+  const TimePoint now = context_.Now();
   ForgetOld(worker);
+  worker.next_look = TimePoint::max();
   for (auto& [run, owned] : worker.runs) {
     const bool ended = owned.phase == OwnedRun::Phase::kEnded;
     const bool sure = ended || (owned.phase == OwnedRun::Phase::kRunning && HasLease(worker));
     if (sure && now >= owned.next_report) {
       Report(worker, owned);
     }
-  }
-  const bool ours = context_.OwnerOf(worker.entry.name) == context_.settings.name;
-  if (ours && worker.acquire == 0 && now >= worker.next_acquire) {
-    Acquire(worker);
-  }
-  const bool starting = std::any_of(worker.runs.begin(), worker.runs.end(),
-                                    [](const auto& entry) { return entry.second.phase == OwnedRun::Phase::kStarting; });
-  if (!ours && HasLease(worker) && worker.holds.empty() && !starting && !worker.releasing) {
-    Release(worker);
+    const TimePoint retry = sure ? owned.next_report : std::max(owned.next_report, now + kTickEvery);
+    worker.next_look = std::min({worker.next_look, retry, owned.forget_at});
   }
 }
 
@@ -100,10 +138,10 @@
   worker.token = 0;
   worker.releasing = false;
   worker.acquire = 0;
-  for (const auto& [run, hold] : worker.holds) {
-    worker.ledger.Remove(run);
+  while (!worker.holds.empty()) {
+    DropHold(worker, RunId(worker.holds.begin()->first));
   }
-  worker.holds.clear();
+  RefreshRoom(worker);
 }
 
 // Counted from the last renewal that was sent, answered or not: it may have arrived as late as its timeout.
@@ -158,9 +196,14 @@
         worker.acks.clear();
         std::erase_if(worker.runs, [](const auto& run) { return run.second.phase != OwnedRun::Phase::kEnded; });
         worker.ledger.Reset({});
+        RefreshRoom(worker);
       }
       break;
   }
+  if (room_freed_) {
+    PlaceQueued();
+  }
+  RefreshLoad();
   return true;
 }
 
@@ -194,7 +237,10 @@
 void WorkerRole::Adopt(OwnedWorker& worker, const WorkerReply& reply) {
   const std::map<RunId, OwnedRun> before = std::move(worker.runs);
   worker.runs.clear();
-  worker.holds.clear();
+  while (!worker.holds.empty()) {
+    DropHold(worker, RunId(worker.holds.begin()->first));
+  }
+  worker.next_look = context_.Now();
   worker.ledger.Reset(reply.capacity);
   for (const WorkerTask& task : reply.tasks) {
     OwnedRun& run = worker.runs[task.run];
@@ -215,6 +261,8 @@
     gone.end = old.phase == OwnedRun::Phase::kStarting ? RunPhase::kGone : RunPhase::kStopped;
   }
   TakeEnded(worker, reply.tasks);
+  RefreshRoom(worker);
+  room_freed_ = true;
   context_.Log("worker",
                fmt::format("{} leased, token {}, {} runs", worker.entry.name, worker.token, reply.tasks.size()));
 }
--- a/src/core/worker_role.h
+++ b/src/core/worker_role.h
@@ -10,6 +10,10 @@
 #include "core/claim_table.h"
 #include "core/context.h"
 #include "core/ledger.h"
+#include "core/run_times.h"
+#include "hibiscusstand/admission.h"
+#include "hibiscusstand/deadline_queue.h"
+#include "hibiscusstand/placement.h"
 
 namespace hibiscus {
 
@@ -25,6 +29,7 @@
   Phase phase = Phase::kStarting;
   RunPhase end = RunPhase::kDone;  // Once ended.
   TimePoint next_report{};
+  TimePoint started{};                     // Zero for a run that was taken over.
   TimePoint forget_at = TimePoint::max();  // Once ended: no repeat can ask for it any more.
 };
 
@@ -37,6 +42,9 @@
 // A worker that falls to this host, or did.
 struct OwnedWorker {
   ListEntry entry;
+  bool ours = false;        // It falls to this host, under the present view.
+  RoomIndex::Id room = 0;   // Its place in the index.
+  TimePoint next_look{};    // When one of its runs next needs a report, or is forgotten.
   uint64_t token = 0;       // 0: no lease.
   TimePoint lease_until{};  // On our clock, counted from before we asked.
   CallId acquire = 0;       // The call that is out, or 0.
@@ -55,12 +63,16 @@
 struct QueuedReserve {
   HostName home;
   Reserve reserve;
+  TimePoint arrived{};
   TimePoint start_by{};
+  double cost = 0;       // Share of all room, times the seconds that it is expected to be held.
+  Duration predicted{};  // Wait, as admission saw it.
 };
 
 class WorkerRole {
  public:
-  WorkerRole(CoreContext& context, const ClaimTable& claims) : context_(context), claims_(claims) {}
+  WorkerRole(CoreContext& context, const ClaimTable& claims)
+      : context_(context), claims_(claims), queue_(context.settings.policy.queue) {}
 
   void OnList(const std::vector<ListEntry>& entries);
   void OnTick();
@@ -90,7 +102,10 @@
   };
 
   // Leases: worker_role.cc.
+  OwnedWorker& Enlist(const ListEntry& entry);
+  void RefreshOwned();
   void TickWorker(OwnedWorker& worker);
+  void TickRuns(OwnedWorker& worker);
   void Acquire(OwnedWorker& worker);
   void Release(OwnedWorker& worker);
   void LoseLease(OwnedWorker& worker);
@@ -103,11 +118,22 @@
   bool HasLease(const OwnedWorker& worker) const;
   CallId Call(const OwnedWorker& worker, WorkerCall request, Duration timeout);
 
-  // Runs: worker_runs.cc.
+  // Room and the queue for it: worker_queue.cc.
   void PlaceQueued();
+  void Enqueue(const HostName& home, const Reserve& reserve);
+  void Dequeued(const QueuedReserve& queued);
+  void AnswerExpired();
+  double CostOf(const Reserve& reserve) const;
+  Demand DemandOf(const QueuedReserve& queued) const;
   OwnedWorker* FindRoom(const Reserve& reserve);
+  int Crowding(const std::string& class_name, const std::string& rack) const;
   void HoldRoom(OwnedWorker& worker, const HostName& home, const Reserve& reserve);
-  bool NeverFits(const Resources& size) const;
+  void DropHold(OwnedWorker& worker, const RunId& run);
+  void DropExpiredHolds(OwnedWorker& worker);
+  void RefreshRoom(const OwnedWorker& worker);
+  void RefreshLoad();
+
+  // Runs: worker_runs.cc.
   void ReportUnlisted(const OwnedWorker& worker, const HostName& home, const Commit& commit);
   void Start(OwnedWorker& worker, const HostName& home, const Commit& commit);
   void OnStartReply(OwnedWorker& worker, const PendingCall& call, const WorkerEvent& event);
@@ -117,14 +143,21 @@
   void EndRun(OwnedWorker& worker, const RunId& run, RunPhase end);
   void Report(OwnedWorker& worker, OwnedRun& run);
   void ReportTo(const HostName& home, const RunReport& report) { context_.Send(home, report); }
-  void DropExpiredHolds(OwnedWorker& worker);
-  void RefreshLoad();
 
   CoreContext& context_;
   const ClaimTable& claims_;
   std::map<WorkerName, OwnedWorker> workers_;
   std::map<CallId, PendingCall> calls_;
-  std::vector<QueuedReserve> queue_;  // Earliest start target first.
+  uint64_t seen_view_ = 0;  // Of the last RefreshOwned.
+  RoomIndex rooms_;
+  std::vector<OwnedWorker*> by_room_;                       // By place in the index.
+  std::map<std::string, std::vector<OwnedWorker*>> racks_;  // By the list's names.
+  std::map<RunId, OwnedWorker*> held_by_;                   // Every hold of every worker.
+  DeadlineQueue<QueuedReserve> queue_;
+  std::map<RunId, DeadlineQueue<QueuedReserve>::Id> queued_;
+  AdmissionControl admission_;
+  RunTimes run_times_;
+  bool room_freed_ = false;  // Since the queue was last looked at.
 };
 
 }  // namespace hibiscus
--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -1,4 +1,4 @@
-// Runs on the workers of this host: holds, starts, stops, ends, and the queue of tasks that wait for room.
+// Runs on the workers of this host: starts, stops, ends and their reports.
 #include <algorithm>
 
 #include "core/worker_role.h"
@@ -7,89 +7,10 @@
 
 namespace {
 
-constexpr Duration kReportEvery = 1s;     // Ends that the home host has not acknowledged.
-constexpr Duration kComeBack = 1s;        // Retry-After when room is lacking.
-constexpr Duration kStartMargin = 300ms;  // A lease that ends sooner takes no new start.
+constexpr Duration kReportEvery = 1s;  // Ends that the home host has not acknowledged.
 
 }  // namespace
 
-void WorkerRole::OnReserve(const HostName& from, const Reserve& reserve) {
-  if (!claims_.Allows(reserve.run.task.key, from)) {
-    context_.Send(from, Reserved{reserve.run, ResultCode::kRepeatUnverified, {}, 0, kComeBack});
-    return;
-  }
-  if (NeverFits(reserve.size)) {
-    context_.Send(from, Reserved{reserve.run, ResultCode::kNeverFits, {}, 0, 0us});
-    return;
-  }
-  if (OwnedWorker* worker = FindRoom(reserve); worker != nullptr) {
-    HoldRoom(*worker, from, reserve);
-    return;
-  }
-  if (!reserve.queue || context_.leaving) {
-    context_.Send(from, Reserved{reserve.run, ResultCode::kNoCapacity, {}, 0, kComeBack});
-    return;
-  }
-  QueuedReserve queued{from, reserve, context_.Now() + reserve.start_within};
-  const auto place = std::upper_bound(queue_.begin(), queue_.end(), queued,
-                                      [](const auto& a, const auto& b) { return a.start_by < b.start_by; });
-  queue_.insert(place, std::move(queued));
-}
-
-void WorkerRole::PlaceQueued() {
-  std::vector<QueuedReserve> waiting;
-  for (QueuedReserve& queued : queue_) {
-    if (context_.Now() >= queued.start_by) {
-      context_.Send(queued.home, Reserved{queued.reserve.run, ResultCode::kStartTargetMissed, {}, 0, kComeBack});
-    } else if (OwnedWorker* worker = FindRoom(queued.reserve); worker != nullptr) {
-      HoldRoom(*worker, queued.home, queued.reserve);
-    } else {
-      waiting.push_back(std::move(queued));
-    }
-  }
-  queue_ = std::move(waiting);
-}
-
-// Batch and gangs fill the fullest worker that has room; services go where most is free.
-OwnedWorker* WorkerRole::FindRoom(const Reserve& reserve) {
-  OwnedWorker* best = nullptr;
-  const bool spread = reserve.kind == WorkKind::kService;
-  for (auto& [name, worker] : workers_) {
-    const bool usable = HasLease(worker) && !worker.releasing && !worker.entry.leaving &&
-                        context_.Now() + kStartMargin < worker.lease_until;
-    if (!usable || !reserve.size.FitsIn(worker.ledger.free())) {
-      continue;
-    }
-    const int64_t free = worker.ledger.free().cpu_millis;
-    const int64_t best_free = best == nullptr ? 0 : best->ledger.free().cpu_millis;
-    if (best == nullptr || (spread ? free > best_free : free < best_free)) {
-      best = &worker;
-    }
-  }
-  return best;
-}
-
-void WorkerRole::HoldRoom(OwnedWorker& worker, const HostName& home, const Reserve& reserve) {
-  const bool added = worker.ledger.Add(reserve.run, reserve.size);
-  HIBISCUS_INVARIANT(added, reserve.run.ToString(), "FindRoom must only name a worker with room.");
-  worker.holds[reserve.run] = Hold{home, context_.Now() + context_.settings.hold};
-  context_.Send(home, Reserved{reserve.run, ResultCode::kOk, worker.entry.name, worker.token, 0us});
-}
-
-bool WorkerRole::NeverFits(const Resources& size) const {
-  bool any = false;
-  for (const auto& [name, worker] : workers_) {
-    if (!HasLease(worker)) {
-      continue;
-    }
-    any = true;
-    if (size.FitsIn(worker.ledger.capacity())) {
-      return false;
-    }
-  }
-  return any;
-}
-
 void WorkerRole::OnCommit(const HostName& from, const Commit& commit) {
   const auto found = workers_.find(commit.worker);
   if (found == workers_.end()) {
@@ -129,6 +50,7 @@
 
 void WorkerRole::Start(OwnedWorker& worker, const HostName& home, const Commit& commit) {
   worker.holds.erase(commit.run);
+  held_by_.erase(commit.run);
   OwnedRun& run = worker.runs[commit.run];
   run.task = WorkerTask{commit.run, commit.class_name, home, commit.size, RunState::kRunning, {}};
   run.phase = OwnedRun::Phase::kStarting;
@@ -163,6 +85,7 @@
   }
   if (event.reply.status == WorkerStatus::kOk) {
     found->second.phase = OwnedRun::Phase::kRunning;
+    found->second.started = context_.Now();
     Report(worker, found->second);
     return;
   }
@@ -172,15 +95,6 @@
   }
 }
 
-void WorkerRole::OnReleaseHold(const ReleaseHold& release) {
-  std::erase_if(queue_, [&](const QueuedReserve& queued) { return queued.reserve.run == release.run; });
-  for (auto& [name, worker] : workers_) {
-    if (worker.holds.erase(release.run) > 0) {
-      worker.ledger.Remove(release.run);
-    }
-  }
-}
-
 void WorkerRole::OnStopRun(const HostName& from, const StopRun& stop) {
   if (!claims_.Allows(stop.run.task.key, from)) {
     context_.Send(from, RunReport{stop.run, stop.worker, 0, RunPhase::kGone, {}});  // No longer its run to stop.
@@ -228,13 +142,20 @@
   owned.phase = OwnedRun::Phase::kEnded;
   owned.end = end;
   owned.forget_at = context_.Now() + context_.settings.remember;
+  if (end == RunPhase::kDone && owned.started != TimePoint{}) {
+    run_times_.Learn(owned.task.class_name, context_.Now() - owned.started);
+  }
+  worker.next_look = std::min(worker.next_look, owned.forget_at);
   worker.ledger.Remove(run);
+  RefreshRoom(worker);
+  room_freed_ = true;
   Report(worker, owned);
 }
 
 void WorkerRole::Report(OwnedWorker& worker, OwnedRun& run) {
   const bool ended = run.phase == OwnedRun::Phase::kEnded;
   run.next_report = ended ? context_.Now() + kReportEvery : TimePoint::max();
+  worker.next_look = std::min(worker.next_look, run.next_report);
   const RunPhase phase = ended ? run.end : RunPhase::kStarted;
   const bool home_there = context_.IsReachable(run.task.home);
   const HostName home = home_there ? run.task.home : context_.HomeOf(run.task.run.task.key);
@@ -273,29 +194,4 @@
   }
 }
 
-void WorkerRole::DropExpiredHolds(OwnedWorker& worker) {
-  std::erase_if(worker.holds, [&](const auto& hold) {
-    const bool expired = context_.Now() >= hold.second.until;
-    if (expired) {
-      worker.ledger.Remove(hold.first);
-    }
-    return expired;
-  });
-}
-
-void WorkerRole::RefreshLoad() {
-  context_.own_load.free = {};
-  context_.own_load.largest = {};
-  for (const auto& [name, worker] : workers_) {
-    if (!HasLease(worker) || worker.releasing) {
-      continue;
-    }
-    const Resources free = worker.ledger.free();
-    context_.own_load.free += free;
-    if (free.cpu_millis > context_.own_load.largest.cpu_millis) {
-      context_.own_load.largest = free;
-    }
-  }
-}
-
 }  // namespace hibiscus
