--- a/src/core/worker_role.cc
+++ b/src/core/worker_role.cc
@@ -49,8 +49,8 @@
     LoseLease(worker);
   }
   DropExpiredHolds(worker);
-  ForgetOld(worker);
   EndLapsedRuns(worker);
+  ForgetOld(worker);
   for (auto& [run, owned] : worker.runs) {
     const bool ended = owned.phase == OwnedRun::Phase::kEnded;
     const bool sure = ended || (owned.phase == OwnedRun::Phase::kRunning && HasLease(worker));
@@ -104,6 +104,7 @@
     worker.ledger.Remove(run);
   }
   worker.holds.clear();
+  worker.lapsed_holds.clear();
 }
 
 // Counted from the last renewal that was sent, answered or not: it may have arrived as late as its timeout.
--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -120,7 +120,9 @@
     return;
   }
   OnReleaseHold(ReleaseHold{commit.run});
-  const RunPhase phase = worker.token == commit.token ? RunPhase::kNotStarted : RunPhase::kGone;
+  // Absence alone proves nothing: the run may have started, ended and been acknowledged by another home host.
+  const bool lapsed = worker.token == commit.token && worker.lapsed_holds.contains(commit.run);
+  const RunPhase phase = held || lapsed ? RunPhase::kNotStarted : RunPhase::kGone;
   context_.Send(from, RunReport{commit.run, commit.worker, worker.token, phase, {}});
 }
 
@@ -275,6 +277,7 @@
   for (const RunId& run : old) {
     Forget(worker, run);
   }
+  std::erase_if(worker.lapsed_holds, [&](const auto& lapsed) { return context_.Now() >= lapsed.second; });
 }
 
 void WorkerRole::DropExpiredHolds(OwnedWorker& worker) {
@@ -282,6 +285,7 @@
     const bool expired = context_.Now() >= hold.second.until;
     if (expired) {
       worker.ledger.Remove(hold.first);
+      worker.lapsed_holds[hold.first] = context_.Now() + context_.settings.remember;
     }
     return expired;
   });
