--- a/src/core/config_role.cc
+++ b/src/core/config_role.cc
@@ -30,6 +30,7 @@
   StoreCall put{StoreOp::kPut, kConfigKey, EncodeConfiguration(pending.configuration), watched_revision_, 0us};
   const CallId call = context_.NextId();
   writes_[call] = pending;
+  context_.Pass(Step::kConfigWritten);
   context_.Act(SendStore{call, put, context_.settings.store_timeout});
 }
 
@@ -74,6 +75,7 @@
   }
   context_.configuration = configuration;
   NoteStanding(configuration);
+  context_.Pass(Step::kConfigApplied);
   context_.Log("config", fmt::format("version {} is in force", configuration.version));
 }
 
@@ -100,6 +102,7 @@
   if (event.delivery == Delivery::kUnknown) {
     const CallId call = context_.NextId();
     read_backs_[call] = set;
+    context_.Pass(Step::kConfigReadBack);
     StoreCall get{StoreOp::kGet, kConfigKey, {}, 0, 0us};
     context_.Act(SendStore{call, get, context_.settings.store_timeout});
     return;
--- a/src/core/context.h
+++ b/src/core/context.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/messages.h"
+#include "core/steps.h"
 #include "hibiscusstand/clock.h"
 #include "hibiscusstand/policy.h"
 
@@ -58,6 +59,12 @@
 
   // Sends to a host; a message to this host itself is handled before Handle returns.
   void Send(const HostName& to, PeerMessage message);
+  // Reports a step to the observer, if there is one.
+  void Pass(Step step) {
+    if (step_observer != nullptr) {
+      step_observer->OnStep(step);
+    }
+  }
   void Act(Action action) { actions.push_back(std::move(action)); }
   void Log(const char* part, std::string text) { Act(LogLine{part, std::move(text)}); }
 
@@ -68,6 +75,7 @@
   bool IsReachable(const HostName& host) const;  // Heard lately, or this host itself.
   bool IsRecovering() const { return Now() < recovering_until; }
 
+  StepObserver* step_observer = nullptr;
   const HostSettings settings;
   const Clock& clock;
   std::mt19937_64 random;
--- a/src/core/entry_role.cc
+++ b/src/core/entry_role.cc
@@ -133,6 +133,7 @@
 }
 
 void EntryRole::Forward(uint64_t forward_id, const Exchange& exchange, bool resubmit) {
+  context_.Pass(resubmit ? Step::kResubmitted : Step::kForwarded);
   switch (exchange.kind) {
     case Kind::kSubmit:
       context_.Send(exchange.home, ForwardRequest{forward_id, exchange.request, resubmit});
--- a/src/core/home_calls.cc
+++ b/src/core/home_calls.cc
@@ -11,6 +11,7 @@
 }  // namespace
 
 void HomeRole::BeginCall(Job& job) {
+  context_.Pass(Step::kCallDispatched);
   Member& member = job.members.front();
   member.owner = PickCallOwner(member);
   if (member.owner.empty()) {
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -70,6 +70,7 @@
 }
 
 void HomeRole::Accept(const HostName& from, const ForwardRequest& forward) {
+  context_.Pass(Step::kRequestAccepted);
   const Request& request = forward.request;
   const ClassSpec* spec = context_.configuration.FindClass(request.class_name);
   if (spec == nullptr) {
@@ -100,6 +101,7 @@
 }
 
 void HomeRole::StartClaim(Job& job) {
+  context_.Pass(Step::kClaimAsked);
   job.phase = JobPhase::kClaiming;
   job.claim_answers.clear();
   job.next_claim = context_.Now() + kClaimRetry;
@@ -132,6 +134,7 @@
   if (!std::all_of(context_.reachable.begin(), context_.reachable.end(), has_word)) {
     return;
   }
+  context_.Pass(Step::kClaimHeld);
   bool adopted = false;
   for (Member& member : job.members) {
     if (member.phase != MemberPhase::kEnded) {
@@ -161,6 +164,7 @@
 }
 
 void HomeRole::YieldClaim(const RequestKey& key, const HostName& to) {
+  context_.Pass(Step::kClaimYielded);
   const auto job = jobs_.find(key);
   for (const Waiter& waiter : job->second.waiters) {
     context_.Send(waiter.host, ForwardMoved{waiter.forward_id, to});
@@ -181,6 +185,7 @@
 }
 
 void HomeRole::End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after) {
+  context_.Pass(Step::kRequestEnded);
   HIBISCUS_INVARIANT(job.phase != JobPhase::kEnded, job.request.key.ToString(),
                      "A request has one final answer: check the phase before calling End.");
   job.phase = JobPhase::kEnded;
--- a/src/core/home_tasks.cc
+++ b/src/core/home_tasks.cc
@@ -92,6 +92,7 @@
     OnAllRefused(job, member);
     return;
   }
+  context_.Pass(Step::kRoomAsked);
   member.run = NewRun(job, static_cast<int>(&member - job.members.data()));
   Enter(member, MemberPhase::kReserving, context_.Now());
   const bool queue = job.spec.kind != WorkKind::kGang;
@@ -154,12 +155,16 @@
   member->worker = reserved.worker;
   member->token = reserved.token;
   Enter(*member, MemberPhase::kHeld, context_.Now());
+  context_.Pass(Step::kRoomHeld);
   const bool all_held = std::none_of(job->members.begin(), job->members.end(), [](const Member& other) {
     return other.phase == MemberPhase::kIdle || other.phase == MemberPhase::kReserving;
   });
   if (!all_held) {
     return;
   }
+  if (job->members.size() > 1) {
+    context_.Pass(Step::kGangHeld);
+  }
   for (Member& each : job->members) {
     if (each.phase == MemberPhase::kHeld) {
       CommitMember(*job, each);
@@ -173,6 +178,7 @@
 }
 
 void HomeRole::SendCommit(Job& job, Member& member) {
+  context_.Pass(Step::kCommitSent);
   job.committed = true;
   member.next_send = context_.Now() + context_.settings.resend_every;
   if (member.phase == MemberPhase::kRunning || !context_.IsReachable(member.owner)) {
@@ -264,6 +270,7 @@
 }
 
 void HomeRole::AdoptRun(Job& job, const RunReport& report) {
+  context_.Pass(Step::kRunAdopted);
   const auto index = static_cast<size_t>(report.run.task.member);
   if (index >= job.members.size()) {
     return;
--- a/src/core/host_core.cc
+++ b/src/core/host_core.cc
@@ -64,6 +64,7 @@
   if (gap <= context_.settings.pause_limit) {
     return;
   }
+  context_.Pass(Step::kPauseNoticed);
   context_.Log("core", fmt::format("paused for {} ms; every lease counts as lost", Millis(gap)));
   context_.recovering_until = now + context_.settings.recover;
   membership_.OnPause();
@@ -135,6 +136,7 @@
 void HostCore::BeginLeave() {
   if (!context_.leaving) {
     context_.leaving = true;
+    context_.Pass(Step::kLeaveBegun);
     heard_leaving_ = context_.Now() + context_.settings.suspect_after;
     leave_by_ = context_.Now() + context_.settings.leave_limit;
   }
@@ -156,6 +158,7 @@
     entry_.GiveUpAll();
   }
   exited_ = true;
+  context_.Pass(Step::kLeaveDone);
   context_.Act(Exit{});
 }
 
--- a/src/core/host_core.h
+++ b/src/core/host_core.h
@@ -28,6 +28,9 @@
 
   std::vector<Action> Handle(const Event& event);
 
+  // For the fault matrix; must outlive the core.
+  void set_step_observer(StepObserver* observer) { context_.step_observer = observer; }
+
   const Configuration& configuration() const { return context_.configuration; }
   const std::vector<HostName>& live() const { return context_.live; }
   size_t leases() const { return workers_.leases(); }
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -72,6 +72,7 @@
     return;
   }
   context_.live = live;
+  context_.Pass(Step::kViewChanged);
   context_.view = RendezvousScore(fmt::format("{}", fmt::join(live, ",")), "view");
   context_.Log("membership", fmt::format("live hosts: {}", fmt::join(live, ", ")));
 }
--- a/src/core/server_role.cc
+++ b/src/core/server_role.cc
@@ -121,6 +121,7 @@
 }
 
 void ServerRole::OnExecuted(const Execution& execution, const ServerEvent& event) {
+  context_.Pass(Step::kCallEnded);
   OwnedServer& server = servers_[execution.server];
   --server.in_progress;
   const QueuedCall& call = execution.call;
@@ -219,6 +220,7 @@
 }
 
 void ServerRole::Execute(OwnedServer& server, const QueuedCall& call) {
+  context_.Pass(Step::kCallSent);
   HIBISCUS_INVARIANT(context_.Now() - server.good_probe < context_.settings.probe_fresh, server.entry.name,
                      "A backend server gets new work only while its last good probe is fresh: use FindSlot.");
   ++server.in_progress;
--- /dev/null
+++ b/src/core/steps.h
@@ -0,0 +1,64 @@
+// The points at which a request, a lease, a gang, a configuration change, a takeover or a planned stop changes state.
+// The core reports each as it passes it; the fault matrix counts which faults struck there.
+#ifndef HIBISCUSSTAND_SRC_CORE_STEPS_H_
+#define HIBISCUSSTAND_SRC_CORE_STEPS_H_
+
+#include <cstddef>
+#include <string_view>
+
+namespace hibiscus {
+
+enum class Step {
+  kForwarded,
+  kResubmitted,
+  kRequestAccepted,
+  kRequestEnded,
+  kClaimAsked,
+  kClaimHeld,
+  kClaimYielded,
+  kRoomAsked,
+  kRoomHeld,
+  kGangHeld,
+  kHoldLapsed,
+  kCommitSent,
+  kStartSent,
+  kStartKnown,
+  kRunEnded,
+  kEndAcknowledged,
+  kRunAdopted,
+  kStopSent,
+  kCallDispatched,
+  kCallSent,
+  kCallEnded,
+  kLeaseTaken,
+  kLeaseLost,
+  kLeaseReleased,
+  kViewChanged,
+  kConfigWritten,
+  kConfigReadBack,
+  kConfigApplied,
+  kPauseNoticed,
+  kLeaveBegun,
+  kLeaveDone,
+};
+inline constexpr size_t kStepCount = static_cast<size_t>(Step::kLeaveDone) + 1;
+
+inline constexpr std::string_view kStepNames[kStepCount] = {
+    "forwarded",       "resubmitted",    "request accepted", "request ended",    "claim asked",   "claim held",
+    "claim yielded",   "room asked",     "room held",        "gang held",        "hold lapsed",   "commit sent",
+    "start sent",      "start known",    "run ended",        "end acknowledged", "run adopted",   "stop sent",
+    "call dispatched", "call sent",      "call ended",       "lease taken",      "lease lost",    "lease released",
+    "view changed",    "config written", "config read back", "config applied",   "pause noticed", "leave begun",
+    "leave done",
+};
+
+// Told of every step, on the core's own thread. Must not call back into the core.
+class StepObserver {
+ public:
+  virtual ~StepObserver() = default;
+  virtual void OnStep(Step step) = 0;
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_SRC_CORE_STEPS_H_
--- a/src/core/worker_role.cc
+++ b/src/core/worker_role.cc
@@ -87,6 +87,7 @@
 }
 
 void WorkerRole::Release(OwnedWorker& worker) {
+  context_.Pass(Step::kLeaseReleased);
   worker.releasing = true;
   WorkerCall request;
   request.op = WorkerOp::kRelease;
@@ -97,6 +98,9 @@
 
 // The token is void and with it every hold. What runs goes on running and is found again by the next holder.
 void WorkerRole::LoseLease(OwnedWorker& worker) {
+  if (worker.token != 0) {
+    context_.Pass(Step::kLeaseLost);
+  }
   worker.token = 0;
   worker.releasing = false;
   worker.acquire = 0;
@@ -193,6 +197,7 @@
 
 // A new lease: the worker's own word replaces everything believed before.
 void WorkerRole::Adopt(OwnedWorker& worker, const WorkerReply& reply) {
+  context_.Pass(Step::kLeaseTaken);
   const std::map<RunId, OwnedRun> before = std::move(worker.runs);
   worker.runs.clear();
   worker.holds.clear();
--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -134,6 +134,7 @@
 }
 
 void WorkerRole::Start(OwnedWorker& worker, const HostName& home, const Commit& commit) {
+  context_.Pass(Step::kStartSent);
   worker.holds.erase(commit.run);
   OwnedRun& run = worker.runs[commit.run];
   run.task = WorkerTask{commit.run, commit.class_name, home, commit.size, RunState::kRunning, {}};
@@ -169,6 +170,7 @@
   }
   if (event.reply.status == WorkerStatus::kOk) {
     found->second.phase = OwnedRun::Phase::kRunning;
+    context_.Pass(Step::kStartKnown);
     Report(worker, found->second);
     return;
   }
@@ -211,6 +213,7 @@
   }
   WorkerCall request;
   request.op = WorkerOp::kStop;
+  context_.Pass(Step::kStopSent);
   request.holder = context_.settings.name;
   request.token = worker->second.token;
   request.task = run->second.task;
@@ -232,6 +235,7 @@
     return;
   }
   owned.phase = OwnedRun::Phase::kEnded;
+  context_.Pass(Step::kRunEnded);
   owned.end = end;
   owned.forget_at = context_.Now() + context_.settings.remember;
   worker.ledger.Remove(run);
@@ -262,6 +266,7 @@
 }
 
 void WorkerRole::Forget(OwnedWorker& worker, const RunId& run) {
+  context_.Pass(Step::kEndAcknowledged);
   worker.acks.push_back(run);
   worker.runs.erase(run);
 }
@@ -285,6 +290,7 @@
     const bool expired = context_.Now() >= hold.second.until;
     if (expired) {
       worker.ledger.Remove(hold.first);
+      context_.Pass(Step::kHoldLapsed);
       worker.lapsed_holds[hold.first] = context_.Now() + context_.settings.remember;
     }
     return expired;
--- a/tests/chaos_faults.cc
+++ b/tests/chaos_faults.cc
@@ -16,17 +16,6 @@
 constexpr Duration kListLag = 2s;
 constexpr Duration kLeavingServes = 5s;  // Then a leaving backend server is gone.
 
-constexpr std::string_view kNames[kFaultCount] = {
-    "host killed",      "host paused",    "messages lost",
-    "messages late",    "link cut",       "cut from store",
-    "store down",       "store slow",     "store answer lost",
-    "worker restarted", "worker cut",     "worker fails all",
-    "wrong run times",  "impossible job", "cancel wave",
-    "racing operators", "server leaves",  "server dies",
-    "planned stop",     "host cut",       "host cut from workers",
-    "worker gone",
-};
-
 bool LeavesNoDoubt(Fault fault) {
   return fault == Fault::kPlannedStop || fault == Fault::kImpossibleJob || fault == Fault::kRacingOperators ||
          fault == Fault::kServerLeaves || fault == Fault::kStoreDown || fault == Fault::kStoreSlow ||
@@ -35,10 +24,6 @@
 
 }  // namespace
 
-std::string_view NameOf(Fault fault) {
-  return kNames[static_cast<size_t>(fault)];
-}
-
 const ChaosRun::Action ChaosRun::kActions[kFaultCount] = {
     &ChaosRun::KillHost,       &ChaosRun::PauseHost,        &ChaosRun::LoseMessages,
     &ChaosRun::DelayMessages,  &ChaosRun::CutLink,          &ChaosRun::CutFromStore,
@@ -50,7 +35,9 @@
     &ChaosRun::RemoveWorker,
 };
 
-ChaosRun::ChaosRun(uint64_t seed, bool trace) : world_(seed, trace), callers_(world_) {}
+ChaosRun::ChaosRun(uint64_t seed, bool trace) : world_(seed, trace), callers_(world_) {
+  Watch();
+}
 
 ChaosReport ChaosRun::Run() {
   const TimePoint start = world_.Now();
@@ -70,6 +57,7 @@
   report.events = world_.events();
   report.requests = callers_.errands();
   report.starts = world_.log().starts();
+  report.matrix = recorder_.matrix();
   report.done = callers_.answers_of(Verdict::kDone);
   report.not_run = callers_.answers_of(Verdict::kNotRun);
   report.unknown = callers_.answers_of(Verdict::kUnknown);
@@ -95,7 +83,9 @@
 void ChaosRun::Begin(Fault fault, Duration length) {
   world_.DisturbFor(std::max(length, kLongestFault) + kListLag);
   world_.Trace("FAULT {} for {} ms", NameOf(fault), Millis(length));
+  struck_.clear();
   (this->*kActions[static_cast<size_t>(fault)])(length);
+  recorder_.OnFault(world_.Now(), struck_, fault, length);
 }
 
 Node* ChaosRun::AnyHost() {
@@ -105,7 +95,36 @@
       hosts.push_back(&node);
     }
   }
-  return hosts.empty() ? nullptr : hosts[world_.Draw(hosts.size())];
+  if (hosts.empty()) {
+    return nullptr;
+  }
+  Node* host = hosts[world_.Draw(hosts.size())];
+  struck_ = host->data_centre;
+  return host;
+}
+
+WorkerNode& ChaosRun::AnyWorker() {
+  WorkerNode& worker = world_.workers()[world_.Draw(world_.workers().size())];
+  struck_ = worker.data_centre;
+  return worker;
+}
+
+ServerNode& ChaosRun::AnyServer() {
+  ServerNode& server = world_.servers()[world_.Draw(world_.servers().size())];
+  struck_ = server.data_centre;
+  return server;
+}
+
+void ChaosRun::Watch() {
+  for (const DataCentre& where : world_.data_centres()) {
+    Observer& observer = observers_.emplace_back(*this, where);
+    for (Node& node : world_.nodes()) {
+      if (node.data_centre == where) {
+        node.observer = &observer;
+        node.core->set_step_observer(&observer);
+      }
+    }
+  }
 }
 
 void ChaosRun::KillHost(Duration length) {
@@ -146,6 +165,7 @@
 void ChaosRun::CutFromStore(Duration length) {
   const auto& centres = world_.data_centres();
   const DataCentre centre = centres[world_.Draw(centres.size())];
+  struck_ = centre;
   world_.weather().cut_from_store.insert(centre);
   world_.At(length, [this, centre] { world_.weather().cut_from_store.erase(centre); });
 }
@@ -164,31 +184,32 @@
   world_.weather().store_loses_answers = true;
   world_.At(length, [this] { world_.weather().store_loses_answers = false; });
   RaceOperators(length);
+  struck_.clear();
 }
 
 void ChaosRun::RestartWorker(Duration length) {
-  WorkerNode& worker = world_.workers()[world_.Draw(world_.workers().size())];
+  WorkerNode& worker = AnyWorker();
   worker.up = false;
   worker.fake.Restart();
   world_.At(length, [&worker] { worker.up = true; });
 }
 
 void ChaosRun::CutWorker(Duration length) {
-  WorkerNode& worker = world_.workers()[world_.Draw(world_.workers().size())];
+  WorkerNode& worker = AnyWorker();
   worker.cut = true;
   world_.At(length, [&worker] { worker.cut = false; });
 }
 
 void ChaosRun::FailAllOnWorker(Duration length) {
-  WorkerNode& worker = world_.workers()[world_.Draw(world_.workers().size())];
+  WorkerNode& worker = AnyWorker();
   worker.fake.set_fails_everything(true);
   world_.At(length, [&worker] { worker.fake.set_fails_everything(false); });
 }
 
 void ChaosRun::ChangeRunTimes(Duration length) {
   constexpr double kFactors[] = {0.1, 0.5, 3, 8};
-  WorkerNode& worker = world_.workers()[world_.Draw(world_.workers().size())];
-  ServerNode& server = world_.servers()[world_.Draw(world_.servers().size())];
+  WorkerNode& worker = AnyWorker();
+  ServerNode& server = AnyServer();
   worker.fake.set_slowness(kFactors[world_.Draw(std::size(kFactors))]);
   server.fake.set_slowness(kFactors[world_.Draw(std::size(kFactors))]);
   world_.At(length, [&worker, &server] {
@@ -214,10 +235,11 @@
       callers_.ChangeConfiguration(*host);
     }
   }
+  struck_.clear();
 }
 
 void ChaosRun::ServerLeaves(Duration) {
-  ServerNode& server = world_.servers()[world_.Draw(world_.servers().size())];
+  ServerNode& server = AnyServer();
   if (server.left != TimePoint::max() || !server.up) {
     return;
   }
@@ -234,7 +256,7 @@
 }
 
 void ChaosRun::ServerDies(Duration length) {
-  ServerNode& server = world_.servers()[world_.Draw(world_.servers().size())];
+  ServerNode& server = AnyServer();
   if (server.left == TimePoint::max()) {
     server.up = false;
     world_.At(length, [&server] { server.up = true; });
@@ -307,7 +329,7 @@
 
 // Cut off for good, as far as anyone can see, and dropped from the list; it runs on. Its return is a restart.
 void ChaosRun::RemoveWorker(Duration length) {
-  WorkerNode& worker = world_.workers()[world_.Draw(world_.workers().size())];
+  WorkerNode& worker = AnyWorker();
   worker.cut = true;
   world_.At(kListLag, [&worker] { worker.listed = false; });
   world_.At(kListLag + length, [&worker] {
--- a/tests/chaos_faults.h
+++ b/tests/chaos_faults.h
@@ -7,38 +7,11 @@
 #include <vector>
 
 #include "tests/chaos_callers.h"
+#include "tests/chaos_matrix.h"
 #include "tests/chaos_world.h"
 
 namespace hibiscus {
 
-enum class Fault {
-  kHostKilled,
-  kHostPaused,
-  kMessagesLost,
-  kMessagesLate,
-  kLinkCut,
-  kCutFromStore,
-  kStoreDown,
-  kStoreSlow,
-  kStoreAnswerLost,
-  kWorkerRestarted,
-  kWorkerCut,
-  kWorkerFailsAll,
-  kWrongRunTimes,
-  kImpossibleJob,
-  kCancelWave,
-  kRacingOperators,
-  kServerLeaves,
-  kServerDies,
-  kPlannedStop,
-  kHostCut,
-  kHostCutFromWorkers,
-  kWorkerGone,
-};
-inline constexpr size_t kFaultCount = static_cast<size_t>(Fault::kWorkerGone) + 1;
-
-std::string_view NameOf(Fault fault);
-
 // What came of one seed.
 struct ChaosReport {
   std::vector<std::string> broken;  // Empty: every invariant held.
@@ -49,6 +22,7 @@
   size_t done = 0;
   size_t not_run = 0;
   size_t unknown = 0;
+  FaultMatrix matrix;
 };
 
 class ChaosRun {
@@ -62,6 +36,9 @@
   void Schedule();
   void Begin(Fault fault, Duration length);
   Node* AnyHost();
+  WorkerNode& AnyWorker();
+  ServerNode& AnyServer();
+  void Watch();
 
   void KillHost(Duration length);
   void PauseHost(Duration length);
@@ -88,12 +65,26 @@
 
   void CutPair(const std::string& from, const std::string& to, Duration length);
 
+  // Reports the steps of the hosts of one data centre.
+  class Observer final : public StepObserver {
+   public:
+    Observer(ChaosRun& run, DataCentre where) : run_(run), where_(std::move(where)) {}
+    void OnStep(Step step) override { run_.recorder_.OnStep(run_.world_.Now(), where_, step); }
+
+   private:
+    ChaosRun& run_;
+    DataCentre where_;
+  };
+
   static const Action kActions[kFaultCount];
 
   ChaosWorld world_;
   ChaosCallers callers_;
   Duration longest_{};
   std::vector<Fault> faults_;
+  std::deque<Observer> observers_;
+  MatrixRecorder recorder_;
+  DataCentre struck_;  // Where the fault that begins strikes; empty: everywhere.
 };
 
 }  // namespace hibiscus
--- a/tests/chaos_main.cc
+++ b/tests/chaos_main.cc
@@ -10,6 +10,7 @@
 
 DEFINE_string(seeds, "1..300", "first and last seed");
 DEFINE_bool(trace, false, "print every event");
+DEFINE_bool(matrix, false, "print the fault matrix as a page");
 DEFINE_bool(stop_at_first, false, "end at the first failing seed");
 
 namespace hibiscus {
@@ -35,6 +36,7 @@
     sum.done += report.done;
     sum.not_run += report.not_run;
     sum.unknown += report.unknown;
+    sum.matrix.Add(report.matrix);
     if (report.broken.empty()) {
       continue;
     }
@@ -51,6 +53,10 @@
       break;
     }
   }
+  if (FLAGS_matrix && failed == 0) {
+    fmt::print("{}", sum.matrix.ToMarkdown(first, last));
+    return 0;
+  }
   fmt::print("seeds {}..{}: {} failed; {} events, {} requests, {} starts; answers: {} done, {} not run, {} unknown\n",
              first, last, failed, sum.events, sum.requests, sum.starts, sum.done, sum.not_run, sum.unknown);
   return failed == 0 ? 0 : 1;
--- a/tests/chaos_world.cc
+++ b/tests/chaos_world.cc
@@ -156,6 +156,7 @@
   settings.data_centre = node.data_centre;
   node.clock.Set(Now() + node.clock_offset);
   node.core = std::make_unique<HostCore>(settings, node.clock, random_());
+  node.core->set_step_observer(node.observer);
   ++node.generation;
   node.up = true;
   node.paused = false;
--- a/tests/chaos_world.h
+++ b/tests/chaos_world.h
@@ -26,6 +26,7 @@
   Duration clock_offset{};  // Clocks of two hosts share no origin.
   ManualClock clock;
   std::unique_ptr<HostCore> core;
+  StepObserver* observer = nullptr;
   int generation = 0;
   bool up = false;
   bool leaving = false;
