--- a/src/core/claim_table.h
+++ b/src/core/claim_table.h
@@ -4,6 +4,7 @@
 #define HIBISCUSSTAND_SRC_CORE_CLAIM_TABLE_H_
 
 #include <map>
+#include <vector>
 
 #include "core/context.h"
 
@@ -13,27 +14,52 @@
  public:
   explicit ClaimTable(const CoreContext& context) : context_(context) {}
 
-  void Put(const RequestKey& key, const HostName& home) { claims_[key] = Entry{home, context_.Now()}; }
+  // The last claim goes before all earlier ones.
+  void Put(const RequestKey& key, const HostName& home, uint64_t claim) {
+    std::vector<Entry>& entries = claims_[key];
+    std::erase_if(entries, [&](const Entry& entry) { return entry.home == home; });
+    entries.push_back(Entry{home, claim, context_.Now()});
+  }
+
+  // As if that claim had never been made.
+  void Retract(const RequestKey& key, const HostName& home, uint64_t claim) {
+    const auto entries = claims_.find(key);
+    if (entries == claims_.end()) {
+      return;
+    }
+    std::erase_if(entries->second, [&](const Entry& entry) { return entry.home == home && entry.claim == claim; });
+    if (entries->second.empty()) {
+      claims_.erase(entries);
+    }
+  }
 
   // True: `home` may act on the request, as far as this host knows.
   bool Allows(const RequestKey& key, const HostName& home) const {
-    const auto claim = claims_.find(key);
-    return claim == claims_.end() || claim->second.home == home;
+    const HostName claimant = HomeOf(key);
+    return claimant.empty() || claimant == home;
+  }
+
+  // Who has claimed the request; empty if nobody did.
+  HostName HomeOf(const RequestKey& key) const {
+    const auto entries = claims_.find(key);
+    return entries == claims_.end() ? HostName() : entries->second.back().home;
   }
 
   void OnTick() {
-    std::erase_if(claims_,
-                  [&](const auto& claim) { return context_.Now() - claim.second.since > context_.settings.remember; });
+    std::erase_if(claims_, [&](const auto& entries) {
+      return context_.Now() - entries.second.back().since > context_.settings.remember;
+    });
   }
 
  private:
   struct Entry {
     HostName home;
+    uint64_t claim = 0;
     TimePoint since;
   };
 
   const CoreContext& context_;
-  std::map<RequestKey, Entry> claims_;
+  std::map<RequestKey, std::vector<Entry>> claims_;  // Never empty; the last one counts.
 };
 
 }  // namespace hibiscus
--- a/src/core/context.cc
+++ b/src/core/context.cc
@@ -39,7 +39,11 @@
 }
 
 bool CoreContext::IsReachable(const HostName& host) const {
-  return host == settings.name || std::binary_search(reachable.begin(), reachable.end(), host);
+  return host == settings.name || std::binary_search(reachable.begin(), reachable.end(), host) || IsRemote(host);
+}
+
+bool CoreContext::IsRemote(const HostName& host) const {
+  return std::binary_search(remote.begin(), remote.end(), host);
 }
 
 }  // namespace hibiscus
--- a/src/core/context.h
+++ b/src/core/context.h
@@ -31,6 +31,9 @@
   Duration pause_limit = 2s;         // A longer gap between two ticks is a pause: every lease counts as lost.
   Duration recover = 1s;             // Callers are refused this long after a start or a pause.
   Duration remember = 5min;          // How long ended requests are remembered for repeats.
+  Duration digest_every = 1s;        // To other data centres, if the digest changed.
+  Duration digest_keepalive = 3s;    // To other data centres, if it did not.
+  Duration digest_stale = 8s;        // A data centre this silent is not reachable.
 };
 
 // Stops the process when an invariant is broken, in every build. `hint` says how to mend the call or what to report.
@@ -59,7 +62,8 @@
   HostName HomeOf(const RequestKey& key) const;
   HostName OwnerOf(const std::string& worker_or_server) const;
   bool IsLive(const HostName& host) const;       // Heard lately and not leaving.
-  bool IsReachable(const HostName& host) const;  // Heard lately, or this host itself.
+  bool IsReachable(const HostName& host) const;  // Heard lately, here or by a digest, or this host itself.
+  bool IsRemote(const HostName& host) const;     // By the digests a live host of another data centre.
   bool IsRecovering() const { return Now() < recovering_until; }
 
   const HostSettings settings;
@@ -70,6 +74,7 @@
   std::vector<ListEntry> list;      // As the platform last gave it.
   std::vector<HostName> live;       // Live hosts of the own data centre, sorted, this one among them.
   std::vector<HostName> reachable;  // The live hosts and those that leave, sorted.
+  std::vector<HostName> remote;     // Live hosts of the other data centres, by their digests, sorted.
   TimePoint recovering_until{};     // After a start or a pause: requests of unknown age may arrive until then.
   uint64_t view = 0;                // Digest of `live`.
   bool leaving = false;             // This host leaves.
--- a/src/core/entry_role.cc
+++ b/src/core/entry_role.cc
@@ -8,6 +8,7 @@
 
 constexpr Duration kAnswerGrace = 500ms;  // The home host answers by the finish target; this is for the way back.
 constexpr Duration kQueryTimeout = 2s;    // Queries and cancellations without an answer.
+constexpr Duration kTrustMoved = 2s;      // A home that another host named is taken as reachable for so long.
 constexpr Duration kComeBack = 1s;        // Retry-After of refusals that name no better time.
 
 }  // namespace
@@ -21,15 +22,15 @@
   }
   const ClassSpec* spec = context_.configuration.FindClass(request.class_name);
   const TimePoint give_up = context_.Now() + spec->finish_within + kAnswerGrace;
-  Open(Exchange{submit.exchange, Kind::kSubmit, request, request.key, {}, give_up});
+  Open(Exchange{submit.exchange, Kind::kSubmit, request, request.key, {}, give_up, {}});
 }
 
 void EntryRole::OnQuery(const CallerQuery& query) {
-  Open(Exchange{query.exchange, Kind::kQuery, {}, query.key, {}, context_.Now() + kQueryTimeout});
+  Open(Exchange{query.exchange, Kind::kQuery, {}, query.key, {}, context_.Now() + kQueryTimeout, {}});
 }
 
 void EntryRole::OnCancel(const CallerCancel& cancel) {
-  Open(Exchange{cancel.exchange, Kind::kCancel, {}, cancel.key, {}, context_.Now() + kQueryTimeout});
+  Open(Exchange{cancel.exchange, Kind::kCancel, {}, cancel.key, {}, context_.Now() + kQueryTimeout, {}});
 }
 
 void EntryRole::OnAnswer(const ForwardAnswer& answer) {
@@ -49,6 +50,11 @@
     return;
   }
   exchange->second.home = moved.home;
+  const bool abroad = !context_.IsLive(moved.home);
+  if (abroad) {
+    exchange->second.trust_until = context_.Now() + kTrustMoved;
+    exchange->second.request.attempt = 0;  // From here on another data centre may know of it.
+  }
   Forward(moved.forward_id, exchange->second, true);
 }
 
@@ -57,7 +63,8 @@
   for (auto& [forward_id, exchange] : open_) {
     if (context_.Now() >= exchange.give_up) {
       overdue.push_back(forward_id);
-    } else if (!context_.IsReachable(exchange.home) && !context_.live.empty()) {
+    } else if (!context_.IsReachable(exchange.home) && context_.Now() >= exchange.trust_until &&
+               !context_.live.empty()) {
       exchange.home = context_.HomeOf(exchange.key);
       Forward(forward_id, exchange, true);
     }
--- a/src/core/entry_role.h
+++ b/src/core/entry_role.h
@@ -32,7 +32,8 @@
     Request request;  // Submit.
     RequestKey key;
     HostName home;
-    TimePoint give_up;  // The caller is answered by then in any case.
+    TimePoint give_up;        // The caller is answered by then in any case.
+    TimePoint trust_until{};  // Another host named this home; our own view may lag until then.
   };
 
   ResultCode Check(const Request& request) const;
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -11,6 +11,11 @@
 constexpr Duration kClaimRetry = 250ms;  // Between rounds of questions about an earlier attempt.
 constexpr Duration kComeBack = 1s;       // Retry-After of refusals that name no better time.
 
+// A request that is marked as the first attempt came through this data centre alone.
+bool MayBeKnownAbroad(const Request& request) {
+  return request.attempt != 1;
+}
+
 // Two attempts carry the same work. Attempt numbers and waiting differ between them.
 bool SameWork(const Request& a, const Request& b) {
   return a.class_name == b.class_name && a.size == b.size && a.members == b.members && a.payload == b.payload;
@@ -18,8 +23,8 @@
 
 }  // namespace
 
-HomeRole::HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims)
-    : context_(context), membership_(membership), claims_(claims) {}
+HomeRole::HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims, const DigestRole& digests)
+    : context_(context), membership_(membership), claims_(claims), digests_(digests) {}
 
 void HomeRole::OnForward(const HostName& from, const ForwardRequest& forward) {
   Job* job = Find(forward.request.key);
@@ -57,6 +62,9 @@
     return;
   }
   if (job->phase != JobPhase::kEnded) {
+    if (job->phase == JobPhase::kClaiming) {
+      RetractClaim(*job);
+    }
     StopMembers(*job);
     End(*job, ResultCode::kCancelled, Verdict::kCancelled, {});
   }
@@ -71,6 +79,9 @@
     context_.Send(from, ForwardAnswer{forward.forward_id, answer});
     return;
   }
+  if (PassOn(from, forward)) {
+    return;
+  }
   Job& job = jobs_[request.key];
   job.request = request;
   job.spec = *spec;
@@ -81,23 +92,81 @@
 
   const bool first = request.attempt == 1 && !forward.resubmit;
   const bool idempotent_call = spec->kind == WorkKind::kCall && spec->may_run_twice;
-  if (!claims_.Allows(request.key, context_.settings.name)) {
-    Refuse(job, ResultCode::kRepeatUnverified);
-  } else if (first || idempotent_call) {
+  const bool fenced = !claims_.Allows(request.key, context_.settings.name);
+  if (!fenced && (first || idempotent_call)) {
     Begin(job);
-  } else {
-    StartClaim(job);
+    return;
+  }
+  if (fenced) {
+    job.request.attempt = 0;  // Somebody claimed it: it is not the first attempt, whatever it says.
+  }
+  job.claim = context_.RandomNumber();
+  StartClaim(job);
+}
+
+// Another home host has claimed the request: the entry host asks there. Only once, so that two hosts that name each
+// other do not send it to and fro.
+bool HomeRole::PassOn(const HostName& from, const ForwardRequest& forward) {
+  const HostName home = claims_.HomeOf(forward.request.key);
+  if (forward.resubmit || home.empty() || home == context_.settings.name || !context_.IsReachable(home)) {
+    return false;
   }
+  context_.Send(from, ForwardMoved{forward.forward_id, home});
+  return true;
 }
 
 void HomeRole::StartClaim(Job& job) {
   job.phase = JobPhase::kClaiming;
   job.claim_answers.clear();
   job.next_claim = context_.Now() + kClaimRetry;
-  claims_.Put(job.request.key, context_.settings.name);
+  claims_.Put(job.request.key, context_.settings.name, job.claim);
   for (const HostName& host : context_.live) {
-    context_.Send(host, Claim{job.request.key, context_.view});
+    context_.Send(host, Claim{job.request.key, context_.view, job.claim, {}});
+  }
+  if (MayBeKnownAbroad(job.request)) {
+    for (const DataCentre& centre : digests_.OtherCentres()) {
+      if (!job.cleared.contains(centre)) {
+        AskCentre(job, centre);
+      }
+    }
+  }
+  ++job.claim_rounds;
+}
+
+void HomeRole::AskCentre(const Job& job, const DataCentre& centre) {
+  const HostName contact = digests_.ContactOf(centre, job.claim_rounds);
+  if (!contact.empty()) {
+    context_.Send(contact, CentreClaim{job.request.key, job.claim});
+  }
+}
+
+// The claim was never whole, so nothing rests on it: what it fenced is set free.
+void HomeRole::RetractClaim(const Job& job) {
+  const RequestKey& key = job.request.key;
+  for (const HostName& host : context_.live) {
+    context_.Send(host, ClaimRetract{key, job.claim, {}, false});
+  }
+  if (!MayBeKnownAbroad(job.request)) {
+    return;
+  }
+  for (const DataCentre& centre : digests_.OtherCentres()) {
+    if (const HostName contact = digests_.ContactOf(centre, job.claim_rounds); !contact.empty()) {
+      context_.Send(contact, ClaimRetract{key, job.claim, {}, true});
+    }
+  }
+}
+
+void HomeRole::OnCentreClaimAnswer(const CentreClaimAnswer& answer) {
+  Job* job = Find(answer.key);
+  if (job == nullptr || job->phase != JobPhase::kClaiming) {
+    return;
+  }
+  if (!answer.home.empty()) {
+    YieldClaim(answer.key, answer.home);
+    return;
   }
+  job->cleared.insert(answer.data_centre);
+  FinishClaim(*job);
 }
 
 void HomeRole::OnClaimAnswer(const HostName& from, const ClaimAnswer& answer) {
@@ -113,14 +182,26 @@
   FinishClaim(*job);
 }
 
-// A claim holds when every live host gave its word under the same view, and every worker is under somebody's lease:
-// then each earlier run is either in an answer or can never start any more.
-void HomeRole::FinishClaim(Job& job) {
+// A claim holds when every live host gave its word under the same view, every worker is under somebody's lease, and
+// the same is true in every other data centre that the request may have come through: then each earlier run is either
+// in an answer or can never start any more.
+bool HomeRole::ClaimIsWhole(const Job& job) const {
   const auto has_word = [&](const HostName& host) {
     const auto answer = job.claim_answers.find(host);
     return answer != job.claim_answers.end() && answer->second.view == context_.view && answer->second.covered;
   };
   if (!std::all_of(context_.live.begin(), context_.live.end(), has_word)) {
+    return false;
+  }
+  const std::vector<DataCentre> others = digests_.OtherCentres();
+  const bool all_cleared = digests_.KnowsCentres() &&
+                           std::all_of(others.begin(), others.end(),
+                                       [&](const DataCentre& centre) { return job.cleared.contains(centre); });
+  return all_cleared || !MayBeKnownAbroad(job.request);
+}
+
+void HomeRole::FinishClaim(Job& job) {
+  if (!ClaimIsWhole(job)) {
     return;
   }
   bool adopted = false;
@@ -146,7 +227,8 @@
   for (const Waiter& waiter : job->second.waiters) {
     context_.Send(waiter.host, ForwardMoved{waiter.forward_id, to});
   }
-  claims_.Put(key, to);
+  RetractClaim(job->second);
+  claims_.Put(key, to, 0);
   jobs_.erase(job);
 }
 
@@ -182,9 +264,16 @@
 
 void HomeRole::OnDeadline(Job& job) {
   if (job.phase == JobPhase::kClaiming) {
+    RetractClaim(job);
+  }
+  if (job.phase == JobPhase::kClaiming && job.spec.may_run_twice) {
     Refuse(job, ResultCode::kRepeatUnverified);
     return;
   }
+  if (job.phase == JobPhase::kClaiming) {
+    End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
+    return;
+  }
   const auto started = [](const Member& member) {
     return member.phase == MemberPhase::kCommitted || member.phase == MemberPhase::kRunning ||
            member.phase == MemberPhase::kEnded;
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -13,6 +13,7 @@
 
 #include "core/claim_table.h"
 #include "core/context.h"
+#include "core/digest_role.h"
 #include "core/membership.h"
 
 namespace hibiscus {
@@ -64,13 +65,16 @@
   Answer answer;                                  // Once ended.
   std::vector<Member> members;                    // Tasks, or the one call.
   std::map<HostName, ClaimAnswer> claim_answers;  // While claiming.
+  std::set<DataCentre> cleared;                   // While claiming: the other data centres that gave their word.
+  uint64_t claim = 0;  // Drawn for the claim.
+  size_t claim_rounds = 0;
   TimePoint next_claim{};
   int runs = 0;  // Tries begun.
 };
 
 class HomeRole {
  public:
-  HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims);
+  HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims, const DigestRole& digests);
 
   void OnForward(const HostName& from, const ForwardRequest& forward);
   void OnQuery(const HostName& from, const ForwardQuery& query);
@@ -79,6 +83,7 @@
   void OnReport(const HostName& from, const RunReport& report);
   void OnCallResult(const HostName& from, const CallResult& result);
   void OnClaimAnswer(const HostName& from, const ClaimAnswer& answer);
+  void OnCentreClaimAnswer(const CentreClaimAnswer& answer);
   void OnTick();
 
   // Has this host the request, in any phase but claiming?
@@ -93,8 +98,12 @@
  private:
   // Admission and endings: home_role.cc.
   void Accept(const HostName& from, const ForwardRequest& forward);
+  bool PassOn(const HostName& from, const ForwardRequest& forward);
   void StartClaim(Job& job);
+  void RetractClaim(const Job& job);
   void FinishClaim(Job& job);
+  void AskCentre(const Job& job, const DataCentre& centre);
+  bool ClaimIsWhole(const Job& job) const;
   void Begin(Job& job);
   void End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after = 0us);
   void Refuse(Job& job, ResultCode code);
@@ -132,6 +141,7 @@
   CoreContext& context_;
   Membership& membership_;
   ClaimTable& claims_;
+  const DigestRole& digests_;
   std::map<RequestKey, Job> jobs_;
 };
 
--- a/src/core/host_core.cc
+++ b/src/core/host_core.cc
@@ -23,7 +23,9 @@
       claims_(context_),
       config_(context_),
       entry_(context_),
-      home_(context_, membership_, claims_),
+      digests_(context_, membership_),
+      centre_claims_(context_, claims_),
+      home_(context_, membership_, claims_, digests_),
       workers_(context_, claims_),
       servers_(context_),
       last_event_(clock.Now()) {}
@@ -35,6 +37,7 @@
                  [&](const LeaveEvent&) { context_.leaving = true; },
                  [&](const ListEvent& list) {
                    membership_.OnList(list.entries);
+                   digests_.OnList(list.entries);
                    workers_.OnList(list.entries);
                    servers_.OnList(list.entries);
                  },
@@ -67,6 +70,7 @@
   context_.Log("core", fmt::format("paused for {} ms; every lease counts as lost", Millis(gap)));
   context_.recovering_until = now + context_.settings.recover;
   membership_.OnPause();
+  digests_.OnPause();
   workers_.OnPause();
 }
 
@@ -88,8 +92,12 @@
                  [&](const CallDispatch& m) { servers_.OnDispatch(from, m); },
                  [&](const CallResult& m) { home_.OnCallResult(from, m); },
                  [&](const Claim& m) { OnClaim(from, m); },
-                 [&](const ClaimAnswer& m) { home_.OnClaimAnswer(from, m); },
+                 [&](const ClaimAnswer& m) { OnClaimAnswer(from, m); },
                  [&](const ConfigPush& m) { config_.OnPush(m); },
+                 [&](const Digest& m) { digests_.OnDigest(from, m); },
+                 [&](const CentreClaim& m) { centre_claims_.OnAsk(from, m); },
+                 [&](const CentreClaimAnswer& m) { home_.OnCentreClaimAnswer(m); },
+                 [&](const ClaimRetract& m) { centre_claims_.OnRetract(from, m); },
              },
              message);
 }
@@ -102,26 +110,37 @@
 // Two hosts that claim the same request: the smaller name goes on, the other yields.
 void HostCore::OnClaim(const HostName& from, const Claim& claim) {
   const HostName& self = context_.settings.name;
-  ClaimAnswer answer{claim.key, context_.view, workers_.Covered(), false, {}};
-  if (from != self && home_.IsClaiming(claim.key)) {
-    if (self < from) {
+  const HostName& claimant = claim.home.empty() ? from : claim.home;
+  ClaimAnswer answer{claim.key, context_.view, workers_.Covered(), false, {}, claim.home};
+  if (claimant != self && home_.IsClaiming(claim.key)) {
+    if (self < claimant) {
       answer.known_elsewhere = true;
     } else {
-      home_.YieldClaim(claim.key, from);
+      home_.YieldClaim(claim.key, claimant);
     }
   }
-  if (from != self && home_.Knows(claim.key)) {
+  if (claimant != self && home_.Knows(claim.key)) {
     answer.known_elsewhere = true;
   }
   if (!answer.known_elsewhere) {
-    claims_.Put(claim.key, from);
+    claims_.Put(claim.key, claimant, claim.claim);
     answer.runs = workers_.RunsOf(claim.key);
   }
   context_.Send(from, answer);
 }
 
+void HostCore::OnClaimAnswer(const HostName& from, const ClaimAnswer& answer) {
+  if (answer.home.empty()) {
+    home_.OnClaimAnswer(from, answer);
+  } else {
+    centre_claims_.OnAnswer(from, answer);
+  }
+}
+
 void HostCore::Tick() {
   membership_.OnTick();
+  digests_.OnTick();
+  centre_claims_.OnTick();
   claims_.OnTick();
   config_.OnTick();
   entry_.OnTick();
--- a/src/core/host_core.h
+++ b/src/core/host_core.h
@@ -8,9 +8,11 @@
 
 #include <vector>
 
+#include "core/centre_claims.h"
 #include "core/claim_table.h"
 #include "core/config_role.h"
 #include "core/context.h"
+#include "core/digest_role.h"
 #include "core/entry_role.h"
 #include "core/home_role.h"
 #include "core/membership.h"
@@ -30,6 +32,7 @@
 
   const Configuration& configuration() const { return context_.configuration; }
   const std::vector<HostName>& live() const { return context_.live; }
+  const std::vector<HostName>& remote() const { return context_.remote; }
   size_t leases() const { return workers_.leases(); }
   size_t active_requests() const { return home_.active(); }
 
@@ -38,6 +41,7 @@
   void Dispatch(const HostName& from, const PeerMessage& message);
   void OnHeartbeat(const HostName& from, const Heartbeat& heartbeat);
   void OnClaim(const HostName& from, const Claim& claim);
+  void OnClaimAnswer(const HostName& from, const ClaimAnswer& answer);
   void Tick();
   void ExitIfDone();
 
@@ -46,6 +50,8 @@
   ClaimTable claims_;
   ConfigRole config_;
   EntryRole entry_;
+  DigestRole digests_;
+  CentreClaims centre_claims_;
   HomeRole home_;
   WorkerRole workers_;
   ServerRole servers_;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -78,7 +78,8 @@
   heartbeat.leaving = context_.leaving;
   heartbeat.config_version = context_.configuration.version;
   for (const ListEntry& entry : context_.list) {
-    const bool peer = entry.kind == ListKind::kEntryHost && entry.name != context_.settings.name;
+    const bool peer = entry.kind == ListKind::kEntryHost && entry.name != context_.settings.name &&
+                      entry.data_centre == context_.settings.data_centre;
     if (peer) {
       context_.Send(entry.name, heartbeat);
     }
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -347,7 +347,9 @@
 // Who answers "unknown to me" refuses every other home host from then on.
 struct Claim {
   RequestKey key;
-  uint64_t view = 0;  // Digest of the sender's live hosts.
+  uint64_t view = 0;   // Digest of the sender's live hosts.
+  uint64_t claim = 0;  // Drawn at random for each claim; all of its rounds carry the same.
+  HostName home;       // Who claims, if that is a host of another data centre; empty: the sender.
 
   friend bool operator==(const Claim&, const Claim&) = default;
 };
@@ -358,6 +360,7 @@
   bool covered = false;          // True: every worker that falls to the answerer is under its lease.
   bool known_elsewhere = false;  // True: another home host has it.
   std::vector<RunReport> runs;   // Runs of this request on the answerer's workers.
+  HostName home;                 // As the claim named it.
 
   friend bool operator==(const ClaimAnswer&, const ClaimAnswer&) = default;
 };
@@ -369,6 +372,55 @@
   friend bool operator==(const ConfigPush&, const ConfigPush&) = default;
 };
 
+// One host in the digest of its data centre.
+struct DigestHost {
+  HostName name;
+  int free_slots = 0;  // Backend server slots, less the calls that wait; rounded.
+
+  friend bool operator==(const DigestHost&, const DigestHost&) = default;
+};
+
+// What a data centre tells another one: sent by one of its hosts to one host there, on change and as a keepalive. The
+// receiver passes it on inside its own data centre.
+struct Digest {
+  DataCentre data_centre;
+  bool relayed = false;              // Passed on inside the receiver's data centre.
+  bool wants_configuration = false;  // True: the receiver should send the configuration that it knows.
+  uint64_t config_version = 0;
+  Resources free;     // Sum over the data centre's workers, rounded.
+  Resources largest;  // The most that one worker has free, rounded.
+  std::vector<DigestHost> hosts;  // The live ones.
+
+  friend bool operator==(const Digest&, const Digest&) = default;
+};
+
+// Home host to one host of another data centre: I want to run this request; claim it for me in your data centre.
+// Answered only when all live hosts there gave their word.
+struct CentreClaim {
+  RequestKey key;
+  uint64_t claim = 0;
+
+  friend bool operator==(const CentreClaim&, const CentreClaim&) = default;
+};
+
+struct CentreClaimAnswer {
+  RequestKey key;
+  DataCentre data_centre;  // That of the answerer.
+  HostName home;           // Who has the request there; empty: nobody, and nobody will take it but the claimant.
+
+  friend bool operator==(const CentreClaimAnswer&, const CentreClaimAnswer&) = default;
+};
+
+// A home host gave up its claim before it held: whoever was fenced by it no longer is.
+struct ClaimRetract {
+  RequestKey key;
+  uint64_t claim = 0;
+  HostName home;        // Whose claim; empty: the sender's.
+  bool spread = false;  // True: the receiver passes it on inside its data centre.
+
+  friend bool operator==(const ClaimRetract&, const ClaimRetract&) = default;
+};
+
 using PeerMessage = std::variant<Heartbeat,
                                  ForwardRequest,
                                  ForwardAnswer,
@@ -386,7 +438,11 @@
                                  CallResult,
                                  Claim,
                                  ClaimAnswer,
-                                 ConfigPush>;
+                                 ConfigPush,
+                                 Digest,
+                                 CentreClaim,
+                                 CentreClaimAnswer,
+                                 ClaimRetract>;
 
 // ---------------------------------------------------------------------------------------------------------------------
 // 7. Callers and operators
--- a/src/ports/json_codec.h
+++ b/src/ports/json_codec.h
@@ -70,9 +70,21 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReportAck, run, worker)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallDispatch, run, class_name, payload, start_within, finish_within)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallResult, run, code, verdict, body, retry_after)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Claim, key, view)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClaimAnswer, key, view, covered, known_elsewhere, runs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Claim, key, view, claim, home)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClaimAnswer, key, view, covered, known_elsewhere, runs, home)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigPush, configuration)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(DigestHost, name, free_slots)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Digest,
+                                                data_centre,
+                                                relayed,
+                                                wants_configuration,
+                                                config_version,
+                                                free,
+                                                largest,
+                                                hosts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CentreClaim, key, claim)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CentreClaimAnswer, key, data_centre, home)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClaimRetract, key, claim, home, spread)
 
 // A value as text, and back. Unreadable text is an error in one sentence.
 template <class Value>
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -11,7 +11,7 @@
       Heartbeat{"dc", 5, true, 6, Resources{1, 2, 3}, Resources{4, 5, 6}, -7},
       Reserve{run, "class", WorkKind::kGang, Resources{1, 2, 3}, 5s, 6s, false},
       RunReport{run, "worker", 9, RunPhase::kDone, std::string("\0body", 5)},
-      ClaimAnswer{run.task.key, 8, true, false, {RunReport{run, "worker", 9, RunPhase::kStarted, {}}}},
+      ClaimAnswer{run.task.key, 8, true, false, {RunReport{run, "worker", 9, RunPhase::kStarted, {}}}, {}},
   };
   for (const PeerMessage& message : messages) {
     const auto read = DecodePeerMessage(EncodePeerMessage(message));
