--- a/src/core/centre_claims.h
+++ b/src/core/centre_claims.h
@@ -15,7 +15,7 @@
  public:
   CentreClaims(CoreContext& context, ClaimTable& claims) : context_(context), claims_(claims) {}
 
-  void OnAsk(const HostName& from, const CentreClaim& ask);
+  void OnAsk(const HostName& from, const CentreClaim& claim);
   void OnAnswer(const HostName& from, const ClaimAnswer& answer);
   void OnRetract(const HostName& from, const ClaimRetract& retract);
   void OnTick();
--- a/src/core/digest_role.cc
+++ b/src/core/digest_role.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr Duration kAskGrace = 1s;      // The store's watch usually brings a new configuration sooner.
-constexpr int kSignificantBits = 3;     // Of the amounts in a digest, so that small changes send nothing.
+constexpr Duration kAskGrace = 1s;       // The store's watch usually brings a new configuration sooner.
+constexpr int kSignificantBits = 3;      // Of the amounts in a digest, so that small changes send nothing.
 constexpr size_t kRoundsPerContact = 2;  // Tries of one contact before the next one is tried.
 
 // Rounds towards zero.
--- a/src/core/digest_role.h
+++ b/src/core/digest_role.h
@@ -27,18 +27,18 @@
   // Every other data centre of the list, and those heard lately that the list lacks.
   std::vector<DataCentre> OtherCentres() const;
   // A host of another data centre to speak to; a greater round names another one, as far as there are several.
-  HostName ContactOf(const DataCentre& centre, size_t round) const;
+  HostName ContactOf(const DataCentre& name, size_t round) const;
   // The last digest of a data centre that is reachable; null if there is none.
-  const Digest* DigestOf(const DataCentre& centre) const;
+  const Digest* DigestOf(const DataCentre& name) const;
 
  private:
   struct Centre {
     std::vector<HostName> listed;  // Its hosts by the list.
     bool heard_once = false;
-    Digest digest;       // Their last word.
-    TimePoint heard{};   // When it arrived here.
-    Digest sent;         // Our last word to them.
-    HostName sent_to;    // Empty: none was sent.
+    Digest digest;      // Their last word.
+    TimePoint heard{};  // When it arrived here.
+    Digest sent;        // Our last word to them.
+    HostName sent_to;   // Empty: none was sent.
     TimePoint sent_at{};
   };
 
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -28,6 +28,11 @@
 
 void HomeRole::OnForward(const HostName& from, const ForwardRequest& forward) {
   Job* job = Find(forward.request.key);
+  if (job == nullptr && context_.IsRecovering()) {
+    const Answer answer{forward.request.key, ResultCode::kHostRecovering, Verdict::kNotRun, {}, kComeBack};
+    context_.Send(from, ForwardAnswer{forward.forward_id, answer});
+    return;
+  }
   if (job == nullptr) {
     Accept(from, forward);
     return;
@@ -91,6 +96,7 @@
   job.members.resize(static_cast<size_t>(request.members));
 
   const bool first = request.attempt == 1 && !forward.resubmit;
+  job.surely_first = first;
   const bool idempotent_call = spec->kind == WorkKind::kCall && spec->may_run_twice;
   const bool fenced = !claims_.Allows(request.key, context_.settings.name);
   if (!fenced && (first || idempotent_call)) {
@@ -184,7 +190,8 @@
 
 // A claim holds when every live host gave its word under the same view, every worker is under somebody's lease, and
 // the same is true in every other data centre that the request may have come through: then each earlier run is either
-// in an answer or can never start any more.
+// in an answer or can never start any more. Where a run stands in an answer the other data centres need not be asked:
+// a claim made there before would have kept it from starting, and one made later finds it.
 bool HomeRole::ClaimIsWhole(const Job& job) const {
   const auto has_word = [&](const HostName& host) {
     const auto answer = job.claim_answers.find(host);
@@ -193,11 +200,13 @@
   if (!std::all_of(context_.live.begin(), context_.live.end(), has_word)) {
     return false;
   }
+  const bool runs_here = std::any_of(job.claim_answers.begin(), job.claim_answers.end(),
+                                     [](const auto& entry) { return !entry.second.runs.empty(); });
   const std::vector<DataCentre> others = digests_.OtherCentres();
-  const bool all_cleared = digests_.KnowsCentres() &&
-                           std::all_of(others.begin(), others.end(),
-                                       [&](const DataCentre& centre) { return job.cleared.contains(centre); });
-  return all_cleared || !MayBeKnownAbroad(job.request);
+  const bool all_cleared =
+      digests_.KnowsCentres() &&
+      std::all_of(others.begin(), others.end(), [&](const DataCentre& centre) { return job.cleared.contains(centre); });
+  return runs_here || all_cleared || !MayBeKnownAbroad(job.request);
 }
 
 void HomeRole::FinishClaim(Job& job) {
@@ -205,6 +214,11 @@
     return;
   }
   bool adopted = false;
+  for (Member& member : job.members) {
+    if (member.phase != MemberPhase::kEnded) {
+      Enter(member, MemberPhase::kIdle, context_.Now());
+    }
+  }
   const std::map<HostName, ClaimAnswer> answers = std::move(job.claim_answers);
   job.phase = JobPhase::kActive;
   for (const auto& [host, answer] : answers) {
@@ -215,7 +229,7 @@
   }
   if (adopted) {
     FinishIfAllEnded(job);
-  } else if (job.spec.may_run_twice) {
+  } else if (job.spec.may_run_twice || (job.surely_first && !job.committed)) {
     Begin(job);
   } else {
     End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
@@ -266,7 +280,8 @@
   if (job.phase == JobPhase::kClaiming) {
     RetractClaim(job);
   }
-  if (job.phase == JobPhase::kClaiming && job.spec.may_run_twice) {
+  const bool refusable = job.spec.may_run_twice || job.surely_first;
+  if (job.phase == JobPhase::kClaiming && !job.committed && refusable) {
     Refuse(job, ResultCode::kRepeatUnverified);
     return;
   }
@@ -286,22 +301,35 @@
   End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
 }
 
+void HomeRole::OnPause() {
+  for (auto& [key, job] : jobs_) {
+    if (job.phase == JobPhase::kActive && job.spec.kind != WorkKind::kCall) {
+      job.request.attempt = 0;  // A repeat may have come through another data centre meanwhile.
+      job.cleared.clear();
+      job.claim = context_.RandomNumber();
+      StartClaim(job);
+    }
+  }
+}
+
 void HomeRole::OnTick() {
   for (auto& [key, job] : jobs_) {
     if (job.phase != JobPhase::kEnded) {
       TickJob(job);
     }
+    TickStops(job);
   }
   std::erase_if(jobs_, [&](const auto& entry) {
     const Job& job = entry.second;
     const bool refused = job.answer.verdict == Verdict::kNotRun;  // A repeat may try afresh.
     const Duration keep = refused ? 0us : context_.settings.remember;
-    return job.phase == JobPhase::kEnded && context_.Now() - job.ended >= keep;
+    return job.phase == JobPhase::kEnded && job.stops.empty() && context_.Now() - job.ended >= keep;
   });
 }
 
 void HomeRole::TickJob(Job& job) {
-  const TimePoint deadline = job.phase == JobPhase::kClaiming ? job.start_by : job.finish_by;
+  const bool unstarted_claim = job.phase == JobPhase::kClaiming && !job.committed;
+  const TimePoint deadline = unstarted_claim ? job.start_by : job.finish_by;
   if (context_.Now() >= deadline) {
     OnDeadline(job);
   } else if (job.phase == JobPhase::kClaiming) {
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -101,8 +101,10 @@
 struct WorkerCall {
   WorkerOp op = WorkerOp::kAcquire;
   HostName holder;
-  uint64_t token = 0;       // Fencing token; 0 asks for a new lease.
-  Duration ttl = 0us;       // Length of the control lease.
+  uint64_t token = 0;  // Fencing token; 0 asks for a new lease.
+  Duration ttl = 0us;  // Length of the control lease.
+  Duration run_ttl =
+      0us;  // Renewal and start: runs end this long after the last one. A new lease alone does not renew them.
   Duration wait = 0us;      // Acquire: answer only after this long, or when a run ends.
   std::vector<RunId> acks;  // Acquire: ended runs that the worker may forget.
   WorkerTask task;          // Start and stop.
@@ -302,6 +304,7 @@
   kDone,
   kFailed,
   kStopped,  // Surely ended, without an answer.
+  kGone,     // Surely does not run now; it may have run, on a worker that has lost its memory since.
 };
 
 // Owner to home host. Ends are repeated until acknowledged.
@@ -387,8 +390,8 @@
   bool relayed = false;              // Passed on inside the receiver's data centre.
   bool wants_configuration = false;  // True: the receiver should send the configuration that it knows.
   uint64_t config_version = 0;
-  Resources free;     // Sum over the data centre's workers, rounded.
-  Resources largest;  // The most that one worker has free, rounded.
+  Resources free;                 // Sum over the data centre's workers, rounded.
+  Resources largest;              // The most that one worker has free, rounded.
   std::vector<DigestHost> hosts;  // The live ones.
 
   friend bool operator==(const Digest&, const Digest&) = default;
--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -92,11 +92,18 @@
 
 void WorkerRole::OnCommit(const HostName& from, const Commit& commit) {
   const auto found = workers_.find(commit.worker);
-  if (found == workers_.end() || !HasLease(found->second)) {
+  if (found == workers_.end()) {
     return;  // Not ours to say; the home host asks again.
   }
+  if (!HasLease(found->second)) {
+    ReportUnlisted(found->second, from, commit);
+    return;
+  }
   OwnedWorker& worker = found->second;
   if (const auto run = worker.runs.find(commit.run); run != worker.runs.end()) {
+    if (!claims_.Allows(commit.run.task.key, from)) {
+      return;  // Another home host has taken the request over.
+    }
     run->second.task.home = from;
     if (run->second.phase != OwnedRun::Phase::kStarting) {
       Report(worker, run->second);
@@ -109,7 +116,15 @@
     return;
   }
   OnReleaseHold(ReleaseHold{commit.run});
-  context_.Send(from, RunReport{commit.run, commit.worker, worker.token, RunPhase::kNotStarted, {}});
+  const RunPhase phase = worker.token == commit.token ? RunPhase::kNotStarted : RunPhase::kGone;
+  context_.Send(from, RunReport{commit.run, commit.worker, worker.token, phase, {}});
+}
+
+// The platform has taken the worker away for longer than any run could last there without a renewal.
+void WorkerRole::ReportUnlisted(const OwnedWorker& worker, const HostName& home, const Commit& commit) {
+  if (IsLongUnlisted(worker)) {
+    ReportTo(home, RunReport{commit.run, commit.worker, worker.token, RunPhase::kGone, {}});
+  }
 }
 
 void WorkerRole::Start(OwnedWorker& worker, const HostName& home, const Commit& commit) {
@@ -122,10 +137,12 @@
   WorkerCall request;
   request.op = WorkerOp::kStart;
   request.holder = context_.settings.name;
+  request.run_ttl = context_.settings.run_lease;
   request.token = worker.token;
   request.task = run.task;
   request.run_time = commit.run_time;
   request.payload = commit.payload;
+  worker.last_renewal = context_.Now();
   Call(worker, request, context_.settings.worker_timeout);
 }
 
@@ -171,7 +188,12 @@
     return;
   }
   const auto run = worker->second.runs.find(stop.run);
-  if (run == worker->second.runs.end() || run->second.phase == OwnedRun::Phase::kEnded) {
+  if (run == worker->second.runs.end()) {
+    context_.Send(from, RunReport{stop.run, stop.worker, worker->second.token, RunPhase::kStopped, {}});
+    return;
+  }
+  if (run->second.phase == OwnedRun::Phase::kEnded) {
+    Report(worker->second, run->second);
     return;
   }
   WorkerCall request;
--- a/tests/reach_net.cc
+++ b/tests/reach_net.cc
@@ -3,8 +3,8 @@
 namespace hibiscus {
 
 namespace {
-constexpr Duration kInside = 500us;   // One way, inside a data centre.
-constexpr Duration kBetween = 12ms;   // One way, between data centres.
+constexpr Duration kInside = 500us;  // One way, inside a data centre.
+constexpr Duration kBetween = 12ms;  // One way, between data centres.
 constexpr Duration kStoreWay = 2ms;
 }  // namespace
 
--- a/tests/reach_net.h
+++ b/tests/reach_net.h
@@ -1,5 +1,5 @@
-// Several data centres of real cores in virtual time, with a relay between them whose links can be cut. One store, which
-// a data centre can be cut off from; workers and backend servers are the common fakes.
+// Several data centres of real cores in virtual time, with a relay between them whose links can be cut. One store,
+// which a data centre can be cut off from; workers and backend servers are the common fakes.
 #ifndef HIBISCUSSTAND_TESTS_REACH_NET_H_
 #define HIBISCUSSTAND_TESTS_REACH_NET_H_
 
@@ -49,9 +49,9 @@
 
   const HostCore& host(const HostName& name) const { return *hosts_.at(name).core; }
   const RunLog& log() const { return log_; }
-  std::map<std::pair<DataCentre, DataCentre>, LinkCount> links;        // Between data centres, by sender and receiver.
-  std::map<std::pair<DataCentre, size_t>, LinkCount> kinds;            // Of those, by sender and number of the kind.
-  LinkCount inside;                                                    // Inside all data centres together.
+  std::map<std::pair<DataCentre, DataCentre>, LinkCount> links;  // Between data centres, by sender and receiver.
+  std::map<std::pair<DataCentre, size_t>, LinkCount> kinds;      // Of those, by sender and number of the kind.
+  LinkCount inside;                                              // Inside all data centres together.
   SizeOf size_of;
 
  private:
--- a/tests/reach_test.cc
+++ b/tests/reach_test.cc
@@ -135,7 +135,8 @@
   net.Run(1s);
   const ExchangeId repeat = net.Submit(entry, Task("job", class_name, 2));
   const ExchangeId unmarked = net.Submit("c1", Task("job", class_name, 0));
-  REQUIRE(net.RunUntil([&] { return HasAnswer(net, first) && HasAnswer(net, repeat) && HasAnswer(net, unmarked); }, 30s));
+  REQUIRE(
+      net.RunUntil([&] { return HasAnswer(net, first) && HasAnswer(net, repeat) && HasAnswer(net, unmarked); }, 30s));
   for (const ExchangeId exchange : {first, repeat, unmarked}) {
     REQUIRE(net.AnswerTo(exchange)->code == ResultCode::kOk);
     REQUIRE(net.AnswerTo(exchange)->body == ExpectedBody(TaskId{{"tenant", "job"}, 0}));
@@ -161,7 +162,8 @@
     net.Run(Duration(i * 700));
   }
   const auto all = [&] {
-    return std::all_of(exchanges.begin(), exchanges.end(), [&](ExchangeId exchange) { return HasAnswer(net, exchange); });
+    return std::all_of(exchanges.begin(), exchanges.end(),
+                       [&](ExchangeId exchange) { return HasAnswer(net, exchange); });
   };
   REQUIRE(net.RunUntil(all, 60s));
   REQUIRE(net.log().broken().empty());
@@ -205,6 +207,7 @@
   net.Run(1s);
   net.Kill("a1");
   std::vector<ExchangeId> repeats;
+  repeats.reserve(8);
   for (int i = 0; i < 8; ++i) {
     repeats.push_back(net.Submit("b1", Task("job" + std::to_string(i), "batch", 2)));
   }
