--- a/tests/failure_test.cc
+++ b/tests/failure_test.cc
@@ -161,7 +161,7 @@
       host.Do(WorkerEvent{call.call, Delivery::kAnswered, WorkerReply{WorkerStatus::kOk, 5, {}, false, {}}});
     }
   }
-  host.Do(PeerEvent{"a3", Claim{kRun.task.key, 0}});
+  host.Do(PeerEvent{"a3", Claim{kRun.task.key, 0, 0, {}}});
   const auto claimed = host.TakeSent<ClaimAnswer>();
   REQUIRE(claimed.size() == 1);
   REQUIRE(claimed[0].second.runs.size() == 1);
