--- a/src/core/host_core.h
+++ b/src/core/host_core.h
@@ -35,6 +35,8 @@
   const std::vector<HostName>& remote() const { return context_.remote; }
   size_t leases() const { return workers_.leases(); }
   size_t active_requests() const { return home_.active(); }
+  size_t queued_tasks() const { return workers_.queued(); }
+  size_t queued_calls() const { return servers_.queued(); }
 
  private:
   void NoticePause();
@@ -43,6 +45,7 @@
   void OnClaim(const HostName& from, const Claim& claim);
   void OnClaimAnswer(const HostName& from, const ClaimAnswer& answer);
   void Tick();
+  void BeginLeave();
   void ExitIfDone();
 
   CoreContext context_;
@@ -56,6 +59,7 @@
   WorkerRole workers_;
   ServerRole servers_;
   TimePoint last_event_;
+  TimePoint leave_by_{};  // While leaving: the planned stop ends by then.
   bool exited_ = false;
 };
 
