--- a/src/ports/peer_codec.cc
+++ b/src/ports/peer_codec.cc
@@ -1,7 +1,9 @@
 #include "ports/peer_codec.h"
 
+#include <type_traits>
 #include <utility>
 
+#include "ports/field_names.h"
 #include "ports/json_codec.h"
 
 namespace hibiscus {
@@ -22,10 +24,40 @@
   return message;
 }
 
+constexpr int kMostDepth = 16;  // The library's reader recurses; messages are far flatter.
+
+// Reads nothing and gives up on what is nested too deeply.
+class DepthCheck final : public nlohmann::json_sax<Json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool /*value*/) override { return true; }
+  bool number_integer(number_integer_t /*value*/) override { return true; }
+  bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
+  bool number_float(number_float_t /*value*/, const string_t& /*text*/) override { return true; }
+  bool string(string_t& /*value*/) override { return true; }
+  bool binary(binary_t& /*value*/) override { return true; }
+  bool start_object(size_t /*elements*/) override { return ++depth_ <= kMostDepth; }
+  bool key(string_t& /*value*/) override { return true; }
+  bool end_object() override { return --depth_ >= 0; }
+  bool start_array(size_t /*elements*/) override { return ++depth_ <= kMostDepth; }
+  bool end_array() override { return --depth_ >= 0; }
+  bool parse_error(size_t /*place*/, const std::string& /*token*/, const Json::exception& /*error*/) override {
+    return false;
+  }
+
+ private:
+  int depth_ = 0;
+};
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
-  const Json fields = std::visit([](const auto& value) { return Json(value); }, message);
+  const Json fields = std::visit(
+      [](const auto& value) {
+        static const Json kPlain(std::decay_t<decltype(value)>{});
+        return ShortenFields(Json(value), kPlain);
+      },
+      message);
   std::string bytes;
   Json::to_cbor(Json::array({message.index(), fields}), bytes);
   return bytes;
@@ -34,12 +66,16 @@
 tl::expected<PeerMessage, std::string> DecodePeerMessage(const std::string& bytes) {
   constexpr size_t kCount = std::variant_size_v<PeerMessage>;
   try {
+    DepthCheck check;
+    if (!Json::sax_parse(bytes, &check, Json::input_format_t::cbor)) {
+      return tl::unexpected(std::string("no message"));
+    }
     const Json json = Json::from_cbor(bytes);
     const auto number = json.at(0).get<size_t>();
     if (number >= kCount) {
       return tl::unexpected(std::string("unknown message number"));
     }
-    return FromNumber(number, json.at(1), std::make_index_sequence<kCount>());
+    return FromNumber(number, ExpandFields(json.at(1)), std::make_index_sequence<kCount>());
   } catch (const std::exception& error) {
     return tl::unexpected(std::string(error.what()));
   }
--- a/src/ports/peer_codec.h
+++ b/src/ports/peer_codec.h
@@ -1,4 +1,5 @@
-// The bytes of a peer message: a CBOR array of the message's number and its fields.
+// The bytes of a peer message: a CBOR array of the message's number and its fields, under short names and without those
+// that have their default.
 #ifndef HIBISCUSSTAND_SRC_PORTS_PEER_CODEC_H_
 #define HIBISCUSSTAND_SRC_PORTS_PEER_CODEC_H_
 
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -1,3 +1,5 @@
+#include <random>
+
 #include <catch2/catch.hpp>
 
 #include "ports/caller_api.h"
@@ -11,6 +13,9 @@
       Heartbeat{"dc", 5, true, 6, Resources{1, 2, 3}, Resources{4, 5, 6}, -7},
       Reserve{run, "class", WorkKind::kGang, Resources{1, 2, 3}, 5s, 6s, false},
       RunReport{run, "worker", 9, RunPhase::kDone, std::string("\0body", 5)},
+      Digest{"dc", true, true, 7, Resources{1, 2, 3}, {}, {{"h1", 3}, {"h2", -4}}},
+      CentreClaimAnswer{run.task.key, "dc", "h1"},
+      ClaimRetract{run.task.key, 7, "h1", true},
       ClaimAnswer{run.task.key, 8, true, false, {RunReport{run, "worker", 9, RunPhase::kStarted, {}}}, {}},
   };
   for (const PeerMessage& message : messages) {
@@ -21,6 +26,29 @@
   REQUIRE_FALSE(DecodePeerMessage("no cbor"));
 }
 
+TEST_CASE("what was left at its default takes no bytes, and names are short") {
+  REQUIRE(EncodePeerMessage(Heartbeat{}).size() <= 4);
+  const Digest digest{"dc", false, false, 7, Resources{1, 2, 3}, Resources{4, 5, 6}, {{"h1", 3}, {"h2", 0}}};
+  REQUIRE(EncodePeerMessage(digest).size() < 80);
+}
+
+TEST_CASE("bytes that no peer wrote are refused and never crash") {
+  REQUIRE_FALSE(DecodePeerMessage(std::string(1'000'000, '\x81')));  // Arrays in arrays.
+  std::mt19937_64 random(1);
+  const std::string whole = EncodePeerMessage(Digest{"dc", false, false, 7, {}, {}, {{"h1", 3}, {"h2", 0}}});
+  for (int i = 0; i < 20'000; ++i) {
+    std::string bytes = i % 2 == 0 ? whole : std::string(random() % 40, '\0');
+    for (size_t change = 0; change < 1 + random() % 40; ++change) {
+      if (!bytes.empty()) {
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+      }
+    }
+    if (const auto read = DecodePeerMessage(bytes); read) {
+      REQUIRE(DecodePeerMessage(EncodePeerMessage(*read)) == *read);
+    }
+  }
+}
+
 TEST_CASE("a submit is read as it was written, and bad ones say what is wrong") {
   Request request;
   request.key = {"abay", "17"};
--- a/tests/reach_test.cc
+++ b/tests/reach_test.cc
@@ -12,6 +12,7 @@
 const Resources kWorkerSize{8000, 8000, 0};
 constexpr size_t kHeartbeatKind = 0;
 constexpr size_t kDigestKind = 18;
+constexpr size_t kCentreClaimKind = 19;
 
 ClassSpec Class(const std::string& name, WorkKind kind, bool may_run_twice) {
   return ClassSpec{name, kind, 5s, 60s, may_run_twice};
@@ -134,6 +135,7 @@
   const ExchangeId first = net.Submit("a1", Task("job", class_name, 1));
   net.Run(1s);
   const ExchangeId repeat = net.Submit(entry, Task("job", class_name, 2));
+  net.kinds.clear();
   const ExchangeId unmarked = net.Submit("c1", Task("job", class_name, 0));
   REQUIRE(
       net.RunUntil([&] { return HasAnswer(net, first) && HasAnswer(net, repeat) && HasAnswer(net, unmarked); }, 30s));
@@ -141,6 +143,7 @@
     REQUIRE(net.AnswerTo(exchange)->code == ResultCode::kOk);
     REQUIRE(net.AnswerTo(exchange)->body == ExpectedBody(TaskId{{"tenant", "job"}, 0}));
   }
+  REQUIRE(net.kinds[{"c", kCentreClaimKind}].messages == 2);  // It asked once, then stayed where it was sent.
   const ExchangeId late = net.Submit(entry, Task("job", class_name, 3));
   REQUIRE(net.RunUntil([&] { return HasAnswer(net, late); }, 5s));
   REQUIRE(net.AnswerTo(late)->body == ExpectedBody(TaskId{{"tenant", "job"}, 0}));
