--- a/src/core/centre_claims.cc
+++ b/src/core/centre_claims.cc
@@ -10,7 +10,7 @@
 
 void CentreClaims::OnAsk(const HostName& from, const CentreClaim& claim) {
   asks_[AskId{claim.key, from}] = Ask{{}, context_.Now() + kAskKept};
-  for (const HostName& host : context_.live) {
+  for (const HostName& host : context_.reachable) {
     context_.Send(host, Claim{claim.key, context_.view, claim.claim, from});
   }
 }
@@ -47,7 +47,7 @@
     return;
   }
   asks_.erase(AskId{retract.key, home});
-  for (const HostName& host : context_.live) {
+  for (const HostName& host : context_.reachable) {
     context_.Send(host, ClaimRetract{retract.key, retract.claim, home, false});
   }
 }
@@ -57,7 +57,7 @@
 }
 
 bool CentreClaims::IsWhole(const Ask& ask) const {
-  return std::all_of(context_.live.begin(), context_.live.end(), [&](const HostName& host) {
+  return std::all_of(context_.reachable.begin(), context_.reachable.end(), [&](const HostName& host) {
     const auto answer = ask.answers.find(host);
     return answer != ask.answers.end() && answer->second.view == context_.view && answer->second.covered;
   });
--- a/src/core/entry_role.h
+++ b/src/core/entry_role.h
@@ -33,8 +33,9 @@
     Request request;  // Submit.
     RequestKey key;
     HostName home;
-    TimePoint give_up;        // The caller is answered by then in any case.
-    TimePoint trust_until{};  // Another host named this home; our own view may lag until then.
+    TimePoint give_up;         // The caller is answered by then in any case.
+    bool resubmitted = false;  // An earlier home host may have acted on it, or may still.
+    TimePoint trust_until{};   // Another host named this home; our own view may lag until then.
   };
 
   ResultCode Check(const Request& request) const;
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -126,7 +126,7 @@
   job.claim_answers.clear();
   job.next_claim = context_.Now() + kClaimRetry;
   claims_.Put(job.request.key, context_.settings.name, job.claim);
-  for (const HostName& host : context_.live) {
+  for (const HostName& host : context_.reachable) {
     context_.Send(host, Claim{job.request.key, context_.view, job.claim, {}});
   }
   if (MayBeKnownAbroad(job.request)) {
@@ -149,7 +149,7 @@
 // The claim was never whole, so nothing rests on it: what it fenced is set free.
 void HomeRole::RetractClaim(const Job& job) {
   const RequestKey& key = job.request.key;
-  for (const HostName& host : context_.live) {
+  for (const HostName& host : context_.reachable) {
     context_.Send(host, ClaimRetract{key, job.claim, {}, false});
   }
   if (!MayBeKnownAbroad(job.request)) {
@@ -188,8 +188,8 @@
   FinishClaim(*job);
 }
 
-// A claim holds when every live host gave its word under the same view, every worker is under somebody's lease, and
-// the same is true in every other data centre that the request may have come through: then each earlier run is either
+// A claim holds when every reachable host, those that leave among them, gave its word under the same view, every
+// worker is under somebody's lease, and the same is true in every other data centre that the request may have come through: then each earlier run is either
 // in an answer or can never start any more. Where a run stands in an answer the other data centres need not be asked:
 // a claim made there before would have kept it from starting, and one made later finds it.
 bool HomeRole::ClaimIsWhole(const Job& job) const {
@@ -197,7 +197,7 @@
     const auto answer = job.claim_answers.find(host);
     return answer != job.claim_answers.end() && answer->second.view == context_.view && answer->second.covered;
   };
-  if (!std::all_of(context_.live.begin(), context_.live.end(), has_word)) {
+  if (!std::all_of(context_.reachable.begin(), context_.reachable.end(), has_word)) {
     return false;
   }
   const bool runs_here = std::any_of(job.claim_answers.begin(), job.claim_answers.end(),
@@ -219,6 +219,7 @@
       Enter(member, MemberPhase::kIdle, context_.Now());
     }
   }
+  job.in_doubt = job.in_doubt || job.committed;
   const std::map<HostName, ClaimAnswer> answers = std::move(job.claim_answers);
   job.phase = JobPhase::kActive;
   for (const auto& [host, answer] : answers) {
@@ -227,11 +228,15 @@
       AdoptRun(job, run);
     }
   }
-  if (adopted) {
+  const bool may_start_rest = job.spec.may_run_twice || (job.surely_first && !job.committed);
+  const bool whole = std::none_of(job.members.begin(), job.members.end(),
+                                  [](const Member& member) { return member.phase == MemberPhase::kIdle; });
+  if (adopted && (whole || may_start_rest)) {
     FinishIfAllEnded(job);
-  } else if (job.spec.may_run_twice || (job.surely_first && !job.committed)) {
+  } else if (may_start_rest) {
     Begin(job);
   } else {
+    StopMembers(job);
     End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
   }
 }
@@ -279,7 +284,13 @@
                        job.request.key.ToString(), "Only what never started may be refused as not run.");
   }
   ReleaseMembers(job);
-  End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? kComeBack : 0us);
+  if (job.in_doubt) {
+    End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
+  } else if (job.ran) {
+    End(job, ResultCode::kTaskFailed, Verdict::kFailed, {});
+  } else {
+    End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? kComeBack : 0us);
+  }
 }
 
 void HomeRole::OnDeadline(Job& job) {
