--- a/src/core/context.h
+++ b/src/core/context.h
@@ -10,6 +10,7 @@
 
 #include "core/messages.h"
 #include "hibiscusstand/clock.h"
+#include "hibiscusstand/policy.h"
 
 namespace hibiscus {
 
@@ -38,6 +39,7 @@
   Duration digest_every = 1s;        // To other data centres, if the digest changed.
   Duration digest_keepalive = 3s;    // To other data centres, if it did not.
   Duration digest_stale = 8s;        // A data centre this silent is not reachable.
+  Policy policy;                     // Strategies; only benches and tests change them.
 };
 
 // Stops the process when an invariant is broken, in every build. `hint` says how to mend the call or what to report.
