--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -80,6 +80,8 @@
   TimePoint wake = TimePoint::max();  // Its place among the timers; max: none.
 };
 
+struct RequestExplanation;
+
 class HomeRole {
  public:
   HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims, const DigestRole& digests);
@@ -105,6 +107,7 @@
   void YieldClaim(const RequestKey& key, const HostName& to);
 
   size_t active() const { return active_; }
+  RequestExplanation Explain(const RequestKey& key) const;  // In explain.cc.
 
  private:
   // Admission and endings: home_role.cc.
