--- a/src/core/entry_role.cc
+++ b/src/core/entry_role.cc
@@ -10,6 +10,7 @@
 constexpr Duration kAnswerGrace = 500ms;  // The home host answers by the finish target; this is for the way back.
 constexpr Duration kQueryTimeout = 2s;    // Queries and cancellations without an answer.
 constexpr Duration kFirstQuestion = 1s;   // A home host that has not answered by then is asked; then at doubled distances.
+constexpr Duration kTrustMoved = 2s;      // A home that another host named is taken as reachable for so long.
 constexpr Duration kComeBack = 1s;        // Retry-After of refusals that name no better time.
 
 }  // namespace
@@ -73,6 +74,11 @@
     return;
   }
   exchange->second.home = moved.home;
+  const bool abroad = !context_.IsLive(moved.home);
+  if (abroad) {
+    exchange->second.trust_until = context_.Now() + kTrustMoved;
+    exchange->second.request.attempt = 0;  // From here on another data centre may know of it.
+  }
   exchange->second.resubmitted = true;
   if (!context_.IsReachable(moved.home)) {
     seen_reachable_.clear();  // The next tick looks at every home again.
@@ -92,12 +98,17 @@
 
 // What was forwarded to a host that is silent now goes to the next one.
 void EntryRole::FollowHomes() {
-  if (context_.live.empty() || seen_reachable_ == context_.reachable) {
+  const bool same = seen_reachable_ == context_.reachable && seen_remote_ == context_.remote;
+  if (context_.live.empty() || same) {
     return;
   }
   seen_reachable_ = context_.reachable;
+  seen_remote_ = context_.remote;
   for (auto& [forward_id, exchange] : open_) {
-    if (!context_.IsReachable(exchange.home)) {
+    const bool lost = !context_.IsReachable(exchange.home);
+    if (lost && context_.Now() < exchange.trust_until) {
+      seen_reachable_.clear();  // Looked at again at the next tick.
+    } else if (lost) {
       exchange.home = context_.HomeOf(exchange.key);
       exchange.resubmitted = true;
       Forward(forward_id, exchange, true);
--- a/src/core/entry_role.h
+++ b/src/core/entry_role.h
@@ -40,6 +40,7 @@
     bool resubmitted = false;  // An earlier home host may have acted on it, or may still.
     TimePoint next_ask{};      // Submit: when the home host is asked what became of it.
     Duration ask_after = 0us;  // Until the next question; doubles.
+    TimePoint trust_until{};   // Another host named this home; our own view may lag until then.
   };
 
   ResultCode Check(const Request& request) const;
@@ -58,6 +59,7 @@
   std::set<std::pair<TimePoint, uint64_t>> deadlines_;  // Of all that are open.
   std::set<std::pair<TimePoint, uint64_t>> questions_;  // When which home host is asked next.
   std::vector<HostName> seen_reachable_;                // Of the last tick.
+  std::vector<HostName> seen_remote_;
 };
 
 }  // namespace hibiscus
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -14,6 +14,7 @@
 
 #include "core/claim_table.h"
 #include "core/context.h"
+#include "core/digest_role.h"
 #include "core/membership.h"
 
 namespace hibiscus {
@@ -65,6 +66,9 @@
   Answer answer;                                  // Once ended.
   std::vector<Member> members;                    // Tasks, or the one call.
   std::map<HostName, ClaimAnswer> claim_answers;  // While claiming.
+  std::set<DataCentre> cleared;                   // While claiming: the other data centres that gave their word.
+  uint64_t claim = 0;                             // Drawn for the claim.
+  size_t claim_rounds = 0;
   TimePoint next_claim{};
   int runs = 0;                // Tries begun.
   bool surely_first = false;   // No earlier attempt can exist.
@@ -80,7 +84,7 @@
 
 class HomeRole {
  public:
-  HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims);
+  HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims, const DigestRole& digests);
 
   void OnForward(const HostName& from, const ForwardRequest& forward);
   void OnQuery(const HostName& from, const ForwardQuery& query);
@@ -89,6 +93,7 @@
   void OnReport(const HostName& from, const RunReport& report);
   void OnCallResult(const HostName& from, const CallResult& result);
   void OnClaimAnswer(const HostName& from, const ClaimAnswer& answer);
+  void OnCentreClaimAnswer(const CentreClaimAnswer& answer);
   void OnTick();
 
   // After a pause other hosts may have taken requests over: asks before anything else is done with them.
@@ -107,8 +112,12 @@
  private:
   // Admission and endings: home_role.cc.
   void Accept(const HostName& from, const ForwardRequest& forward);
+  bool PassOn(const HostName& from, const ForwardRequest& forward);
   void StartClaim(Job& job);
+  void RetractClaim(const Job& job);
   void FinishClaim(Job& job);
+  void AskCentre(const Job& job, const DataCentre& centre);
+  bool ClaimIsWhole(const Job& job) const;
   void Begin(Job& job);
   void End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after = 0us);
   void Refuse(Job& job, ResultCode code);
@@ -156,6 +165,7 @@
   CoreContext& context_;
   Membership& membership_;
   ClaimTable& claims_;
+  const DigestRole& digests_;
   std::map<RequestKey, Job> jobs_;
   size_t active_ = 0;                                  // Jobs that have not ended.
   std::set<std::pair<TimePoint, RequestKey>> timers_;  // When a job next needs a look, if no event comes before.
--- a/standins/load_main.cc
+++ b/standins/load_main.cc
@@ -268,8 +268,8 @@
     const int bad = tally.Count(Outcome::kFailed) + tally.Count(Outcome::kUnknown);
     good = good && wrong == 0 && (!FLAGS_strict || bad == 0);
     fmt::print("{:<16}{:>7}{:>9}{:>8}{:>9}{:>7}{:>9}{:>12}{:>12}\n", name, tally.Count(Outcome::kWhole),
-               tally.Count(Outcome::kRefused), tally.Count(Outcome::kFailed), tally.Count(Outcome::kUnknown), wrong, tally.repeats,
-               Millis(Quantile(tally.whole_after, 0.5)), Millis(Quantile(tally.whole_after, 0.99)));
+               tally.Count(Outcome::kRefused), tally.Count(Outcome::kFailed), tally.Count(Outcome::kUnknown), wrong,
+               tally.repeats, Millis(Quantile(tally.whole_after, 0.5)), Millis(Quantile(tally.whole_after, 0.99)));
     for (const auto& [code, ends] : tally.codes) {
       if (code != "ok") {
         fmt::print("    {} {}\n", ends, code);
