A job that can never run is refused at once, also where a host owns no worker

Cause: in the rolling and pause tests the load ended 50 to 70 s after its last arrival. A host to which no worker falls queued them until the start target, so the home host answered no_capacity after 5 s, and the caller came back 11 times.

--- a/src/core/worker_queue.cc
+++ b/src/core/worker_queue.cc
@@ -26,7 +26,7 @@
   };
   if (!claims_.Allows(reserve.run.task.key, from)) {
     refuse(ResultCode::kRepeatUnverified, kComeBack);
-  } else if (rooms_.NeverFits(reserve.size)) {
+  } else if (NeverFits(reserve.size)) {
     refuse(ResultCode::kNeverFits, 0us);
   } else if (OwnedWorker* worker = FindRoom(reserve); worker != nullptr) {
     HoldRoom(*worker, from, reserve);
@@ -37,6 +37,12 @@
   }
 }
 
+// A host to which no worker falls speaks for none: it must not keep the home host from refusing at once.
+bool WorkerRole::NeverFits(const Resources& size) const {
+  const bool owns_none = rooms_.capacity() == Resources{} && !workers_.empty() && Covered();
+  return owns_none || rooms_.NeverFits(size);
+}
+
 // Refuses at once what would not start in time.
 void WorkerRole::Enqueue(const HostName& home, const Reserve& reserve) {
   const TimePoint now = context_.Now();
--- a/src/core/worker_role.h
+++ b/src/core/worker_role.h
@@ -123,6 +123,7 @@
 
   // Room and the queue for it: worker_queue.cc.
   void PlaceQueued();
+  bool NeverFits(const Resources& size) const;
   void Enqueue(const HostName& home, const Reserve& reserve);
   void Dequeued(const QueuedReserve& queued);
   void AnswerExpired();
--- a/standins/load_main.cc
+++ b/standins/load_main.cc
@@ -1,8 +1,7 @@
 // hibiscus_load: plays the callers of one customer's day against running hosts, and checks every answer: whole, of the
 // right request, and one. A refusal or a lost answer is repeated through another host of the same data centre. As
-// docs/API.md asks of callers, the attempt number rises when an earlier try may have run, and stays after a refusal as not
-// run. Exits non-zero
-// if any caller had a wrong answer or none.
+// docs/API.md asks of callers, the attempt number rises when an earlier try may have run, and stays after a refusal as
+// not run. Exits non-zero if any caller had a wrong answer or none.
 #include <algorithm>
 #include <condition_variable>
 #include <fstream>
@@ -268,8 +267,8 @@
     const int bad = tally.Count(Outcome::kFailed) + tally.Count(Outcome::kUnknown);
     good = good && wrong == 0 && (!FLAGS_strict || bad == 0);
     fmt::print("{:<16}{:>7}{:>9}{:>8}{:>9}{:>7}{:>9}{:>12}{:>12}\n", name, tally.Count(Outcome::kWhole),
-               tally.Count(Outcome::kRefused), tally.Count(Outcome::kFailed), tally.Count(Outcome::kUnknown), wrong, tally.repeats,
-               Millis(Quantile(tally.whole_after, 0.5)), Millis(Quantile(tally.whole_after, 0.99)));
+               tally.Count(Outcome::kRefused), tally.Count(Outcome::kFailed), tally.Count(Outcome::kUnknown), wrong,
+               tally.repeats, Millis(Quantile(tally.whole_after, 0.5)), Millis(Quantile(tally.whole_after, 0.99)));
     for (const auto& [code, ends] : tally.codes) {
       if (code != "ok") {
         fmt::print("    {} {}\n", ends, code);
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -40,11 +40,13 @@
   CHECK(questions[0].second == ForwardQuery{forward_id, request.key});
 
   SECTION("the home host works on it: the caller goes on waiting") {
-    host.Do(PeerEvent{"b", ForwardAnswer{forward_id, Answer{request.key, ResultCode::kAccepted, Verdict::kUnknown, {}, 1s}}});
+    host.Do(PeerEvent{
+        "b", ForwardAnswer{forward_id, Answer{request.key, ResultCode::kAccepted, Verdict::kUnknown, {}, 1s}}});
     CHECK(host.Take<AnswerCaller>().empty());
   }
   SECTION("the home host has no such request: it gets it as one that may have been acted on") {
-    host.Do(PeerEvent{"b", ForwardAnswer{forward_id, Answer{request.key, ResultCode::kNotFound, Verdict::kUnknown, {}, 0us}}});
+    host.Do(PeerEvent{
+        "b", ForwardAnswer{forward_id, Answer{request.key, ResultCode::kNotFound, Verdict::kUnknown, {}, 0us}}});
     const auto again = host.TakeSent<ForwardRequest>();
     REQUIRE(again.size() == 1);
     CHECK(again[0].second.resubmit);
