--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -41,7 +41,8 @@
     return;
   }
   OnReleaseHold(ReleaseHold{commit.run});
-  // Under another token, or where another home host took the request over and may have acknowledged its end, it may have run.
+  // Under another token, or where another home host took the request over and may have acknowledged its end, it may
+  // have run.
   const bool surely_not = worker.token == commit.token && claims_.Allows(commit.run.task.key, from);
   const RunPhase phase = surely_not ? RunPhase::kNotStarted : RunPhase::kGone;
   context_.Send(from, RunReport{commit.run, commit.worker, worker.token, phase, {}});
--- a/tests/fenced_commit_test.cc
+++ b/tests/fenced_commit_test.cc
@@ -1,5 +1,5 @@
-// The owner's answer to a home host whose request another home host has taken over: it may have run and be forgotten here, so
-// it must not be called "not started".
+// The owner's answer to a home host whose request another home host has taken over: it may have run and be forgotten
+// here, so it must not be called "not started".
 #include <catch2/catch.hpp>
 
 #include "core/explain.h"
