--- a/standins/load_main.cc
+++ b/standins/load_main.cc
@@ -1,8 +1,7 @@
 // hibiscus_load: plays the callers of one customer's day against running hosts, and checks every answer: whole, of the
 // right request, and one. A refusal or a lost answer is repeated through another host of the same data centre. As
-// docs/API.md asks of callers, the attempt number rises when an earlier try may have run, and stays after a refusal as not
-// run. Exits non-zero
-// if any caller had a wrong answer or none.
+// docs/API.md asks of callers, the attempt number rises when an earlier try may have run, and stays after a refusal as
+// not run. Exits non-zero if any caller had a wrong answer or none.
 #include <algorithm>
 #include <condition_variable>
 #include <fstream>
