--- a/src/ports/json_codec.h
+++ b/src/ports/json_codec.h
@@ -71,7 +71,15 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardMoved, forward_id, home)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardCancel, forward_id, key)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardQuery, forward_id, key)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Reserve, run, class_name, kind, size, run_time, start_within, queue, members)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Reserve,
+                                                run,
+                                                class_name,
+                                                kind,
+                                                size,
+                                                run_time,
+                                                start_within,
+                                                queue,
+                                                members)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Reserved, run, code, worker, token, retry_after)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Commit, run, worker, token, class_name, size, run_time, payload)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReleaseHold, run)
