--- a/src/core/worker_queue.cc
+++ b/src/core/worker_queue.cc
@@ -255,6 +255,10 @@
     }
   }
   for (const RunId& run : expired) {
+    context_.Pass(Step::kHoldLapsed);
+    const TimePoint forget_at = context_.Now() + context_.settings.remember;
+    worker.lapsed_holds[run] = forget_at;
+    worker.next_look = std::min(worker.next_look, forget_at);
     DropHold(worker, run);
   }
 }
--- a/tests/failure_test.cc
+++ b/tests/failure_test.cc
@@ -33,15 +33,21 @@
 
 }  // namespace
 
-TEST_CASE("an absent run is 'not started' under the same token, and only 'gone' under a newer one") {
+TEST_CASE("only a run whose hold lapsed under the same token is 'not started'; any other absent run is 'gone'") {
   OneHost host("a1");
   LeaseWorker(host, 5);
+  REQUIRE(host.core.leases() == 1);
   const auto ask = [&](uint64_t token) {
     host.Do(PeerEvent{"a2", Commit{kRun, "w1", token, "once-task", Resources{1, 1, 0}, 1s, {}}});
     const auto reports = host.TakeSent<RunReport>();
     REQUIRE(reports.size() == 1);
     return reports[0].second.phase;
   };
+  REQUIRE(ask(5) == RunPhase::kGone);
+  host.Do(PeerEvent{"a2", Reserve{kRun, "once-task", WorkKind::kBatch, Resources{1, 1, 0}, 1s, 1s, false}});
+  host.Pass(2500ms);
+  REQUIRE(host.core.leases() == 1);
+  host.Take<SendPeer>();
   REQUIRE(ask(5) == RunPhase::kNotStarted);
   REQUIRE(ask(4) == RunPhase::kGone);
 }
