--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -203,7 +203,7 @@
   for (const RunId& run : old) {
     Forget(worker, run);
   }
-  std::erase_if(worker.lapsed_holds, [&](const auto& lapsed) { return context_.Now() >= lapsed.second; });
+  std::erase_if(worker.lapsed_holds, [&](const auto& hold) { return context_.Now() >= hold.second; });
 }
 
 }  // namespace hibiscus
