--- a/tests/chaos_main.cc
+++ b/tests/chaos_main.cc
@@ -56,7 +56,8 @@
   if (FLAGS_matrix) {
     fmt::print("{}", sum.matrix.ToMarkdown(first, last));
   }
-  fmt::print(stderr, "seeds {}..{}: {} failed; {} events, {} requests, {} starts; answers: {} done, {} not run, {} unknown\n",
+  fmt::print(stderr,
+             "seeds {}..{}: {} failed; {} events, {} requests, {} starts; answers: {} done, {} not run, {} unknown\n",
              first, last, failed, sum.events, sum.requests, sum.starts, sum.done, sum.not_run, sum.unknown);
   return failed == 0 ? 0 : 1;
 }
--- a/tests/chaos_matrix.cc
+++ b/tests/chaos_matrix.cc
@@ -59,8 +59,20 @@
       empty += row[step] == 0 ? 1 : 0;
     }
   }
-  page += fmt::format("\n\n{} of {} cells are not covered.\n", empty, kFaultCount * kStepCount);
-  return page;
+  page += fmt::format("\n\n{} of {} cells are not covered", empty, kFaultCount * kStepCount);
+  return page + (empty == 0 ? ".\n" : ":\n" + Uncovered());
+}
+
+std::string FaultMatrix::Uncovered() const {
+  std::string lines;
+  for (size_t fault = 0; fault < kFaultCount; ++fault) {
+    for (size_t step = 0; step < kStepCount; ++step) {
+      if (hits[fault][step] == 0) {
+        lines += fmt::format("\n- {} at {}", kNames[fault], kStepNames[step]);
+      }
+    }
+  }
+  return lines + "\n";
 }
 
 void MatrixRecorder::OnStep(TimePoint now, const DataCentre& where, Step step) {
--- a/tests/chaos_matrix.h
+++ b/tests/chaos_matrix.h
@@ -47,6 +47,8 @@
   void Add(const FaultMatrix& other);
   // The page docs/FAULT-MATRIX.md.
   std::string ToMarkdown(uint64_t first_seed, uint64_t last_seed) const;
+  // The empty cells, one line each.
+  std::string Uncovered() const;
 };
 
 // Fills a matrix during one seed.
