--- a/src/core/worker_role.h
+++ b/src/core/worker_role.h
@@ -55,6 +55,7 @@
   bool releasing = false;
   Ledger ledger;
   std::map<RunId, Hold> holds;
+  std::map<RunId, TimePoint> lapsed_holds;  // Never committed under this lease, and until when that is remembered.
   std::map<RunId, OwnedRun> runs;
   std::vector<RunId> acks;  // Ended runs that the worker may forget.
 };
