--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -18,7 +18,9 @@
 #include "ports/caller_api.h"
 #include "ports/http_client.h"
 
-DEFINE_string(server, "127.0.0.1:8080", "ip:port of a host; may be repeated, or several separated by commas; tried in turn");
+DEFINE_string(server,
+              "127.0.0.1:8080",
+              "ip:port of a host; may be repeated, or several separated by commas; tried in turn");
 DEFINE_string(tenant, "default", "submit: tenant");
 DEFINE_string(id, "", "submit: request id; drawn at random if empty");
 DEFINE_string(class_name, "", "submit: class of work");
@@ -201,8 +203,9 @@
   Json best;
   for (const std::string& server : Servers()) {
     const Json view = ObjectOf(AskOne(server, "GET", path));
-    const bool better = !view.is_null() && (best.is_null() || (view.value("known", false) && !best.value("known", false)) ||
-                                            (view.value(best_field, false) && !best.value(best_field, false)));
+    const bool better =
+        !view.is_null() && (best.is_null() || (view.value("known", false) && !best.value("known", false)) ||
+                            (view.value(best_field, false) && !best.value(best_field, false)));
     best = better ? view : best;
   }
   if (best.is_null()) {
--- a/src/ports/explain_api.cc
+++ b/src/ports/explain_api.cc
@@ -33,8 +33,9 @@
     case MemberPhase::kHeld:
       return fmt::format("has room on {} and waits for the other members of its gang", member.worker);
     case MemberPhase::kCommitted:
-      return member.worker.empty() ? fmt::format("is with {}, which waits for a backend server", member.owner)
-                                   : fmt::format("was ordered to start on {}; the report is not here yet", member.worker);
+      return member.worker.empty()
+                 ? fmt::format("is with {}, which waits for a backend server", member.owner)
+                 : fmt::format("was ordered to start on {}; the report is not here yet", member.worker);
     case MemberPhase::kRunning:
       return fmt::format("runs on {}, owned by {}", member.worker, member.owner);
     case MemberPhase::kEnded:
@@ -75,8 +76,8 @@
 }  // namespace
 
 std::string RenderExplanation(const RequestExplanation& view) {
-  Json json{{"tenant", view.key.tenant}, {"id", view.key.id},     {"host", view.host},
-            {"home", view.home},         {"known", view.known},   {"why", Why(view)}};
+  Json json{{"tenant", view.key.tenant}, {"id", view.key.id},   {"host", view.host},
+            {"home", view.home},         {"known", view.known}, {"why", Why(view)}};
   if (view.known) {
     json["accepted_ms_ago"] = Millis(view.accepted_ago);
     json["start_target_left_ms"] = Millis(view.start_left);
