--- a/src/core/context.h
+++ b/src/core/context.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/messages.h"
+#include "core/steps.h"
 #include "hibiscusstand/clock.h"
 #include "hibiscusstand/policy.h"
 
@@ -61,6 +62,12 @@
 
   // Sends to a host; a message to this host itself is handled before Handle returns.
   void Send(const HostName& to, PeerMessage message);
+  // Reports a step to the observer, if there is one.
+  void Pass(Step step) {
+    if (step_observer != nullptr) {
+      step_observer->OnStep(step);
+    }
+  }
   void Act(Action action) { actions.push_back(std::move(action)); }
   void Log(const char* part, std::string text) { Act(LogLine{part, std::move(text)}); }
 
@@ -72,6 +79,7 @@
   bool IsRemote(const HostName& host) const;     // By the digests a live host of another data centre.
   bool IsRecovering() const { return Now() < recovering_until; }
 
+  StepObserver* step_observer = nullptr;
   const HostSettings settings;
   const Clock& clock;
   std::mt19937_64 random;
--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -41,7 +41,9 @@
     return;
   }
   OnReleaseHold(ReleaseHold{commit.run});
-  const RunPhase phase = worker.token == commit.token ? RunPhase::kNotStarted : RunPhase::kGone;
+  // Absence alone proves nothing: the run may have started, ended and been acknowledged by another home host.
+  const bool lapsed = worker.token == commit.token && worker.lapsed_holds.contains(commit.run);
+  const RunPhase phase = held || lapsed ? RunPhase::kNotStarted : RunPhase::kGone;
   context_.Send(from, RunReport{commit.run, commit.worker, worker.token, phase, {}});
 }
 
@@ -53,6 +55,7 @@
 }
 
 void WorkerRole::Start(OwnedWorker& worker, const HostName& home, const Commit& commit) {
+  context_.Pass(Step::kStartSent);
   worker.holds.erase(commit.run);
   held_by_.erase(commit.run);
   OwnedRun& run = worker.runs[commit.run];
@@ -90,6 +93,7 @@
   if (event.reply.status == WorkerStatus::kOk) {
     found->second.phase = OwnedRun::Phase::kRunning;
     found->second.started = context_.Now();
+    context_.Pass(Step::kStartKnown);
     Report(worker, found->second);
     return;
   }
@@ -123,6 +127,7 @@
   }
   WorkerCall request;
   request.op = WorkerOp::kStop;
+  context_.Pass(Step::kStopSent);
   request.holder = context_.settings.name;
   request.token = worker->second.token;
   request.task = run->second.task;
@@ -144,6 +149,7 @@
     return;
   }
   owned.phase = OwnedRun::Phase::kEnded;
+  context_.Pass(Step::kRunEnded);
   owned.end = end;
   owned.forget_at = context_.Now() + context_.settings.remember;
   if (end == RunPhase::kDone && owned.started != TimePoint{}) {
@@ -181,6 +187,7 @@
 }
 
 void WorkerRole::Forget(OwnedWorker& worker, const RunId& run) {
+  context_.Pass(Step::kEndAcknowledged);
   worker.acks.push_back(run);
   worker.runs.erase(run);
 }
@@ -196,6 +203,7 @@
   for (const RunId& run : old) {
     Forget(worker, run);
   }
+  std::erase_if(worker.lapsed_holds, [&](const auto& hold) { return context_.Now() >= hold.second; });
 }
 
 }  // namespace hibiscus
--- a/tests/chaos_world.cc
+++ b/tests/chaos_world.cc
@@ -156,6 +156,7 @@
   settings.data_centre = node.data_centre;
   node.clock.Set(Now() + node.clock_offset);
   node.core = std::make_unique<HostCore>(settings, node.clock, random_());
+  node.core->set_step_observer(node.observer);
   ++node.generation;
   node.up = true;
   node.paused = false;
@@ -222,6 +223,7 @@
                  [&](const SendStore& send) { CarryStore(node, send); },
                  [&](const AnswerCaller& answer) { listener_->OnAnswer(node, answer); },
                  [&](const AnswerOperator& answer) { listener_->OnOperatorAnswer(node, answer); },
+                 [](const Observed&) {},
                  [&](const LogLine& line) { Trace("{} [{}] {}", node.name, line.part, line.text); },
                  [&](const Exit&) {
                    Trace("{} exits", node.name);
@@ -229,7 +231,6 @@
                    ++node.generation;
                    listener_->OnExit(node);
                  },
-                 [](const Observed&) {},
              },
              action);
 }
