--- a/tests/chaos_faults.cc
+++ b/tests/chaos_faults.cc
@@ -10,9 +10,9 @@
 constexpr Duration kFaultsUntil = 11s;  // No fault begins later.
 constexpr Duration kLongestFault = 7s;  // Longer than every control lease.
 constexpr Duration kLongFault = 14s;    // In some seeds: longer than every run lease too.
-constexpr Duration kUntilProbe = 9s;    // Between the end of the last fault and the probes.
-constexpr Duration kUntilRest = 9s;     // Between the probes and the last check.
-constexpr Duration kLongestStop = 10s;  // A planned stop is over by then.
+constexpr Duration kUntilProbe = 13s;   // Between the end of the last fault and the probes.
+constexpr Duration kUntilRest = 11s;    // Between the probes and the last check.
+constexpr Duration kLongestStop = 14s;  // A planned stop is over by then.
 constexpr Duration kListLag = 2s;
 constexpr Duration kLeavingServes = 5s;  // Then a leaving backend server is gone.
 
--- a/tests/chaos_world.cc
+++ b/tests/chaos_world.cc
@@ -32,7 +32,7 @@
   configuration.change_id = "first";
   configuration.classes = {
       ClassSpec{"quick", WorkKind::kCall, 800ms, 2s, true}, ClassSpec{"order", WorkKind::kCall, 800ms, 2s, false},
-      ClassSpec{"batch", WorkKind::kBatch, 2s, 6s, true},   ClassSpec{"once", WorkKind::kBatch, 2s, 6s, false},
+      ClassSpec{"batch", WorkKind::kBatch, 6s, 10s, true},  ClassSpec{"once", WorkKind::kBatch, 6s, 10s, false},
       ClassSpec{"gang", WorkKind::kGang, 2s, 7s, true},     ClassSpec{"crew", WorkKind::kGang, 2s, 7s, false},
   };
   return configuration;
