--- a/src/ports/json_codec.h
+++ b/src/ports/json_codec.h
@@ -71,7 +71,15 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardMoved, forward_id, home)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardCancel, forward_id, key)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardQuery, forward_id, key)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Reserve, run, class_name, kind, size, run_time, start_within, queue)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Reserve,
+                                                run,
+                                                class_name,
+                                                kind,
+                                                size,
+                                                run_time,
+                                                start_within,
+                                                queue,
+                                                members)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Reserved, run, code, worker, token, retry_after)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Commit, run, worker, token, class_name, size, run_time, payload)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReleaseHold, run)
@@ -80,9 +88,21 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReportAck, run, worker)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallDispatch, run, class_name, payload, start_within, finish_within)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallResult, run, code, verdict, body, retry_after)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Claim, key, view)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClaimAnswer, key, view, covered, known_elsewhere, runs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Claim, key, view, claim, home)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClaimAnswer, key, view, covered, known_elsewhere, runs, home)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigPush, configuration)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(DigestHost, name, free_slots)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Digest,
+                                                data_centre,
+                                                relayed,
+                                                wants_configuration,
+                                                config_version,
+                                                free,
+                                                largest,
+                                                hosts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CentreClaim, key, claim)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CentreClaimAnswer, key, data_centre, home)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClaimRetract, key, claim, home, spread)
 
 // A value as text, and back. Unreadable text is an error in one sentence.
 template <class Value>
--- a/tests/failure_test.cc
+++ b/tests/failure_test.cc
@@ -110,7 +110,7 @@
   host.Pass(1s, {"a2"});
   const auto claims = host.TakeSent<Claim>();
   REQUIRE_FALSE(claims.empty());
-  host.Do(PeerEvent{"a2", ClaimAnswer{kRun.task.key, 0, true, true, {}}});
+  host.Do(PeerEvent{"a2", ClaimAnswer{kRun.task.key, 0, true, true, {}, {}}});
   const auto moved = host.TakeSent<ForwardMoved>();
   REQUIRE(moved.size() == 1);
   REQUIRE(moved[0].second.home == "a2");
@@ -167,7 +167,7 @@
       host.Do(WorkerEvent{call.call, Delivery::kAnswered, WorkerReply{WorkerStatus::kOk, 5, {}, false, {}}});
     }
   }
-  host.Do(PeerEvent{"a3", Claim{kRun.task.key, 0}});
+  host.Do(PeerEvent{"a3", Claim{kRun.task.key, 0, 0, {}}});
   const auto claimed = host.TakeSent<ClaimAnswer>();
   REQUIRE(claimed.size() == 1);
   REQUIRE(claimed[0].second.runs.size() == 1);
--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -89,7 +89,7 @@
   LeaseWorker(host, 5, {ended});
   host.Pass(2s, {"a2"});
   host.Take<SendPeer>();
-  host.Do(PeerEvent{"a2", Claim{kRun.task.key, 0}});
+  host.Do(PeerEvent{"a2", Claim{kRun.task.key, 0, 0, {}}});
   const auto answers = host.TakeSent<ClaimAnswer>();
   REQUIRE(answers.size() == 1);
   REQUIRE(answers[0].second.runs.size() == 1);
