--- a/src/core/entry_role.cc
+++ b/src/core/entry_role.cc
@@ -9,8 +9,9 @@
 
 constexpr Duration kAnswerGrace = 500ms;  // The home host answers by the finish target; this is for the way back.
 constexpr Duration kQueryTimeout = 2s;    // Queries and cancellations without an answer.
-constexpr Duration kFirstQuestion = 1s;   // A home host that has not answered by then is asked; then at doubled distances.
-constexpr Duration kComeBack = 1s;        // Retry-After of refusals that name no better time.
+constexpr Duration kFirstQuestion =
+    1s;                             // A home host that has not answered by then is asked; then at doubled distances.
+constexpr Duration kComeBack = 1s;  // Retry-After of refusals that name no better time.
 
 }  // namespace
 
