--- /dev/null
+++ b/src/core/config_changes.cc
@@ -0,0 +1,215 @@
+#include "core/config_changes.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/core.h>
+
+namespace hibiscus {
+
+namespace {
+
+constexpr int kMostTries = 5;         // Read-backs of one change.
+constexpr Duration kRetry = 300ms;    // Between them.
+
+bool Contains(const ConfigRecord& record, const Configuration& change) {
+  return std::any_of(record.changes.begin(), record.changes.end(), [&](const ConfigChange& known) {
+    return known.version == change.version && known.change_id == change.change_id;
+  });
+}
+
+}  // namespace
+
+std::string ConfigHistoryKey(uint64_t version) {
+  return fmt::format("{}/{}", kConfigKey, version);
+}
+
+void ConfigChanges::OnSet(const OperatorConfigSet& set) {
+  Change change;
+  change.exchange = set.exchange;
+  change.configuration = set.configuration;
+  change.configuration.version = set.expected_version + 1;
+  if (change.configuration.change_id.empty()) {
+    change.configuration.change_id = fmt::format("{}-{:016x}", context_.settings.name, context_.RandomNumber());
+  }
+  if (!CheckConfiguration(change.configuration).empty()) {
+    Answer(change, ResultCode::kBadRequest);
+    return;
+  }
+  Read(std::move(change), Step::kReading);
+}
+
+void ConfigChanges::OnTick() {
+  std::vector<Change> due;
+  std::erase_if(later_, [&](Change& change) {
+    const bool now = context_.Now() >= change.next_try;
+    if (now) {
+      due.push_back(std::move(change));
+    }
+    return now;
+  });
+  for (Change& change : due) {
+    Read(std::move(change), Step::kReadingBack);
+  }
+}
+
+bool ConfigChanges::OnStore(const StoreEvent& event) {
+  if (const auto history = history_calls_.extract(event.call); !history.empty()) {
+    OnHistoryReply(history.mapped(), event);
+    return true;
+  }
+  auto entry = changes_.extract(event.call);
+  if (entry.empty()) {
+    return false;
+  }
+  Change& change = entry.mapped();
+  const bool answered = event.delivery == Delivery::kAnswered;
+  if (change.step == Step::kWriting) {
+    OnWritten(std::move(change), event);
+  } else if (!answered && change.maybe_written) {
+    RetryOrGiveUp(std::move(change));
+  } else if (!answered) {
+    Answer(change, ResultCode::kStoreUnavailable);
+  } else if (change.step == Step::kKeeping) {
+    Write(std::move(change));  // A conflict means that another change kept the same version before.
+  } else {
+    OnRead(std::move(change), event.reply);
+  }
+  return true;
+}
+
+void ConfigChanges::Call(Change change, StoreCall call) {
+  const CallId id = context_.NextId();
+  changes_[id] = std::move(change);
+  context_.Act(SendStore{id, std::move(call), context_.settings.store_timeout});
+}
+
+void ConfigChanges::Read(Change change, Step step) {
+  change.step = step;
+  Call(std::move(change), StoreCall{StoreOp::kGet, kConfigKey, {}, 0, 0us});
+}
+
+void ConfigChanges::Keep(Change change) {
+  if (change.before.configuration.version == 0) {
+    Write(std::move(change));
+    return;
+  }
+  change.step = Step::kKeeping;
+  const Configuration& before = change.before.configuration;
+  StoreCall put{StoreOp::kPut, ConfigHistoryKey(before.version), EncodeConfiguration(before), 0, 0us};
+  Call(std::move(change), std::move(put));
+}
+
+void ConfigChanges::Write(Change change) {
+  change.step = Step::kWriting;
+  ConfigRecord record{change.configuration, change.before.changes};
+  record.changes.push_back(ConfigChange{change.configuration.version, change.configuration.change_id});
+  if (record.changes.size() > kMostHistory) {
+    record.changes.erase(record.changes.begin());
+  }
+  StoreCall put{StoreOp::kPut, kConfigKey, EncodeConfigRecord(record), change.revision, 0us};
+  Call(std::move(change), std::move(put));
+}
+
+void ConfigChanges::OnRead(Change change, const StoreReply& reply) {
+  const auto record = reply.status == StoreStatus::kOk ? DecodeConfigRecord(reply.value) : ConfigRecord{};
+  if (!record) {
+    context_.Log("config", fmt::format("the store's record is unreadable: {}", record.error()));
+    Answer(change, ResultCode::kStoreUnavailable);
+    return;
+  }
+  apply_(record->configuration);
+  if (Contains(*record, change.configuration)) {
+    Answer(change, ResultCode::kOk);
+  } else if (record->configuration.version + 1 != change.configuration.version) {
+    Answer(change, ResultCode::kConflict);
+  } else if (change.tries >= kMostTries) {
+    Answer(change, ResultCode::kUnknownOutcome);  // The write may still be on its way.
+  } else {
+    change.before = *record;
+    change.revision = reply.revision;
+    Keep(std::move(change));
+  }
+}
+
+void ConfigChanges::OnWritten(Change change, const StoreEvent& event) {
+  if (event.delivery == Delivery::kNotSent && !change.maybe_written) {
+    Answer(change, ResultCode::kStoreUnavailable);
+    return;
+  }
+  if (event.delivery != Delivery::kAnswered) {
+    change.maybe_written = true;
+    RetryOrGiveUp(std::move(change));
+    return;
+  }
+  if (event.reply.status != StoreStatus::kOk) {
+    ++change.tries;
+    Read(std::move(change), Step::kReadingBack);
+    return;
+  }
+  apply_(change.configuration);
+  Answer(change, ResultCode::kOk);
+  if (change.configuration.version > kMostHistory) {
+    StoreCall forget{StoreOp::kDelete, ConfigHistoryKey(change.configuration.version - kMostHistory), {}, 0, 0us};
+    context_.Act(SendStore{context_.NextId(), std::move(forget), context_.settings.store_timeout});
+  }
+}
+
+void ConfigChanges::RetryOrGiveUp(Change change) {
+  if (++change.tries > kMostTries) {
+    Answer(change, ResultCode::kUnknownOutcome);
+    return;
+  }
+  change.next_try = context_.Now() + kRetry;
+  later_.push_back(std::move(change));
+}
+
+void ConfigChanges::Answer(const Change& change, ResultCode code) {
+  context_.Act(AnswerOperator{change.exchange, code, context_.configuration});
+}
+
+// --- History ---------------------------------------------------------------------------------------------------------
+
+void ConfigChanges::OnHistory(const OperatorHistory& history) {
+  const uint64_t reference = context_.NextId();
+  const auto most = static_cast<size_t>(std::clamp(history.most, 1, kMostHistory));
+  histories_[reference] = History{history.exchange, most, true, 1, {}};
+  const CallId call = context_.NextId();
+  history_calls_[call] = reference;
+  context_.Act(SendStore{call, StoreCall{StoreOp::kGet, kConfigKey, {}, 0, 0us}, context_.settings.store_timeout});
+}
+
+void ConfigChanges::OnHistoryReply(uint64_t reference, const StoreEvent& event) {
+  History& history = histories_[reference];
+  --history.open;
+  history.complete = history.complete && event.delivery == Delivery::kAnswered;
+  const bool there = event.delivery == Delivery::kAnswered && event.reply.status == StoreStatus::kOk;
+  if (const auto version = there ? DecodeConfiguration(event.reply.value) : Configuration{}; version && there) {
+    const bool latest = history.versions.empty();
+    history.versions[version->version] = *version;
+    if (latest && history.open == 0) {
+      AskOlder(reference, history, version->version);
+    }
+  }
+  if (history.open > 0) {
+    return;
+  }
+  AnswerHistory answer{history.exchange, history.complete ? ResultCode::kOk : ResultCode::kStoreUnavailable, {}};
+  for (auto version = history.versions.rbegin(); version != history.versions.rend(); ++version) {
+    answer.versions.push_back(version->second);
+  }
+  context_.Act(std::move(answer));
+  histories_.erase(reference);
+}
+
+void ConfigChanges::AskOlder(uint64_t reference, History& history, uint64_t latest) {
+  for (uint64_t version = latest - 1; version > 0 && latest - version < history.most; --version) {
+    const CallId call = context_.NextId();
+    history_calls_[call] = reference;
+    ++history.open;
+    StoreCall get{StoreOp::kGet, ConfigHistoryKey(version), {}, 0, 0us};
+    context_.Act(SendStore{call, std::move(get), context_.settings.store_timeout});
+  }
+}
+
+}  // namespace hibiscus
--- a/src/core/config_role.cc
+++ b/src/core/config_role.cc
@@ -1,5 +1,7 @@
 #include "core/config_role.h"
 
+#include <algorithm>
+
 #include <fmt/core.h>
 
 #include "core/records.h"
@@ -7,63 +9,53 @@
 namespace hibiscus {
 
 namespace {
+
 constexpr Duration kWatchRetry = 500ms;
+constexpr Duration kBehindTooLong = 1s;  // Then any peer pushes, not only the watcher.
+
 }  // namespace
 
+ConfigRole::ConfigRole(CoreContext& context)
+    : context_(context), changes_(context, [this](const Configuration& configuration) { Apply(configuration); }) {}
+
+bool ConfigRole::IsWatcher() const {
+  return context_.OwnerOf(kConfigKey) == context_.settings.name;
+}
+
 void ConfigRole::OnTick() {
-  if (watch_ == 0 && context_.Now() >= next_watch_) {
+  if (IsWatcher() && watch_ == 0 && context_.Now() >= next_watch_) {
     Watch();
   }
+  changes_.OnTick();
 }
 
-void ConfigRole::OnSet(const OperatorConfigSet& set) {
-  PendingSet pending{set.exchange, set.configuration};
-  pending.configuration.version = set.expected_version + 1;
-  if (!CheckConfiguration(pending.configuration).empty()) {
-    AnswerSet(pending, ResultCode::kBadRequest);
-    return;
-  }
-  if (set.expected_version != context_.configuration.version) {
-    AnswerSet(pending, ResultCode::kConflict);
+// The watcher tells the others at once. Should it not, because it is cut off from the store or from them, another peer
+// does.
+void ConfigRole::OnHeartbeat(const HostName& from, const Heartbeat& heartbeat) {
+  if (heartbeat.config_version >= context_.configuration.version) {
+    behind_since_.erase(from);
     return;
   }
-  StoreCall put{StoreOp::kPut, kConfigKey, EncodeConfiguration(pending.configuration), watched_revision_, 0us};
-  const CallId call = context_.NextId();
-  writes_[call] = pending;
-  context_.Act(SendStore{call, put, context_.settings.store_timeout});
-}
-
-void ConfigRole::OnHeartbeat(const HostName& from, const Heartbeat& heartbeat) {
-  if (heartbeat.config_version < context_.configuration.version) {
+  const TimePoint since = behind_since_.try_emplace(from, context_.Now()).first->second;
+  if (IsWatcher() || context_.Now() - since >= kBehindTooLong) {
     context_.Send(from, ConfigPush{context_.configuration});
   }
 }
 
 bool ConfigRole::OnStore(const StoreEvent& event) {
-  if (event.call == watch_) {
-    watch_ = 0;
-    if (event.delivery == Delivery::kAnswered) {
-      Learn(event.reply);
-    } else {
-      next_watch_ = context_.Now() + kWatchRetry;
-    }
-    return true;
+  if (event.call == 0 || event.call != watch_) {
+    return changes_.OnStore(event);
   }
-  if (auto write = writes_.extract(event.call); !write.empty()) {
-    OnSetReply(write.mapped(), event);
+  watch_ = 0;
+  if (event.delivery != Delivery::kAnswered) {
+    next_watch_ = context_.Now() + kWatchRetry;
     return true;
   }
-  if (auto read = read_backs_.extract(event.call); !read.empty()) {
-    const bool answered = event.delivery == Delivery::kAnswered;
-    if (answered) {
-      Learn(event.reply);
-    }
-    const bool ours = context_.configuration.change_id == read.mapped().configuration.change_id;
-    const ResultCode code = !answered ? ResultCode::kUnknownOutcome : ours ? ResultCode::kOk : ResultCode::kConflict;
-    AnswerSet(read.mapped(), code);
-    return true;
+  Learn(event.reply);
+  if (IsWatcher()) {
+    Watch();
   }
-  return false;
+  return true;
 }
 
 void ConfigRole::Apply(const Configuration& configuration) {
@@ -93,29 +85,4 @@
   Apply(*configuration);
 }
 
-void ConfigRole::OnSetReply(const PendingSet& set, const StoreEvent& event) {
-  if (event.delivery == Delivery::kUnknown) {
-    const CallId call = context_.NextId();
-    read_backs_[call] = set;
-    StoreCall get{StoreOp::kGet, kConfigKey, {}, 0, 0us};
-    context_.Act(SendStore{call, get, context_.settings.store_timeout});
-    return;
-  }
-  if (event.delivery == Delivery::kNotSent) {
-    AnswerSet(set, ResultCode::kStoreUnavailable);
-    return;
-  }
-  if (event.reply.status != StoreStatus::kOk) {
-    AnswerSet(set, ResultCode::kConflict);
-    return;
-  }
-  watched_revision_ = std::max(watched_revision_, event.reply.revision);
-  Apply(set.configuration);
-  AnswerSet(set, ResultCode::kOk);
-}
-
-void ConfigRole::AnswerSet(const PendingSet& set, ResultCode code) {
-  context_.Act(AnswerOperator{set.exchange, code, context_.configuration});
-}
-
 }  // namespace hibiscus
--- a/src/core/context.h
+++ b/src/core/context.h
@@ -31,6 +31,8 @@
   Duration pause_limit = 2s;         // A longer gap between two ticks is a pause: every lease counts as lost.
   Duration recover = 1s;             // Callers are refused this long after a start or a pause.
   Duration remember = 5min;          // How long ended requests are remembered for repeats.
+  Duration log_window = 150ms;       // Records for the log that come within it share one write.
+  Duration log_horizon = 10min;      // How long intents and answers stay in the log.
 };
 
 // Stops the process when an invariant is broken, in every build. `hint` says how to mend the call or what to report.
--- /dev/null
+++ b/src/core/home_log.cc
@@ -0,0 +1,448 @@
+// The home host's dealings with the log: intents of requests that may not run twice, and deferred requests, which are
+// accepted, started and answered in the log.
+//
+// The rule that carries this file: a record that may stand in the log, or may come to stand there, is never treated as
+// absent where that could make a refusal false or let a second run begin.
+#include <algorithm>
+#include <utility>
+
+#include "core/home_role.h"
+
+namespace hibiscus {
+
+namespace {
+
+constexpr Duration kIntentPatience = 400ms;   // A marked first attempt waits no longer for its record.
+constexpr Duration kRecordPatience = 2s;      // Requests that need their record.
+constexpr Duration kLookPatience = 1s;        // A repeat that asks what the log says.
+constexpr Duration kWithdrawPatience = 30s;   // Nobody waits for a withdrawal.
+constexpr Duration kWayBack = 300ms;          // The writer answers by its patience; this is for the way back.
+constexpr Duration kResend = 500ms;           // A record without an answer.
+constexpr Duration kRetry = 1s;               // A record that must stand in the log, after a failure.
+constexpr Duration kQuestionTimeout = 5s;     // A lost question to the log.
+constexpr Duration kComeBack = 1s;            // Retry-After of a request that is in progress.
+constexpr size_t kMostKeptBytes = 256 * 1024;  // Payload or answer of a deferred request.
+
+LogRecordKind KindOf(LogStep step) {
+  switch (step) {
+    case LogStep::kAccepting:
+      return LogRecordKind::kAccepted;
+    case LogStep::kStarting:
+      return LogRecordKind::kStarted;
+    case LogStep::kSaving:
+      return LogRecordKind::kDone;
+    default:
+      return LogRecordKind::kIntent;
+  }
+}
+
+}  // namespace
+
+void HomeRole::BeginRecorded(Job& job, bool resubmit) {
+  const Request& request = job.request;
+  const bool marked_repeat = request.attempt > 1 || (request.attempt == 1 && resubmit);
+  if (request.deferred && request.payload.size() > kMostKeptBytes) {
+    Refuse(job, ResultCode::kTooLarge);
+  } else if (request.deferred) {
+    Append(job, LogStep::kAccepting, std::min(kRecordPatience, job.spec.finish_within / 2));
+  } else if (marked_repeat) {
+    StartClaim(job);
+  } else {
+    const Duration patience = request.attempt == 1 ? kIntentPatience : kRecordPatience;
+    Append(job, LogStep::kIntent, std::min(patience, job.spec.start_within / 2));
+  }
+}
+
+void HomeRole::Append(Job& job, LogStep step, Duration patience) {
+  job.phase = step == LogStep::kSaving ? JobPhase::kSaving : JobPhase::kRecording;
+  job.step = step;
+  job.asked = false;
+  job.log_until = context_.Now() + patience + kWayBack;
+  SendAppend(job);
+}
+
+void HomeRole::SendAppend(Job& job) {
+  job.next_append = context_.Now() + kResend;
+  const HostName writer = context_.OwnerOf(kLogName);
+  if (writer.empty()) {
+    return;
+  }
+  const Duration patience = std::max(job.log_until - kWayBack - context_.Now(), Duration(kWayBack));
+  LogAppend append{{}, patience, job.asked};
+  append.record.kind = KindOf(job.step);
+  append.record.key = job.request.key;
+  append.record.nonce = job.nonce;
+  append.record.home = context_.settings.name;
+  append.record.data_centre = context_.settings.data_centre;
+  if (job.step == LogStep::kAccepting) {
+    append.record.request = job.request;
+  } else if (job.step == LogStep::kSaving) {
+    append.record.answer = job.answer;
+  }
+  job.asked = true;
+  context_.Send(writer, append);
+}
+
+// A request that is refused as not run may come again: its intent must not stand in its way.
+void HomeRole::SendWithdrawal(Job& job) {
+  const HostName writer = context_.OwnerOf(kLogName);
+  if (!job.intent || job.accepted || writer.empty()) {
+    return;
+  }
+  LogAppend append{{}, kWithdrawPatience, false};
+  append.record.kind = LogRecordKind::kWithdrawn;
+  append.record.key = job.request.key;
+  append.record.nonce = job.nonce;
+  append.record.home = context_.settings.name;
+  context_.Send(writer, append);
+}
+
+void HomeRole::TickLog(Job& job) {
+  const TimePoint now = context_.Now();
+  const bool must = job.step == LogStep::kSaving || job.step == LogStep::kStarting || job.unsettled;
+  if (job.step == LogStep::kBackoff) {
+    if (now >= job.next_append) {
+      job.runs = 0;
+      for (Member& member : job.members) {
+        member.refused_by.clear();
+      }
+      Begin(job);
+    }
+  } else if (!must && now >= job.log_until) {
+    if (job.step == LogStep::kLooking) {
+      End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
+    } else {
+      OnNotRecorded(job, true);
+    }
+  } else if (now >= job.next_append && job.step != LogStep::kLooking) {
+    SendAppend(job);
+  }
+}
+
+void HomeRole::OnLogAppended(const LogAppended& appended) {
+  Job* job = Find(appended.key);
+  const bool waits = job != nullptr && (job->phase == JobPhase::kRecording || job->phase == JobPhase::kSaving) &&
+                     job->step != LogStep::kLooking && job->step != LogStep::kBackoff;
+  if (!waits || job->nonce != appended.nonce || KindOf(job->step) != appended.kind) {
+    return;
+  }
+  switch (appended.outcome) {
+    case LogOutcome::kRecorded:
+      OnRecorded(*job);
+      return;
+    case LogOutcome::kDuplicate:
+      OnDuplicate(*job, appended.found);
+      return;
+    case LogOutcome::kNotRecorded:
+      OnNotRecorded(*job, false);
+      return;
+    case LogOutcome::kUnknown:
+      OnNotRecorded(*job, true);
+      return;
+    case LogOutcome::kTooLarge:
+      if (job->step == LogStep::kSaving) {
+        job->answer = Answer{job->request.key, ResultCode::kTooLarge, Verdict::kFailed, {}, 0us};
+        Append(*job, LogStep::kSaving, kRecordPatience);
+      } else {
+        Refuse(*job, ResultCode::kTooLarge);
+      }
+      return;
+  }
+}
+
+void HomeRole::OnRecorded(Job& job) {
+  switch (job.step) {
+    case LogStep::kAccepting:
+      job.accepted = true;
+      job.unsettled = false;
+      if (job.cancelled) {
+        End(job, ResultCode::kCancelled, Verdict::kCancelled, {});
+        return;
+      }
+      AnswerAccepted(job);
+      if (job.spec.may_run_twice) {
+        Begin(job);
+      } else {
+        Append(job, LogStep::kStarting, kRecordPatience);
+      }
+      return;
+    case LogStep::kSaving:
+      Saved(job);
+      return;
+    default:
+      job.intent = true;
+      Begin(job);
+      return;
+  }
+}
+
+// Another record of the same request goes before ours: this is a repeat, whatever the caller said.
+void HomeRole::OnDuplicate(Job& job, const LogEntry& found) {
+  const RequestKey key = job.request.key;
+  job.unsettled = false;
+  switch (job.step) {
+    case LogStep::kAccepting:
+      if (found.state == LogEntry::State::kDone) {
+        Look(job);
+      } else if (found.state == LogEntry::State::kIntent) {
+        End(job, ResultCode::kIdReused, Verdict::kNotRun, {});
+      } else {
+        AnswerAccepted(job);
+        jobs_.erase(key);
+      }
+      return;
+    case LogStep::kSaving:
+      AnswerAccepted(job);  // Whoever asks again is told what stands in the log.
+      jobs_.erase(key);
+      return;
+    case LogStep::kStarting:
+      job.accepted = false;  // Somebody else has it and will answer it in the log.
+      End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
+      return;
+    default:
+      StartClaim(job);
+      return;
+  }
+}
+
+void HomeRole::Look(Job& job) {
+  job.phase = JobPhase::kRecording;
+  job.step = LogStep::kLooking;
+  job.log_until = context_.Now() + kLookPatience;
+  const HostName writer = context_.OwnerOf(kLogName);
+  if (!writer.empty()) {
+    context_.Send(writer, LogLookup{job.nonce, job.request.key});
+  }
+}
+
+void HomeRole::OnNotRecorded(Job& job, bool maybe) {
+  switch (job.step) {
+    case LogStep::kAccepting:
+      if (maybe && !job.unsettled) {
+        job.unsettled = true;
+        job.answer = Answer{job.request.key, ResultCode::kUnknownOutcome, Verdict::kUnknown, {}, kComeBack};
+        AnswerWaiters(job);
+      } else if (!job.unsettled) {
+        Refuse(job, ResultCode::kStoreUnavailable);
+        return;
+      }
+      break;
+    case LogStep::kIntent:
+      job.intent = maybe;
+      if (job.request.attempt == 1) {
+        Begin(job);
+      } else {
+        Refuse(job, ResultCode::kStoreUnavailable);
+      }
+      return;
+    default:
+      break;
+  }
+  job.log_until = context_.Now() + kRecordPatience + kWayBack;
+  job.next_append = context_.Now() + kRetry;
+}
+
+// The claim holds and no run of the request is left anywhere in the data centre.
+void HomeRole::OnNoEarlierRun(Job& job) {
+  if (job.spec.may_run_twice) {
+    Begin(job);
+  } else if (!job.resumed) {
+    Look(job);
+  } else if (job.started) {
+    End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
+  } else {
+    Append(job, LogStep::kStarting, kRecordPatience);
+  }
+}
+
+void HomeRole::OnLogFound(const LogFound& found) {
+  if (const auto question = questions_.extract(found.reference); !question.empty()) {
+    OnQuestionAnswered(question.mapped(), found);
+    return;
+  }
+  Job* job = Find(found.key);
+  const bool waits = job != nullptr && job->phase == JobPhase::kRecording && job->step == LogStep::kLooking;
+  if (waits && job->nonce == found.reference) {
+    OnRepeatFound(*job, found);
+  }
+}
+
+void HomeRole::OnRepeatFound(Job& job, const LogFound& found) {
+  job.accepted = false;  // Nothing more is to be saved: the answer stands in the log, or there is none.
+  switch (found.found.state) {
+    case LogEntry::State::kDone:
+      if (found.current) {
+        End(job, found.found.answer.code, found.found.answer.verdict, found.found.answer.body);
+        return;
+      }
+      break;
+    case LogEntry::State::kOpen: {
+      AnswerAccepted(job);
+      const RequestKey key = job.request.key;
+      jobs_.erase(key);
+      return;
+    }
+    default:
+      break;
+  }
+  End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
+}
+
+void HomeRole::Save(Job& job) {
+  if (job.answer.body.size() > kMostKeptBytes) {
+    job.answer = Answer{job.request.key, ResultCode::kTooLarge, Verdict::kFailed, {}, 0us};
+  }
+  Append(job, LogStep::kSaving, kRecordPatience);
+}
+
+void HomeRole::Saved(Job& job) {
+  job.phase = JobPhase::kEnded;
+  job.step = LogStep::kNone;
+  job.ended = context_.Now();
+  AnswerWaiters(job);
+}
+
+void HomeRole::AnswerAccepted(Job& job) {
+  for (const Waiter& waiter : job.waiters) {
+    const Answer accepted{job.request.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
+    context_.Send(waiter.host, ForwardAnswer{waiter.forward_id, accepted});
+  }
+  job.waiters.clear();
+}
+
+// An accepted request that finds no room waits for it until its start target.
+bool HomeRole::BacksOff(const Job& job, ResultCode code) const {
+  return job.accepted && InfoOf(code).come_back && context_.Now() + kComeBack < job.start_by;
+}
+
+void HomeRole::OnResume(const HostName& from, const LogResume& resume) {
+  const RequestKey& key = resume.request.key;
+  if (Job* known = Find(key); known != nullptr && known->phase == JobPhase::kEnded && !known->accepted) {
+    jobs_.erase(key);  // It was told "unknown" here, and was accepted after all.
+  }
+  const ClassSpec* spec = context_.configuration.FindClass(resume.request.class_name);
+  if (Job* known = Find(key); known != nullptr) {
+    if (known->accepted && known->phase != JobPhase::kClaiming) {
+      context_.Send(from, LogResumed{key, context_.settings.name});
+    }
+    return;
+  }
+  if (spec == nullptr || context_.leaving || context_.IsRecovering()) {
+    return;
+  }
+  Job& job = jobs_[key];
+  job.request = resume.request;
+  job.spec = *spec;
+  job.finish_by = context_.Now() + spec->finish_within - resume.age;
+  job.start_by = job.finish_by;
+  job.members.resize(static_cast<size_t>(resume.request.members));
+  job.nonce = context_.RandomNumber();
+  job.accepted = true;
+  job.resumed = true;
+  job.started = resume.started;
+  StartClaim(job);
+}
+
+// In a planned stop accepted requests go to other hosts. Calls in progress finish here, and so do requests that may not
+// run twice while they are between the started record and the start.
+bool HomeRole::HandsOver(const Job& job) const {
+  const bool settled = job.phase == JobPhase::kActive || job.phase == JobPhase::kClaiming ||
+                       (job.phase == JobPhase::kRecording && job.step == LogStep::kBackoff);
+  if (job.unsettled) {
+    return true;  // If it comes to stand in the log, the next home host finds it there.
+  }
+  if (!job.accepted || !settled) {
+    return false;
+  }
+  const bool active = job.phase != JobPhase::kClaiming;
+  const bool runs = std::all_of(job.members.begin(), job.members.end(), [](const Member& member) {
+    return member.phase == MemberPhase::kRunning || member.phase == MemberPhase::kEnded;
+  });
+  const bool in_call = job.spec.kind == WorkKind::kCall && job.members.front().phase == MemberPhase::kCommitted;
+  return !in_call && (!active || job.spec.may_run_twice || runs);
+}
+
+void HomeRole::HandOver() {
+  if (!context_.leaving) {
+    return;
+  }
+  for (auto entry = jobs_.begin(); entry != jobs_.end();) {
+    Job& job = entry->second;
+    if (!HandsOver(job)) {
+      ++entry;
+      continue;
+    }
+    ReleaseMembers(job);
+    const HostName writer = context_.OwnerOf(kLogName);
+    if (!writer.empty()) {
+      context_.Send(writer, LogResumed{job.request.key, {}});
+    }
+    entry = jobs_.erase(entry);
+  }
+}
+
+// The worker forgets a run once its end is acknowledged, so the answer of an accepted request must stand in the log by
+// then, and that of an unknown one must be nobody's.
+bool HomeRole::MayAcknowledge(const HostName& from, const RunReport& report) {
+  if (report.phase != RunPhase::kDone) {
+    return true;
+  }
+  const RequestKey& key = report.run.task.key;
+  const Job* job = Find(key);
+  if (job == nullptr) {
+    AskLog(key, LogQuestion{LogQuestion::Kind::kReport, {}, report, from, {}});
+    return false;
+  }
+  if (job->phase == JobPhase::kClaiming || job->phase == JobPhase::kRecording) {
+    return false;
+  }
+  return !job->accepted || job->phase == JobPhase::kEnded;
+}
+
+void HomeRole::AskLog(const RequestKey& key, LogQuestion question) {
+  std::erase_if(questions_,
+                [&](const auto& entry) { return context_.Now() - entry.second.asked > kQuestionTimeout; });
+  const HostName writer = context_.OwnerOf(kLogName);
+  if (writer.empty()) {
+    return;
+  }
+  question.asked = context_.Now();
+  const uint64_t reference = context_.RandomNumber();
+  questions_[reference] = std::move(question);
+  context_.Send(writer, LogLookup{reference, key});
+}
+
+void HomeRole::OnQuestionAnswered(const LogQuestion& question, const LogFound& found) {
+  const bool open = found.found.state == LogEntry::State::kOpen;
+  const HostName& self = context_.settings.name;
+  if (open && found.found.home == self && Find(found.key) == nullptr) {
+    context_.Send(context_.OwnerOf(kLogName), LogResumed{found.key, {}});  // The writer believes that we have it.
+  }
+  if (question.kind == LogQuestion::Kind::kReport) {
+    if (found.current && !open) {
+      context_.Send(question.reporter, RunReportAck{question.report.run, question.report.worker});
+    }
+    return;
+  }
+  const Waiter& waiter = question.waiter;
+  if (open && found.found.home != self && context_.IsReachable(found.found.home)) {
+    context_.Send(waiter.host, ForwardMoved{waiter.forward_id, found.found.home});
+    return;
+  }
+  Answer answer{found.key, ResultCode::kNotFound, Verdict::kUnknown, {}, 0us};
+  if (!found.current) {
+    answer.code = ResultCode::kStoreUnavailable;
+    answer.retry_after = kComeBack;
+  } else if (found.found.state == LogEntry::State::kDone) {
+    answer = found.found.answer;
+  } else if (open) {
+    const bool query = question.kind == LogQuestion::Kind::kQuery;
+    answer.code = query ? ResultCode::kAccepted : ResultCode::kHostRecovering;
+    answer.retry_after = kComeBack;
+  } else if (found.found.state == LogEntry::State::kIntent) {
+    answer.code = ResultCode::kUnknownOutcome;
+  }
+  context_.Send(waiter.host, ForwardAnswer{waiter.forward_id, answer});
+}
+
+}  // namespace hibiscus
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -36,31 +36,41 @@
     context_.Send(from, ForwardAnswer{forward.forward_id, job->answer});
     return;
   }
+  if (job->accepted) {
+    const Answer accepted{forward.request.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
+    context_.Send(from, ForwardAnswer{forward.forward_id, accepted});
+    return;
+  }
   job->waiters.push_back(Waiter{from, forward.forward_id});
 }
 
 void HomeRole::OnQuery(const HostName& from, const ForwardQuery& query) {
   const Job* job = Find(query.key);
-  Answer answer{query.key, ResultCode::kNotFound, Verdict::kUnknown, {}, 0us};
-  if (job != nullptr) {
-    const Answer pending{query.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
-    answer = job->phase == JobPhase::kEnded ? job->answer : pending;
+  if (job == nullptr) {
+    AskLog(query.key, LogQuestion{LogQuestion::Kind::kQuery, Waiter{from, query.forward_id}, {}, {}, {}});
+    return;
   }
-  context_.Send(from, ForwardAnswer{query.forward_id, answer});
+  const Answer pending{query.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
+  context_.Send(from, ForwardAnswer{query.forward_id, job->phase == JobPhase::kEnded ? job->answer : pending});
 }
 
 void HomeRole::OnCancel(const HostName& from, const ForwardCancel& cancel) {
   Job* job = Find(cancel.key);
   if (job == nullptr) {
-    const Answer answer{cancel.key, ResultCode::kNotFound, Verdict::kUnknown, {}, 0us};
-    context_.Send(from, ForwardAnswer{cancel.forward_id, answer});
+    AskLog(cancel.key, LogQuestion{LogQuestion::Kind::kCancel, Waiter{from, cancel.forward_id}, {}, {}, {}});
     return;
   }
-  if (job->phase != JobPhase::kEnded) {
+  if (job->phase == JobPhase::kEnded) {
+    context_.Send(from, ForwardAnswer{cancel.forward_id, job->answer});
+    return;
+  }
+  job->waiters.push_back(Waiter{from, cancel.forward_id});
+  if (job->phase == JobPhase::kRecording && job->step == LogStep::kAccepting) {
+    job->cancelled = true;  // The accepted record is on its way: the cancellation follows it.
+  } else if (job->phase != JobPhase::kSaving) {
     StopMembers(*job);
     End(*job, ResultCode::kCancelled, Verdict::kCancelled, {});
   }
-  context_.Send(from, ForwardAnswer{cancel.forward_id, job->answer});
 }
 
 void HomeRole::Accept(const HostName& from, const ForwardRequest& forward) {
@@ -78,11 +88,14 @@
   job.finish_by = context_.Now() + spec->finish_within;
   job.waiters = {Waiter{from, forward.forward_id}};
   job.members.resize(static_cast<size_t>(request.members));
+  job.nonce = context_.RandomNumber();
 
   const bool first = request.attempt == 1 && !forward.resubmit;
   const bool idempotent_call = spec->kind == WorkKind::kCall && spec->may_run_twice;
   if (!claims_.Allows(request.key, context_.settings.name)) {
     Refuse(job, ResultCode::kRepeatUnverified);
+  } else if (request.deferred || !spec->may_run_twice) {
+    BeginRecorded(job, forward.resubmit);
   } else if (first || idempotent_call) {
     Begin(job);
   } else {
@@ -132,12 +145,17 @@
       AdoptRun(job, run);
     }
   }
-  if (adopted) {
-    FinishIfAllEnded(job);
-  } else if (job.spec.may_run_twice) {
-    Begin(job);
+  if (job.resumed) {
+    context_.Send(context_.OwnerOf(kLogName), LogResumed{job.request.key, context_.settings.name});
+  }
+  const auto missing = [](const Member& member) { return member.phase == MemberPhase::kIdle; };
+  if (!adopted) {
+    OnNoEarlierRun(job);
+  } else if (!job.spec.may_run_twice && std::any_of(job.members.begin(), job.members.end(), missing)) {
+    StopMembers(job);  // The missing members may have run.
+    End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
   } else {
-    End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
+    FinishIfAllEnded(job);
   }
 }
 
@@ -147,10 +165,14 @@
     context_.Send(waiter.host, ForwardMoved{waiter.forward_id, to});
   }
   claims_.Put(key, to);
+  if (job->second.resumed) {
+    context_.Send(context_.OwnerOf(kLogName), LogResumed{key, to});
+  }
   jobs_.erase(job);
 }
 
 void HomeRole::Begin(Job& job) {
+  job.step = LogStep::kNone;
   job.phase = JobPhase::kActive;
   if (job.spec.kind == WorkKind::kCall) {
     BeginCall(job);
@@ -160,11 +182,19 @@
 }
 
 void HomeRole::End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after) {
-  HIBISCUS_INVARIANT(job.phase != JobPhase::kEnded, job.request.key.ToString(),
+  HIBISCUS_INVARIANT(job.phase != JobPhase::kEnded && job.phase != JobPhase::kSaving, job.request.key.ToString(),
                      "A request has one final answer: check the phase before calling End.");
+  job.answer = Answer{job.request.key, code, verdict, std::move(body), retry_after};
+  if (job.accepted) {
+    Save(job);
+    return;
+  }
   job.phase = JobPhase::kEnded;
   job.ended = context_.Now();
-  job.answer = Answer{job.request.key, code, verdict, std::move(body), retry_after};
+  AnswerWaiters(job);
+}
+
+void HomeRole::AnswerWaiters(Job& job) {
   for (const Waiter& waiter : job.waiters) {
     context_.Send(waiter.host, ForwardAnswer{waiter.forward_id, job.answer});
   }
@@ -177,14 +207,33 @@
                        job.request.key.ToString(), "Only what never started may be refused as not run.");
   }
   ReleaseMembers(job);
+  if (BacksOff(job, code)) {
+    job.phase = JobPhase::kRecording;
+    job.step = LogStep::kBackoff;
+    job.next_append = context_.Now() + kComeBack;
+    return;
+  }
+  SendWithdrawal(job);
   End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? kComeBack : 0us);
 }
 
 void HomeRole::OnDeadline(Job& job) {
+  if (job.resumed && job.phase != JobPhase::kActive && job.step != LogStep::kBackoff) {
+    End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
+    return;
+  }
   if (job.phase == JobPhase::kClaiming) {
     Refuse(job, ResultCode::kRepeatUnverified);
     return;
   }
+  if (job.step == LogStep::kAccepting) {
+    OnNotRecorded(job, true);
+    return;
+  }
+  if (job.phase == JobPhase::kRecording) {
+    Refuse(job, ResultCode::kStartTargetMissed);
+    return;
+  }
   const auto started = [](const Member& member) {
     return member.phase == MemberPhase::kCommitted || member.phase == MemberPhase::kRunning ||
            member.phase == MemberPhase::kEnded;
@@ -198,6 +247,7 @@
 }
 
 void HomeRole::OnTick() {
+  HandOver();
   for (auto& [key, job] : jobs_) {
     if (job.phase != JobPhase::kEnded) {
       TickJob(job);
@@ -212,6 +262,10 @@
 }
 
 void HomeRole::TickJob(Job& job) {
+  if (job.phase == JobPhase::kSaving || job.unsettled) {
+    TickLog(job);
+    return;
+  }
   const TimePoint deadline = job.phase == JobPhase::kClaiming ? job.start_by : job.finish_by;
   if (context_.Now() >= deadline) {
     OnDeadline(job);
@@ -219,6 +273,8 @@
     if (context_.Now() >= job.next_claim) {
       StartClaim(job);
     }
+  } else if (job.phase == JobPhase::kRecording) {
+    TickLog(job);
   } else if (job.spec.kind == WorkKind::kCall) {
     TickCall(job);
   } else {
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -41,11 +41,24 @@
 };
 
 enum class JobPhase {
-  kClaiming,  // Asking whether an earlier attempt exists.
+  kClaiming,   // Asking whether an earlier attempt exists.
+  kRecording,  // Nothing is out; the log is asked, or the next try is due later.
   kActive,
+  kSaving,  // Ended; the answer is told once it stands in the log.
   kEnded,
 };
 
+// What a request waits for, while kRecording or kSaving.
+enum class LogStep {
+  kNone,
+  kAccepting,  // A deferred request: the accepted record.
+  kIntent,     // A request that may not run twice: the intent.
+  kStarting,   // An accepted request that may not run twice: the started record.
+  kLooking,    // A repeat that no live host knows: what the log says.
+  kBackoff,    // An accepted request that found no room: the next try.
+  kSaving,     // An accepted request: its answer.
+};
+
 // Someone who waits for the answer: a forward of an entry host.
 struct Waiter {
   HostName host;
@@ -66,6 +79,30 @@
   std::map<HostName, ClaimAnswer> claim_answers;  // While claiming.
   TimePoint next_claim{};
   int runs = 0;  // Tries begun.
+
+  // The log.
+  LogStep step = LogStep::kNone;
+  uint64_t nonce = 0;      // Of this host's records of the request.
+  bool accepted = false;   // Deferred, and its accepted record stands in the log.
+  bool resumed = false;    // Taken over from a home host that is gone.
+  bool started = false;    // Resumed: the former home host may have run it.
+  bool intent = false;     // An intent stands in the log, or may come to stand there.
+  bool asked = false;      // A writer has the present record, or had it.
+  bool cancelled = false;  // To be cancelled once it is accepted.
+  bool unsettled = false;  // The caller was told "unknown" while the accepted record was on its way.
+  TimePoint log_until{};   // Then the log counts as out of reach.
+  TimePoint next_append{};
+};
+
+// A question to the log that a message from another host waits for.
+struct LogQuestion {
+  enum class Kind { kQuery, kCancel, kReport };
+
+  Kind kind = Kind::kQuery;
+  Waiter waiter;     // Query and cancel.
+  RunReport report;  // Report.
+  HostName reporter;
+  TimePoint asked{};
 };
 
 class HomeRole {
@@ -79,6 +116,9 @@
   void OnReport(const HostName& from, const RunReport& report);
   void OnCallResult(const HostName& from, const CallResult& result);
   void OnClaimAnswer(const HostName& from, const ClaimAnswer& answer);
+  void OnLogAppended(const LogAppended& appended);
+  void OnLogFound(const LogFound& found);
+  void OnResume(const HostName& from, const LogResume& resume);
   void OnTick();
 
   // Has this host the request, in any phase but claiming?
@@ -101,6 +141,29 @@
   void OnDeadline(Job& job);
   void TickJob(Job& job);
 
+  // The log: home_log.cc.
+  void BeginRecorded(Job& job, bool resubmit);
+  void Append(Job& job, LogStep step, Duration patience);
+  void SendAppend(Job& job);
+  void SendWithdrawal(Job& job);
+  void TickLog(Job& job);
+  void OnRecorded(Job& job);
+  void OnDuplicate(Job& job, const LogEntry& found);
+  void OnNotRecorded(Job& job, bool maybe);
+  void OnNoEarlierRun(Job& job);
+  void Look(Job& job);
+  void OnRepeatFound(Job& job, const LogFound& found);
+  void Save(Job& job);
+  void Saved(Job& job);
+  void AnswerAccepted(Job& job);
+  void AnswerWaiters(Job& job);
+  bool BacksOff(const Job& job, ResultCode code) const;
+  bool HandsOver(const Job& job) const;
+  void HandOver();
+  bool MayAcknowledge(const HostName& from, const RunReport& report);
+  void AskLog(const RequestKey& key, LogQuestion question);
+  void OnQuestionAnswered(const LogQuestion& question, const LogFound& found);
+
   // Calls: home_calls.cc.
   void BeginCall(Job& job);
   void TickCall(Job& job);
@@ -133,6 +196,7 @@
   Membership& membership_;
   ClaimTable& claims_;
   std::map<RequestKey, Job> jobs_;
+  std::map<uint64_t, LogQuestion> questions_;
 };
 
 }  // namespace hibiscus
--- a/src/core/home_tasks.cc
+++ b/src/core/home_tasks.cc
@@ -25,7 +25,7 @@
 void HomeRole::TickTasks(Job& job) {
   for (Member& member : job.members) {
     TickMember(job, member);
-    if (job.phase == JobPhase::kEnded) {
+    if (job.phase != JobPhase::kActive) {
       return;
     }
   }
@@ -163,7 +163,7 @@
 
 void HomeRole::OnReport(const HostName& from, const RunReport& report) {
   const bool ended = report.phase != RunPhase::kStarted;
-  if (ended) {
+  if (ended && MayAcknowledge(from, report)) {
     context_.Send(from, RunReportAck{report.run, report.worker});
   }
   Job* job = Find(report.run.task.key);
@@ -228,7 +228,7 @@
   member.worker = report.worker;
   member.token = report.token;
   member.owner = context_.OwnerOf(report.worker);
-  Enter(member, MemberPhase::kRunning, context_.Now());
+  Enter(member, MemberPhase::kCommitted, context_.Now());  // The commit tells the owner who the home host is now.
   if (report.phase == RunPhase::kDone) {
     member.body = report.body;
     Enter(member, MemberPhase::kEnded, context_.Now());
--- a/src/core/host_core.cc
+++ b/src/core/host_core.cc
@@ -26,6 +26,7 @@
       home_(context_, membership_, claims_),
       workers_(context_, claims_),
       servers_(context_),
+      log_(context_, membership_),
       last_event_(clock.Now()) {}
 
 std::vector<Action> HostCore::Handle(const Event& event) {
@@ -41,11 +42,12 @@
                  [&](const PeerEvent& peer) { Dispatch(peer.from, peer.message); },
                  [&](const WorkerEvent& reply) { workers_.OnWorker(reply); },
                  [&](const ServerEvent& reply) { servers_.OnServer(reply); },
-                 [&](const StoreEvent& reply) { config_.OnStore(reply); },
+                 [&](const StoreEvent& reply) { config_.OnStore(reply) || log_.OnStore(reply); },
                  [&](const CallerSubmit& submit) { entry_.OnSubmit(submit); },
                  [&](const CallerQuery& query) { entry_.OnQuery(query); },
                  [&](const CallerCancel& cancel) { entry_.OnCancel(cancel); },
                  [&](const OperatorConfigSet& set) { config_.OnSet(set); },
+                 [&](const OperatorHistory& history) { config_.OnHistory(history); },
              },
              event);
   while (!context_.to_self.empty()) {
@@ -90,6 +92,12 @@
                  [&](const Claim& m) { OnClaim(from, m); },
                  [&](const ClaimAnswer& m) { home_.OnClaimAnswer(from, m); },
                  [&](const ConfigPush& m) { config_.OnPush(m); },
+                 [&](const LogAppend& m) { log_.OnAppend(from, m); },
+                 [&](const LogAppended& m) { home_.OnLogAppended(m); },
+                 [&](const LogLookup& m) { log_.OnLookup(from, m); },
+                 [&](const LogFound& m) { home_.OnLogFound(m); },
+                 [&](const LogResume& m) { home_.OnResume(from, m); },
+                 [&](const LogResumed& m) { log_.OnResumed(m); },
              },
              message);
 }
@@ -128,6 +136,7 @@
   home_.OnTick();
   workers_.OnTick();
   servers_.OnTick();
+  log_.OnTick();
   ExitIfDone();
 }
 
--- a/src/core/host_core.h
+++ b/src/core/host_core.h
@@ -13,6 +13,7 @@
 #include "core/context.h"
 #include "core/entry_role.h"
 #include "core/home_role.h"
+#include "core/log_role.h"
 #include "core/membership.h"
 #include "core/server_role.h"
 #include "core/worker_role.h"
@@ -49,6 +50,7 @@
   HomeRole home_;
   WorkerRole workers_;
   ServerRole servers_;
+  LogRole log_;
   TimePoint last_event_;
   bool exited_ = false;
 };
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -188,7 +188,44 @@
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
-// 6. Peers
+// 6. Records of the log
+// ---------------------------------------------------------------------------------------------------------------------
+
+enum class LogRecordKind {
+  kIntent,     // A request that may not run twice is about to run.
+  kAccepted,   // A deferred request was accepted.
+  kStarted,    // An accepted request that may not run twice is about to run.
+  kDone,       // The final answer to an accepted request.
+  kWithdrawn,  // The intent of the same nonce surely did not run and never will.
+};
+
+struct LogRecord {
+  LogRecordKind kind = LogRecordKind::kIntent;
+  RequestKey key;
+  uint64_t nonce = 0;  // Drawn by the home host for each request; tells its records from those of other attempts.
+  HostName home;
+  DataCentre data_centre;
+  Duration accepted_at = 0us;  // Accepted: log time; filled in by the writer.
+  uint64_t started_by = 0;     // Accepted, when it is written anew to outlive the horizon: the nonce that started it.
+  Request request;             // Accepted.
+  Answer answer;               // Done.
+
+  friend bool operator==(const LogRecord&, const LogRecord&) = default;
+};
+
+// What the log knows of one key.
+struct LogEntry {
+  enum class State { kNone, kIntent, kOpen, kDone };
+
+  State state = State::kNone;
+  HostName home;   // Open: who has the request, as far as the writer knows.
+  Answer answer;   // Done.
+
+  friend bool operator==(const LogEntry&, const LogEntry&) = default;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 7. Peers
 // ---------------------------------------------------------------------------------------------------------------------
 
 // Sent to every host of the own data centre at a fixed beat.
@@ -369,6 +406,69 @@
   friend bool operator==(const ConfigPush&, const ConfigPush&) = default;
 };
 
+// What the hosts of a data centre pick their log writer by.
+inline constexpr char kLogName[] = "log";
+
+// Home host to its data centre's log writer: keep this record. Repeated with the same nonce until answered.
+struct LogAppend {
+  LogRecord record;
+  Duration patience = 0us;  // After this a record that is not on its way to the store is given back.
+  bool repeated = false;    // True: an earlier writer may have it on its way.
+
+  friend bool operator==(const LogAppend&, const LogAppend&) = default;
+};
+
+enum class LogOutcome {
+  kRecorded,     // It stands in the log, and no other record of its key stands before it.
+  kDuplicate,    // Another record of its key stands in the log: `found`.
+  kNotRecorded,  // The store is out: it surely does not stand in the log and never will.
+  kUnknown,      // It may stand in the log, or come to stand there.
+  kTooLarge,     // The store would not hold it.
+};
+
+struct LogAppended {
+  LogRecordKind kind = LogRecordKind::kIntent;
+  RequestKey key;
+  uint64_t nonce = 0;
+  LogOutcome outcome = LogOutcome::kRecorded;
+  LogEntry found;
+
+  friend bool operator==(const LogAppended&, const LogAppended&) = default;
+};
+
+// Any host to the log writer: what stands in the log under this key? `reference` comes back in the answer.
+struct LogLookup {
+  uint64_t reference = 0;
+  RequestKey key;
+
+  friend bool operator==(const LogLookup&, const LogLookup&) = default;
+};
+
+struct LogFound {
+  uint64_t reference = 0;
+  RequestKey key;
+  bool current = false;  // False: the writer has not read the whole log and cannot say.
+  LogEntry found;
+
+  friend bool operator==(const LogFound&, const LogFound&) = default;
+};
+
+// Log writer to the new home host: this accepted request lost its home host. Repeated until answered.
+struct LogResume {
+  Request request;
+  Duration age = 0us;    // Since its acceptance.
+  bool started = false;  // True: the former home host may have run it.
+
+  friend bool operator==(const LogResume&, const LogResume&) = default;
+};
+
+struct LogResumed {
+  RequestKey key;
+  HostName home;  // Who has it now.
+
+  friend bool operator==(const LogResumed&, const LogResumed&) = default;
+};
+
 using PeerMessage = std::variant<Heartbeat,
                                  ForwardRequest,
                                  ForwardAnswer,
@@ -386,10 +486,16 @@
                                  CallResult,
                                  Claim,
                                  ClaimAnswer,
-                                 ConfigPush>;
+                                 ConfigPush,
+                                 LogAppend,
+                                 LogAppended,
+                                 LogLookup,
+                                 LogFound,
+                                 LogResume,
+                                 LogResumed>;
 
 // ---------------------------------------------------------------------------------------------------------------------
-// 7. Callers and operators
+// 8. Callers and operators
 // ---------------------------------------------------------------------------------------------------------------------
 
 // Identifies an open exchange with a caller or operator on this host.
@@ -417,8 +523,16 @@
   Configuration configuration;
 };
 
+// An operator asks for the configurations that were in force, the latest first.
+struct OperatorHistory {
+  ExchangeId exchange = 0;
+  int most = 10;  // Versions wanted; 1 to kMostHistory.
+};
+
+inline constexpr int kMostHistory = 100;  // Versions kept.
+
 // ---------------------------------------------------------------------------------------------------------------------
-// 8. Events and actions
+// 9. Events and actions
 // ---------------------------------------------------------------------------------------------------------------------
 
 struct TickEvent {};
@@ -463,7 +577,8 @@
                            CallerSubmit,
                            CallerQuery,
                            CallerCancel,
-                           OperatorConfigSet>;
+                           OperatorConfigSet,
+                           OperatorHistory>;
 
 struct SendPeer {
   HostName to;
@@ -503,6 +618,12 @@
   Configuration configuration;
 };
 
+struct AnswerHistory {
+  ExchangeId exchange = 0;
+  ResultCode code = ResultCode::kOk;
+  std::vector<Configuration> versions;  // The latest first.
+};
+
 // A line for the log.
 struct LogLine {
   std::string part;  // The fixed prefix.
@@ -512,7 +633,7 @@
 // The planned stop is complete: nothing is open any more.
 struct Exit {};
 
-using Action = std::variant<SendPeer, SendWorker, SendServer, SendStore, AnswerCaller, AnswerOperator, LogLine, Exit>;
+using Action = std::variant<SendPeer, SendWorker, SendServer, SendStore, AnswerCaller, AnswerOperator, AnswerHistory, LogLine, Exit>;
 
 }  // namespace hibiscus
 
--- a/src/core/records.cc
+++ b/src/core/records.cc
@@ -93,9 +93,7 @@
   return {};
 }
 
-}  // namespace
-
-std::string EncodeConfiguration(const Configuration& configuration) {
+Json ToJson(const Configuration& configuration) {
   Json json{{"version", configuration.version},
             {"change_id", configuration.change_id},
             {"classes", Json::array()},
@@ -106,9 +104,41 @@
   for (const TenantQuota& quota : configuration.quotas) {
     json["quotas"].push_back(ToJson(quota));
   }
+  return json;
+}
+
+ConfigRecord ConfigRecordFrom(const Json& json) {
+  ConfigRecord record{ConfigurationFrom(json), {}};
+  for (const Json& change : json.value("changes", Json::array())) {
+    record.changes.push_back(
+        ConfigChange{change.at("version").get<uint64_t>(), change.at("change_id").get<std::string>()});
+  }
+  return record;
+}
+
+}  // namespace
+
+std::string EncodeConfiguration(const Configuration& configuration) {
+  return ToJson(configuration).dump();
+}
+
+std::string EncodeConfigRecord(const ConfigRecord& record) {
+  Json json = ToJson(record.configuration);
+  json["changes"] = Json::array();
+  for (const ConfigChange& change : record.changes) {
+    json["changes"].push_back(Json{{"version", change.version}, {"change_id", change.change_id}});
+  }
   return json.dump();
 }
 
+tl::expected<ConfigRecord, RecordError> DecodeConfigRecord(const std::string& text) {
+  try {
+    return ConfigRecordFrom(Json::parse(text));
+  } catch (const std::exception& error) {
+    return tl::unexpected(RecordError(error.what()));
+  }
+}
+
 tl::expected<Configuration, RecordError> DecodeConfiguration(const std::string& text) {
   try {
     return ConfigurationFrom(Json::parse(text));
--- a/src/ports/json_codec.h
+++ b/src/ports/json_codec.h
@@ -73,6 +73,23 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Claim, key, view)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClaimAnswer, key, view, covered, known_elsewhere, runs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigPush, configuration)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LogRecord,
+                                                kind,
+                                                key,
+                                                nonce,
+                                                home,
+                                                data_centre,
+                                                accepted_at,
+                                                started_by,
+                                                request,
+                                                answer)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LogEntry, state, home, answer)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LogAppend, record, patience, repeated)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LogAppended, kind, key, nonce, outcome, found)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LogLookup, reference, key)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LogFound, reference, key, current, found)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LogResume, request, age, started)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LogResumed, key, home)
 
 // A value as text, and back. Unreadable text is an error in one sentence.
 template <class Value>
