--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -169,8 +169,11 @@
     case LogStep::kSaving:
       Saved(job);
       return;
-    default:
+    case LogStep::kIntent:
       job.intent = true;
+      [[fallthrough]];
+    default:
+      job.surely_first = true;
       Begin(job);
       return;
   }
@@ -200,6 +203,7 @@
       End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
       return;
     default:
+      job.surely_first = false;
       StartClaim(job);
       return;
   }
@@ -244,9 +248,16 @@
 
 // The claim holds and no run of the request is left anywhere in the data centre.
 void HomeRole::OnNoEarlierRun(Job& job) {
-  if (job.spec.may_run_twice) {
+  if (job.refusal != ResultCode::kOk) {
+    const bool may_have_run = job.committed || job.resumed;
+    End(job, job.refusal, may_have_run ? Verdict::kUnknown : Verdict::kNotRun, {});
+  } else if (job.spec.may_run_twice) {
+    Begin(job);
+  } else if (job.committed) {
+    End(job, job.accepted ? ResultCode::kUnknownOutcome : ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
+  } else if (job.surely_first) {
     Begin(job);
-  } else if (!job.resumed) {
+  } else if (!job.accepted) {
     Look(job);
   } else if (job.started) {
     End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kClaimRetry = 250ms;  // Between rounds of questions about an earlier attempt.
+constexpr Duration kRefusalClaim = 2s;   // To make sure that nobody runs an accepted request that is refused.
 constexpr Duration kComeBack = 1s;       // Retry-After of refusals that name no better time.
 
 // Two attempts carry the same work. Attempt numbers and waiting differ between them.
@@ -23,6 +24,11 @@
 
 void HomeRole::OnForward(const HostName& from, const ForwardRequest& forward) {
   Job* job = Find(forward.request.key);
+  if (job == nullptr && context_.IsRecovering()) {
+    const Answer answer{forward.request.key, ResultCode::kHostRecovering, Verdict::kNotRun, {}, kComeBack};
+    context_.Send(from, ForwardAnswer{forward.forward_id, answer});
+    return;
+  }
   if (job == nullptr) {
     Accept(from, forward);
     return;
@@ -91,6 +97,7 @@
   job.nonce = context_.RandomNumber();
 
   const bool first = request.attempt == 1 && !forward.resubmit;
+  job.surely_first = first;
   const bool idempotent_call = spec->kind == WorkKind::kCall && spec->may_run_twice;
   if (!claims_.Allows(request.key, context_.settings.name)) {
     Refuse(job, ResultCode::kRepeatUnverified);
@@ -137,6 +144,11 @@
     return;
   }
   bool adopted = false;
+  for (Member& member : job.members) {
+    if (member.phase != MemberPhase::kEnded) {
+      Enter(member, MemberPhase::kIdle, context_.Now());
+    }
+  }
   const std::map<HostName, ClaimAnswer> answers = std::move(job.claim_answers);
   job.phase = JobPhase::kActive;
   for (const auto& [host, answer] : answers) {
@@ -213,16 +225,23 @@
     job.next_append = context_.Now() + kComeBack;
     return;
   }
+  if (job.accepted && job.refusal == ResultCode::kOk) {
+    job.refusal = code;
+    job.finish_by = std::max(job.finish_by, context_.Now() + kRefusalClaim);
+    StartClaim(job);
+    return;
+  }
   SendWithdrawal(job);
   End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? kComeBack : 0us);
 }
 
 void HomeRole::OnDeadline(Job& job) {
-  if (job.resumed && job.phase != JobPhase::kActive && job.step != LogStep::kBackoff) {
+  const bool unclear = job.phase == JobPhase::kClaiming || (job.resumed && job.step == LogStep::kStarting);
+  if (job.accepted && unclear) {
     End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
     return;
   }
-  if (job.phase == JobPhase::kClaiming) {
+  if (job.phase == JobPhase::kClaiming && !job.committed) {
     Refuse(job, ResultCode::kRepeatUnverified);
     return;
   }
@@ -246,18 +265,29 @@
   End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
 }
 
+void HomeRole::OnPause() {
+  for (auto& [key, job] : jobs_) {
+    const bool task = job.phase == JobPhase::kActive && job.spec.kind != WorkKind::kCall;
+    const bool recording = job.phase == JobPhase::kRecording && job.step == LogStep::kIntent;
+    if (task || recording) {
+      StartClaim(job);
+    }
+  }
+}
+
 void HomeRole::OnTick() {
   HandOver();
   for (auto& [key, job] : jobs_) {
     if (job.phase != JobPhase::kEnded) {
       TickJob(job);
     }
+    TickStops(job);
   }
   std::erase_if(jobs_, [&](const auto& entry) {
     const Job& job = entry.second;
     const bool refused = job.answer.verdict == Verdict::kNotRun;  // A repeat may try afresh.
     const Duration keep = refused ? 0us : context_.settings.remember;
-    return job.phase == JobPhase::kEnded && context_.Now() - job.ended >= keep;
+    return job.phase == JobPhase::kEnded && job.stops.empty() && context_.Now() - job.ended >= keep;
   });
 }
 
@@ -266,7 +296,8 @@
     TickLog(job);
     return;
   }
-  const TimePoint deadline = job.phase == JobPhase::kClaiming ? job.start_by : job.finish_by;
+  const bool unstarted_claim = job.phase == JobPhase::kClaiming && !job.committed && !job.accepted;
+  const TimePoint deadline = unstarted_claim ? job.start_by : job.finish_by;
   if (context_.Now() >= deadline) {
     OnDeadline(job);
   } else if (job.phase == JobPhase::kClaiming) {
