--- a/tests/chaos_world.cc
+++ b/tests/chaos_world.cc
@@ -216,6 +216,7 @@
                  [&](const SendStore& send) { CarryStore(node, send); },
                  [&](const AnswerCaller& answer) { listener_->OnAnswer(node, answer); },
                  [&](const AnswerOperator& answer) { listener_->OnOperatorAnswer(node, answer); },
+                 [](const AnswerHistory&) {},
                  [&](const LogLine& line) { Trace("{} [{}] {}", node.name, line.part, line.text); },
                  [&](const Exit&) {
                    Trace("{} exits", node.name);
@@ -392,6 +393,20 @@
                                m.known_elsewhere, m.runs.size());
           },
           [](const ConfigPush& m) { return fmt::format("config {}", m.configuration.version); },
+          [](const LogAppend& m) {
+            return fmt::format("append kind {} of {}", static_cast<int>(m.record.kind), m.record.key.ToString());
+          },
+          [](const LogAppended& m) {
+            return fmt::format("appended kind {} of {} outcome {}", static_cast<int>(m.kind), m.key.ToString(),
+                               static_cast<int>(m.outcome));
+          },
+          [](const LogLookup& m) { return fmt::format("look up {}", m.key.ToString()); },
+          [](const LogFound& m) {
+            return fmt::format("found {} state {}{}", m.key.ToString(), static_cast<int>(m.found.state),
+                               m.current ? "" : " not current");
+          },
+          [](const LogResume& m) { return fmt::format("resume {}", m.request.key.ToString()); },
+          [](const LogResumed& m) { return fmt::format("resumed {} at '{}'", m.key.ToString(), m.home); },
           [](const auto&) { return std::string("message"); },
       },
       message);
