--- a/src/core/context.h
+++ b/src/core/context.h
@@ -33,6 +33,7 @@
   Duration watch_wait = 20s;         // How long the store may hold a watch open.
   Duration pause_limit = 2s;         // A longer gap between two ticks is a pause: every lease counts as lost.
   Duration recover = 1s;             // Callers are refused this long after a start or a pause.
+  Duration leave_limit = 30s;        // A planned stop takes no longer: what is open then is answered as unknown.
   Duration remember = 5min;          // How long ended requests are remembered for repeats.
   Duration log_window = 150ms;       // Records for the log that come within it share one write.
   Duration log_horizon = 10min;      // How long intents and answers stay in the log.
@@ -70,7 +71,7 @@
   const HostSettings settings;
   const Clock& clock;
   std::mt19937_64 random;
-  uint64_t next_id = 1;
+  uint64_t next_id;  // Starts at random: late replies to an earlier process of this name match nothing.
 
   std::vector<ListEntry> list;      // As the platform last gave it.
   std::vector<HostName> live;       // Live hosts of the own data centre, sorted, this one among them.
--- a/src/core/entry_role.h
+++ b/src/core/entry_role.h
@@ -19,6 +19,7 @@
   void OnAnswer(const HostName& from, const ForwardAnswer& answer);
   void OnMoved(const ForwardMoved& moved);
   void OnTick();
+  void GiveUpAll();  // Answers every open exchange as unknown.
 
   // Exchanges that still wait for their answer.
   size_t open() const { return open_.size(); }
@@ -32,7 +33,8 @@
     Request request;  // Submit.
     RequestKey key;
     HostName home;
-    TimePoint give_up;  // The caller is answered by then in any case.
+    TimePoint give_up;         // The caller is answered by then in any case.
+    bool resubmitted = false;  // An earlier home host may have acted on it, or may still.
   };
 
   ResultCode Check(const Request& request) const;
--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -249,8 +249,7 @@
 // The claim holds and no run of the request is left anywhere in the data centre.
 void HomeRole::OnNoEarlierRun(Job& job) {
   if (job.refusal != ResultCode::kOk) {
-    const bool may_have_run = job.committed || job.resumed;
-    End(job, job.refusal, may_have_run ? Verdict::kUnknown : Verdict::kNotRun, {});
+    EndRefused(job, job.refusal);
   } else if (job.spec.may_run_twice) {
     Begin(job);
   } else if (job.committed) {
@@ -323,7 +322,8 @@
 
 // An accepted request that finds no room waits for it until its start target.
 bool HomeRole::BacksOff(const Job& job, ResultCode code) const {
-  return job.accepted && InfoOf(code).come_back && context_.Now() + kComeBack < job.start_by;
+  const bool may_begin = job.spec.may_run_twice || !(job.in_doubt || job.ran);
+  return job.accepted && may_begin && code != ResultCode::kRepeatUnverified && InfoOf(code).come_back && context_.Now() + kComeBack < job.start_by;
 }
 
 void HomeRole::OnResume(const HostName& from, const LogResume& resume) {
@@ -393,21 +393,16 @@
 }
 
 // The worker forgets a run once its end is acknowledged, so the answer of an accepted request must stand in the log by
-// then, and that of an unknown one must be nobody's.
-bool HomeRole::MayAcknowledge(const HostName& from, const RunReport& report) {
-  if (report.phase != RunPhase::kDone) {
-    return true;
-  }
-  const RequestKey& key = report.run.task.key;
-  const Job* job = Find(key);
-  if (job == nullptr) {
-    AskLog(key, LogQuestion{LogQuestion::Kind::kReport, {}, report, from, {}});
-    return false;
-  }
-  if (job->phase == JobPhase::kClaiming || job->phase == JobPhase::kRecording) {
-    return false;
+// then.
+bool HomeRole::MayAcknowledge(const Job& job, const RunReport& report) {
+  return !job.accepted || job.phase == JobPhase::kEnded || report.phase != RunPhase::kDone;
+}
+
+// A run that no home host knows may be forgotten once the log has the answer to its request.
+void HomeRole::AskAboutOrphan(const HostName& from, const RunReport& report, const Job* job) {
+  if (job == nullptr && report.phase == RunPhase::kDone) {
+    AskLog(report.run.task.key, LogQuestion{LogQuestion::Kind::kReport, {}, report, from, {}});
   }
-  return !job->accepted || job->phase == JobPhase::kEnded;
 }
 
 void HomeRole::AskLog(const RequestKey& key, LogQuestion question) {
@@ -430,7 +425,7 @@
     context_.Send(context_.OwnerOf(kLogName), LogResumed{found.key, {}});  // The writer believes that we have it.
   }
   if (question.kind == LogQuestion::Kind::kReport) {
-    if (found.current && !open) {
+    if (found.found.state == LogEntry::State::kDone) {
       context_.Send(question.reporter, RunReportAck{question.report.run, question.report.worker});
     }
     return;
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -115,7 +115,7 @@
   job.claim_answers.clear();
   job.next_claim = context_.Now() + kClaimRetry;
   claims_.Put(job.request.key, context_.settings.name);
-  for (const HostName& host : context_.live) {
+  for (const HostName& host : context_.reachable) {
     context_.Send(host, Claim{job.request.key, context_.view});
   }
 }
@@ -133,14 +133,14 @@
   FinishClaim(*job);
 }
 
-// A claim holds when every live host gave its word under the same view, and every worker is under somebody's lease:
-// then each earlier run is either in an answer or can never start any more.
+// A claim holds when every reachable host, those that leave among them, gave its word under the same view, and every
+// worker is under somebody's lease: then each earlier run is either in an answer or can never start any more.
 void HomeRole::FinishClaim(Job& job) {
   const auto has_word = [&](const HostName& host) {
     const auto answer = job.claim_answers.find(host);
     return answer != job.claim_answers.end() && answer->second.view == context_.view && answer->second.covered;
   };
-  if (!std::all_of(context_.live.begin(), context_.live.end(), has_word)) {
+  if (!std::all_of(context_.reachable.begin(), context_.reachable.end(), has_word)) {
     return;
   }
   bool adopted = false;
@@ -149,6 +149,7 @@
       Enter(member, MemberPhase::kIdle, context_.Now());
     }
   }
+  job.in_doubt = job.in_doubt || job.committed;
   const std::map<HostName, ClaimAnswer> answers = std::move(job.claim_answers);
   job.phase = JobPhase::kActive;
   for (const auto& [host, answer] : answers) {
@@ -160,14 +161,16 @@
   if (job.resumed) {
     context_.Send(context_.OwnerOf(kLogName), LogResumed{job.request.key, context_.settings.name});
   }
-  const auto missing = [](const Member& member) { return member.phase == MemberPhase::kIdle; };
+  const bool may_start_rest = job.spec.may_run_twice || (job.surely_first && !job.committed);
+  const bool whole = std::none_of(job.members.begin(), job.members.end(),
+                                  [](const Member& member) { return member.phase == MemberPhase::kIdle; });
   if (!adopted) {
     OnNoEarlierRun(job);
-  } else if (!job.spec.may_run_twice && std::any_of(job.members.begin(), job.members.end(), missing)) {
-    StopMembers(job);  // The missing members may have run.
-    End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
-  } else {
+  } else if (whole || may_start_rest) {
     FinishIfAllEnded(job);
+  } else {
+    StopMembers(job);  // The missing members may have run.
+    End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
   }
 }
 
@@ -203,6 +206,7 @@
   }
   job.phase = JobPhase::kEnded;
   job.ended = context_.Now();
+  Observe(job, Observed::What::kEnded);
   AnswerWaiters(job);
 }
 
@@ -213,6 +217,11 @@
   job.waiters.clear();
 }
 
+void HomeRole::Observe(const Job& job, Observed::What what) {
+  const TimePoint accepted = job.start_by - job.spec.start_within;
+  context_.Act(Observed{what, job.request.key.tenant, job.spec.name, context_.Now() - accepted});
+}
+
 void HomeRole::Refuse(Job& job, ResultCode code) {
   for (const Member& member : job.members) {
     HIBISCUS_INVARIANT(member.phase != MemberPhase::kCommitted && member.phase != MemberPhase::kRunning,
@@ -223,16 +232,24 @@
     job.phase = JobPhase::kRecording;
     job.step = LogStep::kBackoff;
     job.next_append = context_.Now() + kComeBack;
-    return;
-  }
-  if (job.accepted && job.refusal == ResultCode::kOk) {
+  } else if (job.accepted && job.refusal == ResultCode::kOk) {
     job.refusal = code;
     job.finish_by = std::max(job.finish_by, context_.Now() + kRefusalClaim);
     StartClaim(job);
-    return;
+  } else {
+    EndRefused(job, code);
+  }
+}
+
+void HomeRole::EndRefused(Job& job, ResultCode code) {
+  if (job.in_doubt || job.resumed) {
+    End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
+  } else if (job.ran) {
+    End(job, ResultCode::kTaskFailed, Verdict::kFailed, {});
+  } else {
+    SendWithdrawal(job);
+    End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? kComeBack : 0us);
   }
-  SendWithdrawal(job);
-  End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? kComeBack : 0us);
 }
 
 void HomeRole::OnDeadline(Job& job) {
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -81,6 +81,8 @@
   int runs = 0;                // Tries begun.
   bool surely_first = false;   // No earlier attempt can exist.
   bool committed = false;      // A run of it may have started, by this host's order.
+  bool ran = false;            // A run of it surely started.
+  bool in_doubt = false;       // What became of a run of it will never be known.
   std::vector<StopRun> stops;  // Runs to be stopped, repeated until their end is reported.
   TimePoint next_stop{};
 
@@ -146,6 +148,8 @@
   void Begin(Job& job);
   void End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after = 0us);
   void Refuse(Job& job, ResultCode code);
+  void EndRefused(Job& job, ResultCode code);
+  void Observe(const Job& job, Observed::What what);
   void OnDeadline(Job& job);
   void TickJob(Job& job);
 
@@ -168,7 +172,8 @@
   bool BacksOff(const Job& job, ResultCode code) const;
   bool HandsOver(const Job& job) const;
   void HandOver();
-  bool MayAcknowledge(const HostName& from, const RunReport& report);
+  static bool MayAcknowledge(const Job& job, const RunReport& report);
+  void AskAboutOrphan(const HostName& from, const RunReport& report, const Job* job);
   void AskLog(const RequestKey& key, LogQuestion question);
   void OnQuestionAnswered(const LogQuestion& question, const LogFound& found);
 
@@ -188,6 +193,7 @@
   void CommitMember(Job& job, Member& member);
   void SendCommit(Job& job, Member& member);
   void ReleaseMembers(Job& job);
+  static void NoteRun(Job& job, RunPhase phase);
   void OnRunEnded(Job& job, Member& member, const RunReport& report);
   void OnRunFailed(Job& job, Member& member, const RunReport& report);
   void OnRunGone(Job& job, Member& member);
--- a/tests/chaos_world.cc
+++ b/tests/chaos_world.cc
@@ -217,6 +217,7 @@
                  [&](const AnswerCaller& answer) { listener_->OnAnswer(node, answer); },
                  [&](const AnswerOperator& answer) { listener_->OnOperatorAnswer(node, answer); },
                  [](const AnswerHistory&) {},
+                 [](const Observed&) {},
                  [&](const LogLine& line) { Trace("{} [{}] {}", node.name, line.part, line.text); },
                  [&](const Exit&) {
                    Trace("{} exits", node.name);
