--- a/src/core/context.h
+++ b/src/core/context.h
@@ -10,6 +10,7 @@
 
 #include "core/messages.h"
 #include "hibiscusstand/clock.h"
+#include "hibiscusstand/policy.h"
 
 namespace hibiscus {
 
@@ -37,6 +38,7 @@
   Duration remember = 5min;          // How long ended requests are remembered for repeats.
   Duration log_window = 150ms;       // Records for the log that come within it share one write.
   Duration log_horizon = 10min;      // How long intents and answers stay in the log.
+  Policy policy;                     // Strategies; only benches and tests change them.
 };
 
 // Stops the process when an invariant is broken, in every build. `hint` says how to mend the call or what to report.
--- a/src/core/entry_role.cc
+++ b/src/core/entry_role.cc
@@ -45,7 +45,7 @@
   // The present home host speaks for itself only: an earlier one may have started it.
   const bool doubtful = answer.answer.verdict == Verdict::kNotRun && exchange->second.resubmitted;
   context_.Act(AnswerCaller{exchange->second.id, doubtful ? GiveUpAnswer(exchange->second) : answer.answer});
-  open_.erase(exchange);
+  Close(exchange);
 }
 
 void EntryRole::OnMoved(const ForwardMoved& moved) {
@@ -55,24 +55,39 @@
   }
   exchange->second.home = moved.home;
   exchange->second.resubmitted = true;
+  if (!context_.IsReachable(moved.home)) {
+    seen_reachable_.clear();  // The next tick looks at every home again.
+  }
   Forward(moved.forward_id, exchange->second, true);
 }
 
 void EntryRole::OnTick() {
-  std::vector<uint64_t> overdue;
+  FollowHomes();
+  while (!deadlines_.empty() && deadlines_.begin()->first <= context_.Now()) {
+    const auto exchange = open_.find(deadlines_.begin()->second);
+    context_.Act(AnswerCaller{exchange->second.id, GiveUpAnswer(exchange->second)});
+    Close(exchange);
+  }
+}
+
+// What was forwarded to a host that is silent now goes to the next one.
+void EntryRole::FollowHomes() {
+  if (context_.live.empty() || seen_reachable_ == context_.reachable) {
+    return;
+  }
+  seen_reachable_ = context_.reachable;
   for (auto& [forward_id, exchange] : open_) {
-    if (context_.Now() >= exchange.give_up) {
-      overdue.push_back(forward_id);
-    } else if (!context_.IsReachable(exchange.home) && !context_.live.empty()) {
+    if (!context_.IsReachable(exchange.home)) {
       exchange.home = context_.HomeOf(exchange.key);
       exchange.resubmitted = true;
       Forward(forward_id, exchange, true);
     }
   }
-  for (const uint64_t forward_id : overdue) {
-    context_.Act(AnswerCaller{open_[forward_id].id, GiveUpAnswer(open_[forward_id])});
-    open_.erase(forward_id);
-  }
+}
+
+void EntryRole::Close(std::map<uint64_t, Exchange>::iterator exchange) {
+  deadlines_.erase({exchange->second.give_up, exchange->first});
+  open_.erase(exchange);
 }
 
 void EntryRole::GiveUpAll() {
@@ -80,6 +95,7 @@
     context_.Act(AnswerCaller{exchange.id, GiveUpAnswer(exchange)});
   }
   open_.clear();
+  deadlines_.clear();
 }
 
 ResultCode EntryRole::Check(const Request& request) const {
@@ -112,6 +128,7 @@
   }
   const uint64_t forward_id = context_.NextId();
   open_[forward_id] = exchange;
+  deadlines_.insert({exchange.give_up, forward_id});
   Forward(forward_id, exchange, false);
 }
 
--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -119,6 +119,18 @@
   }
 }
 
+TimePoint HomeRole::NextLogWake(const Job& job) const {
+  switch (job.step) {
+    case LogStep::kBackoff:
+    case LogStep::kStarting:
+      return job.next_append;
+    case LogStep::kLooking:
+      return job.log_until;
+    default:
+      return std::min(job.next_append, job.log_until);
+  }
+}
+
 void HomeRole::OnLogAppended(const LogAppended& appended) {
   Job* job = Find(appended.key);
   const bool waits = job != nullptr && (job->phase == JobPhase::kRecording || job->phase == JobPhase::kSaving) &&
@@ -191,12 +203,12 @@
         End(job, ResultCode::kIdReused, Verdict::kNotRun, {});
       } else {
         AnswerAccepted(job);
-        jobs_.erase(key);
+        Forget(key);
       }
       return;
     case LogStep::kSaving:
       AnswerAccepted(job);  // Whoever asks again is told what stands in the log.
-      jobs_.erase(key);
+      Forget(key);
       return;
     case LogStep::kStarting:
       job.accepted = false;  // Somebody else has it and will answer it in the log.
@@ -289,7 +301,7 @@
     case LogEntry::State::kOpen: {
       AnswerAccepted(job);
       const RequestKey key = job.request.key;
-      jobs_.erase(key);
+      Forget(key);
       return;
     }
     default:
@@ -307,8 +319,10 @@
 
 void HomeRole::Saved(Job& job) {
   job.phase = JobPhase::kEnded;
+  --active_;
   job.step = LogStep::kNone;
   job.ended = context_.Now();
+  Observe(job, Observed::What::kEnded);
   AnswerWaiters(job);
 }
 
@@ -329,7 +343,7 @@
 void HomeRole::OnResume(const HostName& from, const LogResume& resume) {
   const RequestKey& key = resume.request.key;
   if (Job* known = Find(key); known != nullptr && known->phase == JobPhase::kEnded && !known->accepted) {
-    jobs_.erase(key);  // It was told "unknown" here, and was accepted after all.
+    Forget(key);  // It was told "unknown" here, and was accepted after all.
   }
   const ClassSpec* spec = context_.configuration.FindClass(resume.request.class_name);
   if (Job* known = Find(key); known != nullptr) {
@@ -342,6 +356,8 @@
     return;
   }
   Job& job = jobs_[key];
+  ++active_;
+  touched_.push_back(key);
   job.request = resume.request;
   job.spec = *spec;
   job.finish_by = context_.Now() + spec->finish_within - resume.age;
@@ -377,18 +393,19 @@
   if (!context_.leaving) {
     return;
   }
-  for (auto entry = jobs_.begin(); entry != jobs_.end();) {
-    Job& job = entry->second;
-    if (!HandsOver(job)) {
-      ++entry;
-      continue;
+  std::vector<RequestKey> keys;
+  for (const auto& [key, job] : jobs_) {
+    if (HandsOver(job)) {
+      keys.push_back(key);
     }
-    ReleaseMembers(job);
+  }
+  for (const RequestKey& key : keys) {
+    ReleaseMembers(jobs_.at(key));
     const HostName writer = context_.OwnerOf(kLogName);
     if (!writer.empty()) {
-      context_.Send(writer, LogResumed{job.request.key, {}});
+      context_.Send(writer, LogResumed{key, {}});
     }
-    entry = jobs_.erase(entry);
+    Forget(key);
   }
 }
 
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/claim_table.h"
@@ -85,6 +86,7 @@
   bool in_doubt = false;       // What became of a run of it will never be known.
   std::vector<StopRun> stops;  // Runs to be stopped, repeated until their end is reported.
   TimePoint next_stop{};
+  TimePoint wake = TimePoint::max();  // Its place among the timers; max: none.
 
   // The log.
   LogStep step = LogStep::kNone;
@@ -138,7 +140,7 @@
   // Gives up its own claim in favour of another host's.
   void YieldClaim(const RequestKey& key, const HostName& to);
 
-  size_t active() const;
+  size_t active() const { return active_; }
 
  private:
   // Admission and endings: home_role.cc.
@@ -152,6 +154,12 @@
   void Observe(const Job& job, Observed::What what);
   void OnDeadline(Job& job);
   void TickJob(Job& job);
+  void WakeAllIfPeersChanged();
+  void Wake(const RequestKey& key);
+  void Schedule(Job& job);
+  TimePoint NextWake(const Job& job) const;
+  void Forget(const RequestKey& key);
+  bool IsForgotten(const Job& job) const;
 
   // The log: home_log.cc.
   void BeginRecorded(Job& job, bool resubmit);
@@ -159,6 +167,7 @@
   void SendAppend(Job& job);
   void SendWithdrawal(Job& job);
   void TickLog(Job& job);
+  TimePoint NextLogWake(const Job& job) const;
   void OnRecorded(Job& job);
   void OnDuplicate(Job& job, const LogEntry& found);
   void OnNotRecorded(Job& job, bool maybe);
@@ -202,6 +211,7 @@
   void StopMembers(Job& job);
   void TickStops(Job& job);
   void FinishIfAllEnded(Job& job);
+  static TimePoint NextWakeOf(const Job& job, const Member& member);
   static void Enter(Member& member, MemberPhase phase, TimePoint now);
 
   RunId NewRun(Job& job, int member);
@@ -213,6 +223,11 @@
   ClaimTable& claims_;
   std::map<RequestKey, Job> jobs_;
   std::map<uint64_t, LogQuestion> questions_;
+  size_t active_ = 0;                                  // Jobs that have not ended.
+  std::set<std::pair<TimePoint, RequestKey>> timers_;  // When a job next needs a look, if no event comes before.
+  std::vector<RequestKey> touched_;                    // Jobs that an event concerned since the last tick.
+  std::vector<HostName> seen_live_;                    // Of the last tick: a change concerns every job.
+  std::vector<HostName> seen_reachable_;
 };
 
 }  // namespace hibiscus
