--- a/src/core/config_changes.cc
+++ b/src/core/config_changes.cc
@@ -1,6 +1,7 @@
 #include "core/config_changes.h"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 #include <fmt/core.h>
@@ -9,8 +10,8 @@
 
 namespace {
 
-constexpr int kMostTries = 5;         // Read-backs of one change.
-constexpr Duration kRetry = 300ms;    // Between them.
+constexpr int kMostTries = 5;       // Read-backs of one change.
+constexpr Duration kRetry = 300ms;  // Between them.
 
 bool Contains(const ConfigRecord& record, const Configuration& change) {
   return std::any_of(record.changes.begin(), record.changes.end(), [&](const ConfigChange& known) {
@@ -195,8 +196,8 @@
     return;
   }
   AnswerHistory answer{history.exchange, history.complete ? ResultCode::kOk : ResultCode::kStoreUnavailable, {}};
-  for (auto version = history.versions.rbegin(); version != history.versions.rend(); ++version) {
-    answer.versions.push_back(version->second);
+  for (const auto& [number, configuration] : std::views::reverse(history.versions)) {
+    answer.versions.push_back(configuration);
   }
   context_.Act(std::move(answer));
   histories_.erase(reference);
--- a/src/core/config_changes.h
+++ b/src/core/config_changes.h
@@ -42,7 +42,7 @@
     Configuration configuration;
     Step step = Step::kReading;
     ConfigRecord before;
-    uint64_t revision = 0;      // Of `before`.
+    uint64_t revision = 0;       // Of `before`.
     bool maybe_written = false;  // A write's answer was lost.
     int tries = 0;
     TimePoint next_try{};
@@ -52,7 +52,7 @@
     ExchangeId exchange = 0;
     size_t most = 0;
     bool complete = true;
-    int open = 0;                              // Calls that are out.
+    int open = 0;  // Calls that are out.
     std::map<uint64_t, Configuration> versions;
   };
 
--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -12,16 +12,17 @@
 
 namespace {
 
-constexpr Duration kIntentPatience = 400ms;   // A marked first attempt waits no longer for its record.
-constexpr Duration kRecordPatience = 2s;      // Requests that need their record.
-constexpr Duration kLookPatience = 1s;        // A repeat that asks what the log says.
-constexpr Duration kWithdrawPatience = 30s;   // Nobody waits for a withdrawal.
-constexpr Duration kWayBack = 300ms;          // The writer answers by its patience; this is for the way back.
-constexpr Duration kResend = 500ms;           // A record without an answer.
-constexpr Duration kRetry = 1s;               // A record that must stand in the log, after a failure.
-constexpr Duration kQuestionTimeout = 5s;     // A lost question to the log.
-constexpr Duration kComeBack = 1s;            // Retry-After of a request that is in progress.
-constexpr size_t kMostKeptBytes = 256 * 1024;  // Payload or answer of a deferred request.
+constexpr Duration kIntentPatience = 400ms;    // A marked first attempt waits no longer for its record.
+constexpr Duration kRecordPatience = 2s;       // Requests that need their record.
+constexpr Duration kLookPatience = 1s;         // A repeat that asks what the log says.
+constexpr Duration kWithdrawPatience = 30s;    // Nobody waits for a withdrawal.
+constexpr Duration kWayBack = 300ms;           // The writer answers by its patience; this is for the way back.
+constexpr Duration kResend = 500ms;            // A record without an answer.
+constexpr Duration kRetry = 1s;                // A record that must stand in the log, after a failure.
+constexpr Duration kResumeClaim = 5s;          // To find the run of a request whose finish target passed meanwhile.
+constexpr Duration kQuestionTimeout = 5s;      // A lost question to the log.
+constexpr Duration kComeBack = 1s;             // Retry-After of a request that is in progress.
+constexpr size_t kMostKeptBytes = 262'144;  // Payload or answer of a deferred request.
 
 LogRecordKind KindOf(LogStep step) {
   switch (step) {
@@ -49,7 +50,7 @@
     StartClaim(job);
   } else {
     const Duration patience = request.attempt == 1 ? kIntentPatience : kRecordPatience;
-    Append(job, LogStep::kIntent, std::min(patience, job.spec.start_within / 2));
+    Append(job, LogStep::kIntent, std::min(patience, job.spec.start_within * 3 / 4));
   }
 }
 
@@ -260,17 +261,14 @@
 
 // The claim holds and no run of the request is left anywhere in the data centre.
 void HomeRole::OnNoEarlierRun(Job& job) {
-  if (job.refusal != ResultCode::kOk) {
-    EndRefused(job, job.refusal);
-  } else if (job.spec.may_run_twice) {
-    Begin(job);
-  } else if (job.committed) {
-    End(job, job.accepted ? ResultCode::kUnknownOutcome : ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
-  } else if (job.surely_first) {
+  const bool too_late = job.resumed && context_.Now() >= job.start_by;
+  if (job.refusal != ResultCode::kOk || too_late) {
+    EndRefused(job, too_late ? ResultCode::kFinishTargetMissed : job.refusal);
+  } else if (job.spec.may_run_twice || (job.surely_first && !job.committed)) {
     Begin(job);
   } else if (!job.accepted) {
     Look(job);
-  } else if (job.started) {
+  } else if (job.started || job.committed) {
     End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
   } else {
     Append(job, LogStep::kStarting, kRecordPatience);
@@ -337,7 +335,8 @@
 // An accepted request that finds no room waits for it until its start target.
 bool HomeRole::BacksOff(const Job& job, ResultCode code) const {
   const bool may_begin = job.spec.may_run_twice || !(job.in_doubt || job.ran);
-  return job.accepted && may_begin && code != ResultCode::kRepeatUnverified && InfoOf(code).come_back && context_.Now() + kComeBack < job.start_by;
+  return job.accepted && may_begin && code != ResultCode::kRepeatUnverified && InfoOf(code).come_back &&
+         context_.Now() + kComeBack < job.start_by;
 }
 
 void HomeRole::OnResume(const HostName& from, const LogResume& resume) {
@@ -360,8 +359,8 @@
   touched_.push_back(key);
   job.request = resume.request;
   job.spec = *spec;
-  job.finish_by = context_.Now() + spec->finish_within - resume.age;
-  job.start_by = job.finish_by;
+  job.start_by = context_.Now() + spec->finish_within - resume.age;
+  job.finish_by = std::max(job.start_by, context_.Now() + kResumeClaim);
   job.members.resize(static_cast<size_t>(resume.request.members));
   job.nonce = context_.RandomNumber();
   job.accepted = true;
@@ -423,8 +422,7 @@
 }
 
 void HomeRole::AskLog(const RequestKey& key, LogQuestion question) {
-  std::erase_if(questions_,
-                [&](const auto& entry) { return context_.Now() - entry.second.asked > kQuestionTimeout; });
+  std::erase_if(questions_, [&](const auto& entry) { return context_.Now() - entry.second.asked > kQuestionTimeout; });
   const HostName writer = context_.OwnerOf(kLogName);
   if (writer.empty()) {
     return;
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -370,8 +370,8 @@
     return std::min({wake, job.finish_by, NextLogWake(job)});
   }
   const bool claiming = job.phase == JobPhase::kClaiming;
-  wake = std::min(
-      {wake, claiming && !job.committed && !job.accepted ? job.start_by : job.finish_by, claiming ? job.next_claim : TimePoint::max()});
+  wake = std::min({wake, claiming && !job.committed && !job.accepted ? job.start_by : job.finish_by,
+                   claiming ? job.next_claim : TimePoint::max()});
   for (const Member& member : job.members) {
     wake = std::min(wake, NextWakeOf(job, member));
   }
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -90,16 +90,16 @@
 
   // The log.
   LogStep step = LogStep::kNone;
-  uint64_t nonce = 0;      // Of this host's records of the request.
+  uint64_t nonce = 0;                    // Of this host's records of the request.
   ResultCode refusal = ResultCode::kOk;  // Accepted: refused with this, once a claim says that nobody else runs it.
-  bool accepted = false;   // Deferred, and its accepted record stands in the log.
-  bool resumed = false;    // Taken over from a home host that is gone.
-  bool started = false;    // Resumed: the former home host may have run it.
-  bool intent = false;     // An intent stands in the log, or may come to stand there.
-  bool asked = false;      // A writer has the present record, or had it.
-  bool cancelled = false;  // To be cancelled once it is accepted.
-  bool unsettled = false;  // The caller was told "unknown" while the accepted record was on its way.
-  TimePoint log_until{};   // Then the log counts as out of reach.
+  bool accepted = false;                 // Deferred, and its accepted record stands in the log.
+  bool resumed = false;                  // Taken over from a home host that is gone.
+  bool started = false;                  // Resumed: the former home host may have run it.
+  bool intent = false;                   // An intent stands in the log, or may come to stand there.
+  bool asked = false;                    // A writer has the present record, or had it.
+  bool cancelled = false;                // To be cancelled once it is accepted.
+  bool unsettled = false;                // The caller was told "unknown" while the accepted record was on its way.
+  TimePoint log_until{};                 // Then the log counts as out of reach.
   TimePoint next_append{};
 };
 
--- a/src/core/log_index.cc
+++ b/src/core/log_index.cc
@@ -127,8 +127,8 @@
 }
 
 uint64_t LogIndex::FirstSince(Duration cutoff, uint64_t next) const {
-  const auto first = std::find_if(batches_.begin(), batches_.end(),
-                                  [&](const BatchNote& batch) { return batch.time >= cutoff; });
+  const auto first =
+      std::find_if(batches_.begin(), batches_.end(), [&](const BatchNote& batch) { return batch.time >= cutoff; });
   return first == batches_.end() ? next : first->sequence;
 }
 
--- a/src/core/log_index.h
+++ b/src/core/log_index.h
@@ -62,7 +62,8 @@
     Duration time = 0us;
     std::vector<uint64_t> hashes;  // Of the keys of intents and answers.
   };
-  using Marks = std::unordered_map<uint64_t, Mark>;  // By the key's hash: an id costs some 50 bytes, however long it is.
+  using Marks =
+      std::unordered_map<uint64_t, Mark>;  // By the key's hash: an id costs some 50 bytes, however long it is.
 
   void ApplyRecord(uint64_t sequence, const LogRecord& record);
   void ApplyAccepted(uint64_t sequence, const LogRecord& record);
--- a/src/core/log_reader.cc
+++ b/src/core/log_reader.cc
@@ -98,8 +98,7 @@
 }
 
 bool LogReader::IsBeingRead(uint64_t sequence) const {
-  return std::any_of(reads_.begin(), reads_.end(),
-                     [&](const auto& read) { return read.second.sequence == sequence; });
+  return std::any_of(reads_.begin(), reads_.end(), [&](const auto& read) { return read.second.sequence == sequence; });
 }
 
 bool LogReader::OnStore(const StoreEvent& event) {
--- a/src/core/log_records.h
+++ b/src/core/log_records.h
@@ -15,7 +15,7 @@
 // One value of the log: what a writer put there at once.
 struct LogBatch {
   HostName writer;
-  uint64_t nonce = 0;  // With the writer's name, tells whose write won when its answer was lost.
+  uint64_t nonce = 0;   // With the writer's name, tells whose write won when its answer was lost.
   Duration time = 0us;  // Log time: the sum of what the writers saw pass.
   std::vector<LogRecord> records;
 
--- a/src/core/log_role.cc
+++ b/src/core/log_role.cc
@@ -8,9 +8,9 @@
 namespace {
 
 constexpr Duration kResumeEvery = 1s;
-constexpr size_t kMostResumes = 500;   // In one round.
+constexpr size_t kMostResumes = 500;  // In one round.
 constexpr Duration kFullCheckEvery = 10s;
-constexpr Duration kTimeEvery = 30s;   // While requests are open, log time is written at least this often.
+constexpr Duration kTimeEvery = 30s;  // While requests are open, log time is written at least this often.
 
 }  // namespace
 
--- a/src/core/log_trimmer.h
+++ b/src/core/log_trimmer.h
@@ -1,6 +1,6 @@
-// Keeps the log's size bounded: moves its base past what is older than the horizon, by compare-and-swap, and deletes the
-// keys below. Open requests are written anew at the end first. A key is deleted one round after the base moved past it,
-// so a trimmer that dies leaves nothing behind that the next one would not find.
+// Keeps the log's size bounded: moves its base past what is older than the horizon, by compare-and-swap, and deletes
+// the keys below. Open requests are written anew at the end first. A key is deleted one round after the base moved past
+// it, so a trimmer that dies leaves nothing behind that the next one would not find.
 #ifndef HIBISCUSSTAND_SRC_CORE_LOG_TRIMMER_H_
 #define HIBISCUSSTAND_SRC_CORE_LOG_TRIMMER_H_
 
@@ -37,10 +37,10 @@
   LogWriter& writer_;
   State state_ = State::kIdle;
   TimePoint next_round_{};
-  CallId call_ = 0;            // The base's.
-  std::set<CallId> deletes_;   // Out now.
+  CallId call_ = 0;           // The base's.
+  std::set<CallId> deletes_;  // Out now.
   uint64_t next_delete_ = 0;
-  LogBase base_;               // As read in this round.
+  LogBase base_;  // As read in this round.
   uint64_t base_revision_ = 0;
   LogBase target_;
 };
--- a/src/core/log_writer.cc
+++ b/src/core/log_writer.cc
@@ -1,6 +1,7 @@
 #include "core/log_writer.h"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 #include <fmt/core.h>
@@ -9,11 +10,11 @@
 
 namespace {
 
-constexpr size_t kMostBytes = 900'000;            // Of a batch; the store holds values up to a megabyte.
-constexpr Duration kRetry = 500ms;                // After a call that failed.
-constexpr Duration kRenewPatience = 1min;         // Renewed records are asked for again by the trimmer.
-constexpr uint64_t kWindowJitter = 50'000;        // Microseconds by which windows differ, so that writers meet less.
-constexpr uint64_t kConflictJitter = 20'000;      // Microseconds before the next try after a lost race.
+constexpr size_t kMostBytes = 900'000;        // Of a batch; the store holds values up to a megabyte.
+constexpr Duration kRetry = 500ms;            // After a call that failed.
+constexpr Duration kRenewPatience = 1min;     // Renewed records are asked for again by the trimmer.
+constexpr uint64_t kWindowJitter = 50'000;    // Microseconds by which windows differ, so that writers meet less.
+constexpr uint64_t kConflictJitter = 20'000;  // Microseconds before the next try after a lost race.
 
 }  // namespace
 
@@ -43,8 +44,7 @@
 void LogWriter::Renew(const RequestKey& key) {
   const OpenEntry* open = index_.FindOpen(key);
   if (open != nullptr && !IsQueued(open->accepted)) {
-    Pending pending{{}, open->accepted, EncodeLogRecord(open->accepted), context_.Now() + kRenewPatience,
-                    false, false};
+    Pending pending{{}, open->accepted, EncodeLogRecord(open->accepted), context_.Now() + kRenewPatience, false, false};
     queue_.push_back(std::move(pending));
   }
 }
@@ -123,8 +123,8 @@
   Put();
 }
 
-// False: not for this batch. `answered` tells that it is settled, else it waits for the next one. One record of a key in
-// a batch, so that each is checked against all before it.
+// False: not for this batch. `answered` tells that it is settled, else it waits for the next one. One record of a key
+// in a batch, so that each is checked against all before it.
 bool LogWriter::Admit(Pending& pending, std::set<RequestKey>& keys, size_t& bytes) {
   const bool renewal = pending.from.empty();
   if (renewal) {
@@ -177,7 +177,10 @@
 }
 
 void LogWriter::OnPutReply(const StoreEvent& event) {
-  if (event.delivery != Delivery::kAnswered) {
+  if (event.delivery == Delivery::kNotSent && !flight_->maybe_sent) {
+    GiveBack(LogOutcome::kNotRecorded);
+  } else if (event.delivery != Delivery::kAnswered) {
+    flight_->maybe_sent = true;
     flight_->next_try = context_.Now() + (event.delivery == Delivery::kUnknown ? 0us : kRetry);
   } else if (event.reply.status == StoreStatus::kOk) {
     Win();
@@ -198,16 +201,12 @@
       Put();
       return;
     }
-    for (Pending& pending : flight_->records) {
-      Reply(pending, LogOutcome::kUnknown);
-    }
-    flight_.reset();
+    GiveBack(LogOutcome::kUnknown);
     reader_.Restart();
     return;
   }
   const auto standing = DecodeLogBatch(event.reply.value);
-  const bool ours =
-      standing && standing->writer == context_.settings.name && standing->nonce == flight_->batch.nonce;
+  const bool ours = standing && standing->writer == context_.settings.name && standing->nonce == flight_->batch.nonce;
   if (ours) {
     Win();
   } else {
@@ -215,6 +214,14 @@
   }
 }
 
+void LogWriter::GiveBack(LogOutcome outcome) {
+  Flight flight = std::move(*flight_);
+  flight_.reset();
+  for (Pending& pending : flight.records) {
+    Reply(pending, outcome);
+  }
+}
+
 void LogWriter::Win() {
   Flight flight = std::move(*flight_);
   flight_.reset();
@@ -231,9 +238,9 @@
   Flight flight = std::move(*flight_);
   flight_.reset();
   reader_.Take(flight.sequence, winner, TimePoint{});
-  for (auto pending = flight.records.rbegin(); pending != flight.records.rend(); ++pending) {
-    if (!pending->answered) {
-      queue_.push_front(std::move(*pending));
+  for (Pending& pending : std::views::reverse(flight.records)) {
+    if (!pending.answered) {
+      queue_.push_front(std::move(pending));
     }
   }
   window_until_ = context_.Now() + Duration(context_.RandomNumber() % kConflictJitter);
--- a/src/core/log_writer.h
+++ b/src/core/log_writer.h
@@ -53,6 +53,7 @@
     std::vector<Pending> records;
     CallId call = 0;  // 0: none is out.
     bool reading_back = false;
+    bool maybe_sent = false;  // A write of it may have reached the store.
     TimePoint first_sent{};
     TimePoint next_try{};
   };
@@ -64,6 +65,7 @@
   void ReadBack();
   void OnPutReply(const StoreEvent& event);
   void OnReadBackReply(const StoreEvent& event);
+  void GiveBack(LogOutcome outcome);
   void Win();
   void Lose(const LogBatch& winner);
   void Reply(Pending& pending, LogOutcome outcome, const LogEntry& found = {});
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -220,8 +220,8 @@
   enum class State { kNone, kIntent, kOpen, kDone };
 
   State state = State::kNone;
-  HostName home;   // Open: who has the request, as far as the writer knows.
-  Answer answer;   // Done.
+  HostName home;  // Open: who has the request, as far as the writer knows.
+  Answer answer;  // Done.
 
   friend bool operator==(const LogEntry&, const LogEntry&) = default;
 };
--- a/standins/fakes.h
+++ b/standins/fakes.h
@@ -42,6 +42,7 @@
 
   size_t calls() const { return calls_; }
   size_t writes() const { return writes_; }
+  size_t keys() const { return records_.size(); }
 
  private:
   struct Record {
