--- a/src/core/config_changes.cc
+++ b/src/core/config_changes.cc
@@ -1,6 +1,7 @@
 #include "core/config_changes.h"
 
 #include <algorithm>
+#include <optional>
 #include <ranges>
 #include <utility>
 
@@ -13,10 +14,17 @@
 constexpr int kMostTries = 5;       // Read-backs of one change.
 constexpr Duration kRetry = 300ms;  // Between them.
 
-bool Contains(const ConfigRecord& record, const Configuration& change) {
-  return std::any_of(record.changes.begin(), record.changes.end(), [&](const ConfigChange& known) {
-    return known.version == change.version && known.change_id == change.change_id;
-  });
+// The id of the change that made this version, if the record still tells.
+std::optional<std::string> ChangeOf(const ConfigRecord& record, uint64_t version) {
+  if (record.configuration.version == version) {
+    return record.configuration.change_id;
+  }
+  for (const ConfigChange& change : record.changes) {
+    if (change.version == version) {
+      return change.change_id;
+    }
+  }
+  return std::nullopt;
 }
 
 }  // namespace
@@ -120,10 +128,10 @@
     return;
   }
   apply_(record->configuration);
-  if (Contains(*record, change.configuration)) {
-    Answer(change, ResultCode::kOk);
+  if (const auto standing = ChangeOf(*record, change.configuration.version); standing) {
+    Answer(change, *standing == change.configuration.change_id ? ResultCode::kOk : ResultCode::kConflict);
   } else if (record->configuration.version + 1 != change.configuration.version) {
-    Answer(change, ResultCode::kConflict);
+    Answer(change, change.maybe_written ? ResultCode::kUnknownOutcome : ResultCode::kConflict);
   } else if (change.tries >= kMostTries) {
     Answer(change, ResultCode::kUnknownOutcome);  // The write may still be on its way.
   } else {
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -114,6 +114,8 @@
   TimePoint asked{};
 };
 
+struct RequestExplanation;
+
 class HomeRole {
  public:
   HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims);
@@ -141,6 +143,7 @@
   void YieldClaim(const RequestKey& key, const HostName& to);
 
   size_t active() const { return active_; }
+  RequestExplanation Explain(const RequestKey& key) const;  // In explain.cc.
 
  private:
   // Admission and endings: home_role.cc.
