--- a/src/core/config_changes.cc
+++ b/src/core/config_changes.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <ranges>
 #include <utility>
 
 #include <fmt/core.h>
@@ -204,9 +203,10 @@
     return;
   }
   AnswerHistory answer{history.exchange, history.complete ? ResultCode::kOk : ResultCode::kStoreUnavailable, {}};
-  for (const auto& [number, configuration] : std::views::reverse(history.versions)) {
+  for (const auto& [number, configuration] : history.versions) {
     answer.versions.push_back(configuration);
   }
+  std::reverse(answer.versions.begin(), answer.versions.end());
   context_.Act(std::move(answer));
   histories_.erase(reference);
 }
--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -12,17 +12,17 @@
 
 namespace {
 
-constexpr Duration kIntentPatience = 400ms;    // A marked first attempt waits no longer for its record.
-constexpr Duration kRecordPatience = 2s;       // Requests that need their record.
-constexpr Duration kLookPatience = 1s;         // A repeat that asks what the log says.
-constexpr Duration kWithdrawPatience = 30s;    // Nobody waits for a withdrawal.
-constexpr Duration kWayBack = 300ms;           // The writer answers by its patience; this is for the way back.
-constexpr Duration kResend = 500ms;            // A record without an answer.
-constexpr Duration kRetry = 1s;                // A record that must stand in the log, after a failure.
-constexpr Duration kResumeClaim = 5s;          // To find the run of a request whose finish target passed meanwhile.
-constexpr Duration kQuestionTimeout = 5s;      // A lost question to the log.
-constexpr Duration kComeBack = 1s;             // Retry-After of a request that is in progress.
-constexpr size_t kMostKeptBytes = 262'144;  // Payload or answer of a deferred request.
+constexpr Duration kIntentPatience = 400ms;  // A marked first attempt waits no longer for its record.
+constexpr Duration kRecordPatience = 2s;     // Requests that need their record.
+constexpr Duration kLookPatience = 1s;       // A repeat that asks what the log says.
+constexpr Duration kWithdrawPatience = 30s;  // Nobody waits for a withdrawal.
+constexpr Duration kWayBack = 300ms;         // The writer answers by its patience; this is for the way back.
+constexpr Duration kResend = 500ms;          // A record without an answer.
+constexpr Duration kRetry = 1s;              // A record that must stand in the log, after a failure.
+constexpr Duration kResumeClaim = 5s;        // To find the run of a request whose finish target passed meanwhile.
+constexpr Duration kQuestionTimeout = 5s;    // A lost question to the log.
+constexpr Duration kComeBack = 1s;           // Retry-After of a request that is in progress.
+constexpr size_t kMostKeptBytes = 262'144;   // Payload or answer of a deferred request.
 
 LogRecordKind KindOf(LogStep step) {
   switch (step) {
--- a/src/core/log_writer.cc
+++ b/src/core/log_writer.cc
@@ -1,7 +1,7 @@
 #include "core/log_writer.h"
 
 #include <algorithm>
-#include <ranges>
+#include <iterator>
 #include <utility>
 
 #include <fmt/core.h>
@@ -238,11 +238,9 @@
   Flight flight = std::move(*flight_);
   flight_.reset();
   reader_.Take(flight.sequence, winner, TimePoint{});
-  for (Pending& pending : std::views::reverse(flight.records)) {
-    if (!pending.answered) {
-      queue_.push_front(std::move(pending));
-    }
-  }
+  std::erase_if(flight.records, [](const Pending& pending) { return pending.answered; });
+  queue_.insert(queue_.begin(), std::make_move_iterator(flight.records.begin()),
+                std::make_move_iterator(flight.records.end()));
   window_until_ = context_.Now() + Duration(context_.RandomNumber() % kConflictJitter);
 }
 
