--- a/src/core/context.h
+++ b/src/core/context.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/messages.h"
+#include "core/steps.h"
 #include "hibiscusstand/clock.h"
 #include "hibiscusstand/policy.h"
 
@@ -38,6 +39,9 @@
   Duration remember = 5min;          // How long ended requests are remembered for repeats.
   Duration log_window = 150ms;       // Records for the log that come within it share one write.
   Duration log_horizon = 10min;      // How long intents and answers stay in the log.
+  Duration digest_every = 1s;        // To other data centres, if the digest changed.
+  Duration digest_keepalive = 3s;    // To other data centres, if it did not.
+  Duration digest_stale = 8s;        // A data centre this silent is not reachable.
   Policy policy;                     // Strategies; only benches and tests change them.
 };
 
@@ -60,6 +64,12 @@
 
   // Sends to a host; a message to this host itself is handled before Handle returns.
   void Send(const HostName& to, PeerMessage message);
+  // Reports a step to the observer, if there is one.
+  void Pass(Step step) {
+    if (step_observer != nullptr) {
+      step_observer->OnStep(step);
+    }
+  }
   void Act(Action action) { actions.push_back(std::move(action)); }
   void Log(const char* part, std::string text) { Act(LogLine{part, std::move(text)}); }
 
@@ -67,9 +77,11 @@
   HostName HomeOf(const RequestKey& key) const;
   HostName OwnerOf(const std::string& worker_or_server) const;
   bool IsLive(const HostName& host) const;       // Heard lately and not leaving.
-  bool IsReachable(const HostName& host) const;  // Heard lately, or this host itself.
+  bool IsReachable(const HostName& host) const;  // Heard lately, here or by a digest, or this host itself.
+  bool IsRemote(const HostName& host) const;     // By the digests a live host of another data centre.
   bool IsRecovering() const { return Now() < recovering_until; }
 
+  StepObserver* step_observer = nullptr;
   const HostSettings settings;
   const Clock& clock;
   std::mt19937_64 random;
@@ -78,6 +90,7 @@
   std::vector<ListEntry> list;      // As the platform last gave it.
   std::vector<HostName> live;       // Live hosts of the own data centre, sorted, this one among them.
   std::vector<HostName> reachable;  // The live hosts and those that leave, sorted.
+  std::vector<HostName> remote;     // Live hosts of the other data centres, by their digests, sorted.
   TimePoint recovering_until{};     // After a start or a pause: requests of unknown age may arrive until then.
   uint64_t view = 0;                // Digest of `live`.
   bool leaving = false;             // This host leaves.
--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -217,6 +217,7 @@
       return;
     default:
       job.surely_first = false;
+      job.request.attempt = 0;  // The first one may have come through another data centre.
       StartClaim(job);
       return;
   }
@@ -363,6 +364,7 @@
   job.finish_by = std::max(job.start_by, context_.Now() + kResumeClaim);
   job.members.resize(static_cast<size_t>(resume.request.members));
   job.nonce = context_.RandomNumber();
+  job.claim = context_.RandomNumber();
   job.accepted = true;
   job.resumed = true;
   job.started = resume.started;
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -13,6 +13,11 @@
 constexpr Duration kRefusalClaim = 2s;   // To make sure that nobody runs an accepted request that is refused.
 constexpr Duration kComeBack = 1s;       // Retry-After of refusals that name no better time.
 
+// A request that is marked as the first attempt came through this data centre alone.
+bool MayBeKnownAbroad(const Request& request) {
+  return request.attempt != 1;
+}
+
 // Two attempts carry the same work. Attempt numbers and waiting differ between them.
 bool SameWork(const Request& a, const Request& b) {
   return a.class_name == b.class_name && a.size == b.size && a.members == b.members && a.payload == b.payload;
@@ -20,8 +25,8 @@
 
 }  // namespace
 
-HomeRole::HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims)
-    : context_(context), membership_(membership), claims_(claims) {}
+HomeRole::HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims, const DigestRole& digests)
+    : context_(context), membership_(membership), claims_(claims), digests_(digests) {}
 
 void HomeRole::OnForward(const HostName& from, const ForwardRequest& forward) {
   Job* job = Find(forward.request.key);
@@ -72,6 +77,9 @@
     return;
   }
   job->waiters.push_back(Waiter{from, cancel.forward_id});
+  if (job->phase == JobPhase::kClaiming) {
+    RetractClaim(*job);
+  }
   if (job->phase == JobPhase::kRecording && job->step == LogStep::kAccepting) {
     job->cancelled = true;  // The accepted record is on its way: the cancellation follows it.
   } else if (job->phase != JobPhase::kSaving) {
@@ -81,6 +89,7 @@
 }
 
 void HomeRole::Accept(const HostName& from, const ForwardRequest& forward) {
+  context_.Pass(Step::kRequestAccepted);
   const Request& request = forward.request;
   const ClassSpec* spec = context_.configuration.FindClass(request.class_name);
   if (spec == nullptr) {
@@ -88,6 +97,9 @@
     context_.Send(from, ForwardAnswer{forward.forward_id, answer});
     return;
   }
+  if (PassOn(from, forward)) {
+    return;
+  }
   Job& job = jobs_[request.key];
   ++active_;
   touched_.push_back(request.key);
@@ -102,27 +114,88 @@
   const bool first = request.attempt == 1 && !forward.resubmit;
   job.surely_first = first;
   const bool idempotent_call = spec->kind == WorkKind::kCall && spec->may_run_twice;
-  if (!claims_.Allows(request.key, context_.settings.name)) {
-    Refuse(job, ResultCode::kRepeatUnverified);
-  } else if (request.deferred || !spec->may_run_twice) {
+  const bool fenced = !claims_.Allows(request.key, context_.settings.name);
+  job.claim = context_.RandomNumber();
+  if (request.deferred || (!fenced && !spec->may_run_twice)) {
     BeginRecorded(job, forward.resubmit);
-  } else if (first || idempotent_call) {
+    return;
+  }
+  if (!fenced && (first || idempotent_call)) {
     Begin(job);
-  } else {
-    StartClaim(job);
+    return;
+  }
+  if (fenced) {
+    job.request.attempt = 0;  // Somebody claimed it: it is not the first attempt, whatever it says.
   }
+  StartClaim(job);
+}
+
+// Another home host has claimed the request: the entry host asks there. Only once, so that two hosts that name each
+// other do not send it to and fro.
+bool HomeRole::PassOn(const HostName& from, const ForwardRequest& forward) {
+  const HostName home = claims_.HomeOf(forward.request.key);
+  if (forward.resubmit || home.empty() || home == context_.settings.name || !context_.IsReachable(home)) {
+    return false;
+  }
+  context_.Send(from, ForwardMoved{forward.forward_id, home});
+  return true;
 }
 
 void HomeRole::StartClaim(Job& job) {
+  context_.Pass(Step::kClaimAsked);
   job.phase = JobPhase::kClaiming;
   job.claim_answers.clear();
   job.next_claim = context_.Now() + kClaimRetry;
-  claims_.Put(job.request.key, context_.settings.name);
+  claims_.Put(job.request.key, context_.settings.name, job.claim);
   for (const HostName& host : context_.reachable) {
-    context_.Send(host, Claim{job.request.key, context_.view});
+    context_.Send(host, Claim{job.request.key, context_.view, job.claim, {}});
+  }
+  if (MayBeKnownAbroad(job.request)) {
+    for (const DataCentre& centre : digests_.OtherCentres()) {
+      if (!job.cleared.contains(centre)) {
+        AskCentre(job, centre);
+      }
+    }
+  }
+  ++job.claim_rounds;
+}
+
+void HomeRole::AskCentre(const Job& job, const DataCentre& centre) {
+  const HostName contact = digests_.ContactOf(centre, job.claim_rounds);
+  if (!contact.empty()) {
+    context_.Send(contact, CentreClaim{job.request.key, job.claim});
   }
 }
 
+// The claim was never whole, so nothing rests on it: what it fenced is set free.
+void HomeRole::RetractClaim(const Job& job) {
+  const RequestKey& key = job.request.key;
+  for (const HostName& host : context_.reachable) {
+    context_.Send(host, ClaimRetract{key, job.claim, {}, false});
+  }
+  if (!MayBeKnownAbroad(job.request)) {
+    return;
+  }
+  for (const DataCentre& centre : digests_.OtherCentres()) {
+    if (const HostName contact = digests_.ContactOf(centre, job.claim_rounds); !contact.empty()) {
+      context_.Send(contact, ClaimRetract{key, job.claim, {}, true});
+    }
+  }
+}
+
+void HomeRole::OnCentreClaimAnswer(const CentreClaimAnswer& answer) {
+  Job* job = Find(answer.key);
+  if (job == nullptr || job->phase != JobPhase::kClaiming) {
+    return;
+  }
+  if (!answer.home.empty()) {
+    YieldClaim(answer.key, answer.home);
+    return;
+  }
+  job->cleared.insert(answer.data_centre);
+  FinishClaim(*job);
+}
+
 void HomeRole::OnClaimAnswer(const HostName& from, const ClaimAnswer& answer) {
   Job* job = Find(answer.key);
   if (job == nullptr || job->phase != JobPhase::kClaiming) {
@@ -136,16 +209,32 @@
   FinishClaim(*job);
 }
 
-// A claim holds when every reachable host, those that leave among them, gave its word under the same view, and every
-// worker is under somebody's lease: then each earlier run is either in an answer or can never start any more.
-void HomeRole::FinishClaim(Job& job) {
+// A claim holds when every reachable host, those that leave among them, gave its word under the same view, every
+// worker is under somebody's lease, and the same is true in every other data centre that the request may have come through: then each earlier run is either
+// in an answer or can never start any more. Where a run stands in an answer the other data centres need not be asked:
+// a claim made there before would have kept it from starting, and one made later finds it.
+bool HomeRole::ClaimIsWhole(const Job& job) const {
   const auto has_word = [&](const HostName& host) {
     const auto answer = job.claim_answers.find(host);
     return answer != job.claim_answers.end() && answer->second.view == context_.view && answer->second.covered;
   };
   if (!std::all_of(context_.reachable.begin(), context_.reachable.end(), has_word)) {
+    return false;
+  }
+  const bool runs_here = std::any_of(job.claim_answers.begin(), job.claim_answers.end(),
+                                     [](const auto& entry) { return !entry.second.runs.empty(); });
+  const std::vector<DataCentre> others = digests_.OtherCentres();
+  const bool all_cleared =
+      digests_.KnowsCentres() &&
+      std::all_of(others.begin(), others.end(), [&](const DataCentre& centre) { return job.cleared.contains(centre); });
+  return runs_here || all_cleared || !MayBeKnownAbroad(job.request);
+}
+
+void HomeRole::FinishClaim(Job& job) {
+  if (!ClaimIsWhole(job)) {
     return;
   }
+  context_.Pass(Step::kClaimHeld);
   bool adopted = false;
   for (Member& member : job.members) {
     if (member.phase != MemberPhase::kEnded) {
@@ -178,11 +267,13 @@
 }
 
 void HomeRole::YieldClaim(const RequestKey& key, const HostName& to) {
+  context_.Pass(Step::kClaimYielded);
   const auto job = jobs_.find(key);
   for (const Waiter& waiter : job->second.waiters) {
     context_.Send(waiter.host, ForwardMoved{waiter.forward_id, to});
   }
-  claims_.Put(key, to);
+  RetractClaim(job->second);
+  claims_.Put(key, to, 0);
   if (job->second.resumed) {
     context_.Send(context_.OwnerOf(kLogName), LogResumed{key, to});
   }
@@ -209,8 +300,12 @@
 }
 
 void HomeRole::End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after) {
+  context_.Pass(Step::kRequestEnded);
   HIBISCUS_INVARIANT(job.phase != JobPhase::kEnded && job.phase != JobPhase::kSaving, job.request.key.ToString(),
                      "A request has one final answer: check the phase before calling End.");
+  if (job.spec.kind == WorkKind::kCall) {
+    LeaveCallOwner(job.members.front());
+  }
   job.answer = Answer{job.request.key, code, verdict, std::move(body), retry_after};
   if (job.accepted) {
     Save(job);
@@ -235,7 +330,7 @@
   context_.Act(Observed{what, job.request.key.tenant, job.spec.name, context_.Now() - accepted});
 }
 
-void HomeRole::Refuse(Job& job, ResultCode code) {
+void HomeRole::Refuse(Job& job, ResultCode code, Duration retry_after) {
   for (const Member& member : job.members) {
     HIBISCUS_INVARIANT(member.phase != MemberPhase::kCommitted && member.phase != MemberPhase::kRunning,
                        job.request.key.ToString(), "Only what never started may be refused as not run.");
@@ -250,31 +345,40 @@
     job.finish_by = std::max(job.finish_by, context_.Now() + kRefusalClaim);
     StartClaim(job);
   } else {
-    EndRefused(job, code);
+    EndRefused(job, code, retry_after);
   }
 }
 
-void HomeRole::EndRefused(Job& job, ResultCode code) {
+void HomeRole::EndRefused(Job& job, ResultCode code, Duration retry_after) {
+  const Duration come_back = retry_after > 0us ? retry_after : kComeBack;
   if (job.in_doubt || job.resumed) {
     End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
   } else if (job.ran) {
     End(job, ResultCode::kTaskFailed, Verdict::kFailed, {});
   } else {
     SendWithdrawal(job);
-    End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? kComeBack : 0us);
+    End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? come_back : 0us);
   }
 }
 
 void HomeRole::OnDeadline(Job& job) {
   const bool unclear = job.phase == JobPhase::kClaiming || (job.resumed && job.step == LogStep::kStarting);
+  if (job.phase == JobPhase::kClaiming) {
+    RetractClaim(job);
+  }
   if (job.accepted && unclear) {
     End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
     return;
   }
-  if (job.phase == JobPhase::kClaiming && !job.committed) {
+  const bool refusable = job.spec.may_run_twice || job.surely_first;
+  if (job.phase == JobPhase::kClaiming && !job.committed && refusable) {
     Refuse(job, ResultCode::kRepeatUnverified);
     return;
   }
+  if (job.phase == JobPhase::kClaiming) {
+    End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
+    return;
+  }
   if (job.step == LogStep::kAccepting) {
     OnNotRecorded(job, true);
     return;
@@ -300,6 +404,9 @@
     const bool task = job.phase == JobPhase::kActive && job.spec.kind != WorkKind::kCall;
     const bool recording = job.phase == JobPhase::kRecording && job.step == LogStep::kIntent;
     if (task || recording) {
+      job.request.attempt = 0;  // A repeat may have come through another data centre meanwhile.
+      job.cleared.clear();
+      job.claim = context_.RandomNumber();
       StartClaim(job);
     }
     touched_.push_back(key);
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -14,6 +14,7 @@
 
 #include "core/claim_table.h"
 #include "core/context.h"
+#include "core/digest_role.h"
 #include "core/membership.h"
 
 namespace hibiscus {
@@ -37,6 +38,7 @@
   TimePoint since{};      // When the phase began.
   TimePoint next_send{};  // Next reservation, or repeat of the commit.
   std::map<HostName, ResultCode> refused_by;
+  Duration retry_after{};  // The longest that a refusing owner named.
   std::set<WorkerName> failed_on;
   std::string body;
 };
@@ -78,7 +80,12 @@
   Answer answer;                                  // Once ended.
   std::vector<Member> members;                    // Tasks, or the one call.
   std::map<HostName, ClaimAnswer> claim_answers;  // While claiming.
+  std::set<DataCentre> cleared;                   // While claiming: the other data centres that gave their word.
+  uint64_t claim = 0;                             // Drawn for the claim.
+  size_t claim_rounds = 0;
   TimePoint next_claim{};
+  HostName gang_owner;         // Who is asked for all members of a gang at once.
+  bool gang_spread = false;    // The next try takes room wherever it is, since no single owner had it.
   int runs = 0;                // Tries begun.
   bool surely_first = false;   // No earlier attempt can exist.
   bool committed = false;      // A run of it may have started, by this host's order.
@@ -118,7 +125,7 @@
 
 class HomeRole {
  public:
-  HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims);
+  HomeRole(CoreContext& context, Membership& membership, ClaimTable& claims, const DigestRole& digests);
 
   void OnForward(const HostName& from, const ForwardRequest& forward);
   void OnQuery(const HostName& from, const ForwardQuery& query);
@@ -130,6 +137,7 @@
   void OnLogAppended(const LogAppended& appended);
   void OnLogFound(const LogFound& found);
   void OnResume(const HostName& from, const LogResume& resume);
+  void OnCentreClaimAnswer(const CentreClaimAnswer& answer);
   void OnTick();
 
   // After a pause other hosts may have taken requests over: asks before anything else is done with them.
@@ -148,12 +156,16 @@
  private:
   // Admission and endings: home_role.cc.
   void Accept(const HostName& from, const ForwardRequest& forward);
+  bool PassOn(const HostName& from, const ForwardRequest& forward);
   void StartClaim(Job& job);
+  void RetractClaim(const Job& job);
   void FinishClaim(Job& job);
+  void AskCentre(const Job& job, const DataCentre& centre);
+  bool ClaimIsWhole(const Job& job) const;
   void Begin(Job& job);
   void End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after = 0us);
-  void Refuse(Job& job, ResultCode code);
-  void EndRefused(Job& job, ResultCode code);
+  void Refuse(Job& job, ResultCode code, Duration retry_after = 0us);
+  void EndRefused(Job& job, ResultCode code, Duration retry_after = 0us);
   void Observe(const Job& job, Observed::What what);
   void OnDeadline(Job& job);
   void TickJob(Job& job);
@@ -193,6 +205,8 @@
   void BeginCall(Job& job);
   void TickCall(Job& job);
   HostName PickCallOwner(const Member& member);
+  double CallLoadOf(const HostName& host);
+  void LeaveCallOwner(Member& member);
   void OnCallUnknown(Job& job);
 
   // Tasks: home_tasks.cc.
@@ -200,7 +214,12 @@
   void TickTasks(Job& job);
   void TickMember(Job& job, Member& member);
   void AskForRoom(Job& job, Member& member);
+  HostName PickOwnerFor(Job& job, const Member& member);
   HostName PickTaskOwner(const Job& job, const Member& member);
+  static Duration MostHold(const Job& job);
+  static bool AnyStarted(const Job& job);
+  void RefuseGangAt(Job& job, const HostName& owner, const Reserved& reserved);
+  void GiveUpGangTry(Job& job);
   void OnAllRefused(Job& job, Member& member);
   void CommitMember(Job& job, Member& member);
   void SendCommit(Job& job, Member& member);
@@ -224,8 +243,17 @@
   CoreContext& context_;
   Membership& membership_;
   ClaimTable& claims_;
+  const DigestRole& digests_;
+  // Calls of this host at an owner, to correct what its last heartbeat said.
+  struct CallsAt {
+    int now = 0;
+    int then = 0;       // When the heartbeat came.
+    TimePoint heard{};  // When that was.
+  };
+
   std::map<RequestKey, Job> jobs_;
   std::map<uint64_t, LogQuestion> questions_;
+  std::map<HostName, CallsAt> calls_at_;
   size_t active_ = 0;                                  // Jobs that have not ended.
   std::set<std::pair<TimePoint, RequestKey>> timers_;  // When a job next needs a look, if no event comes before.
   std::vector<RequestKey> touched_;                    // Jobs that an event concerned since the last tick.
--- a/src/core/host_core.cc
+++ b/src/core/host_core.cc
@@ -23,7 +23,9 @@
       claims_(context_),
       config_(context_),
       entry_(context_),
-      home_(context_, membership_, claims_),
+      digests_(context_, membership_),
+      centre_claims_(context_, claims_),
+      home_(context_, membership_, claims_, digests_),
       workers_(context_, claims_),
       servers_(context_),
       log_(context_, membership_),
@@ -36,6 +38,7 @@
                  [&](const LeaveEvent&) { BeginLeave(); },
                  [&](const ListEvent& list) {
                    membership_.OnList(list.entries);
+                   digests_.OnList(list.entries);
                    workers_.OnList(list.entries);
                    servers_.OnList(list.entries);
                  },
@@ -66,9 +69,11 @@
   if (gap <= context_.settings.pause_limit) {
     return;
   }
+  context_.Pass(Step::kPauseNoticed);
   context_.Log("core", fmt::format("paused for {} ms; every lease counts as lost", Millis(gap)));
   context_.recovering_until = now + context_.settings.recover;
   membership_.OnPause();
+  digests_.OnPause();
   workers_.OnPause();
   home_.OnPause();
 }
@@ -91,8 +96,12 @@
                  [&](const CallDispatch& m) { servers_.OnDispatch(from, m); },
                  [&](const CallResult& m) { home_.OnCallResult(from, m); },
                  [&](const Claim& m) { OnClaim(from, m); },
-                 [&](const ClaimAnswer& m) { home_.OnClaimAnswer(from, m); },
+                 [&](const ClaimAnswer& m) { OnClaimAnswer(from, m); },
                  [&](const ConfigPush& m) { config_.OnPush(m); },
+                 [&](const Digest& m) { digests_.OnDigest(from, m); },
+                 [&](const CentreClaim& m) { centre_claims_.OnAsk(from, m); },
+                 [&](const CentreClaimAnswer& m) { home_.OnCentreClaimAnswer(m); },
+                 [&](const ClaimRetract& m) { centre_claims_.OnRetract(from, m); },
                  [&](const LogAppend& m) { log_.OnAppend(from, m); },
                  [&](const LogAppended& m) { home_.OnLogAppended(m); },
                  [&](const LogLookup& m) { log_.OnLookup(from, m); },
@@ -111,26 +120,37 @@
 // Two hosts that claim the same request: the smaller name goes on, the other yields.
 void HostCore::OnClaim(const HostName& from, const Claim& claim) {
   const HostName& self = context_.settings.name;
-  ClaimAnswer answer{claim.key, context_.view, workers_.Covered(), false, {}};
-  if (from != self && home_.IsClaiming(claim.key)) {
-    if (self < from) {
+  const HostName& claimant = claim.home.empty() ? from : claim.home;
+  ClaimAnswer answer{claim.key, context_.view, workers_.Covered(), false, {}, claim.home};
+  if (claimant != self && home_.IsClaiming(claim.key)) {
+    if (self < claimant) {
       answer.known_elsewhere = true;
     } else {
-      home_.YieldClaim(claim.key, from);
+      home_.YieldClaim(claim.key, claimant);
     }
   }
-  if (from != self && home_.Knows(claim.key)) {
+  if (claimant != self && home_.Knows(claim.key)) {
     answer.known_elsewhere = true;
   }
   if (!answer.known_elsewhere) {
-    claims_.Put(claim.key, from);
+    claims_.Put(claim.key, claimant, claim.claim);
     answer.runs = workers_.RunsOf(claim.key);
   }
   context_.Send(from, answer);
 }
 
+void HostCore::OnClaimAnswer(const HostName& from, const ClaimAnswer& answer) {
+  if (answer.home.empty()) {
+    home_.OnClaimAnswer(from, answer);
+  } else {
+    centre_claims_.OnAnswer(from, answer);
+  }
+}
+
 void HostCore::Tick() {
   membership_.OnTick();
+  digests_.OnTick();
+  centre_claims_.OnTick();
   claims_.OnTick();
   config_.OnTick();
   entry_.OnTick();
@@ -144,6 +164,7 @@
 void HostCore::BeginLeave() {
   if (!context_.leaving) {
     context_.leaving = true;
+    context_.Pass(Step::kLeaveBegun);
     heard_leaving_ = context_.Now() + context_.settings.suspect_after;
     leave_by_ = context_.Now() + context_.settings.leave_limit;
   }
@@ -165,6 +186,7 @@
     entry_.GiveUpAll();
   }
   exited_ = true;
+  context_.Pass(Step::kLeaveDone);
   context_.Act(Exit{});
 }
 
--- a/src/core/host_core.h
+++ b/src/core/host_core.h
@@ -8,9 +8,11 @@
 
 #include <vector>
 
+#include "core/centre_claims.h"
 #include "core/claim_table.h"
 #include "core/config_role.h"
 #include "core/context.h"
+#include "core/digest_role.h"
 #include "core/entry_role.h"
 #include "core/home_role.h"
 #include "core/log_role.h"
@@ -29,8 +31,12 @@
 
   std::vector<Action> Handle(const Event& event);
 
+  // For the fault matrix; must outlive the core.
+  void set_step_observer(StepObserver* observer) { context_.step_observer = observer; }
+
   const Configuration& configuration() const { return context_.configuration; }
   const std::vector<HostName>& live() const { return context_.live; }
+  const std::vector<HostName>& remote() const { return context_.remote; }
   RequestExplanation ExplainRequest(const RequestKey& key) const;
   WorkerExplanation ExplainWorker(const WorkerName& name) const;
   size_t leases() const { return workers_.leases(); }
@@ -43,6 +49,7 @@
   void Dispatch(const HostName& from, const PeerMessage& message);
   void OnHeartbeat(const HostName& from, const Heartbeat& heartbeat);
   void OnClaim(const HostName& from, const Claim& claim);
+  void OnClaimAnswer(const HostName& from, const ClaimAnswer& answer);
   void Tick();
   void BeginLeave();
   void ExitIfDone();
@@ -52,6 +59,8 @@
   ClaimTable claims_;
   ConfigRole config_;
   EntryRole entry_;
+  DigestRole digests_;
+  CentreClaims centre_claims_;
   HomeRole home_;
   WorkerRole workers_;
   ServerRole servers_;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -49,6 +49,11 @@
   return peer == peers_.end() ? nullptr : &peer->second.heartbeat;
 }
 
+TimePoint Membership::HeardAt(const HostName& host) const {
+  const auto peer = peers_.find(host);
+  return peer == peers_.end() ? TimePoint{} : peer->second.heard;
+}
+
 void Membership::RecomputeLive() {
   std::vector<HostName> live;
   context_.reachable = {context_.settings.name};
@@ -72,6 +77,7 @@
     return;
   }
   context_.live = live;
+  context_.Pass(Step::kViewChanged);
   context_.view = RendezvousScore(fmt::format("{}", fmt::join(live, ",")), "view");
   context_.Log("membership", fmt::format("live hosts: {}", fmt::join(live, ", ")));
 }
@@ -83,7 +89,8 @@
   heartbeat.leaving = context_.leaving;
   heartbeat.config_version = context_.configuration.version;
   for (const ListEntry& entry : context_.list) {
-    const bool peer = entry.kind == ListKind::kEntryHost && entry.name != context_.settings.name;
+    const bool peer = entry.kind == ListKind::kEntryHost && entry.name != context_.settings.name &&
+                      entry.data_centre == context_.settings.data_centre;
     if (peer) {
       context_.Send(entry.name, heartbeat);
     }
--- a/src/core/server_role.cc
+++ b/src/core/server_role.cc
@@ -54,14 +54,17 @@
   const double cost = run_times_.Seconds(dispatch.class_name, 0);
   const TimePoint start_by = now + dispatch.start_within - kWayToServer;
   QueuedCall call{from, dispatch, now, start_by, now + dispatch.finish_within, cost, 0us};
+  admission_.Offered(DemandOf(call), now);
   OwnedServer* server = queue_.empty() ? FindSlot(call) : nullptr;
   const double capacity = Capacity();
   const bool checked = context_.settings.policy.admission && capacity > 0;
   if (server != nullptr) {
+    admission_.Admitted(DemandOf(call), now);
     Execute(*server, call);
   } else if (checked && !admission_.Admits(DemandOf(call), capacity, now)) {
     Refuse(call, ResultCode::kOverloaded, admission_.RetryAfter(DemandOf(call), capacity, now));
   } else {
+    admission_.Admitted(DemandOf(call), now);
     call.predicted = admission_.Wait(DemandOf(call), capacity, now);
     Enqueue(std::move(call));
     ServeQueue();
@@ -122,6 +125,7 @@
 }
 
 void ServerRole::OnExecuted(const Execution& execution, const ServerEvent& event) {
+  context_.Pass(Step::kCallEnded);
   OwnedServer& server = servers_[execution.server];
   --server.in_progress;
   const QueuedCall& call = execution.call;
@@ -175,7 +179,7 @@
     OwnedServer* server = nullptr;
     const std::optional<QueuedCall> next = queue_.TakeNext([&](const QueuedCall& call) {
       server = FindSlot(call);
-      return server != nullptr;
+      return server != nullptr ? Fit::kYes : Fit::kNo;
     });
     if (!next) {
       return;
@@ -222,6 +226,7 @@
 }
 
 void ServerRole::Execute(OwnedServer& server, const QueuedCall& call) {
+  context_.Pass(Step::kCallSent);
   HIBISCUS_INVARIANT(context_.Now() - server.good_probe < context_.settings.probe_fresh, server.entry.name,
                      "A backend server gets new work only while its last good probe is fresh: use FindSlot.");
   ++server.in_progress;
--- a/tests/failure_test.cc
+++ b/tests/failure_test.cc
@@ -33,15 +33,21 @@
 
 }  // namespace
 
-TEST_CASE("an absent run is 'not started' under the same token, and only 'gone' under a newer one") {
+TEST_CASE("only a run whose hold lapsed under the same token is 'not started'; any other absent run is 'gone'") {
   OneHost host("a1");
   LeaseWorker(host, 5);
+  REQUIRE(host.core.leases() == 1);
   const auto ask = [&](uint64_t token) {
     host.Do(PeerEvent{"a2", Commit{kRun, "w1", token, "once-task", Resources{1, 1, 0}, 1s, {}}});
     const auto reports = host.TakeSent<RunReport>();
     REQUIRE(reports.size() == 1);
     return reports[0].second.phase;
   };
+  REQUIRE(ask(5) == RunPhase::kGone);
+  host.Do(PeerEvent{"a2", Reserve{kRun, "once-task", WorkKind::kBatch, Resources{1, 1, 0}, 1s, 1s, false}});
+  host.Pass(2500ms);
+  REQUIRE(host.core.leases() == 1);
+  host.Take<SendPeer>();
   REQUIRE(ask(5) == RunPhase::kNotStarted);
   REQUIRE(ask(4) == RunPhase::kGone);
 }
@@ -104,7 +110,7 @@
   host.Pass(1s, {"a2"});
   const auto claims = host.TakeSent<Claim>();
   REQUIRE_FALSE(claims.empty());
-  host.Do(PeerEvent{"a2", ClaimAnswer{kRun.task.key, 0, true, true, {}}});
+  host.Do(PeerEvent{"a2", ClaimAnswer{kRun.task.key, 0, true, true, {}, {}}});
   const auto moved = host.TakeSent<ForwardMoved>();
   REQUIRE(moved.size() == 1);
   REQUIRE(moved[0].second.home == "a2");
@@ -161,7 +167,7 @@
       host.Do(WorkerEvent{call.call, Delivery::kAnswered, WorkerReply{WorkerStatus::kOk, 5, {}, false, {}}});
     }
   }
-  host.Do(PeerEvent{"a3", Claim{kRun.task.key, 0}});
+  host.Do(PeerEvent{"a3", Claim{kRun.task.key, 0, 0, {}}});
   const auto claimed = host.TakeSent<ClaimAnswer>();
   REQUIRE(claimed.size() == 1);
   REQUIRE(claimed[0].second.runs.size() == 1);
