--- a/src/core/context.h
+++ b/src/core/context.h
@@ -37,6 +37,8 @@
   Duration recover = 1s;             // Callers are refused this long after a start or a pause.
   Duration leave_limit = 30s;        // A planned stop takes no longer: what is open then is answered as unknown.
   Duration remember = 5min;          // How long ended requests are remembered for repeats.
+  Duration log_window = 150ms;       // Records for the log that come within it share one write.
+  Duration log_horizon = 10min;      // How long intents and answers stay in the log.
   Duration digest_every = 1s;        // To other data centres, if the digest changed.
   Duration digest_keepalive = 3s;    // To other data centres, if it did not.
   Duration digest_stale = 8s;        // A data centre this silent is not reachable.
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration kClaimRetry = 250ms;  // Between rounds of questions about an earlier attempt.
+constexpr Duration kRefusalClaim = 2s;   // To make sure that nobody runs an accepted request that is refused.
 constexpr Duration kComeBack = 1s;       // Retry-After of refusals that name no better time.
 
 // A request that is marked as the first attempt came through this data centre alone.
@@ -47,34 +48,44 @@
     context_.Send(from, ForwardAnswer{forward.forward_id, job->answer});
     return;
   }
+  if (job->accepted) {
+    const Answer accepted{forward.request.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
+    context_.Send(from, ForwardAnswer{forward.forward_id, accepted});
+    return;
+  }
   job->waiters.push_back(Waiter{from, forward.forward_id});
 }
 
 void HomeRole::OnQuery(const HostName& from, const ForwardQuery& query) {
   const Job* job = Find(query.key);
-  Answer answer{query.key, ResultCode::kNotFound, Verdict::kUnknown, {}, 0us};
-  if (job != nullptr) {
-    const Answer pending{query.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
-    answer = job->phase == JobPhase::kEnded ? job->answer : pending;
+  if (job == nullptr) {
+    AskLog(query.key, LogQuestion{LogQuestion::Kind::kQuery, Waiter{from, query.forward_id}, {}, {}, {}});
+    return;
   }
-  context_.Send(from, ForwardAnswer{query.forward_id, answer});
+  const Answer pending{query.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
+  context_.Send(from, ForwardAnswer{query.forward_id, job->phase == JobPhase::kEnded ? job->answer : pending});
 }
 
 void HomeRole::OnCancel(const HostName& from, const ForwardCancel& cancel) {
   Job* job = Find(cancel.key);
   if (job == nullptr) {
-    const Answer answer{cancel.key, ResultCode::kNotFound, Verdict::kUnknown, {}, 0us};
-    context_.Send(from, ForwardAnswer{cancel.forward_id, answer});
+    AskLog(cancel.key, LogQuestion{LogQuestion::Kind::kCancel, Waiter{from, cancel.forward_id}, {}, {}, {}});
     return;
   }
-  if (job->phase != JobPhase::kEnded) {
-    if (job->phase == JobPhase::kClaiming) {
-      RetractClaim(*job);
-    }
+  if (job->phase == JobPhase::kEnded) {
+    context_.Send(from, ForwardAnswer{cancel.forward_id, job->answer});
+    return;
+  }
+  job->waiters.push_back(Waiter{from, cancel.forward_id});
+  if (job->phase == JobPhase::kClaiming) {
+    RetractClaim(*job);
+  }
+  if (job->phase == JobPhase::kRecording && job->step == LogStep::kAccepting) {
+    job->cancelled = true;  // The accepted record is on its way: the cancellation follows it.
+  } else if (job->phase != JobPhase::kSaving) {
     StopMembers(*job);
     End(*job, ResultCode::kCancelled, Verdict::kCancelled, {});
   }
-  context_.Send(from, ForwardAnswer{cancel.forward_id, job->answer});
 }
 
 void HomeRole::Accept(const HostName& from, const ForwardRequest& forward) {
@@ -98,11 +109,17 @@
   job.finish_by = context_.Now() + spec->finish_within;
   job.waiters = {Waiter{from, forward.forward_id}};
   job.members.resize(static_cast<size_t>(request.members));
+  job.nonce = context_.RandomNumber();
 
   const bool first = request.attempt == 1 && !forward.resubmit;
   job.surely_first = first;
   const bool idempotent_call = spec->kind == WorkKind::kCall && spec->may_run_twice;
   const bool fenced = !claims_.Allows(request.key, context_.settings.name);
+  job.claim = context_.RandomNumber();
+  if (request.deferred || (!fenced && !spec->may_run_twice)) {
+    BeginRecorded(job, forward.resubmit);
+    return;
+  }
   if (!fenced && (first || idempotent_call)) {
     Begin(job);
     return;
@@ -110,7 +127,6 @@
   if (fenced) {
     job.request.attempt = 0;  // Somebody claimed it: it is not the first attempt, whatever it says.
   }
-  job.claim = context_.RandomNumber();
   StartClaim(job);
 }
 
@@ -234,15 +250,18 @@
       AdoptRun(job, run);
     }
   }
+  if (job.resumed) {
+    context_.Send(context_.OwnerOf(kLogName), LogResumed{job.request.key, context_.settings.name});
+  }
   const bool may_start_rest = job.spec.may_run_twice || (job.surely_first && !job.committed);
   const bool whole = std::none_of(job.members.begin(), job.members.end(),
                                   [](const Member& member) { return member.phase == MemberPhase::kIdle; });
-  if (adopted && (whole || may_start_rest)) {
+  if (!adopted) {
+    OnNoEarlierRun(job);
+  } else if (whole || may_start_rest) {
     FinishIfAllEnded(job);
-  } else if (may_start_rest) {
-    Begin(job);
   } else {
-    StopMembers(job);
+    StopMembers(job);  // The missing members may have run.
     End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
   }
 }
@@ -255,12 +274,23 @@
   }
   RetractClaim(job->second);
   claims_.Put(key, to, 0);
+  if (job->second.resumed) {
+    context_.Send(context_.OwnerOf(kLogName), LogResumed{key, to});
+  }
+  Forget(key);
+}
+
+void HomeRole::Forget(const RequestKey& key) {
+  const auto job = jobs_.find(key);
+  if (job->second.phase != JobPhase::kEnded) {
+    --active_;
+  }
   timers_.erase({job->second.wake, key});
   jobs_.erase(job);
-  --active_;
 }
 
 void HomeRole::Begin(Job& job) {
+  job.step = LogStep::kNone;
   job.phase = JobPhase::kActive;
   if (job.spec.kind == WorkKind::kCall) {
     BeginCall(job);
@@ -271,16 +301,24 @@
 
 void HomeRole::End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after) {
   context_.Pass(Step::kRequestEnded);
-  HIBISCUS_INVARIANT(job.phase != JobPhase::kEnded, job.request.key.ToString(),
+  HIBISCUS_INVARIANT(job.phase != JobPhase::kEnded && job.phase != JobPhase::kSaving, job.request.key.ToString(),
                      "A request has one final answer: check the phase before calling End.");
   if (job.spec.kind == WorkKind::kCall) {
     LeaveCallOwner(job.members.front());
   }
+  job.answer = Answer{job.request.key, code, verdict, std::move(body), retry_after};
+  if (job.accepted) {
+    Save(job);
+    return;
+  }
   job.phase = JobPhase::kEnded;
   --active_;
   job.ended = context_.Now();
-  job.answer = Answer{job.request.key, code, verdict, std::move(body), retry_after};
   Observe(job, Observed::What::kEnded);
+  AnswerWaiters(job);
+}
+
+void HomeRole::AnswerWaiters(Job& job) {
   for (const Waiter& waiter : job.waiters) {
     context_.Send(waiter.host, ForwardAnswer{waiter.forward_id, job.answer});
   }
@@ -298,20 +336,40 @@
                        job.request.key.ToString(), "Only what never started may be refused as not run.");
   }
   ReleaseMembers(job);
+  if (BacksOff(job, code)) {
+    job.phase = JobPhase::kRecording;
+    job.step = LogStep::kBackoff;
+    job.next_append = context_.Now() + kComeBack;
+  } else if (job.accepted && job.refusal == ResultCode::kOk) {
+    job.refusal = code;
+    job.finish_by = std::max(job.finish_by, context_.Now() + kRefusalClaim);
+    StartClaim(job);
+  } else {
+    EndRefused(job, code, retry_after);
+  }
+}
+
+void HomeRole::EndRefused(Job& job, ResultCode code, Duration retry_after) {
   const Duration come_back = retry_after > 0us ? retry_after : kComeBack;
-  if (job.in_doubt) {
+  if (job.in_doubt || job.resumed) {
     End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
   } else if (job.ran) {
     End(job, ResultCode::kTaskFailed, Verdict::kFailed, {});
   } else {
+    SendWithdrawal(job);
     End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? come_back : 0us);
   }
 }
 
 void HomeRole::OnDeadline(Job& job) {
+  const bool unclear = job.phase == JobPhase::kClaiming || (job.resumed && job.step == LogStep::kStarting);
   if (job.phase == JobPhase::kClaiming) {
     RetractClaim(job);
   }
+  if (job.accepted && unclear) {
+    End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
+    return;
+  }
   const bool refusable = job.spec.may_run_twice || job.surely_first;
   if (job.phase == JobPhase::kClaiming && !job.committed && refusable) {
     Refuse(job, ResultCode::kRepeatUnverified);
@@ -321,6 +379,14 @@
     End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
     return;
   }
+  if (job.step == LogStep::kAccepting) {
+    OnNotRecorded(job, true);
+    return;
+  }
+  if (job.phase == JobPhase::kRecording) {
+    Refuse(job, ResultCode::kStartTargetMissed);
+    return;
+  }
   const auto started = [](const Member& member) {
     return member.phase == MemberPhase::kCommitted || member.phase == MemberPhase::kRunning ||
            member.phase == MemberPhase::kEnded;
@@ -335,7 +401,9 @@
 
 void HomeRole::OnPause() {
   for (auto& [key, job] : jobs_) {
-    if (job.phase == JobPhase::kActive && job.spec.kind != WorkKind::kCall) {
+    const bool task = job.phase == JobPhase::kActive && job.spec.kind != WorkKind::kCall;
+    const bool recording = job.phase == JobPhase::kRecording && job.step == LogStep::kIntent;
+    if (task || recording) {
       job.request.attempt = 0;  // A repeat may have come through another data centre meanwhile.
       job.cleared.clear();
       job.claim = context_.RandomNumber();
@@ -347,6 +415,7 @@
 
 // Only jobs whose time has come, or that an event concerned, are looked at.
 void HomeRole::OnTick() {
+  HandOver();
   WakeAllIfPeersChanged();
   while (!timers_.empty() && timers_.begin()->first <= context_.Now()) {
     touched_.push_back(timers_.begin()->second);
@@ -384,8 +453,7 @@
     Schedule(job);
     return;
   }
-  timers_.erase({job.wake, key});
-  jobs_.erase(found);
+  Forget(key);
 }
 
 void HomeRole::Schedule(Job& job) {
@@ -402,9 +470,15 @@
   if (job.phase == JobPhase::kEnded) {
     return std::min(wake, job.ended + context_.settings.remember);
   }
+  if (job.phase == JobPhase::kSaving || job.unsettled) {
+    return std::min(wake, job.next_append);
+  }
+  if (job.phase == JobPhase::kRecording) {
+    return std::min({wake, job.finish_by, NextLogWake(job)});
+  }
   const bool claiming = job.phase == JobPhase::kClaiming;
-  wake = std::min(
-      {wake, claiming && !job.committed ? job.start_by : job.finish_by, claiming ? job.next_claim : TimePoint::max()});
+  wake = std::min({wake, claiming && !job.committed && !job.accepted ? job.start_by : job.finish_by,
+                   claiming ? job.next_claim : TimePoint::max()});
   for (const Member& member : job.members) {
     wake = std::min(wake, NextWakeOf(job, member));
   }
@@ -418,7 +492,11 @@
 }
 
 void HomeRole::TickJob(Job& job) {
-  const bool unstarted_claim = job.phase == JobPhase::kClaiming && !job.committed;
+  if (job.phase == JobPhase::kSaving || job.unsettled) {
+    TickLog(job);
+    return;
+  }
+  const bool unstarted_claim = job.phase == JobPhase::kClaiming && !job.committed && !job.accepted;
   const TimePoint deadline = unstarted_claim ? job.start_by : job.finish_by;
   if (context_.Now() >= deadline) {
     OnDeadline(job);
@@ -426,6 +504,8 @@
     if (context_.Now() >= job.next_claim) {
       StartClaim(job);
     }
+  } else if (job.phase == JobPhase::kRecording) {
+    TickLog(job);
   } else if (job.spec.kind == WorkKind::kCall) {
     TickCall(job);
   } else {
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -44,11 +44,24 @@
 };
 
 enum class JobPhase {
-  kClaiming,  // Asking whether an earlier attempt exists.
+  kClaiming,   // Asking whether an earlier attempt exists.
+  kRecording,  // Nothing is out; the log is asked, or the next try is due later.
   kActive,
+  kSaving,  // Ended; the answer is told once it stands in the log.
   kEnded,
 };
 
+// What a request waits for, while kRecording or kSaving.
+enum class LogStep {
+  kNone,
+  kAccepting,  // A deferred request: the accepted record.
+  kIntent,     // A request that may not run twice: the intent.
+  kStarting,   // An accepted request that may not run twice: the started record.
+  kLooking,    // A repeat that no live host knows: what the log says.
+  kBackoff,    // An accepted request that found no room: the next try.
+  kSaving,     // An accepted request: its answer.
+};
+
 // Someone who waits for the answer: a forward of an entry host.
 struct Waiter {
   HostName host;
@@ -81,6 +94,31 @@
   std::vector<StopRun> stops;  // Runs to be stopped, repeated until their end is reported.
   TimePoint next_stop{};
   TimePoint wake = TimePoint::max();  // Its place among the timers; max: none.
+
+  // The log.
+  LogStep step = LogStep::kNone;
+  uint64_t nonce = 0;                    // Of this host's records of the request.
+  ResultCode refusal = ResultCode::kOk;  // Accepted: refused with this, once a claim says that nobody else runs it.
+  bool accepted = false;                 // Deferred, and its accepted record stands in the log.
+  bool resumed = false;                  // Taken over from a home host that is gone.
+  bool started = false;                  // Resumed: the former home host may have run it.
+  bool intent = false;                   // An intent stands in the log, or may come to stand there.
+  bool asked = false;                    // A writer has the present record, or had it.
+  bool cancelled = false;                // To be cancelled once it is accepted.
+  bool unsettled = false;                // The caller was told "unknown" while the accepted record was on its way.
+  TimePoint log_until{};                 // Then the log counts as out of reach.
+  TimePoint next_append{};
+};
+
+// A question to the log that a message from another host waits for.
+struct LogQuestion {
+  enum class Kind { kQuery, kCancel, kReport };
+
+  Kind kind = Kind::kQuery;
+  Waiter waiter;     // Query and cancel.
+  RunReport report;  // Report.
+  HostName reporter;
+  TimePoint asked{};
 };
 
 struct RequestExplanation;
@@ -96,6 +134,9 @@
   void OnReport(const HostName& from, const RunReport& report);
   void OnCallResult(const HostName& from, const CallResult& result);
   void OnClaimAnswer(const HostName& from, const ClaimAnswer& answer);
+  void OnLogAppended(const LogAppended& appended);
+  void OnLogFound(const LogFound& found);
+  void OnResume(const HostName& from, const LogResume& resume);
   void OnCentreClaimAnswer(const CentreClaimAnswer& answer);
   void OnTick();
 
@@ -124,6 +165,7 @@
   void Begin(Job& job);
   void End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after = 0us);
   void Refuse(Job& job, ResultCode code, Duration retry_after = 0us);
+  void EndRefused(Job& job, ResultCode code, Duration retry_after = 0us);
   void Observe(const Job& job, Observed::What what);
   void OnDeadline(Job& job);
   void TickJob(Job& job);
@@ -131,8 +173,34 @@
   void Wake(const RequestKey& key);
   void Schedule(Job& job);
   TimePoint NextWake(const Job& job) const;
+  void Forget(const RequestKey& key);
   bool IsForgotten(const Job& job) const;
 
+  // The log: home_log.cc.
+  void BeginRecorded(Job& job, bool resubmit);
+  void Append(Job& job, LogStep step, Duration patience);
+  void SendAppend(Job& job);
+  void SendWithdrawal(Job& job);
+  void TickLog(Job& job);
+  TimePoint NextLogWake(const Job& job) const;
+  void OnRecorded(Job& job);
+  void OnDuplicate(Job& job, const LogEntry& found);
+  void OnNotRecorded(Job& job, bool maybe);
+  void OnNoEarlierRun(Job& job);
+  void Look(Job& job);
+  void OnRepeatFound(Job& job, const LogFound& found);
+  void Save(Job& job);
+  void Saved(Job& job);
+  void AnswerAccepted(Job& job);
+  void AnswerWaiters(Job& job);
+  bool BacksOff(const Job& job, ResultCode code) const;
+  bool HandsOver(const Job& job) const;
+  void HandOver();
+  static bool MayAcknowledge(const Job& job, const RunReport& report);
+  void AskAboutOrphan(const HostName& from, const RunReport& report, const Job* job);
+  void AskLog(const RequestKey& key, LogQuestion question);
+  void OnQuestionAnswered(const LogQuestion& question, const LogFound& found);
+
   // Calls: home_calls.cc.
   void BeginCall(Job& job);
   void TickCall(Job& job);
@@ -184,6 +252,7 @@
   };
 
   std::map<RequestKey, Job> jobs_;
+  std::map<uint64_t, LogQuestion> questions_;
   std::map<HostName, CallsAt> calls_at_;
   size_t active_ = 0;                                  // Jobs that have not ended.
   std::set<std::pair<TimePoint, RequestKey>> timers_;  // When a job next needs a look, if no event comes before.
--- a/src/core/home_tasks.cc
+++ b/src/core/home_tasks.cc
@@ -25,7 +25,7 @@
 void HomeRole::TickTasks(Job& job) {
   for (Member& member : job.members) {
     TickMember(job, member);
-    if (job.phase == JobPhase::kEnded) {
+    if (job.phase != JobPhase::kActive) {
       return;
     }
   }
@@ -250,12 +250,15 @@
 void HomeRole::OnReport(const HostName& from, const RunReport& report) {
   const bool ended = report.phase != RunPhase::kStarted;
   Job* job = Find(report.run.task.key);
-  if (job == nullptr || job->phase == JobPhase::kClaiming) {
+  if (job == nullptr || job->phase == JobPhase::kClaiming || job->phase == JobPhase::kRecording) {
+    AskAboutOrphan(from, report, job);
     return;  // No acknowledgement: the host that ordered the run may still ask for it, and a claim may find it.
   }
   NoteRun(*job, report.phase);
   if (ended) {
-    context_.Send(from, RunReportAck{report.run, report.worker});
+    if (MayAcknowledge(*job, report)) {
+      context_.Send(from, RunReportAck{report.run, report.worker});
+    }
     std::erase_if(job->stops, [&](const StopRun& stop) { return stop.run == report.run; });
   }
   Member* member = job->phase != JobPhase::kActive ? nullptr : FindMember(*job, report.run);
@@ -341,7 +344,7 @@
   member.worker = report.worker;
   member.token = report.token;
   member.owner = context_.OwnerOf(report.worker);
-  Enter(member, MemberPhase::kRunning, context_.Now());
+  Enter(member, MemberPhase::kCommitted, context_.Now());  // The commit tells the owner who the home host is now.
   if (report.phase == RunPhase::kDone) {
     member.body = report.body;
     Enter(member, MemberPhase::kEnded, context_.Now());
--- a/src/core/host_core.cc
+++ b/src/core/host_core.cc
@@ -28,6 +28,7 @@
       home_(context_, membership_, claims_, digests_),
       workers_(context_, claims_),
       servers_(context_),
+      log_(context_, membership_),
       last_event_(clock.Now()) {}
 
 std::vector<Action> HostCore::Handle(const Event& event) {
@@ -44,11 +45,12 @@
                  [&](const PeerEvent& peer) { Dispatch(peer.from, peer.message); },
                  [&](const WorkerEvent& reply) { workers_.OnWorker(reply); },
                  [&](const ServerEvent& reply) { servers_.OnServer(reply); },
-                 [&](const StoreEvent& reply) { config_.OnStore(reply); },
+                 [&](const StoreEvent& reply) { config_.OnStore(reply) || log_.OnStore(reply); },
                  [&](const CallerSubmit& submit) { entry_.OnSubmit(submit); },
                  [&](const CallerQuery& query) { entry_.OnQuery(query); },
                  [&](const CallerCancel& cancel) { entry_.OnCancel(cancel); },
                  [&](const OperatorConfigSet& set) { config_.OnSet(set); },
+                 [&](const OperatorHistory& history) { config_.OnHistory(history); },
              },
              event);
   while (!context_.to_self.empty()) {
@@ -100,6 +102,12 @@
                  [&](const CentreClaim& m) { centre_claims_.OnAsk(from, m); },
                  [&](const CentreClaimAnswer& m) { home_.OnCentreClaimAnswer(m); },
                  [&](const ClaimRetract& m) { centre_claims_.OnRetract(from, m); },
+                 [&](const LogAppend& m) { log_.OnAppend(from, m); },
+                 [&](const LogAppended& m) { home_.OnLogAppended(m); },
+                 [&](const LogLookup& m) { log_.OnLookup(from, m); },
+                 [&](const LogFound& m) { home_.OnLogFound(m); },
+                 [&](const LogResume& m) { home_.OnResume(from, m); },
+                 [&](const LogResumed& m) { log_.OnResumed(m); },
              },
              message);
 }
@@ -149,6 +157,7 @@
   home_.OnTick();
   workers_.OnTick();
   servers_.OnTick();
+  log_.OnTick();
   ExitIfDone();
 }
 
--- a/src/core/host_core.h
+++ b/src/core/host_core.h
@@ -15,6 +15,7 @@
 #include "core/digest_role.h"
 #include "core/entry_role.h"
 #include "core/home_role.h"
+#include "core/log_role.h"
 #include "core/membership.h"
 #include "core/server_role.h"
 #include "core/worker_role.h"
@@ -63,6 +64,7 @@
   HomeRole home_;
   WorkerRole workers_;
   ServerRole servers_;
+  LogRole log_;
   TimePoint last_event_;
   TimePoint heard_leaving_{};  // By then every peer has heard that this host leaves, or counts it as lost.
   TimePoint leave_by_{};       // While leaving: the planned stop ends by then.
--- a/tests/fenced_commit_test.cc
+++ b/tests/fenced_commit_test.cc
@@ -31,7 +31,7 @@
     CHECK(reports[0].second.phase == RunPhase::kGone);
   }
   SECTION("another home host has claimed it, and may have stopped and acknowledged the run") {
-    host.Do(PeerEvent{"c", Claim{key, 1}});
+    host.Do(PeerEvent{"c", Claim{key, 1, 0, {}}});
     host.actions.clear();
     host.Do(PeerEvent{"b", commit});
     const auto reports = host.TakeSent<RunReport>();
