--- a/examples/rendezvous.cc
+++ b/examples/rendezvous.cc
@@ -1,5 +1,5 @@
-// Which host looks after which key, without anyone being asked: every program that sees the same hosts picks the same one,
-// and when a host goes, only its own keys move. Use: example_rendezvous
+// Which host looks after which key, without anyone being asked: every program that sees the same hosts picks the same
+// one, and when a host goes, only its own keys move. Use: example_rendezvous
 #include <cstdio>
 #include <string>
 #include <vector>
--- /dev/null
+++ b/examples/tour.cc
@@ -0,0 +1,75 @@
+// Every part of the library once, in some lines each: a small dispatcher that owns a worker, queues and refuses work,
+// and places it. Prints what happened; exits non-zero if a part did not do what its header says. Use: example_tour
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "hibiscusstand/hibiscusstand.h"
+
+namespace {
+
+using std::chrono_literals::operator""s;
+
+int g_failures = 0;
+
+void Show(const char* what, bool as_promised) {
+  std::printf("%-72s %s\n", what, as_promised ? "yes" : "NO");
+  g_failures += as_promised ? 0 : 1;
+}
+
+// Ownership, then a lease: who should act, and who may.
+void ShowLeases(hibiscus::ManualClock& clock) {
+  const std::vector<std::string> hosts = {"a1", "a2", "a3"};
+  const std::string owner = hibiscus::RendezvousPick("worker-7", hosts);
+  hibiscus::LeaseGranter worker;
+  hibiscus::LeaseHolder host;
+  host.BeginAcquire(clock.Now());
+  worker.Acquire(owner, 0, 4s, clock.Now());
+  host.EndAcquire(worker.token(), 4s);
+  Show("the owner holds the lease", host.Holds(clock.Now()));
+  clock.Advance(5s);  // A pause.
+  worker.Acquire("another", 0, 4s, clock.Now());
+  Show("after a pause its token is refused", !worker.IsCurrent(host.token(), clock.Now()));
+}
+
+// Admission in front of a queue: refused at once, or served in order of deadline and fair between tenants.
+void ShowQueue(hibiscus::ManualClock& clock) {
+  hibiscus::AdmissionControl admission;
+  hibiscus::DeadlineQueue<std::string> queue;
+  int refused = 0;
+  for (int i = 0; i < 20; ++i) {
+    const hibiscus::Demand demand{"quick", "clerk", clock.Now() + 1s, 0.1};
+    if (!admission.Admits(demand, 1, clock.Now())) {
+      ++refused;
+      continue;
+    }
+    admission.Queued(demand, clock.Now());
+    queue.Push(hibiscus::QueuePlace{"quick", "clerk", {}, demand.start_by, 1}, std::to_string(i));
+  }
+  Show("what cannot start within its second is refused at once", refused > 0 && !queue.empty());
+  const auto any = [](const std::string&) { return hibiscus::Fit::kYes; };
+  Show("the earliest goes first", queue.TakeNext(any) == "0");
+  clock.Advance(1s);
+  Show("what expires leaves at its moment", queue.TakeExpired(clock.Now()).has_value());
+}
+
+void ShowPlacement() {
+  hibiscus::RoomIndex rooms;
+  const hibiscus::Resources whole{8000, 1000, 0};
+  const hibiscus::RoomIndex::Id empty = rooms.Add();
+  const hibiscus::RoomIndex::Id fuller = rooms.Add();
+  rooms.Update(empty, hibiscus::Room{whole, whole, true});
+  rooms.Update(fuller, hibiscus::Room{whole, hibiscus::Resources{2000, 500, 0}, true});
+  Show("batch goes where it fits tightest", rooms.BestFit(hibiscus::Resources{1000, 100, 0}) == fuller);
+  Show("what fits nowhere is known at once", rooms.NeverFits(hibiscus::Resources{9000, 1, 0}));
+}
+
+}  // namespace
+
+int main() {
+  hibiscus::ManualClock clock;
+  ShowLeases(clock);
+  ShowQueue(clock);
+  ShowPlacement();
+  return g_failures == 0 ? 0 : 1;
+}
--- a/src/core/config_role.cc
+++ b/src/core/config_role.cc
@@ -64,6 +64,9 @@
   }
   context_.configuration = configuration;
   context_.Log("config", fmt::format("version {} is in force", configuration.version));
+  if (!configuration.quotas.empty()) {
+    context_.Log("config", "quotas stand in the configuration; nothing enforces them yet");
+  }
 }
 
 void ConfigRole::Watch() {
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -1,3 +1,4 @@
+// Requests from acceptance to their one answer: joins, refusals, deadlines, and when each needs a look.
 #include "core/home_role.h"
 
 #include <algorithm>
@@ -9,15 +10,9 @@
 
 namespace {
 
-constexpr Duration kClaimRetry = 250ms;  // Between rounds of questions about an earlier attempt.
 constexpr Duration kRefusalClaim = 2s;   // To make sure that nobody runs an accepted request that is refused.
 constexpr Duration kComeBack = 1s;       // Retry-After of refusals that name no better time.
 
-// A request that is marked as the first attempt came through this data centre alone.
-bool MayBeKnownAbroad(const Request& request) {
-  return request.attempt != 1;
-}
-
 // Two attempts carry the same work. Attempt numbers and waiting differ between them.
 bool SameWork(const Request& a, const Request& b) {
   return a.class_name == b.class_name && a.size == b.size && a.members == b.members && a.payload == b.payload;
@@ -141,145 +136,6 @@
   return true;
 }
 
-void HomeRole::StartClaim(Job& job) {
-  context_.Pass(Step::kClaimAsked);
-  job.phase = JobPhase::kClaiming;
-  job.claim_answers.clear();
-  job.next_claim = context_.Now() + kClaimRetry;
-  claims_.Put(job.request.key, context_.settings.name, job.claim);
-  for (const HostName& host : context_.reachable) {
-    context_.Send(host, Claim{job.request.key, context_.view, job.claim, {}});
-  }
-  if (MayBeKnownAbroad(job.request)) {
-    for (const DataCentre& centre : digests_.OtherCentres()) {
-      if (!job.cleared.contains(centre)) {
-        AskCentre(job, centre);
-      }
-    }
-  }
-  ++job.claim_rounds;
-}
-
-void HomeRole::AskCentre(const Job& job, const DataCentre& centre) {
-  const HostName contact = digests_.ContactOf(centre, job.claim_rounds);
-  if (!contact.empty()) {
-    context_.Send(contact, CentreClaim{job.request.key, job.claim});
-  }
-}
-
-// The claim was never whole, so nothing rests on it: what it fenced is set free.
-void HomeRole::RetractClaim(const Job& job) {
-  const RequestKey& key = job.request.key;
-  for (const HostName& host : context_.reachable) {
-    context_.Send(host, ClaimRetract{key, job.claim, {}, false});
-  }
-  if (!MayBeKnownAbroad(job.request)) {
-    return;
-  }
-  for (const DataCentre& centre : digests_.OtherCentres()) {
-    if (const HostName contact = digests_.ContactOf(centre, job.claim_rounds); !contact.empty()) {
-      context_.Send(contact, ClaimRetract{key, job.claim, {}, true});
-    }
-  }
-}
-
-void HomeRole::OnCentreClaimAnswer(const CentreClaimAnswer& answer) {
-  Job* job = Find(answer.key);
-  if (job == nullptr || job->phase != JobPhase::kClaiming) {
-    return;
-  }
-  if (!answer.home.empty()) {
-    YieldClaim(answer.key, answer.home);
-    return;
-  }
-  job->cleared.insert(answer.data_centre);
-  FinishClaim(*job);
-}
-
-void HomeRole::OnClaimAnswer(const HostName& from, const ClaimAnswer& answer) {
-  Job* job = Find(answer.key);
-  if (job == nullptr || job->phase != JobPhase::kClaiming) {
-    return;
-  }
-  if (answer.known_elsewhere) {
-    YieldClaim(answer.key, from);
-    return;
-  }
-  job->claim_answers[from] = answer;
-  FinishClaim(*job);
-}
-
-// A claim holds when every reachable host, those that leave among them, gave its word under the same view, every
-// worker is under somebody's lease, and the same is true in every other data centre that the request may have come through: then each earlier run is either
-// in an answer or can never start any more. Where a run stands in an answer the other data centres need not be asked:
-// a claim made there before would have kept it from starting, and one made later finds it.
-bool HomeRole::ClaimIsWhole(const Job& job) const {
-  const auto has_word = [&](const HostName& host) {
-    const auto answer = job.claim_answers.find(host);
-    return answer != job.claim_answers.end() && answer->second.view == context_.view && answer->second.covered;
-  };
-  if (!std::all_of(context_.reachable.begin(), context_.reachable.end(), has_word)) {
-    return false;
-  }
-  const bool runs_here = std::any_of(job.claim_answers.begin(), job.claim_answers.end(),
-                                     [](const auto& entry) { return !entry.second.runs.empty(); });
-  const std::vector<DataCentre> others = digests_.OtherCentres();
-  const bool all_cleared =
-      digests_.KnowsCentres() &&
-      std::all_of(others.begin(), others.end(), [&](const DataCentre& centre) { return job.cleared.contains(centre); });
-  return runs_here || all_cleared || !MayBeKnownAbroad(job.request);
-}
-
-void HomeRole::FinishClaim(Job& job) {
-  if (!ClaimIsWhole(job)) {
-    return;
-  }
-  context_.Pass(Step::kClaimHeld);
-  bool adopted = false;
-  for (Member& member : job.members) {
-    if (member.phase != MemberPhase::kEnded) {
-      Enter(member, MemberPhase::kIdle, context_.Now());
-    }
-  }
-  job.in_doubt = job.in_doubt || job.committed;
-  const std::map<HostName, ClaimAnswer> answers = std::move(job.claim_answers);
-  job.phase = JobPhase::kActive;
-  for (const auto& [host, answer] : answers) {
-    for (const RunReport& run : answer.runs) {
-      adopted = true;
-      AdoptRun(job, run);
-    }
-  }
-  if (job.resumed) {
-    context_.Send(context_.OwnerOf(kLogName), LogResumed{job.request.key, context_.settings.name});
-  }
-  const bool may_start_rest = job.spec.may_run_twice || (job.surely_first && !job.committed);
-  const bool whole = std::none_of(job.members.begin(), job.members.end(),
-                                  [](const Member& member) { return member.phase == MemberPhase::kIdle; });
-  if (!adopted) {
-    OnNoEarlierRun(job);
-  } else if (whole || may_start_rest) {
-    FinishIfAllEnded(job);
-  } else {
-    StopMembers(job);  // The missing members may have run.
-    End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
-  }
-}
-
-void HomeRole::YieldClaim(const RequestKey& key, const HostName& to) {
-  context_.Pass(Step::kClaimYielded);
-  const auto job = jobs_.find(key);
-  for (const Waiter& waiter : job->second.waiters) {
-    context_.Send(waiter.host, ForwardMoved{waiter.forward_id, to});
-  }
-  RetractClaim(job->second);
-  claims_.Put(key, to, 0);
-  if (job->second.resumed) {
-    context_.Send(context_.OwnerOf(kLogName), LogResumed{key, to});
-  }
-  Forget(key);
-}
-
 void HomeRole::Forget(const RequestKey& key) {
   const auto job = jobs_.find(key);
   if (job->second.phase != JobPhase::kEnded) {
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -157,11 +157,6 @@
   // Admission and endings: home_role.cc.
   void Accept(const HostName& from, const ForwardRequest& forward);
   bool PassOn(const HostName& from, const ForwardRequest& forward);
-  void StartClaim(Job& job);
-  void RetractClaim(const Job& job);
-  void FinishClaim(Job& job);
-  void AskCentre(const Job& job, const DataCentre& centre);
-  bool ClaimIsWhole(const Job& job) const;
   void Begin(Job& job);
   void End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after = 0us);
   void Refuse(Job& job, ResultCode code, Duration retry_after = 0us);
@@ -201,6 +196,13 @@
   void AskLog(const RequestKey& key, LogQuestion question);
   void OnQuestionAnswered(const LogQuestion& question, const LogFound& found);
 
+  // Claims: home_claims.cc.
+  void StartClaim(Job& job);
+  void RetractClaim(const Job& job);
+  void FinishClaim(Job& job);
+  void AskCentre(const Job& job, const DataCentre& centre);
+  bool ClaimIsWhole(const Job& job) const;
+
   // Calls: home_calls.cc.
   void BeginCall(Job& job);
   void TickCall(Job& job);
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -64,12 +64,16 @@
   return escaped;
 }
 
-constexpr std::string_view kKinds[] = {
-    "heartbeat",      "forward_request", "forward_answer", "forward_moved", "forward_cancel", "forward_query",
-    "reserve",        "reserved",        "commit",         "release_hold",  "stop_run",       "run_report",
-    "run_report_ack", "call_dispatch",   "call_result",    "claim",         "claim_answer",   "config_push",
-    "digest",         "centre_claim",    "centre_claim_answer", "claim_retract",
-    "log_append",     "log_appended",    "log_lookup",     "log_found",     "log_resume",     "log_resumed"};
+constexpr std::string_view kKinds[] = {"heartbeat",      "forward_request", "forward_answer",
+                                       "forward_moved",  "forward_cancel",  "forward_query",
+                                       "reserve",        "reserved",        "commit",
+                                       "release_hold",   "stop_run",        "run_report",
+                                       "run_report_ack", "call_dispatch",   "call_result",
+                                       "claim",          "claim_answer",    "config_push",
+                                       "digest",         "centre_claim",    "centre_claim_answer",
+                                       "claim_retract",  "log_append",      "log_appended",
+                                       "log_lookup",     "log_found",       "log_resume",
+                                       "log_resumed"};
 static_assert(std::size(kKinds) == std::variant_size_v<PeerMessage>, "name every kind of message");
 
 constexpr std::string_view kStoreOps[] = {"get", "put", "delete", "watch"};
--- a/src/ports/field_names.cc
+++ b/src/ports/field_names.cc
@@ -13,15 +13,16 @@
 
 // The place of a name is its short form: append only, never reorder. Names that are missing here travel in full.
 constexpr std::array kNames = {
-    "data_centre",   "incarnation",   "leaving",         "config_version", "free",          "largest",   "free_slots",
-    "cpu_millis",    "memory_mb",     "accelerators",    "forward_id",     "request",       "resubmit",  "answer",
-    "key",           "tenant",        "id",              "attempt",        "class_name",    "size",      "members",
-    "run_time",      "deferred",      "payload",         "code",           "verdict",       "body",      "retry_after",
-    "home",          "run",           "task",            "member",         "kind",          "start_within", "queue",
-    "worker",        "token",         "phase",           "finish_within",  "view",          "covered",   "known_elsewhere",
-    "runs",          "configuration", "version",         "change_id",      "classes",       "quotas",    "name",
-    "may_run_twice", "limit",         "max_calls",       "relayed",        "wants_configuration", "hosts", "claim",
-    "spread",
+    "data_centre", "incarnation",   "leaving",       "config_version", "free",       "largest",
+    "free_slots",  "cpu_millis",    "memory_mb",     "accelerators",   "forward_id", "request",
+    "resubmit",    "answer",        "key",           "tenant",         "id",         "attempt",
+    "class_name",  "size",          "members",       "run_time",       "deferred",   "payload",
+    "code",        "verdict",       "body",          "retry_after",    "home",       "run",
+    "task",        "member",        "kind",          "start_within",   "queue",      "worker",
+    "token",       "phase",         "finish_within", "view",           "covered",    "known_elsewhere",
+    "runs",        "configuration", "version",       "change_id",      "classes",    "quotas",
+    "name",        "may_run_twice", "limit",         "max_calls",      "relayed",    "wants_configuration",
+    "hosts",       "claim",         "spread",
 };
 
 constexpr std::string_view kDigits = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
--- a/tests/errors_page_test.cc
+++ b/tests/errors_page_test.cc
@@ -3,8 +3,8 @@
 #include <string>
 #include <vector>
 
-#include <catch2/catch.hpp>
 #include <fmt/core.h>
+#include <catch2/catch.hpp>
 
 #include "hibiscusstand/result.h"
 
