--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr Duration kRefusalClaim = 2s;   // To make sure that nobody runs an accepted request that is refused.
-constexpr Duration kComeBack = 1s;       // Retry-After of refusals that name no better time.
+constexpr Duration kRefusalClaim = 2s;  // To make sure that nobody runs an accepted request that is refused.
+constexpr Duration kComeBack = 1s;      // Retry-After of refusals that name no better time.
 
 // Two attempts carry the same work. Attempt numbers and waiting differ between them.
 bool SameWork(const Request& a, const Request& b) {
