Format the tour; the configuration's steps are reported again

Ruled out: leaving the three rows empty in the matrix with a statement; they do occur. Change: comments wrapped; Step::kConfigWritten, kConfigReadBack and kConfigApplied are passed again.

--- a/include/hibiscusstand/hibiscusstand.h
+++ b/include/hibiscusstand/hibiscusstand.h
@@ -1,8 +1,8 @@
-// hibiscusstand: coordination parts to embed. This header is the tour: include it, link the library `hibiscus`, and read
-// examples/tour.cc, which uses every part.
+// hibiscusstand: coordination parts to embed. This header is the tour: include it, link the library `hibiscus`, and
+// read examples/tour.cc, which uses every part.
 //
-// The parts do no I/O, start no thread and keep no hidden state: you hold the objects, you pass the time in. They are not
-// synchronised: use each from one thread.
+// The parts do no I/O, start no thread and keep no hidden state: you hold the objects, you pass the time in. They are
+// not synchronised: use each from one thread.
 //
 // Index:
 //   1. Time        clock.h             Clock, ManualClock: every part takes the time as an argument
--- a/src/core/config_changes.cc
+++ b/src/core/config_changes.cc
@@ -93,6 +93,9 @@
 }
 
 void ConfigChanges::Read(Change change, Step step) {
+  if (step == Step::kReadingBack) {
+    context_.Pass(hibiscus::Step::kConfigReadBack);
+  }
   change.step = step;
   Call(std::move(change), StoreCall{StoreOp::kGet, kConfigKey, {}, 0, 0us});
 }
@@ -109,6 +112,7 @@
 }
 
 void ConfigChanges::Write(Change change) {
+  context_.Pass(hibiscus::Step::kConfigWritten);
   change.step = Step::kWriting;
   ConfigRecord record{change.configuration, change.before.changes};
   record.changes.push_back(ConfigChange{change.configuration.version, change.configuration.change_id});
--- a/src/core/config_role.cc
+++ b/src/core/config_role.cc
@@ -62,6 +62,7 @@
   if (configuration.version <= context_.configuration.version) {
     return;
   }
+  context_.Pass(Step::kConfigApplied);
   context_.configuration = configuration;
   context_.Log("config", fmt::format("version {} is in force", configuration.version));
   if (!configuration.quotas.empty()) {
