--- a/examples/tour.cc
+++ b/examples/tour.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-using std::chrono_literals::operator""s;
-
 int g_failures = 0;
 
 void Show(const char* what, bool as_promised) {
@@ -24,11 +22,11 @@
   hibiscus::LeaseGranter worker;
   hibiscus::LeaseHolder host;
   host.BeginAcquire(clock.Now());
-  worker.Acquire(owner, 0, 4s, clock.Now());
-  host.EndAcquire(worker.token(), 4s);
+  worker.Acquire(owner, 0, std::chrono::seconds(4), clock.Now());
+  host.EndAcquire(worker.token(), std::chrono::seconds(4));
   Show("the owner holds the lease", host.Holds(clock.Now()));
-  clock.Advance(5s);  // A pause.
-  worker.Acquire("another", 0, 4s, clock.Now());
+  clock.Advance(std::chrono::seconds(5));  // A pause.
+  worker.Acquire("another", 0, std::chrono::seconds(4), clock.Now());
   Show("after a pause its token is refused", !worker.IsCurrent(host.token(), clock.Now()));
 }
 
@@ -38,7 +36,7 @@
   hibiscus::DeadlineQueue<std::string> queue;
   int refused = 0;
   for (int i = 0; i < 20; ++i) {
-    const hibiscus::Demand demand{"quick", "clerk", clock.Now() + 1s, 0.1};
+    const hibiscus::Demand demand{"quick", "clerk", clock.Now() + std::chrono::seconds(1), 0.1};
     if (!admission.Admits(demand, 1, clock.Now())) {
       ++refused;
       continue;
@@ -49,7 +47,7 @@
   Show("what cannot start within its second is refused at once", refused > 0 && !queue.empty());
   const auto any = [](const std::string&) { return hibiscus::Fit::kYes; };
   Show("the earliest goes first", queue.TakeNext(any) == "0");
-  clock.Advance(1s);
+  clock.Advance(std::chrono::seconds(1));
   Show("what expires leaves at its moment", queue.TakeExpired(clock.Now()).has_value());
 }
 
