--- a/src/core/home_claims.cc
+++ b/src/core/home_claims.cc
@@ -20,6 +20,7 @@
   context_.Pass(Step::kClaimAsked);
   job.phase = JobPhase::kClaiming;
   job.claim_answers.clear();
+  job.claim_began = context_.Now();
   job.next_claim = context_.Now() + kClaimRetry;
   claims_.Put(job.request.key, context_.settings.name, job.claim);
   for (const HostName& host : context_.reachable) {
@@ -35,6 +36,18 @@
   ++job.claim_rounds;
 }
 
+// An owner took its worker after the request was accepted; meanwhile another home host may have claimed the request
+// without this one hearing of it. The heartbeats to come tell of the new lease, so the questions wait for one.
+void HomeRole::ClaimAgain(Job& job) {
+  ReleaseMembers(job);
+  job.request.attempt = 0;
+  job.cleared.clear();
+  job.claim = context_.RandomNumber();
+  job.claim_answers.clear();
+  job.phase = JobPhase::kClaiming;
+  job.next_claim = context_.Now() + context_.settings.heartbeat_every + kClaimRetry;
+}
+
 void HomeRole::AskCentre(const Job& job, const DataCentre& centre) {
   const HostName contact = digests_.ContactOf(centre, job.claim_rounds);
   if (!contact.empty()) {
@@ -111,6 +124,7 @@
     return;
   }
   context_.Pass(Step::kClaimHeld);
+  job.verified = job.claim_began;
   bool adopted = false;
   for (Member& member : job.members) {
     if (member.phase != MemberPhase::kEnded) {
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -100,6 +100,7 @@
   touched_.push_back(request.key);
   job.request = request;
   job.spec = *spec;
+  job.verified = context_.Now();
   job.start_by = context_.Now() + spec->start_within;
   job.finish_by = context_.Now() + spec->finish_within;
   job.waiters = {Waiter{from, forward.forward_id}};
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -84,6 +84,8 @@
   uint64_t claim = 0;                             // Drawn for the claim.
   size_t claim_rounds = 0;
   TimePoint next_claim{};
+  TimePoint claim_began{};     // The last round of questions.
+  TimePoint verified{};        // When it was surely nowhere else.
   HostName gang_owner;         // Who is asked for all members of a gang at once.
   bool gang_spread = false;    // The next try takes room wherever it is, since no single owner had it.
   int runs = 0;                // Tries begun.
@@ -198,6 +200,7 @@
 
   // Claims: home_claims.cc.
   void StartClaim(Job& job);
+  void ClaimAgain(Job& job);
   void RetractClaim(const Job& job);
   void FinishClaim(Job& job);
   void AskCentre(const Job& job, const DataCentre& centre);
--- a/src/core/home_tasks.cc
+++ b/src/core/home_tasks.cc
@@ -99,8 +99,9 @@
   Enter(member, MemberPhase::kReserving, context_.Now());
   const bool queue = job.spec.kind != WorkKind::kGang || !job.gang_spread;
   const Duration start_within = std::max(job.start_by - context_.Now(), Duration(0));
-  context_.Send(member.owner, Reserve{member.run, job.spec.name, job.spec.kind, job.request.size, job.request.run_time,
-                                      start_within, queue, job.request.members});
+  context_.Send(member.owner,
+                Reserve{member.run, job.spec.name, job.spec.kind, job.request.size, job.request.run_time, start_within,
+                        queue, job.request.members, membership_.LeaseCountKnownAt(member.owner, job.verified)});
 }
 
 // One owner is asked for all members of a gang, so that no two gangs hold at different owners what the other one needs.
@@ -201,6 +202,10 @@
     }
     return;
   }
+  if (reserved.code == ResultCode::kRepeatUnverified) {
+    ClaimAgain(*job);
+    return;
+  }
   if (reserved.code != ResultCode::kOk) {
     member->refused_by[from] = reserved.code;
     member->retry_after = std::max(member->retry_after, reserved.retry_after);
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -9,6 +9,10 @@
 
 namespace hibiscus {
 
+namespace {
+constexpr size_t kMostCounts = 64;  // Lease counts remembered of each host.
+}  // namespace
+
 Membership::Membership(CoreContext& context)
     : context_(context), incarnation_(context.RandomNumber()), next_beat_(context.Now()) {}
 
@@ -24,10 +28,15 @@
   const bool same = known != peers_.end() && known->second.heartbeat.incarnation == heartbeat.incarnation;
   const TimePoint since = same ? known->second.since : context_.Now();
   peers_[from] = PeerState{heartbeat, context_.Now(), since};
+  if (!same) {
+    lease_counts_.erase(from);  // The new process counts from the beginning.
+  }
+  NoteLeaseCount(from, heartbeat.lease_count);
   RecomputeLive();
 }
 
 void Membership::OnTick() {
+  NoteLeaseCount(context_.settings.name, context_.own_load.lease_count);
   RecomputeLive();
   if (context_.Now() < next_beat_) {
     return;
@@ -49,6 +58,27 @@
   return peer == peers_.end() ? nullptr : &peer->second.heartbeat;
 }
 
+void Membership::NoteLeaseCount(const HostName& host, uint64_t count) {
+  std::vector<KnownCount>& known = lease_counts_[host];
+  if (!known.empty() && known.back().count == count) {
+    return;
+  }
+  known.push_back(KnownCount{context_.Now(), count});
+  if (known.size() > kMostCounts) {
+    known.erase(known.begin());
+  }
+}
+
+uint64_t Membership::LeaseCountKnownAt(const HostName& host, TimePoint time) const {
+  const auto known = lease_counts_.find(host);
+  if (known == lease_counts_.end()) {
+    return 0;
+  }
+  const auto later = std::find_if(known->second.rbegin(), known->second.rend(),
+                                  [&](const KnownCount& count) { return count.since <= time; });
+  return later == known->second.rend() ? 0 : later->count;
+}
+
 TimePoint Membership::HeardAt(const HostName& host) const {
   const auto peer = peers_.find(host);
   return peer == peers_.end() ? TimePoint{} : peer->second.heard;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -30,15 +30,25 @@
 
   // What a live peer, or this host itself, last said of its load; null if nothing is known.
   const Heartbeat* LoadOf(const HostName& host) const;
+  // The lease count of a host as far as it was known here at that time; 0 if nothing was.
+  uint64_t LeaseCountKnownAt(const HostName& host, TimePoint time) const;
   // When a peer was last heard; the clock's origin if never.
   TimePoint HeardAt(const HostName& host) const;
 
  private:
+  // A lease count and since when it is known here.
+  struct KnownCount {
+    TimePoint since;
+    uint64_t count = 0;
+  };
+
+  void NoteLeaseCount(const HostName& host, uint64_t count);
   void RecomputeLive();
   void SendHeartbeats();
 
   CoreContext& context_;
   std::map<HostName, PeerState> peers_;
+  std::map<HostName, std::vector<KnownCount>> lease_counts_;  // Changes, oldest first.
   uint64_t incarnation_;
   TimePoint next_beat_;
 };
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -15,6 +15,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -239,6 +240,7 @@
   Resources free;               // Sum over the sender's workers.
   Resources largest;            // The most that one of its workers has free.
   int free_slots = 0;           // Backend server slots, less the calls that wait.
+  uint64_t lease_count = 0;     // Leases of workers that the sender has taken since its start.
 
   friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
@@ -292,6 +294,10 @@
   Duration start_within = 0us;  // What is left of the start target; the owner may queue until then.
   bool queue = true;            // False: answer at once.
   int members = 1;              // Of the gang that it belongs to: the owner admits all or none.
+  // The receiver's lease count when the request was surely nowhere else: room on a worker leased later is refused,
+  // since the request may have been claimed and started elsewhere before that. A sender that does not say is taken at
+  // its word.
+  uint64_t lease_count = std::numeric_limits<uint64_t>::max();
 
   friend bool operator==(const Reserve&, const Reserve&) = default;
 };
--- a/src/core/worker_queue.cc
+++ b/src/core/worker_queue.cc
@@ -220,6 +220,10 @@
 }
 
 void WorkerRole::HoldRoom(OwnedWorker& worker, const HostName& home, const Reserve& reserve) {
+  if (worker.lease_number > reserve.lease_count) {
+    context_.Send(home, Reserved{reserve.run, ResultCode::kRepeatUnverified, {}, 0, kComeBack});
+    return;
+  }
   const bool added = worker.ledger.Add(reserve.run, reserve.size);
   HIBISCUS_INVARIANT(added, reserve.run.ToString(), "FindRoom must only name a worker with room.");
   worker.holds[reserve.run] = Hold{home, context_.Now() + context_.settings.hold};
--- a/src/core/worker_role.cc
+++ b/src/core/worker_role.cc
@@ -241,6 +241,8 @@
 // A new lease: the worker's own word replaces everything believed before.
 void WorkerRole::Adopt(OwnedWorker& worker, const WorkerReply& reply) {
   context_.Pass(Step::kLeaseTaken);
+  worker.lease_number = ++lease_count_;
+  context_.own_load.lease_count = lease_count_;
   const std::map<RunId, OwnedRun> before = std::move(worker.runs);
   worker.runs.clear();
   while (!worker.holds.empty()) {
--- a/src/core/worker_role.h
+++ b/src/core/worker_role.h
@@ -42,12 +42,13 @@
 // A worker that falls to this host, or did.
 struct OwnedWorker {
   ListEntry entry;
-  bool ours = false;        // It falls to this host, under the present view.
-  RoomIndex::Id room = 0;   // Its place in the index.
-  TimePoint next_look{};    // When one of its runs next needs a report, or is forgotten.
-  uint64_t token = 0;       // 0: no lease.
-  TimePoint lease_until{};  // On our clock, counted from before we asked.
-  CallId acquire = 0;       // The call that is out, or 0.
+  bool ours = false;          // It falls to this host, under the present view.
+  RoomIndex::Id room = 0;     // Its place in the index.
+  TimePoint next_look{};      // When one of its runs next needs a report, or is forgotten.
+  uint64_t token = 0;         // 0: no lease.
+  uint64_t lease_number = 0;  // Of all leases that this process has taken.
+  TimePoint lease_until{};    // On our clock, counted from before we asked.
+  CallId acquire = 0;         // The call that is out, or 0.
   TimePoint acquire_sent{};
   TimePoint next_acquire{};
   TimePoint last_renewal{};  // When a renewal under a valid token was last sent.
@@ -157,6 +158,7 @@
 
   CoreContext& context_;
   const ClaimTable& claims_;
+  uint64_t lease_count_ = 0;
   std::map<WorkerName, OwnedWorker> workers_;
   std::map<CallId, PendingCall> calls_;
   uint64_t seen_view_ = 0;  // Of the last RefreshOwned.
--- a/src/ports/field_names.cc
+++ b/src/ports/field_names.cc
@@ -22,7 +22,7 @@
     "token",       "phase",         "finish_within", "view",           "covered",    "known_elsewhere",
     "runs",        "configuration", "version",       "change_id",      "classes",    "quotas",
     "name",        "may_run_twice", "limit",         "max_calls",      "relayed",    "wants_configuration",
-    "hosts",       "claim",         "spread",
+    "hosts",       "claim",         "spread",        "lease_count",
 };
 
 constexpr std::string_view kDigits = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
--- a/src/ports/json_codec.h
+++ b/src/ports/json_codec.h
@@ -65,7 +65,8 @@
                                                 config_version,
                                                 free,
                                                 largest,
-                                                free_slots)
+                                                free_slots,
+                                                lease_count)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardRequest, forward_id, request, resubmit)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardAnswer, forward_id, answer)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ForwardMoved, forward_id, home)
@@ -79,7 +80,8 @@
                                                 run_time,
                                                 start_within,
                                                 queue,
-                                                members)
+                                                members,
+                                                lease_count)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Reserved, run, code, worker, token, retry_after)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Commit, run, worker, token, class_name, size, run_time, payload)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReleaseHold, run)
