--- a/tests/process/store_test.sh
+++ b/tests/process/store_test.sh
@@ -18,5 +18,10 @@
 wait_for "a change through the slow store" set_configuration "$DAY"
 for index in $ALL_HOSTS; do wait_for "version 3 on host $index" configured "$index" 3; done
 fault BASE_PORT delay_ms/0
+# Every host ends at the same version, also where the client gave up on an answer.
+newest=$(status_of 0 config_version)
+for index in $ALL_HOSTS; do
+  [ "$(status_of "$index" config_version)" = "$newest" ] || fail "host $index is not at version $newest"
+done
 load_ended_well
 check_promises
