A refused request may come again: withdrawals are repeated, and share a window with the next intent

Cause: a caller that was refused as "not run" and came again could be answered `repeat_of_unknown`. First, a withdrawal and the next intent of the same request within one window of the log's writer: the intent was checked against the index before the withdrawal was applied. Second, the withdrawal was sent once and never asked for: a writer that was killed, or ended its planned stop, took it along.

Ruled out: answering the refusal only after the withdrawal is written, which would hold an answer back.

--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -213,7 +213,7 @@
   } else if (job.ran) {
     End(job, ResultCode::kTaskFailed, Verdict::kFailed, {});
   } else {
-    SendWithdrawal(job);
+    Withdraw(job);
     End(job, code, Verdict::kNotRun, {}, InfoOf(code).come_back ? come_back : 0us);
   }
 }
@@ -273,6 +273,7 @@
 // Only jobs whose time has come, or that an event concerned, are looked at.
 void HomeRole::OnTick() {
   HandOver();
+  TickWithdrawals();
   WakeAllIfPeersChanged();
   while (!timers_.empty() && timers_.begin()->first <= context_.Now()) {
     touched_.push_back(timers_.begin()->second);
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -6,6 +6,7 @@
 #ifndef HIBISCUSSTAND_SRC_CORE_HOME_ROLE_H_
 #define HIBISCUSSTAND_SRC_CORE_HOME_ROLE_H_
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -123,6 +124,13 @@
   TimePoint asked{};
 };
 
+// The intent of a refused request, to be taken back in the log.
+struct Withdrawal {
+  RequestKey key;
+  TimePoint until{};   // Then it is given up: a repeat will be answered as unknown.
+  bool asked = false;  // A writer has it, or had it.
+};
+
 struct RequestExplanation;
 
 class HomeRole {
@@ -153,6 +161,8 @@
   void YieldClaim(const RequestKey& key, const HostName& to);
 
   size_t active() const { return active_; }
+  // Intents of refused requests that the log does not know to be withdrawn yet.
+  size_t withdrawals() const { return withdrawals_.size(); }
   RequestExplanation Explain(const RequestKey& key) const;  // In explain.cc.
 
  private:
@@ -177,7 +187,10 @@
   void BeginRecorded(Job& job, bool resubmit);
   void Append(Job& job, LogStep step, Duration patience);
   void SendAppend(Job& job);
-  void SendWithdrawal(Job& job);
+  void Withdraw(const Job& job);
+  void SendWithdrawal(uint64_t nonce, Withdrawal& withdrawal);
+  void TickWithdrawals();
+  void OnWithdrawn(const LogAppended& appended);
   void TickLog(Job& job);
   TimePoint NextLogWake(const Job& job) const;
   void OnRecorded(Job& job);
@@ -259,7 +272,9 @@
   std::map<RequestKey, Job> jobs_;
   std::map<uint64_t, LogQuestion> questions_;
   std::map<HostName, CallsAt> calls_at_;
-  size_t active_ = 0;                                  // Jobs that have not ended.
+  std::map<uint64_t, Withdrawal> withdrawals_;                      // By the intent's nonce.
+  std::deque<std::pair<TimePoint, uint64_t>> withdrawals_to_send_;  // When each is sent again, the soonest first.
+  size_t active_ = 0;                                               // Jobs that have not ended.
   std::set<std::pair<TimePoint, RequestKey>> timers_;  // When a job next needs a look, if no event comes before.
   std::vector<RequestKey> touched_;                    // Jobs that an event concerned since the last tick.
   std::vector<HostName> seen_live_;                    // Of the last tick: a change concerns every job.
--- a/src/core/host_core.cc
+++ b/src/core/host_core.cc
@@ -178,7 +178,8 @@
     return;  // A peer may still hand a request on to this host.
   }
   const bool busy = entry_.open() + home_.active() + servers_.open() + workers_.leases() > 0;
-  if (busy && context_.Now() < leave_by_) {
+  const bool writing = home_.withdrawals() > 0 || !log_.idle();
+  if ((busy || writing) && context_.Now() < leave_by_) {
     return;
   }
   if (busy) {
--- a/src/core/log_role.h
+++ b/src/core/log_role.h
@@ -26,6 +26,9 @@
   void OnTick();
   bool OnStore(const StoreEvent& event);  // False: the call was not ours.
 
+  // No record waits to be written, or none can be.
+  bool idle() const { return writer_.idle() || reader_.store_out(); }
+
  private:
   struct AnswerRead {
     HostName from;
--- a/src/core/log_writer.cc
+++ b/src/core/log_writer.cc
@@ -126,6 +126,9 @@
 // False: not for this batch. `answered` tells that it is settled, else it waits for the next one. One record of a key
 // in a batch, so that each is checked against all before it.
 bool LogWriter::Admit(Pending& pending, std::set<RequestKey>& keys, size_t& bytes) {
+  if (keys.contains(pending.record.key)) {
+    return false;
+  }
   const bool renewal = pending.from.empty();
   if (renewal) {
     const OpenEntry* open = index_.FindOpen(pending.record.key);
@@ -141,9 +144,10 @@
     pending.answered = true;
     return false;
   }
-  if (bytes + pending.text.size() > kMostBytes || !keys.insert(pending.record.key).second) {
+  if (bytes + pending.text.size() > kMostBytes) {
     return false;
   }
+  keys.insert(pending.record.key);
   bytes += pending.text.size() + 1;
   return true;
 }
--- a/tests/kept_world.h
+++ b/tests/kept_world.h
@@ -27,13 +27,18 @@
     return condition();
   }
 
-  ExchangeId Submit(Node& host, const std::string& class_name, const std::string& id, int attempt, bool deferred) {
+  ExchangeId Submit(Node& host,
+                    const std::string& class_name,
+                    const std::string& id,
+                    int attempt,
+                    bool deferred,
+                    const Resources& size = {100, 100, 0}) {
     Request request;
     request.key = RequestKey{"t", id};
     request.class_name = class_name;
     request.attempt = attempt;
     request.deferred = deferred;
-    request.size = Resources{100, 100, 0};
+    request.size = size;
     request.run_time = 500ms;
     world.Deliver(host, CallerSubmit{++exchange, request});
     return exchange;
--- a/tests/log_test.cc
+++ b/tests/log_test.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr Resources kTooMuch{1'000'000'000, 100, 0};  // More than any worker has.
+
 // Submits a deferred request and returns its home host once it is accepted.
 Node* AcceptedHome(KeptWorld& kept, const std::string& class_name, const std::string& id) {
   const ExchangeId exchange = kept.Submit(kept.world.nodes().front(), class_name, id, 1, true);
@@ -169,6 +171,46 @@
   REQUIRE(kept.StartsOf("r") == 0);
 }
 
+TEST_CASE("a refused request may come again at once, within the window that its withdrawal waits for") {
+  KeptWorld kept;
+  Node& host = kept.world.nodes().front();
+  const Answer refusal = kept.Await(kept.Submit(host, "once", "r", 1, false, kTooMuch));
+  REQUIRE(refusal.verdict == Verdict::kNotRun);
+  kept.Run(20ms);  // The home host forgets it.
+  REQUIRE(kept.Await(kept.Submit(host, "once", "r", 1, false)).code == ResultCode::kOk);
+  REQUIRE(kept.StartsOf("r") == 1);
+}
+
+TEST_CASE("a refused request may come again although the log's writer went with its withdrawal") {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    for (const bool planned : {false, true}) {
+      KeptWorld kept(seed);
+      const DataCentre& data_centre = kept.world.data_centres().front();
+      Node& entry = *kept.world.UpHosts(data_centre).back();
+      for (size_t i = kept.world.UpHosts(data_centre).size(); i > 1; --i) {
+        Node& gone = *kept.world.UpHosts(data_centre).front();
+        const std::string id = std::to_string(i);
+        const ExchangeId first = kept.Submit(entry, "once", id, 1, false, kTooMuch);
+        Node* home = nullptr;
+        REQUIRE(kept.RunTo([&] { return (home = kept.Home()) != nullptr; }));
+        REQUIRE(kept.Await(first).verdict == Verdict::kNotRun);
+        if (planned) {
+          gone.leaving = true;
+          kept.world.Deliver(gone, LeaveEvent{});
+          REQUIRE(kept.RunTo([&] { return !gone.up; }));
+        } else {
+          kept.world.Kill(gone);
+        }
+        kept.Run(6s);
+        const Answer answer = kept.Await(kept.Submit(entry, "once", id, 1, false));
+        INFO("seed " << seed << " planned " << planned << " host " << i);
+        const bool lost_with_home = home == &gone && !planned && answer.verdict == Verdict::kUnknown;
+        REQUIRE((answer.code == ResultCode::kOk || lost_with_home));
+      }
+    }
+  }
+}
+
 TEST_CASE("a cancellation of deferred work outlives its home host") {
   KeptWorld kept;
   Node* home = AcceptedHome(kept, "once", "d");
