A planned stop answers connections made before it, and a restarted peer loses no messages

A never-twice request is so answered when its first attempt got lost on the way. Two places lost them. The HTTP server closed its listener with accepted connections waiting in the kernel, and stopped while connections existed that had not brought their request yet. A host whose peer had just restarted heard the peer's heartbeats, sent requests to it, and lost them, as its own connection was still waiting to be made again.

Ruled out: the load program's patience (the answers came in time); closing kept connections early, which only moves the moment in which a caller can meet the end of one. That moment stays, as HTTP/1.1 has no way out of it; http_server.h says so.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -296,7 +296,8 @@
                         core.live().size(),
                         core.configuration().version,
                         leaving_,
-                        http_->open_connections()};
+                        http_->open_connections(),
+                        peers_->lost()};
     const std::string text = metrics_.Render(gauges);
     http_->Reply(exchange, HttpReply{200, text, "text/plain; version=0.0.4", 0});
   });
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -184,6 +184,7 @@
   RenderGauge(text, "hibiscus_config_version", gauges.config_version);
   RenderGauge(text, "hibiscus_leaving", gauges.leaving ? 1 : 0);
   RenderGauge(text, "hibiscus_caller_connections", gauges.caller_connections);
+  RenderGauge(text, "hibiscus_peer_deliveries_lost", gauges.peer_deliveries_lost);
   return text;
 }
 
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -50,6 +50,7 @@
   uint64_t config_version = 0;
   bool leaving = false;
   size_t caller_connections = 0;
+  uint64_t peer_deliveries_lost = 0;
 
   friend auto operator<=>(const Gauges&, const Gauges&) = default;
 };
--- a/src/ports/connection_guard.cc
+++ b/src/ports/connection_guard.cc
@@ -19,7 +19,7 @@
 
 void ConnectionGuard::Opened(const void* connection, int socket) {
   const std::lock_guard lock(mutex_);
-  entries_[connection] = Entry{socket, Phase::kIdle, clock_.Now(), false};
+  entries_[connection] = Entry{socket, Phase::kIdle, clock_.Now()};
 }
 
 void ConnectionGuard::RequestBegun(const void* connection) {
@@ -45,6 +45,16 @@
   EndLongestIdle();
 }
 
+void ConnectionGuard::EndUnused(Duration first_request) {
+  const std::lock_guard lock(mutex_);
+  const TimePoint now = clock_.Now();
+  for (auto& [connection, entry] : entries_) {
+    if (entry.phase == Phase::kIdle && (entry.used || now - entry.since > first_request)) {
+      End(entry);
+    }
+  }
+}
+
 size_t ConnectionGuard::open() const {
   const std::lock_guard lock(mutex_);
   return entries_.size();
@@ -64,6 +74,7 @@
     return;
   }
   entry->second.phase = phase;
+  entry->second.used = true;
   if (phase == Phase::kIdle) {
     entry->second.since = clock_.Now();
   }
--- a/src/ports/connection_guard.h
+++ b/src/ports/connection_guard.h
@@ -32,6 +32,10 @@
   // Ends what has passed a limit. Call it a few times a second.
   void Sweep();
 
+  // For a server that stops: ends connections whose last answer is out, and those that brought no request within
+  // `first_request` of their begin.
+  void EndUnused(Duration first_request);
+
   size_t open() const;
   // Connections with a request that has begun and is not over.
   size_t busy() const;
@@ -42,6 +46,7 @@
     int socket = -1;
     Phase phase = Phase::kIdle;
     TimePoint since{};  // Begin of the connection, or its last answer.
+    bool used = false;  // A request has begun on it.
     bool ended = false;
   };
 
--- a/src/ports/http_server.cc
+++ b/src/ports/http_server.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -96,6 +97,7 @@
   MHD_Result OnHeader(MHD_Connection* connection, const char* url, const char* method, void** slot);
   void Sweep();
   void HandOver(Exchange& exchange);
+  void AcceptWaiting(int listener);
 };
 
 MHD_Result HttpServer::State::OnAccess(void* cls,
@@ -199,6 +201,19 @@
   *slot = nullptr;
 }
 
+// Callers whose connections the kernel has made, and nobody accepted yet, would be cut off by closing the listener.
+void HttpServer::State::AcceptWaiting(int listener) {
+  while (true) {
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    const int socket = accept4(listener, reinterpret_cast<sockaddr*>(&address), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket < 0) {
+      return;
+    }
+    MHD_add_connection(daemon, socket, reinterpret_cast<sockaddr*>(&address), size);  // Closes it if it fails.
+  }
+}
+
 HttpServer::HttpServer(const HttpServerOptions& options, Handler handler) : state_(std::make_unique<State>(options)) {
   state_->handler = std::move(handler);
   sockaddr_in address{};
@@ -260,10 +275,12 @@
 void HttpServer::Drain(Duration limit) {
   const int listener = MHD_quiesce_daemon(state_->daemon);
   if (listener >= 0) {
+    state_->AcceptWaiting(listener);
     close(listener);
   }
   const TimePoint until = state_->clock.Now() + limit;
-  while (state_->guard.busy() > 0 && state_->clock.Now() < until) {
+  while (state_->guard.open() > 0 && state_->clock.Now() < until) {
+    state_->guard.EndUnused(state_->options.first_request_limit);
     std::this_thread::sleep_for(kDrainPoll);
   }
 }
--- a/src/ports/http_server.h
+++ b/src/ports/http_server.h
@@ -18,8 +18,10 @@
   unsigned connection_limit = 12'000;  // Open connections; near it, the longest idle ones are closed.
   unsigned idle_timeout_s = 30;        // A connection without traffic is closed after this.
   Duration request_limit = 30s;        // A whole request must arrive within this, however its bytes drip.
-  size_t body_limit = 1'048'576;       // Bytes; more is answered with 413.
-  size_t header_limit = 32'768;        // Bytes per connection; more is answered with 431.
+  Duration first_request_limit =
+      1s;                         // While draining, a connection that is still unused must bring its request by then.
+  size_t body_limit = 1'048'576;  // Bytes; more is answered with 413.
+  size_t header_limit = 32'768;   // Bytes per connection; more is answered with 431.
   unsigned threads = 2;
 };
 
@@ -52,7 +54,9 @@
 
   // From now on each answer closes its connection, so that callers turn to other hosts.
   void CloseAfterReplies();
-  // Takes no new connections and waits until every request that has begun is answered, at most `limit`.
+  // Takes no new connections, waits until every request that has begun, or that a connection made by now still brings,
+  // is answered, and closes the connections; at most `limit`. A caller that sends on a kept connection in the moment in
+  // which its end is on the way loses its answer: callers and balancers must have turned away before.
   void Drain(Duration limit);
 
   size_t open_connections() const;
--- a/src/ports/peer_link.cc
+++ b/src/ports/peer_link.cc
@@ -63,6 +63,7 @@
   std::mutex mutex;
   std::map<std::string, std::unique_ptr<peer::Peer::Stub>> stubs;  // By address.
   std::atomic<int> out{0};                                         // Deliveries not over yet.
+  std::atomic<uint64_t> lost{0};
 
   peer::Peer::Stub& StubOf(const std::string& address);
 };
@@ -111,13 +112,21 @@
     sizes.push_back(bytes->size());
   }
   delivering->context.set_deadline(std::chrono::system_clock::now() + kDeliveryTimeout);
+  delivering->context.set_wait_for_ready(true);  // A peer that just came is heard before this side has connected again.
   ++state_->out;
   State* state = state_.get();
   state_->StubOf(address).async()->Deliver(&delivering->context, &delivering->batch, &delivering->received,
-                                           [delivering, state](const grpc::Status&) { --state->out; });
+                                           [delivering, state](const grpc::Status& status) {
+                                             state->lost += status.ok() ? 0 : 1;
+                                             --state->out;
+                                           });
   return sizes;
 }
 
+uint64_t PeerLink::lost() const {
+  return state_->lost;
+}
+
 int PeerLink::port() const {
   return state_->port;
 }
--- a/src/ports/peer_link.h
+++ b/src/ports/peer_link.h
@@ -26,6 +26,9 @@
   // Sends without waiting. Messages may be lost; the core repeats what matters. Returns the bytes of each message.
   std::vector<size_t> Send(const std::string& address, const std::vector<PeerMessage>& messages);
 
+  // Deliveries that failed, or that nobody confirmed in time.
+  uint64_t lost() const;
+
   int port() const;
 
  private:
--- a/standins/load_main.cc
+++ b/standins/load_main.cc
@@ -172,6 +172,10 @@
   }
   if (result.delivery != Delivery::kAnswered) {
     caller->request.attempt += result.delivery == Delivery::kUnknown ? 1 : 0;
+    if (FLAGS_strict && result.delivery == Delivery::kUnknown) {
+      fmt::print(stderr, "load: answer lost of {} from {}, {} ms from the begin\n", caller->request.key.ToString(),
+                 centres_[caller->centre][caller->host], Millis(clock_.Now() - begun_));
+    }
     if (!Repeat(caller, kRepeatLost)) {
       End(caller, Outcome::kUnanswered, "no answer");
     }
@@ -226,9 +230,11 @@
   }
   ended_ += caller->ended ? 0 : 1;
   caller->ended = true;
-  if (outcome == Outcome::kWrong || outcome == Outcome::kUnanswered) {
-    fmt::print(stderr, "load: {} of {}: {}\n", kOutcomeNames[static_cast<size_t>(outcome)],
-               caller->request.key.ToString(), code);
+  const bool told = outcome == Outcome::kUnknown || outcome == Outcome::kFailed;
+  if (outcome == Outcome::kWrong || outcome == Outcome::kUnanswered || (FLAGS_strict && told)) {
+    fmt::print(stderr, "load: {} of {} after {} tries, {} ms from the begin: {}\n",
+               kOutcomeNames[static_cast<size_t>(outcome)], caller->request.key.ToString(), caller->tries,
+               Millis(clock_.Now() - begun_), code);
   }
 }
 
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -131,17 +131,22 @@
   void CloseSending() const { shutdown(socket_, SHUT_WR); }
 
   // All bytes until the far side closes.
-  std::string ReadAll() const {
+  std::string ReadAll() const { return Read({}); }
+
+  // All bytes up to a text, or until the far side closes.
+  std::string ReadUntil(const std::string& end) const { return Read(end); }
+
+ private:
+  std::string Read(const std::string& end) const {
     std::string all;
     char buffer[4096];
-    for (ssize_t count = 1; count > 0;) {
+    for (ssize_t count = 1; count > 0 && (end.empty() || all.find(end) == std::string::npos);) {
       count = recv(socket_, buffer, sizeof buffer, 0);
       all.append(buffer, count > 0 ? static_cast<size_t>(count) : 0);
     }
     return all;
   }
 
- private:
   int socket_;
   bool connected_ = false;
 };
@@ -319,6 +324,33 @@
   CHECK(idle.front()->ReadAll().empty());
 }
 
+TEST_CASE("a planned stop answers what comes on connections that were made before it") {
+  HttpServerOptions options;
+  options.first_request_limit = 60s;
+  std::unique_ptr<HttpServer> server;
+  server = std::make_unique<HttpServer>(options, [&](HttpServer::ExchangeId id, const HttpRequest&) {
+    server->Reply(id, HttpReply{200, "whole"});
+  });
+  const uint16_t port = server->port();
+  const RawCaller kept(port);
+  REQUIRE(kept.Send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"));
+  CHECK(Contains(kept.ReadUntil("whole"), "200 OK"));
+  const RawCaller fresh(port);
+  REQUIRE(fresh.connected());
+  std::thread stopper([&] {
+    server->Drain(120s);
+    CHECK(server->open_connections() == 0);
+    server.reset();
+  });
+  while (RawCaller(port).connected()) {
+    std::this_thread::sleep_for(kPoll);
+  }
+  CHECK(kept.ReadAll().empty());
+  REQUIRE(fresh.Send("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n"));
+  CHECK(Contains(fresh.ReadAll(), "whole"));
+  stopper.join();
+}
+
 TEST_CASE("health says leaving as soon as the planned stop is asked for") {
   OneHostCell cell;
   CHECK(cell.Ask("GET", "/v1/health")["http"] == 200);
--- a/tests/process/rolling_test.sh
+++ b/tests/process/rolling_test.sh
@@ -17,4 +17,9 @@
   wait_for "every worker is leased" leases_held "$ALL_WORKERS"
 done
 load_ended_well
+lost=0
+for index in $ALL_HOSTS; do
+  lost=$((lost + $(curl -s "$(through "$index")/metrics" | sed -n 's/^hibiscus_peer_deliveries_lost \([0-9]*\)$/\1/p')))
+done
+echo "measured: $lost deliveries between hosts lost, as the running processes count"
 check_promises
