The configuration's history in API and hibiscusctl; calls to the platform leave out defaults

Cause: the core kept a history of the configuration that nobody could ask for. Calls to workers, servers and the store carried every field, mostly empty ones: renewals of leases are the second largest post of the control budget in docs/CAPACITY.md.

Before: no such call. After: http_test and codec_test pass (a renewal takes less than half of its bytes). The slopes of CAPACITY.md are not measured again yet.

--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -32,6 +32,7 @@
 DEFINE_int64(run_ms, 1000, "submit: declared run time, milliseconds");
 DEFINE_string(payload, "", "submit: input of the work");
 DEFINE_bool(deferred, false, "submit: accept now, ask for the result with 'result'");
+DEFINE_int32(versions, 10, "config history: how many versions, 1 to 100");
 DEFINE_int32(timeout_ms, 60'000, "how long to wait for an answer, milliseconds");
 DEFINE_bool(json, false, "print the answer as JSON");
 
@@ -298,6 +299,30 @@
   return Print(Ask("PUT", "/v1/config", set.dump()));
 }
 
+// Which change made each version, the latest first.
+int ConfigHistory(const Words&) {
+  const Json answer = ObjectOf(Ask("GET", fmt::format("/v1/config/history/{}", FLAGS_versions), {}));
+  if (answer.is_null()) {
+    return NoHostAnswered();
+  }
+  if (!answer.contains("versions")) {
+    fmt::print(stderr, "ctl: {}\n", Text(answer, "detail"));
+    return kExitUsage;
+  }
+  Json rows = answer.at("versions");
+  if (!FLAGS_json) {
+    for (Json& row : rows) {
+      row["classes"] = row.value("classes", Json::array()).size();
+      row["quotas"] = row.value("quotas", Json::array()).size();
+    }
+  }
+  PrintObjects(rows, {"version", "change_id", "classes", "quotas"});
+  if (ExitOf(answer) != kExitOk) {
+    fmt::print(stderr, "ctl: some versions are missing: {}\n", Text(answer, "meaning"));
+  }
+  return ExitOf(answer);
+}
+
 int Drain(const Words&) {
   if (Servers().size() != 1) {
     fmt::print(stderr, "ctl: drain stops one host; --server is '{}', it must name exactly 1\n", FLAGS_server);
@@ -336,6 +361,10 @@
       {{"quotas"}, {}, "the quotas in force", Quotas},
       {{"config", "get"}, {}, "the configuration in force", ConfigGet},
       {{"config", "set"}, {"FILE"}, "replace the configuration, if nobody else has meanwhile", ConfigSet},
+      {{"config", "history"},
+       {},
+       "the versions that were in force, the latest first; --versions says how many",
+       ConfigHistory},
       {{"drain"}, {}, "ask one host for its planned stop", Drain},
   };
   return kCommands;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -160,6 +160,8 @@
     loop_.Post(*cancel);
   } else if (const auto* set = std::get_if<OperatorConfigSet>(&*ask)) {
     loop_.Post(*set);
+  } else if (const auto* history = std::get_if<OperatorHistory>(&*ask)) {
+    loop_.Post(*history);
   } else if (std::holds_alternative<StatusAsk>(*ask)) {
     AnswerStatus(exchange);
   } else if (std::holds_alternative<ConfigAsk>(*ask)) {
@@ -214,6 +216,8 @@
     http_->Reply(answer->exchange, RenderAnswer(answer->answer));
   } else if (const auto* config = std::get_if<AnswerOperator>(&action)) {
     http_->Reply(config->exchange, RenderConfig(config->code, config->configuration));
+  } else if (const auto* history = std::get_if<AnswerHistory>(&action)) {
+    http_->Reply(history->exchange, RenderHistory(history->code, history->versions));
   } else if (const auto* line = std::get_if<LogLine>(&action)) {
     Log(LogLevel::kInfo, line->part, line->text);
   } else if (std::holds_alternative<Exit>(action)) {
@@ -229,7 +233,7 @@
 
 void Daemon::SendToWorker(const SendWorker& action) {
   metrics_.OnWorkerCall(action.request.op);
-  HttpCall call{"POST", fmt::format("http://{}/workers/{}", action.address, action.worker), EncodeJson(action.request),
+  HttpCall call{"POST", fmt::format("http://{}/workers/{}", action.address, action.worker), EncodeCall(action.request),
                 action.timeout};
   client_.Send(std::move(call), [this, id = action.call](const HttpResult& result) {
     loop_.Post(EventOf<WorkerEvent, WorkerReply>(id, result));
@@ -238,7 +242,7 @@
 
 void Daemon::SendToServer(const SendServer& action) {
   metrics_.OnServerCall(action.request.op);
-  HttpCall call{"POST", fmt::format("http://{}/servers/{}", action.address, action.server), EncodeJson(action.request),
+  HttpCall call{"POST", fmt::format("http://{}/servers/{}", action.address, action.server), EncodeCall(action.request),
                 action.timeout};
   client_.Send(std::move(call), [this, id = action.call](const HttpResult& result) {
     loop_.Post(EventOf<ServerEvent, ServerReply>(id, result));
@@ -247,7 +251,7 @@
 
 void Daemon::SendToStore(const SendStore& action) {
   metrics_.OnStoreCall(action.request.op);
-  HttpCall call{"POST", fmt::format("http://{}/store", settings_.store_address), EncodeJson(action.request),
+  HttpCall call{"POST", fmt::format("http://{}/store", settings_.store_address), EncodeCall(action.request),
                 action.timeout};
   client_.Send(std::move(call), [this, id = action.call](const HttpResult& result) {
     loop_.Post(EventOf<StoreEvent, StoreReply>(id, result));
--- a/src/ports/caller_api.cc
+++ b/src/ports/caller_api.cc
@@ -1,6 +1,7 @@
 #include "ports/caller_api.h"
 
 #include <algorithm>
+#include <charconv>
 #include <vector>
 
 #include <fmt/core.h>
@@ -20,6 +21,7 @@
 constexpr std::string_view kRequests = "/v1/requests";
 constexpr std::string_view kExplainRequests = "/v1/explain/requests";
 constexpr std::string_view kExplainWorkers = "/v1/explain/workers/";
+constexpr std::string_view kHistory = "/v1/config/history/";
 
 ApiError Bad(std::string detail) {
   return ApiError{ResultCode::kBadRequest, std::move(detail)};
@@ -119,6 +121,19 @@
   return RequestKey{path.substr(begin, slash - begin), path.substr(slash + 1)};
 }
 
+// "<prefix>COUNT"
+tl::expected<ApiAsk, ApiError> ParseHistory(ExchangeId exchange, const std::string& path) {
+  const char* begin = path.data() + kHistory.size();
+  const char* end = path.data() + path.size();
+  OperatorHistory history{exchange, 0};
+  const auto [rest, error] = std::from_chars(begin, end, history.most);
+  if (error != std::errc() || rest != end || history.most < 1 || history.most > kMostHistory) {
+    return tl::unexpected(Bad(fmt::format("the path must be {}COUNT, with a count from 1 to {}", kHistory,  //
+                                          kMostHistory)));
+  }
+  return history;
+}
+
 int SecondsUp(Duration duration) {
   return static_cast<int>((Millis(duration) + 999) / 1000);
 }
@@ -155,6 +170,9 @@
   if (path == "/v1/config" && request.method == "PUT") {
     return ParseConfigSet(exchange, request.body);
   }
+  if (path.starts_with(kHistory) && request.method == "GET") {
+    return ParseHistory(exchange, path);
+  }
   if (path == "/v1/status" && request.method == "GET") {
     return StatusAsk{};
   }
@@ -194,6 +212,17 @@
   return HttpReply{info.http_status, json.dump()};
 }
 
+HttpReply RenderHistory(ResultCode code, const std::vector<Configuration>& versions) {
+  const ResultInfo& info = InfoOf(code);
+  Json list = Json::array();
+  for (const Configuration& version : versions) {
+    list.push_back(Json::parse(EncodeConfiguration(version)));
+  }
+  const Json json{
+      {"code", static_cast<int>(code)}, {"name", info.name}, {"meaning", info.meaning}, {"versions", std::move(list)}};
+  return HttpReply{info.http_status, json.dump()};
+}
+
 HttpReply RenderError(const ApiError& error) {
   const ResultInfo& info = InfoOf(error.code);
   const Json json{{"code", static_cast<int>(error.code)},
--- a/src/ports/caller_api.h
+++ b/src/ports/caller_api.h
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <tl/expected.hpp>
 
@@ -30,6 +31,7 @@
                             CallerQuery,
                             CallerCancel,
                             OperatorConfigSet,
+                            OperatorHistory,
                             StatusAsk,
                             HealthAsk,
                             MetricsAsk,
@@ -47,6 +49,7 @@
 tl::expected<ApiAsk, ApiError> ParseApi(ExchangeId exchange, const HttpRequest& request);
 HttpReply RenderAnswer(const Answer& answer);
 HttpReply RenderConfig(ResultCode code, const Configuration& configuration);
+HttpReply RenderHistory(ResultCode code, const std::vector<Configuration>& versions);
 HttpReply RenderError(const ApiError& error);
 
 // A request as the submit call takes it.
--- a/src/ports/field_names.cc
+++ b/src/ports/field_names.cc
@@ -46,13 +46,16 @@
   return place < kNames.size() ? kNames[place] : name;
 }
 
-}  // namespace
+std::string SameName(const std::string& name) {
+  return name;
+}
 
-Json ShortenFields(const Json& value, const Json& plain) {
+// The value without the fields that are as in `plain`, its names changed.
+Json Reduce(const Json& value, const Json& plain, std::string (*rename)(const std::string&)) {
   if (value.is_array()) {
     Json list = Json::array();
     for (const Json& element : value) {
-      list.push_back(ShortenFields(element, Json()));
+      list.push_back(Reduce(element, Json(), rename));
     }
     return list;
   }
@@ -64,12 +67,22 @@
     const auto usual = plain.is_object() ? plain.find(name) : plain.end();
     const bool known = plain.is_object() && usual != plain.end();
     if (!known || *usual != field) {
-      object[ShortName(name)] = ShortenFields(field, known ? *usual : Json());
+      object[rename(name)] = Reduce(field, known ? *usual : Json(), rename);
     }
   }
   return object;
 }
 
+}  // namespace
+
+Json ShortenFields(const Json& value, const Json& plain) {
+  return Reduce(value, plain, &ShortName);
+}
+
+Json OmitDefaults(const Json& value, const Json& plain) {
+  return Reduce(value, plain, &SameName);
+}
+
 Json ExpandFields(const Json& value) {
   if (value.is_array()) {
     Json list = Json::array();
--- a/src/ports/json_codec.h
+++ b/src/ports/json_codec.h
@@ -10,6 +10,7 @@
 #include <tl/expected.hpp>
 
 #include "core/messages.h"
+#include "ports/field_names.h"
 
 namespace nlohmann {
 template <>
@@ -129,6 +130,14 @@
   return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+// The same without the fields that are as in a default value, for calls that are made all the time.
+template <class Value>
+std::string EncodeCall(const Value& value) {
+  static const nlohmann::json kPlain(Value{});
+  const nlohmann::json reduced = OmitDefaults(nlohmann::json(value), kPlain);
+  return reduced.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 template <class Value>
 tl::expected<Value, std::string> DecodeJson(const std::string& text) {
   try {
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "ports/caller_api.h"
+#include "ports/json_codec.h"
 #include "ports/peer_codec.h"
 
 namespace hibiscus {
@@ -32,6 +33,24 @@
   REQUIRE(EncodePeerMessage(digest).size() < 80);
 }
 
+TEST_CASE("calls to the platform leave out defaults and lose nothing by it") {
+  const RunId run{TaskId{{"tenant", "id"}, 0}, 7};
+  WorkerCall renewal{WorkerOp::kAcquire, "a1", 1'234'567, 4s, 20s, 1s, {}, {}, 0us, {}};
+  REQUIRE(DecodeJson<WorkerCall>(EncodeCall(renewal)) == renewal);
+  REQUIRE(EncodeCall(renewal).size() < EncodeJson(renewal).size() / 2);
+  renewal.acks = {run, RunId{}};
+  REQUIRE(DecodeJson<WorkerCall>(EncodeCall(renewal)) == renewal);
+  WorkerCall start{WorkerOp::kStart, "a1", 9, 0us, 20s, 0us, {}, {}, 5s, "p"};
+  start.task.run = run;
+  start.task.size = Resources{500, 0, 1};
+  REQUIRE(DecodeJson<WorkerCall>(EncodeCall(start)) == start);
+  REQUIRE(DecodeJson<WorkerCall>(EncodeCall(WorkerCall{})) == WorkerCall{});
+  const ServerCall probe{ServerOp::kProbe, {}, {}, 0us};
+  REQUIRE(DecodeJson<ServerCall>(EncodeCall(probe)) == probe);
+  const StoreCall put{StoreOp::kPut, "key", "value", 3, 0us};
+  REQUIRE(DecodeJson<StoreCall>(EncodeCall(put)) == put);
+}
+
 TEST_CASE("bytes that no peer wrote are refused and never crash") {
   REQUIRE_FALSE(DecodePeerMessage(std::string(1'000'000, '\x81')));  // Arrays in arrays.
   std::mt19937_64 random(1);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -200,6 +200,9 @@
   CHECK(cell.Ask("GET", "/nowhere")["code"] == 503);
   CHECK(cell.Ask("PATCH", "/v1/requests")["code"] == 503);
   CHECK(cell.Ask("PUT", "/v1/config", "{}")["code"] == 500);
+  for (const char* count : {"", "0", "101", "-1", "5x", "99999999999"}) {
+    CHECK(cell.Ask("GET", fmt::format("/v1/config/history/{}", count))["code"] == 500);
+  }
   cell.CheckServes();
 }
 
@@ -212,6 +215,15 @@
   CHECK(cell.Submit(first)["body"] == "<t/bill/0>");
 }
 
+TEST_CASE("the history of the configuration names each version's change") {
+  const OneHostCell cell;
+  const Json history = cell.Ask("GET", "/v1/config/history/5");
+  CHECK(history["code"] == 100);
+  REQUIRE(history["versions"].size() == 1);
+  CHECK(history["versions"][0]["version"] == 1);
+  CHECK(history["versions"][0]["change_id"] == "c1");
+}
+
 TEST_CASE("bodies that are cut short or of a wrong length never reach the core") {
   const OneHostCell cell;
   const std::string body = R"({"tenant":"t","id":"cut","class":"call","attempt":1})";
--- a/tests/process/operators_test.sh
+++ b/tests/process/operators_test.sh
@@ -30,5 +30,14 @@
   version=$now
 done
 [ "$version" -gt 1 ] || fail "no change ever went through"
+ctl --json --versions=100 --server="$(through 3)" config history >"$RUN/history" || fail "the history is not whole"
+python3 -c "
+import json, sys
+versions = json.load(open(sys.argv[1]))
+print(versions[0]['version'], versions[0]['change_id'])
+assert [v['version'] for v in versions] == list(range(int(sys.argv[2]), 0, -1)), 'a version is missing'
+assert len({v['change_id'] for v in versions}) == len(versions), 'a change stands twice'
+" "$RUN/history" "$version" >"$RUN/latest" || fail "the history is wrong"
+[ "$(cat "$RUN/latest")" = "$(change_of 0)" ] || fail "the history's latest version is not the one in force"
 echo "measured: a change is in force on all ${#HOSTS[@]} hosts within $slowest ms of its acceptance, slowest of 5 (polled)"
 check_promises
