--- a/tests/failure_test.cc
+++ b/tests/failure_test.cc
@@ -180,4 +180,20 @@
   REQUIRE(stop("a3") == 1);
 }
 
+TEST_CASE("a lease counts by the clock, not by the last tick") {
+  OneHost host("a1");
+  LeaseWorker(host, 5);
+  host.Pass(3900ms);  // The renewal is not answered.
+  const auto covered = [&] {
+    host.Take<SendPeer>();
+    host.Do(PeerEvent{"a2", Claim{kRun.task.key, 0, 0, {}}});
+    const auto answers = host.TakeSent<ClaimAnswer>();
+    REQUIRE(answers.size() == 1);
+    return answers[0].second.covered;
+  };
+  REQUIRE(covered());
+  host.clock.Advance(200ms);  // The process stands still for less than what counts as a pause.
+  REQUIRE_FALSE(covered());   // Another host may hold the worker now, and the run may be there.
+}
+
 }  // namespace hibiscus
