takeover_test: a partial list under a newer token ends the lease

The test looked only at the room, which is full with the old belief, too; the worker fake answers a stale renewal as stale, so the driver never plays it. Change: the test requires that no lease is held after such a reply.

--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -135,6 +135,7 @@
   const auto renewals = CallsOf(host, WorkerOp::kAcquire);
   REQUIRE(renewals.size() == 1);
   Reply(host, renewals[0], WorkerReply{WorkerStatus::kOk, 6, kCapacity, false, {}});
+  REQUIRE(host.core.leases() == 0);  // Under a token between the two another host may have started something.
   RunId other = kRun;
   other.task.key.id = "other";
   host.Take<SendPeer>();
