--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -100,7 +100,6 @@
 
 void HomeRole::TickLog(Job& job) {
   const TimePoint now = context_.Now();
-  const bool must = job.step == LogStep::kSaving || job.step == LogStep::kStarting || job.unsettled;
   if (job.step == LogStep::kBackoff) {
     if (now >= job.next_append) {
       job.runs = 0;
@@ -109,11 +108,11 @@
       }
       Begin(job);
     }
-  } else if (!must && now >= job.log_until) {
+  } else if (now >= job.log_until) {
     if (job.step == LogStep::kLooking) {
       End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
     } else {
-      OnNotRecorded(job, true);
+      OnNotRecorded(job, true);  // What must stand is asked for again.
     }
   } else if (now >= job.next_append && job.step != LogStep::kLooking) {
     SendAppend(job);
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -200,4 +200,22 @@
   REQUIRE(kept.RunTo([&] { return EveryoneHas(kept, 2); }, 5s));
 }
 
+TEST_CASE("a peer that stays behind is told by any host, not by the watcher alone") {
+  OneHost host("a1");
+  HostName watcher = "a2";
+  while (RendezvousPick(kConfigKey, {"a1", watcher}) != watcher) {
+    watcher += "2";
+  }
+  host.Configure(FirstConfiguration().classes);
+  host.Pass(2s, {watcher});
+  const auto pushes_to_one_behind = [&] {
+    host.Take<SendPeer>();
+    host.Do(PeerEvent{"b", Heartbeat{"dc", 7, false, 0, {}, {}, 0}});
+    return !host.TakeSent<ConfigPush>().empty();
+  };
+  REQUIRE_FALSE(pushes_to_one_behind());
+  host.Pass(1s, {watcher});
+  REQUIRE(pushes_to_one_behind());
+}
+
 }  // namespace hibiscus
--- a/tests/failure_test.cc
+++ b/tests/failure_test.cc
@@ -124,6 +124,16 @@
   REQUIRE(host.core.live() == std::vector<HostName>{"a1"});
 }
 
+TEST_CASE("a host of another data centre is no peer, even if its heartbeat comes here") {
+  OneHost host("a1");
+  host.Pass(1s);
+  for (int i = 0; i < 10; ++i) {
+    host.Do(PeerEvent{"b1", Heartbeat{"elsewhere", 7, false, 1, {}, {}, 0}});
+    host.Pass(100ms);
+  }
+  REQUIRE(host.core.live() == std::vector<HostName>{"a1"});
+}
+
 TEST_CASE("runs on a worker that cannot be reached count as ended once their lease has surely lapsed, not before") {
   OneHost host("a1");
   host.Configure({kOnceTask});
--- a/tests/log_parts.h
+++ b/tests/log_parts.h
@@ -25,8 +25,8 @@
 
 class LogParts {
  public:
-  LogParts(const HostName& name, ManualClock& clock, FakeStore& store)
-      : context(SettingsOf(name), clock, std::hash<std::string>()(name)),
+  LogParts(const HostName& name, ManualClock& clock, FakeStore& store, uint64_t seed = 1)
+      : context(SettingsOf(name), clock, seed),
         reader(context, index),
         writer(context, index, reader),
         trimmer(context, index, reader, writer),
--- a/tests/log_parts_test.cc
+++ b/tests/log_parts_test.cc
@@ -124,7 +124,8 @@
 
 TEST_CASE("of two writers one wins the sequence; the other checks its records again and goes on behind it") {
   OneLog log;
-  LogParts other("a2", log.clock, log.store);
+  const char* const name = GENERATE("a2", "a1");  // Another host, or the former process of the same one.
+  LogParts other(name, log.clock, log.store, 2);
   other.Run(1s);
   // Both have composed a batch for sequence 0 before either arrives.
   other.fate = log.host.fate = [](const StoreCall& call) {
