--- a/tests/failure_test.cc
+++ b/tests/failure_test.cc
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "tests/one_host.h"
+#include "tests/home_and_peer.h"
 
 namespace hibiscus {
 
@@ -124,6 +124,16 @@
   REQUIRE(host.core.live() == std::vector<HostName>{"a1"});
 }
 
+TEST_CASE("a host of another data centre is no peer, even if its heartbeat comes here") {
+  OneHost host("a1");
+  host.Pass(1s);
+  for (int i = 0; i < 10; ++i) {
+    host.Do(PeerEvent{"b1", Heartbeat{"elsewhere", 7, false, 1, {}, {}, 0}});
+    host.Pass(100ms);
+  }
+  REQUIRE(host.core.live() == std::vector<HostName>{"a1"});
+}
+
 TEST_CASE("runs on a worker that cannot be reached count as ended once their lease has surely lapsed, not before") {
   OneHost host("a1");
   host.Configure({kOnceTask});
@@ -180,4 +190,54 @@
   REQUIRE(stop("a3") == 1);
 }
 
+TEST_CASE("a lease counts by the clock, not by the last tick") {
+  OneHost host("a1");
+  LeaseWorker(host, 5);
+  host.Pass(3900ms);  // The renewal is not answered.
+  const auto covered = [&] {
+    host.Take<SendPeer>();
+    host.Do(PeerEvent{"a2", Claim{kRun.task.key, 0, 0, {}}});
+    const auto answers = host.TakeSent<ClaimAnswer>();
+    REQUIRE(answers.size() == 1);
+    return answers[0].second.covered;
+  };
+  REQUIRE(covered());
+  host.clock.Advance(200ms);  // The process stands still for less than what counts as a pause.
+  REQUIRE_FALSE(covered());   // Another host may hold the worker now, and the run may be there.
+}
+
+TEST_CASE("a task whose run is gone may have run: that there is no room for another run is no 'not run'") {
+  HomeAndPeer both;
+  both.Submit("batch", 1, false);
+  const RunId first = both.Next<Reserve>().run;
+  both.Tell(Reserved{first, ResultCode::kOk, "w1", 5, 0us});
+  both.Next<Commit>();
+  both.Tell(RunReport{first, "w1", 6, RunPhase::kGone, {}});
+  both.Tell(Reserved{both.Next<Reserve>().run, ResultCode::kOverloaded, {}, 0, 1s});
+  REQUIRE(both.Next<ForwardAnswer>().answer.verdict == Verdict::kUnknown);
+}
+
+TEST_CASE("after its start and after a pause a host takes no request of unknown age, from a caller or from a peer") {
+  const bool paused = GENERATE(false, true);
+  OneHost host("a1");
+  host.Configure({kOnceTask});
+  if (paused) {
+    host.Pass(10s);
+    host.clock.Advance(3s);
+  }
+  host.Do(CallerSubmit{9, OnceRequest()});
+  const auto to_caller = host.Take<AnswerCaller>();
+  REQUIRE(to_caller.size() == 1);
+  REQUIRE(to_caller[0].answer.code == ResultCode::kHostRecovering);
+  REQUIRE(to_caller[0].answer.verdict == Verdict::kNotRun);
+  host.Do(PeerEvent{"a2", ForwardRequest{3, OnceRequest(), false}});
+  const auto to_peer = host.TakeSent<ForwardAnswer>();
+  REQUIRE(to_peer.size() == 1);
+  REQUIRE(to_peer[0].second.answer.code == ResultCode::kHostRecovering);
+  REQUIRE(to_peer[0].second.answer.verdict == Verdict::kNotRun);
+  host.Pass(10s);
+  host.Do(CallerSubmit{10, OnceRequest()});
+  REQUIRE(host.Take<AnswerCaller>().empty());  // Taken.
+}
+
 }  // namespace hibiscus
