A link between hosts that went silent in a cut gets a new connection

Cause: a gRPC channel whose connection stays open but carries nothing (a middlebox that lost its state, TCP far back in its retries) was kept: every later delivery to that host ran out of time, also after the cut was over. Keepalive pings were ruled out: they would cross the paid links.

The stand-in has a role for it: a relay on loopback that can be cut and healed (/fault/cut, /fault/heal); what was open during a cut stays silent for good. The stand-ins tell the starts of one request (/starts/TENANT/ID).

--- a/src/ports/peer_link.cc
+++ b/src/ports/peer_link.cc
@@ -44,13 +44,35 @@
   PeerLink::Receiver receiver_;
 };
 
+// The channel to one address. A channel whose connection is open but carries nothing, as after a cut that the transport
+// does not notice, is replaced: a delivery ran out of time, and no answer at all came since it was sent.
+struct Outgoing {
+  std::shared_ptr<peer::Peer::Stub> stub;  // Empty: a new one is made for the next delivery.
+  uint64_t channels = 0;                   // Made so far.
+  uint64_t answers = 0;                    // Heard on any of them.
+};
+
 // What one delivery needs until it is over.
 struct Delivering {
+  std::string address;
+  uint64_t channel = 0;  // Outgoing::channels and ::answers when it was sent.
+  uint64_t answers = 0;
+  std::shared_ptr<peer::Peer::Stub> stub;
   grpc::ClientContext context;
   peer::Batch batch;
   peer::Received received;
 };
 
+std::shared_ptr<peer::Peer::Stub> MakeStub(const std::string& address) {
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMostBackoffMs);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kMostBackoffMs / 5);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMostBackoffMs / 5);
+  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);  // A new channel must get a connection of its own.
+  return peer::Peer::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+}
+
 }  // namespace
 
 struct PeerLink::State {
@@ -61,24 +83,33 @@
   std::unique_ptr<grpc::Server> server;
   int port = 0;
   std::mutex mutex;
-  std::map<std::string, std::unique_ptr<peer::Peer::Stub>> stubs;  // By address.
-  std::atomic<int> out{0};                                         // Deliveries not over yet.
+  std::map<std::string, Outgoing> outgoing;  // By address.
+  std::atomic<int> out{0};                   // Deliveries not over yet.
 
-  peer::Peer::Stub& StubOf(const std::string& address);
+  void Begin(Delivering& delivering);
+  void End(const Delivering& delivering, const grpc::Status& status);
 };
 
-peer::Peer::Stub& PeerLink::State::StubOf(const std::string& address) {
+void PeerLink::State::Begin(Delivering& delivering) {
+  const std::lock_guard lock(mutex);
+  Outgoing& link = outgoing[delivering.address];
+  if (link.stub == nullptr) {
+    link.stub = MakeStub(delivering.address);
+    ++link.channels;
+  }
+  delivering.stub = link.stub;
+  delivering.channel = link.channels;
+  delivering.answers = link.answers;
+}
+
+void PeerLink::State::End(const Delivering& delivering, const grpc::Status& status) {
   const std::lock_guard lock(mutex);
-  std::unique_ptr<peer::Peer::Stub>& stub = stubs[address];
-  if (stub == nullptr) {
-    grpc::ChannelArguments arguments;
-    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMostBackoffMs);
-    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kMostBackoffMs / 5);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMostBackoffMs / 5);
-    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-    stub = peer::Peer::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+  Outgoing& link = outgoing[delivering.address];
+  if (status.error_code() != grpc::StatusCode::DEADLINE_EXCEEDED) {
+    link.answers += status.error_code() == grpc::StatusCode::UNAVAILABLE ? 0 : 1;
+  } else if (link.channels == delivering.channel && link.answers == delivering.answers) {
+    link.stub = nullptr;
   }
-  return *stub;
 }
 
 PeerLink::PeerLink(HostName self, const std::string& address, Receiver receiver)
@@ -103,6 +134,7 @@
 
 std::vector<size_t> PeerLink::Send(const std::string& address, const std::vector<PeerMessage>& messages) {
   auto delivering = std::make_shared<Delivering>();
+  delivering->address = address;
   delivering->batch.set_from(state_->self);
   std::vector<size_t> sizes;
   for (const PeerMessage& message : messages) {
@@ -113,8 +145,12 @@
   delivering->context.set_deadline(std::chrono::system_clock::now() + kDeliveryTimeout);
   ++state_->out;
   State* state = state_.get();
-  state_->StubOf(address).async()->Deliver(&delivering->context, &delivering->batch, &delivering->received,
-                                           [delivering, state](const grpc::Status&) { --state->out; });
+  state->Begin(*delivering);
+  delivering->stub->async()->Deliver(&delivering->context, &delivering->batch, &delivering->received,
+                                     [delivering, state](const grpc::Status& status) {
+                                       state->End(*delivering, status);
+                                       --state->out;
+                                     });
   return sizes;
 }
 
--- a/standins/fakes.h
+++ b/standins/fakes.h
@@ -22,6 +22,7 @@
 
   // How often any task of a request has started.
   int StartsOf(const TaskId& task) const;
+  const std::map<TaskId, int>& starts_of() const { return starts_of_; }
   size_t starts() const { return starts_; }
   const std::vector<std::string>& broken() const { return broken_; }
 
--- /dev/null
+++ b/standins/relay.h
@@ -0,0 +1,69 @@
+// A TCP relay on loopback, for tests that cut data centres off. While it is cut, new connections open and hang, and
+// what is sent on any is swallowed. A connection that was open during a cut never carries anything again, as behind a
+// middlebox that lost its state or a TCP far back in its retries: it stays open and silent until one of its ends closes
+// it.
+#ifndef HIBISCUSSTAND_STANDINS_RELAY_H_
+#define HIBISCUSSTAND_STANDINS_RELAY_H_
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <list>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <poll.h>
+
+namespace hibiscus {
+
+struct RelayLink {
+  uint16_t listen = 0;  // Port on loopback; 0: any free one.
+  uint16_t target = 0;  // Port on loopback.
+};
+
+class Relay {
+ public:
+  // Throws std::runtime_error if a port cannot be opened.
+  explicit Relay(const std::vector<RelayLink>& links);
+  ~Relay();
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  void Cut() { cut_ = true; }
+  void Heal() { cut_ = false; }
+  uint16_t port(size_t link) const { return listeners_.at(link).port; }
+  uint64_t swallowed_bytes() const { return swallowed_; }
+
+ private:
+  struct Listener {
+    int socket = -1;
+    uint16_t port = 0;
+    uint16_t target = 0;
+  };
+  struct Connection {
+    std::array<int, 2> ends{-1, -1};   // The second is missing if the connection was opened during a cut.
+    std::array<std::string, 2> ahead;  // Read from the one end, not yet written to the other.
+    bool dead = false;                 // Was open during a cut.
+    bool closed = false;
+  };
+
+  void Run();
+  std::vector<pollfd> Watched() const;
+  void Accept(const Listener& listener);
+  void Serve(Connection& connection, size_t from, short ready);
+  void Receive(Connection& connection, size_t from);
+  void Pass(Connection& connection, size_t from);
+  static void Close(Connection& connection);
+
+  std::vector<Listener> listeners_;
+  std::list<Connection> connections_;  // The relay's thread only.
+  std::atomic<bool> cut_{false};
+  std::atomic<bool> stopping_{false};
+  std::atomic<uint64_t> swallowed_{0};
+  std::thread thread_;
+};
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_STANDINS_RELAY_H_
--- a/standins/standin.cc
+++ b/standins/standin.cc
@@ -17,6 +17,7 @@
 
 constexpr std::chrono::milliseconds kTick(2);
 constexpr std::string_view kRealRunTime = "run_ms=";  // A payload may state how long the task really runs.
+constexpr std::string_view kStartsOf = "/starts/";    // TENANT/ID follows.
 constexpr std::string_view kStatusNames[] = {"ok",      "held_by_other", "stale_token",
                                              "no_room", "duplicate",     "no_such_run"};
 
@@ -96,6 +97,8 @@
     ReplyText(exchange, Hosts());
   } else if (request.path == "/log") {
     ReplyText(exchange, RunsAndBrokenPromises());
+  } else if (request.path.starts_with(kStartsOf)) {
+    ReplyText(exchange, StartsOf(request.path.substr(kStartsOf.size())));
   } else if (request.path == "/usage") {
     ReplyText(exchange, Usage());
   } else if (request.path == "/counts") {
@@ -248,4 +251,15 @@
       .dump();
 }
 
+// How often each task of a request has started here.
+std::string Standin::StartsOf(const std::string& request) const {
+  nlohmann::json json = nlohmann::json::object();
+  for (const auto& [task, starts] : log_.starts_of()) {
+    if (task.key.ToString() == request) {
+      json[task.ToString()] = starts;
+    }
+  }
+  return json.dump();
+}
+
 }  // namespace hibiscus
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -73,6 +73,7 @@
   std::string Hosts() const;
   std::string Usage();
   std::string RunsAndBrokenPromises() const;
+  std::string StartsOf(const std::string& request) const;
 
   const StandinOptions options_;
   SteadyClock clock_;
--- a/standins/standin_main.cc
+++ b/standins/standin_main.cc
@@ -1,6 +1,8 @@
-// hibiscus_standin: plays one outside system on loopback: the store, the host list, workers or backend servers.
+// hibiscus_standin: plays one outside system on loopback: the store, the host list, workers, backend servers, or the
+// network between data centres (a relay).
 // It exists for tests and the demo; docs/PLATFORM.md states what the real ones must do.
 #include <chrono>
+#include <memory>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -9,10 +11,12 @@
 #include <fmt/core.h>
 #include <gflags/gflags.h>
 
+#include "ports/http_server.h"
 #include "ports/log.h"
+#include "standins/relay.h"
 #include "standins/standin.h"
 
-DEFINE_string(role, "", "store, list, workers or servers");
+DEFINE_string(role, "", "store, list, workers, servers or relay");
 DEFINE_int32(port, 0, "TCP port on loopback; 0 takes any free one");
 DEFINE_string(hosts, "", "list: file with the list as a JSON array; read at every question");
 DEFINE_string(names, "", "workers, servers: names, separated by commas");
@@ -23,18 +27,29 @@
 DEFINE_int32(service_ms, 20, "servers: time of a call, milliseconds");
 DEFINE_int32(delay_ms, 0, "store: delay of each answer, milliseconds");
 DEFINE_string(journal, "", "store: file that keeps its writes over a restart");
+DEFINE_string(links, "", "relay: LISTEN:TARGET ports on loopback, separated by commas");
 
 namespace hibiscus {
 
 namespace {
 
-std::vector<std::string> Names() {
-  std::vector<std::string> names;
-  std::stringstream stream(FLAGS_names);
-  for (std::string name; std::getline(stream, name, ',');) {
-    names.push_back(name);
+std::vector<std::string> Split(const std::string& text) {
+  std::vector<std::string> parts;
+  std::stringstream stream(text);
+  for (std::string part; std::getline(stream, part, ',');) {
+    parts.push_back(part);
   }
-  return names;
+  return parts;
+}
+
+std::vector<RelayLink> LinksFromFlags() {
+  std::vector<RelayLink> links;
+  for (const std::string& text : Split(FLAGS_links)) {
+    const size_t colon = text.find(':') + 1;
+    links.push_back(
+        RelayLink{static_cast<uint16_t>(std::stoi(text)), static_cast<uint16_t>(std::stoi(text.substr(colon)))});
+  }
+  return links;
 }
 
 StandinOptions OptionsFromFlags() {
@@ -47,14 +62,44 @@
   options.store_delay = std::chrono::milliseconds(FLAGS_delay_ms);
   options.journal_file = FLAGS_journal;
   if (FLAGS_role == "workers") {
-    options.workers = Names();
+    options.workers = Split(FLAGS_names);
   }
   if (FLAGS_role == "servers") {
-    options.servers = Names();
+    options.servers = Split(FLAGS_names);
   }
   return options;
 }
 
+void SleepForever() {
+  while (true) {
+    std::this_thread::sleep_for(std::chrono::hours(1));  // Ends by a signal.
+  }
+}
+
+void RunStandin() {
+  const Standin standin(OptionsFromFlags());
+  Log(LogLevel::kInfo, "standin", fmt::format("{} on port {}", FLAGS_role, standin.port()));
+  SleepForever();
+}
+
+// Faults on demand: POST /fault/cut and /fault/heal; GET /counts gives the bytes swallowed so far.
+void RunRelay() {
+  Relay relay(LinksFromFlags());
+  std::unique_ptr<HttpServer> http;
+  HttpServerOptions options;
+  options.port = static_cast<uint16_t>(FLAGS_port);
+  http = std::make_unique<HttpServer>(options, [&](HttpServer::ExchangeId exchange, const HttpRequest& request) {
+    if (request.path == "/fault/cut") {
+      relay.Cut();
+    } else if (request.path == "/fault/heal") {
+      relay.Heal();
+    }
+    http->Reply(exchange, HttpReply{200, fmt::format(R"({{"swallowed_bytes":{}}})", relay.swallowed_bytes())});
+  });
+  Log(LogLevel::kInfo, "relay", fmt::format("controlled on port {}", http->port()));
+  SleepForever();
+}
+
 }  // namespace
 
 }  // namespace hibiscus
@@ -62,9 +107,8 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("a stand-in for one outside system");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  const hibiscus::Standin standin(hibiscus::OptionsFromFlags());
-  hibiscus::Log(hibiscus::LogLevel::kInfo, "standin", fmt::format("{} on port {}", FLAGS_role, standin.port()));
-  while (true) {
-    std::this_thread::sleep_for(std::chrono::hours(1));  // Ends by a signal.
+  if (FLAGS_role == "relay") {
+    hibiscus::RunRelay();
   }
+  hibiscus::RunStandin();
 }
