--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -53,7 +53,7 @@
 import json, sys
 configuration = json.load(open(sys.argv[1]))
 for kind in ("batch", "gang"):
-    configuration["classes"].append({"name": f"once-{kind}", "kind": kind, "start_within_ms": 10000,
+    configuration["classes"].append({"name": f"once-{kind}", "kind": kind, "start_within_ms": 3000,
                                      "finish_within_ms": 60000, "may_run_twice": False})
 json.dump(configuration, open(sys.argv[2], "w"))
 PYTHON
