A repeat asks again where the claim of its first attempt was never whole

Cause: a never-twice request whose home host died is claimed by the next one. If the claim is not whole by the start target (3 s in the test; the dead owner's workers are leased again after 4 s), the caller is told repeat_of_unknown. The new home host remembered that as the request's end: every later repeat got the same word, and the ends of the runs were acknowledged, so that the worker forgot the answer. The run had gone on and ended well meanwhile.

Ruled out: waiting longer than the start target for the claim (the caller is owed a word by then).

Change: such an end is marked. A repeat then claims afresh, as an attempt that is surely not the first, whatever its number; it adopts the run or its kept end. Ends of runs are not acknowledged until then. Nothing new may start: without a run found the log is looked up, as for every marked repeat.

--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -12,6 +12,7 @@
 
 constexpr Duration kRefusalClaim = 2s;  // To make sure that nobody runs an accepted request that is refused.
 constexpr Duration kComeBack = 1s;      // Retry-After of refusals that name no better time.
+constexpr int kSecondAttempt = 2;
 
 // Two attempts carry the same work. Attempt numbers and waiting differ between them.
 bool SameWork(const Request& a, const Request& b) {
@@ -39,6 +40,10 @@
     context_.Send(from, ForwardAnswer{forward.forward_id, answer});
     return;
   }
+  if (job->phase == JobPhase::kEnded && job->unclaimed && job->stops.empty()) {
+    ClaimForRepeat(from, forward);
+    return;
+  }
   if (job->phase == JobPhase::kEnded) {
     context_.Send(from, ForwardAnswer{forward.forward_id, job->answer});
     return;
@@ -126,6 +131,14 @@
   StartClaim(job);
 }
 
+// The earlier attempt could not ask everybody in its time. Whatever this one says, it is not the first.
+void HomeRole::ClaimForRepeat(const HostName& from, const ForwardRequest& forward) {
+  Forget(forward.request.key);
+  ForwardRequest repeat = forward;
+  repeat.request.attempt = std::max(kSecondAttempt, forward.request.attempt);
+  Accept(from, repeat);
+}
+
 // Another home host has claimed the request: the entry host asks there. Only once, so that two hosts that name each
 // other do not send it to and fro.
 bool HomeRole::PassOn(const HostName& from, const ForwardRequest& forward) {
@@ -233,6 +246,7 @@
     return;
   }
   if (job.phase == JobPhase::kClaiming) {
+    job.unclaimed = true;
     End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
     return;
   }
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -93,6 +93,7 @@
   bool committed = false;      // A run of it may have started, by this host's order.
   bool ran = false;            // A run of it surely started.
   bool in_doubt = false;       // What became of a run of it will never be known.
+  bool unclaimed = false;      // Ended as unknown since its claim was never whole: a repeat may still find its runs.
   std::vector<StopRun> stops;  // Runs to be stopped, repeated until their end is reported.
   TimePoint next_stop{};
   TimePoint wake = TimePoint::max();  // Its place among the timers; max: none.
@@ -171,6 +172,7 @@
   void Schedule(Job& job);
   TimePoint NextWake(const Job& job) const;
   void Forget(const RequestKey& key);
+  void ClaimForRepeat(const HostName& from, const ForwardRequest& forward);
   bool IsForgotten(const Job& job) const;
 
   // The log: home_log.cc.
--- a/src/core/home_tasks.cc
+++ b/src/core/home_tasks.cc
@@ -255,7 +255,7 @@
 void HomeRole::OnReport(const HostName& from, const RunReport& report) {
   const bool ended = report.phase != RunPhase::kStarted;
   Job* job = Find(report.run.task.key);
-  if (job == nullptr || job->phase == JobPhase::kClaiming || job->phase == JobPhase::kRecording) {
+  if (job == nullptr || job->unclaimed || job->phase == JobPhase::kClaiming || job->phase == JobPhase::kRecording) {
     AskAboutOrphan(from, report, job);
     return;  // No acknowledgement: the host that ordered the run may still ask for it, and a claim may find it.
   }
--- a/tests/takeover_test.cc
+++ b/tests/takeover_test.cc
@@ -189,6 +189,31 @@
   REQUIRE(CallsOf(host, WorkerOp::kStart).empty());
 }
 
+TEST_CASE("a repeat finds the run of a never-twice request whose first claim was not whole in time") {
+  OneHost host("a1");
+  host.Configure({ClassSpec{"once", WorkKind::kBatch, 5s, 60s, false}});
+  host.Pass(2s);
+  host.Take<SendPeer>();
+  host.Do(PeerEvent{"a3", ForwardRequest{3, TaskRequest("once", 1), true}});
+  host.Pass(6s);  // No worker and no other data centre is known yet.
+  const auto first = host.TakeSent<ForwardAnswer>();
+  REQUIRE(first.size() == 1);
+  REQUIRE(first[0].second.answer.verdict == Verdict::kUnknown);
+  LeaseWorker(host, 5, {WorkerTask{kRun, "once", "gone", kSize, RunState::kDone, "body"}});
+  host.Pass(1s);
+  for (const SendWorker& call : CallsOf(host, WorkerOp::kAcquire)) {
+    REQUIRE(call.request.acks.empty());  // Nobody has its answer yet.
+  }
+  Request repeat = TaskRequest("once", 1);  // Even if its caller forgets to raise the attempt.
+  host.Do(PeerEvent{"a3", ForwardRequest{4, repeat, false}});
+  host.Pass(kTickEvery);
+  const auto second = host.TakeSent<ForwardAnswer>();
+  REQUIRE(second.size() == 1);
+  REQUIRE(second[0].second.answer.code == ResultCode::kOk);
+  REQUIRE(second[0].second.answer.body == "body");
+  REQUIRE(CallsOf(host, WorkerOp::kStart).empty());
+}
+
 TEST_CASE("a change whose answer was lost is a conflict only if another one stands under its version") {
   const auto outcome = [](const Configuration& read_back) {
     OneHost host("a1");
