Workers that fail what others run are quarantined and probed

Cause: a worker that fails at once all that it starts is always free, so it draws ever more work; tasks that may not run twice end there as failed, and the reruns of the others could go back to the same worker.

Ruled out: counting consecutive failures (a class that fails half of the time would take workers away), a share over a time window (too slow for a fast failing worker, too few ends of a slow one), telling other hosts.

Change: Quarantine (include/hibiscusstand/quarantine.h) weighs each end against the failure share of its class on the owner's other workers; WorkerRole keeps off quarantined workers but for single probes that may run twice, after growing pauses, at most a third of its workers and never the only one. A failed task goes elsewhere if any other worker has room; never-twice tasks and gangs keep off workers under suspicion. A request that fails on several workers counts against none. Ends found by a new lease do not count. Shown by `explain worker`, status and hibiscus_workers_quarantined.

Not covered: an owner of a single worker, and workers that fail only a part of what they start.

--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -1,6 +1,7 @@
 // hibiscus_bench: the policy under load, in virtual time, beside its baselines. Prints tables; writes JSON with --json.
 //   hibiscus_bench --workloads=abay,formularios --days=plain,burst --loads=60,90,120,200 --seed=1
 //   hibiscus_bench --mode=speed --workers=2000 --queue=10000
+//   hibiscus_bench --mode=failing --workers=8 --hosts=1 --loads=30,60,90
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -14,7 +15,9 @@
 #include "bench/bench_world.h"
 #include "bench/workload.h"
 
-DEFINE_string(mode, "days", "days: the policy under load; speed: real time of decisions");
+DEFINE_string(mode,
+              "days",
+              "days: the policy under load; speed: real time of decisions; failing: workers that fail all");
 DEFINE_string(workload_directory, "workloads", "where the workloads are described");
 DEFINE_string(workloads, "abay,formularios", "which of them");
 DEFINE_string(days, "plain,burst,slow,misdeclared,flood", "what goes wrong");
@@ -131,12 +134,43 @@
   return {figures};
 }
 
+// One worker in eight fails at once all that it starts, with quarantine and without.
+std::vector<RunFigures> RunFailing() {
+  Workload workload;
+  workload.name = "failing";
+  workload.worker = Resources{64'000, 262'144, 1};
+  workload.configuration.version = 1;
+  workload.configuration.classes = {ClassSpec{"twice", WorkKind::kBatch, 5s, 30s, true},
+                                    ClassSpec{"once", WorkKind::kBatch, 5s, 30s, false}};
+  workload.streams = {LoadStream{"twice", "t", WorkKind::kBatch, 0.8, 1s, Resources{4000, 1024, 0}, 1, 1},
+                      LoadStream{"once", "t", WorkKind::kBatch, 0.2, 1s, Resources{4000, 1024, 0}, 1, 1}};
+  std::vector<RunFigures> runs;
+  for (const std::string& load : Split(FLAGS_loads)) {
+    BenchOptions options = OptionsFromFlags();
+    options.servers = 0;
+    options.ramp = 0s;  // The time until it is noticed counts.
+    options.day = Day{"failing", false, false, false, false, true};
+    options.load = std::stod(load) / 100;
+    for (const bool quarantine : {false, true}) {
+      options.settings.policy.quarantine = quarantine;
+      runs.push_back(RunOne(workload, options, quarantine ? "quarantine" : "without"));
+      std::fputs(TableOf(runs.back()).c_str(), stdout);
+      std::fflush(stdout);
+    }
+  }
+  return runs;
+}
+
+std::vector<RunFigures> RunMode() {
+  return FLAGS_mode == "speed" ? RunSpeed() : FLAGS_mode == "failing" ? RunFailing() : RunDays();
+}
+
 }  // namespace
 }  // namespace hibiscus
 
 int main(int argc, char** argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  const auto runs = FLAGS_mode == "speed" ? hibiscus::RunSpeed() : hibiscus::RunDays();
+  const auto runs = hibiscus::RunMode();
   if (!FLAGS_json.empty()) {
     std::ofstream(FLAGS_json) << hibiscus::JsonOf(runs) << "\n";
   }
--- a/bench/bench_world.cc
+++ b/bench/bench_world.cc
@@ -15,6 +15,8 @@
 constexpr Duration kDrain = 60s;           // After the last arrival.
 constexpr Duration kSampleEvery = 100ms;
 constexpr double kSlowness = 4;
+constexpr int kFailingOneOf = 8;       // Workers, on a day with failing ones.
+constexpr double kFailsAtOnce = 1e-3;  // Of the run time of a task that fails.
 constexpr double kBurst = 3;
 constexpr double kFlood = 5;
 constexpr int kRackSize = 8;
@@ -58,6 +60,8 @@
     const std::string name = fmt::format("worker{:04}", i);
     list_.push_back(ListEntry{ListKind::kWorker, name, kDataCentre, fmt::format("rack{}", i / kRackSize), "", false});
     workers_[name] = {std::make_unique<FakeWorker>(name, workload_.worker, clock_, log_), slowness(i)};
+    workers_[name].fails = options_.day.failing && i % kFailingOneOf == 0;
+    workers_[name].fake->set_fails_everything(workers_[name].fails);
   }
   for (int i = 0; i < options_.servers; ++i) {
     const std::string name = fmt::format("server{:04}", i);
@@ -152,7 +156,8 @@
     const auto tick = [&worker] { worker.fake->Tick(); };
     if (request.op == WorkerOp::kStart) {
       const Trace& trace = traces_[TraceIndex(request.task.run)];
-      const double factor = Seconds(trace.run_time) / Seconds(trace.declared) * worker.slowness;
+      const double factor =
+          Seconds(trace.run_time) / Seconds(trace.declared) * worker.slowness * (worker.fails ? kFailsAtOnce : 1);
       worker.fake->set_slowness(factor);
       NoteStart(request.task.run);
       After(FromSeconds(Seconds(request.run_time) * factor) + 2us, tick);
@@ -244,7 +249,7 @@
     used += worker.fake->used();
   }
   ++occupancy_.samples;
-  occupancy_.slots += slots / (options_.slots * options_.servers);
+  occupancy_.slots += slots / std::max(1, options_.slots * options_.servers);
   occupancy_.cpu +=
       static_cast<double>(used.cpu_millis) / static_cast<double>(workload_.worker.cpu_millis) / options_.workers;
   occupancy_.memory +=
@@ -262,7 +267,7 @@
 double BenchWorld::EffectiveWorkers() const {
   double sum = 0;
   for (const auto& [name, worker] : workers_) {
-    sum += 1 / worker.slowness;
+    sum += worker.fails ? 0 : 1 / worker.slowness;
   }
   return sum;
 }
--- a/bench/bench_world.h
+++ b/bench/bench_world.h
@@ -72,7 +72,7 @@
   TimePoint counts_until() const { return counts_until_; }
   bool Counts(const Trace& trace) const { return trace.arrived >= counts_from_ && trace.arrived < counts_until_; }
 
-  // Slots and worker volume at full speed, with slow ones counted by what they can do.
+  // Slots and worker volume at full speed, with slow ones counted by what they can do, those that fail as nothing.
   double EffectiveServers() const;
   double EffectiveWorkers() const;
 
@@ -91,6 +91,7 @@
   struct Outside {
     std::unique_ptr<Fake> fake;
     double slowness = 1;
+    bool fails = false;  // All that it starts, at once.
   };
 
   void After(Duration delay, std::function<void()> run);
--- a/bench/workload.cc
+++ b/bench/workload.cc
@@ -60,9 +60,10 @@
 
 const std::vector<Day>& Days() {
   static const std::vector<Day> kDays = {
-      Day{"plain", false, false, false, false}, Day{"burst", true, false, false, false},
-      Day{"slow", false, true, false, false},   Day{"misdeclared", false, false, true, false},
-      Day{"flood", false, false, false, true},  Day{"all", true, true, true, false},
+      Day{"plain", false, false, false, false},         Day{"burst", true, false, false, false},
+      Day{"slow", false, true, false, false},           Day{"misdeclared", false, false, true, false},
+      Day{"flood", false, false, false, true},          Day{"all", true, true, true, false},
+      Day{"failing", false, false, false, false, true},
   };
   return kDays;
 }
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -41,6 +41,7 @@
   bool slow = false;         // A tenth of the workers and backend servers takes four times as long.
   bool misdeclared = false;  // Declared run times are off by a factor of up to four, either way.
   bool flood = false;        // The first tenant sends five times its share of calls and tasks.
+  bool failing = false;      // One worker in eight fails all that it starts, at once.
 };
 
 const std::vector<Day>& Days();
--- a/examples/tour.cc
+++ b/examples/tour.cc
@@ -62,6 +62,22 @@
   Show("what fits nowhere is known at once", rooms.NeverFits(hibiscus::Resources{9000, 1, 0}));
 }
 
+// A target that fails what the others do is kept out of use until a probe succeeds.
+void ShowQuarantine(hibiscus::ManualClock& clock) {
+  hibiscus::Quarantine quarantine;
+  quarantine.Resize(3);
+  quarantine.Succeeded("worker-1", "report", clock.Now());
+  for (const char* request : {"r1", "r2", "r3"}) {
+    quarantine.Failed("worker-2", "report", request, clock.Now());
+  }
+  Show("a worker that fails what others run is quarantined", quarantine.IsQuarantined("worker-2"));
+  clock.Advance(std::chrono::seconds(2));
+  Show("after a pause one probe goes there",
+       quarantine.TakeProbe("worker-2", clock.Now()) && !quarantine.TakeProbe("worker-2", clock.Now()));
+  quarantine.Succeeded("worker-2", "report", clock.Now());
+  Show("a probe that succeeds brings it back", !quarantine.IsQuarantined("worker-2"));
+}
+
 }  // namespace
 
 int main() {
@@ -69,5 +85,6 @@
   ShowLeases(clock);
   ShowQueue(clock);
   ShowPlacement();
+  ShowQuarantine(clock);
   return g_failures == 0 ? 0 : 1;
 }
--- a/include/hibiscusstand/hibiscusstand.h
+++ b/include/hibiscusstand/hibiscusstand.h
@@ -13,8 +13,9 @@
 //   6. Admission   admission.h         refuse at once what cannot start in time, and say when to come back
 //   7. Choice      choice.h            pick by load: least, random, two random
 //   8. Outliers    outlier_detector.h  notice slow targets, try them now and then
-//   9. Placement   placement.h         an index of rooms: tightest fit, or spread over racks
-//  10. Policy      policy.h            which of the strategies above a host uses
+//   9. Quarantine  quarantine.h        keep off targets that fail what others run, probe them, release them
+//  10. Placement   placement.h         an index of rooms: tightest fit, or spread over racks
+//  11. Policy      policy.h            which of the strategies above a host uses
 #ifndef HIBISCUSSTAND_HIBISCUSSTAND_H_
 #define HIBISCUSSTAND_HIBISCUSSTAND_H_
 
@@ -26,6 +27,7 @@
 #include "hibiscusstand/outlier_detector.h"  // IWYU pragma: export
 #include "hibiscusstand/placement.h"         // IWYU pragma: export
 #include "hibiscusstand/policy.h"            // IWYU pragma: export
+#include "hibiscusstand/quarantine.h"        // IWYU pragma: export
 #include "hibiscusstand/rendezvous.h"        // IWYU pragma: export
 #include "hibiscusstand/result.h"            // IWYU pragma: export
 #include "hibiscusstand/types.h"             // IWYU pragma: export
--- a/include/hibiscusstand/policy.h
+++ b/include/hibiscusstand/policy.h
@@ -13,6 +13,7 @@
   ChoiceRule choice = ChoiceRule::kLeast;  // Of owners, and of backend servers with a free slot.
   bool best_fit = true;                    // False: tasks go by `choice` to any worker with room.
   bool avoid_slow = true;                  // False: slow backend servers are used like any other.
+  bool quarantine = true;                  // False: workers that fail what others run are used like any other.
 
   friend bool operator==(const Policy&, const Policy&) = default;
 };
--- a/src/core/explain.cc
+++ b/src/core/explain.cc
@@ -49,6 +49,7 @@
     view.free = worker.ledger.free();
     view.runs = worker.runs.size();
     view.holds = worker.holds.size();
+    view.quarantine = quarantine_.StateOf(name, context_.Now());
   }
   return view;
 }
--- a/src/core/explain.h
+++ b/src/core/explain.h
@@ -8,6 +8,7 @@
 
 #include "core/home_role.h"
 #include "core/messages.h"
+#include "hibiscusstand/quarantine.h"
 
 namespace hibiscus {
 
@@ -45,6 +46,7 @@
   Resources free;
   size_t runs = 0;   // Starting, running, or ended and not yet reported.
   size_t holds = 0;  // Reservations without a commit.
+  QuarantineState quarantine;
 };
 
 }  // namespace hibiscus
--- a/src/core/host_core.h
+++ b/src/core/host_core.h
@@ -41,6 +41,7 @@
   WorkerExplanation ExplainWorker(const WorkerName& name) const;
   size_t leases() const { return workers_.leases(); }
   size_t active_requests() const { return home_.active(); }
+  size_t quarantined_workers() const { return workers_.quarantined(); }
   size_t queued_tasks() const { return workers_.queued(); }
   size_t queued_calls() const { return servers_.queued(); }
 
--- a/src/core/worker_queue.cc
+++ b/src/core/worker_queue.cc
@@ -33,7 +33,7 @@
     refuse(ResultCode::kNeverFits, 0us);
   } else if (!AdmitsGang(from, reserve)) {
     refuse(ResultCode::kOverloaded, admission_.RetryAfter(DemandOf(MakeQueued(from, reserve)), 1, context_.Now()));
-  } else if (OwnedWorker* worker = FindRoom(reserve); worker != nullptr) {
+  } else if (OwnedWorker* worker = FindRoom(reserve, true); worker != nullptr) {
     NoteAdmitted(MakeQueued(from, reserve));
     HoldRoom(*worker, from, reserve);
   } else if (!reserve.queue || context_.leaving || !MayHoldGang(reserve)) {
@@ -160,11 +160,13 @@
       if (std::any_of(full.begin(), full.end(), [&](const Resources& none) { return none.FitsIn(size); })) {
         return MayBePassed(queued) ? Fit::kNo : Fit::kWait;
       }
-      worker = FindRoom(queued.reserve);
+      worker = FindRoom(queued.reserve, IsPatient(queued));
       if (worker != nullptr) {
         return Fit::kYes;
       }
-      full.push_back(size);
+      if (MayProbe(queued.reserve) || quarantine_.suspects().empty()) {
+        full.push_back(size);  // Else others may have room where this one may not go.
+      }
       return MayBePassed(queued) ? Fit::kNo : Fit::kWait;
     });
     if (!next) {
@@ -180,12 +182,15 @@
 // large ones are passed always, since most of the room would stand empty meanwhile.
 // TODO: keep one worker for a very large task, so that it cannot starve either.
 bool WorkerRole::MayBePassed(const QueuedReserve& queued) const {
-  const bool patient = context_.Now() - queued.arrived < (queued.start_by - queued.arrived) * kPatience;
   const bool small = rooms_.ShareOfLargest(queued.reserve.size) <= kSmallTask;
-  return patient || !small || context_.settings.policy.queue == QueueOrder::kArrival;
+  return IsPatient(queued) || !small || context_.settings.policy.queue == QueueOrder::kArrival;
+}
+
+bool WorkerRole::IsPatient(const QueuedReserve& queued) const {
+  return context_.Now() - queued.arrived < (queued.start_by - queued.arrived) * kPatience;
 }
 
-OwnedWorker* WorkerRole::FindRoom(const Reserve& reserve) {
+OwnedWorker* WorkerRole::FindAnyRoom(const Reserve& reserve) {
   const Policy& policy = context_.settings.policy;
   std::optional<RoomIndex::Id> room;
   do {
@@ -273,9 +278,13 @@
   }
 }
 
+bool WorkerRole::IsSound(const OwnedWorker& worker) const {
+  return HasLease(worker) && !worker.releasing && !worker.entry.leaving &&
+         context_.Now() + kStartMargin < worker.lease_until;
+}
+
 void WorkerRole::RefreshRoom(const OwnedWorker& worker) {
-  const bool usable = HasLease(worker) && !worker.releasing && !worker.entry.leaving &&
-                      context_.Now() + kStartMargin < worker.lease_until;
+  const bool usable = IsSound(worker) && !quarantine_.IsQuarantined(worker.entry.name);
   rooms_.Update(worker.room, Room{worker.ledger.capacity(), worker.ledger.free(), usable});
 }
 
--- a/src/core/worker_role.cc
+++ b/src/core/worker_role.cc
@@ -57,6 +57,7 @@
   for (auto& [name, worker] : workers_) {
     TickWorker(worker);
   }
+  RefreshQuarantine();
   PlaceQueued();
   RefreshLoad();
 }
@@ -234,7 +235,7 @@
   if (event.reply.full) {
     Adopt(worker, event.reply);
   } else {
-    TakeEnded(worker, event.reply.tasks);
+    TakeEnded(worker, event.reply.tasks, true);
   }
 }
 
@@ -268,21 +269,27 @@
     gone.phase = OwnedRun::Phase::kEnded;
     gone.end = old.phase == OwnedRun::Phase::kStarting ? RunPhase::kGone : RunPhase::kStopped;
   }
-  TakeEnded(worker, reply.tasks);
+  TakeEnded(worker, reply.tasks, false);
   RefreshRoom(worker);
   room_freed_ = true;
   context_.Log("worker",
                fmt::format("{} leased, token {}, {} runs", worker.entry.name, worker.token, reply.tasks.size()));
 }
 
-void WorkerRole::TakeEnded(OwnedWorker& worker, const std::vector<WorkerTask>& tasks) {
+// `held_on`: under the lease that they ran under.
+void WorkerRole::TakeEnded(OwnedWorker& worker, const std::vector<WorkerTask>& tasks, bool held_on) {
   for (const WorkerTask& task : tasks) {
     if (task.state == RunState::kRunning) {
       continue;
     }
-    OwnedRun& run = worker.runs[task.run];
+    const auto [entry, unknown] = worker.runs.try_emplace(task.run);
+    OwnedRun& run = entry->second;
     run.task = task;
-    EndRun(worker, task.run, task.state == RunState::kDone ? RunPhase::kDone : RunPhase::kFailed);
+    const bool failed = task.state == RunState::kFailed;
+    if (held_on && !unknown && run.phase != OwnedRun::Phase::kEnded) {
+      NoteEnd(worker, task, failed);
+    }
+    EndRun(worker, task.run, failed ? RunPhase::kFailed : RunPhase::kDone);
   }
 }
 
--- a/src/core/worker_role.h
+++ b/src/core/worker_role.h
@@ -14,6 +14,7 @@
 #include "hibiscusstand/admission.h"
 #include "hibiscusstand/deadline_queue.h"
 #include "hibiscusstand/placement.h"
+#include "hibiscusstand/quarantine.h"
 
 namespace hibiscus {
 
@@ -94,6 +95,8 @@
   std::vector<RunReport> RunsOf(const RequestKey& key) const;
   size_t leases() const;
   WorkerExplanation Explain(const WorkerName& name) const;  // In explain.cc.
+  // Workers that take nothing but probes, since they failed what others run.
+  size_t quarantined() const { return quarantine_.quarantined().size(); }
   // Tasks that wait for room.
   size_t queued() const { return queue_.size(); }
 
@@ -118,7 +121,7 @@
   void EndLapsedRuns(OwnedWorker& worker);
   void OnAcquireReply(OwnedWorker& worker, const WorkerEvent& event);
   void Adopt(OwnedWorker& worker, const WorkerReply& reply);
-  void TakeEnded(OwnedWorker& worker, const std::vector<WorkerTask>& tasks);
+  void TakeEnded(OwnedWorker& worker, const std::vector<WorkerTask>& tasks, bool held_on);
   bool IsLongUnlisted(const OwnedWorker& worker) const;
   bool HasLease(const OwnedWorker& worker) const;
   CallId Call(const OwnedWorker& worker, WorkerCall request, Duration timeout);
@@ -137,14 +140,25 @@
   double CostOf(const Reserve& reserve) const;
   Demand DemandOf(const QueuedReserve& queued) const;
   bool MayBePassed(const QueuedReserve& queued) const;
-  OwnedWorker* FindRoom(const Reserve& reserve);
+  bool IsPatient(const QueuedReserve& queued) const;
+  OwnedWorker* FindAnyRoom(const Reserve& reserve);
   int Crowding(const std::string& class_name, const std::string& rack) const;
   void HoldRoom(OwnedWorker& worker, const HostName& home, const Reserve& reserve);
   void DropHold(OwnedWorker& worker, const RunId& run);
   void DropExpiredHolds(OwnedWorker& worker);
+  bool IsSound(const OwnedWorker& worker) const;
   void RefreshRoom(const OwnedWorker& worker);
   void RefreshLoad();
 
+  // Workers that fail what others run: worker_quarantine.cc.
+  void NoteEnd(const OwnedWorker& worker, const WorkerTask& task, bool failed);
+  void RefreshQuarantine();
+  bool MayProbe(const Reserve& reserve) const;
+  OwnedWorker* FindProbe(const Reserve& reserve);
+  std::vector<OwnedWorker*> LastResortsFor(const Reserve& reserve);
+  bool TakesLastResort(const Reserve& reserve, const OwnedWorker& worker, bool patient) const;
+  OwnedWorker* FindRoom(const Reserve& reserve, bool patient);
+
   // Runs: worker_runs.cc.
   void ReportUnlisted(const OwnedWorker& worker, const HostName& home, const Commit& commit);
   void Start(OwnedWorker& worker, const HostName& home, const Commit& commit);
@@ -177,6 +191,7 @@
   std::map<RequestKey, GangVerdict> gang_verdicts_;
   AdmissionControl admission_;
   RunTimes run_times_;
+  Quarantine quarantine_;
   bool room_freed_ = false;  // Since the queue was last looked at.
 };
 
--- a/src/core/worker_runs.cc
+++ b/src/core/worker_runs.cc
@@ -97,6 +97,9 @@
     Report(worker, found->second);
     return;
   }
+  if (event.reply.status == WorkerStatus::kNoRoom) {
+    NoteEnd(worker, found->second.task, true);  // It refuses what it said it has room for.
+  }
   EndRun(worker, call.run, RunPhase::kNotStarted);
   if (event.reply.status == WorkerStatus::kStaleToken) {
     LoseLease(worker);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -260,6 +260,7 @@
                               {"data_centre", settings_.host.data_centre},
                               {"live", core.live()},
                               {"workers_leased", core.leases()},
+                              {"workers_quarantined", core.quarantined_workers()},
                               {"requests_active", core.active_requests()},
                               {"queued_tasks", core.queued_tasks()},
                               {"queued_calls", core.queued_calls()},
@@ -290,6 +291,7 @@
 void Daemon::AnswerMetrics(ExchangeId exchange) {
   loop_.PostLook([this, exchange](HostCore& core) {
     const Gauges gauges{core.leases(),
+                        core.quarantined_workers(),
                         core.active_requests(),
                         core.queued_tasks(),
                         core.queued_calls(),
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -177,6 +177,7 @@
   RenderOps(text, "hibiscus_worker_calls_total", kWorkerOps, worker_calls_);
   RenderOps(text, "hibiscus_server_calls_total", kServerOps, server_calls_);
   RenderGauge(text, "hibiscus_workers_leased", gauges.workers_leased);
+  RenderGauge(text, "hibiscus_workers_quarantined", gauges.workers_quarantined);
   RenderGauge(text, "hibiscus_requests_active", gauges.requests_active);
   RenderGauge(text, "hibiscus_queued_tasks", gauges.queued_tasks);
   RenderGauge(text, "hibiscus_queued_calls", gauges.queued_calls);
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -43,6 +43,7 @@
 // Values that are read when the text is asked for.
 struct Gauges {
   size_t workers_leased = 0;
+  size_t workers_quarantined = 0;
   size_t requests_active = 0;
   size_t queued_tasks = 0;
   size_t queued_calls = 0;
--- a/src/ports/explain_api.cc
+++ b/src/ports/explain_api.cc
@@ -109,6 +109,12 @@
     json["free_accelerators"] = view.free.accelerators;
     json["runs"] = view.runs;
     json["holds"] = view.holds;
+    json["quarantined"] = view.quarantine.quarantined;
+    json["requests_failed"] = view.quarantine.failures;
+    if (view.quarantine.quarantined) {
+      json["quarantined_ms"] = Millis(view.quarantine.quarantined_for);
+      json["probe_in_ms"] = Millis(view.quarantine.probe_in);
+    }
   }
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
--- a/standins/fakes.cc
+++ b/standins/fakes.cc
@@ -207,13 +207,18 @@
   LapseRuns();
   for (auto& [id, run] : runs_) {
     if (run.task.state == RunState::kRunning && clock_.Now() >= run.ends) {
-      run.task.body = fails_everything_ ? std::string("failed") : ExpectedBody(id.task);
-      EndRun(run, fails_everything_ ? RunState::kFailed : RunState::kDone);
+      const bool fails = Fails(id.task);
+      run.task.body = fails ? std::string("failed") : ExpectedBody(id.task);
+      EndRun(run, fails ? RunState::kFailed : RunState::kDone);
     }
   }
   AnswerRenewal();
 }
 
+bool FakeWorker::Fails(const TaskId& task) const {
+  return fails_everything_ || (!poison_.empty() && task.key.id.starts_with(poison_));
+}
+
 void FakeWorker::Restart() {
   for (auto& [id, run] : runs_) {
     if (run.task.state == RunState::kRunning) {
--- a/standins/fakes.h
+++ b/standins/fakes.h
@@ -81,6 +81,8 @@
   // Runs take this many times their declared time.
   void set_slowness(double factor) { slowness_ = factor; }
   void set_fails_everything(bool fails) { fails_everything_ = fails; }
+  // Runs of requests whose id begins so fail, here as anywhere.
+  void set_poison(std::string prefix) { poison_ = std::move(prefix); }
 
   const Resources& used() const { return used_; }
   const Resources& capacity() const { return capacity_; }
@@ -105,6 +107,7 @@
   void LapseRuns();
   void EndRun(Run& run, RunState state);
   void AnswerRenewal();
+  bool Fails(const TaskId& task) const;
   bool AnyUntold() const;
   WorkerReply Ended();
 
@@ -121,6 +124,7 @@
   std::vector<Renewal> renewals_;
   double slowness_ = 1.0;
   bool fails_everything_ = false;
+  std::string poison_;  // Empty: none.
 };
 
 class FakeServer {
--- a/tests/reach_net.h
+++ b/tests/reach_net.h
@@ -49,6 +49,7 @@
 
   const HostCore& host(const HostName& name) const { return *hosts_.at(name).core; }
   const RunLog& log() const { return log_; }
+  FakeWorker& worker(const WorkerName& name) { return *workers_.at(name); }
   std::map<std::pair<DataCentre, DataCentre>, LinkCount> links;  // Between data centres, by sender and receiver.
   std::map<std::pair<DataCentre, size_t>, LinkCount> kinds;      // Of those, by sender and number of the kind.
   LinkCount inside;                                              // Inside all data centres together.
