Try: a retry budget at the home host, and one at the owner for calls that servers refuse

Cause: three tries a request, whatever else fails, triple the load when everything fails; a failed task was run again without end on one and the same worker; an owner sent a refused call on until its start target.

Change: RetryBudget (include/hibiscusstand/retry_budget.h): a tenth of a token for each first try, a floor of 10 that comes back by one a second. Per class at the home host (tasks that failed or are gone, calls refused or unknown) and at the owner of backend servers (calls that a server refused). Without a token the request is answered as it stands. Tasks have at most three bad ends.

Conclusion: the budget at the owner is a failed try: a refusal costs a round trip and no work, yet it uses up the budget, and calls are refused while sound servers stand idle.

--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -2,6 +2,7 @@
 //   hibiscus_bench --workloads=abay,formularios --days=plain,burst --loads=60,90,120,200 --seed=1
 //   hibiscus_bench --mode=speed --workers=2000 --queue=10000
 //   hibiscus_bench --mode=failing --workers=8 --hosts=1 --loads=30,60,90
+//   hibiscus_bench --mode=retries --loads=60,90,120
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -17,7 +18,8 @@
 
 DEFINE_string(mode,
               "days",
-              "days: the policy under load; speed: real time of decisions; failing: workers that fail all");
+              "days: the policy under load; speed: real time of decisions; failing: workers that fail all; retries: "
+              "backend servers that do");
 DEFINE_string(workload_directory, "workloads", "where the workloads are described");
 DEFINE_string(workloads, "abay,formularios", "which of them");
 DEFINE_string(days, "plain,burst,slow,misdeclared,flood", "what goes wrong");
@@ -161,7 +163,43 @@
   return runs;
 }
 
+// Half of the backend servers fail all calls, with the retry budget and without. The load is a share of the others.
+std::vector<RunFigures> RunRetries() {
+  Workload workload;
+  workload.name = "retries";
+  workload.configuration.version = 1;
+  workload.configuration.classes = {ClassSpec{"twice", WorkKind::kCall, 1s, 5s, true},
+                                    ClassSpec{"once", WorkKind::kCall, 1s, 5s, false}};
+  workload.streams = {LoadStream{"twice", "t", WorkKind::kCall, 0.8, 200ms, Resources{}, 1, 1},
+                      LoadStream{"once", "t", WorkKind::kCall, 0.2, 200ms, Resources{}, 1, 1}};
+  std::vector<RunFigures> runs;
+  for (const Day& day : {Day{"refusing", false, false, false, false, false, true, false},
+                         Day{"breaking", false, false, false, false, false, false, true}}) {
+    for (const std::string& load : Split(FLAGS_loads)) {
+      BenchOptions options = OptionsFromFlags();
+      options.workers = 0;
+      options.ramp = 0s;
+      options.day = day;
+      options.load = std::stod(load) / 100;
+      for (const bool budget : {false, true}) {
+        options.settings.policy.retry_budget = budget;
+        BenchWorld world(workload, options);
+        world.Run();
+        runs.push_back(Summarise(workload, options, budget ? "budget" : "without", world));
+        std::fputs(TableOf(runs.back()).c_str(), stdout);
+        const double sent = static_cast<double>(world.calls_sent()) / static_cast<double>(world.requests_sent());
+        fmt::print("  {} calls sent for {} requests: {:.3f} each\n", world.calls_sent(), world.requests_sent(), sent);
+        std::fflush(stdout);
+      }
+    }
+  }
+  return runs;
+}
+
 std::vector<RunFigures> RunMode() {
+  if (FLAGS_mode == "retries") {
+    return RunRetries();
+  }
   return FLAGS_mode == "speed" ? RunSpeed() : FLAGS_mode == "failing" ? RunFailing() : RunDays();
 }
 
--- a/bench/bench_world.h
+++ b/bench/bench_world.h
@@ -67,6 +67,9 @@
   const Occupancy& occupancy() const { return occupancy_; }
   size_t starts() const { return log_.starts(); }
   size_t counted_starts() const { return counted_starts_; }  // While it counts.
+  // Calls sent to backend servers, and the requests they were for.
+  size_t calls_sent() const { return calls_sent_; }
+  size_t requests_sent() const { return requests_sent_.size(); }
   size_t broken() const { return log_.broken().size(); }
   TimePoint counts_from() const { return counts_from_; }
   TimePoint counts_until() const { return counts_until_; }
@@ -91,7 +94,7 @@
   struct Outside {
     std::unique_ptr<Fake> fake;
     double slowness = 1;
-    bool fails = false;  // All that it starts, at once.
+    bool fails = false;  // All that it is given, at once.
   };
 
   void After(Duration delay, std::function<void()> run);
@@ -101,6 +104,8 @@
   void ToPeer(size_t host, SendPeer& send);
   void ToWorker(size_t host, SendWorker& send);
   void ToServer(size_t host, SendServer& send);
+  // True if the server fails on this day, and the call came to its end.
+  bool FailsCall(const ServerName& server, const std::function<void(Delivery, const ServerReply&)>& deliver) const;
   void ToStore(size_t host, SendStore& send);
   void OnAnswer(const AnswerCaller& answer);
   void NoteStart(const RunId& run);
@@ -134,6 +139,8 @@
   std::vector<float> handle_micros_;
   Occupancy occupancy_;
   size_t counted_starts_ = 0;
+  size_t calls_sent_ = 0;
+  std::set<RequestKey> requests_sent_;
   TimePoint counts_from_{};
   TimePoint counts_until_{};
 };
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -42,6 +42,8 @@
   bool misdeclared = false;  // Declared run times are off by a factor of up to four, either way.
   bool flood = false;        // The first tenant sends five times its share of calls and tasks.
   bool failing = false;      // One worker in eight fails all that it starts, at once.
+  bool refusing = false;     // Every other backend server refuses all calls, though its probes are good.
+  bool breaking = false;     // Every other backend server breaks off all calls, though its probes are good.
 };
 
 const std::vector<Day>& Days();
--- a/examples/tour.cc
+++ b/examples/tour.cc
@@ -78,6 +78,18 @@
   Show("a probe that succeeds brings it back", !quarantine.IsQuarantined("worker-2"));
 }
 
+// Retries are bounded to a share of first tries.
+void ShowRetries(hibiscus::ManualClock& clock) {
+  hibiscus::RetryBudget budget;
+  while (budget.TakeRetry(clock.Now())) {
+  }
+  for (int i = 0; i < 25; ++i) {
+    budget.OnFirstTry();
+  }
+  Show("25 first tries pay for two retries",
+       budget.TakeRetry(clock.Now()) && budget.TakeRetry(clock.Now()) && !budget.TakeRetry(clock.Now()));
+}
+
 }  // namespace
 
 int main() {
@@ -86,5 +98,6 @@
   ShowQueue(clock);
   ShowPlacement();
   ShowQuarantine(clock);
+  ShowRetries(clock);
   return g_failures == 0 ? 0 : 1;
 }
--- a/include/hibiscusstand/hibiscusstand.h
+++ b/include/hibiscusstand/hibiscusstand.h
@@ -15,7 +15,8 @@
 //   8. Outliers    outlier_detector.h  notice slow targets, try them now and then
 //   9. Quarantine  quarantine.h        keep off targets that fail what others run, probe them, release them
 //  10. Placement   placement.h         an index of rooms: tightest fit, or spread over racks
-//  11. Policy      policy.h            which of the strategies above a host uses
+//  11. Retries     retry_budget.h      bound retries to a share of first tries
+//  12. Policy      policy.h            which of the strategies above a host uses
 #ifndef HIBISCUSSTAND_HIBISCUSSTAND_H_
 #define HIBISCUSSTAND_HIBISCUSSTAND_H_
 
@@ -30,6 +31,7 @@
 #include "hibiscusstand/quarantine.h"        // IWYU pragma: export
 #include "hibiscusstand/rendezvous.h"        // IWYU pragma: export
 #include "hibiscusstand/result.h"            // IWYU pragma: export
+#include "hibiscusstand/retry_budget.h"      // IWYU pragma: export
 #include "hibiscusstand/types.h"             // IWYU pragma: export
 
 #endif  // HIBISCUSSTAND_HIBISCUSSTAND_H_
--- a/src/core/home_calls.cc
+++ b/src/core/home_calls.cc
@@ -83,7 +83,8 @@
   switch (result.verdict) {
     case Verdict::kNotRun:
       member->refused_by[from] = result.code;
-      if (job->runs < kMostCallTries && !PickCallOwner(*member).empty() && context_.Now() < job->start_by) {
+      if (job->runs < kMostCallTries && !PickCallOwner(*member).empty() && context_.Now() < job->start_by &&
+          TakeRetry(*job)) {
         BeginCall(*job);
       } else {
         Refuse(*job, result.code, result.retry_after);
@@ -104,7 +105,7 @@
   Member& member = job.members.front();
   job.in_doubt = true;
   const bool time_left = context_.Now() + kOwnerGrace < job.finish_by;
-  if (!job.spec.may_run_twice || job.runs >= kMostCallTries || !time_left) {
+  if (!job.spec.may_run_twice || job.runs >= kMostCallTries || !time_left || !TakeRetry(job)) {
     End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
     return;
   }
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -149,6 +149,9 @@
 void HomeRole::Begin(Job& job) {
   job.step = LogStep::kNone;
   job.phase = JobPhase::kActive;
+  if (job.runs == 0) {
+    retry_budgets_[job.spec.name].OnFirstTry();
+  }
   if (job.spec.kind == WorkKind::kCall) {
     BeginCall(job);
   } else {
@@ -156,6 +159,11 @@
   }
 }
 
+// Whether the class can afford another try; takes it from the budget.
+bool HomeRole::TakeRetry(const Job& job) {
+  return !context_.settings.policy.retry_budget || retry_budgets_[job.spec.name].TakeRetry(context_.Now());
+}
+
 void HomeRole::End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after) {
   context_.Pass(Step::kRequestEnded);
   HIBISCUS_INVARIANT(job.phase != JobPhase::kEnded && job.phase != JobPhase::kSaving, job.request.key.ToString(),
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -16,6 +16,7 @@
 #include "core/context.h"
 #include "core/digest_role.h"
 #include "core/membership.h"
+#include "hibiscusstand/retry_budget.h"
 
 namespace hibiscus {
 
@@ -40,6 +41,7 @@
   std::map<HostName, ResultCode> refused_by;
   Duration retry_after{};  // The longest that a refusing owner named.
   std::set<WorkerName> failed_on;
+  int bad_ends = 0;  // Runs that failed, or of which nothing is known.
   std::string body;
 };
 
@@ -163,6 +165,7 @@
   void End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after = 0us);
   void Refuse(Job& job, ResultCode code, Duration retry_after = 0us);
   void EndRefused(Job& job, ResultCode code, Duration retry_after = 0us);
+  bool TakeRetry(const Job& job);
   void Observe(const Job& job, Observed::What what);
   void OnDeadline(Job& job);
   void TickJob(Job& job);
@@ -232,6 +235,7 @@
   static void NoteRun(Job& job, RunPhase phase);
   void OnRunEnded(Job& job, Member& member, const RunReport& report);
   void OnRunFailed(Job& job, Member& member, const RunReport& report);
+  bool MayRerun(const Job& job, Member& member);
   void OnRunGone(Job& job, Member& member);
   void Rerun(Job& job, Member& member, Duration after);
   void AdoptRun(Job& job, const RunReport& report);
@@ -257,6 +261,7 @@
   };
 
   std::map<RequestKey, Job> jobs_;
+  std::map<std::string, RetryBudget> retry_budgets_;  // By class.
   std::map<uint64_t, LogQuestion> questions_;
   std::map<HostName, CallsAt> calls_at_;
   size_t active_ = 0;                                  // Jobs that have not ended.
--- a/src/core/home_tasks.cc
+++ b/src/core/home_tasks.cc
@@ -10,7 +10,8 @@
 constexpr Duration kRetryRoom = 200ms;     // Between tries of a gang, or after an owner was lost.
 constexpr Duration kReserveGrace = 500ms;  // An owner answers by the start target; this is for the way back.
 constexpr Duration kGangHold = 1s;         // Members wait no longer than this for the others.
-constexpr size_t kMostFailedWorkers = 3;   // A task that fails on so many workers is ended.
+constexpr size_t kMostFailedWorkers = 3;   // A task that fails on so many workers is poison.
+constexpr int kMostTaskTries = 3;          // Runs of one task that failed or of which nothing is known.
 constexpr Duration kRerunAfterFailure = 300ms;
 
 }  // namespace
@@ -312,7 +313,7 @@
 void HomeRole::OnRunFailed(Job& job, Member& member, const RunReport& report) {
   member.failed_on.insert(report.worker);
   const bool poison = member.failed_on.size() >= kMostFailedWorkers;
-  if (job.spec.may_run_twice && !poison) {
+  if (MayRerun(job, member)) {
     Rerun(job, member, kRerunAfterFailure);
     return;
   }
@@ -321,8 +322,14 @@
   End(job, poison ? ResultCode::kPoisonJob : ResultCode::kTaskFailed, Verdict::kFailed, report.body);
 }
 
+// Counts the bad end and, if another try is allowed, takes it from the budget.
+bool HomeRole::MayRerun(const Job& job, Member& member) {
+  ++member.bad_ends;
+  return job.spec.may_run_twice && member.bad_ends < kMostTaskTries && TakeRetry(job);
+}
+
 void HomeRole::OnRunGone(Job& job, Member& member) {
-  if (job.spec.may_run_twice) {
+  if (MayRerun(job, member)) {
     Rerun(job, member, kRerunAfterFailure);
     return;
   }
--- a/src/core/server_role.cc
+++ b/src/core/server_role.cc
@@ -12,6 +12,7 @@
 constexpr Duration kWayToServer = 5ms;    // A call begins this long after it was sent, at most.
 constexpr Duration kJudgeEvery = 200ms;   // Which servers are slow.
 constexpr double kPatience = 0.25;        // Share of its start target that a call waits before it takes a slow server.
+constexpr int kMostSends = 3;             // Of one call by one owner, to servers that refuse it.
 constexpr int kMostSlots = 8;             // Calls that one server serves at once.
 
 }  // namespace
@@ -139,7 +140,7 @@
   if (refused) {
     server.not_before = context_.Now() + kRefusedPause;
     server.healthy = server.healthy && event.delivery == Delivery::kAnswered && !event.reply.leaving;
-    Enqueue(call);
+    OnRefused(call);
     return;
   }
   LearnTime(execution);
@@ -148,6 +149,23 @@
                                       ok ? Verdict::kDone : Verdict::kFailed, event.reply.body, 0us});
 }
 
+// To another server if the class can afford it, else back to the home host: it did not run.
+void ServerRole::OnRefused(QueuedCall call) {
+  if (MayResend(call)) {
+    Enqueue(std::move(call));
+  } else {
+    Refuse(call, ResultCode::kNoCapacity, kComeBack);
+  }
+}
+
+bool ServerRole::MayResend(QueuedCall& call) {
+  ++call.refusals;
+  if (!context_.settings.policy.retry_budget) {
+    return true;
+  }
+  return call.refusals < kMostSends && retry_budgets_[call.dispatch.class_name].TakeRetry(context_.Now());
+}
+
 void ServerRole::LearnTime(const Execution& execution) {
   const std::string& class_name = execution.call.dispatch.class_name;
   const Duration took = context_.Now() - execution.started;
@@ -230,6 +248,9 @@
   HIBISCUS_INVARIANT(context_.Now() - server.good_probe < context_.settings.probe_fresh, server.entry.name,
                      "A backend server gets new work only while its last good probe is fresh: use FindSlot.");
   ++server.in_progress;
+  if (call.refusals == 0) {
+    retry_budgets_[call.dispatch.class_name].OnFirstTry();
+  }
   ObserveStart(call);
   const CallId id = context_.NextId();
   executions_[id] = Execution{server.entry.name, call, context_.Now()};
--- a/src/core/server_role.h
+++ b/src/core/server_role.h
@@ -12,6 +12,7 @@
 #include "hibiscusstand/admission.h"
 #include "hibiscusstand/deadline_queue.h"
 #include "hibiscusstand/outlier_detector.h"
+#include "hibiscusstand/retry_budget.h"
 
 namespace hibiscus {
 
@@ -36,6 +37,7 @@
   TimePoint finish_by{};
   double cost = 0;       // Expected seconds of a slot.
   Duration predicted{};  // Wait, as admission saw it.
+  int refusals = 0;      // By servers that it was sent to.
 };
 
 class ServerRole {
@@ -64,6 +66,8 @@
   double Capacity() const;
   void Probe(OwnedServer& server);
   void OnProbe(OwnedServer& server, const ServerEvent& event);
+  void OnRefused(QueuedCall call);
+  bool MayResend(QueuedCall& call);
   void OnExecuted(const Execution& execution, const ServerEvent& event);
   void LearnTime(const Execution& execution);
   Demand DemandOf(const QueuedCall& call) const;
@@ -83,6 +87,7 @@
   DeadlineQueue<QueuedCall> queue_;
   AdmissionControl admission_;
   OutlierDetector outliers_;
+  std::map<std::string, RetryBudget> retry_budgets_;  // By class.
   RunTimes run_times_;
   TimePoint next_judgement_{};
   uint64_t seen_view_ = 0;  // Of the last RefreshOwned.
