The owner's budget is taken back; a backend server that serves no call is tried ever more rarely

A budget for refused calls at the owner made it refuse calls while sound servers stood idle. What multiplies calls is not the single call but the failing server: it is always free, so each call goes there first, every 50 ms.

Change: pauses of a server that refuses or breaks off calls grow from 50 ms to 3.2 s until it serves one. The budget for each class at the home host, for reruns of tasks and other owners of calls, stays as it was.

--- a/bench/bench_world.cc
+++ b/bench/bench_world.cc
@@ -265,11 +265,12 @@
     used += worker.fake->used();
   }
   ++occupancy_.samples;
+  const double workers = std::max(1, options_.workers);
+  const double cpu = std::max<double>(1, static_cast<double>(workload_.worker.cpu_millis));
+  const double memory = std::max<double>(1, static_cast<double>(workload_.worker.memory_mb));
   occupancy_.slots += slots / std::max(1, options_.slots * options_.servers);
-  occupancy_.cpu +=
-      static_cast<double>(used.cpu_millis) / static_cast<double>(workload_.worker.cpu_millis) / options_.workers;
-  occupancy_.memory +=
-      static_cast<double>(used.memory_mb) / static_cast<double>(workload_.worker.memory_mb) / options_.workers;
+  occupancy_.cpu += static_cast<double>(used.cpu_millis) / cpu / workers;
+  occupancy_.memory += static_cast<double>(used.memory_mb) / memory / workers;
 }
 
 double BenchWorld::EffectiveServers() const {
--- a/include/hibiscusstand/policy.h
+++ b/include/hibiscusstand/policy.h
@@ -14,7 +14,7 @@
   bool best_fit = true;                    // False: tasks go by `choice` to any worker with room.
   bool avoid_slow = true;                  // False: slow backend servers are used like any other.
   bool quarantine = true;                  // False: workers that fail what others run are used like any other.
-  bool retry_budget = true;                // False: retries are bounded by the most tries of a request alone.
+  bool retry_budget = true;                // False: a request's most tries alone bound retries; no growing pauses.
 
   friend bool operator==(const Policy&, const Policy&) = default;
 };
--- a/src/core/server_role.cc
+++ b/src/core/server_role.cc
@@ -7,13 +7,13 @@
 namespace {
 
 constexpr Duration kProbeTimeout = 700ms;
-constexpr Duration kRefusedPause = 50ms;  // A server that refused gets nothing new for this long.
-constexpr Duration kComeBack = 500ms;     // Retry-After when no slot came free in time.
-constexpr Duration kWayToServer = 5ms;    // A call begins this long after it was sent, at most.
-constexpr Duration kJudgeEvery = 200ms;   // Which servers are slow.
-constexpr double kPatience = 0.25;        // Share of its start target that a call waits before it takes a slow server.
-constexpr int kMostSends = 3;             // Of one call by one owner, to servers that refuse it.
-constexpr int kMostSlots = 8;             // Calls that one server serves at once.
+constexpr Duration kFirstPause = 50ms;      // A server that refused or broke off a call gets nothing new for this long.
+constexpr Duration kLongestPause = 3200ms;  // Of a server that serves no call.
+constexpr Duration kComeBack = 500ms;       // Retry-After when no slot came free in time.
+constexpr Duration kWayToServer = 5ms;      // A call begins this long after it was sent, at most.
+constexpr Duration kJudgeEvery = 200ms;     // Which servers are slow.
+constexpr double kPatience = 0.25;  // Share of its start target that a call waits before it takes a slow server.
+constexpr int kMostSlots = 8;       // Calls that one server serves at once.
 
 }  // namespace
 
@@ -132,38 +132,34 @@
   const QueuedCall& call = execution.call;
   if (event.delivery == Delivery::kUnknown) {
     server.healthy = false;
+    PauseFailing(server);
     const CallResult unknown{call.dispatch.run, ResultCode::kUnknownOutcome, Verdict::kUnknown, {}, 0us};
     context_.Send(call.home, unknown);
     return;
   }
   const bool refused = event.delivery == Delivery::kNotSent || event.reply.status == ServerStatus::kRefused;
   if (refused) {
-    server.not_before = context_.Now() + kRefusedPause;
+    PauseFailing(server);
     server.healthy = server.healthy && event.delivery == Delivery::kAnswered && !event.reply.leaving;
-    OnRefused(call);
+    Enqueue(call);
     return;
   }
+  server.pause = 0us;
   LearnTime(execution);
   const bool ok = event.reply.status == ServerStatus::kOk;
   context_.Send(call.home, CallResult{call.dispatch.run, ok ? ResultCode::kOk : ResultCode::kTaskFailed,
                                       ok ? Verdict::kDone : Verdict::kFailed, event.reply.body, 0us});
 }
 
-// To another server if the class can afford it, else back to the home host: it did not run.
-void ServerRole::OnRefused(QueuedCall call) {
-  if (MayResend(call)) {
-    Enqueue(std::move(call));
-  } else {
-    Refuse(call, ResultCode::kNoCapacity, kComeBack);
-  }
-}
-
-bool ServerRole::MayResend(QueuedCall& call) {
-  ++call.refusals;
-  if (!context_.settings.policy.retry_budget) {
-    return true;
+// A server that serves no call, though its probes are good, is tried ever more rarely. Calls that were on their way
+// together count as one.
+void ServerRole::PauseFailing(OwnedServer& server) {
+  if (context_.Now() < server.not_before) {
+    return;
   }
-  return call.refusals < kMostSends && retry_budgets_[call.dispatch.class_name].TakeRetry(context_.Now());
+  const bool backs_off = context_.settings.policy.retry_budget && server.pause > 0us;
+  server.pause = backs_off ? std::min(server.pause * 2, kLongestPause) : kFirstPause;
+  server.not_before = context_.Now() + server.pause;
 }
 
 void ServerRole::LearnTime(const Execution& execution) {
@@ -248,9 +244,6 @@
   HIBISCUS_INVARIANT(context_.Now() - server.good_probe < context_.settings.probe_fresh, server.entry.name,
                      "A backend server gets new work only while its last good probe is fresh: use FindSlot.");
   ++server.in_progress;
-  if (call.refusals == 0) {
-    retry_budgets_[call.dispatch.class_name].OnFirstTry();
-  }
   ObserveStart(call);
   const CallId id = context_.NextId();
   executions_[id] = Execution{server.entry.name, call, context_.Now()};
--- a/src/core/server_role.h
+++ b/src/core/server_role.h
@@ -12,7 +12,6 @@
 #include "hibiscusstand/admission.h"
 #include "hibiscusstand/deadline_queue.h"
 #include "hibiscusstand/outlier_detector.h"
-#include "hibiscusstand/retry_budget.h"
 
 namespace hibiscus {
 
@@ -26,7 +25,8 @@
   TimePoint probe_sent{};
   TimePoint good_probe{};  // When the last good probe was sent.
   TimePoint next_probe{};
-  TimePoint not_before{};  // After a refusal: nothing new until then.
+  TimePoint not_before{};  // After a call that it did not serve: nothing new until then.
+  Duration pause = 0us;    // The last one; zero once it served a call.
 };
 
 struct QueuedCall {
@@ -37,7 +37,6 @@
   TimePoint finish_by{};
   double cost = 0;       // Expected seconds of a slot.
   Duration predicted{};  // Wait, as admission saw it.
-  int refusals = 0;      // By servers that it was sent to.
 };
 
 class ServerRole {
@@ -66,8 +65,7 @@
   double Capacity() const;
   void Probe(OwnedServer& server);
   void OnProbe(OwnedServer& server, const ServerEvent& event);
-  void OnRefused(QueuedCall call);
-  bool MayResend(QueuedCall& call);
+  void PauseFailing(OwnedServer& server);
   void OnExecuted(const Execution& execution, const ServerEvent& event);
   void LearnTime(const Execution& execution);
   Demand DemandOf(const QueuedCall& call) const;
@@ -87,7 +85,6 @@
   DeadlineQueue<QueuedCall> queue_;
   AdmissionControl admission_;
   OutlierDetector outliers_;
-  std::map<std::string, RetryBudget> retry_budgets_;  // By class.
   RunTimes run_times_;
   TimePoint next_judgement_{};
   uint64_t seen_view_ = 0;  // Of the last RefreshOwned.
