--- a/examples/tour.cc
+++ b/examples/tour.cc
@@ -62,6 +62,34 @@
   Show("what fits nowhere is known at once", rooms.NeverFits(hibiscus::Resources{9000, 1, 0}));
 }
 
+// A target that fails what the others do is kept out of use until a probe succeeds.
+void ShowQuarantine(hibiscus::ManualClock& clock) {
+  hibiscus::Quarantine quarantine;
+  quarantine.Resize(3);
+  quarantine.Succeeded("worker-1", "report", clock.Now());
+  for (const char* request : {"r1", "r2", "r3"}) {
+    quarantine.Failed("worker-2", "report", request, clock.Now());
+  }
+  Show("a worker that fails what others run is quarantined", quarantine.IsQuarantined("worker-2"));
+  clock.Advance(std::chrono::seconds(2));
+  Show("after a pause one probe goes there",
+       quarantine.TakeProbe("worker-2", clock.Now()) && !quarantine.TakeProbe("worker-2", clock.Now()));
+  quarantine.Succeeded("worker-2", "report", clock.Now());
+  Show("a probe that succeeds brings it back", !quarantine.IsQuarantined("worker-2"));
+}
+
+// Retries are bounded to a share of first tries.
+void ShowRetries(hibiscus::ManualClock& clock) {
+  hibiscus::RetryBudget budget;
+  while (budget.TakeRetry(clock.Now())) {
+  }
+  for (int i = 0; i < 25; ++i) {
+    budget.OnFirstTry();
+  }
+  Show("25 first tries pay for two retries",
+       budget.TakeRetry(clock.Now()) && budget.TakeRetry(clock.Now()) && !budget.TakeRetry(clock.Now()));
+}
+
 }  // namespace
 
 int main() {
@@ -69,5 +97,7 @@
   ShowLeases(clock);
   ShowQueue(clock);
   ShowPlacement();
+  ShowQuarantine(clock);
+  ShowRetries(clock);
   return g_failures == 0 ? 0 : 1;
 }
--- a/src/core/server_role.h
+++ b/src/core/server_role.h
@@ -25,7 +25,8 @@
   TimePoint probe_sent{};
   TimePoint good_probe{};  // When the last good probe was sent.
   TimePoint next_probe{};
-  TimePoint not_before{};  // After a refusal: nothing new until then.
+  TimePoint not_before{};  // After a call that it did not serve: nothing new until then.
+  Duration pause = 0us;    // The last one; zero once it served a call.
 };
 
 struct QueuedCall {
@@ -64,6 +65,7 @@
   double Capacity() const;
   void Probe(OwnedServer& server);
   void OnProbe(OwnedServer& server, const ServerEvent& event);
+  void PauseFailing(OwnedServer& server);
   void OnExecuted(const Execution& execution, const ServerEvent& event);
   void LearnTime(const Execution& execution);
   Demand DemandOf(const QueuedCall& call) const;
