--- a/tests/process/survive_test.sh
+++ b/tests/process/survive_test.sh
@@ -74,6 +74,7 @@
   if [ ${#HIT[@]} = 4 ] && every_role_hit; then break; fi
 done
 [ ${#HIT[@]} = 4 ] || fail "$VICTIM_NAME was never home host and owner of both: ${!HIT[*]}"
+echo "$VICTIM_NAME is killed; hit as home host or owner: ${HIT[*]}"
 kill_host $VICTIM
 unset "PIDS[$VICTIM_NAME]"
 for id in "${!CLASS_OF[@]}"; do
