--- a/tools/mutant_table.py
+++ b/tools/mutant_table.py
@@ -438,11 +438,11 @@
     # Membership and configuration
     Mutant("take a new incarnation for live at once", "src/core/membership.cc",
            "if (silent || fresh) {",
-           "if (silent) {",
+           "if (silent || (fresh && false)) {",
            ["failure_test"]),
     Mutant("take a silent peer for live", "src/core/membership.cc",
            "if (silent || fresh) {",
-           "if (fresh) {",
+           "if (fresh || (silent && false)) {",
            ["takeover_test", "failure_test", DRIVER]),
     Mutant("keep a leaving peer among the live", "src/core/membership.cc",
            "if (!peer.heartbeat.leaving) {",
