--- a/tests/log_index_test.cc
+++ b/tests/log_index_test.cc
@@ -83,4 +83,11 @@
   REQUIRE(index.Check(Record(kind, 2)) == Presence::kNew);
 }
 
+TEST_CASE("a trim keeps the intent at the base, though an earlier one of the same key goes") {
+  LogIndex index = IndexOf(
+      {Record(LogRecordKind::kIntent, 1), Record(LogRecordKind::kWithdrawn, 1), Record(LogRecordKind::kIntent, 2)});
+  index.Trim(2);
+  REQUIRE(index.Check(Record(LogRecordKind::kIntent, 3)) == Presence::kOther);
+}
+
 }  // namespace hibiscus
