--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "ports/explain_api.h"
+
 namespace hibiscus {
 
 namespace {
@@ -56,6 +58,19 @@
   CHECK(Has(text, R"(hibiscus_answers_total{code="200",name="overloaded"} 1)"));
 }
 
+TEST_CASE("quarantined workers stand in the metrics and in the explanation of the worker") {
+  Gauges gauges;
+  gauges.workers_quarantined = 2;
+  CHECK(Has(Metrics("dc-a").Render(gauges), "hibiscus_workers_quarantined 2"));
+  WorkerExplanation view;
+  view.leased = true;
+  view.quarantine = QuarantineState{true, 3, 5s, 1s};
+  const std::string text = RenderExplanation(view);
+  CHECK(text.find(R"("quarantined":true)") != std::string::npos);
+  CHECK(text.find(R"("requests_failed":3)") != std::string::npos);
+  CHECK(text.find(R"("probe_in_ms":1000)") != std::string::npos);
+}
+
 TEST_CASE("endless new tenants do not grow the metrics without end") {
   Metrics metrics("dc-a");
   for (int i = 0; i < 3000; ++i) {
--- a/tests/retry_budget_test.cc
+++ b/tests/retry_budget_test.cc
@@ -22,11 +22,10 @@
  public:
   explicit FailingWorld(Delivery call_ends) : host("a1"), call_ends_(call_ends) {
     host.Configure({kCall, kTask});
-    std::vector<ListEntry> list;
-    for (int i = 0; i < 4; ++i) {
-      list.push_back(ListEntry{ListKind::kServer, fmt::format("s{}", i), "dc", "r1", "127.0.0.1:1", false});
+    std::vector<ListEntry> list = {ListEntry{ListKind::kWorker, "w1", "dc", "r1", "127.0.0.1:1", false}};
+    for (const char* server : {"s0", "s1", "s2", "s3"}) {
+      list.emplace_back(ListEntry{ListKind::kServer, server, "dc", "r1", "127.0.0.1:1", false});
     }
-    list.push_back(ListEntry{ListKind::kWorker, "w1", "dc", "r1", "127.0.0.1:1", false});
     host.Do(ListEvent{list});
     Run(2s);
   }
