--- a/src/core/entry_role.cc
+++ b/src/core/entry_role.cc
@@ -215,8 +215,10 @@
   context_.Act(AnswerCaller{exchange, Answer{key, code, Verdict::kNotRun, {}, retry_after}});
 }
 
+// A question without an answer says nothing of the request: whoever asked comes back.
 Answer EntryRole::GiveUpAnswer(const Exchange& exchange) const {
-  return Answer{exchange.key, ResultCode::kUnknownOutcome, Verdict::kUnknown, {}, 0us};
+  const Duration retry_after = exchange.kind == Kind::kSubmit ? 0us : kComeBack;
+  return Answer{exchange.key, ResultCode::kUnknownOutcome, Verdict::kUnknown, {}, retry_after};
 }
 
 }  // namespace hibiscus
--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -58,6 +58,7 @@
   job.phase = step == LogStep::kSaving ? JobPhase::kSaving : JobPhase::kRecording;
   job.step = step;
   job.asked = false;
+  job.repeated = false;
   job.log_until = context_.Now() + patience + kWayBack;
   SendAppend(job);
 }
@@ -80,7 +81,9 @@
   } else if (job.step == LogStep::kSaving) {
     append.record.answer = job.answer;
   }
+  job.repeated = job.asked;
   job.asked = true;
+  context_.Pass(Step::kAppendSent);
   context_.Send(writer, append);
 }
 
@@ -111,7 +114,7 @@
     }
   } else if (!must && now >= job.log_until) {
     if (job.step == LogStep::kLooking) {
-      End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
+      OnNothingFound(job);
     } else {
       OnNotRecorded(job, true);
     }
@@ -147,7 +150,7 @@
       OnDuplicate(*job, appended.found);
       return;
     case LogOutcome::kNotRecorded:
-      OnNotRecorded(*job, false);
+      OnNotRecorded(*job, job->repeated);  // Its word holds for one sending, and another may be on its way.
       return;
     case LogOutcome::kUnknown:
       OnNotRecorded(*job, true);
@@ -168,6 +171,8 @@
     case LogStep::kAccepting:
       job.accepted = true;
       job.unsettled = false;
+      job.start_by = context_.Now() + job.spec.start_within;  // The record may have taken long.
+      job.finish_by = context_.Now() + job.spec.finish_within;
       if (job.cancelled) {
         End(job, ResultCode::kCancelled, Verdict::kCancelled, {});
         return;
@@ -194,7 +199,6 @@
 
 // Another record of the same request goes before ours: this is a repeat, whatever the caller said.
 void HomeRole::OnDuplicate(Job& job, const LogEntry& found) {
-  const RequestKey key = job.request.key;
   job.unsettled = false;
   switch (job.step) {
     case LogStep::kAccepting:
@@ -203,17 +207,12 @@
       } else if (found.state == LogEntry::State::kIntent) {
         End(job, ResultCode::kIdReused, Verdict::kNotRun, {});
       } else {
-        AnswerAccepted(job);
-        Forget(key);
+        LeaveToLog(job);
       }
       return;
     case LogStep::kSaving:
-      AnswerAccepted(job);  // Whoever asks again is told what stands in the log.
-      Forget(key);
-      return;
-    case LogStep::kStarting:
-      job.accepted = false;  // Somebody else has it and will answer it in the log.
-      End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
+    case LogStep::kStarting:  // Somebody else has it and will answer it in the log.
+      LeaveToLog(job);
       return;
     default:
       job.surely_first = false;
@@ -297,16 +296,29 @@
         return;
       }
       break;
-    case LogEntry::State::kOpen: {
-      AnswerAccepted(job);
-      const RequestKey key = job.request.key;
-      Forget(key);
+    case LogEntry::State::kOpen:
+      LeaveToLog(job);
       return;
-    }
     default:
       break;
   }
-  End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
+  OnNothingFound(job);
+}
+
+// A deferred request was looked up because its answer stands in the log: that it cannot be read now is no answer.
+void HomeRole::OnNothingFound(Job& job) {
+  if (job.request.deferred) {
+    LeaveToLog(job);
+  } else {
+    End(job, ResultCode::kRepeatOfUnknown, Verdict::kUnknown, {});
+  }
+}
+
+// Whoever asks again is told what stands in the log.
+void HomeRole::LeaveToLog(Job& job) {
+  AnswerAccepted(job);
+  const RequestKey key = job.request.key;
+  Forget(key);
 }
 
 void HomeRole::Save(Job& job) {
@@ -317,6 +329,7 @@
 }
 
 void HomeRole::Saved(Job& job) {
+  context_.Pass(Step::kAnswerSaved);
   job.phase = JobPhase::kEnded;
   --active_;
   job.step = LogStep::kNone;
@@ -355,6 +368,7 @@
   if (spec == nullptr || context_.leaving || context_.IsRecovering()) {
     return;
   }
+  context_.Pass(Step::kRequestResumed);
   Job& job = jobs_[key];
   ++active_;
   touched_.push_back(key);
@@ -401,6 +415,7 @@
     }
   }
   for (const RequestKey& key : keys) {
+    context_.Pass(Step::kHandedOver);
     ReleaseMembers(jobs_.at(key));
     const HostName writer = context_.OwnerOf(kLogName);
     if (!writer.empty()) {
@@ -435,6 +450,19 @@
   context_.Send(writer, LogLookup{reference, key});
 }
 
+// To a question for a request that this host has. Of one that it took over, only the log knows what was told before.
+Answer HomeRole::AnswerOfHeld(const Job& job, const LogFound& found) {
+  if (job.phase == JobPhase::kEnded) {
+    return job.answer;
+  }
+  if (found.current && found.found.state == LogEntry::State::kDone) {
+    return found.found.answer;
+  }
+  const bool doubtful = job.resumed && !found.current;
+  const ResultCode code = doubtful ? ResultCode::kStoreUnavailable : ResultCode::kAccepted;
+  return Answer{job.request.key, code, Verdict::kUnknown, {}, kComeBack};
+}
+
 void HomeRole::OnQuestionAnswered(const LogQuestion& question, const LogFound& found) {
   const bool open = found.found.state == LogEntry::State::kOpen;
   const HostName& self = context_.settings.name;
@@ -448,6 +476,10 @@
     return;
   }
   const Waiter& waiter = question.waiter;
+  if (Job* job = Find(found.key); job != nullptr && question.kind == LogQuestion::Kind::kQuery) {
+    context_.Send(waiter.host, ForwardAnswer{waiter.forward_id, AnswerOfHeld(*job, found)});
+    return;
+  }
   if (open && found.found.home != self && context_.IsReachable(found.found.home)) {
     context_.Send(waiter.host, ForwardMoved{waiter.forward_id, found.found.home});
     return;
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -53,10 +53,15 @@
 
 void HomeRole::OnQuery(const HostName& from, const ForwardQuery& query) {
   const Job* job = Find(query.key);
-  if (job == nullptr) {
+  const bool asks = job == nullptr || (job->accepted && job->phase != JobPhase::kEnded);
+  if (asks && !context_.OwnerOf(kLogName).empty()) {
+    // Another host may have taken the request over, and its answer may stand in the log.
     AskLog(query.key, LogQuestion{LogQuestion::Kind::kQuery, Waiter{from, query.forward_id}, {}, {}, {}});
     return;
   }
+  if (job == nullptr) {
+    return;
+  }
   const Answer pending{query.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
   context_.Send(from, ForwardAnswer{query.forward_id, job->phase == JobPhase::kEnded ? job->answer : pending});
 }
@@ -304,6 +309,9 @@
   Job& job = found->second;
   if (job.phase != JobPhase::kEnded) {
     TickJob(job);
+    if (!jobs_.contains(key)) {
+      return;  // It is left to the log.
+    }
   }
   TickStops(job);
   if (!IsForgotten(job)) {
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -106,6 +106,7 @@
   bool started = false;                  // Resumed: the former home host may have run it.
   bool intent = false;                   // An intent stands in the log, or may come to stand there.
   bool asked = false;                    // A writer has the present record, or had it.
+  bool repeated = false;                 // The present record was sent more than once.
   bool cancelled = false;                // To be cancelled once it is accepted.
   bool unsettled = false;                // The caller was told "unknown" while the accepted record was on its way.
   TimePoint log_until{};                 // Then the log counts as out of reach.
@@ -186,6 +187,8 @@
   void OnNoEarlierRun(Job& job);
   void Look(Job& job);
   void OnRepeatFound(Job& job, const LogFound& found);
+  void OnNothingFound(Job& job);
+  void LeaveToLog(Job& job);
   void Save(Job& job);
   void Saved(Job& job);
   void AnswerAccepted(Job& job);
@@ -196,6 +199,7 @@
   static bool MayAcknowledge(const Job& job, const RunReport& report);
   void AskAboutOrphan(const HostName& from, const RunReport& report, const Job* job);
   void AskLog(const RequestKey& key, LogQuestion question);
+  static Answer AnswerOfHeld(const Job& job, const LogFound& found);
   void OnQuestionAnswered(const LogQuestion& question, const LogFound& found);
 
   // Claims: home_claims.cc.
--- a/src/core/log_role.cc
+++ b/src/core/log_role.cc
@@ -1,6 +1,7 @@
 #include "core/log_role.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace hibiscus {
@@ -31,32 +32,82 @@
 }
 
 void LogRole::OnLookup(const HostName& from, const LogLookup& lookup) {
+  context_.Pass(Step::kLogLookedUp);
   Activate();
-  LogFound answer{lookup.reference, lookup.key, reader_.current(), index_.Find(lookup.key)};
-  const auto sequence = index_.SequenceOfAnswer(lookup.key);
-  if (!sequence) {
-    context_.Send(from, answer);
+  LookUp(Asked{from, lookup});
+}
+
+// The index may lag behind the store, which other data centres write to as well. So an answer is read from its batch,
+// and that there is none is told only when nothing stands at the log's end now.
+void LogRole::LookUp(const Asked& asked) {
+  const auto answer = index_.SequenceOfAnswer(asked.lookup.key);
+  if (!answer) {
+    at_end_.push_back(asked);
     return;
   }
   const CallId call = context_.NextId();
-  answer_reads_[call] = AnswerRead{from, lookup};
-  StoreCall get{StoreOp::kGet, LogKey(*sequence), {}, 0, 0us};
+  answer_reads_[call] = asked;
+  StoreCall get{StoreOp::kGet, LogKey(*answer), {}, 0, 0us};
   context_.Act(SendStore{call, std::move(get), context_.settings.store_timeout});
 }
 
-void LogRole::OnAnswerRead(const AnswerRead& read, const StoreEvent& event) {
-  LogFound answer{read.lookup.reference, read.lookup.key, false, {}};
+void LogRole::OnAnswerRead(const Asked& asked, const StoreEvent& event) {
+  LogFound found{asked.lookup.reference, asked.lookup.key, false, index_.Find(asked.lookup.key)};
   const bool there = event.delivery == Delivery::kAnswered && event.reply.status == StoreStatus::kOk;
   const auto batch = there ? DecodeLogBatch(event.reply.value) : LogBatch{};
   if (batch) {
     for (const LogRecord& record : batch->records) {
-      if (record.key == read.lookup.key && record.kind == LogRecordKind::kDone) {
-        answer.current = true;
-        answer.found = LogEntry{LogEntry::State::kDone, {}, record.answer};
+      if (record.key == found.key && record.kind == LogRecordKind::kDone) {
+        found.current = true;
+        found.found = LogEntry{LogEntry::State::kDone, {}, record.answer};
       }
     }
   }
-  context_.Send(read.from, answer);
+  context_.Send(asked.from, found);
+}
+
+// One read serves all lookups that came before it.
+void LogRole::ReadEnd() {
+  if (at_end_.empty() || end_call_ != 0 || context_.Now() < next_end_read_) {
+    return;
+  }
+  if (!reader_.current()) {
+    AnswerAtEnd(std::exchange(at_end_, {}), false);
+    return;
+  }
+  next_end_read_ = context_.Now() + context_.settings.log_window;
+  end_sequence_ = reader_.next();
+  end_asked_ = std::exchange(at_end_, {});
+  end_call_ = context_.NextId();
+  StoreCall get{StoreOp::kGet, LogKey(end_sequence_), {}, 0, 0us};
+  context_.Act(SendStore{end_call_, std::move(get), context_.settings.store_timeout});
+}
+
+void LogRole::OnEndRead(const StoreEvent& event) {
+  end_call_ = 0;
+  const std::vector<Asked> asked = std::exchange(end_asked_, {});
+  if (event.delivery != Delivery::kAnswered) {
+    AnswerAtEnd(asked, false);
+  } else if (event.reply.status == StoreStatus::kAbsent) {
+    AnswerAtEnd(asked, reader_.current());
+  } else {
+    reader_.Take(end_sequence_, DecodeLogBatch(event.reply.value).value_or(LogBatch{}), TimePoint{});
+    next_end_read_ = context_.Now();
+    for (const Asked& one : asked) {
+      LookUp(one);
+    }
+  }
+}
+
+void LogRole::AnswerAtEnd(const std::vector<Asked>& asked, bool current) {
+  for (const Asked& one : asked) {
+    const RequestKey& key = one.lookup.key;
+    if (index_.SequenceOfAnswer(key)) {
+      LookUp(one);  // It came meanwhile.
+    } else {
+      context_.Send(one.from, LogFound{one.lookup.reference, key, current, index_.Find(key)});
+    }
+  }
 }
 
 // A home host without a name, or one that is not live, means that nobody has the request.
@@ -74,6 +125,7 @@
     return;
   }
   if (!was_active_) {
+    context_.Pass(Step::kLogTakenOver);
     reader_.Restart();
     index_.DoubtAll();
     incarnations_.clear();
@@ -82,6 +134,7 @@
   reader_.OnTick();
   writer_.OnTick();
   trimmer_.OnTick();
+  ReadEnd();
   if (reader_.current() && context_.Now() >= next_resume_) {
     next_resume_ = context_.Now() + kResumeEvery;
     NoteRestarts();
@@ -155,6 +208,11 @@
     OnAnswerRead(read.mapped(), event);
     return true;
   }
+  if (event.call != 0 && event.call == end_call_) {
+    reader_.NoteStore(event.delivery);
+    OnEndRead(event);
+    return true;
+  }
   return reader_.OnStore(event) || writer_.OnStore(event) || trimmer_.OnStore(event);
 }
 
--- a/src/core/log_role.h
+++ b/src/core/log_role.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "core/context.h"
 #include "core/log_index.h"
@@ -27,7 +28,7 @@
   bool OnStore(const StoreEvent& event);  // False: the call was not ours.
 
  private:
-  struct AnswerRead {
+  struct Asked {
     HostName from;
     LogLookup lookup;
   };
@@ -38,7 +39,11 @@
   void DoubtStrangers();
   void ResumeUnconfirmed();
   void KeepTime();
-  void OnAnswerRead(const AnswerRead& read, const StoreEvent& event);
+  void LookUp(const Asked& asked);
+  void OnAnswerRead(const Asked& asked, const StoreEvent& event);
+  void ReadEnd();
+  void OnEndRead(const StoreEvent& event);
+  void AnswerAtEnd(const std::vector<Asked>& asked, bool current);
 
   static constexpr Duration kKeepActive = 30s;  // After another host took this one for the writer.
 
@@ -53,7 +58,12 @@
   TimePoint next_resume_{};
   TimePoint next_full_check_{};
   std::map<HostName, uint64_t> incarnations_;
-  std::map<CallId, AnswerRead> answer_reads_;
+  std::map<CallId, Asked> answer_reads_;
+  std::vector<Asked> at_end_;     // Without an answer in the index: told once the log's end was read.
+  std::vector<Asked> end_asked_;  // Served by the read that is out.
+  CallId end_call_ = 0;           // 0: none is out.
+  uint64_t end_sequence_ = 0;
+  TimePoint next_end_read_{};
 };
 
 }  // namespace hibiscus
--- a/src/core/log_trimmer.cc
+++ b/src/core/log_trimmer.cc
@@ -110,6 +110,7 @@
 void LogTrimmer::MoveBase() {
   HIBISCUS_INVARIANT(target_.base >= base_.base && target_.deleted <= base_.base, LogKey(target_.base),
                      "The base only grows, and only keys below the base that stands may be deleted.");
+  context_.Pass(Step::kLogTrimmed);
   Call(State::kMovingBase, StoreCall{StoreOp::kPut, kLogBaseKey, EncodeLogBase(target_), base_revision_, 0us});
 }
 
--- a/src/core/log_writer.cc
+++ b/src/core/log_writer.cc
@@ -180,6 +180,7 @@
   if (event.delivery == Delivery::kNotSent && !flight_->maybe_sent) {
     GiveBack(LogOutcome::kNotRecorded);
   } else if (event.delivery != Delivery::kAnswered) {
+    context_.Pass(Step::kAppendAnswerLost);
     flight_->maybe_sent = true;
     flight_->next_try = context_.Now() + (event.delivery == Delivery::kUnknown ? 0us : kRetry);
   } else if (event.reply.status == StoreStatus::kOk) {
@@ -223,6 +224,7 @@
 }
 
 void LogWriter::Win() {
+  context_.Pass(Step::kGroupWritten);
   Flight flight = std::move(*flight_);
   flight_.reset();
   reader_.Take(flight.sequence, flight.batch, flight.first_sent);
@@ -235,6 +237,7 @@
 }
 
 void LogWriter::Lose(const LogBatch& winner) {
+  context_.Pass(Step::kGroupLost);
   Flight flight = std::move(*flight_);
   flight_.reset();
   reader_.Take(flight.sequence, winner, TimePoint{});
--- a/src/core/steps.h
+++ b/src/core/steps.h
@@ -1,4 +1,5 @@
-// The points at which a request, a lease, a gang, a configuration change, a takeover or a planned stop changes state.
+// The points at which a request, a lease, a gang, a configuration change, the log, a takeover or a planned stop
+// changes state.
 // The core reports each as it passes it; the fault matrix counts which faults struck there.
 #ifndef HIBISCUSSTAND_SRC_CORE_STEPS_H_
 #define HIBISCUSSTAND_SRC_CORE_STEPS_H_
@@ -40,16 +41,27 @@
   kPauseNoticed,
   kLeaveBegun,
   kLeaveDone,
+  kAppendSent,
+  kGroupWritten,
+  kGroupLost,
+  kAppendAnswerLost,
+  kLogLookedUp,
+  kLogTakenOver,
+  kLogTrimmed,
+  kRequestResumed,
+  kAnswerSaved,
+  kHandedOver,
 };
-inline constexpr size_t kStepCount = static_cast<size_t>(Step::kLeaveDone) + 1;
+inline constexpr size_t kStepCount = static_cast<size_t>(Step::kHandedOver) + 1;
 
 inline constexpr std::string_view kStepNames[kStepCount] = {
-    "forwarded",       "resubmitted",    "request accepted", "request ended",    "claim asked",   "claim held",
-    "claim yielded",   "room asked",     "room held",        "gang held",        "hold lapsed",   "commit sent",
-    "start sent",      "start known",    "run ended",        "end acknowledged", "run adopted",   "stop sent",
-    "call dispatched", "call sent",      "call ended",       "lease taken",      "lease lost",    "lease released",
-    "view changed",    "config written", "config read back", "config applied",   "pause noticed", "leave begun",
-    "leave done",
+    "forwarded",       "resubmitted",    "request accepted", "request ended",    "claim asked",        "claim held",
+    "claim yielded",   "room asked",     "room held",        "gang held",        "hold lapsed",        "commit sent",
+    "start sent",      "start known",    "run ended",        "end acknowledged", "run adopted",        "stop sent",
+    "call dispatched", "call sent",      "call ended",       "lease taken",      "lease lost",         "lease released",
+    "view changed",    "config written", "config read back", "config applied",   "pause noticed",      "leave begun",
+    "leave done",      "append sent",    "group written",    "group lost",       "append answer lost", "log looked up",
+    "log taken over",  "log trimmed",    "request resumed",  "answer saved",     "handed over",
 };
 
 // Told of every step, on the core's own thread. Must not call back into the core.
--- a/tests/chaos_callers.cc
+++ b/tests/chaos_callers.cc
@@ -19,7 +19,7 @@
 }  // namespace
 
 ChaosCallers::ChaosCallers(ChaosWorld& world) : world_(world) {
-  world_.set_listener(this);
+  world_.add_listener(this);
 }
 
 void ChaosCallers::Start(TimePoint until) {
--- a/tests/chaos_faults.cc
+++ b/tests/chaos_faults.cc
@@ -12,6 +12,7 @@
 constexpr Duration kLongFault = 14s;    // In some seeds: longer than every run lease too.
 constexpr Duration kUntilProbe = 13s;   // Between the end of the last fault and the probes.
 constexpr Duration kUntilRest = 11s;    // Between the probes and the last check.
+constexpr Duration kUntilLastAsk = 8s;  // Between the probes and the last questions for deferred results.
 constexpr Duration kLongestStop = 14s;  // A planned stop is over by then.
 constexpr Duration kListLag = 2s;
 constexpr Duration kLeavingServes = 5s;  // Then a leaving backend server is gone.
@@ -35,7 +36,9 @@
     &ChaosRun::RemoveWorker,
 };
 
-ChaosRun::ChaosRun(uint64_t seed, bool trace) : world_(seed, trace), callers_(world_) {
+ChaosRun::ChaosRun(uint64_t seed, bool trace)
+    : world_(seed, trace), callers_(world_), audit_(world_), kept_(world_, audit_) {
+  audit_.Start();
   Watch();
 }
 
@@ -43,14 +46,19 @@
   const TimePoint start = world_.Now();
   Schedule();
   callers_.Start(start + kFaultsUntil + longest_ / 2);
+  kept_.Start(start + kFaultsUntil + longest_ / 2);
   const Duration healed = kFaultsUntil + longest_ + kListLag + 100ms;
   world_.At(healed + 2s, [this] { RaceOperators(0us); });
   world_.At(healed + kUntilProbe, [this] { callers_.Probe(); });
+  world_.At(healed + kUntilProbe + kUntilLastAsk, [this] { kept_.AskAll(); });
   world_.RunUntil(start + healed + kUntilProbe + kUntilRest);
   if (std::all_of(faults_.begin(), faults_.end(), LeavesNoDoubt)) {
     callers_.ExpectNoUnknown();
+    kept_.ExpectNoUnknown();
   }
   callers_.CheckAtRest();
+  kept_.CheckAtRest();
+  audit_.CheckAtRest();
   ChaosReport report;
   report.broken = world_.log().broken();
   report.faults = faults_;
@@ -61,6 +69,9 @@
   report.done = callers_.answers_of(Verdict::kDone);
   report.not_run = callers_.answers_of(Verdict::kNotRun);
   report.unknown = callers_.answers_of(Verdict::kUnknown);
+  report.accepted = kept_.accepted();
+  report.batches = audit_.batches();
+  report.trims = audit_.trims();
   return report;
 }
 
@@ -131,6 +142,7 @@
   if (Node* host = AnyHost(); host != nullptr) {
     world_.Kill(*host);
     callers_.OnHostDied(*host);
+    kept_.OnHostDied(*host);
     world_.At(length, [this, host] { world_.Boot(*host); });
   }
 }
@@ -226,6 +238,7 @@
 
 void ChaosRun::CancelAll(Duration) {
   callers_.CancelWave();
+  kept_.CancelWave();
 }
 
 void ChaosRun::RaceOperators(Duration) {
--- a/tests/chaos_faults.h
+++ b/tests/chaos_faults.h
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "tests/chaos_callers.h"
+#include "tests/chaos_kept.h"
+#include "tests/chaos_log.h"
 #include "tests/chaos_matrix.h"
 #include "tests/chaos_world.h"
 
@@ -22,6 +24,9 @@
   size_t done = 0;
   size_t not_run = 0;
   size_t unknown = 0;
+  size_t accepted = 0;  // Deferred requests that a caller was told are accepted.
+  size_t batches = 0;   // Of the log.
+  size_t trims = 0;
   FaultMatrix matrix;
 };
 
@@ -80,6 +85,8 @@
 
   ChaosWorld world_;
   ChaosCallers callers_;
+  LogAudit audit_;
+  KeptCallers kept_;
   Duration longest_{};
   std::vector<Fault> faults_;
   std::deque<Observer> observers_;
--- a/tests/chaos_main.cc
+++ b/tests/chaos_main.cc
@@ -36,6 +36,9 @@
     sum.done += report.done;
     sum.not_run += report.not_run;
     sum.unknown += report.unknown;
+    sum.accepted += report.accepted;
+    sum.batches += report.batches;
+    sum.trims += report.trims;
     sum.matrix.Add(report.matrix);
     if (report.broken.empty()) {
       continue;
@@ -59,6 +62,7 @@
   fmt::print(stderr,
              "seeds {}..{}: {} failed; {} events, {} requests, {} starts; answers: {} done, {} not run, {} unknown\n",
              first, last, failed, sum.events, sum.requests, sum.starts, sum.done, sum.not_run, sum.unknown);
+  fmt::print(stderr, "deferred: {} accepted; log: {} batches, {} trims\n", sum.accepted, sum.batches, sum.trims);
   return failed == 0 ? 0 : 1;
 }
 
--- a/tests/chaos_world.cc
+++ b/tests/chaos_world.cc
@@ -91,6 +91,10 @@
 }
 
 void ChaosWorld::At(Duration from_now, std::function<void()> what) {
+  if (from_now < 0us) {
+    Broken(fmt::format("something was to happen {} ms ago", Millis(-from_now)));
+    from_now = 0us;
+  }
   heap_.push_back(Scheduled{Now() + from_now, next_order_++, std::move(what)});
   std::push_heap(heap_.begin(), heap_.end());
 }
@@ -208,7 +212,9 @@
   }
   if (version != node.config_version) {
     node.config_version = version;
-    listener_->OnConfiguration(node);
+    for (Listener* listener : listeners_) {
+      listener->OnConfiguration(node);
+    }
   }
   for (const Action& action : actions) {
     Carry(node, action);
@@ -221,8 +227,16 @@
                  [&](const SendWorker& send) { CarryWorker(node, send); },
                  [&](const SendServer& send) { CarryServer(node, send); },
                  [&](const SendStore& send) { CarryStore(node, send); },
-                 [&](const AnswerCaller& answer) { listener_->OnAnswer(node, answer); },
-                 [&](const AnswerOperator& answer) { listener_->OnOperatorAnswer(node, answer); },
+                 [&](const AnswerCaller& answer) {
+                   for (Listener* listener : listeners_) {
+                     listener->OnAnswer(node, answer);
+                   }
+                 },
+                 [&](const AnswerOperator& answer) {
+                   for (Listener* listener : listeners_) {
+                     listener->OnOperatorAnswer(node, answer);
+                   }
+                 },
                  [](const Observed&) {},
                  [](const AnswerHistory&) {},
                  [&](const LogLine& line) { Trace("{} [{}] {}", node.name, line.part, line.text); },
@@ -230,7 +244,9 @@
                    Trace("{} exits", node.name);
                    node.up = false;
                    ++node.generation;
-                   listener_->OnExit(node);
+                   for (Listener* listener : listeners_) {
+                     listener->OnExit(node);
+                   }
                  },
              },
              action);
@@ -354,7 +370,10 @@
     }
     const bool write = request.op == StoreOp::kPut || request.op == StoreOp::kDelete;
     const bool mute = write && weather_.store_loses_answers;
-    store_.Handle(request, [this, outside, travel, mute](const StoreReply& reply) {
+    store_.Handle(request, [this, outside, travel, mute, write, request](const StoreReply& reply) {
+      if (write) {
+        Wrote(request, reply);
+      }
       const DataCentre& centre = outside.node->data_centre;
       const bool lost =
           weather_.store_down || weather_.cut_from_store.contains(centre) || LostBetween(kStoreHome, centre);
@@ -366,6 +385,12 @@
   });
 }
 
+void ChaosWorld::Wrote(const StoreCall& call, const StoreReply& reply) {
+  if (reply.status == StoreStatus::kOk && write_watcher_) {
+    write_watcher_(call);
+  }
+}
+
 void ChaosWorld::Say(const std::string& line) const {
   fmt::print("{:>9.3f} {}\n", static_cast<double>((clock_.Now() - start_).count()) / 1e6, line);
 }
--- a/tests/chaos_world.h
+++ b/tests/chaos_world.h
@@ -80,7 +80,9 @@
 
   ChaosWorld(uint64_t seed, bool trace);
 
-  void set_listener(Listener* listener) { listener_ = listener; }
+  void add_listener(Listener* listener) { listeners_.push_back(listener); }
+  // Told of every write that took effect in the store.
+  void set_write_watcher(std::function<void(const StoreCall&)> watcher) { write_watcher_ = std::move(watcher); }
   void RunUntil(TimePoint until);
   void At(Duration from_now, std::function<void()> what);
 
@@ -109,6 +111,7 @@
   std::deque<Node>& nodes() { return nodes_; }
   std::deque<WorkerNode>& workers() { return workers_; }
   std::deque<ServerNode>& servers() { return servers_; }
+  const HostSettings& settings() const { return settings_; }
   const std::vector<DataCentre>& data_centres() const { return data_centres_; }
   RunLog& log() { return log_; }
   FakeStore& store() { return store_; }
@@ -144,6 +147,7 @@
   void CarryWorker(Node& node, const SendWorker& send);
   void CarryServer(Node& node, const SendServer& send);
   void CarryStore(Node& node, const SendStore& send);
+  void Wrote(const StoreCall& call, const StoreReply& reply);
   template <class EventType, class Reply>
   void Finish(const Outside& outside, Delivery delivery, const Reply& reply);
   void Say(const std::string& line) const;
@@ -170,7 +174,8 @@
   uint64_t next_order_ = 0;
   size_t events_ = 0;
   size_t broken_said_ = 0;
-  Listener* listener_ = nullptr;
+  std::vector<Listener*> listeners_;
+  std::function<void(const StoreCall&)> write_watcher_;
   TimePoint disturbed_until_{};
 };
 
--- a/tests/kept_world.h
+++ b/tests/kept_world.h
@@ -13,7 +13,7 @@
 class KeptWorld final : public ChaosWorld::Listener {
  public:
   explicit KeptWorld(uint64_t seed = 1) : world(seed, false) {
-    world.set_listener(this);
+    world.add_listener(this);
     Run(4s);
   }
 
