--- a/src/core/home_claims.cc
+++ b/src/core/home_claims.cc
@@ -164,7 +164,7 @@
   }
   RetractClaim(job->second);
   claims_.Put(key, to, 0);
-  if (job->second.resumed) {
+  if (job->second.accepted) {
     context_.Send(context_.OwnerOf(kLogName), LogResumed{key, to});
   }
   Forget(key);
--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -450,7 +450,8 @@
   context_.Send(writer, LogLookup{reference, key});
 }
 
-// To a question for a request that this host has. Of one that it took over, only the log knows what was told before.
+// To a question for a request that this host has. Of one that it took over, or that may be a repeat, only the log knows
+// what was told before.
 Answer HomeRole::AnswerOfHeld(const Job& job, const LogFound& found) {
   if (job.phase == JobPhase::kEnded) {
     return job.answer;
@@ -458,7 +459,7 @@
   if (found.current && found.found.state == LogEntry::State::kDone) {
     return found.found.answer;
   }
-  const bool doubtful = job.resumed && !found.current;
+  const bool doubtful = (job.resumed || !job.accepted) && !found.current;
   const ResultCode code = doubtful ? ResultCode::kStoreUnavailable : ResultCode::kAccepted;
   return Answer{job.request.key, code, Verdict::kUnknown, {}, kComeBack};
 }
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -53,7 +53,7 @@
 
 void HomeRole::OnQuery(const HostName& from, const ForwardQuery& query) {
   const Job* job = Find(query.key);
-  const bool asks = job == nullptr || (job->accepted && job->phase != JobPhase::kEnded);
+  const bool asks = job == nullptr || (job->request.deferred && job->phase != JobPhase::kEnded);
   if (asks && !context_.OwnerOf(kLogName).empty()) {
     // Another host may have taken the request over, and its answer may stand in the log.
     AskLog(query.key, LogQuestion{LogQuestion::Kind::kQuery, Waiter{from, query.forward_id}, {}, {}, {}});
@@ -380,7 +380,11 @@
 
 bool HomeRole::Knows(const RequestKey& key) const {
   const auto job = jobs_.find(key);
-  return job != jobs_.end() && job->second.phase != JobPhase::kClaiming;
+  if (job == jobs_.end() || job->second.phase == JobPhase::kClaiming) {
+    return false;
+  }
+  // Until it is accepted it is nothing, and may prove to be a repeat of the one that asks.
+  return job->second.phase != JobPhase::kRecording || job->second.step != LogStep::kAccepting;
 }
 
 bool HomeRole::IsClaiming(const RequestKey& key) const {
--- a/src/core/log_role.cc
+++ b/src/core/log_role.cc
@@ -11,7 +11,9 @@
 constexpr Duration kResumeEvery = 1s;
 constexpr size_t kMostResumes = 500;  // In one round.
 constexpr Duration kFullCheckEvery = 10s;
-constexpr Duration kTimeEvery = 30s;  // While requests are open, log time is written at least this often.
+constexpr size_t kRoundsPerDoubt = 15;  // Rounds in which each open request is asked for once,
+constexpr size_t kMostDoubts = 50;      // if they are not too many.
+constexpr Duration kTimeEvery = 30s;    // While requests are open, log time is written at least this often.
 
 }  // namespace
 
@@ -139,6 +141,7 @@
     next_resume_ = context_.Now() + kResumeEvery;
     NoteRestarts();
     DoubtStrangers();
+    DoubtNext();
     ResumeUnconfirmed();
     KeepTime();
   }
@@ -177,6 +180,20 @@
   }
 }
 
+// Word that a home host gave a request up may be lost, so each is asked for again from time to time.
+void LogRole::DoubtNext() {
+  const auto& open = index_.open();
+  if (open.empty()) {
+    return;
+  }
+  auto next = open.upper_bound(last_doubted_);
+  for (size_t count = std::min(kMostDoubts, open.size() / kRoundsPerDoubt + 1); count > 0; --count, ++next) {
+    next = next == open.end() ? open.begin() : next;
+    last_doubted_ = next->first;
+    index_.Doubt(next->first);
+  }
+}
+
 void LogRole::ResumeUnconfirmed() {
   size_t sent = 0;
   for (const RequestKey& key : index_.unconfirmed()) {
--- a/src/core/log_role.h
+++ b/src/core/log_role.h
@@ -37,6 +37,7 @@
   void Activate() { active_until_ = context_.Now() + kKeepActive; }
   void NoteRestarts();
   void DoubtStrangers();
+  void DoubtNext();
   void ResumeUnconfirmed();
   void KeepTime();
   void LookUp(const Asked& asked);
@@ -55,6 +56,7 @@
   LogTrimmer trimmer_;
   bool was_active_ = false;
   TimePoint active_until_{};
+  RequestKey last_doubted_;
   TimePoint next_resume_{};
   TimePoint next_full_check_{};
   std::map<HostName, uint64_t> incarnations_;
