--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -150,7 +150,8 @@
       OnDuplicate(*job, appended.found);
       return;
     case LogOutcome::kNotRecorded:
-      OnNotRecorded(*job, job->repeated);  // Its word holds for one sending, and another may be on its way.
+      job->asked = job->repeated;  // Its word holds for one sending, and another may be on its way.
+      OnNotRecorded(*job, job->repeated);
       return;
     case LogOutcome::kUnknown:
       OnNotRecorded(*job, true);
@@ -189,8 +190,11 @@
       return;
     case LogStep::kIntent:
       job.intent = true;
-      [[fallthrough]];
+      job.surely_first = true;
+      Begin(job);
+      return;
     default:
+      job.start_recorded = true;
       job.surely_first = true;
       Begin(job);
       return;
@@ -397,11 +401,12 @@
     return false;
   }
   const bool active = job.phase != JobPhase::kClaiming;
+  const bool may_begin_elsewhere = job.spec.may_run_twice || !job.start_recorded;
   const bool runs = std::all_of(job.members.begin(), job.members.end(), [](const Member& member) {
     return member.phase == MemberPhase::kRunning || member.phase == MemberPhase::kEnded;
   });
   const bool in_call = job.spec.kind == WorkKind::kCall && job.members.front().phase == MemberPhase::kCommitted;
-  return !in_call && (!active || job.spec.may_run_twice || runs);
+  return !in_call && ((!active && may_begin_elsewhere) || job.spec.may_run_twice || runs);
 }
 
 void HomeRole::HandOver() {
@@ -459,7 +464,9 @@
   if (found.current && found.found.state == LogEntry::State::kDone) {
     return found.found.answer;
   }
-  const bool doubtful = (job.resumed || !job.accepted) && !found.current;
+  const bool saving = job.phase == JobPhase::kSaving && job.asked;  // The answer may stand there already.
+  const bool done = found.found.state == LogEntry::State::kDone;
+  const bool doubtful = !found.current && (job.resumed || !job.accepted || saving || done);
   const ResultCode code = doubtful ? ResultCode::kStoreUnavailable : ResultCode::kAccepted;
   return Answer{job.request.key, code, Verdict::kUnknown, {}, kComeBack};
 }
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -154,6 +154,10 @@
 void HomeRole::Begin(Job& job) {
   job.step = LogStep::kNone;
   job.phase = JobPhase::kActive;
+  if (context_.Now() >= job.finish_by) {
+    Refuse(job, ResultCode::kStartTargetMissed);  // A pause went by.
+    return;
+  }
   if (job.spec.kind == WorkKind::kCall) {
     BeginCall(job);
   } else {
