--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -215,6 +215,8 @@
       }
       return;
     case LogStep::kSaving:
+      Look(job);  // Who waits is told what stands in the log.
+      return;
     case LogStep::kStarting:  // Somebody else has it and will answer it in the log.
       LeaveToLog(job);
       return;
@@ -296,7 +298,8 @@
   switch (found.found.state) {
     case LogEntry::State::kDone:
       if (found.current) {
-        End(job, found.found.answer.code, found.found.answer.verdict, found.found.answer.body);
+        const Answer& answer = found.found.answer;
+        End(job, answer.code, answer.verdict, answer.body, answer.retry_after);
         return;
       }
       break;
@@ -369,7 +372,11 @@
     }
     return;
   }
-  if (spec == nullptr || context_.leaving || context_.IsRecovering()) {
+  if (context_.leaving) {
+    context_.Send(from, LogResumed{key, {}});
+    return;
+  }
+  if (spec == nullptr || context_.IsRecovering()) {
     return;
   }
   context_.Pass(Step::kRequestResumed);
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -355,7 +355,8 @@
 }
 
 bool HomeRole::IsForgotten(const Job& job) const {
-  const bool refused = job.answer.verdict == Verdict::kNotRun;  // A repeat may try afresh.
+  // A repeat may try afresh, unless the refusal stands in the log: then a late LogResume must find it here.
+  const bool refused = job.answer.verdict == Verdict::kNotRun && !job.accepted;
   const Duration keep = refused ? 0us : context_.settings.remember;
   return job.phase == JobPhase::kEnded && job.stops.empty() && context_.Now() - job.ended >= keep;
 }
--- a/src/core/log_role.cc
+++ b/src/core/log_role.cc
@@ -201,7 +201,8 @@
     if (open->accepted.data_centre != context_.settings.data_centre) {
       continue;
     }
-    const HostName to = context_.IsLive(open->holder) ? open->holder : context_.HomeOf(key);
+    const bool here = std::binary_search(context_.reachable.begin(), context_.reachable.end(), open->holder);
+    const HostName to = here ? open->holder : context_.HomeOf(key);  // One that leaves may still be at work on it.
     if (to.empty() || ++sent > kMostResumes) {
       return;
     }
