--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -362,7 +362,8 @@
 }
 
 void HomeRole::TickJob(Job& job) {
-  if (job.phase == JobPhase::kSaving || job.unsettled) {
+  const bool superseded = job.accepted && job.phase == JobPhase::kRecording && job.step == LogStep::kLooking;
+  if (job.phase == JobPhase::kSaving || job.unsettled || superseded) {
     TickLog(job);
     return;
   }
