--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -77,6 +77,10 @@
     return;
   }
   job->waiters.push_back(Waiter{from, cancel.forward_id});
+  const bool looking = job->phase == JobPhase::kRecording && job->step == LogStep::kLooking;
+  if (looking && job->request.deferred) {
+    return;  // Its answer stands in the log and is being read.
+  }
   if (job->phase == JobPhase::kClaiming) {
     RetractClaim(*job);
   }
--- a/src/core/log_trimmer.cc
+++ b/src/core/log_trimmer.cc
@@ -22,6 +22,7 @@
   next_round_ = context_.Now() + kRoundEvery + Duration(context_.RandomNumber() % kRoundJitter);
   target_.base = Target();
   if (target_.base >= base_.base + kFewestBatches) {
+    context_.Pass(Step::kLogTrim);
     Call(State::kReadingBase, StoreCall{StoreOp::kGet, kLogBaseKey, {}, 0, 0us});
   }
 }
@@ -110,7 +111,6 @@
 void LogTrimmer::MoveBase() {
   HIBISCUS_INVARIANT(target_.base >= base_.base && target_.deleted <= base_.base, LogKey(target_.base),
                      "The base only grows, and only keys below the base that stands may be deleted.");
-  context_.Pass(Step::kLogTrimmed);
   Call(State::kMovingBase, StoreCall{StoreOp::kPut, kLogBaseKey, EncodeLogBase(target_), base_revision_, 0us});
 }
 
--- a/src/core/steps.h
+++ b/src/core/steps.h
@@ -47,7 +47,7 @@
   kAppendAnswerLost,
   kLogLookedUp,
   kLogTakenOver,
-  kLogTrimmed,
+  kLogTrim,
   kRequestResumed,
   kAnswerSaved,
   kHandedOver,
@@ -61,7 +61,7 @@
     "call dispatched", "call sent",      "call ended",       "lease taken",      "lease lost",         "lease released",
     "view changed",    "config written", "config read back", "config applied",   "pause noticed",      "leave begun",
     "leave done",      "append sent",    "group written",    "group lost",       "append answer lost", "log looked up",
-    "log taken over",  "log trimmed",    "request resumed",  "answer saved",     "handed over",
+    "log taken over",  "log trim",       "request resumed",  "answer saved",     "handed over",
 };
 
 // Told of every step, on the core's own thread. Must not call back into the core.
