--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -474,7 +474,8 @@
   const bool saving = job.phase == JobPhase::kSaving && job.asked;  // The answer may stand there already.
   const bool done = found.found.state == LogEntry::State::kDone;
   const bool claiming = job.phase == JobPhase::kClaiming;
-  const bool doubtful = !found.current && (job.resumed || !job.accepted || claiming || saving || done);
+  const bool shared = job.resumed || job.doubted || !job.accepted;  // Another host may have had it, or has it.
+  const bool doubtful = !found.current && (shared || claiming || saving || done);
   const ResultCode code = doubtful ? ResultCode::kStoreUnavailable : ResultCode::kAccepted;
   return Answer{job.request.key, code, Verdict::kUnknown, {}, kComeBack};
 }
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -271,6 +271,7 @@
 
 void HomeRole::OnPause() {
   for (auto& [key, job] : jobs_) {
+    job.doubted = true;
     const bool task = job.phase == JobPhase::kActive && job.spec.kind != WorkKind::kCall;
     const bool recording = job.phase == JobPhase::kRecording && job.step == LogStep::kIntent;
     if (task || recording) {
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -104,6 +104,7 @@
   bool accepted = false;                 // Deferred, and its accepted record stands in the log.
   bool resumed = false;                  // Taken over from a home host that is gone.
   bool started = false;                  // Resumed: the former home host may have run it.
+  bool doubted = false;                  // A pause went by: another host may have answered it.
   bool start_recorded = false;           // The started record is this host's.
   bool intent = false;                   // An intent stands in the log, or may come to stand there.
   bool asked = false;                    // A writer has the present record, or had it.
--- a/tests/log_test.cc
+++ b/tests/log_test.cc
@@ -223,4 +223,107 @@
   REQUIRE(idle <= kept.world.data_centres().size() * 12);
 }
 
+// What the randomised driver found.
+
+TEST_CASE("an accepted request is never 'not found' in another data centre, however slow the store") {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    KeptWorld kept(seed);
+    if (kept.world.data_centres().size() < 2) {
+      continue;
+    }
+    kept.world.weather().store_slow = true;
+    const ExchangeId exchange = kept.Submit(kept.world.nodes().front(), "batch", "d", 1, true);
+    if (kept.Await(exchange).code != ResultCode::kAccepted) {
+      continue;
+    }
+    for (int i = 0; i < 5; ++i) {
+      kept.world.Deliver(kept.world.nodes().back(), CallerQuery{++kept.exchange, RequestKey{"t", "d"}});
+      INFO("seed " << seed << " question " << i);
+      REQUIRE(kept.Await(kept.exchange).code != ResultCode::kNotFound);
+    }
+  }
+}
+
+TEST_CASE("a repeat that waits for its record does not hide the answer in the log") {
+  KeptWorld kept;
+  Node* home = AcceptedHome(kept, "batch", "d");
+  Node& other = kept.OtherThan(*home);
+  REQUIRE(kept.AwaitResult(other, "d").code == ResultCode::kOk);
+  kept.world.Kill(*home);
+  kept.Run(5s);
+  kept.world.weather().store_slow = true;
+  kept.Submit(other, "batch", "d", 2, true);
+  for (int i = 0; i < 5; ++i) {
+    kept.world.Deliver(other, CallerQuery{++kept.exchange, RequestKey{"t", "d"}});
+    const Answer answer = kept.Await(kept.exchange);
+    INFO("question " << i << " " << InfoOf(answer.code).name);
+    REQUIRE(answer.code != ResultCode::kAccepted);
+    REQUIRE(answer.code != ResultCode::kNotFound);
+  }
+  kept.world.weather().store_slow = false;
+  REQUIRE(kept.AwaitResult(other, "d").code == ResultCode::kOk);
+}
+
+TEST_CASE("a question that nobody answers says to come back") {
+  KeptWorld kept;
+  Node* home = AcceptedHome(kept, "batch", "d");
+  Node& other = kept.OtherThan(*home);
+  kept.world.weather().loss = 1;
+  kept.world.Deliver(other, CallerQuery{++kept.exchange, RequestKey{"t", "d"}});
+  const Answer answer = kept.Await(kept.exchange);
+  REQUIRE(answer.verdict == Verdict::kUnknown);
+  REQUIRE(answer.retry_after > 0us);
+}
+
+TEST_CASE("a late word to resume does not run what was refused in the log") {
+  KeptWorld kept;
+  Node& host = kept.world.nodes().front();
+  Request request;
+  request.key = RequestKey{"t", "d"};
+  request.class_name = "batch";
+  request.attempt = 1;
+  request.deferred = true;
+  request.size = Resources{64'000, 100, 0};
+  kept.world.Deliver(host, CallerSubmit{++kept.exchange, request});
+  const Answer refused = kept.AwaitResult(host, "d");
+  REQUIRE(refused.verdict == Verdict::kNotRun);
+  kept.Run(1s);
+  request.size = Resources{100, 100, 0};  // So that it could run.
+  for (Node* to : kept.world.UpHosts(host.data_centre)) {
+    kept.world.Deliver(*to, PeerEvent{host.name, LogResume{request, 0s, false}});
+  }
+  kept.Run(6s);
+  REQUIRE(kept.StartsOf("d") == 0);
+  REQUIRE(kept.AwaitResult(host, "d") == refused);
+}
+
+TEST_CASE("a request that its holder does not have is found again") {
+  KeptWorld kept;
+  Node* home = AcceptedHome(kept, "batch", "d");
+  Node& other = kept.OtherThan(*home);
+  const std::vector<Node*> hosts = kept.world.UpHosts(home->data_centre);
+  kept.world.Kill(*home);
+  kept.Run(1500ms);
+  for (Node* host : hosts) {
+    kept.world.Deliver(*host, PeerEvent{other.name, LogResumed{RequestKey{"t", "d"}, other.name}});
+  }
+  REQUIRE(kept.AwaitResult(other, "d").code != ResultCode::kAccepted);
+}
+
+TEST_CASE("a planned stop at any moment leaves no accepted request in doubt") {
+  for (const char* class_name : {"once", "order"}) {
+    for (int step = 0; step < 30; ++step) {
+      KeptWorld kept(static_cast<uint64_t>(step) + 1);
+      Node* home = AcceptedHome(kept, class_name, "d");
+      Node& other = kept.OtherThan(*home);
+      kept.Run(step * 20ms);
+      home->leaving = true;
+      kept.world.Deliver(*home, LeaveEvent{});
+      INFO(class_name << " step " << step);
+      REQUIRE(kept.AwaitResult(other, "d").code == ResultCode::kOk);
+      REQUIRE(kept.StartsOf("d") == 1);
+    }
+  }
+}
+
 }  // namespace hibiscus
