--- a/tests/chaos_log.cc
+++ b/tests/chaos_log.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::string_view kPrefix = "once/";
-constexpr double kOldLogs = 0.25;            // Share of the seeds that begin with an old log.
+constexpr double kOldLogs = 0.25;           // Share of the seeds that begin with an old log.
 constexpr Duration kOldEvery = 600ms;       // Between the batches of the old log that become too old during the seed.
 constexpr Duration kOldFor = 40s;           // How long such batches go on becoming too old.
 constexpr int kOldHorizons = 3;             // Age of the oldest record: its request counts as abandoned.
