--- a/tests/chaos_kept.h
+++ b/tests/chaos_kept.h
@@ -47,7 +47,7 @@
 
   size_t accepted() const;
 
-  void OnAnswer(const Node& host, const AnswerCaller& answer) override;
+  void OnAnswer(const Node& host, const AnswerCaller& told) override;
   void OnOperatorAnswer(const Node&, const AnswerOperator&) override {}
   void OnExit(const Node& host) override;
   void OnConfiguration(const Node&) override {}
--- a/tests/chaos_log.cc
+++ b/tests/chaos_log.cc
@@ -60,8 +60,9 @@
   WriteOld(now, {});
 }
 
-void LogAudit::WriteOld(Duration time, std::vector<LogRecord> records) {
+void LogAudit::WriteOld(Duration time, const std::vector<LogRecord>& records) {
   std::vector<std::string> texts;
+  texts.reserve(records.size());
   for (const LogRecord& record : records) {
     texts.push_back(EncodeLogRecord(record));
   }
--- a/tests/chaos_log.h
+++ b/tests/chaos_log.h
@@ -39,7 +39,7 @@
   };
 
   void WriteOldLog();
-  void WriteOld(Duration time, std::vector<LogRecord> records);
+  void WriteOld(Duration time, const std::vector<LogRecord>& records);
   void OnWrite(const StoreCall& call);
   void OnBatch(uint64_t sequence, const std::string& text);
   void OnRecord(uint64_t sequence, const LogRecord& record);
