--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -58,10 +58,15 @@
 
 void HomeRole::OnQuery(const HostName& from, const ForwardQuery& query) {
   const Job* job = Find(query.key);
-  if (job == nullptr) {
+  const bool asks = job == nullptr || (job->request.deferred && job->phase != JobPhase::kEnded);
+  if (asks && !context_.OwnerOf(kLogName).empty()) {
+    // Another host may have taken the request over, and its answer may stand in the log.
     AskLog(query.key, LogQuestion{LogQuestion::Kind::kQuery, Waiter{from, query.forward_id}, {}, {}, {}});
     return;
   }
+  if (job == nullptr) {
+    return;
+  }
   const Answer pending{query.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
   context_.Send(from, ForwardAnswer{query.forward_id, job->phase == JobPhase::kEnded ? job->answer : pending});
 }
@@ -77,6 +82,10 @@
     return;
   }
   job->waiters.push_back(Waiter{from, cancel.forward_id});
+  const bool looking = job->phase == JobPhase::kRecording && job->step == LogStep::kLooking;
+  if (looking && job->request.deferred) {
+    return;  // Its answer stands in the log and is being read.
+  }
   if (job->phase == JobPhase::kClaiming) {
     RetractClaim(*job);
   }
@@ -162,6 +171,10 @@
 void HomeRole::Begin(Job& job) {
   job.step = LogStep::kNone;
   job.phase = JobPhase::kActive;
+  if (context_.Now() >= job.finish_by) {
+    Refuse(job, ResultCode::kStartTargetMissed);  // A pause went by.
+    return;
+  }
   if (job.runs == 0) {
     retry_budgets_[job.spec.name].OnFirstTry();
   }
@@ -280,6 +293,7 @@
 
 void HomeRole::OnPause() {
   for (auto& [key, job] : jobs_) {
+    job.doubted = true;
     const bool task = job.phase == JobPhase::kActive && job.spec.kind != WorkKind::kCall;
     const bool recording = job.phase == JobPhase::kRecording && job.step == LogStep::kIntent;
     if (task || recording) {
@@ -327,6 +341,9 @@
   Job& job = found->second;
   if (job.phase != JobPhase::kEnded) {
     TickJob(job);
+    if (!jobs_.contains(key)) {
+      return;  // It is left to the log.
+    }
   }
   TickStops(job);
   if (!IsForgotten(job)) {
@@ -366,13 +383,15 @@
 }
 
 bool HomeRole::IsForgotten(const Job& job) const {
-  const bool refused = job.answer.verdict == Verdict::kNotRun;  // A repeat may try afresh.
+  // A repeat may try afresh, unless the refusal stands in the log: then a late LogResume must find it here.
+  const bool refused = job.answer.verdict == Verdict::kNotRun && !job.accepted;
   const Duration keep = refused ? 0us : context_.settings.remember;
   return job.phase == JobPhase::kEnded && job.stops.empty() && context_.Now() - job.ended >= keep;
 }
 
 void HomeRole::TickJob(Job& job) {
-  if (job.phase == JobPhase::kSaving || job.unsettled) {
+  const bool superseded = job.accepted && job.phase == JobPhase::kRecording && job.step == LogStep::kLooking;
+  if (job.phase == JobPhase::kSaving || job.unsettled || superseded) {
     TickLog(job);
     return;
   }
@@ -395,7 +414,11 @@
 
 bool HomeRole::Knows(const RequestKey& key) const {
   const auto job = jobs_.find(key);
-  return job != jobs_.end() && job->second.phase != JobPhase::kClaiming;
+  if (job == jobs_.end() || job->second.phase == JobPhase::kClaiming) {
+    return false;
+  }
+  // Until it is accepted it is nothing, and may prove to be a repeat of the one that asks.
+  return job->second.phase != JobPhase::kRecording || job->second.step != LogStep::kAccepting;
 }
 
 bool HomeRole::IsClaiming(const RequestKey& key) const {
--- a/src/core/log_role.h
+++ b/src/core/log_role.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "core/context.h"
 #include "core/log_index.h"
@@ -30,7 +31,7 @@
   bool idle() const { return writer_.idle() || reader_.store_out(); }
 
  private:
-  struct AnswerRead {
+  struct Asked {
     HostName from;
     LogLookup lookup;
   };
@@ -39,9 +40,14 @@
   void Activate() { active_until_ = context_.Now() + kKeepActive; }
   void NoteRestarts();
   void DoubtStrangers();
+  void DoubtNext();
   void ResumeUnconfirmed();
   void KeepTime();
-  void OnAnswerRead(const AnswerRead& read, const StoreEvent& event);
+  void LookUp(const Asked& asked);
+  void OnAnswerRead(const Asked& asked, const StoreEvent& event);
+  void ReadEnd();
+  void OnEndRead(const StoreEvent& event);
+  void AnswerAtEnd(const std::vector<Asked>& asked, bool current);
 
   static constexpr Duration kKeepActive = 30s;  // After another host took this one for the writer.
 
@@ -53,10 +59,16 @@
   LogTrimmer trimmer_;
   bool was_active_ = false;
   TimePoint active_until_{};
+  RequestKey last_doubted_;
   TimePoint next_resume_{};
   TimePoint next_full_check_{};
   std::map<HostName, uint64_t> incarnations_;
-  std::map<CallId, AnswerRead> answer_reads_;
+  std::map<CallId, Asked> answer_reads_;
+  std::vector<Asked> at_end_;     // Without an answer in the index: told once the log's end was read.
+  std::vector<Asked> end_asked_;  // Served by the read that is out.
+  CallId end_call_ = 0;           // 0: none is out.
+  uint64_t end_sequence_ = 0;
+  TimePoint next_end_read_{};
 };
 
 }  // namespace hibiscus
--- a/src/core/log_trimmer.cc
+++ b/src/core/log_trimmer.cc
@@ -22,6 +22,7 @@
   next_round_ = context_.Now() + kRoundEvery + Duration(context_.RandomNumber() % kRoundJitter);
   target_.base = Target();
   if (target_.base >= base_.base + kFewestBatches) {
+    context_.Pass(Step::kLogTrim);
     Call(State::kReadingBase, StoreCall{StoreOp::kGet, kLogBaseKey, {}, 0, 0us});
   }
 }
