--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -15,7 +15,6 @@
 constexpr Duration kIntentPatience = 400ms;  // A marked first attempt waits no longer for its record.
 constexpr Duration kRecordPatience = 2s;     // Requests that need their record.
 constexpr Duration kLookPatience = 1s;       // A repeat that asks what the log says.
-constexpr Duration kWithdrawPatience = 30s;  // Nobody waits for a withdrawal.
 constexpr Duration kWayBack = 300ms;         // The writer answers by its patience; this is for the way back.
 constexpr Duration kResend = 500ms;          // A record without an answer.
 constexpr Duration kRetry = 1s;              // A record that must stand in the log, after a failure.
@@ -87,55 +86,6 @@
   context_.Send(writer, append);
 }
 
-// A request that is refused as not run may come again: its intent must not stand in its way.
-void HomeRole::Withdraw(const Job& job) {
-  if (!job.intent || job.accepted) {
-    return;
-  }
-  Withdrawal& withdrawal = withdrawals_[job.nonce];
-  withdrawal = Withdrawal{job.request.key, context_.Now() + kWithdrawPatience, false};
-  SendWithdrawal(job.nonce, withdrawal);
-}
-
-void HomeRole::SendWithdrawal(uint64_t nonce, Withdrawal& withdrawal) {
-  withdrawals_to_send_.emplace_back(context_.Now() + kResend, nonce);
-  const HostName writer = context_.OwnerOf(kLogName);
-  if (writer.empty()) {
-    return;
-  }
-  LogAppend append{{}, withdrawal.until - context_.Now(), withdrawal.asked};
-  append.record.kind = LogRecordKind::kWithdrawn;
-  append.record.key = withdrawal.key;
-  append.record.nonce = nonce;
-  append.record.home = context_.settings.name;
-  withdrawal.asked = true;
-  context_.Send(writer, append);
-}
-
-// A writer may have gone with a withdrawal, or with the word that it stands.
-void HomeRole::TickWithdrawals() {
-  while (!withdrawals_to_send_.empty() && withdrawals_to_send_.front().first <= context_.Now()) {
-    const uint64_t nonce = withdrawals_to_send_.front().second;
-    withdrawals_to_send_.pop_front();
-    const auto found = withdrawals_.find(nonce);
-    if (found == withdrawals_.end()) {
-      continue;
-    }
-    if (context_.Now() < found->second.until) {
-      SendWithdrawal(nonce, found->second);
-    } else {
-      withdrawals_.erase(found);
-    }
-  }
-}
-
-// A host that leaves does not wait for a store that is out.
-void HomeRole::OnWithdrawn(const LogAppended& appended) {
-  if (appended.outcome == LogOutcome::kRecorded || context_.leaving) {
-    withdrawals_.erase(appended.nonce);
-  }
-}
-
 void HomeRole::TickLog(Job& job) {
   const TimePoint now = context_.Now();
   if (job.step == LogStep::kBackoff) {
@@ -504,7 +454,7 @@
 // what was told before.
 Answer HomeRole::AnswerOfHeld(const Job& job, const LogFound& found) {
   if (job.phase == JobPhase::kEnded) {
-    return job.answer;
+    return AnswerOfEnded(job);
   }
   if (found.current && found.found.state == LogEntry::State::kDone) {
     return found.found.answer;
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -68,7 +68,17 @@
     return;
   }
   const Answer pending{query.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
-  context_.Send(from, ForwardAnswer{query.forward_id, job->phase == JobPhase::kEnded ? job->answer : pending});
+  const bool ended = job->phase == JobPhase::kEnded;
+  context_.Send(from, ForwardAnswer{query.forward_id, ended ? AnswerOfEnded(*job) : pending});
+}
+
+// A refusal answers the forwards that were here. Another may still be on its way and will be tried afresh, so to
+// whoever only asks, the request is not here.
+Answer HomeRole::AnswerOfEnded(const Job& job) {
+  if (job.answer.verdict == Verdict::kNotRun && !job.accepted) {
+    return Answer{job.request.key, ResultCode::kNotFound, Verdict::kUnknown, {}, 0us};
+  }
+  return job.answer;
 }
 
 void HomeRole::OnCancel(const HostName& from, const ForwardCancel& cancel) {
@@ -78,7 +88,7 @@
     return;
   }
   if (job->phase == JobPhase::kEnded) {
-    context_.Send(from, ForwardAnswer{cancel.forward_id, job->answer});
+    context_.Send(from, ForwardAnswer{cancel.forward_id, AnswerOfEnded(*job)});
     return;
   }
   job->waiters.push_back(Waiter{from, cancel.forward_id});
--- a/tests/home_and_peer.h
+++ b/tests/home_and_peer.h
@@ -68,7 +68,7 @@
     for (Duration passed = 0us; passed < 10s; passed += kTickEvery) {
       const auto found = Find<Message>(wanted);
       if (found != sent_.end()) {
-        const Message message = std::get<Message>(*found);
+        Message message = std::get<Message>(*found);
         sent_.erase(found);
         return message;
       }
--- a/tests/home_log_test.cc
+++ b/tests/home_log_test.cc
@@ -54,6 +54,22 @@
   }
 }
 
+TEST_CASE("a refusal of one forward is no answer to a question, as another forward may be on its way") {
+  HomeAndPeer both;
+  both.Submit("once", 0, false);
+  both.Settle(both.NextAppend(LogRecordKind::kIntent), LogOutcome::kNotRecorded);
+  const RequestKey key = HomeAndPeer::MakeRequest("once", 0, false).key;
+  both.Tell(ForwardQuery{4, key});
+  both.Tell(ForwardCancel{5, key});
+  REQUIRE(both.Next<ForwardAnswer>().answer.verdict == Verdict::kNotRun);
+  for (const uint64_t question : {4, 5}) {
+    const auto reply = both.Next<ForwardAnswer>();
+    REQUIRE(reply.forward_id == question);
+    REQUIRE(reply.answer.code == ResultCode::kNotFound);
+    REQUIRE(reply.answer.verdict == Verdict::kUnknown);
+  }
+}
+
 TEST_CASE("deferred work whose record may come to stand is not refused, and goes on when it does") {
   HomeAndPeer both;
   both.Submit("batch", 1, true);
@@ -72,6 +88,10 @@
   const RunReport done{LetRun(both), "w1", 5, RunPhase::kDone, "body"};
   const auto ask = [&] {
     both.Tell(ForwardQuery{9, done.run.task.key});
+    if (both.Sent<LogLookup>()) {
+      const auto lookup = both.Next<LogLookup>();
+      both.Tell(LogFound{lookup.reference, lookup.key, true, LogEntry{LogEntry::State::kOpen, "a1", {}}});
+    }
     return both.Next<ForwardAnswer>().answer;
   };
   both.Tell(done);
--- a/tests/log_parts_test.cc
+++ b/tests/log_parts_test.cc
@@ -37,7 +37,7 @@
 
   // The next writes have this fate, then all goes well again.
   void NextPut(Fate fate) {
-    host.fate = [this, fate, done = false](const StoreCall& call) mutable {
+    host.fate = [fate, done = false](const StoreCall& call) mutable {
       return call.op == StoreOp::kPut && !std::exchange(done, true) ? fate : Fate::kAnswered;
     };
   }
@@ -241,7 +241,7 @@
   for (uint64_t sequence = base.base; sequence < log.host.reader.next(); ++sequence) {
     REQUIRE(log.Has(sequence));
   }
-  const uint64_t young = log.loaded - 9 * 60;
+  const uint64_t young = log.loaded - uint64_t{9} * 60;
   const auto repeat = AppendAnew(log, LogParts::Intent("load" + std::to_string(young), 5));
   REQUIRE(repeat.size() == 1);
   REQUIRE(repeat[0].outcome == LogOutcome::kDuplicate);
