A question about a refused request asks the log

Cause: answered a question about a request that this host had refused as "not found".

Change: a refused request counts as unknown to this host, for questions and cancellations, so the log is asked, as it is a tick later anyway. The focused test now plays the log's answer.

--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -454,7 +454,7 @@
 // what was told before.
 Answer HomeRole::AnswerOfHeld(const Job& job, const LogFound& found) {
   if (job.phase == JobPhase::kEnded) {
-    return AnswerOfEnded(job);
+    return job.answer;
   }
   if (found.current && found.found.state == LogEntry::State::kDone) {
     return found.found.answer;
@@ -481,7 +481,8 @@
     return;
   }
   const Waiter& waiter = question.waiter;
-  if (Job* job = Find(found.key); job != nullptr && question.kind == LogQuestion::Kind::kQuery) {
+  const Job* job = Find(found.key);
+  if (job != nullptr && !IsRefused(*job) && question.kind == LogQuestion::Kind::kQuery) {
     context_.Send(waiter.host, ForwardAnswer{waiter.forward_id, AnswerOfHeld(*job, found)});
     return;
   }
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -58,37 +58,33 @@
 
 void HomeRole::OnQuery(const HostName& from, const ForwardQuery& query) {
   const Job* job = Find(query.key);
-  const bool asks = job == nullptr || (job->request.deferred && job->phase != JobPhase::kEnded);
+  const bool asks = job == nullptr || IsRefused(*job) || (job->request.deferred && job->phase != JobPhase::kEnded);
   if (asks && !context_.OwnerOf(kLogName).empty()) {
     // Another host may have taken the request over, and its answer may stand in the log.
     AskLog(query.key, LogQuestion{LogQuestion::Kind::kQuery, Waiter{from, query.forward_id}, {}, {}, {}});
     return;
   }
-  if (job == nullptr) {
+  if (job == nullptr || IsRefused(*job)) {
     return;
   }
   const Answer pending{query.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
-  const bool ended = job->phase == JobPhase::kEnded;
-  context_.Send(from, ForwardAnswer{query.forward_id, ended ? AnswerOfEnded(*job) : pending});
+  context_.Send(from, ForwardAnswer{query.forward_id, job->phase == JobPhase::kEnded ? job->answer : pending});
 }
 
-// A refusal answers the forwards that were here. Another may still be on its way and will be tried afresh, so to
-// whoever only asks, the request is not here.
-Answer HomeRole::AnswerOfEnded(const Job& job) {
-  if (job.answer.verdict == Verdict::kNotRun && !job.accepted) {
-    return Answer{job.request.key, ResultCode::kNotFound, Verdict::kUnknown, {}, 0us};
-  }
-  return job.answer;
+// A refusal answers the forwards that were here. Another may still be on its way and will be tried afresh, and an
+// earlier attempt may stand in the log, so to whoever only asks, the request is not here.
+bool HomeRole::IsRefused(const Job& job) {
+  return job.phase == JobPhase::kEnded && job.answer.verdict == Verdict::kNotRun && !job.accepted;
 }
 
 void HomeRole::OnCancel(const HostName& from, const ForwardCancel& cancel) {
   Job* job = Find(cancel.key);
-  if (job == nullptr) {
+  if (job == nullptr || IsRefused(*job)) {
     AskLog(cancel.key, LogQuestion{LogQuestion::Kind::kCancel, Waiter{from, cancel.forward_id}, {}, {}, {}});
     return;
   }
   if (job->phase == JobPhase::kEnded) {
-    context_.Send(from, ForwardAnswer{cancel.forward_id, AnswerOfEnded(*job)});
+    context_.Send(from, ForwardAnswer{cancel.forward_id, job->answer});
     return;
   }
   job->waiters.push_back(Waiter{from, cancel.forward_id});
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -219,7 +219,7 @@
   static bool MayAcknowledge(const Job& job, const RunReport& report);
   void AskAboutOrphan(const HostName& from, const RunReport& report, const Job* job);
   void AskLog(const RequestKey& key, LogQuestion question);
-  static Answer AnswerOfEnded(const Job& job);
+  static bool IsRefused(const Job& job);
   static Answer AnswerOfHeld(const Job& job, const LogFound& found);
   void OnQuestionAnswered(const LogQuestion& question, const LogFound& found);
 
--- a/tests/home_log_test.cc
+++ b/tests/home_log_test.cc
@@ -63,6 +63,8 @@
   both.Tell(ForwardCancel{5, key});
   REQUIRE(both.Next<ForwardAnswer>().answer.verdict == Verdict::kNotRun);
   for (const uint64_t question : {4, 5}) {
+    const auto lookup = both.Next<LogLookup>();
+    both.Tell(LogFound{lookup.reference, lookup.key, true, {}});
     const auto reply = both.Next<ForwardAnswer>();
     REQUIRE(reply.forward_id == question);
     REQUIRE(reply.answer.code == ResultCode::kNotFound);
