--- a/tests/home_log_test.cc
+++ b/tests/home_log_test.cc
@@ -16,7 +16,7 @@
 
 // Room is held and the work runs.
 RunId LetRun(HomeAndPeer& both) {
-  const RunId run = both.Next<Reserve>().run;
+  RunId run = both.Next<Reserve>().run;
   both.Tell(Reserved{run, ResultCode::kOk, "w1", 5, 0us});
   both.Next<Commit>();
   both.Tell(RunReport{run, "w1", 5, RunPhase::kStarted, {}});
