chaos_faults: the action is taken out of its table first

Cause: with the address sanitizer g++ 12 calls the member pointer that is read and called in one expression possibly uninitialised, and warnings are errors.

Before: the asan build fails at chaos_faults.cc:100. After: it builds.

--- a/tests/chaos_faults.cc
+++ b/tests/chaos_faults.cc
@@ -97,7 +97,8 @@
   world_.DisturbFor(std::max(length, kLongestFault) + kListLag);
   world_.Trace("FAULT {} for {} ms", NameOf(fault), Millis(length));
   struck_.clear();
-  (this->*kActions[static_cast<size_t>(fault)])(length);
+  const auto action = kActions[static_cast<size_t>(fault)];
+  (this->*action)(length);
   recorder_.OnFault(world_.Now(), struck_, fault, length);
 }
 
