--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -5,7 +5,6 @@
 //   hibiscus_bench --mode=retries --loads=60,90,120
 #include <cstdio>
 #include <fstream>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -15,6 +14,7 @@
 #include "bench/bench_report.h"
 #include "bench/bench_world.h"
 #include "bench/workload.h"
+#include "core/split.h"
 
 DEFINE_string(mode,
               "days",
@@ -39,15 +39,6 @@
 namespace hibiscus {
 namespace {
 
-std::vector<std::string> Split(const std::string& text) {
-  std::vector<std::string> words;
-  std::istringstream stream(text);
-  for (std::string word; std::getline(stream, word, ',');) {
-    words.push_back(word);
-  }
-  return words;
-}
-
 BenchOptions OptionsFromFlags() {
   BenchOptions options;
   options.seed = FLAGS_seed;
@@ -60,6 +51,10 @@
   return options;
 }
 
+double LoadFrom(const std::string& percent) {
+  return std::stod(percent) / 100;
+}
+
 RunFigures RunOne(const Workload& workload, const BenchOptions& options, const std::string& policy) {
   BenchWorld world(workload, options);
   world.Run();
@@ -82,12 +77,16 @@
   return policy;
 }
 
+void Report(const RunFigures& figures, std::vector<RunFigures>& runs) {
+  std::fputs(TableOf(figures).c_str(), stdout);
+  std::fflush(stdout);
+  runs.push_back(figures);
+}
+
 void RunPolicies(const Workload& workload, BenchOptions options, std::vector<RunFigures>& runs) {
   for (const std::string& policy : Split(FLAGS_policies)) {
     options.settings.policy = PolicyNamed(policy);
-    runs.push_back(RunOne(workload, options, policy));
-    std::fputs(TableOf(runs.back()).c_str(), stdout);
-    std::fflush(stdout);
+    Report(RunOne(workload, options, policy), runs);
   }
 }
 
@@ -102,7 +101,7 @@
       for (const std::string& load : Split(FLAGS_loads)) {
         BenchOptions options = OptionsFromFlags();
         options.day = day;
-        options.load = std::stod(load) / 100;
+        options.load = LoadFrom(load);
         RunPolicies(workload, options, runs);
       }
     }
@@ -151,13 +150,11 @@
     BenchOptions options = OptionsFromFlags();
     options.servers = 0;
     options.ramp = 0s;  // The time until it is noticed counts.
-    options.day = Day{"failing", false, false, false, false, true};
-    options.load = std::stod(load) / 100;
+    options.day = Day{.name = "failing", .failing = true};
+    options.load = LoadFrom(load);
     for (const bool quarantine : {false, true}) {
       options.settings.policy.quarantine = quarantine;
-      runs.push_back(RunOne(workload, options, quarantine ? "quarantine" : "without"));
-      std::fputs(TableOf(runs.back()).c_str(), stdout);
-      std::fflush(stdout);
+      Report(RunOne(workload, options, quarantine ? "quarantine" : "without"), runs);
     }
   }
   return runs;
@@ -173,20 +170,18 @@
   workload.streams = {LoadStream{"twice", "t", WorkKind::kCall, 0.8, 200ms, Resources{}, 1, 1},
                       LoadStream{"once", "t", WorkKind::kCall, 0.2, 200ms, Resources{}, 1, 1}};
   std::vector<RunFigures> runs;
-  for (const Day& day : {Day{"refusing", false, false, false, false, false, true, false},
-                         Day{"breaking", false, false, false, false, false, false, true}}) {
+  for (const Day& day : {Day{.name = "refusing", .refusing = true}, Day{.name = "breaking", .breaking = true}}) {
     for (const std::string& load : Split(FLAGS_loads)) {
       BenchOptions options = OptionsFromFlags();
       options.workers = 0;
       options.ramp = 0s;
       options.day = day;
-      options.load = std::stod(load) / 100;
+      options.load = LoadFrom(load);
       for (const bool budget : {false, true}) {
         options.settings.policy.retry_budget = budget;
         BenchWorld world(workload, options);
         world.Run();
-        runs.push_back(Summarise(workload, options, budget ? "budget" : "without", world));
-        std::fputs(TableOf(runs.back()).c_str(), stdout);
+        Report(Summarise(workload, options, budget ? "budget" : "without", world), runs);
         const double sent = static_cast<double>(world.calls_sent()) / static_cast<double>(world.requests_sent());
         fmt::print("  {} calls sent for {} requests: {:.3f} each\n", world.calls_sent(), world.requests_sent(), sent);
         std::fflush(stdout);
--- a/bench/bench_world.cc
+++ b/bench/bench_world.cc
@@ -141,14 +141,22 @@
   });
 }
 
-void BenchWorld::ToWorker(size_t host, SendWorker& send) {
-  outstanding_.insert({host, send.call});
-  const auto deliver = [this, host, call = send.call](Delivery delivery, const WorkerReply& reply) {
+// What to call with the outside system's reply. If none came by the timeout, the host is told so; only the first
+// counts.
+template <class EventType, class Reply>
+BenchWorld::Deliver<Reply> BenchWorld::Expect(size_t host, CallId call, Duration timeout) {
+  outstanding_.insert({host, call});
+  Deliver<Reply> deliver = [this, host, call](Delivery delivery, const Reply& reply) {
     if (outstanding_.erase({host, call}) > 0) {
-      Feed(host, WorkerEvent{call, delivery, reply});
+      Feed(host, EventType{call, delivery, reply});
     }
   };
-  After(send.timeout, [deliver] { deliver(Delivery::kUnknown, {}); });
+  After(timeout, [deliver] { deliver(Delivery::kUnknown, {}); });
+  return deliver;
+}
+
+void BenchWorld::ToWorker(size_t host, SendWorker& send) {
+  const Deliver<WorkerReply> deliver = Expect<WorkerEvent, WorkerReply>(host, send.call, send.timeout);
   After(kOutsideDelay, [this, deliver, name = send.worker, request = std::move(send.request)] {
     Outside<FakeWorker>& worker = workers_.at(name);
     const auto reply = [this, deliver](const WorkerReply& answer) {
@@ -170,13 +178,7 @@
 }
 
 void BenchWorld::ToServer(size_t host, SendServer& send) {
-  outstanding_.insert({host, send.call});
-  const auto deliver = [this, host, call = send.call](Delivery delivery, const ServerReply& reply) {
-    if (outstanding_.erase({host, call}) > 0) {
-      Feed(host, ServerEvent{call, delivery, reply});
-    }
-  };
-  After(send.timeout, [deliver] { deliver(Delivery::kUnknown, {}); });
+  const Deliver<ServerReply> deliver = Expect<ServerEvent, ServerReply>(host, send.call, send.timeout);
   After(kOutsideDelay, [this, deliver, name = send.server, request = std::move(send.request)] {
     Outside<FakeServer>& server = servers_.at(name);
     const auto reply = [this, deliver](const ServerReply& answer) {
@@ -202,8 +204,7 @@
   });
 }
 
-bool BenchWorld::FailsCall(const ServerName& server,
-                           const std::function<void(Delivery, const ServerReply&)>& deliver) const {
+bool BenchWorld::FailsCall(const ServerName& server, const Deliver<ServerReply>& deliver) const {
   if (!servers_.at(server).fails) {
     return false;
   }
@@ -213,13 +214,7 @@
 }
 
 void BenchWorld::ToStore(size_t host, SendStore& send) {
-  outstanding_.insert({host, send.call});
-  const auto deliver = [this, host, call = send.call](Delivery delivery, const StoreReply& reply) {
-    if (outstanding_.erase({host, call}) > 0) {
-      Feed(host, StoreEvent{call, delivery, reply});
-    }
-  };
-  After(send.timeout, [deliver] { deliver(Delivery::kUnknown, {}); });
+  const Deliver<StoreReply> deliver = Expect<StoreEvent, StoreReply>(host, send.call, send.timeout);
   After(kOutsideDelay, [this, deliver, request = std::move(send.request)] {
     store_.Handle(request, [this, deliver](const StoreReply& answer) {
       After(kOutsideDelay, [deliver, answer] { deliver(Delivery::kAnswered, answer); });
--- a/bench/bench_world.h
+++ b/bench/bench_world.h
@@ -80,6 +80,9 @@
   double EffectiveWorkers() const;
 
  private:
+  template <class Reply>
+  using Deliver = std::function<void(Delivery, const Reply&)>;
+
   struct Timer {
     TimePoint at;
     uint64_t order;
@@ -102,10 +105,12 @@
   void Feed(size_t host, const Event& event);
   void Act(size_t host, Action& action);
   void ToPeer(size_t host, SendPeer& send);
+  template <class EventType, class Reply>
+  Deliver<Reply> Expect(size_t host, CallId call, Duration timeout);
   void ToWorker(size_t host, SendWorker& send);
   void ToServer(size_t host, SendServer& send);
   // True if the server fails on this day, and the call came to its end.
-  bool FailsCall(const ServerName& server, const std::function<void(Delivery, const ServerReply&)>& deliver) const;
+  bool FailsCall(const ServerName& server, const Deliver<ServerReply>& deliver) const;
   void ToStore(size_t host, SendStore& send);
   void OnAnswer(const AnswerCaller& answer);
   void NoteStart(const RunId& run);
--- a/src/core/centre_claims.cc
+++ b/src/core/centre_claims.cc
@@ -26,12 +26,10 @@
     return;
   }
   ask->second.answers[from] = answer;
-  if (!IsWhole(ask->second)) {
+  if (!AllGaveTheirWord(context_, ask->second.answers)) {
     return;
   }
-  const bool runs_here = std::any_of(ask->second.answers.begin(), ask->second.answers.end(),
-                                     [](const auto& entry) { return !entry.second.runs.empty(); });
-  if (!runs_here) {
+  if (!AnyRuns(ask->second.answers)) {
     Answer(id, {});
     return;
   }
@@ -56,13 +54,6 @@
   std::erase_if(asks_, [&](const auto& entry) { return context_.Now() >= entry.second.until; });
 }
 
-bool CentreClaims::IsWhole(const Ask& ask) const {
-  return std::all_of(context_.reachable.begin(), context_.reachable.end(), [&](const HostName& host) {
-    const auto answer = ask.answers.find(host);
-    return answer != ask.answers.end() && answer->second.view == context_.view && answer->second.covered;
-  });
-}
-
 void CentreClaims::Answer(const AskId& id, const HostName& home) {
   context_.Send(id.home, CentreClaimAnswer{id.key, context_.settings.data_centre, home});
   asks_.erase(id);
--- a/src/core/centre_claims.h
+++ b/src/core/centre_claims.h
@@ -28,11 +28,10 @@
     friend auto operator<=>(const AskId&, const AskId&) = default;
   };
   struct Ask {
-    std::map<HostName, ClaimAnswer> answers;
+    ClaimAnswers answers;
     TimePoint until{};
   };
 
-  bool IsWhole(const Ask& ask) const;
   void Answer(const AskId& id, const HostName& home);
 
   CoreContext& context_;
--- a/src/core/claim_table.h
+++ b/src/core/claim_table.h
@@ -3,6 +3,7 @@
 #ifndef HIBISCUSSTAND_SRC_CORE_CLAIM_TABLE_H_
 #define HIBISCUSSTAND_SRC_CORE_CLAIM_TABLE_H_
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -10,6 +11,21 @@
 
 namespace hibiscus {
 
+using ClaimAnswers = std::map<HostName, ClaimAnswer>;  // The last one of each host.
+
+// Every reachable host gave its word, under this host's view, and has each of its workers under a lease.
+inline bool AllGaveTheirWord(const CoreContext& context, const ClaimAnswers& answers) {
+  return std::all_of(context.reachable.begin(), context.reachable.end(), [&](const HostName& host) {
+    const auto answer = answers.find(host);
+    return answer != answers.end() && answer->second.view == context.view && answer->second.covered;
+  });
+}
+
+// Some host has a run of the request on its workers.
+inline bool AnyRuns(const ClaimAnswers& answers) {
+  return std::any_of(answers.begin(), answers.end(), [](const auto& entry) { return !entry.second.runs.empty(); });
+}
+
 class ClaimTable {
  public:
   explicit ClaimTable(const CoreContext& context) : context_(context) {}
--- a/src/core/config_changes.cc
+++ b/src/core/config_changes.cc
@@ -6,6 +6,8 @@
 
 #include <fmt/core.h>
 
+#include "core/take_if.h"
+
 namespace hibiscus {
 
 namespace {
@@ -48,15 +50,7 @@
 }
 
 void ConfigChanges::OnTick() {
-  std::vector<Change> due;
-  std::erase_if(later_, [&](Change& change) {
-    const bool now = context_.Now() >= change.next_try;
-    if (now) {
-      due.push_back(std::move(change));
-    }
-    return now;
-  });
-  for (Change& change : due) {
+  for (Change& change : TakeIf(later_, [&](const Change& each) { return context_.Now() >= each.next_try; })) {
     Read(std::move(change), Step::kReadingBack);
   }
 }
@@ -87,9 +81,7 @@
 }
 
 void ConfigChanges::Call(Change change, StoreCall call) {
-  const CallId id = context_.NextId();
-  changes_[id] = std::move(change);
-  context_.Act(SendStore{id, std::move(call), context_.settings.store_timeout});
+  changes_[context_.CallStore(std::move(call))] = std::move(change);
 }
 
 void ConfigChanges::Read(Change change, Step step) {
@@ -162,8 +154,8 @@
   apply_(change.configuration);
   Answer(change, ResultCode::kOk);
   if (change.configuration.version > kMostHistory) {
-    StoreCall forget{StoreOp::kDelete, ConfigHistoryKey(change.configuration.version - kMostHistory), {}, 0, 0us};
-    context_.Act(SendStore{context_.NextId(), std::move(forget), context_.settings.store_timeout});
+    const std::string oldest = ConfigHistoryKey(change.configuration.version - kMostHistory);
+    context_.CallStore(StoreCall{StoreOp::kDelete, oldest, {}, 0, 0us});
   }
 }
 
@@ -186,9 +178,7 @@
   const uint64_t reference = context_.NextId();
   const auto most = static_cast<size_t>(std::clamp(history.most, 1, kMostHistory));
   histories_[reference] = History{history.exchange, most, true, 1, {}};
-  const CallId call = context_.NextId();
-  history_calls_[call] = reference;
-  context_.Act(SendStore{call, StoreCall{StoreOp::kGet, kConfigKey, {}, 0, 0us}, context_.settings.store_timeout});
+  history_calls_[context_.ReadStore(kConfigKey)] = reference;
 }
 
 void ConfigChanges::OnHistoryReply(uint64_t reference, const StoreEvent& event) {
@@ -217,11 +207,8 @@
 
 void ConfigChanges::AskOlder(uint64_t reference, History& history, uint64_t latest) {
   for (uint64_t version = latest - 1; version > 0 && latest - version < history.most; --version) {
-    const CallId call = context_.NextId();
-    history_calls_[call] = reference;
+    history_calls_[context_.ReadStore(ConfigHistoryKey(version))] = reference;
     ++history.open;
-    StoreCall get{StoreOp::kGet, ConfigHistoryKey(version), {}, 0, 0us};
-    context_.Act(SendStore{call, std::move(get), context_.settings.store_timeout});
   }
 }
 
--- a/src/core/config_role.cc
+++ b/src/core/config_role.cc
@@ -71,9 +71,8 @@
 }
 
 void ConfigRole::Watch() {
-  watch_ = context_.NextId();
-  StoreCall call{StoreOp::kWatch, kConfigKey, {}, watched_revision_, context_.settings.watch_wait};
-  context_.Act(SendStore{watch_, call, context_.settings.watch_wait + context_.settings.store_timeout});
+  const Duration wait = context_.settings.watch_wait;
+  watch_ = context_.CallStore(StoreCall{StoreOp::kWatch, kConfigKey, {}, watched_revision_, wait});
 }
 
 void ConfigRole::Learn(const StoreReply& reply) {
--- a/src/core/context.cc
+++ b/src/core/context.cc
@@ -27,6 +27,17 @@
   Act(SendPeer{to, std::move(message)});
 }
 
+CallId CoreContext::CallStore(StoreCall call) {
+  const CallId id = NextId();
+  const Duration timeout = call.wait + settings.store_timeout;
+  Act(SendStore{id, std::move(call), timeout});
+  return id;
+}
+
+CallId CoreContext::ReadStore(std::string key) {
+  return CallStore(StoreCall{StoreOp::kGet, std::move(key), {}, 0, 0us});
+}
+
 HostName CoreContext::HomeOf(const RequestKey& key) const {
   return RendezvousPick(key.ToString(), live);
 }
--- a/src/core/context.h
+++ b/src/core/context.h
@@ -45,6 +45,8 @@
   Policy policy;                     // Strategies; only benches and tests change them.
 };
 
+inline constexpr Duration kComeBack = 1s;  // Retry-After where no better time is known.
+
 // Stops the process when an invariant is broken, in every build. `hint` says how to mend the call or what to report.
 [[noreturn]] void InvariantFailed(const char* condition, const std::string& ids, const char* hint);
 
@@ -71,6 +73,9 @@
     }
   }
   void Act(Action action) { actions.push_back(std::move(action)); }
+  // Calls the store and names the call; it is given up `store_timeout` after the store may have answered.
+  CallId CallStore(StoreCall call);
+  CallId ReadStore(std::string key);
   void Log(const char* part, std::string text) { Act(LogLine{part, std::move(text)}); }
 
   // The host that a key falls to among the live hosts of the own data centre.
--- a/src/core/entry_role.cc
+++ b/src/core/entry_role.cc
@@ -11,7 +11,6 @@
 constexpr Duration kQueryTimeout = 2s;    // Queries and cancellations without an answer.
 constexpr Duration kFirstQuestion = 1s;   // A silent home host is asked after this, then at doubled distances.
 constexpr Duration kTrustMoved = 2s;      // A home that another host named is taken as reachable for so long.
-constexpr Duration kComeBack = 1s;        // Retry-After of refusals that name no better time.
 
 }  // namespace
 
--- a/src/core/home_claims.cc
+++ b/src/core/home_claims.cc
@@ -103,20 +103,14 @@
 // the other data centres need not be asked: a claim made there before would have kept it from starting, and one made
 // later finds it.
 bool HomeRole::ClaimIsWhole(const Job& job) const {
-  const auto has_word = [&](const HostName& host) {
-    const auto answer = job.claim_answers.find(host);
-    return answer != job.claim_answers.end() && answer->second.view == context_.view && answer->second.covered;
-  };
-  if (!std::all_of(context_.reachable.begin(), context_.reachable.end(), has_word)) {
+  if (!AllGaveTheirWord(context_, job.claim_answers)) {
     return false;
   }
-  const bool runs_here = std::any_of(job.claim_answers.begin(), job.claim_answers.end(),
-                                     [](const auto& entry) { return !entry.second.runs.empty(); });
   const std::vector<DataCentre> others = digests_.OtherCentres();
   const bool all_cleared =
       digests_.KnowsCentres() &&
       std::all_of(others.begin(), others.end(), [&](const DataCentre& centre) { return job.cleared.contains(centre); });
-  return runs_here || all_cleared || !MayBeKnownAbroad(job.request);
+  return AnyRuns(job.claim_answers) || all_cleared || !MayBeKnownAbroad(job.request);
 }
 
 void HomeRole::FinishClaim(Job& job) {
@@ -132,7 +126,7 @@
     }
   }
   job.in_doubt = job.in_doubt || job.committed;
-  const std::map<HostName, ClaimAnswer> answers = std::move(job.claim_answers);
+  const ClaimAnswers answers = std::move(job.claim_answers);
   job.phase = JobPhase::kActive;
   for (const auto& [host, answer] : answers) {
     for (const RunReport& run : answer.runs) {
@@ -143,12 +137,11 @@
   if (job.resumed) {
     context_.Send(context_.OwnerOf(kLogName), LogResumed{job.request.key, context_.settings.name});
   }
-  const bool may_start_rest = job.spec.may_run_twice || (job.surely_first && !job.committed);
   const bool whole = std::none_of(job.members.begin(), job.members.end(),
                                   [](const Member& member) { return member.phase == MemberPhase::kIdle; });
   if (!adopted) {
     OnNoEarlierRun(job);
-  } else if (whole || may_start_rest) {
+  } else if (whole || MayBegin(job)) {
     FinishIfAllEnded(job);
   } else {
     StopMembers(job);  // The missing members may have run.
--- a/src/core/home_log.cc
+++ b/src/core/home_log.cc
@@ -16,11 +16,9 @@
 constexpr Duration kRecordPatience = 2s;     // Requests that need their record.
 constexpr Duration kLookPatience = 1s;       // A repeat that asks what the log says.
 constexpr Duration kWayBack = 300ms;         // The writer answers by its patience; this is for the way back.
-constexpr Duration kResend = 500ms;          // A record without an answer.
 constexpr Duration kRetry = 1s;              // A record that must stand in the log, after a failure.
 constexpr Duration kResumeClaim = 5s;        // To find the run of a request whose finish target passed meanwhile.
 constexpr Duration kQuestionTimeout = 5s;    // A lost question to the log.
-constexpr Duration kComeBack = 1s;           // Retry-After of a request that is in progress.
 constexpr size_t kMostKeptBytes = 262'144;   // Payload or answer of a deferred request.
 
 LogRecordKind KindOf(LogStep step) {
@@ -56,12 +54,24 @@
 void HomeRole::Append(Job& job, LogStep step, Duration patience) {
   job.phase = step == LogStep::kSaving ? JobPhase::kSaving : JobPhase::kRecording;
   job.step = step;
-  job.asked = false;
-  job.repeated = false;
+  job.sends = 0;
   job.log_until = context_.Now() + patience + kWayBack;
   SendAppend(job);
 }
 
+LogAppend HomeRole::AppendOf(LogRecordKind kind,
+                             const RequestKey& key,
+                             uint64_t nonce,
+                             Duration patience,
+                             bool repeated) const {
+  LogAppend append{{}, patience, repeated};
+  append.record.kind = kind;
+  append.record.key = key;
+  append.record.nonce = nonce;
+  append.record.home = context_.settings.name;
+  return append;
+}
+
 void HomeRole::SendAppend(Job& job) {
   job.next_append = context_.Now() + kResend;
   const HostName writer = context_.OwnerOf(kLogName);
@@ -69,19 +79,14 @@
     return;
   }
   const Duration patience = std::max(job.log_until - kWayBack - context_.Now(), Duration(kWayBack));
-  LogAppend append{{}, patience, job.asked};
-  append.record.kind = KindOf(job.step);
-  append.record.key = job.request.key;
-  append.record.nonce = job.nonce;
-  append.record.home = context_.settings.name;
+  LogAppend append = AppendOf(KindOf(job.step), job.request.key, job.nonce, patience, job.sends > 0);
   append.record.data_centre = context_.settings.data_centre;
   if (job.step == LogStep::kAccepting) {
     append.record.request = job.request;
   } else if (job.step == LogStep::kSaving) {
     append.record.answer = job.answer;
   }
-  job.repeated = job.asked;
-  job.asked = true;
+  ++job.sends;
   context_.Pass(Step::kAppendSent);
   context_.Send(writer, append);
 }
@@ -138,8 +143,8 @@
       OnDuplicate(*job, appended.found);
       return;
     case LogOutcome::kNotRecorded:
-      job->asked = job->repeated;  // Its word holds for one sending, and another may be on its way.
-      OnNotRecorded(*job, job->repeated);
+      job->sends = job->sends == 1 ? 0 : job->sends;  // Its word holds for one sending; others may be on their way.
+      OnNotRecorded(*job, job->sends > 0);
       return;
     case LogOutcome::kUnknown:
       OnNotRecorded(*job, true);
@@ -166,7 +171,7 @@
         End(job, ResultCode::kCancelled, Verdict::kCancelled, {});
         return;
       }
-      AnswerAccepted(job);
+      AnswerWaiters(job, InProgress(job.request.key));
       if (job.spec.may_run_twice) {
         Begin(job);
       } else {
@@ -232,7 +237,7 @@
       if (maybe && !job.unsettled) {
         job.unsettled = true;
         job.answer = Answer{job.request.key, ResultCode::kUnknownOutcome, Verdict::kUnknown, {}, kComeBack};
-        AnswerWaiters(job);
+        AnswerWaiters(job, job.answer);
       } else if (!job.unsettled) {
         Refuse(job, ResultCode::kStoreUnavailable);
         return;
@@ -258,7 +263,7 @@
   const bool too_late = job.resumed && context_.Now() >= job.start_by;
   if (job.refusal != ResultCode::kOk || too_late) {
     EndRefused(job, too_late ? ResultCode::kFinishTargetMissed : job.refusal);
-  } else if (job.spec.may_run_twice || (job.surely_first && !job.committed)) {
+  } else if (MayBegin(job)) {
     Begin(job);
   } else if (!job.accepted) {
     Look(job);
@@ -275,8 +280,7 @@
     return;
   }
   Job* job = Find(found.key);
-  const bool waits = job != nullptr && job->phase == JobPhase::kRecording && job->step == LogStep::kLooking;
-  if (waits && job->nonce == found.reference) {
+  if (job != nullptr && IsLooking(*job) && job->nonce == found.reference) {
     OnRepeatFound(*job, found);
   }
 }
@@ -311,7 +315,7 @@
 
 // Whoever asks again is told what stands in the log.
 void HomeRole::LeaveToLog(Job& job) {
-  AnswerAccepted(job);
+  AnswerWaiters(job, InProgress(job.request.key));
   const RequestKey key = job.request.key;
   Forget(key);
 }
@@ -325,20 +329,8 @@
 
 void HomeRole::Saved(Job& job) {
   context_.Pass(Step::kAnswerSaved);
-  job.phase = JobPhase::kEnded;
-  --active_;
   job.step = LogStep::kNone;
-  job.ended = context_.Now();
-  Observe(job, Observed::What::kEnded);
-  AnswerWaiters(job);
-}
-
-void HomeRole::AnswerAccepted(Job& job) {
-  for (const Waiter& waiter : job.waiters) {
-    const Answer accepted{job.request.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
-    context_.Send(waiter.host, ForwardAnswer{waiter.forward_id, accepted});
-  }
-  job.waiters.clear();
+  Finish(job);
 }
 
 // An accepted request that finds no room waits for it until its start target.
@@ -459,7 +451,7 @@
   if (found.current && found.found.state == LogEntry::State::kDone) {
     return found.found.answer;
   }
-  const bool saving = job.phase == JobPhase::kSaving && job.asked;  // The answer may stand there already.
+  const bool saving = job.phase == JobPhase::kSaving && job.sends > 0;  // The answer may stand there already.
   const bool done = found.found.state == LogEntry::State::kDone;
   const bool claiming = job.phase == JobPhase::kClaiming;
   const bool shared = job.resumed || job.doubted || !job.accepted;  // Another host may have had it, or has it.
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Duration kRefusalClaim = 2s;  // To make sure that nobody runs an accepted request that is refused.
-constexpr Duration kComeBack = 1s;      // Retry-After of refusals that name no better time.
 constexpr int kSecondAttempt = 2;
 
 // Two attempts carry the same work. Attempt numbers and waiting differ between them.
@@ -49,8 +48,7 @@
     return;
   }
   if (job->accepted) {
-    const Answer accepted{forward.request.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
-    context_.Send(from, ForwardAnswer{forward.forward_id, accepted});
+    context_.Send(from, ForwardAnswer{forward.forward_id, InProgress(forward.request.key)});
     return;
   }
   job->waiters.push_back(Waiter{from, forward.forward_id});
@@ -67,8 +65,12 @@
   if (job == nullptr || IsRefused(*job)) {
     return;
   }
-  const Answer pending{query.key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
-  context_.Send(from, ForwardAnswer{query.forward_id, job->phase == JobPhase::kEnded ? job->answer : pending});
+  const bool ended = job->phase == JobPhase::kEnded;
+  context_.Send(from, ForwardAnswer{query.forward_id, ended ? job->answer : InProgress(query.key)});
+}
+
+Answer HomeRole::InProgress(const RequestKey& key) {
+  return Answer{key, ResultCode::kAccepted, Verdict::kUnknown, {}, kComeBack};
 }
 
 // A refusal answers the forwards that were here. Another may still be on its way and will be tried afresh, and an
@@ -88,8 +90,7 @@
     return;
   }
   job->waiters.push_back(Waiter{from, cancel.forward_id});
-  const bool looking = job->phase == JobPhase::kRecording && job->step == LogStep::kLooking;
-  if (looking && job->request.deferred) {
+  if (IsLooking(*job) && job->request.deferred) {
     return;  // Its answer stands in the log and is being read.
   }
   if (job->phase == JobPhase::kClaiming) {
@@ -208,16 +209,21 @@
     Save(job);
     return;
   }
+  Finish(job);
+}
+
+// The answer is final and may be told.
+void HomeRole::Finish(Job& job) {
   job.phase = JobPhase::kEnded;
   --active_;
   job.ended = context_.Now();
   Observe(job, Observed::What::kEnded);
-  AnswerWaiters(job);
+  AnswerWaiters(job, job.answer);
 }
 
-void HomeRole::AnswerWaiters(Job& job) {
+void HomeRole::AnswerWaiters(Job& job, const Answer& answer) {
   for (const Waiter& waiter : job.waiters) {
-    context_.Send(waiter.host, ForwardAnswer{waiter.forward_id, job.answer});
+    context_.Send(waiter.host, ForwardAnswer{waiter.forward_id, answer});
   }
   job.waiters.clear();
 }
@@ -285,11 +291,7 @@
     Refuse(job, ResultCode::kStartTargetMissed);
     return;
   }
-  const auto started = [](const Member& member) {
-    return member.phase == MemberPhase::kCommitted || member.phase == MemberPhase::kRunning ||
-           member.phase == MemberPhase::kEnded;
-  };
-  if (job.spec.kind != WorkKind::kCall && std::none_of(job.members.begin(), job.members.end(), started)) {
+  if (job.spec.kind != WorkKind::kCall && !AnyStarted(job)) {
     Refuse(job, ResultCode::kStartTargetMissed);
     return;
   }
@@ -390,13 +392,12 @@
 
 bool HomeRole::IsForgotten(const Job& job) const {
   // A repeat may try afresh, unless the refusal stands in the log: then a late LogResume must find it here.
-  const bool refused = job.answer.verdict == Verdict::kNotRun && !job.accepted;
-  const Duration keep = refused ? 0us : context_.settings.remember;
+  const Duration keep = IsRefused(job) ? 0us : context_.settings.remember;
   return job.phase == JobPhase::kEnded && job.stops.empty() && context_.Now() - job.ended >= keep;
 }
 
 void HomeRole::TickJob(Job& job) {
-  const bool superseded = job.accepted && job.phase == JobPhase::kRecording && job.step == LogStep::kLooking;
+  const bool superseded = job.accepted && IsLooking(job);
   if (job.phase == JobPhase::kSaving || job.unsettled || superseded) {
     TickLog(job);
     return;
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -80,11 +80,11 @@
   TimePoint finish_by{};
   TimePoint ended{};
   std::vector<Waiter> waiters;
-  Answer answer;                                  // Once ended.
-  std::vector<Member> members;                    // Tasks, or the one call.
-  std::map<HostName, ClaimAnswer> claim_answers;  // While claiming.
-  std::set<DataCentre> cleared;                   // While claiming: the other data centres that gave their word.
-  uint64_t claim = 0;                             // Drawn for the claim.
+  Answer answer;                 // Once ended.
+  std::vector<Member> members;   // Tasks, or the one call.
+  ClaimAnswers claim_answers;    // While claiming.
+  std::set<DataCentre> cleared;  // While claiming: the other data centres that gave their word.
+  uint64_t claim = 0;            // Drawn for the claim.
   size_t claim_rounds = 0;
   TimePoint next_claim{};
   TimePoint claim_began{};     // The last round of questions.
@@ -111,8 +111,7 @@
   bool doubted = false;                  // A pause went by: another host may have answered it.
   bool start_recorded = false;           // The started record is this host's.
   bool intent = false;                   // An intent stands in the log, or may come to stand there.
-  bool asked = false;                    // A writer has the present record, or had it.
-  bool repeated = false;                 // The present record was sent more than once.
+  int sends = 0;                         // Of the present record, as far as one of them may still be written.
   bool cancelled = false;                // To be cancelled once it is accepted.
   bool unsettled = false;                // The caller was told "unknown" while the accepted record was on its way.
   TimePoint log_until{};                 // Then the log counts as out of reach.
@@ -173,9 +172,15 @@
 
  private:
   // Admission and endings: home_role.cc.
+  // Whether the job's first run may begin: no earlier attempt counts, or none can have started.
+  static bool MayBegin(const Job& job) { return job.spec.may_run_twice || (job.surely_first && !job.committed); }
+  static bool IsLooking(const Job& job) { return job.phase == JobPhase::kRecording && job.step == LogStep::kLooking; }
+  static bool IsRefused(const Job& job);
+  static Answer InProgress(const RequestKey& key);
   void Accept(const HostName& from, const ForwardRequest& forward);
   bool PassOn(const HostName& from, const ForwardRequest& forward);
   void Begin(Job& job);
+  void Finish(Job& job);
   void End(Job& job, ResultCode code, Verdict verdict, std::string body, Duration retry_after = 0us);
   void Refuse(Job& job, ResultCode code, Duration retry_after = 0us);
   void EndRefused(Job& job, ResultCode code, Duration retry_after = 0us);
@@ -194,6 +199,7 @@
   // The log: home_log.cc.
   void BeginRecorded(Job& job, bool resubmit);
   void Append(Job& job, LogStep step, Duration patience);
+  LogAppend AppendOf(LogRecordKind kind, const RequestKey& key, uint64_t nonce, Duration patience, bool repeated) const;
   void SendAppend(Job& job);
   void Withdraw(const Job& job);
   void SendWithdrawal(uint64_t nonce, Withdrawal& withdrawal);
@@ -211,15 +217,13 @@
   void LeaveToLog(Job& job);
   void Save(Job& job);
   void Saved(Job& job);
-  void AnswerAccepted(Job& job);
-  void AnswerWaiters(Job& job);
+  void AnswerWaiters(Job& job, const Answer& answer);
   bool BacksOff(const Job& job, ResultCode code) const;
   bool HandsOver(const Job& job) const;
   void HandOver();
   static bool MayAcknowledge(const Job& job, const RunReport& report);
   void AskAboutOrphan(const HostName& from, const RunReport& report, const Job* job);
   void AskLog(const RequestKey& key, LogQuestion question);
-  static bool IsRefused(const Job& job);
   static Answer AnswerOfHeld(const Job& job, const LogFound& found);
   void OnQuestionAnswered(const LogQuestion& question, const LogFound& found);
 
@@ -259,7 +263,7 @@
   void OnRunFailed(Job& job, Member& member, const RunReport& report);
   bool MayRerun(const Job& job, Member& member);
   void OnRunGone(Job& job, Member& member);
-  void Rerun(Job& job, Member& member, Duration after);
+  void Rerun(Member& member, Duration after);
   void AdoptRun(Job& job, const RunReport& report);
   void StopMembers(Job& job);
   void TickStops(Job& job);
@@ -271,6 +275,8 @@
   Job* Find(const RequestKey& key);
   Member* FindMember(Job& job, const RunId& run);
 
+  static constexpr Duration kResend = 500ms;  // A record for the log without an answer.
+
   CoreContext& context_;
   Membership& membership_;
   ClaimTable& claims_;
--- a/src/core/home_tasks.cc
+++ b/src/core/home_tasks.cc
@@ -43,7 +43,7 @@
     case MemberPhase::kReserving:
       if (!context_.IsReachable(member.owner) || now > std::max(member.since, job.start_by) + kReserveGrace) {
         context_.Send(member.owner, ReleaseHold{member.run});
-        Rerun(job, member, kRetryRoom);
+        Rerun(member, kRetryRoom);
       }
       return;
     case MemberPhase::kHeld:
@@ -51,7 +51,7 @@
         GiveUpGangTry(job);
       } else if (now - member.since > MostHold(job)) {
         context_.Send(member.owner, ReleaseHold{member.run});
-        Rerun(job, member, kRetryRoom + Duration(context_.RandomNumber() % 200'000));
+        Rerun(member, kRetryRoom + Duration(context_.RandomNumber() % 200'000));
       }
       return;
     case MemberPhase::kCommitted:
@@ -210,7 +210,7 @@
   if (reserved.code != ResultCode::kOk) {
     member->refused_by[from] = reserved.code;
     member->retry_after = std::max(member->retry_after, reserved.retry_after);
-    Rerun(*job, *member, 0us);
+    Rerun(*member, 0us);
     if (job->spec.kind == WorkKind::kGang && !job->gang_spread && !AnyStarted(*job)) {
       RefuseGangAt(*job, from, reserved);
     }
@@ -300,7 +300,7 @@
       OnRunFailed(job, member, report);
       return;
     case RunPhase::kNotStarted:
-      Rerun(job, member, kRetryRoom);
+      Rerun(member, kRetryRoom);
       return;
     case RunPhase::kGone:
       OnRunGone(job, member);
@@ -314,7 +314,7 @@
   member.failed_on.insert(report.worker);
   const bool poison = member.failed_on.size() >= kMostFailedWorkers;
   if (MayRerun(job, member)) {
-    Rerun(job, member, kRerunAfterFailure);
+    Rerun(member, kRerunAfterFailure);
     return;
   }
   Enter(member, MemberPhase::kIdle, context_.Now());
@@ -330,7 +330,7 @@
 
 void HomeRole::OnRunGone(Job& job, Member& member) {
   if (MayRerun(job, member)) {
-    Rerun(job, member, kRerunAfterFailure);
+    Rerun(member, kRerunAfterFailure);
     return;
   }
   Enter(member, MemberPhase::kIdle, context_.Now());
@@ -338,7 +338,7 @@
   End(job, ResultCode::kUnknownOutcome, Verdict::kUnknown, {});
 }
 
-void HomeRole::Rerun(Job&, Member& member, Duration after) {
+void HomeRole::Rerun(Member& member, Duration after) {
   Enter(member, MemberPhase::kIdle, context_.Now());
   member.next_send = context_.Now() + after;
 }
--- a/src/core/home_withdrawals.cc
+++ b/src/core/home_withdrawals.cc
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr Duration kWithdrawPatience = 30s;  // Nobody waits for a withdrawal.
-constexpr Duration kResend = 500ms;          // A withdrawal without an answer.
 
 }  // namespace
 
@@ -27,13 +26,9 @@
   if (writer.empty()) {
     return;
   }
-  LogAppend append{{}, withdrawal.until - context_.Now(), withdrawal.asked};
-  append.record.kind = LogRecordKind::kWithdrawn;
-  append.record.key = withdrawal.key;
-  append.record.nonce = nonce;
-  append.record.home = context_.settings.name;
+  const Duration patience = withdrawal.until - context_.Now();
+  context_.Send(writer, AppendOf(LogRecordKind::kWithdrawn, withdrawal.key, nonce, patience, withdrawal.asked));
   withdrawal.asked = true;
-  context_.Send(writer, append);
 }
 
 // A writer may have gone with a withdrawal, or with the word that it stands.
--- a/src/core/host_core.cc
+++ b/src/core/host_core.cc
@@ -4,18 +4,9 @@
 
 #include <fmt/core.h>
 
-namespace hibiscus {
-
-namespace {
+#include "core/overloaded.h"
 
-template <class... Handlers>
-struct Overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
-}  // namespace
+namespace hibiscus {
 
 HostCore::HostCore(const HostSettings& settings, const Clock& clock, uint64_t seed)
     : context_(settings, clock, seed),
--- a/src/core/log_reader.cc
+++ b/src/core/log_reader.cc
@@ -65,27 +65,19 @@
   if (base_call_ != 0) {
     return;
   }
-  base_call_ = context_.NextId();
-  context_.Act(
-      SendStore{base_call_, StoreCall{StoreOp::kGet, kLogBaseKey, {}, 0, 0us}, context_.settings.store_timeout});
+  base_call_ = context_.ReadStore(kLogBaseKey);
 }
 
 void LogReader::Watch() {
   if (watch_call_ != 0) {
     return;
   }
-  watch_call_ = context_.NextId();
   watched_ = Read{next_, context_.Now()};
-  const Duration wait = context_.settings.watch_wait;
-  context_.Act(SendStore{watch_call_, StoreCall{StoreOp::kWatch, LogKey(next_), {}, 0, wait},
-                         wait + context_.settings.store_timeout});
+  watch_call_ = context_.CallStore(StoreCall{StoreOp::kWatch, LogKey(next_), {}, 0, context_.settings.watch_wait});
 }
 
 void LogReader::AskBatch(uint64_t sequence) {
-  const CallId call = context_.NextId();
-  reads_[call] = Read{sequence, context_.Now()};
-  context_.Act(
-      SendStore{call, StoreCall{StoreOp::kGet, LogKey(sequence), {}, 0, 0us}, context_.settings.store_timeout});
+  reads_[context_.ReadStore(LogKey(sequence))] = Read{sequence, context_.Now()};
 }
 
 void LogReader::FillReads() {
--- a/src/core/log_records.cc
+++ b/src/core/log_records.cc
@@ -4,17 +4,14 @@
 #include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.h"
+
 namespace hibiscus {
 
 namespace {
 
 using Json = nlohmann::json;
 
-// Payloads and bodies came in as JSON text, so they are valid UTF-8; anything else is replaced rather than thrown at.
-std::string Dump(const Json& json) {
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 Json RequestToJson(const Request& request) {
   return Json{{"attempt", request.attempt},
               {"class", request.class_name},
@@ -117,12 +114,12 @@
   if (record.kind == LogRecordKind::kDone) {
     json["answer"] = AnswerToJson(record.answer);
   }
-  return Dump(json);
+  return JsonText(json);
 }
 
 std::string EncodeLogBatch(const LogBatch& batch, const std::vector<std::string>& records) {
   const std::string head =
-      Dump(Json{{"writer", batch.writer}, {"nonce", batch.nonce}, {"time_us", batch.time.count()}});
+      JsonText(Json{{"writer", batch.writer}, {"nonce", batch.nonce}, {"time_us", batch.time.count()}});
   return fmt::format("{},\"records\":[{}]}}", head.substr(0, head.size() - 1), fmt::join(records, ","));
 }
 
@@ -131,7 +128,7 @@
 }
 
 std::string EncodeLogBase(const LogBase& base) {
-  return Dump(Json{{"base", base.base}, {"deleted", base.deleted}});
+  return JsonText(Json{{"base", base.base}, {"deleted", base.deleted}});
 }
 
 tl::expected<LogBase, RecordError> DecodeLogBase(const std::string& text) {
--- a/src/core/log_role.cc
+++ b/src/core/log_role.cc
@@ -47,10 +47,7 @@
     at_end_.push_back(asked);
     return;
   }
-  const CallId call = context_.NextId();
-  answer_reads_[call] = asked;
-  StoreCall get{StoreOp::kGet, LogKey(*answer), {}, 0, 0us};
-  context_.Act(SendStore{call, std::move(get), context_.settings.store_timeout});
+  answer_reads_[context_.ReadStore(LogKey(*answer))] = asked;
 }
 
 void LogRole::OnAnswerRead(const Asked& asked, const StoreEvent& event) {
@@ -80,9 +77,7 @@
   next_end_read_ = context_.Now() + context_.settings.log_window;
   end_sequence_ = reader_.next();
   end_asked_ = std::exchange(at_end_, {});
-  end_call_ = context_.NextId();
-  StoreCall get{StoreOp::kGet, LogKey(end_sequence_), {}, 0, 0us};
-  context_.Act(SendStore{end_call_, std::move(get), context_.settings.store_timeout});
+  end_call_ = context_.ReadStore(LogKey(end_sequence_));
 }
 
 void LogRole::OnEndRead(const StoreEvent& event) {
--- a/src/core/log_trimmer.cc
+++ b/src/core/log_trimmer.cc
@@ -48,8 +48,7 @@
 
 void LogTrimmer::Call(State state, StoreCall call) {
   state_ = state;
-  call_ = context_.NextId();
-  context_.Act(SendStore{call_, std::move(call), context_.settings.store_timeout});
+  call_ = context_.CallStore(std::move(call));
 }
 
 bool LogTrimmer::OnStore(const StoreEvent& event) {
@@ -97,11 +96,8 @@
 
 void LogTrimmer::Delete() {
   while (next_delete_ < target_.deleted && deletes_.size() < kMostDeletesAtOnce) {
-    const CallId call = context_.NextId();
-    deletes_.insert(call);
-    StoreCall request{StoreOp::kDelete, LogKey(next_delete_), {}, 0, 0us};
+    deletes_.insert(context_.CallStore(StoreCall{StoreOp::kDelete, LogKey(next_delete_), {}, 0, 0us}));
     ++next_delete_;
-    context_.Act(SendStore{call, std::move(request), context_.settings.store_timeout});
   }
   if (deletes_.empty()) {
     MoveBase();
--- a/src/core/log_writer.cc
+++ b/src/core/log_writer.cc
@@ -155,17 +155,13 @@
 }
 
 void LogWriter::Put() {
-  flight_->call = context_.NextId();
   flight_->reading_back = false;
-  StoreCall put{StoreOp::kPut, LogKey(flight_->sequence), flight_->text, 0, 0us};
-  context_.Act(SendStore{flight_->call, std::move(put), context_.settings.store_timeout});
+  flight_->call = context_.CallStore(StoreCall{StoreOp::kPut, LogKey(flight_->sequence), flight_->text, 0, 0us});
 }
 
 void LogWriter::ReadBack() {
-  flight_->call = context_.NextId();
   flight_->reading_back = true;
-  StoreCall get{StoreOp::kGet, LogKey(flight_->sequence), {}, 0, 0us};
-  context_.Act(SendStore{flight_->call, std::move(get), context_.settings.store_timeout});
+  flight_->call = context_.ReadStore(LogKey(flight_->sequence));
 }
 
 bool LogWriter::OnStore(const StoreEvent& event) {
--- a/src/core/server_role.cc
+++ b/src/core/server_role.cc
@@ -9,7 +9,7 @@
 constexpr Duration kProbeTimeout = 700ms;
 constexpr Duration kFirstPause = 50ms;      // A server that refused or broke off a call gets nothing new for this long.
 constexpr Duration kLongestPause = 3200ms;  // Of a server that serves no call.
-constexpr Duration kComeBack = 500ms;       // Retry-After when no slot came free in time.
+constexpr Duration kSlotComeBack = 500ms;   // Retry-After when no slot came free in time.
 constexpr Duration kWayToServer = 5ms;      // A call begins this long after it was sent, at most.
 constexpr Duration kJudgeEvery = 200ms;     // Which servers are slow.
 constexpr double kPatience = 0.25;  // Share of its start target that a call waits before it takes a slow server.
@@ -186,7 +186,7 @@
   while (const std::optional<QueuedCall> late = queue_.TakeExpired(context_.Now())) {
     admission_.Dequeued(DemandOf(*late));
     admission_.Learn(late->predicted, context_.Now() - late->arrived);
-    Refuse(*late, ResultCode::kStartTargetMissed, kComeBack);
+    Refuse(*late, ResultCode::kStartTargetMissed, kSlotComeBack);
   }
   const auto has_slot = [&](const auto& entry) { return HasFreeSlot(entry.second); };
   while (!queue_.empty() && std::any_of(servers_.begin(), servers_.end(), has_slot)) {
--- a/src/core/worker_queue.cc
+++ b/src/core/worker_queue.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr Duration kComeBack = 1s;        // Retry-After when room is lacking.
 constexpr Duration kStartMargin = 300ms;  // A lease that ends sooner takes no new start.
 constexpr Duration kWayToWorker = 5ms;    // From the hold to the start, at most, where nothing fails.
 constexpr Duration kGangVerdict = 100ms;  // Members of one try arrive within this.
@@ -93,14 +92,8 @@
     return true;
   }
   const RequestKey& key = reserve.run.task.key;
-  const RunId first{TaskId{key, 0}, 0};
-  int64_t members = 1;
-  for (auto held = held_by_.lower_bound(first); held != held_by_.end() && held->first.task.key == key; ++held) {
-    ++members;
-  }
-  for (auto queued = queued_.lower_bound(first); queued != queued_.end() && queued->first.task.key == key; ++queued) {
-    ++members;
-  }
+  const int64_t members =
+      1 + std::ranges::distance(OfRequest(held_by_, key)) + std::ranges::distance(OfRequest(queued_, key));
   return members <= rooms_.MostOf(reserve.size);
 }
 
--- a/src/core/worker_role.cc
+++ b/src/core/worker_role.cc
@@ -313,9 +313,9 @@
 std::vector<RunReport> WorkerRole::RunsOf(const RequestKey& key) const {
   std::vector<RunReport> reports;
   for (const auto& [name, worker] : workers_) {
-    for (const auto& [id, run] : worker.runs) {
+    for (const auto& [id, run] : OfRequest(worker.runs, key)) {
       const bool gone = run.phase == OwnedRun::Phase::kEnded && run.end != RunPhase::kDone;
-      if (id.task.key == key && !gone) {
+      if (!gone) {
         const RunPhase phase = run.phase == OwnedRun::Phase::kEnded ? RunPhase::kDone : RunPhase::kStarted;
         reports.push_back(RunReport{id, name, worker.token, phase, run.task.body});
       }
--- a/src/core/worker_role.h
+++ b/src/core/worker_role.h
@@ -3,7 +3,9 @@
 #ifndef HIBISCUSSTAND_SRC_CORE_WORKER_ROLE_H_
 #define HIBISCUSSTAND_SRC_CORE_WORKER_ROLE_H_
 
+#include <algorithm>
 #include <map>
+#include <ranges>
 #include <string>
 #include <vector>
 
@@ -18,6 +20,14 @@
 
 namespace hibiscus {
 
+// The entries of one request, which stand side by side.
+template <class Value>
+auto OfRequest(const std::map<RunId, Value>& by_run, const RequestKey& key) {
+  const auto first = by_run.lower_bound(RunId{TaskId{key, 0}, 0});
+  const auto last = std::find_if(first, by_run.end(), [&](const auto& entry) { return entry.first.task.key != key; });
+  return std::ranges::subrange(first, last);
+}
+
 // A run on a worker of ours.
 struct OwnedRun {
   enum class Phase {
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/records.h"
+#include "core/split.h"
 #include "ctl/table.h"
 #include "ports/caller_api.h"
 #include "ports/http_client.h"
@@ -51,12 +52,7 @@
 using Words = std::vector<std::string>;
 
 std::vector<std::string> Servers() {
-  std::vector<std::string> servers;
-  std::stringstream stream(FLAGS_server);
-  for (std::string server; std::getline(stream, server, ',');) {
-    servers.push_back(server);
-  }
-  return servers;
+  return Split(FLAGS_server);
 }
 
 // Asks the hosts in turn. A host that surely got nothing is passed over; any other outcome is final.
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -6,6 +6,7 @@
 #include <fmt/core.h>
 #include <nlohmann/json.hpp>
 
+#include "core/overloaded.h"
 #include "ports/explain_api.h"
 #include "ports/json_codec.h"
 #include "ports/log.h"
@@ -152,33 +153,24 @@
     http_->Reply(exchange, RenderError(ask.error()));
     return;
   }
-  if (const auto* submit = std::get_if<CallerSubmit>(&*ask)) {
-    loop_.Post(*submit);
-  } else if (const auto* query = std::get_if<CallerQuery>(&*ask)) {
-    loop_.Post(*query);
-  } else if (const auto* cancel = std::get_if<CallerCancel>(&*ask)) {
-    loop_.Post(*cancel);
-  } else if (const auto* set = std::get_if<OperatorConfigSet>(&*ask)) {
-    loop_.Post(*set);
-  } else if (const auto* history = std::get_if<OperatorHistory>(&*ask)) {
-    loop_.Post(*history);
-  } else if (std::holds_alternative<StatusAsk>(*ask)) {
-    AnswerStatus(exchange);
-  } else if (std::holds_alternative<ConfigAsk>(*ask)) {
-    AnswerConfig(exchange);
-  } else if (std::holds_alternative<MetricsAsk>(*ask)) {
-    AnswerMetrics(exchange);
-  } else if (const auto* request_ask = std::get_if<ExplainRequestAsk>(&*ask)) {
-    AnswerExplain(exchange, request_ask->key);
-  } else if (const auto* worker_ask = std::get_if<ExplainWorkerAsk>(&*ask)) {
-    AnswerExplain(exchange, worker_ask->worker);
-  } else if (std::holds_alternative<LeaveAsk>(*ask)) {
-    Leave();
-    http_->Reply(exchange, HttpReply{202, R"({"leaving":true})"});
-  } else {
-    const bool leaving = leaving_;
-    http_->Reply(exchange, HttpReply{leaving ? 503 : 200, leaving ? R"({"leaving":true})" : R"({"leaving":false})"});
-  }
+  std::visit(
+      Overloaded{[&](const StatusAsk&) { AnswerStatus(exchange); }, [&](const ConfigAsk&) { AnswerConfig(exchange); },
+                 [&](const MetricsAsk&) { AnswerMetrics(exchange); }, [&](const HealthAsk&) { AnswerHealth(exchange); },
+                 [&](const LeaveAsk&) { AnswerLeave(exchange); },
+                 [&](const ExplainRequestAsk& explain) { AnswerExplain(exchange, explain.key); },
+                 [&](const ExplainWorkerAsk& explain) { AnswerExplain(exchange, explain.worker); },
+                 [&](const auto& event) { loop_.Post(event); }},  // The core answers all else.
+      *ask);
+}
+
+void Daemon::AnswerLeave(ExchangeId exchange) {
+  Leave();
+  http_->Reply(exchange, HttpReply{202, R"({"leaving":true})"});
+}
+
+void Daemon::AnswerHealth(ExchangeId exchange) {
+  const bool leaving = leaving_;
+  http_->Reply(exchange, HttpReply{leaving ? 503 : 200, leaving ? R"({"leaving":true})" : R"({"leaving":false})"});
 }
 
 void Daemon::Execute(std::vector<Action> actions) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -53,6 +53,8 @@
   void SendToWorker(const SendWorker& action);
   void SendToServer(const SendServer& action);
   void SendToStore(const SendStore& action);
+  void AnswerLeave(ExchangeId exchange);
+  void AnswerHealth(ExchangeId exchange);
   void AnswerStatus(ExchangeId exchange);
   void AnswerConfig(ExchangeId exchange);
   void AnswerMetrics(ExchangeId exchange);
--- a/src/ports/caller_api.cc
+++ b/src/ports/caller_api.cc
@@ -7,6 +7,7 @@
 #include <fmt/core.h>
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.h"
 #include "core/records.h"
 
 namespace hibiscus {
@@ -199,8 +200,7 @@
   if (answer.retry_after > 0us) {
     json["retry_after_ms"] = Millis(answer.retry_after);
   }
-  return HttpReply{info.http_status, json.dump(-1, ' ', false, Json::error_handler_t::replace), "application/json",
-                   SecondsUp(answer.retry_after)};
+  return HttpReply{info.http_status, JsonText(json), "application/json", SecondsUp(answer.retry_after)};
 }
 
 HttpReply RenderConfig(ResultCode code, const Configuration& configuration) {
@@ -230,7 +230,7 @@
                   {"verdict", NameOf(Verdict::kNotRun)},
                   {"meaning", info.meaning},
                   {"detail", error.detail}};
-  return HttpReply{info.http_status, json.dump(-1, ' ', false, Json::error_handler_t::replace)};
+  return HttpReply{info.http_status, JsonText(json)};
 }
 
 std::string RenderSubmit(const Request& request) {
@@ -245,7 +245,7 @@
                   {"run_ms", Millis(request.run_time)},
                   {"deferred", request.deferred},
                   {"payload", request.payload}};
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return JsonText(json);
 }
 
 }  // namespace hibiscus
--- a/src/ports/connection_guard.cc
+++ b/src/ports/connection_guard.cc
@@ -60,13 +60,6 @@
   return entries_.size();
 }
 
-size_t ConnectionGuard::busy() const {
-  const std::lock_guard lock(mutex_);
-  return static_cast<size_t>(std::count_if(entries_.begin(), entries_.end(), [](const auto& entry) {
-    return entry.second.phase != Phase::kIdle && !entry.second.ended;
-  }));
-}
-
 void ConnectionGuard::Enter(const void* connection, Phase phase) {
   const std::lock_guard lock(mutex_);
   const auto entry = entries_.find(connection);
--- a/src/ports/connection_guard.h
+++ b/src/ports/connection_guard.h
@@ -37,8 +37,6 @@
   void EndUnused(Duration first_request);
 
   size_t open() const;
-  // Connections with a request that has begun and is not over.
-  size_t busy() const;
 
  private:
   enum class Phase { kIdle, kReceiving, kAnswering };
--- a/src/ports/explain_api.cc
+++ b/src/ports/explain_api.cc
@@ -6,6 +6,8 @@
 #include <fmt/core.h>
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.h"
+
 namespace hibiscus {
 
 namespace {
@@ -87,7 +89,7 @@
     std::transform(view.members.begin(), view.members.end(), std::back_inserter(json["members"]),
                    [](const MemberExplanation& member) { return ToJson(member); });
   }
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return JsonText(json);
 }
 
 std::string RenderExplanation(const WorkerExplanation& view) {
@@ -116,7 +118,7 @@
       json["probe_in_ms"] = Millis(view.quarantine.probe_in);
     }
   }
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return JsonText(json);
 }
 
 }  // namespace hibiscus
--- a/src/ports/json_codec.h
+++ b/src/ports/json_codec.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <tl/expected.hpp>
 
+#include "core/json_text.h"
 #include "core/messages.h"
 #include "ports/field_names.h"
 
@@ -127,15 +128,14 @@
 // A value as text, and back. Unreadable text is an error in one sentence.
 template <class Value>
 std::string EncodeJson(const Value& value) {
-  return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return JsonText(nlohmann::json(value));
 }
 
 // The same without the fields that are as in a default value, for calls that are made all the time.
 template <class Value>
 std::string EncodeCall(const Value& value) {
   static const nlohmann::json kPlain(Value{});
-  const nlohmann::json reduced = OmitDefaults(nlohmann::json(value), kPlain);
-  return reduced.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return JsonText(OmitDefaults(nlohmann::json(value), kPlain));
 }
 
 template <class Value>
--- a/standins/fakes.cc
+++ b/standins/fakes.cc
@@ -5,6 +5,8 @@
 
 #include <fmt/core.h>
 
+#include "core/take_if.h"
+
 namespace hibiscus {
 
 namespace {
@@ -71,15 +73,7 @@
 }
 
 void FakeStore::Tick() {
-  std::vector<Watch> due;
-  std::erase_if(watches_, [&](const Watch& watch) {
-    const bool over = clock_.Now() >= watch.until;
-    if (over) {
-      due.push_back(watch);
-    }
-    return over;
-  });
-  for (const Watch& watch : due) {
+  for (const Watch& watch : TakeIf(watches_, [&](const Watch& each) { return clock_.Now() >= each.until; })) {
     watch.reply(Read(watch.call.key));
   }
 }
@@ -103,15 +97,8 @@
 
 void FakeStore::AnswerWatches(const std::string& key) {
   const StoreReply now = Read(key);
-  std::vector<Watch> due;
-  std::erase_if(watches_, [&](const Watch& watch) {
-    const bool changed = watch.call.key == key && watch.call.expected != now.revision;
-    if (changed) {
-      due.push_back(watch);
-    }
-    return changed;
-  });
-  for (const Watch& watch : due) {
+  const auto changed = [&](const Watch& watch) { return watch.call.key == key && watch.call.expected != now.revision; };
+  for (const Watch& watch : TakeIf(watches_, changed)) {
     watch.reply(now);
   }
 }
@@ -256,15 +243,8 @@
 
 void FakeWorker::AnswerRenewal() {
   const bool untold = AnyUntold();
-  std::vector<Renewal> due;
-  std::erase_if(renewals_, [&](const Renewal& renewal) {
-    const bool over = untold || clock_.Now() >= renewal.until;
-    if (over) {
-      due.push_back(renewal);
-    }
-    return over;
-  });
-  for (const Renewal& renewal : due) {
+  const auto over = [&](const Renewal& renewal) { return untold || clock_.Now() >= renewal.until; };
+  for (const Renewal& renewal : TakeIf(renewals_, over)) {
     const bool stale = renewal.call.token != token_;
     renewal.reply(stale ? WorkerReply{WorkerStatus::kStaleToken, 0, {}, false, {}} : Ended());
   }
@@ -303,15 +283,8 @@
 }
 
 void FakeServer::Tick() {
-  std::vector<Execution> due;
-  std::erase_if(calls_, [&](const Execution& execution) {
-    const bool over = clock_.Now() >= execution.ends;
-    if (over) {
-      due.push_back(execution);
-    }
-    return over;
-  });
-  for (const Execution& execution : due) {
+  const auto over = [&](const Execution& execution) { return clock_.Now() >= execution.ends; };
+  for (const Execution& execution : TakeIf(calls_, over)) {
     log_.Ended(execution.call.run, name_);
     execution.reply(ServerReply{ServerStatus::kOk, leaving_, slots_, ExpectedBody(execution.call.run.task)});
   }
--- a/standins/load_main.cc
+++ b/standins/load_main.cc
@@ -18,6 +18,7 @@
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
+#include "core/split.h"
 #include "ports/caller_api.h"
 #include "ports/http_client.h"
 #include "standins/day.h"
@@ -69,15 +70,6 @@
   }
 };
 
-std::vector<std::string> Split(const std::string& text, char separator) {
-  std::vector<std::string> parts;
-  std::stringstream stream(text);
-  for (std::string part; std::getline(stream, part, separator);) {
-    parts.push_back(part);
-  }
-  return parts;
-}
-
 class Load {
  public:
   Load(Day day, std::vector<std::vector<std::string>> centres)
--- a/standins/standin.cc
+++ b/standins/standin.cc
@@ -9,6 +9,7 @@
 #include <fmt/core.h>
 #include <nlohmann/json.hpp>
 
+#include "core/take_if.h"
 #include "ports/json_codec.h"
 
 namespace hibiscus {
@@ -64,15 +65,8 @@
 }
 
 void Standin::Tick() {
-  std::vector<DelayedStoreCall> due;
-  std::erase_if(delayed_, [&](const DelayedStoreCall& call) {
-    const bool over = clock_.Now() >= call.at;
-    if (over) {
-      due.push_back(call);
-    }
-    return over;
-  });
-  for (const DelayedStoreCall& call : due) {
+  for (const DelayedStoreCall& call :
+       TakeIf(delayed_, [&](const DelayedStoreCall& each) { return clock_.Now() >= each.at; })) {
     HandleStore(call.exchange, call.body);
   }
   store_.Tick();
--- a/standins/standin_main.cc
+++ b/standins/standin_main.cc
@@ -3,7 +3,6 @@
 // It exists for tests and the demo; docs/PLATFORM.md states what the real ones must do.
 #include <chrono>
 #include <memory>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -11,6 +10,7 @@
 #include <fmt/core.h>
 #include <gflags/gflags.h>
 
+#include "core/split.h"
 #include "ports/http_server.h"
 #include "ports/log.h"
 #include "standins/relay.h"
@@ -33,15 +33,6 @@
 
 namespace {
 
-std::vector<std::string> Split(const std::string& text) {
-  std::vector<std::string> parts;
-  std::stringstream stream(text);
-  for (std::string part; std::getline(stream, part, ',');) {
-    parts.push_back(part);
-  }
-  return parts;
-}
-
 std::vector<RelayLink> LinksFromFlags() {
   std::vector<RelayLink> links;
   for (const std::string& text : Split(FLAGS_links)) {
--- a/tests/chaos_world.cc
+++ b/tests/chaos_world.cc
@@ -5,6 +5,7 @@
 
 #include <fmt/core.h>
 
+#include "core/overloaded.h"
 #include "core/records.h"
 
 namespace hibiscus {
@@ -17,13 +18,6 @@
 constexpr Duration kRefusedAfter = 2ms;    // A connection to a dead process is refused.
 constexpr const char* kStoreHome = "dc1";  // The store is in the first data centre.
 
-template <class... Handlers>
-struct Overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 }  // namespace
 
 Configuration FirstConfiguration() {
--- a/tests/failure_test.cc
+++ b/tests/failure_test.cc
@@ -31,6 +31,15 @@
   return request;
 }
 
+// The host holds the only worker and has sent the start of a never-twice task, whose reply is still to come.
+void LetOnceTaskStart(OneHost& host) {
+  host.Configure({kOnceTask});
+  LeaseWorker(host, 5);
+  host.Pass(1s);
+  host.Do(CallerSubmit{9, OnceRequest()});
+  host.Pass(600ms);  // No store answers here: the request goes ahead without its record.
+}
+
 }  // namespace
 
 TEST_CASE("only a run whose hold lapsed under the same token is 'not started'; any other absent run is 'gone'") {
@@ -54,11 +63,7 @@
 
 TEST_CASE("a never-twice task whose run is gone is answered unknown and not run again") {
   OneHost host("a1");
-  host.Configure({kOnceTask});
-  LeaseWorker(host, 5);
-  host.Pass(1s);
-  host.Do(CallerSubmit{9, OnceRequest()});
-  host.Pass(600ms);  // No store answers here: the request goes ahead without its record.
+  LetOnceTaskStart(host);
   const auto calls = host.Take<SendWorker>();
   const auto start = std::find_if(calls.begin(), calls.end(),
                                   [](const SendWorker& call) { return call.request.op == WorkerOp::kStart; });
@@ -136,11 +141,7 @@
 
 TEST_CASE("runs on a worker that cannot be reached count as ended once their lease has surely lapsed, not before") {
   OneHost host("a1");
-  host.Configure({kOnceTask});
-  LeaseWorker(host, 5);
-  host.Pass(1s);
-  host.Do(CallerSubmit{9, OnceRequest()});
-  host.Pass(600ms);  // No store answers here: the request goes ahead without its record.
+  LetOnceTaskStart(host);
   for (const SendWorker& call : host.Take<SendWorker>()) {
     const bool start = call.request.op == WorkerOp::kStart;
     const Delivery delivery = start ? Delivery::kAnswered : Delivery::kUnknown;
--- a/tests/log_parts.h
+++ b/tests/log_parts.h
@@ -10,6 +10,7 @@
 #include "core/host_core.h"
 #include "core/log_trimmer.h"
 #include "standins/fakes.h"
+#include "tests/one_host.h"
 
 namespace hibiscus {
 
@@ -93,13 +94,6 @@
   std::vector<StoreCall> calls;
 
  private:
-  static HostSettings SettingsOf(const HostName& name) {
-    HostSettings settings;
-    settings.name = name;
-    settings.data_centre = "dc";
-    return settings;
-  }
-
   void Carry() {
     while (!context.actions.empty()) {
       for (const Action& action : std::exchange(context.actions, {})) {
--- a/tests/one_host.h
+++ b/tests/one_host.h
@@ -10,6 +10,13 @@
 
 namespace hibiscus {
 
+inline HostSettings SettingsOf(const HostName& name) {
+  HostSettings settings;
+  settings.name = name;
+  settings.data_centre = "dc";
+  return settings;
+}
+
 class OneHost {
  public:
   explicit OneHost(const HostName& name) : core(SettingsOf(name), clock, 1) {}
@@ -61,14 +68,6 @@
   ManualClock clock;
   HostCore core;
   std::vector<Action> actions;
-
- private:
-  static HostSettings SettingsOf(const HostName& name) {
-    HostSettings settings;
-    settings.name = name;
-    settings.data_centre = "dc";
-    return settings;
-  }
 };
 
 }  // namespace hibiscus
--- a/tests/retry_budget_test.cc
+++ b/tests/retry_budget_test.cc
@@ -53,6 +53,13 @@
     }
   }
 
+  // Every request must have its answer.
+  void SubmitAll(const std::string& class_name, size_t requests) {
+    Submit(class_name, static_cast<int>(requests));
+    Run(5s);
+    REQUIRE(answers.size() == requests);
+  }
+
   OneHost host;
   int calls = 0;
   int starts = 0;
@@ -132,9 +139,7 @@
 
 TEST_CASE("where every server refuses, calls go out few times and come back as not run, with a time") {
   FailingWorld world(Delivery::kAnswered);
-  world.Submit("call", kRequests);
-  world.Run(5s);
-  REQUIRE(world.answers.size() == kRequests);
+  world.SubmitAll("call", kRequests);
   for (const Answer& answer : world.answers) {
     CHECK(answer.verdict == Verdict::kNotRun);
     CHECK(answer.retry_after > 0us);
@@ -144,9 +149,7 @@
 
 TEST_CASE("where every server breaks calls off, they go out few times and end as unknown") {
   FailingWorld world(Delivery::kUnknown);
-  world.Submit("call", kRequests);
-  world.Run(5s);
-  REQUIRE(world.answers.size() == kRequests);
+  world.SubmitAll("call", kRequests);
   for (const Answer& answer : world.answers) {
     CHECK((answer.verdict == Verdict::kUnknown || answer.verdict == Verdict::kNotRun));
   }
@@ -155,9 +158,7 @@
 
 TEST_CASE("where every run fails, tasks are run again few times and end as failed") {
   FailingWorld world(Delivery::kAnswered);
-  world.Submit("task", kRequests);
-  world.Run(5s);
-  REQUIRE(world.answers.size() == kRequests);
+  world.SubmitAll("task", kRequests);
   for (const Answer& answer : world.answers) {
     CHECK(answer.verdict == Verdict::kFailed);
   }
@@ -167,9 +168,7 @@
 
 TEST_CASE("a rare failure of rare work is tried again, up to the most tries") {
   FailingWorld world(Delivery::kAnswered);
-  world.Submit("task", 1);
-  world.Run(5s);
-  REQUIRE(world.answers.size() == 1);
+  world.SubmitAll("task", 1);
   CHECK(world.answers[0].code == ResultCode::kTaskFailed);
   CHECK(world.starts == 3);
 }
