--- /dev/null
+++ b/src/cell/context.h
@@ -0,0 +1,73 @@
+// What every part of the cell scheduler on one host works with: settings, clocks, timers, ports and counters.
+#ifndef HIBISCUSSTAND_SRC_CELL_CONTEXT_H_
+#define HIBISCUSSTAND_SRC_CELL_CONTEXT_H_
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+
+#include <fmt/core.h>
+
+#include "cell/ports.h"
+#include "cell/timers.h"
+
+namespace hibiscus::cell {
+
+struct CellSettings {
+  HostName name;
+  DataCentre data_centre;
+  std::string peer_address;           // Where other hosts reach this one.
+  uint64_t incarnation = 0;           // Of this process, random.
+  Duration most_hold = 6s;            // Longest hold that a worker grants; platform's bound.
+  Duration stop_takes = 400ms;        // Longest time that a worker takes to stop a run; platform's bound.
+  Duration gang_patience = 3s;        // A member waits this long for the others; platform's bound.
+  Duration state_kept = 120s;         // How long the state of an ended job is told; platform's bound.
+  Duration shortest_lease = 1s;       // Of the store; platform's bound.
+  std::string advice_address;         // Empty: there is no advice service.
+
+  friend bool operator==(const CellSettings&, const CellSettings&) = default;
+};
+
+// Counters by name, for the metrics page. A label set may stand in the name: starts{queue="a"}.
+class Counters {
+ public:
+  void Add(const std::string& name, double by = 1) { values_[name] += by; }
+  void Set(const std::string& name, double to) { values_[name] = to; }
+  const std::map<std::string, double>& values() const { return values_; }
+
+ private:
+  std::map<std::string, double> values_;
+};
+
+struct Context {
+  CellSettings settings;
+  const Clock& clock;      // Includes the time in which the host was suspended.
+  const WallClock& wall;
+  Timers& timers;
+  StorePort& store;
+  WorkerPort& workers;
+  AdvicePort& advice;
+  PeerPort& peers;
+  const DirectoryPort& directory;
+  EventLog& log;
+  Counters& counters;
+  std::mt19937_64 random;
+
+  TimePoint Now() const { return clock.Now(); }
+  // A uniform draw below `limit`.
+  Duration Jitter(Duration limit) {
+    return Duration(static_cast<int64_t>(random() % static_cast<uint64_t>(limit.count() + 1)));
+  }
+
+  template <class... Args>
+  void Log(const char* part, fmt::format_string<Args...> format, Args&&... args) {
+    if (log.Takes(part)) {
+      log.Write(part, fmt::format(format, std::forward<Args>(args)...));
+    }
+  }
+};
+
+}  // namespace hibiscus::cell
+
+#endif  // HIBISCUSSTAND_SRC_CELL_CONTEXT_H_
--- /dev/null
+++ b/src/cell/group_commit.h
@@ -0,0 +1,72 @@
+// Writes what the owner decides to the store, many changes in one transaction. Every transaction expects the head key as
+// the one before left it, so a late copy of an older one and a writer who is no longer the owner change nothing.
+#ifndef HIBISCUSSTAND_SRC_CELL_GROUP_COMMIT_H_
+#define HIBISCUSSTAND_SRC_CELL_GROUP_COMMIT_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "cell/context.h"
+#include "cell/records.h"
+
+namespace hibiscus::cell {
+
+// What one transaction carries, and who wants to know that it stands.
+struct Batch {
+  std::vector<StoreWrite> writes;
+  std::vector<std::string> removals;
+  std::function<void()> stands;
+
+  size_t entries() const { return writes.size() + removals.size(); }
+};
+
+// Most entries of a batch: a transaction expects and writes the head besides.
+inline constexpr size_t kMostBatchEntries = kMostEntries - 2;
+
+class GroupCommit {
+ public:
+  // Fills a batch with what is new; called when a transaction can go out. Empty: nothing is new.
+  using Source = std::function<Batch(uint64_t number)>;
+
+  GroupCommit(Context& context, uint64_t epoch, uint64_t head_revision, Source source, std::function<void()> deposed);
+  ~GroupCommit();
+  GroupCommit(const GroupCommit&) = delete;
+  GroupCommit& operator=(const GroupCommit&) = delete;
+
+  // There is something new: it goes out within the window, or once the transaction in flight is over.
+  void Request();
+  // No transaction goes out after the one in flight.
+  void Close() { closed_ = true; }
+
+  bool in_flight() const { return in_flight_; }
+  // How long the store has not confirmed what was sent; 0 if nothing waits.
+  Duration stalled_for() const;
+  uint64_t head_revision() const { return head_revision_; }
+
+ private:
+  void Flush();
+  void Send();
+  void OnAnswer(const StoreAnswer& answer);
+  void Succeed(uint64_t revision);
+  void RetryIn(Duration delay);
+
+  Context& context_;
+  const uint64_t epoch_;
+  uint64_t head_revision_;
+  Source source_;
+  std::function<void()> deposed_;
+  uint64_t number_ = 0;  // Of the last batch.
+  Batch batch_;          // In flight.
+  StoreTransaction transaction_;
+  bool in_flight_ = false;
+  bool requested_ = false;
+  bool closed_ = false;
+  TimePoint sent_{};      // First sending of the batch in flight.
+  Duration backoff_{};    // Before the next try.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace hibiscus::cell
+
+#endif  // HIBISCUSSTAND_SRC_CELL_GROUP_COMMIT_H_
--- /dev/null
+++ b/src/cell/host.cc
@@ -0,0 +1,246 @@
+#include "cell/host.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/overloaded.h"
+
+namespace hibiscus::cell {
+
+namespace {
+
+constexpr Duration kTick = 200ms;
+constexpr Duration kAskAgain = 700ms;     // A request without a reply goes out again; the owner knows it by its id.
+constexpr Duration kLookAgain = 50ms;     // While no owner is known.
+constexpr Duration kAfterUnsure = 150ms;  // Before a request is put to the next owner.
+constexpr Duration kPingAfter = 800ms;    // Without a word from the owner.
+constexpr Duration kLostAfter = 2500ms;   // Without a word, callers are sent to other hosts; longer than a takeover.
+constexpr Duration kComeBack = 1s;        // Retry-After while there is no owner.
+
+}  // namespace
+
+Host::Host(Context& context, OnNewConfiguration on_configuration)
+    : context_(context),
+      on_configuration_(std::move(on_configuration)),
+      configuration_watch_(
+          context,
+          context.directory.configuration_key(),
+          [this](const std::vector<StoreItem>& items) {
+            std::for_each(items.begin(), items.end(), [this](const StoreItem& item) { OnConfigurationItem(item); });
+          },
+          [this](const StoreItem& item) { OnConfigurationItem(item); }),
+      live_watch_(
+          context,
+          kLivePrefix,
+          [this](const std::vector<StoreItem>& items) { OnLiveReset(items); },
+          [this](const StoreItem& item) { OnLiveItem(item); }),
+      registration_(context,
+                    kHostPrefix + context.settings.name,
+                    EncodeRecord(HostRecord{context.settings.name, context.settings.peer_address,
+                                            context.settings.incarnation})),
+      last_call_(context.random()) {}
+
+Host::~Host() {
+  *alive_ = false;
+}
+
+void Host::Begin() {
+  configuration_watch_.Begin();
+  live_watch_.Begin();
+  registration_.Begin();
+  Tick();
+}
+
+void Host::Tick() {
+  context_.timers.In(kTick, Guarded([this] { Tick(); }));
+  if (owner_ != nullptr) {
+    Heard();
+    return;
+  }
+  if (context_.Now() - heard_owner_ > kPingAfter) {
+    const Ping ping{context_.settings.peer_address};
+    if (!IsFree()) {
+      Send(known_.record.address, ping);
+    }
+    if (context_.Now() - heard_owner_ > kLostAfter) {
+      for (const auto& [key, host] : hosts_) {
+        if (host.address != context_.settings.peer_address) {
+          Send(host.address, ping);
+        }
+      }
+    }
+  }
+  ConsiderClaim();
+}
+
+bool Host::ready() const {
+  const bool in_contact = owner_ != nullptr || context_.Now() - heard_owner_ < kLostAfter;
+  return configuration_.version > 0 && !leaving_ && in_contact;
+}
+
+void Host::UpdateGauges() {
+  context_.counters.Set("config_version", static_cast<double>(configuration_.version));
+  context_.counters.Set("is_owner", owner_ != nullptr ? 1 : 0);
+  context_.counters.Set("hosts_listed", static_cast<double>(hosts_.size()));
+  context_.counters.Set("requests_pending", static_cast<double>(pending_.size()));
+  if (owner_ != nullptr) {
+    owner_->UpdateGauges();
+  }
+}
+
+// --- Callers ---
+
+void Host::Handle(CallerRequest request, TimePoint deadline, Reply reply) {
+  const uint64_t call = ++last_call_;
+  request.call = call;
+  request.reply_to = context_.settings.peer_address;
+  pending_[call] = Pending{std::move(request), deadline, std::move(reply), false, 0};
+  context_.timers.In(std::max(Duration(0), deadline - context_.Now()), Guarded([this, call] { GiveUp(call); }));
+  Dispatch(call);
+}
+
+void Host::DispatchIn(uint64_t call, Duration delay) {
+  const auto pending = pending_.find(call);
+  if (pending == pending_.end()) {
+    return;
+  }
+  const uint64_t timer = ++pending->second.timer;
+  context_.timers.In(delay, Guarded([this, call, timer] {
+                       const auto found = pending_.find(call);
+                       if (found != pending_.end() && found->second.timer == timer) {
+                         Dispatch(call);
+                       }
+                     }));
+}
+
+void Host::Dispatch(uint64_t call) {
+  Pending& pending = pending_.at(call);
+  if (owner_ != nullptr) {
+    pending.sent = true;
+    ++pending.timer;
+    owner_->Handle(pending.request, Guarded([this](const CallerReply& reply) { OnReply(reply); }));
+    return;
+  }
+  if (!IsFree() && known_.record.address != context_.settings.peer_address) {
+    pending.sent = true;
+    Send(known_.record.address, pending.request);
+    DispatchIn(call, kAskAgain);
+    return;
+  }
+  DispatchIn(call, kLookAgain);
+}
+
+void Host::DispatchAll() {
+  std::vector<uint64_t> calls;
+  for (const auto& [call, pending] : pending_) {
+    calls.push_back(call);
+  }
+  for (const uint64_t call : calls) {
+    if (pending_.contains(call)) {
+      Dispatch(call);
+    }
+  }
+}
+
+void Host::OnReply(const CallerReply& reply) {
+  const auto found = pending_.find(reply.call);
+  if (found == pending_.end()) {
+    return;
+  }
+  if (reply.outcome == CallerOutcome::kNotOwner) {
+    DispatchIn(reply.call, kLookAgain);
+    return;
+  }
+  if (reply.outcome == CallerOutcome::kUnsure) {
+    DispatchIn(reply.call, kAfterUnsure);
+    return;
+  }
+  const Reply done = std::move(found->second.reply);
+  pending_.erase(found);
+  done(reply);
+}
+
+void Host::GiveUp(uint64_t call) {
+  const auto found = pending_.find(call);
+  if (found == pending_.end()) {
+    return;
+  }
+  const Pending pending = std::move(found->second);
+  pending_.erase(found);
+  const CallerOutcome outcome = pending.sent ? CallerOutcome::kUnsure : CallerOutcome::kUnavailable;
+  context_.counters.Add("requests_given_up");
+  context_.Log("caller", "event=given_up job={} queue={} kind={} sent={} owner={} owner_silent_ms={}",
+               pending.request.job, pending.request.queue, static_cast<int>(pending.request.kind), pending.sent,
+               known_.present ? known_.record.host : "none", Millis(context_.Now() - heard_owner_));
+  pending.reply(CallerReply{call, outcome, {}, 0, kComeBack});
+}
+
+// --- Other hosts ---
+
+void Host::Send(const std::string& address, const Message& message) {
+  context_.peers.Send(address, EncodeMessage(message));
+}
+
+void Host::OnPeerMessage(const std::string& bytes) {
+  const auto message = DecodeMessage(bytes);
+  if (!message) {
+    context_.Log("peer", "event=unreadable_message bytes={} reason=\"{}\"", bytes.size(), message.error());
+    return;
+  }
+  std::visit(Overloaded{
+                 [&](const CallerRequest& request) { OnCallerRequest(request); },
+                 [&](const CallerReply& reply) {
+                   if (reply.outcome != CallerOutcome::kNotOwner) {
+                     Heard();
+                   }
+                   OnReply(reply);
+                 },
+                 [&](const AdviceRequest& request) { OnAdviceRequest(request); },
+                 [&](const AdviceReply& reply) {
+                   if (owner_ != nullptr) {
+                     owner_->OnAdvice(reply);
+                   }
+                 },
+                 [&](const Ping& ping) { OnPing(ping); },
+                 [&](const OwnerNews& news) { OnOwnerNews(news); },
+             },
+             *message);
+}
+
+void Host::OnCallerRequest(const CallerRequest& request) {
+  if (owner_ == nullptr) {
+    Send(request.reply_to, CallerReply{request.call, CallerOutcome::kNotOwner, {}, 0, 0us});
+    return;
+  }
+  owner_->Handle(request, Guarded([this, to = request.reply_to](const CallerReply& reply) { Send(to, reply); }));
+}
+
+void Host::OnAdviceRequest(const AdviceRequest& request) {
+  Heard();
+  context_.advice.Ask(request.step, request.workers, request.timeout,
+                      Guarded([this, call = request.call, to = request.reply_to](const AdviceAnswer& answer) {
+                        Send(to, AdviceReply{call, answer.answered, answer.allowed});
+                      }));
+}
+
+void Host::OnPing(const Ping& ping) {
+  OwnerNews news;
+  if (!IsFree()) {
+    news = OwnerNews{known_.term, known_.record.host, known_.record.address};
+  }
+  Send(ping.reply_to, news);
+}
+
+void Host::OnOwnerNews(const OwnerNews& news) {
+  if (news.term == 0) {
+    return;
+  }
+  if (news.term > known_.term) {
+    Learn(news.term, true, OwnerRecord{news.host, news.address, 0, 0, false});
+  }
+  if (news.term == known_.term && known_.present) {
+    Heard();
+  }
+}
+
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/src/cell/host.h
@@ -0,0 +1,135 @@
+// One host of the cell. All hosts are alike: each serves callers and asks the advice service for the owner, and any of
+// them can become the owner. What the hosts agree on lies in the store: the owner record names one, hangs on its lease,
+// and is only ever replaced on the condition that it is absent or released. The revision at which it was written is the
+// owner's term and the fencing token of its orders.
+#ifndef HIBISCUSSTAND_SRC_CELL_HOST_H_
+#define HIBISCUSSTAND_SRC_CELL_HOST_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cell/context.h"
+#include "cell/live_lease.h"
+#include "cell/messages.h"
+#include "cell/owner.h"
+#include "cell/prefix_watch.h"
+#include "cell/records.h"
+
+namespace hibiscus::cell {
+
+class Host {
+ public:
+  using Reply = std::function<void(const CallerReply&)>;
+  using OnNewConfiguration = std::function<void(const CellConfiguration&)>;
+
+  // `on_configuration` is told of each configuration that comes into force.
+  Host(Context& context, OnNewConfiguration on_configuration);
+  ~Host();
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+
+  void Begin();
+
+  // Passes a caller's request on to the owner; replies once, at the deadline at the latest. `call` and `reply_to` are
+  // filled in here.
+  void Handle(CallerRequest request, TimePoint deadline, Reply reply);
+  void OnPeerMessage(const std::string& bytes);
+
+  // The planned end: another host takes the cell over; callers are still served. Calls back once.
+  void Leave(std::function<void()> left);
+
+  // True while callers can be served.
+  bool ready() const;
+  const CellConfiguration& configuration() const { return configuration_; }
+  const Owner* owner() const { return owner_.get(); }
+  void UpdateGauges();
+
+ private:
+  // The owner as the store or another host last named it.
+  struct KnownOwner {
+    uint64_t term = 0;  // Revision of the record. 0: none was ever seen.
+    bool present = false;
+    OwnerRecord record;
+  };
+  struct Pending {
+    CallerRequest request;
+    TimePoint deadline{};
+    Reply reply;
+    bool sent = false;     // It may have reached an owner.
+    uint64_t timer = 0;    // Only the newest counts.
+  };
+
+  // --- host.cc: callers and other hosts ---
+  void Dispatch(uint64_t call);
+  void DispatchIn(uint64_t call, Duration delay);
+  void DispatchAll();
+  void OnReply(const CallerReply& reply);
+  void GiveUp(uint64_t call);
+  void OnCallerRequest(const CallerRequest& request);
+  void OnAdviceRequest(const AdviceRequest& request);
+  void OnOwnerNews(const OwnerNews& news);
+  void OnPing(const Ping& ping);
+  void Send(const std::string& address, const Message& message);
+  void Heard() { heard_owner_ = context_.Now(); }
+  void Tick();
+
+  // --- host_election.cc: the store ---
+  void OnConfigurationItem(const StoreItem& item);
+  void OnLiveItem(const StoreItem& item);
+  void OnLiveReset(const std::vector<StoreItem>& items);
+  void OnOwnerItem(const StoreItem* item);
+  void Learn(uint64_t term, bool present, const OwnerRecord& record);
+  void ConsiderClaim();
+  void BeginClaim();
+  void ReadHead();
+  void Claim(uint64_t lease, uint64_t head_revision, uint64_t epoch);
+  void ResolveClaim(const Ownership& wanted, uint64_t lease);
+  void EndClaim(const char* reason, uint64_t lease);
+  void BecomeOwner(const Ownership& ownership, uint64_t lease);
+  void Renew();
+  void RestoreRecord();
+  void WriteRecordAgain(uint64_t lease);
+  void Deposed();
+  void DropOwner();
+  void ReleaseRecord(std::function<void()> left);
+  OwnerRecord OwnRecord(uint64_t epoch, bool released) const;
+  bool IsOwn(const OwnerRecord& record) const;
+  bool IsFree() const;
+  template <class Work>
+  auto Guarded(Work work) {
+    return [alive = alive_, work = std::move(work)](const auto&... values) {
+      if (*alive) {
+        work(values...);
+      }
+    };
+  }
+
+  Context& context_;
+  OnNewConfiguration on_configuration_;
+  CellConfiguration configuration_;
+  PrefixWatch configuration_watch_;
+  PrefixWatch live_watch_;
+  LiveLease registration_;  // Under which this host is listed.
+  std::map<std::string, HostRecord> hosts_;  // By key: all that are listed.
+
+  KnownOwner known_;
+  TimePoint heard_owner_{};  // Last word from it.
+  bool claiming_ = false;
+  uint64_t claim_timer_ = 0;
+  std::unique_ptr<Owner> owner_;
+  uint64_t owner_lease_ = 0;
+  bool restoring_ = false;  // Its record is gone from the store and is being written again.
+  bool leaving_ = false;
+
+  std::map<uint64_t, Pending> pending_;
+  uint64_t last_call_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace hibiscus::cell
+
+#endif  // HIBISCUSSTAND_SRC_CELL_HOST_H_
--- /dev/null
+++ b/src/cell/host_election.cc
@@ -0,0 +1,416 @@
+// What a host learns from the store, and how it becomes and stops being the owner.
+#include <algorithm>
+#include <utility>
+
+#include "cell/host.h"
+
+namespace hibiscus::cell {
+
+namespace {
+
+constexpr Duration kOwnerLease = 2s;          // A dead owner's record is gone after this.
+constexpr Duration kRenewEvery = 500ms;       // Three renewals may fail within the lease.
+constexpr Duration kRenewAgain = 150ms;       // After one that had no answer.
+constexpr Duration kIncumbentFirst = 250ms;   // An owner whose record went while it lives writes it again within this.
+constexpr Duration kLongestRank = 300ms;      // Hosts far from the store claim so much later.
+constexpr Duration kClaimJitter = 20ms;       // Between hosts that are equally near.
+constexpr Duration kClaimAgain = 200ms;       // After a claim that came to nothing.
+constexpr Duration kReleaseWithin = 1500ms;   // A planned stop waits so long for the last batch.
+constexpr int kRankFactor = 3;                // Round trips to the store that a claim waits.
+
+}  // namespace
+
+OwnerRecord Host::OwnRecord(uint64_t epoch, bool released) const {
+  const CellSettings& settings = context_.settings;
+  return OwnerRecord{settings.name, settings.peer_address, settings.incarnation, epoch, released};
+}
+
+// Whether the cell may be claimed: nobody owns it, or an earlier process of this host did, and is gone.
+bool Host::IsFree() const {
+  const OwnerRecord& record = known_.record;
+  const bool by_earlier_process =
+      record.host == context_.settings.name && record.incarnation != 0 && !IsOwn(record);
+  return !known_.present || record.released || by_earlier_process;
+}
+
+bool Host::IsOwn(const OwnerRecord& record) const {
+  return record.host == context_.settings.name && record.incarnation == context_.settings.incarnation;
+}
+
+// --- What the store says ---
+
+void Host::OnConfigurationItem(const StoreItem& item) {
+  if (item.removed || item.key != context_.directory.configuration_key()) {
+    return;
+  }
+  const auto configuration = context_.directory.ReadConfiguration(item);
+  if (!configuration) {
+    context_.Log("config", "event=config_unreadable revision={} kept_version={} reason=\"{}\"", item.revision,
+                 configuration_.version, configuration.error());
+    return;
+  }
+  if (configuration->version <= configuration_.version) {
+    return;
+  }
+  configuration_ = *configuration;
+  context_.Log("config", "event=config_in_force version={} revision={} queues={}", configuration_.version,
+               item.revision, configuration_.queues.size());
+  on_configuration_(configuration_);
+  if (owner_ != nullptr) {
+    owner_->OnConfiguration(configuration_);
+  }
+}
+
+void Host::OnLiveReset(const std::vector<StoreItem>& items) {
+  hosts_.clear();
+  const StoreItem* owner = nullptr;
+  bool own_listed = false;
+  for (const StoreItem& item : items) {
+    if (item.key == kOwnerKey) {
+      owner = &item;
+    } else {
+      OnLiveItem(item);
+      own_listed = own_listed || item.key == kHostPrefix + context_.settings.name;
+    }
+  }
+  if (owner != nullptr || live_watch_.revision() > known_.term) {
+    OnOwnerItem(owner);
+  }
+  if (!own_listed) {
+    registration_.OnKeyGone();
+  }
+}
+
+void Host::OnLiveItem(const StoreItem& item) {
+  if (item.key == kOwnerKey) {
+    if (!item.removed) {
+      OnOwnerItem(&item);
+    } else if (item.revision > known_.term) {
+      OnOwnerItem(nullptr);
+    }
+    return;
+  }
+  if (item.removed) {
+    hosts_.erase(item.key);
+    if (item.key == kHostPrefix + context_.settings.name) {
+      registration_.OnKeyGone();
+    }
+  } else if (const auto host = DecodeRecord<HostRecord>(item.value); host) {
+    hosts_[item.key] = *host;
+  } else {
+    context_.Log("store", "event=unreadable key={} reason=\"{}\"", item.key, host.error());
+  }
+  if (owner_ != nullptr) {
+    std::vector<HostRecord> hosts;
+    for (const auto& [key, host] : hosts_) {
+      hosts.push_back(host);
+    }
+    owner_->OnHosts(hosts);
+  }
+}
+
+void Host::OnOwnerItem(const StoreItem* item) {
+  if (item == nullptr) {
+    Learn(known_.term, false, known_.record);
+    return;
+  }
+  const auto record = DecodeRecord<OwnerRecord>(item->value);
+  if (!record) {
+    context_.Log("owner", "event=unreadable key={} reason=\"{}\"", item->key, record.error());
+    return;
+  }
+  Learn(item->revision, true, *record);
+}
+
+void Host::Learn(uint64_t term, bool present, const OwnerRecord& record) {
+  if (term < known_.term) {
+    return;  // Older than what another host said.
+  }
+  const bool news = term > known_.term || present != known_.present;
+  known_ = KnownOwner{term, present, record};
+  if (!news) {
+    return;
+  }
+  context_.Log("owner", "event=owner_known host={} term={} present={} released={}", record.host, term, present,
+               record.released);
+  const bool other = present && record.address != context_.settings.peer_address;
+  if (owner_ != nullptr && other && term > owner_->ownership().term) {
+    Deposed();
+  } else if (owner_ != nullptr && !present && !leaving_) {
+    RestoreRecord();
+  }
+  if (!IsFree()) {
+    Heard();
+    DispatchAll();
+  } else {
+    ConsiderClaim();
+  }
+}
+
+// --- Becoming the owner ---
+
+void Host::ConsiderClaim() {
+  if (owner_ != nullptr || claiming_ || leaving_ || !IsFree() || configuration_.version == 0 ||
+      live_watch_.revision() == 0) {
+    return;
+  }
+  claiming_ = true;
+  const bool may_live = known_.term != 0 && !known_.present;  // Its lease may have ended early.
+  const Duration rank = std::min(live_watch_.round_trip() * kRankFactor, kLongestRank);
+  const Duration delay = rank + context_.Jitter(kClaimJitter) + (may_live ? kIncumbentFirst : Duration(0));
+  context_.timers.In(delay, Guarded([this] { BeginClaim(); }));
+}
+
+void Host::BeginClaim() {
+  if (!IsFree()) {
+    claiming_ = false;
+    return;
+  }
+  ReadHead();
+}
+
+void Host::ReadHead() {
+  context_.store.Read(kHeadKey, Guarded([this](const StoreAnswer& answer) {
+                        if (answer.status != StoreStatus::kOk && answer.status != StoreStatus::kNotFound) {
+                          EndClaim("head_not_read", 0);
+                          return;
+                        }
+                        uint64_t revision = 0;
+                        HeadRecord head;
+                        if (!answer.items.empty()) {
+                          const auto record = DecodeRecord<HeadRecord>(answer.items.front().value);
+                          if (!record) {
+                            EndClaim("head_unreadable", 0);
+                            return;
+                          }
+                          revision = answer.items.front().revision;
+                          head = *record;
+                        }
+                        const Duration ttl = std::max(kOwnerLease, context_.settings.shortest_lease);
+                        context_.store.GrantLease(
+                            ttl, Guarded([this, revision, head](const StoreAnswer& granted) {
+                              if (granted.status != StoreStatus::kOk) {
+                                EndClaim("no_lease", 0);
+                                return;
+                              }
+                              Claim(granted.lease, revision, head.epoch + 1);
+                            }));
+                      }));
+}
+
+void Host::Claim(uint64_t lease, uint64_t head_revision, uint64_t epoch) {
+  if (!IsFree()) {
+    EndClaim("another_owner", lease);
+    return;
+  }
+  const uint64_t record_revision = known_.present ? known_.term : 0;
+  StoreTransaction claim;
+  claim.expected = {Expectation{kOwnerKey, record_revision}, Expectation{kHeadKey, head_revision}};
+  claim.writes = {StoreWrite{kOwnerKey, EncodeRecord(OwnRecord(epoch, false)), lease},
+                  StoreWrite{kHeadKey, EncodeRecord(HeadRecord{epoch, 0}), 0}};
+  context_.store.Commit(claim, Guarded([this, lease, epoch](const StoreAnswer& answer) {
+                          const Ownership wanted{epoch, answer.revision, answer.revision};
+                          if (answer.status == StoreStatus::kOk) {
+                            BecomeOwner(wanted, lease);
+                          } else if (answer.status == StoreStatus::kUnknown) {
+                            ResolveClaim(wanted, lease);
+                          } else {
+                            EndClaim(NameOf(answer.status), lease);
+                          }
+                        }));
+}
+
+// The claim had no answer. The record tells whether it was carried out; if it is carried out after that, the watch brings
+// a record of this process without an owner behind it, which is released.
+void Host::ResolveClaim(const Ownership& wanted, uint64_t lease) {
+  context_.store.Read(kOwnerKey, Guarded([this, wanted, lease](const StoreAnswer& answer) {
+                        const bool found = answer.status == StoreStatus::kOk && !answer.items.empty();
+                        const auto record = found ? DecodeRecord<OwnerRecord>(answer.items.front().value)
+                                                  : tl::unexpected(std::string("absent"));
+                        if (record && IsOwn(*record) && record->epoch == wanted.epoch && !record->released) {
+                          const uint64_t revision = answer.items.front().revision;
+                          BecomeOwner(Ownership{wanted.epoch, revision, revision}, lease);
+                          return;
+                        }
+                        EndClaim("unanswered", lease);
+                      }));
+}
+
+void Host::EndClaim(const char* reason, uint64_t lease) {
+  context_.Log("owner", "event=claim_failed reason={} known_term={}", reason, known_.term);
+  context_.counters.Add("owner_claims_failed");
+  if (lease != 0) {
+    context_.store.EndLease(lease, [](const StoreAnswer&) {});
+  }
+  context_.timers.In(kClaimAgain, Guarded([this] {
+                       claiming_ = false;
+                       ConsiderClaim();
+                     }));
+}
+
+void Host::BecomeOwner(const Ownership& ownership, uint64_t lease) {
+  claiming_ = false;
+  if (leaving_) {
+    context_.store.EndLease(lease, [](const StoreAnswer&) {});
+    return;
+  }
+  context_.counters.Add("owner_takeovers");
+  owner_lease_ = lease;
+  known_ = KnownOwner{ownership.term, true, OwnRecord(ownership.epoch, false)};
+  owner_ = std::make_unique<Owner>(context_, ownership, configuration_, [this] {
+    // The owner is inside a call of its own: it goes once that is over.
+    context_.timers.In(Duration(0), Guarded([this] { Deposed(); }));
+  });
+  std::vector<HostRecord> hosts;
+  for (const auto& [key, host] : hosts_) {
+    hosts.push_back(host);
+    if (host.address != context_.settings.peer_address) {
+      Send(host.address, OwnerNews{ownership.term, context_.settings.name, context_.settings.peer_address});
+    }
+  }
+  owner_->OnHosts(hosts);
+  owner_->Begin();
+  context_.timers.In(kRenewEvery, Guarded([this] { Renew(); }));
+  DispatchAll();
+}
+
+// --- Staying the owner ---
+
+void Host::Renew() {
+  if (owner_ == nullptr) {
+    return;
+  }
+  context_.store.KeepLease(owner_lease_, Guarded([this, lease = owner_lease_](const StoreAnswer& answer) {
+                             if (owner_ == nullptr || lease != owner_lease_) {
+                               return;
+                             }
+                             if (answer.status == StoreStatus::kNoLease || answer.status == StoreStatus::kNotFound) {
+                               RestoreRecord();
+                               return;
+                             }
+                             const Duration next = answer.status == StoreStatus::kOk ? kRenewEvery : kRenewAgain;
+                             context_.timers.In(next, Guarded([this] { Renew(); }));
+                           }));
+}
+
+// The record has gone although this owner lives. It may be written again if nobody has taken the cell over: batches are
+// fenced by the head key in any case.
+void Host::RestoreRecord() {
+  if (restoring_ || leaving_ || owner_ == nullptr) {
+    return;
+  }
+  restoring_ = true;
+  context_.Log("owner", "event=record_gone epoch={} term={}", owner_->ownership().epoch, owner_->ownership().term);
+  const Duration ttl = std::max(kOwnerLease, context_.settings.shortest_lease);
+  context_.store.GrantLease(ttl, Guarded([this](const StoreAnswer& answer) {
+                              if (answer.status == StoreStatus::kOk && owner_ != nullptr) {
+                                WriteRecordAgain(answer.lease);
+                                return;
+                              }
+                              context_.timers.In(kRenewAgain, Guarded([this] {
+                                                   restoring_ = false;
+                                                   RestoreRecord();
+                                                 }));
+                            }));
+}
+
+void Host::WriteRecordAgain(uint64_t lease) {
+  StoreTransaction again;
+  again.expected = {Expectation{kOwnerKey, 0}};
+  again.writes = {StoreWrite{kOwnerKey, EncodeRecord(OwnRecord(owner_->ownership().epoch, false)), lease}};
+  context_.store.Commit(again, Guarded([this, lease](const StoreAnswer& answer) {
+                          restoring_ = false;
+                          if (owner_ == nullptr) {
+                            return;
+                          }
+                          if (answer.status == StoreStatus::kOk) {
+                            owner_lease_ = lease;
+                            Learn(answer.revision, true, OwnRecord(owner_->ownership().epoch, false));
+                            Renew();
+                            return;
+                          }
+                          context_.Log("owner", "event=record_not_restored status={}", NameOf(answer.status));
+                          if (answer.status == StoreStatus::kConflict) {
+                            for (const StoreItem& item : answer.items) {
+                              const auto record = DecodeRecord<OwnerRecord>(item.value);
+                              if (item.key == kOwnerKey && record && !IsOwn(*record)) {
+                                Learn(item.revision, true, *record);
+                                return;
+                              }
+                              if (item.key == kOwnerKey && record && IsOwn(*record)) {
+                                owner_lease_ = item.lease;
+                                Renew();
+                                return;
+                              }
+                            }
+                          }
+                          context_.timers.In(kRenewAgain, Guarded([this] { RestoreRecord(); }));
+                        }));
+}
+
+// --- No longer the owner ---
+
+void Host::Deposed() {
+  if (owner_ == nullptr) {
+    return;
+  }
+  context_.counters.Add("owner_deposed");
+  if (owner_lease_ != 0) {
+    context_.store.EndLease(owner_lease_, [](const StoreAnswer&) {});
+  }
+  DropOwner();
+}
+
+void Host::DropOwner() {
+  owner_.reset();
+  owner_lease_ = 0;
+  restoring_ = false;
+  if (known_.present && known_.record.address == context_.settings.peer_address) {
+    known_.present = false;
+  }
+  DispatchAll();
+}
+
+// --- Leaving ---
+
+void Host::Leave(std::function<void()> left) {
+  if (leaving_) {
+    return;
+  }
+  leaving_ = true;
+  registration_.End();
+  if (owner_ == nullptr) {
+    left();
+    return;
+  }
+  auto once = std::make_shared<std::function<void()>>(std::move(left));
+  const auto release = Guarded([this, once] {
+    if (*once) {
+      ReleaseRecord(std::exchange(*once, nullptr));
+    }
+  });
+  context_.timers.In(kReleaseWithin, release);
+  owner_->Close([release](uint64_t) { release(); });
+}
+
+// Others may take over at once: the record stays, marked as released, until one of them replaces it.
+void Host::ReleaseRecord(std::function<void()> left) {
+  if (owner_ == nullptr) {
+    left();
+    return;
+  }
+  StoreTransaction transaction;
+  transaction.expected = {Expectation{kOwnerKey, known_.term}};
+  transaction.writes = {StoreWrite{kOwnerKey, EncodeRecord(OwnRecord(owner_->ownership().epoch, true)), 0}};
+  context_.store.Commit(transaction, Guarded([this, left](const StoreAnswer& answer) {
+                          context_.Log("owner", "event=released status={}", NameOf(answer.status));
+                          if (answer.status == StoreStatus::kOk) {
+                            Learn(answer.revision, true, OwnRecord(0, true));
+                          } else {
+                            context_.store.EndLease(owner_lease_, [](const StoreAnswer&) {});
+                          }
+                          left();
+                        }));
+}
+
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/src/cell/job_table.cc
@@ -0,0 +1,225 @@
+#include "cell/job_table.h"
+
+#include <algorithm>
+
+#include <fmt/core.h>
+
+namespace hibiscus::cell {
+
+namespace {
+
+constexpr size_t kMostPayload = 4000;    // Bytes; the platform's bound.
+constexpr int kMostTasks = 20'000;       // Of one job: more would not fit any cell of the target size.
+constexpr size_t kMostSteps = 200;       // Of one job.
+constexpr size_t kIdLength = 16;         // Hexadecimal digits; the platform's bound.
+constexpr int64_t kMostAmount = 1'000'000'000;
+
+bool IsHex(const std::string& text) {
+  return text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
+std::string ProblemOf(const StepSpec& step, int number) {
+  if (step.count < 1 || step.count > kMostTasks) {
+    return fmt::format("step {} has {} tasks; it must have 1 to {}", number, step.count, kMostTasks);
+  }
+  const Resources most{kMostAmount, kMostAmount, kMostAmount};
+  if (!step.size.IsValid() || !step.size.FitsIn(most)) {
+    return fmt::format("step {} asks for an amount out of range; each must be 0 to {}", number, kMostAmount);
+  }
+  for (const int before : step.after) {
+    if (before < 0 || before >= number) {
+      return fmt::format("step {} waits for step {}; it must be an earlier one", number, before);
+    }
+  }
+  if (step.most_per_worker < 0) {
+    return fmt::format("step {} allows {} tasks on a worker; it must be 0 or more", number, step.most_per_worker);
+  }
+  return {};
+}
+
+}  // namespace
+
+TaskRef StepRun::RefOf(int index) const {
+  return TaskRef{job->id(), occurrence, step, index};
+}
+
+void Job::WhenStored(std::function<void()> done) {
+  if (dirty) {
+    on_stored.push_back(std::move(done));
+  } else if (in_batch) {
+    on_batch_stands.push_back(std::move(done));
+  } else {
+    done();
+  }
+}
+
+Occurrence MakeOccurrence(Job& job, int number, int run_base) {
+  Occurrence occurrence;
+  for (size_t i = 0; i < job.record.spec.steps.size(); ++i) {
+    auto step = std::make_unique<StepRun>();
+    step->job = &job;
+    step->occurrence = number;
+    step->step = static_cast<int>(i);
+    step->spec = &job.record.spec.steps[i];
+    step->tasks.resize(static_cast<size_t>(step->spec->count));
+    for (TaskState& task : step->tasks) {
+      task.run = run_base;
+    }
+    step->gang_run = run_base;
+    step->waiting = step->spec->count;
+    occurrence.steps.push_back(std::move(step));
+  }
+  return occurrence;
+}
+
+bool MayOpen(const Occurrence& occurrence, const StepRun& step) {
+  return std::all_of(step.spec->after.begin(), step.spec->after.end(),
+                     [&](int before) { return occurrence.steps[static_cast<size_t>(before)]->finished(); });
+}
+
+Duration LongestChain(const JobSpec& spec) {
+  std::vector<Duration> ends(spec.steps.size());
+  Duration longest{};
+  for (size_t i = 0; i < spec.steps.size(); ++i) {
+    Duration begin{};
+    for (const int before : spec.steps[i].after) {
+      begin = std::max(begin, ends[static_cast<size_t>(before)]);
+    }
+    ends[i] = begin + spec.steps[i].estimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+ProgressRecord ProgressOf(const Job& job) {
+  ProgressRecord record;
+  record.occurrences_done = job.occurrences_done;
+  for (const int number : job.done_beyond) {
+    for (size_t i = 0; i < job.record.spec.steps.size(); ++i) {
+      record.steps.push_back(StepProgress{number, static_cast<int>(i), true, {}, {}, {}, {}});
+    }
+  }
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
+      StepProgress progress{number, step->step, step->finished(), {}, {}, {}, {}};
+      if (!progress.all_done) {
+        for (int i = 0; i < step->spec->count; ++i) {
+          const TaskState& task = step->tasks[static_cast<size_t>(i)];
+          if (task.phase == TaskPhase::kDone) {
+            progress.done.push_back(i);
+            continue;
+          }
+          if (task.failed > 0) {
+            progress.failed[i] = task.failed;
+            progress.failed_runs[i] = task.failed_run;
+          }
+          if (!task.checkpoint.empty()) {
+            progress.checkpoints[i] = task.checkpoint;
+          }
+        }
+        if (step->gang_failed > 0) {
+          progress.failed[0] = step->gang_failed;
+          progress.failed_runs[0] = step->gang_failed_run;
+        }
+        if (!step->gang_checkpoint.empty()) {
+          progress.checkpoints[0] = step->gang_checkpoint;
+        }
+      }
+      if (progress.all_done || !progress.done.empty() || !progress.failed.empty() || !progress.checkpoints.empty()) {
+        record.steps.push_back(std::move(progress));
+      }
+    }
+  }
+  return record;
+}
+
+namespace {
+
+void MarkDone(StepRun& step, int index) {
+  TaskState& task = step.tasks[static_cast<size_t>(index)];
+  if (task.phase == TaskPhase::kWaiting) {
+    task.phase = TaskPhase::kDone;
+    --step.waiting;
+    ++step.done;
+  }
+}
+
+void ApplyStep(StepRun& step, const StepProgress& progress) {
+  const auto in_range = [&](int index) { return index >= 0 && index < step.spec->count; };
+  for (int i = 0; progress.all_done && i < step.spec->count; ++i) {
+    MarkDone(step, i);
+  }
+  for (const int index : progress.done) {
+    if (in_range(index)) {
+      MarkDone(step, index);
+    }
+  }
+  for (const auto& [index, failed] : progress.failed) {
+    if (step.spec->gang) {
+      step.gang_failed = failed;
+    } else if (in_range(index)) {
+      step.tasks[static_cast<size_t>(index)].failed = failed;
+    }
+  }
+  for (const auto& [index, run] : progress.failed_runs) {
+    if (step.spec->gang) {
+      step.gang_failed_run = run;
+    } else if (in_range(index)) {
+      step.tasks[static_cast<size_t>(index)].failed_run = run;
+    }
+  }
+  for (const auto& [index, checkpoint] : progress.checkpoints) {
+    if (step.spec->gang) {
+      step.gang_checkpoint = checkpoint;
+    } else if (in_range(index)) {
+      step.tasks[static_cast<size_t>(index)].checkpoint = checkpoint;
+    }
+  }
+}
+
+}  // namespace
+
+void ApplyProgress(Job& job, const ProgressRecord& progress, int run_base) {
+  job.occurrences_done = progress.occurrences_done;
+  job.next_occurrence = progress.occurrences_done;
+  for (const StepProgress& each : progress.steps) {
+    if (each.occurrence < job.occurrences_done || each.step < 0 ||
+        each.step >= static_cast<int>(job.record.spec.steps.size())) {
+      continue;
+    }
+    while (job.next_occurrence <= each.occurrence) {
+      job.occurrences.emplace(job.next_occurrence, MakeOccurrence(job, job.next_occurrence, run_base));
+      ++job.next_occurrence;
+    }
+    StepRun& step = *job.occurrences.at(each.occurrence).steps[static_cast<size_t>(each.step)];
+    const bool was_finished = step.finished();
+    ApplyStep(step, each);
+    if (step.finished() && !was_finished) {
+      ++job.occurrences.at(each.occurrence).finished;
+    }
+    job.started = true;
+  }
+}
+
+std::string ProblemOf(const JobSpec& spec) {
+  if (spec.id.size() != kIdLength || !IsHex(spec.id)) {
+    return fmt::format("'{}' is no job id; it must be {} hexadecimal digits", spec.id.substr(0, 40), kIdLength);
+  }
+  if (spec.payload.size() > kMostPayload) {
+    return fmt::format("the task text has {} bytes; it may have {}", spec.payload.size(), kMostPayload);
+  }
+  if (spec.steps.empty() || spec.steps.size() > kMostSteps) {
+    return fmt::format("the job has {} steps; it must have 1 to {}", spec.steps.size(), kMostSteps);
+  }
+  for (size_t i = 0; i < spec.steps.size(); ++i) {
+    if (std::string problem = ProblemOf(spec.steps[i], static_cast<int>(i)); !problem.empty()) {
+      return problem;
+    }
+  }
+  if (spec.occurrences < 0 || spec.interval < Duration(0) || spec.first_due_ms < 0) {
+    return "times of a repeated job must not be negative";
+  }
+  return {};
+}
+
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/src/cell/job_table.h
@@ -0,0 +1,126 @@
+// Jobs in the owner's memory: steps that wait for others, tasks that wait, are placed or done, and what of it the store
+// has to know.
+#ifndef HIBISCUSSTAND_SRC_CELL_JOB_TABLE_H_
+#define HIBISCUSSTAND_SRC_CELL_JOB_TABLE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cell/messages.h"
+#include "cell/records.h"
+
+namespace hibiscus::cell {
+
+struct Job;
+
+enum class TaskPhase { kWaiting, kPlaced, kDone };
+
+struct TaskState {
+  TaskPhase phase = TaskPhase::kWaiting;
+  int run = 0;     // Highest number given to a start so far.
+  int failed = 0;      // Attempts that failed.
+  int failed_run = 0;  // The last of them: an end that is listed twice counts once.
+  std::string worker;  // Where it is placed.
+  std::string checkpoint;
+  TimePoint placed_at{};
+  bool stopping = false;  // Placed, and told to stop.
+
+  friend bool operator==(const TaskState&, const TaskState&) = default;
+};
+
+// What the advice service said about a step.
+struct StepAdvice {
+  struct Permit {
+    bool allowed = false;
+    std::string ticket;
+    TimePoint valid_until{};
+
+    friend bool operator==(const Permit&, const Permit&) = default;
+  };
+
+  bool asking = false;
+  bool known = false;                     // At least one question was answered.
+  std::map<std::string, Permit> permits;  // By worker: all that were asked about.
+};
+
+// One step of one occurrence.
+struct StepRun {
+  Job* job = nullptr;
+  int occurrence = 0;
+  int step = 0;
+  const StepSpec* spec = nullptr;
+  std::vector<TaskState> tasks;
+  int waiting = 0;             // Tasks in that phase.
+  int done = 0;
+  bool open = false;           // The steps before it are done, and its job stands in the store.
+  TimePoint opened_at{};
+  std::map<std::string, int> on_worker;  // Placed tasks by worker.
+
+  int gang_run = 0;            // Number of the gang's last start.
+  int gang_failed = 0;         // Attempts of the gang that failed.
+  int gang_failed_run = 0;     // The last of them.
+  bool gang_ending = false;    // The members of the last start are on their way out; none may start before all are gone.
+  std::string gang_checkpoint;
+
+  StepAdvice advice;
+  std::map<std::string, int> reserved;  // Members of a gang for which room is kept while tickets are asked for.
+
+  bool finished() const { return done == spec->count; }
+  int placed() const { return spec->count - waiting - done; }
+  TaskRef RefOf(int index) const;
+};
+
+struct Occurrence {
+  std::vector<std::unique_ptr<StepRun>> steps;
+  int finished = 0;  // Steps.
+};
+
+struct Job {
+  JobRecord record;
+  QueueSpec queue;           // As the newest configuration that knew it stated it.
+  TimePoint accepted_at{};   // On this host's clock.
+  std::map<int, Occurrence> occurrences;  // Begun and not finished.
+  int occurrences_done = 0;  // All before this one are done.
+  std::set<int> done_beyond; // Done out of order.
+  int next_occurrence = 0;   // Not begun yet.
+  bool started = false;      // Some task was started once.
+  bool final = false;
+  JobState final_state = JobState::kCompleted;
+
+  bool spec_stored = false;
+  bool progress_stored = false;
+  bool dirty = false;        // Something of it is new to the store.
+  bool in_batch = false;     // Part of the batch on its way to the store.
+  std::vector<std::function<void()>> on_stored;        // Waits for the next batch that has it.
+  std::vector<std::function<void()>> on_batch_stands;  // Waits for the batch on its way.
+
+  const std::string& id() const { return record.spec.id; }
+  int occurrence_count() const { return record.spec.occurrences == 0 ? 1 : record.spec.occurrences; }
+  // Calls back once all that is known of it now stands in the store.
+  void WhenStored(std::function<void()> done);
+  JobState visible_state() const { return started ? JobState::kRunning : JobState::kQueued; }
+};
+
+// Makes the steps of one occurrence; `run_base` is where the numbers of its starts begin.
+Occurrence MakeOccurrence(Job& job, int number, int run_base);
+
+// True if every step that this one waits for is finished.
+bool MayOpen(const Occurrence& occurrence, const StepRun& step);
+
+// The longest chain of declared run times through the steps.
+Duration LongestChain(const JobSpec& spec);
+
+// What is known of a job, to be stored; and back into a fresh one.
+ProgressRecord ProgressOf(const Job& job);
+void ApplyProgress(Job& job, const ProgressRecord& progress, int run_base);
+
+// A sentence on what is wrong with a job that a caller handed in; empty if it is good.
+std::string ProblemOf(const JobSpec& spec);
+
+}  // namespace hibiscus::cell
+
+#endif  // HIBISCUSSTAND_SRC_CELL_JOB_TABLE_H_
--- /dev/null
+++ b/src/cell/live_lease.cc
@@ -0,0 +1,92 @@
+#include "cell/live_lease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hibiscus::cell {
+
+namespace {
+
+constexpr Duration kTtl = 4s;            // A host that is gone is listed so long.
+constexpr Duration kRenewEvery = 1200ms;  // Three renewals within the lease.
+constexpr Duration kTryAgain = 300ms;
+
+}  // namespace
+
+LiveLease::LiveLease(Context& context, std::string key, std::string value)
+    : context_(context), key_(std::move(key)), value_(std::move(value)) {}
+
+void LiveLease::In(Duration delay, void (LiveLease::*work)()) {
+  context_.timers.In(delay, [this, alive = alive_, work] {
+    if (*alive) {
+      (this->*work)();
+    }
+  });
+}
+
+void LiveLease::Begin() {
+  if (writing_ || ended_) {
+    return;
+  }
+  writing_ = true;
+  lease_ = 0;
+  const Duration ttl = std::max(kTtl, context_.settings.shortest_lease);
+  context_.store.GrantLease(ttl, [this, alive = alive_](const StoreAnswer& answer) {
+    if (!*alive) {
+      return;
+    }
+    if (answer.status != StoreStatus::kOk) {
+      writing_ = false;
+      In(kTryAgain, &LiveLease::Begin);
+      return;
+    }
+    lease_ = answer.lease;
+    Write();
+  });
+}
+
+void LiveLease::Write() {
+  context_.store.Commit(StoreTransaction{{}, {StoreWrite{key_, value_, lease_}}, {}},
+                        [this, alive = alive_](const StoreAnswer& answer) {
+                          if (!*alive) {
+                            return;
+                          }
+                          writing_ = false;
+                          if (answer.status != StoreStatus::kOk) {
+                            In(kTryAgain, &LiveLease::Begin);
+                            return;
+                          }
+                          In(kRenewEvery, &LiveLease::Renew);
+                        });
+}
+
+void LiveLease::Renew() {
+  if (lease_ == 0 || ended_) {
+    return;
+  }
+  context_.store.KeepLease(lease_, [this, alive = alive_](const StoreAnswer& answer) {
+    if (!*alive || ended_) {
+      return;
+    }
+    if (answer.status == StoreStatus::kNoLease || answer.status == StoreStatus::kNotFound) {
+      Begin();
+      return;
+    }
+    In(answer.status == StoreStatus::kOk ? kRenewEvery : kTryAgain, &LiveLease::Renew);
+  });
+}
+
+void LiveLease::OnKeyGone() {
+  if (lease_ != 0) {
+    Begin();
+  }
+}
+
+void LiveLease::End() {
+  ended_ = true;
+  if (lease_ != 0) {
+    context_.store.EndLease(lease_, [](const StoreAnswer&) {});
+  }
+}
+
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/src/cell/messages.cc
@@ -0,0 +1,49 @@
+#include "cell/messages.h"
+
+#include <nlohmann/json.hpp>
+
+#include "cell/record_json.h"
+
+namespace hibiscus::cell {
+
+namespace {
+
+using Json = nlohmann::json;
+
+template <size_t... Index>
+Message FromNumber(size_t number, const Json& fields, std::index_sequence<Index...>) {
+  Message message;
+  const auto take = [&]<size_t Number>() {
+    if (number == Number) {
+      std::variant_alternative_t<Number, Message> value;
+      FromJson(fields, value);
+      message = std::move(value);
+    }
+  };
+  (take.template operator()<Index>(), ...);
+  return message;
+}
+
+}  // namespace
+
+std::string EncodeMessage(const Message& message) {
+  Json fields = std::visit([](const auto& value) { return ToJson(value); }, message);
+  std::string bytes;
+  Json::to_msgpack(Json::array({message.index(), std::move(fields)}), bytes);
+  return bytes;
+}
+
+tl::expected<Message, std::string> DecodeMessage(const std::string& bytes) {
+  try {
+    const Json json = Json::from_msgpack(bytes);
+    const auto number = json.at(0).get<size_t>();
+    if (number >= std::variant_size_v<Message>) {
+      return tl::unexpected("a message of kind " + std::to_string(number) + " is not known here");
+    }
+    return FromNumber(number, json.at(1), std::make_index_sequence<std::variant_size_v<Message>>());
+  } catch (const std::exception& error) {
+    return tl::unexpected(std::string(error.what()));
+  }
+}
+
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/src/cell/owner.cc
@@ -0,0 +1,263 @@
+#include "cell/owner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hibiscus::cell {
+
+namespace {
+
+constexpr Duration kTick = 100ms;              // Sweeps of workers, due occurrences.
+constexpr Duration kPendingCountAge = 500ms;   // Counts of waiting jobs may be this old; callers allow 2 s.
+constexpr Duration kStalledAfter = 600ms;      // No new jobs are taken while the store has confirmed nothing for so long.
+constexpr Duration kComeBack = 1s;             // Retry-After where no better time is known.
+constexpr size_t kMostJobs = 20'000;           // Held in memory; some 5 KB each within a host's memory.
+
+}  // namespace
+
+Owner::Owner(Context& context,
+             const Ownership& ownership,
+             CellConfiguration configuration,
+             std::function<void()> deposed)
+    : context_(context),
+      ownership_(ownership),
+      configuration_(std::move(configuration)),
+      deposed_(std::move(deposed)),
+      workers_(context, ownership.term, *this),
+      advice_(context),
+      commit_(
+          context,
+          ownership.epoch,
+          ownership.head_revision,
+          [this](uint64_t number) { return FillBatch(number); },
+          [this] { OnFenced(); }) {}
+
+Owner::~Owner() {
+  *alive_ = false;
+}
+
+void Owner::Begin() {
+  context_.Log("owner", "event=takeover epoch={} term={}", ownership_.epoch, ownership_.term);
+  ReadJobs();
+  Tick();
+}
+
+void Owner::Tick() {
+  context_.timers.In(kTick, [this, alive = alive_] {
+    if (*alive) {
+      Tick();
+    }
+  });
+  workers_.Sweep();
+  if (!loaded_) {
+    return;
+  }
+  for (const auto& [id, job] : jobs_) {
+    BeginDueOccurrences(*job);
+  }
+  ForgetEnded();
+  ScheduleSoon();
+}
+
+Job* Owner::FindJob(const std::string& id) {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+void Owner::Handle(const CallerRequest& request, Reply reply) {
+  if (deposed_once_ || closing_) {
+    reply(CallerReply{request.call, CallerOutcome::kNotOwner, {}, 0, 0us});
+    return;
+  }
+  if (!loaded_) {
+    early_.emplace_back(request, std::move(reply));
+    return;
+  }
+  switch (request.kind) {
+    case CallerKind::kSubmit:
+      Submit(request, reply);
+      return;
+    case CallerKind::kState:
+      TellState(request, reply);
+      return;
+    case CallerKind::kCancel:
+      Cancel(request, reply);
+      return;
+    case CallerKind::kPending:
+      TellPending(request, reply);
+      return;
+  }
+}
+
+// --- Submit ---
+
+void Owner::Submit(const CallerRequest& request, const Reply& reply) {
+  const auto accepted = [call = request.call, reply] { reply(CallerReply{call, CallerOutcome::kDone, {}, 0, 0us}); };
+  if (ended_.contains(request.job)) {
+    accepted();
+    return;
+  }
+  if (Job* known = FindJob(request.job); known != nullptr) {
+    if (known->spec_stored) {
+      accepted();
+    } else {
+      known->WhenStored(accepted);
+    }
+    return;
+  }
+  const QueueSpec* queue = configuration_.FindQueue(request.queue);
+  auto spec = DecodeRecord<JobSpec>(request.spec);
+  if (queue == nullptr || !spec) {
+    context_.Log("admission", "event=rejected job={} queue={} reason={} config={}", request.job, request.queue,
+                 queue == nullptr ? "queue_not_configured_here" : "unreadable", configuration_.version);
+    reply(CallerReply{request.call, CallerOutcome::kUnavailable, {}, 0, kComeBack});
+    return;
+  }
+  if (std::optional<CallerReply> refusal = Refusal(); refusal) {
+    context_.counters.Add(fmt::format("rejected{{queue=\"{}\"}}", queue->name));
+    context_.Log("admission", "event=rejected job={} queue={} jobs={} store_stalled_ms={} retry_after_ms={}",
+                 request.job, queue->name, jobs_.size(), Millis(commit_.stalled_for()), Millis(refusal->retry_after));
+    refusal->call = request.call;
+    reply(*refusal);
+    return;
+  }
+  AcceptJob(std::move(*spec), *queue, accepted);
+}
+
+// Why no job can be taken now; none if one can.
+std::optional<CallerReply> Owner::Refusal() const {
+  if (commit_.stalled_for() > kStalledAfter || jobs_.size() >= kMostJobs) {
+    return CallerReply{0, CallerOutcome::kRejected, {}, 0, kComeBack};
+  }
+  return std::nullopt;
+}
+
+void Owner::AcceptJob(JobSpec spec, const QueueSpec& queue, std::function<void()> accepted) {
+  auto fresh = std::make_unique<Job>();
+  Job& job = *fresh;
+  job.record = JobRecord{ownership_.epoch, context_.wall.NowMs(), std::move(spec)};
+  job.queue = queue;
+  job.accepted_at = context_.Now();
+  jobs_[job.id()] = std::move(fresh);
+  if (job.record.spec.occurrences == 0) {
+    job.occurrences.emplace(0, MakeOccurrence(job, 0, 0));
+    job.next_occurrence = 1;
+  }
+  context_.counters.Add(fmt::format("accepted{{queue=\"{}\"}}", queue.name));
+  context_.Log("admission", "event=accepted job={} queue={} steps={} jobs={} config={}", job.id(), queue.name,
+               job.record.spec.steps.size(), jobs_.size(), configuration_.version);
+  MarkDirty(job);
+  job.WhenStored(std::move(accepted));
+  // Asked ahead: the answer is here by the time the job stands in the store.
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
+      if (step->spec->after.empty() && job.queue.advice) {
+        AskAdvice(*step, EligibleFor(*step));
+      }
+    }
+  }
+}
+
+// --- State, cancel, pending ---
+
+void Owner::TellState(const CallerRequest& request, const Reply& reply) {
+  const auto tell = [call = request.call, reply](CallerOutcome outcome, JobState state) {
+    reply(CallerReply{call, outcome, state, 0, 0us});
+  };
+  const auto ended = ended_.find(request.job);
+  if (ended != ended_.end()) {
+    tell(ended->second.queue == request.queue ? CallerOutcome::kDone : CallerOutcome::kNoSuchJob, ended->second.state);
+    return;
+  }
+  Job* job = FindJob(request.job);
+  if (job == nullptr || job->record.spec.queue != request.queue) {
+    tell(CallerOutcome::kNoSuchJob, JobState::kQueued);
+    return;
+  }
+  if (job->final || !job->spec_stored) {
+    job->WhenStored(
+        [tell, job] { tell(CallerOutcome::kDone, job->final ? job->final_state : job->visible_state()); });
+    return;
+  }
+  tell(CallerOutcome::kDone, job->visible_state());
+}
+
+void Owner::Cancel(const CallerRequest& request, const Reply& reply) {
+  const auto done = [call = request.call, reply] { reply(CallerReply{call, CallerOutcome::kDone, {}, 0, 0us}); };
+  const auto ended = ended_.find(request.job);
+  Job* job = FindJob(request.job);
+  const bool known = job != nullptr ? job->record.spec.queue == request.queue
+                                    : ended != ended_.end() && ended->second.queue == request.queue;
+  if (!known) {
+    reply(CallerReply{request.call, CallerOutcome::kNoSuchJob, {}, 0, 0us});
+    return;
+  }
+  if (job == nullptr) {
+    done();
+    return;
+  }
+  if (!job->final) {
+    FinishJob(*job, JobState::kCancelled);
+  }
+  job->WhenStored(done);
+}
+
+void Owner::TellPending(const CallerRequest& request, const Reply& reply) {
+  PendingCount& pending = pending_counts_[request.queue];
+  if (pending.counted_at == TimePoint{} || context_.Now() - pending.counted_at > kPendingCountAge) {
+    pending.counted_at = context_.Now();
+    pending.count = std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
+      const Job& job = *entry.second;
+      return job.spec_stored && !job.started && !job.final && job.record.spec.queue == request.queue;
+    });
+  }
+  reply(CallerReply{request.call, CallerOutcome::kDone, {}, pending.count, 0us});
+}
+
+// --- Configuration, the end ---
+
+void Owner::OnConfiguration(const CellConfiguration& configuration) {
+  configuration_ = configuration;
+  for (const auto& [id, job] : jobs_) {
+    if (const QueueSpec* queue = configuration_.FindQueue(job->record.spec.queue); queue != nullptr) {
+      job->queue = *queue;
+    }
+  }
+  ScheduleSoon();
+}
+
+void Owner::Close(std::function<void(uint64_t)> closed) {
+  closing_ = true;
+  closed_ = std::move(closed);
+  for (auto& [request, reply] : early_) {
+    reply(CallerReply{request.call, CallerOutcome::kNotOwner, {}, 0, 0us});
+  }
+  early_.clear();
+  commit_.Request();
+}
+
+void Owner::ForgetEnded() {
+  const int64_t now_ms = context_.wall.NowMs();
+  const int64_t kept_ms = Millis(context_.settings.state_kept) * 2;
+  for (const EndedBatch& batch : ended_batches_) {
+    if (now_ms - batch.written_at_ms <= kept_ms) {
+      return;
+    }
+    commit_.Request();  // The batch removes the key.
+    return;
+  }
+}
+
+void Owner::UpdateGauges() {
+  Counters& counters = context_.counters;
+  counters.Set("jobs_open", static_cast<double>(jobs_.size()));
+  counters.Set("jobs_ended_remembered", static_cast<double>(ended_.size()));
+  counters.Set("workers_known", static_cast<double>(workers_.workers().size()));
+  const TimePoint now = context_.Now();
+  const auto usable = std::count_if(workers_.workers().begin(), workers_.workers().end(),
+                                    [&](const auto& entry) { return entry.second->UsableAt(now); });
+  counters.Set("workers_usable", static_cast<double>(usable));
+  counters.Set("owner_epoch", static_cast<double>(ownership_.epoch));
+}
+
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/src/cell/owner.h
@@ -0,0 +1,223 @@
+// The owner of the cell: holds every job and every worker, decides what runs where, and answers for all callers. Built
+// when a host takes the cell over, gone when it loses it.
+//
+//   callers    owner.cc            submit, state, cancel, pending
+//   store      owner_store.cc      loads the jobs, fills batches for the group commit
+//   runs       owner_runs.cc       what workers say about runs
+//   placement  owner_placement.cc  what starts where, and what is asked of the advice service
+#ifndef HIBISCUSSTAND_SRC_CELL_OWNER_H_
+#define HIBISCUSSTAND_SRC_CELL_OWNER_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cell/advice_desk.h"
+#include "cell/context.h"
+#include "cell/group_commit.h"
+#include "cell/job_table.h"
+#include "cell/messages.h"
+#include "cell/placement_policy.h"
+#include "cell/worker_table.h"
+
+namespace hibiscus::cell {
+
+// What a host holds once the store has made it the owner.
+struct Ownership {
+  uint64_t epoch = 0;          // Of the owner record.
+  uint64_t term = 0;           // Revision at which the record was written: the fencing token, and rising.
+  uint64_t head_revision = 0;  // Of the head key, written in the same transaction.
+
+  friend auto operator<=>(const Ownership&, const Ownership&) = default;
+};
+
+class Owner final : private WorkerTable::Listener {
+ public:
+  using Reply = std::function<void(const CallerReply&)>;
+
+  // `deposed` is called when another host is found to own the cell; nothing is written or ordered after that.
+  Owner(Context& context, const Ownership& ownership, CellConfiguration configuration, std::function<void()> deposed);
+  ~Owner() override;
+  Owner(const Owner&) = delete;
+  Owner& operator=(const Owner&) = delete;
+
+  void Begin();  // Reads the jobs and the workers; callers wait meanwhile.
+
+  // Always replies once, unless the owner is deposed first.
+  void Handle(const CallerRequest& request, Reply reply);
+  void OnAdvice(const AdviceReply& reply) { advice_.OnReply(reply); }
+  void OnConfiguration(const CellConfiguration& configuration);
+  void OnHosts(const std::vector<HostRecord>& hosts) { advice_.SetHosts(hosts); }
+
+  // The planned end: starts nothing more, and calls back with the head's revision when all that is known stands.
+  void Close(std::function<void(uint64_t head_revision)> closed);
+
+  const Ownership& ownership() const { return ownership_; }
+  // Counts for operators.
+  void UpdateGauges();
+
+ private:
+  struct Ended {
+    std::string queue;
+    JobState state = JobState::kCompleted;
+    int64_t ended_at_ms = 0;
+  };
+  // Jobs of which one batch told the store that they ended; removed together.
+  struct EndedBatch {
+    std::string key;
+    std::vector<std::string> jobs;
+    int64_t written_at_ms = 0;
+  };
+  // Ends of one worker that may be acknowledged once a batch stands.
+  struct SeenEnds {
+    std::string worker;
+    int64_t born_ms = 0;
+    int64_t number = 0;
+  };
+  struct PendingCount {
+    int64_t count = 0;
+    TimePoint counted_at{};
+  };
+
+  // --- owner.cc ---
+  void Tick();
+  void Submit(const CallerRequest& request, const Reply& reply);
+  void TellState(const CallerRequest& request, const Reply& reply);
+  void Cancel(const CallerRequest& request, const Reply& reply);
+  void TellPending(const CallerRequest& request, const Reply& reply);
+  void AcceptJob(JobSpec spec, const QueueSpec& queue, std::function<void()> accepted);
+  std::optional<CallerReply> Refusal() const;
+  Job* FindJob(const std::string& id);
+  void ForgetEnded();
+
+  // --- owner_store.cc ---
+  void ReadJobs();
+  void ReadWorkers();
+  void FinishLoading();
+  // One prefix, page after page; `done` gets the store's revision of the last page.
+  void ReadAll(const std::string& prefix,
+               const std::string& after,
+               std::function<void(const StoreItem&)> take,
+               std::function<void(uint64_t revision)> done);
+  void TakeJobItem(const StoreItem& item);
+  void TakeEndedItem(const StoreItem& item);
+  void RestoreJobs();
+  void WatchWorkers();
+  void RereadWorkers();
+  void TakeWorkerItem(const StoreItem& item);
+  void Again(Duration delay, std::function<void()> work);
+  void MarkDirty(Job& job);
+  Batch FillBatch(uint64_t number);
+  // What a batch carries, to be noted once it stands.
+  struct BatchNews {
+    std::vector<std::string> jobs;
+    std::vector<EndedJob> ended;
+    std::vector<WorkerLifeRecord> roster;
+    std::vector<SeenEnds> ends;
+  };
+  void AddExpired(Batch& batch);
+  void OnBatchStands(const BatchNews& news);
+  void RetireJob(const EndedJob& ended);
+
+  void EndClosing();
+
+  // --- owner_runs.cc ---
+  void OnRunning(Worker& worker, const RunningRow& row) override;
+  bool OnFound(Worker& worker, const RunningRow& row, Resources& size) override;
+  void OnEnded(Worker& worker, const EndedRow& row) override;
+  void OnGone(Worker& worker, const RunRef& run, GoneReason reason) override;
+  void OnStarted(Worker& worker, const RunRef& run) override;
+  void OnRefused(Worker& worker, const RunRef& run, OrderStatus status) override;
+  void OnEndsSeen(Worker& worker) override;
+  void OnSettled(Worker& worker) override;
+  void OnChanged(Worker& worker) override;
+  void OnFenced() override;
+  StepRun* FindStep(const TaskRef& task);
+  TaskState* FindTask(const TaskRef& task, StepRun** step);
+  void Unplace(StepRun& step, int index);
+  void TaskDone(StepRun& step, int index);
+  void TaskFailed(StepRun& step, int index, int run);
+  void GangDone(StepRun& step, int run);
+  void GangFailed(StepRun& step, int run);
+  void TakeCheckpoint(StepRun& step, int index, const std::string& checkpoint);
+  bool Adopt(StepRun& step, int index, Worker& worker, const RunRef& run);
+  Resources SizeOf(const StepRun& step) const;
+  void EndGang(StepRun& step);
+  void MemberLeft(StepRun& step);
+  void StopPlaced(StepRun& step);
+  void StepFinished(StepRun& step);
+  void OccurrenceFinished(Job& job, int number);
+  void FinishJob(Job& job, JobState state);
+  void OpenSteps(Job& job);
+  void OpenStep(StepRun& step);
+  void BeginDueOccurrences(Job& job);
+
+  // --- owner_placement.cc ---
+  void ScheduleSoon();
+  void Schedule();
+  std::vector<StepRun*> WaitingInOrder();
+  Duration ObjectiveOf(const Job& job) const;
+  void PlaceSingles(StepRun& step);
+  void PlaceGang(StepRun& step);
+  void StartTask(StepRun& step, int index, Worker& worker);
+  std::vector<Worker*> EligibleFor(const StepRun& step);
+  RoomView ViewOf(const StepRun& step, const Worker& worker) const;
+  bool HasTicket(const StepRun& step, const Worker& worker) const;
+  bool IsKeptByOther(const StepRun& step, const Worker& worker) const;
+  void AskAgain(StepRun& step, const std::vector<Worker*>& workers);
+  void AskAdvice(StepRun& step, std::vector<Worker*> workers);
+  void Reserve(StepRun& step, const std::vector<Worker*>& workers, const std::vector<int>& counts);
+  void Unreserve(StepRun& step);
+  void OnAdviceFor(const TaskRef& ref, const std::vector<std::string>& asked, const AdviceAnswer& answer);
+  void KeepRoom(StepRun& step, const std::vector<Worker*>& workers, const std::vector<RoomView>& views);
+  int RunBase(const Job& job) const;
+
+  Context& context_;
+  const Ownership ownership_;
+  CellConfiguration configuration_;
+  std::function<void()> deposed_;
+  WorkerTable workers_;
+  AdviceDesk advice_;
+  GroupCommit commit_;
+
+  bool loaded_ = false;
+  bool closing_ = false;
+  bool deposed_once_ = false;
+  std::function<void(uint64_t)> closed_;
+  std::vector<std::pair<CallerRequest, Reply>> early_;  // Came before the jobs were read.
+  // Read from the store, until all of it is here.
+  struct Loading {
+    std::map<std::string, JobRecord> jobs;
+    std::map<std::string, ProgressRecord> progress;
+    std::vector<WorkerLifeRecord> roster;
+    std::vector<WorkerEntry> workers;
+  };
+  Loading loading_;
+
+  std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;  // Not ended, or their end is not stored yet.
+  std::unordered_map<std::string, Ended> ended_;
+  std::deque<EndedBatch> ended_batches_;
+  std::deque<std::string> dirty_;  // Jobs, oldest news first.
+  std::map<std::string, PendingCount> pending_counts_;
+
+  bool ends_seen_ = false;  // Since the last batch was filled.
+  bool roster_dirty_ = false;
+
+  uint64_t workers_revision_ = 0;
+  std::vector<Occurrence> finished_occurrences_;  // Dropped by the next pass: callers may be inside them.
+  std::map<std::string, const StepRun*> kept_;     // Workers on which room is kept, by this pass so far.
+  std::set<std::string> kept_before_;              // By the last pass.
+  std::map<std::string, Resources> reserved_;  // By gangs that wait for tickets.
+  bool schedule_soon_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace hibiscus::cell
+
+#endif  // HIBISCUSSTAND_SRC_CELL_OWNER_H_
--- /dev/null
+++ b/src/cell/owner_placement.cc
@@ -0,0 +1,365 @@
+// What starts where. One pass goes through all open steps that have waiting tasks: in the order of their queues'
+// priority, then of what is due first; jobs whose objective is long past come last. A gang that does not fit keeps room.
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+#include <utility>
+
+#include "cell/owner.h"
+
+namespace hibiscus::cell {
+
+namespace {
+
+constexpr Duration kPassDelay = 3ms;           // Gathers what comes together: ends of a gang, answers of one round.
+constexpr Duration kTicketMargin = 250ms;      // A start takes this long at most on its way; a ticket must outlast it.
+constexpr double kMostKeptShare = 0.5;         // Of the workers a gang may use: more room is never kept idle.
+constexpr size_t kSpareAsked = 2;              // Workers asked about beyond those that are needed.
+constexpr int kWorthlessAfter = 3;             // Objectives: a job older than this counts for nobody any more.
+
+}  // namespace
+
+void Owner::ScheduleSoon() {
+  if (schedule_soon_) {
+    return;
+  }
+  schedule_soon_ = true;
+  context_.timers.In(kPassDelay, [this, alive = alive_] {
+    if (*alive) {
+      schedule_soon_ = false;
+      Schedule();
+    }
+  });
+}
+
+void Owner::Schedule() {
+  finished_occurrences_.clear();
+  if (!loaded_ || closing_ || deposed_once_) {
+    return;
+  }
+  kept_before_.clear();
+  for (const auto& [worker, step] : kept_) {
+    kept_before_.insert(worker);
+  }
+  kept_.clear();
+  for (StepRun* step : WaitingInOrder()) {
+    if (step->spec->gang) {
+      PlaceGang(*step);
+    } else {
+      PlaceSingles(*step);
+    }
+  }
+}
+
+Duration Owner::ObjectiveOf(const Job& job) const {
+  const auto chain = static_cast<double>(LongestChain(job.record.spec).count());
+  return job.queue.target_latency + Duration(static_cast<int64_t>(job.queue.stretch * chain));
+}
+
+std::vector<StepRun*> Owner::WaitingInOrder() {
+  struct Place {
+    bool worthless = false;
+    int priority = 0;
+    TimePoint due;
+    StepRun* step = nullptr;
+  };
+  std::vector<Place> places;
+  const TimePoint now = context_.Now();
+  for (const auto& [id, job] : jobs_) {
+    // A task of an earlier owner may be running on a worker that has not answered yet.
+    const bool may_run_elsewhere = job->record.epoch != ownership_.epoch && workers_.AnyUnsettled();
+    if (job->final || !job->spec_stored || may_run_elsewhere) {
+      continue;
+    }
+    const Duration objective = ObjectiveOf(*job);
+    const bool worthless = now - job->accepted_at > objective * kWorthlessAfter;
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
+        const bool gang_partly_out = step->spec->gang && step->waiting < step->spec->count;
+        if (step->open && step->waiting > 0 && !step->gang_ending && !gang_partly_out) {
+          places.push_back(Place{worthless, job->queue.priority, job->accepted_at + objective, step.get()});
+        }
+      }
+    }
+  }
+  std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
+    return std::tie(a.worthless, a.priority, a.due, a.step->job->id(), a.step->step) <
+           std::tie(b.worthless, b.priority, b.due, b.step->job->id(), b.step->step);
+  });
+  std::vector<StepRun*> steps;
+  for (const Place& place : places) {
+    steps.push_back(place.step);
+  }
+  return steps;
+}
+
+// --- Rooms ---
+
+std::vector<Worker*> Owner::EligibleFor(const StepRun& step) {
+  std::vector<Worker*> eligible;
+  const TimePoint now = context_.Now();
+  const Resources size = SizeOf(step);
+  for (const auto& [id, worker] : workers_.workers()) {
+    const std::string& label = step.spec->required_label;
+    if (worker->UsableAt(now) && worker->entry.service == step.job->queue.service &&
+        size.FitsIn(worker->entry.capacity) && (label.empty() || worker->entry.HasLabel(label))) {
+      eligible.push_back(worker.get());
+    }
+  }
+  return eligible;
+}
+
+RoomView Owner::ViewOf(const StepRun& step, const Worker& worker) const {
+  RoomView view;
+  view.capacity = worker.entry.capacity;
+  view.free = worker.free();
+  const auto reserved = reserved_.find(worker.entry.id);
+  if (reserved != reserved_.end()) {
+    view.free -= reserved->second;
+  }
+  const auto own = step.reserved.find(worker.entry.id);
+  for (int i = 0; own != step.reserved.end() && i < own->second; ++i) {
+    view.free += SizeOf(step);
+  }
+  view.rack = worker.entry.rack();
+  const auto there = step.on_worker.find(worker.entry.id);
+  view.already_there = there == step.on_worker.end() ? 0 : there->second;
+  view.kept = kept_before_.contains(worker.entry.id);
+  view.preferred = !step.spec->data_rack.empty() && worker.entry.HasLabel(step.spec->data_rack);
+  return view;
+}
+
+bool Owner::IsKeptByOther(const StepRun& step, const Worker& worker) const {
+  const auto kept = kept_.find(worker.entry.id);
+  return kept != kept_.end() && kept->second != &step;
+}
+
+bool Owner::HasTicket(const StepRun& step, const Worker& worker) const {
+  if (!step.job->queue.advice) {
+    return true;
+  }
+  const auto permit = step.advice.permits.find(worker.entry.id);
+  return permit != step.advice.permits.end() && permit->second.allowed &&
+         permit->second.valid_until > context_.Now();
+}
+
+// --- Single tasks ---
+
+void Owner::PlaceSingles(StepRun& step) {
+  if (step.job->queue.advice && !step.advice.known) {
+    AskAdvice(step, EligibleFor(step));
+    return;
+  }
+  std::vector<Worker*> workers;
+  std::vector<RoomView> views;
+  std::vector<Worker*> without_ticket;
+  const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
+  for (Worker* worker : EligibleFor(step)) {
+    if (IsKeptByOther(step, *worker)) {
+      continue;
+    }
+    const RoomView view = ViewOf(step, *worker);
+    if (SlotsOf(view, need) == 0) {
+      continue;
+    }
+    if (!HasTicket(step, *worker)) {
+      without_ticket.push_back(worker);
+      continue;
+    }
+    workers.push_back(worker);
+    views.push_back(view);
+  }
+  for (int i = 0; i < step.spec->count && step.waiting > 0; ++i) {
+    if (step.tasks[static_cast<size_t>(i)].phase != TaskPhase::kWaiting) {
+      continue;
+    }
+    const std::optional<size_t> best = TightestFit(views, need);
+    if (!best) {
+      break;
+    }
+    StartTask(step, i, *workers[*best]);
+    views[*best].free -= need.size;
+    ++views[*best].already_there;
+  }
+  if (step.waiting > 0) {
+    AskAgain(step, without_ticket);
+  }
+}
+
+// Some workers have room, but their tickets are over or they were never asked about.
+void Owner::AskAgain(StepRun& step, const std::vector<Worker*>& workers) {
+  std::vector<Worker*> asked;
+  for (Worker* worker : workers) {
+    const auto permit = step.advice.permits.find(worker->entry.id);
+    const bool refused = permit != step.advice.permits.end() && !permit->second.allowed;
+    if (!refused && asked.size() < static_cast<size_t>(step.waiting) + kSpareAsked) {
+      asked.push_back(worker);
+    }
+  }
+  if (!asked.empty()) {
+    AskAdvice(step, asked);
+  }
+}
+
+// --- Gangs ---
+
+void Owner::PlaceGang(StepRun& step) {
+  const bool advised = step.job->queue.advice.has_value();
+  const std::vector<Worker*> eligible = EligibleFor(step);
+  if (advised && !step.advice.known) {
+    AskAdvice(step, eligible);
+    return;
+  }
+  if (step.advice.asking) {
+    return;
+  }
+  std::vector<Worker*> workers;
+  std::vector<Worker*> never_asked;
+  std::vector<RoomView> views;
+  for (Worker* worker : eligible) {
+    const auto permit = step.advice.permits.find(worker->entry.id);
+    if (advised && permit == step.advice.permits.end()) {
+      never_asked.push_back(worker);
+    } else if ((!advised || permit->second.allowed) && !IsKeptByOther(step, *worker)) {
+      workers.push_back(worker);
+      views.push_back(ViewOf(step, *worker));
+    }
+  }
+  const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
+  const std::vector<int> counts = FitGang(views, need, step.spec->count, step.spec->same_rack);
+  if (counts.empty()) {
+    KeepRoom(step, workers, views);
+    if (!never_asked.empty()) {
+      AskAdvice(step, never_asked);
+    }
+    return;
+  }
+  std::vector<Worker*> chosen;
+  bool tickets = true;
+  for (size_t i = 0; i < counts.size(); ++i) {
+    if (counts[i] > 0) {
+      chosen.push_back(workers[i]);
+      tickets = tickets && HasTicket(step, *workers[i]);
+    }
+  }
+  if (!tickets) {
+    Reserve(step, workers, counts);
+    AskAdvice(step, chosen);
+    return;
+  }
+  ++step.gang_run;
+  int index = 0;
+  for (size_t i = 0; i < counts.size(); ++i) {
+    for (int k = 0; k < counts[i]; ++k) {
+      StartTask(step, index++, *workers[i]);
+    }
+  }
+}
+
+void Owner::KeepRoom(StepRun& step, const std::vector<Worker*>& workers, const std::vector<RoomView>& views) {
+  const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
+  const std::vector<size_t> rooms = RoomsToKeep(views, need, step.spec->count);
+  const auto most = static_cast<size_t>(kMostKeptShare * static_cast<double>(workers_.workers().size()));
+  if (rooms.empty() || kept_.size() + rooms.size() > most) {
+    return;
+  }
+  for (const size_t room : rooms) {
+    kept_[workers[room]->entry.id] = &step;
+  }
+}
+
+void Owner::Reserve(StepRun& step, const std::vector<Worker*>& workers, const std::vector<int>& counts) {
+  Unreserve(step);
+  for (size_t i = 0; i < counts.size(); ++i) {
+    for (int k = 0; k < counts[i]; ++k) {
+      ++step.reserved[workers[i]->entry.id];
+      reserved_[workers[i]->entry.id] += SizeOf(step);
+    }
+  }
+}
+
+void Owner::Unreserve(StepRun& step) {
+  for (const auto& [worker, count] : step.reserved) {
+    Resources& reserved = reserved_[worker];
+    for (int i = 0; i < count; ++i) {
+      reserved -= SizeOf(step);
+    }
+    if (reserved == Resources{}) {
+      reserved_.erase(worker);
+    }
+  }
+  step.reserved.clear();
+}
+
+// --- Starts ---
+
+void Owner::StartTask(StepRun& step, int index, Worker& worker) {
+  TaskState& task = step.tasks[static_cast<size_t>(index)];
+  task.run = step.spec->gang ? step.gang_run : task.run + 1;
+  task.phase = TaskPhase::kPlaced;
+  task.worker = worker.entry.id;
+  task.placed_at = context_.Now();
+  task.stopping = false;
+  --step.waiting;
+  ++step.on_worker[worker.entry.id];
+  StartOrder order;
+  order.run = RunRef{step.RefOf(index), task.run};
+  order.payload = step.job->record.spec.payload;
+  order.checkpoint = step.spec->gang ? step.gang_checkpoint : task.checkpoint;
+  const auto permit = step.advice.permits.find(worker.entry.id);
+  if (step.job->queue.advice && permit != step.advice.permits.end()) {
+    order.ticket = permit->second.ticket;
+  }
+  context_.Log("run", "event=start worker={} job={} queue={} step={} index={} run={} waited_ms={} free_cpu={}",
+               worker.entry.id, step.job->id(), step.job->queue.name, step.step, index, task.run,
+               Millis(context_.Now() - step.opened_at), worker.free().cpu_millis);
+  workers_.Start(worker, std::move(order), SizeOf(step));
+}
+
+// --- Advice ---
+
+void Owner::AskAdvice(StepRun& step, std::vector<Worker*> workers) {
+  if (step.advice.asking || workers.empty() || !step.job->queue.advice) {
+    return;
+  }
+  step.advice.asking = true;
+  std::stable_sort(workers.begin(), workers.end(),
+                   [](const Worker* a, const Worker* b) { return a->free().cpu_millis > b->free().cpu_millis; });
+  workers.resize(std::min(workers.size(), kMostAskedWorkers));
+  std::vector<std::string> names;
+  for (const Worker* worker : workers) {
+    names.push_back(worker->entry.id);
+  }
+  const AdviceSpec& spec = *step.job->queue.advice;
+  const Duration cost = spec.base + spec.per_worker * static_cast<int64_t>(names.size());
+  const TaskRef ref = step.RefOf(0);
+  advice_.Ask(ref, names, cost, [this, alive = alive_, ref, names](const AdviceAnswer& answer) {
+    if (*alive) {
+      OnAdviceFor(ref, names, answer);
+    }
+  });
+}
+
+void Owner::OnAdviceFor(const TaskRef& ref, const std::vector<std::string>& asked, const AdviceAnswer& answer) {
+  StepRun* step = FindStep(ref);
+  if (step == nullptr) {
+    return;
+  }
+  step->advice.asking = false;
+  Unreserve(*step);
+  if (answer.answered && step->job->queue.advice) {
+    step->advice.known = true;
+    for (const std::string& worker : asked) {
+      step->advice.permits[worker];
+    }
+    const TimePoint until = context_.Now() + step->job->queue.advice->valid - kTicketMargin;
+    for (const Ticket& ticket : answer.allowed) {
+      step->advice.permits[ticket.worker] = StepAdvice::Permit{true, ticket.ticket, until};
+    }
+  }
+  context_.Log("advice", "event=advice job={} step={} asked={} allowed={} answered={}", ref.job, ref.step,
+               asked.size(), answer.allowed.size(), answer.answered);
+  Schedule();
+}
+
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/src/cell/owner_runs.cc
@@ -0,0 +1,419 @@
+// What the workers say about runs, and what follows for tasks, steps and jobs.
+#include <algorithm>
+#include <utility>
+
+#include "cell/owner.h"
+
+namespace hibiscus::cell {
+
+// --- Finding ---
+
+StepRun* Owner::FindStep(const TaskRef& task) {
+  Job* job = FindJob(task.job);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  const auto occurrence = job->occurrences.find(task.occurrence);
+  if (occurrence == job->occurrences.end() || task.step < 0 ||
+      task.step >= static_cast<int>(occurrence->second.steps.size())) {
+    return nullptr;
+  }
+  return occurrence->second.steps[static_cast<size_t>(task.step)].get();
+}
+
+TaskState* Owner::FindTask(const TaskRef& task, StepRun** step) {
+  *step = FindStep(task);
+  if (*step == nullptr || task.index < 0 || task.index >= (*step)->spec->count) {
+    return nullptr;
+  }
+  return &(*step)->tasks[static_cast<size_t>(task.index)];
+}
+
+Resources Owner::SizeOf(const StepRun& step) const {
+  Resources size = step.spec->size;
+  if (step.spec->fills) {
+    size.cpu_millis = 0;
+  }
+  return size;
+}
+
+namespace {
+
+bool IsCurrent(const TaskState& task, const Worker& worker, const RunRef& run) {
+  return task.phase == TaskPhase::kPlaced && task.run == run.run && task.worker == worker.entry.id;
+}
+
+}  // namespace
+
+// --- What workers list ---
+
+void Owner::OnRunning(Worker& worker, const RunningRow& row) {
+  StepRun* step = nullptr;
+  const TaskState* task = FindTask(row.run.task, &step);
+  if (task != nullptr && IsCurrent(*task, worker, row.run)) {
+    TakeCheckpoint(*step, row.run.task.index, row.checkpoint);
+  }
+}
+
+void Owner::TakeCheckpoint(StepRun& step, int index, const std::string& checkpoint) {
+  if (checkpoint.empty() || !step.spec->checkpoints) {
+    return;
+  }
+  (step.spec->gang ? step.gang_checkpoint : step.tasks[static_cast<size_t>(index)].checkpoint) = checkpoint;
+}
+
+// A run that an earlier owner started. It is taken over if its task still waits; else it is stopped.
+bool Owner::OnFound(Worker& worker, const RunningRow& row, Resources& size) {
+  StepRun* step = nullptr;
+  TaskState* task = FindTask(row.run.task, &step);
+  if (task == nullptr) {
+    size = worker.free();  // Its size is not known any more: nothing else goes there until it is over.
+    context_.Log("run", "event=stop_unknown_run worker={} job={} step={} index={} run={}", worker.entry.id,
+                 row.run.task.job, row.run.task.step, row.run.task.index, row.run.run);
+    return false;
+  }
+  size = SizeOf(*step);
+  const bool adopted = !step->job->final && Adopt(*step, row.run.task.index, worker, row.run);
+  context_.Log("run", "event={} worker={} job={} step={} index={} run={}", adopted ? "adopted" : "stop_found_run",
+               worker.entry.id, row.run.task.job, row.run.task.step, row.run.task.index, row.run.run);
+  if (adopted) {
+    TakeCheckpoint(*step, row.run.task.index, row.checkpoint);
+  }
+  return adopted;
+}
+
+bool Owner::Adopt(StepRun& step, int index, Worker& worker, const RunRef& run) {
+  TaskState& task = step.tasks[static_cast<size_t>(index)];
+  const bool other_gang_run = step.spec->gang && step.placed() > 0 && step.gang_run != run.run;
+  if (task.phase != TaskPhase::kWaiting || step.gang_ending || other_gang_run) {
+    return false;
+  }
+  task.phase = TaskPhase::kPlaced;
+  task.run = run.run;
+  task.worker = worker.entry.id;
+  task.placed_at = context_.Now();
+  step.gang_run = step.spec->gang ? run.run : step.gang_run;
+  --step.waiting;
+  ++step.on_worker[worker.entry.id];
+  step.job->started = true;
+  return true;
+}
+
+void Owner::OnEnded(Worker& worker, const EndedRow& row) {
+  ends_seen_ = true;
+  context_.counters.Add(fmt::format("runs_ended{{how=\"{}\"}}", NameOf(row.how)));
+  StepRun* step = nullptr;
+  TaskState* task = FindTask(row.run.task, &step);
+  context_.Log("run", "event=ended how={} worker={} end={} job={} step={} index={} run={} ran_ms={} known={}",
+               NameOf(row.how), worker.entry.id, row.number, row.run.task.job, row.run.task.step, row.run.task.index,
+               row.run.run, task == nullptr ? -1 : Millis(context_.Now() - task->placed_at), task != nullptr);
+  if (task == nullptr || step->job->final) {
+    return;
+  }
+  const int index = row.run.task.index;
+  step->job->started = true;
+  if (row.how == EndKind::kDone) {
+    if (step->spec->gang) {
+      GangDone(*step, row.run.run);
+    } else {
+      TaskDone(*step, index);
+    }
+    return;
+  }
+  TakeCheckpoint(*step, index, row.checkpoint);
+  const bool current = IsCurrent(*task, worker, row.run);
+  if (current) {
+    Unplace(*step, index);
+  }
+  if (row.how == EndKind::kFailed) {
+    if (step->spec->gang) {
+      GangFailed(*step, row.run.run);
+    } else {
+      TaskFailed(*step, index, row.run.run);
+    }
+  }
+  if (current && !step->job->final) {
+    MemberLeft(*step);
+  }
+  ScheduleSoon();
+}
+
+void Owner::OnGone(Worker& worker, const RunRef& run, GoneReason reason) {
+  context_.counters.Add(fmt::format("runs_gone{{reason=\"{}\"}}", NameOf(reason)));
+  context_.Log("run", "event=gone reason={} worker={} job={} step={} index={} run={}", NameOf(reason),
+               worker.entry.id, run.task.job, run.task.step, run.task.index, run.run);
+  StepRun* step = nullptr;
+  TaskState* task = FindTask(run.task, &step);
+  if (task == nullptr || !IsCurrent(*task, worker, run)) {
+    return;
+  }
+  Unplace(*step, run.task.index);
+  MemberLeft(*step);
+  ScheduleSoon();
+}
+
+void Owner::OnStarted(Worker& worker, const RunRef& run) {
+  StepRun* step = nullptr;
+  const TaskState* task = FindTask(run.task, &step);
+  if (task != nullptr && IsCurrent(*task, worker, run)) {
+    step->job->started = true;
+  }
+}
+
+void Owner::OnRefused(Worker& worker, const RunRef& run, OrderStatus status) {
+  context_.Log("run", "event=start_refused status={} worker={} job={} step={} index={} run={}", NameOf(status),
+               worker.entry.id, run.task.job, run.task.step, run.task.index, run.run);
+  StepRun* step = nullptr;
+  TaskState* task = FindTask(run.task, &step);
+  if (task == nullptr || !IsCurrent(*task, worker, run)) {
+    return;
+  }
+  if (status == OrderStatus::kNoTicket) {
+    step->advice.permits[worker.entry.id].valid_until = TimePoint{};
+  }
+  Unplace(*step, run.task.index);
+  MemberLeft(*step);
+  ScheduleSoon();
+}
+
+void Owner::OnEndsSeen(Worker& /*worker*/) {
+  commit_.Request();
+}
+
+void Owner::OnSettled(Worker& /*worker*/) {
+  if (workers_.AnyUnsettled()) {
+    return;
+  }
+  // Every run of earlier owners is known now: a gang of which only some members were found cannot go on.
+  for (const auto& [id, job] : jobs_) {
+    for (auto& [number, occurrence] : job->occurrences) {
+      for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
+        if (step->spec->gang && step->placed() > 0 && step->waiting > 0) {
+          EndGang(*step);
+        }
+      }
+    }
+  }
+  ScheduleSoon();
+}
+
+void Owner::OnChanged(Worker& worker) {
+  if (worker.held && !worker.rostered) {
+    roster_dirty_ = true;
+    commit_.Request();
+  }
+  ScheduleSoon();
+}
+
+void Owner::OnFenced() {
+  if (!deposed_once_) {
+    deposed_once_ = true;
+    context_.Log("owner", "event=deposed epoch={} term={}", ownership_.epoch, ownership_.term);
+    deposed_();
+  }
+}
+
+// --- Tasks ---
+
+// The task waits again.
+void Owner::Unplace(StepRun& step, int index) {
+  TaskState& task = step.tasks[static_cast<size_t>(index)];
+  if (--step.on_worker[task.worker] <= 0) {
+    step.on_worker.erase(task.worker);
+  }
+  task.phase = TaskPhase::kWaiting;
+  task.worker.clear();
+  task.stopping = false;
+  ++step.waiting;
+}
+
+void Owner::TaskDone(StepRun& step, int index) {
+  TaskState& task = step.tasks[static_cast<size_t>(index)];
+  if (task.phase == TaskPhase::kDone) {
+    return;
+  }
+  if (step.spec->long_running) {
+    if (task.phase == TaskPhase::kPlaced) {
+      Unplace(step, index);  // It is to be started again, however it ends.
+    }
+    ScheduleSoon();
+    return;
+  }
+  if (task.phase == TaskPhase::kPlaced) {
+    // The run that ended may be an earlier one than the one that is placed.
+    Worker* other = workers_.Find(task.worker);
+    if (other != nullptr) {
+      workers_.Stop(*other, RunRef{step.RefOf(index), task.run});
+    }
+    Unplace(step, index);
+  }
+  task.phase = TaskPhase::kDone;
+  --step.waiting;
+  ++step.done;
+  MarkDirty(*step.job);
+  if (step.finished()) {
+    StepFinished(step);
+  }
+}
+
+void Owner::TaskFailed(StepRun& step, int index, int run) {
+  TaskState& task = step.tasks[static_cast<size_t>(index)];
+  if (run <= task.failed_run || task.phase == TaskPhase::kDone) {
+    return;
+  }
+  task.failed_run = run;
+  ++task.failed;
+  MarkDirty(*step.job);
+  if (!step.spec->long_running && task.failed >= step.job->queue.max_attempts) {
+    FinishJob(*step.job, JobState::kFailed);
+  }
+}
+
+// --- Gangs ---
+
+void Owner::GangDone(StepRun& step, int run) {
+  if (step.finished()) {
+    return;
+  }
+  if (run != step.gang_run) {
+    StopPlaced(step);  // An earlier start ended well after it was given up.
+  }
+  for (TaskState& task : step.tasks) {
+    task.phase = TaskPhase::kDone;
+    task.worker.clear();
+  }
+  step.on_worker.clear();
+  step.waiting = 0;
+  step.done = step.spec->count;
+  step.gang_ending = false;
+  MarkDirty(*step.job);
+  StepFinished(step);
+}
+
+void Owner::GangFailed(StepRun& step, int run) {
+  if (run <= step.gang_failed_run || step.finished()) {
+    return;
+  }
+  step.gang_failed_run = run;
+  ++step.gang_failed;
+  MarkDirty(*step.job);
+  if (!step.spec->long_running && step.gang_failed >= step.job->queue.max_attempts) {
+    FinishJob(*step.job, JobState::kFailed);
+  }
+}
+
+// A member is not there any more, so the gang cannot go on.
+void Owner::MemberLeft(StepRun& step) {
+  if (!step.spec->gang || step.finished()) {
+    return;
+  }
+  if (step.placed() == 0) {
+    step.gang_ending = false;
+    return;
+  }
+  EndGang(step);
+}
+
+void Owner::EndGang(StepRun& step) {
+  step.gang_ending = true;
+  StopPlaced(step);
+}
+
+void Owner::StopPlaced(StepRun& step) {
+  for (int i = 0; i < step.spec->count; ++i) {
+    TaskState& task = step.tasks[static_cast<size_t>(i)];
+    Worker* worker = task.phase == TaskPhase::kPlaced ? workers_.Find(task.worker) : nullptr;
+    if (worker != nullptr && !task.stopping) {
+      task.stopping = true;
+      workers_.Stop(*worker, RunRef{step.RefOf(i), task.run});
+    }
+  }
+}
+
+// --- Steps, occurrences, jobs ---
+
+void Owner::StepFinished(StepRun& step) {
+  Job& job = *step.job;
+  Unreserve(step);
+  Occurrence& occurrence = job.occurrences.at(step.occurrence);
+  ++occurrence.finished;
+  if (occurrence.finished == static_cast<int>(occurrence.steps.size())) {
+    OccurrenceFinished(job, step.occurrence);
+  } else {
+    OpenSteps(job);
+  }
+}
+
+void Owner::OccurrenceFinished(Job& job, int number) {
+  if (job.occurrence_count() == 1) {
+    FinishJob(job, JobState::kCompleted);
+    return;
+  }
+  finished_occurrences_.push_back(std::move(job.occurrences.at(number)));
+  job.occurrences.erase(number);
+  job.done_beyond.insert(number);
+  while (job.done_beyond.erase(job.occurrences_done) > 0) {
+    ++job.occurrences_done;
+  }
+  MarkDirty(job);
+  if (job.occurrences_done == job.occurrence_count()) {
+    FinishJob(job, JobState::kCompleted);
+  }
+}
+
+void Owner::FinishJob(Job& job, JobState state) {
+  job.final = true;
+  job.final_state = state;
+  context_.counters.Add(fmt::format("jobs_ended{{queue=\"{}\",state=\"{}\"}}", job.queue.name, NameOf(state)));
+  const Duration age = context_.Now() - job.accepted_at;
+  context_.counters.Add(fmt::format("job_seconds{{queue=\"{}\",state=\"{}\"}}", job.queue.name, NameOf(state)),
+                        std::chrono::duration<double>(age).count());
+  context_.Log("job", "event=job_ended state={} job={} queue={} age_ms={} objective_ms={}", NameOf(state), job.id(),
+               job.queue.name, Millis(age), Millis(ObjectiveOf(job)));
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
+      Unreserve(*step);
+      if (state != JobState::kCompleted) {
+        StopPlaced(*step);
+      }
+    }
+  }
+  MarkDirty(job);
+  ScheduleSoon();
+}
+
+void Owner::OpenSteps(Job& job) {
+  if (!job.spec_stored || job.final) {
+    return;
+  }
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
+      if (!step->open && MayOpen(occurrence, *step)) {
+        step->open = true;
+        step->opened_at = context_.Now();
+      }
+    }
+  }
+  ScheduleSoon();
+}
+
+void Owner::BeginDueOccurrences(Job& job) {
+  const JobSpec& spec = job.record.spec;
+  if (job.final || spec.occurrences == 0) {
+    return;
+  }
+  const int64_t now_ms = context_.wall.NowMs();
+  bool begun = false;
+  while (job.next_occurrence < spec.occurrences &&
+         now_ms >= spec.first_due_ms + job.next_occurrence * Millis(spec.interval)) {
+    job.occurrences.emplace(job.next_occurrence, MakeOccurrence(job, job.next_occurrence, RunBase(job)));
+    context_.Log("job", "event=occurrence_due job={} occurrence={}", job.id(), job.next_occurrence);
+    ++job.next_occurrence;
+    begun = true;
+  }
+  if (begun) {
+    OpenSteps(job);
+  }
+}
+
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/src/cell/placement_policy.h
@@ -0,0 +1,52 @@
+// Which worker a task goes to, and which workers room is kept on for a gang. Pure functions of what is free.
+#ifndef HIBISCUSSTAND_SRC_CELL_PLACEMENT_POLICY_H_
+#define HIBISCUSSTAND_SRC_CELL_PLACEMENT_POLICY_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "hibiscusstand/types.h"
+
+namespace hibiscus::cell {
+
+// A worker as a placement sees it.
+struct RoomView {
+  Resources capacity;
+  Resources free;
+  std::string rack;
+  int already_there = 0;    // Tasks of the same step.
+  bool kept = false;        // Room on it is kept for a gang.
+  bool preferred = false;   // Nearer to the data.
+
+  friend bool operator==(const RoomView&, const RoomView&) = default;
+};
+
+// What a task asks for.
+struct RoomNeed {
+  Resources size;
+  int most_per_worker = 0;  // 0: no limit.
+
+  friend bool operator==(const RoomNeed&, const RoomNeed&) = default;
+};
+
+// How many tasks fit into the free room.
+int SlotsIn(const Resources& free, const Resources& size);
+int SlotsOf(const RoomView& room, const RoomNeed& need);
+
+// A single task: near its data first, then off kept room, then where it fits tightest by the scarcest resource, so that
+// wide room stays whole for large tasks. Answers a load of unlike sizes near capacity.
+std::optional<size_t> TightestFit(const std::vector<RoomView>& rooms, const RoomNeed& need);
+
+// All members of a gang at once: how many go to each room; empty if they do not fit now. Fewest workers first, and one
+// rack if `one_rack` is asked for and possible. Answers gangs that compete with streams of small tasks.
+std::vector<int> FitGang(const std::vector<RoomView>& rooms, const RoomNeed& need, int members, bool one_rack);
+
+// The rooms to keep others off until the gang fits: those that have most room now, just as many as the gang needs when
+// they are empty. Empty if not even all would do.
+std::vector<size_t> RoomsToKeep(const std::vector<RoomView>& rooms, const RoomNeed& need, int members);
+
+}  // namespace hibiscus::cell
+
+#endif  // HIBISCUSSTAND_SRC_CELL_PLACEMENT_POLICY_H_
--- /dev/null
+++ b/src/cell/prefix_watch.h
@@ -0,0 +1,50 @@
+// Follows the keys below a prefix: reads them all, then watches, and reads them all again when history is lost.
+#ifndef HIBISCUSSTAND_SRC_CELL_PREFIX_WATCH_H_
+#define HIBISCUSSTAND_SRC_CELL_PREFIX_WATCH_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cell/context.h"
+
+namespace hibiscus::cell {
+
+class PrefixWatch {
+ public:
+  using OnAll = std::function<void(const std::vector<StoreItem>&)>;  // Everything below the prefix, as it is now.
+  using OnChange = std::function<void(const StoreItem&)>;            // One change, in order.
+
+  PrefixWatch(Context& context, std::string prefix, OnAll on_all, OnChange on_change);
+  ~PrefixWatch() { *alive_ = false; }
+  PrefixWatch(const PrefixWatch&) = delete;
+  PrefixWatch& operator=(const PrefixWatch&) = delete;
+
+  void Begin() { Read(""); }
+  uint64_t revision() const { return revision_; }
+  // Usual time of an answer of the store.
+  Duration round_trip() const { return round_trip_; }
+
+ private:
+  void Read(const std::string& after);
+  void OnPage(const StoreAnswer& answer, const std::string& after, TimePoint sent);
+  void Watch();
+  void OnChanges(const StoreAnswer& answer);
+  void Failed(const char* what, StoreStatus status);
+  void Again(std::function<void()> work);
+
+  Context& context_;
+  const std::string prefix_;
+  OnAll on_all_;
+  OnChange on_change_;
+  std::vector<StoreItem> pages_;
+  uint64_t revision_ = 0;
+  Duration round_trip_{};
+  bool failing_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace hibiscus::cell
+
+#endif  // HIBISCUSSTAND_SRC_CELL_PREFIX_WATCH_H_
--- /dev/null
+++ b/src/cell/values.cc
@@ -0,0 +1,62 @@
+#include "cell/values.h"
+
+#include <algorithm>
+
+namespace hibiscus::cell {
+
+const QueueSpec* CellConfiguration::FindQueue(const std::string& name) const {
+  const auto found =
+      std::find_if(queues.begin(), queues.end(), [&](const QueueSpec& queue) { return queue.name == name; });
+  return found == queues.end() ? nullptr : &*found;
+}
+
+const QueueSpec* CellConfiguration::RouteOf(const std::string& host, const std::string& path) const {
+  const QueueSpec* best = nullptr;
+  for (const QueueSpec& queue : queues) {
+    const bool longer = best == nullptr || queue.prefix.size() > best->prefix.size();
+    if (longer && queue.host == host && path.starts_with(queue.prefix)) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+bool WorkerEntry::HasLabel(const std::string& label) const {
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+const char* NameOf(EndKind kind) {
+  switch (kind) {
+    case EndKind::kDone:
+      return "done";
+    case EndKind::kFailed:
+      return "failed";
+    case EndKind::kStopped:
+      return "stopped";
+    case EndKind::kLapsed:
+      return "lapsed";
+    case EndKind::kBroken:
+      return "broken";
+    case EndKind::kAlone:
+      return "alone";
+  }
+  return "?";
+}
+
+const char* NameOf(JobState state) {
+  switch (state) {
+    case JobState::kQueued:
+      return "queued";
+    case JobState::kRunning:
+      return "running";
+    case JobState::kCompleted:
+      return "completed";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kCancelled:
+      return "cancelled";
+  }
+  return "?";
+}
+
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/src/cell/worker_table.h
@@ -0,0 +1,154 @@
+// The owner's view of the workers: which lives there are, what may be running on each, how long each is surely held, and
+// how much room is left. Sends every order, and works out from answers, silence and clocks when a run is surely over.
+//
+// What silence leaves possible: an order without an answer may be carried out seconds later. A start is void once its
+// deadline has passed on the worker's clock, or once a stop of the same run was answered. A hold may lengthen what runs
+// up to its deadline, so a silent worker gets no further deadlines, and all its runs are over when the last one has
+// passed on the slowest clock.
+#ifndef HIBISCUSSTAND_SRC_CELL_WORKER_TABLE_H_
+#define HIBISCUSSTAND_SRC_CELL_WORKER_TABLE_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cell/context.h"
+#include "cell/records.h"
+
+namespace hibiscus::cell {
+
+enum class PlacedPhase {
+  kStarting,  // The start is under way.
+  kRunning,   // The worker said so.
+  kUnsure,    // The start had no answer; it is being stopped.
+  kStopping,  // To be stopped.
+};
+
+// Why a run is over without an end that the worker listed.
+enum class GoneReason {
+  kNeverRan,  // Its start was not carried out and never will be.
+  kLapsed,    // The worker was silent past everything it was ever allowed.
+  kNewLife,   // The worker has started anew.
+  kVanished,  // The worker lists it no longer.
+};
+const char* NameOf(GoneReason reason);
+
+// A run that takes room on a worker, surely or possibly.
+struct Placed {
+  Resources size;
+  PlacedPhase phase = PlacedPhase::kStarting;
+  Duration gone_after = 0us;  // Worker's clock: an answer later than this and without the run shows that it is over.
+  TimePoint since{};
+
+  friend bool operator==(const Placed&, const Placed&) = default;
+};
+
+class Worker {
+ public:
+  WorkerEntry entry;
+  bool listed = false;         // Its entry stands in the store.
+  TimePoint unlisted_since{};  // If not listed.
+  bool held = false;           // This life has answered under the owner's token.
+  bool silent = false;         // The last call had no answer.
+  bool rostered = false;       // The stored roster names this life: it may be given starts.
+  bool unsettled = false;      // Runs of an earlier owner may be there that are not known yet.
+  TimePoint avoid_until{};     // Refused work lately.
+  std::map<RunRef, Placed> placed;
+
+  const Resources& used() const { return used_; }
+  Resources free() const { return entry.capacity - used_; }
+  bool UsableAt(TimePoint now) const;
+  // The worker's clock now, if it runs at the right speed.
+  Duration ClockAt(TimePoint now) const;
+
+ private:
+  friend class WorkerTable;
+
+  Resources used_;
+  bool clock_known_ = false;
+  Duration clock_{};          // Worker's clock in its last answer.
+  TimePoint clock_read_{};    // When that answer came.
+  TimePoint lease_until_{};   // Whatever runs there is over by then.
+  bool holding_ = false;      // A hold is under way.
+  uint64_t hold_timer_ = 0;   // Only the newest timer counts.
+  int64_t processed_ = 0;     // Ends up to this number were seen.
+  int64_t acknowledged_ = 0;  // And stand in the store.
+};
+
+class WorkerTable {
+ public:
+  // What happened to runs. Called from inside answers; may place and stop runs.
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    virtual void OnRunning(Worker& worker, const RunningRow& row) = 0;  // Listed as running and already placed.
+    virtual bool OnFound(Worker& worker, const RunningRow& row, Resources& size) = 0;  // Not placed yet; true: keep it.
+    virtual void OnEnded(Worker& worker, const EndedRow& row) = 0;
+    virtual void OnGone(Worker& worker, const RunRef& run, GoneReason reason) = 0;
+    virtual void OnStarted(Worker& worker, const RunRef& run) = 0;
+    virtual void OnRefused(Worker& worker, const RunRef& run, OrderStatus status) = 0;
+    virtual void OnEndsSeen(Worker& worker) = 0;   // There are ends to acknowledge once they stand in the store.
+    virtual void OnSettled(Worker& worker) = 0;    // `unsettled` became false.
+    virtual void OnChanged(Worker& worker) = 0;    // Room, usability or roster.
+    virtual void OnFenced() = 0;                   // A worker has seen a higher token.
+  };
+
+  WorkerTable(Context& context, uint64_t token, Listener& listener);
+  ~WorkerTable();
+  WorkerTable(const WorkerTable&) = delete;
+  WorkerTable& operator=(const WorkerTable&) = delete;
+
+  // A worker that an earlier owner may have given orders to.
+  void AddFromRoster(const WorkerLifeRecord& life);
+  // Its entry was written, or is gone.
+  void OnEntry(const WorkerEntry& entry);
+  void OnEntryGone(const std::string& id);
+
+  void Start(Worker& worker, StartOrder order, const Resources& size);
+  void Stop(Worker& worker, const RunRef& run);
+
+  // Ends up to the number seen now, to be passed to Acknowledge once they stand.
+  int64_t seen(const Worker& worker) const { return worker.processed_; }
+  int64_t acknowledged(const Worker& worker) const { return worker.acknowledged_; }
+  void Acknowledge(const std::string& id, int64_t born_ms, int64_t number);
+
+  Worker* Find(const std::string& id);
+  std::map<std::string, std::unique_ptr<Worker>>& workers() { return workers_; }
+  bool AnyUnsettled() const { return unsettled_ > 0; }
+  std::vector<WorkerLifeRecord> Roster() const;  // Lives that starts were or may be given to.
+
+  // Looks for workers whose time has run out. Call it a few times a second.
+  void Sweep();
+
+ private:
+  void BeginLife(Worker& worker, int64_t born_ms);
+  void HoldIn(Worker& worker, Duration delay);
+  void SendHold(Worker& worker);
+  void OnHoldAnswer(Worker& worker, const OrderAnswer& answer);
+  void TakeLists(Worker& worker, const OrderAnswer& answer);
+  void TakeAbsent(Worker& worker, const OrderAnswer& answer);
+  void OnStartAnswer(Worker& worker, const RunRef& run, const OrderAnswer& answer);
+  void SendStop(Worker& worker, const RunRef& run);
+  bool NoteAnswer(Worker& worker, const OrderAnswer& answer);
+  void NoteSilence(Worker& worker);
+  void Place(Worker& worker, const RunRef& run, const Placed& placed);
+  void Release(Worker& worker, const RunRef& run);
+  void LoseAll(Worker& worker, GoneReason reason);
+  void Settle(Worker& worker);
+  // Allowed until this time on the worker's clock; the table remembers when that is over for sure.
+  void Allow(Worker& worker, Duration deadline);
+  WorkerTarget TargetOf(const Worker& worker) const { return {worker.entry.id, worker.entry.address}; }
+
+  Context& context_;
+  const uint64_t token_;
+  Listener& listener_;
+  std::map<std::string, std::unique_ptr<Worker>> workers_;
+  int unsettled_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace hibiscus::cell
+
+#endif  // HIBISCUSSTAND_SRC_CELL_WORKER_TABLE_H_
--- /dev/null
+++ b/src/daemon/cell_daemon.cc
@@ -0,0 +1,143 @@
+#include "daemon/cell_daemon.h"
+
+#include <utility>
+
+#include <fmt/core.h>
+
+namespace hibiscus {
+
+namespace {
+
+constexpr Duration kBalancerTurns = 2500ms;  // The platform's balancer asks once a second and goes by two misses.
+constexpr Duration kExitMargin = 700ms;      // Before the platform kills a leaving process.
+
+}  // namespace
+
+CellDaemon::CellDaemon(const CellDaemonSettings& settings)
+    : settings_(settings),
+      log_(EventLogOptions{.host = settings.cell.name}, clock_),
+      loop_(timers_, clock_, [this] { AfterRound(); }),
+      store_(
+          http_,
+          [this](std::function<void()> work) { loop_.Post(std::move(work)); },
+          settings.store_address),
+      workers_(
+          http_,
+          [this](std::function<void()> work) { loop_.Post(std::move(work)); },
+          log_),
+      advice_(
+          http_,
+          [this](std::function<void()> work) { loop_.Post(std::move(work)); },
+          settings.cell.advice_address),
+      context_{settings.cell, clock_,     wall_, timers_,   store_, workers_, advice_,
+               peers_,        directory_, log_,  counters_, std::mt19937_64(settings.cell.incarnation)} {
+  host_ = std::make_unique<cell::Host>(
+      context_, [this](const cell::CellConfiguration& configuration) { ingress_->OnConfiguration(configuration); });
+  ingress_ = std::make_unique<platform::Ingress>(
+      *host_, [this](std::function<void()> work) { loop_.Post(std::move(work)); }, clock_);
+  link_ = std::make_unique<ByteLink>(settings_.cell.name, settings_.cell.peer_address,
+                                     [this](const HostName& /*from*/, const std::string& bytes) {
+                                       loop_.Post([this, bytes] { host_->OnPeerMessage(bytes); });
+                                       return std::string();
+                                     });
+  ingress_->Open(settings_.callers, settings_.balancer);
+  metrics_ = std::make_unique<HttpServer>(
+      settings_.metrics, [this](uint64_t exchange, const HttpRequest& /*request*/) { AnswerMetrics(exchange); });
+}
+
+CellDaemon::~CellDaemon() = default;
+
+void CellDaemon::Run() {
+  Say("daemon", fmt::format("event=start data_centre={} incarnation={} peer={} store={} advice={}",
+                            settings_.cell.data_centre, settings_.cell.incarnation, settings_.cell.peer_address,
+                            settings_.store_address, settings_.cell.advice_address));
+  std::thread stopper([this] { FinishLeaving(); });
+  host_->Begin();
+  loop_.Run();
+  {
+    const std::lock_guard lock(mutex_);
+    stopped_ = true;
+  }
+  wake_.notify_all();
+  stopper.join();
+  Say("daemon", "event=stop");
+}
+
+void CellDaemon::AfterRound() {
+  peers_.Flush(*link_);
+  ingress_->SetReady(host_->ready());
+}
+
+void CellDaemon::Peers::Flush(ByteLink& link) {
+  for (auto& [address, messages] : waiting_) {
+    link.Send(address, std::move(messages));
+  }
+  waiting_.clear();
+}
+
+void CellDaemon::Leave() {
+  {
+    const std::lock_guard lock(mutex_);
+    if (leaving_) {
+      return;
+    }
+    leaving_ = true;
+  }
+  Say("daemon", "event=leaving reason=signal");
+  loop_.Post([this] { host_->Leave([this] { Say("daemon", "event=left_the_cell"); }); });
+  wake_.notify_all();
+}
+
+// After a planned stop was asked for: serves on until the balancer has turned away, then finishes what is open.
+void CellDaemon::FinishLeaving() {
+  std::unique_lock lock(mutex_);
+  wake_.wait(lock, [&] { return leaving_ || stopped_; });
+  if (stopped_) {
+    return;
+  }
+  wake_.wait_for(lock, kBalancerTurns, [&] { return stopped_; });
+  lock.unlock();
+  ingress_->Drain(settings_.stop_within - kBalancerTurns - kExitMargin);
+  loop_.Stop();
+}
+
+void CellDaemon::Stop() {
+  loop_.Stop();
+}
+
+void CellDaemon::Reload(const CellDaemonSettings& settings) {
+  loop_.Post([this, settings] {
+    const bool needs_restart = settings.cell.peer_address != settings_.cell.peer_address ||
+                               settings.callers.address != settings_.callers.address ||
+                               settings.callers.port != settings_.callers.port;
+    cell::CellSettings cell = settings.cell;
+    cell.incarnation = settings_.cell.incarnation;
+    cell.peer_address = settings_.cell.peer_address;
+    cell.name = settings_.cell.name;
+    context_.settings = cell;
+    store_.MoveTo(settings.store_address);
+    advice_.MoveTo(cell.advice_address);
+    Say("daemon", fmt::format("event=reloaded store={} advice={} restart_needed={}", settings.store_address,
+                              cell.advice_address, needs_restart));
+  });
+}
+
+// --- Metrics ---
+
+void CellDaemon::AnswerMetrics(uint64_t exchange) {
+  loop_.Post([this, exchange] {
+    metrics_->Reply(exchange, HttpReply{200, RenderMetrics(), "text/plain; version=0.0.4"});
+  });
+}
+
+std::string CellDaemon::RenderMetrics() {
+  host_->UpdateGauges();
+  counters_.Set("peer_deliveries_lost", static_cast<double>(link_->lost()));
+  std::string text;
+  for (const auto& [name, value] : counters_.values()) {
+    text += fmt::format("hibiscus_{} {}\n", name, value);
+  }
+  return text;
+}
+
+}  // namespace hibiscus
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,12 +1,14 @@
 // hibiscusd: one host of the system. Settings come from flags and from the environment (FLAGS_<flag>).
 #include <csignal>
 #include <cstdio>
+#include <random>
 #include <string>
 #include <thread>
 
 #include <fmt/core.h>
 #include <gflags/gflags.h>
 #include <pthread.h>
+#include <sys/stat.h>
 
 #include "daemon/daemon.h"
 #include "daemon/settings.h"
@@ -23,6 +25,51 @@
   daemon.Stop();
 }
 
+void Reload(hibiscus::CellDaemon& daemon) {
+  const auto settings = hibiscus::ReadSettingsAgain();
+  if (!settings) {
+    daemon.Say("daemon", fmt::format("event=reload_refused kept=old_settings reason=\"{}\"", settings.error()));
+    return;
+  }
+  daemon.Reload(*settings);
+}
+
+constexpr timespec kLookAtFileEvery{1, 0};  // The settings file may change without a signal.
+
+// As above; SIGHUP, or a change of the settings file, has it read again.
+void WatchSignalsAndFile(const sigset_t& signals, hibiscus::CellDaemon& daemon) {
+  const std::string path = hibiscus::SettingsFile();
+  const auto changed_at = [&] {
+    struct stat status {};
+    return stat(path.c_str(), &status) == 0 ? status.st_mtim.tv_sec * 1'000'000'000LL + status.st_mtim.tv_nsec : 0LL;
+  };
+  long long known = changed_at();
+  bool leaving = false;
+  while (true) {
+    const int signal = sigtimedwait(&signals, nullptr, &kLookAtFileEvery);
+    if (signal == SIGTERM || signal == SIGINT) {
+      leaving ? daemon.Stop() : daemon.Leave();
+      leaving = true;
+    } else if (const long long now = changed_at(); signal == SIGHUP || now != known) {
+      known = now;
+      Reload(daemon);
+    }
+  }
+}
+
+uint64_t FreshIncarnation() {
+  std::random_device device;
+  return (uint64_t{device()} << 31) | device() | 1;
+}
+
+void RunOnPlatform(hibiscus::CellDaemonSettings settings, const sigset_t& signals) {
+  settings.cell.incarnation = FreshIncarnation();
+  hibiscus::CellDaemon daemon(settings);
+  std::thread(WatchSignalsAndFile, signals, std::ref(daemon)).detach();
+  daemon.Run();
+  std::fflush(nullptr);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -43,8 +90,16 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  if (settings->on_platform) {
+    sigaddset(&signals, SIGHUP);
+  }
+  std::signal(SIGPIPE, SIG_IGN);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   try {
+    if (settings->on_platform) {
+      RunOnPlatform(settings->cell, signals);
+      return 0;
+    }
     hibiscus::Daemon daemon(settings->daemon);
     std::thread(WatchSignals, signals, std::ref(daemon)).detach();
     daemon.Run();
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <fstream>
 #include <iterator>
+#include <map>
 #include <vector>
 
 #include <fmt/core.h>
@@ -29,7 +31,18 @@
 DEFINE_string(leave_limit_ms, "30000", "");
 DEFINE_string(leave_linger_ms, "2000", "");
 DEFINE_string(log_level, "info", "");
+DEFINE_string(mode, "hosts", "");
+DEFINE_string(ready, "127.0.0.1:8082", "");
+DEFINE_string(metrics, "127.0.0.1:8083", "");
+DEFINE_string(advice, "", "");
+DEFINE_string(most_hold_ms, "6000", "");
+DEFINE_string(stop_takes_ms, "400", "");
+DEFINE_string(gang_patience_ms, "3000", "");
+DEFINE_string(state_kept_s, "120", "");
+DEFINE_string(shortest_lease_ms, "1000", "");
+DEFINE_string(grace_s, "6", "");
 DEFINE_bool(check, false, "");
+DECLARE_string(flagfile);
 DECLARE_bool(help);
 DECLARE_bool(helpshort);
 
@@ -37,7 +50,7 @@
 
 namespace {
 
-enum class SettingKind { kName, kAddress, kNumber, kLevel };
+enum class SettingKind { kName, kAddress, kAddressOrNone, kNumber, kLevel, kMode };
 
 // One setting: how it is explained, and what its value may be.
 struct Setting {
@@ -86,6 +99,22 @@
          3'600'000, "milliseconds"},
         {"leave_linger_ms", &FLAGS_leave_linger_ms, Kind::kNumber,
          "callers are refused this long, until the balancer knows", 0, 600'000, "milliseconds"}}},
+      {"On the platform (--mode=cell)",
+       {{"mode", &FLAGS_mode, Kind::kMode, "hosts: the project's own interface; cell: the platform's"},
+        {"ready", &FLAGS_ready, Kind::kAddress, "where the balancer asks for readiness"},
+        {"metrics", &FLAGS_metrics, Kind::kAddress, "where metrics are read"},
+        {"advice", &FLAGS_advice, Kind::kAddressOrNone, "the advice service; empty: there is none"},
+        {"most_hold_ms", &FLAGS_most_hold_ms, Kind::kNumber, "longest hold that a worker grants", 500, 600'000,
+         "milliseconds"},
+        {"stop_takes_ms", &FLAGS_stop_takes_ms, Kind::kNumber, "longest time that a worker takes to stop a run", 0,
+         60'000, "milliseconds"},
+        {"gang_patience_ms", &FLAGS_gang_patience_ms, Kind::kNumber, "a member waits this long for the others", 100,
+         600'000, "milliseconds"},
+        {"state_kept_s", &FLAGS_state_kept_s, Kind::kNumber, "the state of an ended job is told this long", 1, 86'400,
+         "seconds"},
+        {"shortest_lease_ms", &FLAGS_shortest_lease_ms, Kind::kNumber, "shortest lease of the store", 1, 60'000,
+         "milliseconds"},
+        {"grace_s", &FLAGS_grace_s, Kind::kNumber, "a stopping process is killed after this", 1, 600, "seconds"}}},
       {"Log", {{"log_level", &FLAGS_log_level, Kind::kLevel, "debug, info, warning or error"}}},
   };
   return kGroups;
@@ -119,6 +148,14 @@
     case SettingKind::kAddress:
       return IsAddress(value) ? std::string()
                               : fmt::format("--{} is '{}'; it must be ip:port, port 0 to 65535", setting.flag, value);
+    case SettingKind::kAddressOrNone:
+      return value.empty() || IsAddress(value)
+                 ? std::string()
+                 : fmt::format("--{} is '{}'; it must be empty or ip:port, port 0 to 65535", setting.flag, value);
+    case SettingKind::kMode:
+      return value == "hosts" || value == "cell"
+                 ? std::string()
+                 : fmt::format("--{} is '{}'; it must be hosts or cell", setting.flag, value);
     case SettingKind::kNumber: {
       const auto number = NumberFrom(value);
       const bool good = number && *number >= setting.least && *number <= setting.most;
@@ -205,6 +242,45 @@
   return name == "error" ? LogLevel::kError : LogLevel::kInfo;
 }
 
+HttpServerOptions ServerAt(const std::string& address) {
+  HttpServerOptions options;
+  const size_t colon = address.rfind(':');
+  options.address = address.substr(0, colon);
+  options.port = static_cast<uint16_t>(Number(address.substr(colon + 1)));
+  options.threads = 1;
+  return options;
+}
+
+// Of callers: what the settings say, on one traffic thread.
+HttpServerOptions CallersFromFlags() {
+  HttpServerOptions options = ServerAt(FLAGS_http);
+  options.connection_limit = static_cast<unsigned>(Number(FLAGS_connections));
+  options.idle_timeout_s = static_cast<unsigned>(Number(FLAGS_idle_timeout_s));
+  options.request_limit = std::chrono::seconds(Number(FLAGS_request_limit_s));
+  options.body_limit = static_cast<size_t>(Number(FLAGS_body_limit_kb)) * 1024;
+  return options;
+}
+
+CellDaemonSettings CellSettingsFromFlags() {
+  const auto millis = [](const std::string& value) { return std::chrono::milliseconds(Number(value)); };
+  CellDaemonSettings settings;
+  settings.cell.name = FLAGS_name;
+  settings.cell.data_centre = FLAGS_data_centre;
+  settings.cell.peer_address = FLAGS_peer;
+  settings.cell.advice_address = FLAGS_advice;
+  settings.cell.most_hold = millis(FLAGS_most_hold_ms);
+  settings.cell.stop_takes = millis(FLAGS_stop_takes_ms);
+  settings.cell.gang_patience = millis(FLAGS_gang_patience_ms);
+  settings.cell.state_kept = std::chrono::seconds(Number(FLAGS_state_kept_s));
+  settings.cell.shortest_lease = millis(FLAGS_shortest_lease_ms);
+  settings.callers = CallersFromFlags();
+  settings.balancer = ServerAt(FLAGS_ready);
+  settings.metrics = ServerAt(FLAGS_metrics);
+  settings.store_address = FLAGS_store;
+  settings.stop_within = std::chrono::seconds(Number(FLAGS_grace_s));
+  return settings;
+}
+
 DaemonSettings SettingsFromFlags() {
   const auto millis = [](const std::string& value) { return std::chrono::milliseconds(Number(value)); };
   DaemonSettings settings;
@@ -214,13 +290,8 @@
   settings.host.suspect_after = millis(FLAGS_suspect_ms);
   settings.host.control_lease = millis(FLAGS_control_lease_ms);
   settings.host.leave_limit = millis(FLAGS_leave_limit_ms);
-  const size_t colon = FLAGS_http.rfind(':');
-  settings.http.address = FLAGS_http.substr(0, colon);
-  settings.http.port = static_cast<uint16_t>(Number(FLAGS_http.substr(colon + 1)));
-  settings.http.connection_limit = static_cast<unsigned>(Number(FLAGS_connections));
-  settings.http.idle_timeout_s = static_cast<unsigned>(Number(FLAGS_idle_timeout_s));
-  settings.http.request_limit = std::chrono::seconds(Number(FLAGS_request_limit_s));
-  settings.http.body_limit = static_cast<size_t>(Number(FLAGS_body_limit_kb)) * 1024;
+  settings.http = CallersFromFlags();
+  settings.http.threads = HttpServerOptions{}.threads;
   settings.peer_address = FLAGS_peer;
   settings.store_address = FLAGS_store;
   settings.list_address = FLAGS_list;
@@ -263,7 +334,40 @@
   SetLogLevel(LevelOf(FLAGS_log_level));
   result.check_only = FLAGS_check;
   result.daemon = SettingsFromFlags();
+  result.on_platform = FLAGS_mode == "cell";
+  result.cell = CellSettingsFromFlags();
   return result;
 }
 
+tl::expected<CellDaemonSettings, std::string> ReadSettingsAgain() {
+  if (FLAGS_flagfile.empty()) {
+    return tl::unexpected(std::string("the settings came from the command line; there is no --flagfile to read again"));
+  }
+  const gflags::FlagSaver before;  // Puts the flags back if this returns an error.
+  std::ifstream file(FLAGS_flagfile);
+  if (!file) {
+    return tl::unexpected(fmt::format("cannot read {}", FLAGS_flagfile));
+  }
+  std::map<std::string, std::string> values;
+  for (std::string line; std::getline(file, line);) {
+    const size_t equals = line.find('=');
+    if (line.starts_with("--") && equals != std::string::npos) {
+      values[line.substr(2, equals - 2)] = line.substr(equals + 1);
+    }
+  }
+  for (const auto& [flag, value] : values) {
+    if (gflags::SetCommandLineOption(flag.c_str(), value.c_str()).empty()) {
+      return tl::unexpected(fmt::format("--{} is no flag, or '{}' no value for it", flag, value));
+    }
+  }
+  if (std::string problem = FirstProblem(); !problem.empty()) {
+    return tl::unexpected(problem);
+  }
+  return CellSettingsFromFlags();
+}
+
+std::string SettingsFile() {
+  return FLAGS_flagfile;
+}
+
 }  // namespace hibiscus
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -6,12 +6,15 @@
 
 #include <tl/expected.hpp>
 
+#include "daemon/cell_daemon.h"
 #include "daemon/daemon.h"
 
 namespace hibiscus {
 
 struct ReadSettingsResult {
   DaemonSettings daemon;
+  CellDaemonSettings cell;   // Used in --mode=cell.
+  bool on_platform = false;  // --mode=cell.
   bool check_only = false;
   bool help_only = false;
 };
@@ -22,6 +25,12 @@
 // Parses the command line and the environment. The error names the flag, its value, the range and the unit.
 tl::expected<ReadSettingsResult, std::string> ReadSettings(int* argc, char*** argv);
 
+// Reads the settings file once more. After an error the settings are as they were.
+tl::expected<CellDaemonSettings, std::string> ReadSettingsAgain();
+
+// Path of the settings file; empty if there is none.
+std::string SettingsFile();
+
 }  // namespace hibiscus
 
 #endif  // HIBISCUSSTAND_SRC_DAEMON_SETTINGS_H_
--- a/src/ports/http_client.cc
+++ b/src/ports/http_client.cc
@@ -1,19 +1,23 @@
 #include "ports/http_client.h"
 
 #include <curl/curl.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <future>
-#include <map>
 #include <mutex>
 #include <thread>
+#include <unordered_map>
 #include <vector>
 
 namespace hibiscus {
 
 namespace {
 
-constexpr int kPollMs = 1000;
+constexpr int kMostEvents = 64;  // Taken from the kernel at once.
 constexpr long kMostConnections = 4096;
 constexpr Duration kConnectTimeout = 800ms;
 constexpr size_t kBodyLimit = size_t{16} * 1024 * 1024;  // Bytes; a longer answer is dropped as unknown.
@@ -52,13 +56,22 @@
 
 struct HttpClient::State {
   CURLM* multi = nullptr;
+  int poller = -1;  // epoll: the library's sockets and `waker`.
+  int waker = -1;   // eventfd: something is in `incoming`, or the end.
+  SteadyClock clock;
+  TimePoint timer = TimePoint::max();  // When the library wants to be called. Client thread only.
   std::mutex mutex;
   std::vector<std::unique_ptr<Transfer>> incoming;
-  std::map<CURL*, std::unique_ptr<Transfer>> running;  // Client thread only.
-  std::vector<CURL*> idle;                             // Handles to use again.
+  std::unordered_map<CURL*, std::unique_ptr<Transfer>> running;  // Client thread only.
+  std::vector<CURL*> idle;                                       // Handles to use again.
   bool stopping = false;
   std::thread thread;
 
+  static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* self, void* known);
+  static int OnTimer(CURLM* multi, long timeout_ms, void* self);
+  int WaitMs() const;
+  void Wake() const;
+  void TakeEvents();
   void Run();
   void TakeIncoming();
   void Begin(std::unique_ptr<Transfer> transfer);
@@ -66,6 +79,62 @@
   void Finish(CURL* easy, CURLcode code);
 };
 
+// The library wants to hear of this socket, or no longer.
+int HttpClient::State::OnSocket(CURL* /*easy*/, curl_socket_t socket, int what, void* self, void* known) {
+  auto* state = static_cast<State*>(self);
+  epoll_event event{};
+  event.data.fd = socket;
+  event.events = ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U) | ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
+  if (what == CURL_POLL_REMOVE) {
+    epoll_ctl(state->poller, EPOLL_CTL_DEL, socket, &event);
+    return 0;
+  }
+  epoll_ctl(state->poller, known == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket, &event);
+  curl_multi_assign(state->multi, socket, state);  // Any value but none: it is known from now on.
+  return 0;
+}
+
+int HttpClient::State::OnTimer(CURLM* /*multi*/, long timeout_ms, void* self) {
+  auto* state = static_cast<State*>(self);
+  state->timer = timeout_ms < 0 ? TimePoint::max() : state->clock.Now() + std::chrono::milliseconds(timeout_ms);
+  return 0;
+}
+
+int HttpClient::State::WaitMs() const {
+  if (timer == TimePoint::max()) {
+    return -1;
+  }
+  const Duration left = std::max(Duration(0), timer - clock.Now());
+  return static_cast<int>(Millis(left + 999us));
+}
+
+void HttpClient::State::Wake() const {
+  const uint64_t one = 1;
+  [[maybe_unused]] const ssize_t written = write(waker, &one, sizeof(one));  // Full means that it is awake already.
+}
+
+void HttpClient::State::TakeEvents() {
+  std::array<epoll_event, kMostEvents> events{};
+  const int count = epoll_wait(poller, events.data(), kMostEvents, WaitMs());
+  int running_count = 0;
+  for (int i = 0; i < count; ++i) {
+    const epoll_event& event = events[static_cast<size_t>(i)];
+    if (event.data.fd == waker) {
+      uint64_t value = 0;
+      [[maybe_unused]] const ssize_t taken = read(waker, &value, sizeof(value));
+      continue;
+    }
+    const int what = ((event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0) |
+                     ((event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0) |
+                     ((event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
+    curl_multi_socket_action(multi, event.data.fd, what, &running_count);
+  }
+  if (timer <= clock.Now()) {
+    timer = TimePoint::max();
+    curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running_count);
+  }
+}
+
 void HttpClient::State::Run() {
   while (true) {
     {
@@ -75,10 +144,8 @@
       }
     }
     TakeIncoming();
-    int count = 0;
-    curl_multi_perform(multi, &count);
+    TakeEvents();
     FinishReady();
-    curl_multi_poll(multi, nullptr, 0, kPollMs, nullptr);
   }
   while (!running.empty()) {
     Finish(running.begin()->first, CURLE_ABORTED_BY_CALLBACK);
@@ -108,6 +175,9 @@
   const HttpCall& call = transfer->call;
   transfer->headers = curl_slist_append(nullptr, "Content-Type: application/json");
   transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+  for (const std::string& header : call.headers) {
+    transfer->headers = curl_slist_append(transfer->headers, header.c_str());
+  }
   curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
@@ -158,6 +228,16 @@
   InitCurlOnce();
   state_->multi = curl_multi_init();
   curl_multi_setopt(state_->multi, CURLMOPT_MAXCONNECTS, kMostConnections);
+  curl_multi_setopt(state_->multi, CURLMOPT_SOCKETFUNCTION, &State::OnSocket);
+  curl_multi_setopt(state_->multi, CURLMOPT_SOCKETDATA, state_.get());
+  curl_multi_setopt(state_->multi, CURLMOPT_TIMERFUNCTION, &State::OnTimer);
+  curl_multi_setopt(state_->multi, CURLMOPT_TIMERDATA, state_.get());
+  state_->poller = epoll_create1(EPOLL_CLOEXEC);
+  state_->waker = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.fd = state_->waker;
+  epoll_ctl(state_->poller, EPOLL_CTL_ADD, state_->waker, &event);
   state_->thread = std::thread([this] { state_->Run(); });
 }
 
@@ -166,12 +246,14 @@
     const std::lock_guard lock(state_->mutex);
     state_->stopping = true;
   }
-  curl_multi_wakeup(state_->multi);
+  state_->Wake();
   state_->thread.join();
   for (CURL* easy : state_->idle) {
     curl_easy_cleanup(easy);
   }
   curl_multi_cleanup(state_->multi);
+  close(state_->waker);
+  close(state_->poller);
 }
 
 void HttpClient::Send(HttpCall call, Done done) {
@@ -182,7 +264,7 @@
     const std::lock_guard lock(state_->mutex);
     state_->incoming.push_back(std::move(transfer));
   }
-  curl_multi_wakeup(state_->multi);
+  state_->Wake();
 }
 
 HttpResult HttpFetch(const HttpCall& call) {
--- a/src/ports/http_client.h
+++ b/src/ports/http_client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/messages.h"
 
@@ -15,6 +16,7 @@
   std::string url;
   std::string body;
   Duration timeout = 1s;
+  std::vector<std::string> headers = {};  // "Name: value", beside the content's type.
 };
 
 struct HttpResult {
--- a/src/ports/http_server.cc
+++ b/src/ports/http_server.cc
@@ -140,6 +140,12 @@
   fresh->connection = connection;
   fresh->request.method = method;
   fresh->request.path = url;
+  for (const std::string& name : options.wanted_headers) {
+    const char* value = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name.c_str());
+    if (value != nullptr) {
+      fresh->request.headers[name] = value;
+    }
+  }
   *slot = fresh;
   return MHD_YES;
 }
--- a/src/ports/http_server.h
+++ b/src/ports/http_server.h
@@ -5,8 +5,10 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "hibiscusstand/clock.h"
 
@@ -23,12 +25,14 @@
   size_t body_limit = 1'048'576;  // Bytes; more is answered with 413.
   size_t header_limit = 32'768;   // Bytes per connection; more is answered with 431.
   unsigned threads = 2;
+  std::vector<std::string> wanted_headers;  // Names of those that requests are handed over with.
 };
 
 struct HttpRequest {
   std::string method;
   std::string path;  // Without the query.
   std::string body;
+  std::map<std::string, std::string> headers;  // The wanted ones that it has, by the name as wanted.
 };
 
 struct HttpReply {
--- a/src/ports/peer_link.cc
+++ b/src/ports/peer_link.cc
@@ -1,168 +1,32 @@
 #include "ports/peer_link.h"
 
-#include <atomic>
-#include <chrono>
-#include <map>
-#include <mutex>
-#include <stdexcept>
-#include <thread>
+#include <utility>
 
-#include <fmt/core.h>
-#include <grpcpp/grpcpp.h>
+#include <tl/expected.hpp>
 
-#include "peer.grpc.pb.h"
 #include "ports/peer_codec.h"
 
 namespace hibiscus {
 
-namespace {
-
-constexpr std::chrono::milliseconds kDeliveryTimeout(1000);
-constexpr int kMostBackoffMs = 500;  // Reconnects must be quicker than the failure detector.
-
-class Service final : public peer::Peer::CallbackService {
- public:
-  explicit Service(PeerLink::Receiver receiver) : receiver_(std::move(receiver)) {}
-
-  grpc::ServerUnaryReactor* Deliver(grpc::CallbackServerContext* context,
-                                    const peer::Batch* batch,
-                                    peer::Received* /*received*/) override {
-    grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
-    for (const std::string& bytes : batch->messages()) {
-      tl::expected<PeerMessage, std::string> message = DecodePeerMessage(bytes);
-      if (!message) {
-        reactor->Finish(grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, message.error()));
-        return reactor;
-      }
-      receiver_(batch->from(), std::move(*message));
-    }
-    reactor->Finish(grpc::Status::OK);
-    return reactor;
-  }
-
- private:
-  PeerLink::Receiver receiver_;
-};
-
-// The channel to one address. A channel whose connection is open but carries nothing, as after a cut that the transport
-// does not notice, is replaced: a delivery ran out of time, and no answer at all came since it was sent.
-struct Outgoing {
-  std::shared_ptr<peer::Peer::Stub> stub;  // Empty: a new one is made for the next delivery.
-  uint64_t channels = 0;                   // Made so far.
-  uint64_t answers = 0;                    // Heard on any of them.
-};
-
-// What one delivery needs until it is over.
-struct Delivering {
-  std::string address;
-  uint64_t channel = 0;  // Outgoing::channels and ::answers when it was sent.
-  uint64_t answers = 0;
-  std::shared_ptr<peer::Peer::Stub> stub;
-  grpc::ClientContext context;
-  peer::Batch batch;
-  peer::Received received;
-};
-
-std::shared_ptr<peer::Peer::Stub> MakeStub(const std::string& address) {
-  grpc::ChannelArguments arguments;
-  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMostBackoffMs);
-  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kMostBackoffMs / 5);
-  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMostBackoffMs / 5);
-  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);  // A new channel must get a connection of its own.
-  return peer::Peer::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
-}
-
-}  // namespace
-
-struct PeerLink::State {
-  explicit State(Receiver receiver) : service(std::move(receiver)) {}
-
-  HostName self;
-  Service service;
-  std::unique_ptr<grpc::Server> server;
-  int port = 0;
-  std::mutex mutex;
-  std::map<std::string, Outgoing> outgoing;  // By address.
-  std::atomic<int> out{0};                   // Deliveries not over yet.
-  std::atomic<uint64_t> lost{0};
-
-  void Begin(Delivering& delivering);
-  void End(const Delivering& delivering, const grpc::Status& status);
-};
-
-void PeerLink::State::Begin(Delivering& delivering) {
-  const std::lock_guard lock(mutex);
-  Outgoing& link = outgoing[delivering.address];
-  if (link.stub == nullptr) {
-    link.stub = MakeStub(delivering.address);
-    ++link.channels;
-  }
-  delivering.stub = link.stub;
-  delivering.channel = link.channels;
-  delivering.answers = link.answers;
-}
-
-void PeerLink::State::End(const Delivering& delivering, const grpc::Status& status) {
-  lost += status.ok() ? 0 : 1;
-  const std::lock_guard lock(mutex);
-  Outgoing& link = outgoing[delivering.address];
-  if (status.error_code() != grpc::StatusCode::DEADLINE_EXCEEDED) {
-    link.answers += status.error_code() == grpc::StatusCode::UNAVAILABLE ? 0 : 1;
-  } else if (link.channels == delivering.channel && link.answers == delivering.answers) {
-    link.stub = nullptr;
-  }
-}
-
 PeerLink::PeerLink(HostName self, const std::string& address, Receiver receiver)
-    : state_(std::make_unique<State>(std::move(receiver))) {
-  state_->self = std::move(self);
-  grpc::ServerBuilder builder;
-  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-  builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &state_->port);
-  builder.RegisterService(&state_->service);
-  state_->server = builder.BuildAndStart();
-  if (state_->server == nullptr || state_->port == 0) {
-    throw std::runtime_error(fmt::format("cannot listen on {}", address));
-  }
-}
-
-PeerLink::~PeerLink() {
-  state_->server->Shutdown(std::chrono::system_clock::now());
-  while (state_->out.load() > 0) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
-  }
-}
+    : receiver_(std::move(receiver)), link_(std::move(self), address, [this](const HostName& from, const std::string& bytes) {
+        tl::expected<PeerMessage, std::string> message = DecodePeerMessage(bytes);
+        if (!message) {
+          return message.error();
+        }
+        receiver_(from, std::move(*message));
+        return std::string();
+      }) {}
 
 std::vector<size_t> PeerLink::Send(const std::string& address, const std::vector<PeerMessage>& messages) {
-  auto delivering = std::make_shared<Delivering>();
-  delivering->address = address;
-  delivering->batch.set_from(state_->self);
+  std::vector<std::string> encoded;
   std::vector<size_t> sizes;
   for (const PeerMessage& message : messages) {
-    std::string* bytes = delivering->batch.add_messages();
-    *bytes = EncodePeerMessage(message);
-    sizes.push_back(bytes->size());
+    encoded.push_back(EncodePeerMessage(message));
+    sizes.push_back(encoded.back().size());
   }
-  delivering->context.set_deadline(std::chrono::system_clock::now() + kDeliveryTimeout);
-  delivering->context.set_wait_for_ready(true);  // A peer that just came is heard before this side has connected again.
-  ++state_->out;
-  State* state = state_.get();
-  state->Begin(*delivering);
-  delivering->stub->async()->Deliver(&delivering->context, &delivering->batch, &delivering->received,
-                                     [delivering, state](const grpc::Status& status) {
-                                       state->End(*delivering, status);
-                                       --state->out;
-                                     });
+  link_.Send(address, std::move(encoded));
   return sizes;
 }
 
-uint64_t PeerLink::lost() const {
-  return state_->lost;
-}
-
-int PeerLink::port() const {
-  return state_->port;
-}
-
 }  // namespace hibiscus
--- a/src/ports/peer_link.h
+++ b/src/ports/peer_link.h
@@ -1,14 +1,14 @@
-// gRPC between the daemons. The only file that includes gRPC's headers is peer_link.cc.
+// The core's messages between the daemons, over a ByteLink.
 #ifndef HIBISCUSSTAND_SRC_PORTS_PEER_LINK_H_
 #define HIBISCUSSTAND_SRC_PORTS_PEER_LINK_H_
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
 #include "core/messages.h"
+#include "ports/byte_link.h"
 
 namespace hibiscus {
 
@@ -19,21 +19,18 @@
 
   // `address` is "ip:port"; port 0 takes any free port. Throws std::runtime_error if it cannot listen.
   PeerLink(HostName self, const std::string& address, Receiver receiver);
-  ~PeerLink();
-  PeerLink(const PeerLink&) = delete;
-  PeerLink& operator=(const PeerLink&) = delete;
 
   // Sends without waiting. Messages may be lost; the core repeats what matters. Returns the bytes of each message.
   std::vector<size_t> Send(const std::string& address, const std::vector<PeerMessage>& messages);
 
   // Deliveries that failed, or that nobody confirmed in time.
-  uint64_t lost() const;
+  uint64_t lost() const { return link_.lost(); }
 
-  int port() const;
+  int port() const { return link_.port(); }
 
  private:
-  struct State;
-  std::unique_ptr<State> state_;
+  Receiver receiver_;
+  ByteLink link_;
 };
 
 }  // namespace hibiscus
