--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -55,6 +55,14 @@
     bool present = false;
     OwnerRecord record;
   };
+  // What a claim needs before it goes out.
+  struct ClaimParts {
+    bool head_read = false;
+    uint64_t head_revision = 0;  // 0: there is no head yet.
+    uint64_t epoch = 0;
+    uint64_t lease = 0;  // 0: not granted yet.
+    int conflicts = 0;
+  };
   struct Pending {
     CallerRequest request;
     TimePoint deadline{};
@@ -86,7 +94,9 @@
   void ConsiderClaim();
   void BeginClaim();
   void ReadHead();
-  void Claim(uint64_t lease, uint64_t head_revision, uint64_t epoch);
+  bool TakeHead(const std::vector<StoreItem>& items);
+  void ClaimIfReady();
+  void OnClaimConflict(const StoreAnswer& answer, uint64_t record_revision);
   void ResolveClaim(const Ownership& wanted, uint64_t lease);
   void EndClaim(const char* reason, uint64_t lease);
   void BecomeOwner(const Ownership& ownership, uint64_t lease);
@@ -119,7 +129,8 @@
   KnownOwner known_;
   TimePoint heard_owner_{};  // Last word from it.
   bool claiming_ = false;
-  uint64_t claim_timer_ = 0;
+  uint64_t claim_number_ = 0;
+  ClaimParts claim_;
   std::unique_ptr<Owner> owner_;
   uint64_t owner_lease_ = 0;
   bool restoring_ = false;  // Its record is gone from the store and is being written again.
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -16,6 +16,7 @@
 constexpr Duration kClaimJitter = 20ms;       // Between hosts that are equally near.
 constexpr Duration kClaimAgain = 200ms;       // After a claim that came to nothing.
 constexpr Duration kReleaseWithin = 1500ms;   // A planned stop waits so long for the last batch.
+constexpr int kMostConflicts = 4;             // A claim is tried again so often while only the head has moved.
 constexpr int kRankFactor = 3;                // Round trips to the store that a claim waits.
 
 }  // namespace
@@ -169,57 +170,101 @@
   ReadHead();
 }
 
+// The head and the lease are asked for at once: a claim takes two round trips.
 void Host::ReadHead() {
-  context_.store.Read(kHeadKey, Guarded([this](const StoreAnswer& answer) {
-                        if (answer.status != StoreStatus::kOk && answer.status != StoreStatus::kNotFound) {
-                          EndClaim("head_not_read", 0);
+  const uint64_t number = ++claim_number_;
+  claim_ = ClaimParts{};
+  context_.store.Read(kHeadKey, Guarded([this, number](const StoreAnswer& answer) {
+                        if (number != claim_number_) {
                           return;
                         }
-                        uint64_t revision = 0;
-                        HeadRecord head;
-                        if (!answer.items.empty()) {
-                          const auto record = DecodeRecord<HeadRecord>(answer.items.front().value);
-                          if (!record) {
-                            EndClaim("head_unreadable", 0);
-                            return;
-                          }
-                          revision = answer.items.front().revision;
-                          head = *record;
+                        const bool read =
+                            answer.status == StoreStatus::kOk || answer.status == StoreStatus::kNotFound;
+                        if (!read || !TakeHead(answer.items)) {
+                          EndClaim("head_not_read", claim_.lease);
+                          return;
                         }
-                        const Duration ttl = std::max(kOwnerLease, context_.settings.shortest_lease);
-                        context_.store.GrantLease(
-                            ttl, Guarded([this, revision, head](const StoreAnswer& granted) {
-                              if (granted.status != StoreStatus::kOk) {
+                        claim_.head_read = true;
+                        ClaimIfReady();
+                      }));
+  const Duration ttl = std::max(kOwnerLease, context_.settings.shortest_lease);
+  context_.store.GrantLease(ttl, Guarded([this, number](const StoreAnswer& answer) {
+                              if (number != claim_number_) {
+                                if (answer.status == StoreStatus::kOk) {
+                                  context_.store.EndLease(answer.lease, [](const StoreAnswer&) {});
+                                }
+                                return;
+                              }
+                              if (answer.status != StoreStatus::kOk) {
                                 EndClaim("no_lease", 0);
                                 return;
                               }
-                              Claim(granted.lease, revision, head.epoch + 1);
+                              claim_.lease = answer.lease;
+                              ClaimIfReady();
                             }));
-                      }));
 }
 
-void Host::Claim(uint64_t lease, uint64_t head_revision, uint64_t epoch) {
+// False if the head is there and cannot be read. None there: the cell was never owned.
+bool Host::TakeHead(const std::vector<StoreItem>& items) {
+  const auto item =
+      std::find_if(items.begin(), items.end(), [](const StoreItem& each) { return each.key == kHeadKey; });
+  claim_.head_revision = 0;
+  claim_.epoch = 1;
+  if (item == items.end()) {
+    return true;
+  }
+  const auto head = DecodeRecord<HeadRecord>(item->value);
+  if (!head) {
+    return false;
+  }
+  claim_.head_revision = item->revision;
+  claim_.epoch = head->epoch + 1;
+  return true;
+}
+
+void Host::ClaimIfReady() {
+  if (!claim_.head_read || claim_.lease == 0) {
+    return;
+  }
   if (!IsFree()) {
-    EndClaim("another_owner", lease);
+    EndClaim("another_owner", claim_.lease);
     return;
   }
   const uint64_t record_revision = known_.present ? known_.term : 0;
   StoreTransaction claim;
-  claim.expected = {Expectation{kOwnerKey, record_revision}, Expectation{kHeadKey, head_revision}};
-  claim.writes = {StoreWrite{kOwnerKey, EncodeRecord(OwnRecord(epoch, false)), lease},
-                  StoreWrite{kHeadKey, EncodeRecord(HeadRecord{epoch, 0}), 0}};
-  context_.store.Commit(claim, Guarded([this, lease, epoch](const StoreAnswer& answer) {
-                          const Ownership wanted{epoch, answer.revision, answer.revision};
+  claim.expected = {Expectation{kOwnerKey, record_revision}, Expectation{kHeadKey, claim_.head_revision}};
+  claim.writes = {StoreWrite{kOwnerKey, EncodeRecord(OwnRecord(claim_.epoch, false)), claim_.lease},
+                  StoreWrite{kHeadKey, EncodeRecord(HeadRecord{claim_.epoch, 0}), 0}};
+  context_.store.Commit(claim, Guarded([this, record_revision](const StoreAnswer& answer) {
+                          const Ownership wanted{claim_.epoch, answer.revision, answer.revision};
                           if (answer.status == StoreStatus::kOk) {
-                            BecomeOwner(wanted, lease);
+                            BecomeOwner(wanted, claim_.lease);
                           } else if (answer.status == StoreStatus::kUnknown) {
-                            ResolveClaim(wanted, lease);
+                            ResolveClaim(wanted, claim_.lease);
+                          } else if (answer.status == StoreStatus::kConflict) {
+                            OnClaimConflict(answer, record_revision);
                           } else {
-                            EndClaim(NameOf(answer.status), lease);
+                            EndClaim(NameOf(answer.status), claim_.lease);
                           }
                         }));
 }
 
+// A last batch of the owner before may have moved the head since it was read; then the claim goes out again at once.
+void Host::OnClaimConflict(const StoreAnswer& answer, uint64_t record_revision) {
+  uint64_t found = 0;
+  for (const StoreItem& item : answer.items) {
+    if (item.key == kOwnerKey) {
+      found = item.revision;
+      OnOwnerItem(&item);
+    }
+  }
+  if (found != record_revision || ++claim_.conflicts > kMostConflicts || !TakeHead(answer.items)) {
+    EndClaim("conflict", claim_.lease);
+    return;
+  }
+  ClaimIfReady();
+}
+
 // The claim had no answer. The record tells whether it was carried out; if it is carried out after that, the watch brings
 // a record of this process without an owner behind it, which is released.
 void Host::ResolveClaim(const Ownership& wanted, uint64_t lease) {
@@ -237,6 +282,7 @@
 }
 
 void Host::EndClaim(const char* reason, uint64_t lease) {
+  ++claim_number_;  // What is still on its way for this claim is not waited for.
   context_.Log("owner", "event=claim_failed reason={} known_term={}", reason, known_.term);
   context_.counters.Add("owner_claims_failed");
   if (lease != 0) {
@@ -249,6 +295,7 @@
 }
 
 void Host::BecomeOwner(const Ownership& ownership, uint64_t lease) {
+  ++claim_number_;
   claiming_ = false;
   if (leaving_) {
     context_.store.EndLease(lease, [](const StoreAnswer&) {});
@@ -390,7 +437,7 @@
     }
   });
   context_.timers.In(kReleaseWithin, release);
-  owner_->Close([release](uint64_t) { release(); });
+  owner_->Close(release);
 }
 
 // Others may take over at once: the record stays, marked as released, until one of them replaces it.
@@ -399,6 +446,7 @@
     left();
     return;
   }
+  owner_->StopWriting();
   StoreTransaction transaction;
   transaction.expected = {Expectation{kOwnerKey, known_.term}};
   transaction.writes = {StoreWrite{kOwnerKey, EncodeRecord(OwnRecord(owner_->ownership().epoch, true)), 0}};
--- a/src/cell/job_table.cc
+++ b/src/cell/job_table.cc
@@ -43,6 +43,18 @@
   return TaskRef{job->id(), occurrence, step, index};
 }
 
+const StepAdvice::Permit& StepAdvice::For(size_t worker) const {
+  static const Permit kNone;
+  return worker < permits.size() ? permits[worker] : kNone;
+}
+
+StepAdvice::Permit& StepAdvice::At(size_t worker) {
+  if (worker >= permits.size()) {
+    permits.resize(worker + 1);
+  }
+  return permits[worker];
+}
+
 void Job::WhenStored(std::function<void()> done) {
   if (dirty) {
     on_stored.push_back(std::move(done));
@@ -96,12 +108,12 @@
   record.occurrences_done = job.occurrences_done;
   for (const int number : job.done_beyond) {
     for (size_t i = 0; i < job.record.spec.steps.size(); ++i) {
-      record.steps.push_back(StepProgress{number, static_cast<int>(i), true, {}, {}, {}, {}});
+      record.steps.push_back(StepProgress{number, static_cast<int>(i), true, {}, {}, {}});
     }
   }
   for (const auto& [number, occurrence] : job.occurrences) {
     for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
-      StepProgress progress{number, step->step, step->finished(), {}, {}, {}, {}};
+      StepProgress progress{number, step->step, step->finished(), {}, {}, {}};
       if (!progress.all_done) {
         for (int i = 0; i < step->spec->count; ++i) {
           const TaskState& task = step->tasks[static_cast<size_t>(i)];
@@ -109,17 +121,15 @@
             progress.done.push_back(i);
             continue;
           }
-          if (task.failed > 0) {
-            progress.failed[i] = task.failed;
-            progress.failed_runs[i] = task.failed_run;
+          if (!task.failed_runs.empty()) {
+            progress.failed[i].assign(task.failed_runs.begin(), task.failed_runs.end());
           }
           if (!task.checkpoint.empty()) {
             progress.checkpoints[i] = task.checkpoint;
           }
         }
-        if (step->gang_failed > 0) {
-          progress.failed[0] = step->gang_failed;
-          progress.failed_runs[0] = step->gang_failed_run;
+        if (!step->gang_failed_runs.empty()) {
+          progress.failed[0].assign(step->gang_failed_runs.begin(), step->gang_failed_runs.end());
         }
         if (!step->gang_checkpoint.empty()) {
           progress.checkpoints[0] = step->gang_checkpoint;
@@ -154,18 +164,11 @@
       MarkDone(step, index);
     }
   }
-  for (const auto& [index, failed] : progress.failed) {
-    if (step.spec->gang) {
-      step.gang_failed = failed;
-    } else if (in_range(index)) {
-      step.tasks[static_cast<size_t>(index)].failed = failed;
-    }
-  }
-  for (const auto& [index, run] : progress.failed_runs) {
+  for (const auto& [index, runs] : progress.failed) {
     if (step.spec->gang) {
-      step.gang_failed_run = run;
+      step.gang_failed_runs.insert(runs.begin(), runs.end());
     } else if (in_range(index)) {
-      step.tasks[static_cast<size_t>(index)].failed_run = run;
+      step.tasks[static_cast<size_t>(index)].failed_runs.insert(runs.begin(), runs.end());
     }
   }
   for (const auto& [index, checkpoint] : progress.checkpoints) {
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -22,8 +22,7 @@
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
   int run = 0;     // Highest number given to a start so far.
-  int failed = 0;      // Attempts that failed.
-  int failed_run = 0;  // The last of them: an end that is listed twice counts once.
+  std::set<int> failed_runs;  // Starts that failed. Their ends may be listed twice, and in any order.
   std::string worker;  // Where it is placed.
   std::string checkpoint;
   TimePoint placed_at{};
@@ -34,8 +33,9 @@
 
 // What the advice service said about a step.
 struct StepAdvice {
+  enum class Word { kNotAsked, kRefused, kAllowed };
   struct Permit {
-    bool allowed = false;
+    Word word = Word::kNotAsked;
     std::string ticket;
     TimePoint valid_until{};
 
@@ -44,7 +44,10 @@
 
   bool asking = false;
   bool known = false;                     // At least one question was answered.
-  std::map<std::string, Permit> permits;  // By worker: all that were asked about.
+  std::vector<Permit> permits;  // By the worker's number.
+
+  const Permit& For(size_t worker) const;
+  Permit& At(size_t worker);
 };
 
 // One step of one occurrence.
@@ -61,8 +64,7 @@
   std::map<std::string, int> on_worker;  // Placed tasks by worker.
 
   int gang_run = 0;            // Number of the gang's last start.
-  int gang_failed = 0;         // Attempts of the gang that failed.
-  int gang_failed_run = 0;     // The last of them.
+  std::set<int> gang_failed_runs;  // Starts of the gang that failed, as above.
   bool gang_ending = false;    // The members of the last start are on their way out; none may start before all are gone.
   std::string gang_checkpoint;
 
@@ -91,8 +93,11 @@
   bool final = false;
   JobState final_state = JobState::kCompleted;
 
+  Duration objective{};      // From its acceptance; refreshed with the queue.
+
   bool spec_stored = false;
-  bool progress_stored = false;
+  std::string spec_key;      // Batch of the log that has the job itself. Empty: none yet.
+  std::string progress_key;  // Batch that has how far it is. Empty: none yet.
   bool dirty = false;        // Something of it is new to the store.
   bool in_batch = false;     // Part of the batch on its way to the store.
   std::vector<std::function<void()>> on_stored;        // Waits for the next batch that has it.
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -136,7 +136,7 @@
   auto fresh = std::make_unique<Job>();
   Job& job = *fresh;
   job.record = JobRecord{ownership_.epoch, context_.wall.NowMs(), std::move(spec)};
-  job.queue = queue;
+  SetQueue(job, queue);
   job.accepted_at = context_.Now();
   jobs_[job.id()] = std::move(fresh);
   if (job.record.spec.occurrences == 0) {
@@ -220,13 +220,13 @@
   configuration_ = configuration;
   for (const auto& [id, job] : jobs_) {
     if (const QueueSpec* queue = configuration_.FindQueue(job->record.spec.queue); queue != nullptr) {
-      job->queue = *queue;
+      SetQueue(*job, *queue);
     }
   }
   ScheduleSoon();
 }
 
-void Owner::Close(std::function<void(uint64_t)> closed) {
+void Owner::Close(std::function<void()> closed) {
   closing_ = true;
   closed_ = std::move(closed);
   for (auto& [request, reply] : early_) {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -55,8 +55,10 @@
   void OnConfiguration(const CellConfiguration& configuration);
   void OnHosts(const std::vector<HostRecord>& hosts) { advice_.SetHosts(hosts); }
 
-  // The planned end: starts nothing more, and calls back with the head's revision when all that is known stands.
-  void Close(std::function<void(uint64_t head_revision)> closed);
+  // The planned end: starts nothing more, and calls back when all that was known by now stands.
+  void Close(std::function<void()> closed);
+  // Writes nothing more, whether all stands or not.
+  void StopWriting() { commit_.Close(); }
 
   const Ownership& ownership() const { return ownership_; }
   // Counts for operators.
@@ -68,11 +70,20 @@
     JobState state = JobState::kCompleted;
     int64_t ended_at_ms = 0;
   };
-  // Jobs of which one batch told the store that they ended; removed together.
+  // Jobs of which one key tells that they ended; removed together.
   struct EndedBatch {
     std::string key;
-    std::vector<std::string> jobs;
+    std::vector<EndedJob> jobs;
     int64_t written_at_ms = 0;
+    bool merged = false;  // Of several batches.
+  };
+  // A batch of the log: jobs on which it has the last word.
+  struct Segment {
+    std::set<std::string> specs;
+    std::set<std::string> progress;
+    TimePoint written_at{};
+
+    bool empty() const { return specs.empty() && progress.empty(); }
   };
   // Ends of one worker that may be acknowledged once a batch stands.
   struct SeenEnds {
@@ -105,7 +116,7 @@
                const std::string& after,
                std::function<void(const StoreItem&)> take,
                std::function<void(uint64_t revision)> done);
-  void TakeJobItem(const StoreItem& item);
+  void TakeLogItem(const StoreItem& item);
   void TakeEndedItem(const StoreItem& item);
   void RestoreJobs();
   void WatchWorkers();
@@ -120,8 +131,17 @@
     std::vector<EndedJob> ended;
     std::vector<WorkerLifeRecord> roster;
     std::vector<SeenEnds> ends;
+    bool last = false;  // No batch may follow: the owner is closing.
   };
   void AddExpired(Batch& batch);
+  void AddRoster(Batch& batch, BatchNews& news);
+  void AddJobs(Batch& batch, BatchNews& news, const std::string& key);
+  void AddEnded(Batch& batch, const BatchNews& news, uint64_t number);
+  void MergeEnded(Batch& batch, uint64_t number);
+  void CleanLog(LogRecord& log, Batch& batch, const std::string& key);
+  void AppendSpec(Job& job, LogRecord& log, const std::string& key);
+  void AppendProgress(Job& job, LogRecord& log, const std::string& key);
+  void Forget(Job& job);
   void OnBatchStands(const BatchNews& news);
   void RetireJob(const EndedJob& ended);
 
@@ -162,11 +182,12 @@
   void ScheduleSoon();
   void Schedule();
   std::vector<StepRun*> WaitingInOrder();
-  Duration ObjectiveOf(const Job& job) const;
+  void SetQueue(Job& job, const QueueSpec& queue);
   void PlaceSingles(StepRun& step);
   void PlaceGang(StepRun& step);
   void StartTask(StepRun& step, int index, Worker& worker);
   std::vector<Worker*> EligibleFor(const StepRun& step);
+  bool IsEligible(const StepRun& step, const Worker& worker) const;
   RoomView ViewOf(const StepRun& step, const Worker& worker) const;
   bool HasTicket(const StepRun& step, const Worker& worker) const;
   bool IsKeptByOther(const StepRun& step, const Worker& worker) const;
@@ -176,6 +197,7 @@
   void Unreserve(StepRun& step);
   void OnAdviceFor(const TaskRef& ref, const std::vector<std::string>& asked, const AdviceAnswer& answer);
   void KeepRoom(StepRun& step, const std::vector<Worker*>& workers, const std::vector<RoomView>& views);
+  void LookAtRooms();
   int RunBase(const Job& job) const;
 
   Context& context_;
@@ -189,12 +211,17 @@
   bool loaded_ = false;
   bool closing_ = false;
   bool deposed_once_ = false;
-  std::function<void(uint64_t)> closed_;
+  std::function<void()> closed_;
   std::vector<std::pair<CallerRequest, Reply>> early_;  // Came before the jobs were read.
   // Read from the store, until all of it is here.
+  struct LoadedJob {
+    JobRecord record;
+    std::string spec_key;
+    ProgressRecord progress;
+    std::string progress_key;
+  };
   struct Loading {
-    std::map<std::string, JobRecord> jobs;
-    std::map<std::string, ProgressRecord> progress;
+    std::map<std::string, LoadedJob> jobs;
     std::vector<WorkerLifeRecord> roster;
     std::vector<WorkerEntry> workers;
   };
@@ -203,6 +230,7 @@
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;  // Not ended, or their end is not stored yet.
   std::unordered_map<std::string, Ended> ended_;
   std::deque<EndedBatch> ended_batches_;
+  std::map<std::string, Segment> segments_;  // By key: the log, oldest first.
   std::deque<std::string> dirty_;  // Jobs, oldest news first.
   std::map<std::string, PendingCount> pending_counts_;
 
@@ -213,6 +241,8 @@
   std::vector<Occurrence> finished_occurrences_;  // Dropped by the next pass: callers may be inside them.
   std::map<std::string, const StepRun*> kept_;     // Workers on which room is kept, by this pass so far.
   std::set<std::string> kept_before_;              // By the last pass.
+  std::vector<Worker*> usable_;                    // Workers that this pass may place on.
+  Duration pass_takes_{};                          // What the last pass took of the control thread.
   std::map<std::string, Resources> reserved_;  // By gangs that wait for tickets.
   bool schedule_soon_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -1,6 +1,7 @@
 // What starts where. One pass goes through all open steps that have waiting tasks: in the order of their queues'
 // priority, then of what is due first; jobs whose objective is long past come last. A gang that does not fit keeps room.
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <tuple>
 #include <utility>
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr Duration kPassDelay = 3ms;           // Gathers what comes together: ends of a gang, answers of one round.
+constexpr int kPassShare = 4;                  // Passes take at most one part in so many and one of the thread's time.
 constexpr Duration kTicketMargin = 250ms;      // A start takes this long at most on its way; a ticket must outlast it.
 constexpr double kMostKeptShare = 0.5;         // Of the workers a gang may use: more room is never kept idle.
 constexpr size_t kSpareAsked = 2;              // Workers asked about beyond those that are needed.
@@ -24,7 +26,8 @@
     return;
   }
   schedule_soon_ = true;
-  context_.timers.In(kPassDelay, [this, alive = alive_] {
+  // A pass over a long queue takes long: the thread must get to its other work between two of them.
+  context_.timers.In(std::max(kPassDelay, pass_takes_ * kPassShare), [this, alive = alive_] {
     if (*alive) {
       schedule_soon_ = false;
       Schedule();
@@ -42,6 +45,8 @@
     kept_before_.insert(worker);
   }
   kept_.clear();
+  const TimePoint begin = context_.Now();
+  LookAtRooms();
   for (StepRun* step : WaitingInOrder()) {
     if (step->spec->gang) {
       PlaceGang(*step);
@@ -49,11 +54,23 @@
       PlaceSingles(*step);
     }
   }
+  pass_takes_ = context_.Now() - begin;
 }
 
-Duration Owner::ObjectiveOf(const Job& job) const {
+void Owner::LookAtRooms() {
+  usable_.clear();
+  const TimePoint now = context_.Now();
+  for (const auto& [id, worker] : workers_.workers()) {
+    if (worker->UsableAt(now)) {
+      usable_.push_back(worker.get());
+    }
+  }
+}
+
+void Owner::SetQueue(Job& job, const QueueSpec& queue) {
+  job.queue = queue;
   const auto chain = static_cast<double>(LongestChain(job.record.spec).count());
-  return job.queue.target_latency + Duration(static_cast<int64_t>(job.queue.stretch * chain));
+  job.objective = queue.target_latency + Duration(static_cast<int64_t>(queue.stretch * chain));
 }
 
 std::vector<StepRun*> Owner::WaitingInOrder() {
@@ -71,7 +88,7 @@
     if (job->final || !job->spec_stored || may_run_elsewhere) {
       continue;
     }
-    const Duration objective = ObjectiveOf(*job);
+    const Duration objective = job->objective;
     const bool worthless = now - job->accepted_at > objective * kWorthlessAfter;
     for (const auto& [number, occurrence] : job->occurrences) {
       for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
@@ -95,17 +112,17 @@
 
 // --- Rooms ---
 
+bool Owner::IsEligible(const StepRun& step, const Worker& worker) const {
+  const std::string& label = step.spec->required_label;
+  return worker.entry.service == step.job->queue.service && SizeOf(step).FitsIn(worker.entry.capacity) &&
+         (label.empty() || worker.entry.HasLabel(label));
+}
+
 std::vector<Worker*> Owner::EligibleFor(const StepRun& step) {
+  LookAtRooms();
   std::vector<Worker*> eligible;
-  const TimePoint now = context_.Now();
-  const Resources size = SizeOf(step);
-  for (const auto& [id, worker] : workers_.workers()) {
-    const std::string& label = step.spec->required_label;
-    if (worker->UsableAt(now) && worker->entry.service == step.job->queue.service &&
-        size.FitsIn(worker->entry.capacity) && (label.empty() || worker->entry.HasLabel(label))) {
-      eligible.push_back(worker.get());
-    }
-  }
+  std::copy_if(usable_.begin(), usable_.end(), std::back_inserter(eligible),
+               [&](const Worker* worker) { return IsEligible(step, *worker); });
   return eligible;
 }
 
@@ -138,27 +155,30 @@
   if (!step.job->queue.advice) {
     return true;
   }
-  const auto permit = step.advice.permits.find(worker.entry.id);
-  return permit != step.advice.permits.end() && permit->second.allowed &&
-         permit->second.valid_until > context_.Now();
+  const StepAdvice::Permit& permit = step.advice.For(worker.number);
+  return permit.word == StepAdvice::Word::kAllowed && permit.valid_until > context_.Now();
 }
 
 // --- Single tasks ---
 
 void Owner::PlaceSingles(StepRun& step) {
   if (step.job->queue.advice && !step.advice.known) {
-    AskAdvice(step, EligibleFor(step));
+    if (!step.advice.asking) {
+      AskAdvice(step, EligibleFor(step));
+    }
     return;
   }
   std::vector<Worker*> workers;
   std::vector<RoomView> views;
   std::vector<Worker*> without_ticket;
   const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
-  for (Worker* worker : EligibleFor(step)) {
-    if (IsKeptByOther(step, *worker)) {
+  const bool advised = step.job->queue.advice.has_value();
+  for (Worker* worker : usable_) {
+    const bool refused = advised && step.advice.For(worker->number).word == StepAdvice::Word::kRefused;
+    if (refused || !need.size.FitsIn(worker->free()) || IsKeptByOther(step, *worker) || !IsEligible(step, *worker)) {
       continue;
     }
-    const RoomView view = ViewOf(step, *worker);
+    RoomView view = ViewOf(step, *worker);
     if (SlotsOf(view, need) == 0) {
       continue;
     }
@@ -167,7 +187,7 @@
       continue;
     }
     workers.push_back(worker);
-    views.push_back(view);
+    views.push_back(std::move(view));
   }
   for (int i = 0; i < step.spec->count && step.waiting > 0; ++i) {
     if (step.tasks[static_cast<size_t>(i)].phase != TaskPhase::kWaiting) {
@@ -188,39 +208,31 @@
 
 // Some workers have room, but their tickets are over or they were never asked about.
 void Owner::AskAgain(StepRun& step, const std::vector<Worker*>& workers) {
-  std::vector<Worker*> asked;
-  for (Worker* worker : workers) {
-    const auto permit = step.advice.permits.find(worker->entry.id);
-    const bool refused = permit != step.advice.permits.end() && !permit->second.allowed;
-    if (!refused && asked.size() < static_cast<size_t>(step.waiting) + kSpareAsked) {
-      asked.push_back(worker);
-    }
-  }
-  if (!asked.empty()) {
-    AskAdvice(step, asked);
-  }
+  const size_t most = static_cast<size_t>(step.waiting) + kSpareAsked;
+  AskAdvice(step, std::vector<Worker*>(workers.begin(),
+                                       workers.begin() + static_cast<std::ptrdiff_t>(std::min(workers.size(), most))));
 }
 
 // --- Gangs ---
 
 void Owner::PlaceGang(StepRun& step) {
   const bool advised = step.job->queue.advice.has_value();
+  if (step.advice.asking) {
+    return;
+  }
   const std::vector<Worker*> eligible = EligibleFor(step);
   if (advised && !step.advice.known) {
     AskAdvice(step, eligible);
     return;
   }
-  if (step.advice.asking) {
-    return;
-  }
   std::vector<Worker*> workers;
   std::vector<Worker*> never_asked;
   std::vector<RoomView> views;
   for (Worker* worker : eligible) {
-    const auto permit = step.advice.permits.find(worker->entry.id);
-    if (advised && permit == step.advice.permits.end()) {
+    const StepAdvice::Word word = step.advice.For(worker->number).word;
+    if (advised && word == StepAdvice::Word::kNotAsked) {
       never_asked.push_back(worker);
-    } else if ((!advised || permit->second.allowed) && !IsKeptByOther(step, *worker)) {
+    } else if ((!advised || word == StepAdvice::Word::kAllowed) && !IsKeptByOther(step, *worker)) {
       workers.push_back(worker);
       views.push_back(ViewOf(step, *worker));
     }
@@ -306,10 +318,7 @@
   order.run = RunRef{step.RefOf(index), task.run};
   order.payload = step.job->record.spec.payload;
   order.checkpoint = step.spec->gang ? step.gang_checkpoint : task.checkpoint;
-  const auto permit = step.advice.permits.find(worker.entry.id);
-  if (step.job->queue.advice && permit != step.advice.permits.end()) {
-    order.ticket = permit->second.ticket;
-  }
+  order.ticket = step.advice.For(worker.number).ticket;
   context_.Log("run", "event=start worker={} job={} queue={} step={} index={} run={} waited_ms={} free_cpu={}",
                worker.entry.id, step.job->id(), step.job->queue.name, step.step, index, task.run,
                Millis(context_.Now() - step.opened_at), worker.free().cpu_millis);
@@ -349,12 +358,19 @@
   Unreserve(*step);
   if (answer.answered && step->job->queue.advice) {
     step->advice.known = true;
-    for (const std::string& worker : asked) {
-      step->advice.permits[worker];
-    }
     const TimePoint until = context_.Now() + step->job->queue.advice->valid - kTicketMargin;
+    std::map<std::string, std::string> tickets;
     for (const Ticket& ticket : answer.allowed) {
-      step->advice.permits[ticket.worker] = StepAdvice::Permit{true, ticket.ticket, until};
+      tickets[ticket.worker] = ticket.ticket;
+    }
+    for (const std::string& id : asked) {
+      const Worker* worker = workers_.Find(id);
+      const auto ticket = tickets.find(id);
+      if (worker != nullptr) {
+        step->advice.At(worker->number) =
+            ticket == tickets.end() ? StepAdvice::Permit{StepAdvice::Word::kRefused, "", {}}
+                                    : StepAdvice::Permit{StepAdvice::Word::kAllowed, ticket->second, until};
+      }
     }
   }
   context_.Log("advice", "event=advice job={} step={} asked={} allowed={} answered={}", ref.job, ref.step,
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -169,7 +169,7 @@
     return;
   }
   if (status == OrderStatus::kNoTicket) {
-    step->advice.permits[worker.entry.id].valid_until = TimePoint{};
+    step->advice.At(worker.number).valid_until = TimePoint{};
   }
   Unplace(*step, run.task.index);
   MemberLeft(*step);
@@ -258,13 +258,11 @@
 
 void Owner::TaskFailed(StepRun& step, int index, int run) {
   TaskState& task = step.tasks[static_cast<size_t>(index)];
-  if (run <= task.failed_run || task.phase == TaskPhase::kDone) {
+  if (step.spec->long_running || task.phase == TaskPhase::kDone || !task.failed_runs.insert(run).second) {
     return;
   }
-  task.failed_run = run;
-  ++task.failed;
   MarkDirty(*step.job);
-  if (!step.spec->long_running && task.failed >= step.job->queue.max_attempts) {
+  if (static_cast<int>(task.failed_runs.size()) >= step.job->queue.max_attempts) {
     FinishJob(*step.job, JobState::kFailed);
   }
 }
@@ -291,13 +289,11 @@
 }
 
 void Owner::GangFailed(StepRun& step, int run) {
-  if (run <= step.gang_failed_run || step.finished()) {
+  if (step.spec->long_running || step.finished() || !step.gang_failed_runs.insert(run).second) {
     return;
   }
-  step.gang_failed_run = run;
-  ++step.gang_failed;
   MarkDirty(*step.job);
-  if (!step.spec->long_running && step.gang_failed >= step.job->queue.max_attempts) {
+  if (static_cast<int>(step.gang_failed_runs.size()) >= step.job->queue.max_attempts) {
     FinishJob(*step.job, JobState::kFailed);
   }
 }
@@ -369,7 +365,7 @@
   context_.counters.Add(fmt::format("job_seconds{{queue=\"{}\",state=\"{}\"}}", job.queue.name, NameOf(state)),
                         std::chrono::duration<double>(age).count());
   context_.Log("job", "event=job_ended state={} job={} queue={} age_ms={} objective_ms={}", NameOf(state), job.id(),
-               job.queue.name, Millis(age), Millis(ObjectiveOf(job)));
+               job.queue.name, Millis(age), Millis(job.objective));
   for (auto& [number, occurrence] : job.occurrences) {
     for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
       Unreserve(*step);
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -11,8 +11,12 @@
 constexpr Duration kReadAgain = 100ms;       // After a read without an answer.
 constexpr Duration kWatchWait = 1s;          // A look at the workers' entries waits so long for a change.
 constexpr Duration kWatchPause = 400ms;      // Between two looks: entries change far more often than they matter.
-constexpr size_t kEntriesOfAJob = 2;         // Most entries that one job adds to a batch.
-constexpr size_t kMostExpired = 4;           // Old records removed by one batch.
+constexpr size_t kMostExpired = 4;           // Old records of ended jobs removed by one batch.
+constexpr size_t kMergedAtOnce = 12;         // Records of ended jobs that become one.
+constexpr size_t kMostCleaned = 6;           // Batches of the log removed by one batch; it writes one.
+constexpr size_t kMostSegments = 300;        // Batches of the log: some ten seconds, and one page to read.
+constexpr Duration kOldestSegment = 60s;     // Older ones are written anew; half of the least time ended jobs are kept.
+constexpr size_t kMostLogBytes = 600'000;    // Of one batch: base64 makes 0.8 MB of it, a value may have 1 MB.
 constexpr int64_t kRunsPerEpoch = 1000;      // Starts of one task under one owner stay below this.
 
 }  // namespace
@@ -53,8 +57,8 @@
 
 void Owner::ReadJobs() {
   const auto take = [this](const StoreItem& item) {
-    if (item.key.starts_with(kJobPrefix)) {
-      TakeJobItem(item);
+    if (item.key.starts_with(kLogPrefix)) {
+      TakeLogItem(item);
     } else if (item.key.starts_with(kEndedPrefix)) {
       TakeEndedItem(item);
     } else if (item.key == kRosterKey) {
@@ -69,23 +73,23 @@
   ReadAll(kDataPrefix, "", take, [this](uint64_t) { ReadWorkers(); });
 }
 
-void Owner::TakeJobItem(const StoreItem& item) {
-  const size_t slash = item.key.rfind('/');
-  const std::string id = item.key.substr(kJobPrefix.size(), slash - kJobPrefix.size());
-  if (item.key == SpecKey(id)) {
-    auto record = DecodeRecord<JobRecord>(item.value);
-    if (record) {
-      loading_.jobs[id] = std::move(*record);
-    } else {
-      context_.Log("owner", "event=unreadable key={} reason=\"{}\"", item.key, record.error());
-    }
+// Batches come in order, so the later word replaces the earlier one.
+void Owner::TakeLogItem(const StoreItem& item) {
+  auto log = DecodeRecord<LogRecord>(item.value);
+  if (!log) {
+    context_.Log("owner", "event=unreadable key={} reason=\"{}\"", item.key, log.error());
     return;
   }
-  auto progress = DecodeRecord<ProgressRecord>(item.value);
-  if (progress) {
-    loading_.progress[id] = std::move(*progress);
-  } else {
-    context_.Log("owner", "event=unreadable key={} reason=\"{}\"", item.key, progress.error());
+  segments_[item.key].written_at = context_.Now();
+  for (JobRecord& record : log->jobs) {
+    LoadedJob& job = loading_.jobs[record.spec.id];
+    job.record = std::move(record);
+    job.spec_key = item.key;
+  }
+  for (JobProgress& each : log->progress) {
+    LoadedJob& job = loading_.jobs[each.id];
+    job.progress = std::move(each.progress);
+    job.progress_key = item.key;
   }
 }
 
@@ -95,12 +99,10 @@
     context_.Log("owner", "event=unreadable key={} reason=\"{}\"", item.key, jobs.error());
     return;
   }
-  EndedBatch batch{item.key, {}, context_.wall.NowMs()};
   for (const EndedJob& job : *jobs) {
     ended_[job.id] = Ended{job.queue, job.state, job.ended_at_ms};
-    batch.jobs.push_back(job.id);
   }
-  ended_batches_.push_back(std::move(batch));
+  ended_batches_.push_back(EndedBatch{item.key, *jobs, context_.wall.NowMs(), jobs->size() > kMergedAtOnce});
 }
 
 void Owner::ReadWorkers() {
@@ -140,22 +142,26 @@
 
 void Owner::RestoreJobs() {
   const int64_t now_ms = context_.wall.NowMs();
-  for (auto& [id, record] : loading_.jobs) {
+  for (auto& [id, loaded] : loading_.jobs) {
+    if (loaded.spec_key.empty() || ended_.contains(id)) {
+      continue;  // Ended: what the log still has of it is not the last word.
+    }
     auto fresh = std::make_unique<Job>();
     Job& job = *fresh;
-    job.record = std::move(record);
+    job.record = std::move(loaded.record);
     const QueueSpec* queue = configuration_.FindQueue(job.record.spec.queue);
-    job.queue.name = job.record.spec.queue;
-    if (queue != nullptr) {
-      job.queue = *queue;
-    }
+    QueueSpec unknown;
+    unknown.name = job.record.spec.queue;
+    SetQueue(job, queue == nullptr ? unknown : *queue);
     const int64_t age_ms = std::clamp<int64_t>(now_ms - job.record.accepted_at_ms, 0, Millis(1h));
     job.accepted_at = context_.Now() - std::chrono::milliseconds(age_ms);
     job.spec_stored = true;
-    const auto progress = loading_.progress.find(id);
-    if (progress != loading_.progress.end()) {
-      job.progress_stored = true;
-      ApplyProgress(job, progress->second, RunBase(job));
+    job.spec_key = loaded.spec_key;
+    segments_[job.spec_key].specs.insert(id);
+    if (!loaded.progress_key.empty()) {
+      job.progress_key = loaded.progress_key;
+      segments_[job.progress_key].progress.insert(id);
+      ApplyProgress(job, loaded.progress, RunBase(job));
     }
     if (job.record.spec.occurrences == 0 && job.next_occurrence == 0) {
       job.occurrences.emplace(0, MakeOccurrence(job, 0, RunBase(job)));
@@ -241,6 +247,7 @@
   commit_.Request();
 }
 
+// Ended jobs that need no longer be told of. Batches of the log that old are gone, so nothing brings them back.
 void Owner::AddExpired(Batch& batch) {
   const int64_t now_ms = context_.wall.NowMs();
   const int64_t kept_ms = Millis(context_.settings.state_kept) * 2;
@@ -249,24 +256,83 @@
     if (now_ms - oldest.written_at_ms <= kept_ms) {
       return;
     }
-    for (const std::string& id : oldest.jobs) {
-      ended_.erase(id);
+    for (const EndedJob& job : oldest.jobs) {
+      ended_.erase(job.id);
     }
     batch.removals.push_back(oldest.key);
     ended_batches_.pop_front();
   }
 }
 
-Batch Owner::FillBatch(uint64_t number) {
-  Batch batch;
-  BatchNews news;
-  AddExpired(batch);
+void Owner::AddRoster(Batch& batch, BatchNews& news) {
   if (roster_dirty_) {
     roster_dirty_ = false;
     news.roster = workers_.Roster();
     batch.writes.push_back(StoreWrite{kRosterKey, EncodeRecord(news.roster), 0});
   }
-  while (!dirty_.empty() && batch.entries() + kEntriesOfAJob + 1 <= kMostBatchEntries) {
+}
+
+void Owner::AppendSpec(Job& job, LogRecord& log, const std::string& key) {
+  if (!job.spec_key.empty()) {
+    segments_[job.spec_key].specs.erase(job.id());
+  }
+  job.spec_key = key;
+  segments_[key].specs.insert(job.id());
+  log.jobs.push_back(job.record);
+}
+
+void Owner::AppendProgress(Job& job, LogRecord& log, const std::string& key) {
+  if (!job.progress_key.empty()) {
+    segments_[job.progress_key].progress.erase(job.id());
+  }
+  job.progress_key = key;
+  segments_[key].progress.insert(job.id());
+  log.progress.push_back(JobProgress{job.id(), ProgressOf(job)});
+}
+
+// The log has nothing to say about it any more.
+void Owner::Forget(Job& job) {
+  if (!job.spec_key.empty()) {
+    segments_[job.spec_key].specs.erase(job.id());
+  }
+  if (!job.progress_key.empty()) {
+    segments_[job.progress_key].progress.erase(job.id());
+  }
+  job.spec_key.clear();
+  job.progress_key.clear();
+}
+
+// Removes batches that have no last word on any job, and writes anew what the oldest still has when there are many.
+void Owner::CleanLog(LogRecord& log, Batch& batch, const std::string& key) {
+  size_t cleaned = 0;
+  for (auto each = segments_.begin(); each != segments_.end() && cleaned < kMostCleaned;) {
+    if (each->first == key) {
+      ++each;
+      continue;
+    }
+    const bool old = each == segments_.begin() &&
+                     (segments_.size() > kMostSegments || context_.Now() - each->second.written_at > kOldestSegment);
+    if (!each->second.empty() && !old) {
+      ++each;
+      continue;
+    }
+    const Segment segment = each->second;
+    for (const std::string& id : segment.specs) {
+      AppendSpec(*jobs_.at(id), log, key);
+    }
+    for (const std::string& id : segment.progress) {
+      AppendProgress(*jobs_.at(id), log, key);
+    }
+    batch.removals.push_back(each->first);
+    each = segments_.erase(each);
+    ++cleaned;
+  }
+}
+
+void Owner::AddJobs(Batch& batch, BatchNews& news, const std::string& key) {
+  LogRecord log;
+  size_t bytes = 0;
+  while (!dirty_.empty() && bytes < kMostLogBytes) {
     Job* job = FindJob(dirty_.front());
     dirty_.pop_front();
     if (job == nullptr) {
@@ -278,32 +344,61 @@
     news.jobs.push_back(job->id());
     if (job->final) {
       news.ended.push_back(EndedJob{job->id(), job->record.spec.queue, job->final_state, context_.wall.NowMs()});
-      if (job->spec_stored) {
-        batch.removals.push_back(SpecKey(job->id()));
-      }
-      if (job->progress_stored) {
-        batch.removals.push_back(ProgressKey(job->id()));
-      }
+      Forget(*job);
       continue;
     }
-    if (!job->spec_stored) {
-      batch.writes.push_back(StoreWrite{SpecKey(job->id()), EncodeRecord(job->record), 0});
+    if (job->spec_key.empty()) {
+      AppendSpec(*job, log, key);
+      bytes += job->record.spec.payload.size() + job->record.spec.steps.size() * sizeof(StepSpec);
     }
-    const ProgressRecord progress = ProgressOf(*job);
-    if (job->progress_stored || !(progress == ProgressRecord{})) {
-      batch.writes.push_back(StoreWrite{ProgressKey(job->id()), EncodeRecord(progress), 0});
-      job->progress_stored = true;
+    if (!job->progress_key.empty() || !(ProgressOf(*job) == ProgressRecord{})) {
+      AppendProgress(*job, log, key);
+      bytes += sizeof(ProgressRecord);
     }
   }
+  CleanLog(log, batch, key);
+  if (!(log == LogRecord{})) {
+    segments_[key].written_at = context_.Now();
+    batch.writes.push_back(StoreWrite{key, EncodeRecord(log), 0});
+  }
+}
+
+void Owner::AddEnded(Batch& batch, const BatchNews& news, uint64_t number) {
   if (!news.ended.empty()) {
-    const std::string key = fmt::format("{}{}-{}", kEndedPrefix, ownership_.epoch, number);
+    const std::string key = BatchKey(kEndedPrefix, ownership_.epoch, number);
     batch.writes.push_back(StoreWrite{key, EncodeRecord(news.ended), 0});
-    EndedBatch record{key, {}, context_.wall.NowMs()};
-    for (const EndedJob& job : news.ended) {
-      record.jobs.push_back(job.id);
-    }
-    ended_batches_.push_back(std::move(record));
+    ended_batches_.push_back(EndedBatch{key, news.ended, context_.wall.NowMs(), false});
   }
+  MergeEnded(batch, number);
+}
+
+// Many small records of ended jobs become one, so that a successor has few to read.
+void Owner::MergeEnded(Batch& batch, uint64_t number) {
+  const auto first = std::find_if(ended_batches_.begin(), ended_batches_.end(),
+                                  [](const EndedBatch& each) { return !each.merged; });
+  const auto available = static_cast<size_t>(ended_batches_.end() - first);
+  if (available <= kMergedAtOnce) {
+    return;
+  }
+  EndedBatch merged{BatchKey(kEndedPrefix, ownership_.epoch, number) + "m", {}, first->written_at_ms, true};
+  const auto last = first + static_cast<std::ptrdiff_t>(kMergedAtOnce);
+  for (auto each = first; each != last; ++each) {
+    merged.jobs.insert(merged.jobs.end(), each->jobs.begin(), each->jobs.end());
+    batch.removals.push_back(each->key);
+  }
+  batch.writes.push_back(StoreWrite{merged.key, EncodeRecord(merged.jobs), 0});
+  *first = std::move(merged);
+  ended_batches_.erase(first + 1, last);
+}
+
+Batch Owner::FillBatch(uint64_t number) {
+  Batch batch;
+  BatchNews news;
+  news.last = closing_;
+  AddExpired(batch);
+  AddRoster(batch, news);
+  AddJobs(batch, news, BatchKey(kLogPrefix, ownership_.epoch, number));
+  AddEnded(batch, news, number);
   if (!dirty_.empty()) {
     commit_.Request();
   } else {
@@ -344,7 +439,9 @@
   for (const EndedJob& ended : news.ended) {
     RetireJob(ended);
   }
-  EndClosing();
+  if (news.last) {
+    EndClosing();
+  }
   ScheduleSoon();
 }
 
@@ -359,10 +456,11 @@
   std::for_each(waiters.begin(), waiters.end(), [](const auto& waiter) { waiter(); });
 }
 
+// What comes to be known after the last batch, the next owner hears from the workers.
 void Owner::EndClosing() {
-  if (closing_ && closed_ && dirty_.empty()) {
-    commit_.Close();
-    std::exchange(closed_, nullptr)(commit_.head_revision());
+  commit_.Close();
+  if (closed_) {
+    std::exchange(closed_, nullptr)();
   }
 }
 
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -70,8 +70,7 @@
 auto Fields(Self& self)
   requires std::is_same_v<std::remove_const_t<Self>, StepProgress>
 {
-  return std::tie(self.occurrence, self.step, self.all_done, self.done, self.failed, self.checkpoints,
-                  self.failed_runs);
+  return std::tie(self.occurrence, self.step, self.all_done, self.done, self.failed, self.checkpoints);
 }
 template <class Self>
 auto Fields(Self& self)
@@ -80,6 +79,18 @@
   return std::tie(self.cancelled, self.occurrences_done, self.steps);
 }
 template <class Self>
+auto Fields(Self& self)
+  requires std::is_same_v<std::remove_const_t<Self>, JobProgress>
+{
+  return std::tie(self.id, self.progress);
+}
+template <class Self>
+auto Fields(Self& self)
+  requires std::is_same_v<std::remove_const_t<Self>, LogRecord>
+{
+  return std::tie(self.jobs, self.progress);
+}
+template <class Self>
 auto Fields(Self& self)
   requires std::is_same_v<std::remove_const_t<Self>, EndedJob>
 {
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -1,5 +1,6 @@
 #include "cell/records.h"
 
+#include <fmt/core.h>
 #include <nlohmann/json.hpp>
 
 #include "cell/record_json.h"
@@ -18,12 +19,8 @@
 
 }  // namespace
 
-std::string SpecKey(const std::string& job) {
-  return kJobPrefix + job + "/spec";
-}
-
-std::string ProgressKey(const std::string& job) {
-  return kJobPrefix + job + "/done";
+std::string BatchKey(const std::string& prefix, uint64_t epoch, uint64_t batch) {
+  return fmt::format("{}{:08}-{:010}", prefix, epoch, batch);
 }
 
 template <class Record>
@@ -53,6 +50,7 @@
 HIBISCUS_CELL_RECORD(JobSpec)
 HIBISCUS_CELL_RECORD(JobRecord)
 HIBISCUS_CELL_RECORD(ProgressRecord)
+HIBISCUS_CELL_RECORD(LogRecord)
 HIBISCUS_CELL_RECORD(std::vector<EndedJob>)
 
 }  // namespace hibiscus::cell
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -5,10 +5,9 @@
 //                 owner can write
 //   live/owner    who owns the cell; hangs on the owner's lease
 //   live/host/N   host N, on its own lease
-//   roster        worker lives that the owner may have given orders to
-//   job/ID/spec   an accepted job
-//   job/ID/done   how far it is
-//   ended/E-B     jobs that ended, of batch B of epoch E
+//   data/log/E-B    batch B of epoch E: jobs that were accepted, and how far jobs are; the later word on a job goes first
+//   data/ended/E-B  jobs that ended, of one batch or of several merged
+//   data/roster     worker lives that the owner may have given orders to
 #ifndef HIBISCUSSTAND_SRC_CELL_RECORDS_H_
 #define HIBISCUSSTAND_SRC_CELL_RECORDS_H_
 
@@ -24,7 +23,7 @@
 
 inline const std::string kCellPrefix = "hibiscus/cell/";
 inline const std::string kDataPrefix = kCellPrefix + "data/";
-inline const std::string kJobPrefix = kDataPrefix + "job/";
+inline const std::string kLogPrefix = kDataPrefix + "log/";
 inline const std::string kEndedPrefix = kDataPrefix + "ended/";
 inline const std::string kRosterKey = kDataPrefix + "roster";
 inline const std::string kHeadKey = kCellPrefix + "head";
@@ -32,8 +31,8 @@
 inline const std::string kOwnerKey = kLivePrefix + "owner";
 inline const std::string kHostPrefix = kLivePrefix + "host/";
 
-std::string SpecKey(const std::string& job);
-std::string ProgressKey(const std::string& job);
+// Sorts as epochs and batches do.
+std::string BatchKey(const std::string& prefix, uint64_t epoch, uint64_t batch);
 
 // Who owns the cell.
 struct OwnerRecord {
@@ -84,9 +83,8 @@
   int step = 0;
   bool all_done = false;
   std::vector<int> done;                   // Indices, where not all are.
-  std::map<int, int> failed;               // Attempts that failed, by index; of a gang at index 0.
+  std::map<int, std::vector<int>> failed;  // Numbers of the starts that failed, by index; of a gang at index 0.
   std::map<int, std::string> checkpoints;  // By index; of a gang at index 0.
-  std::map<int, int> failed_runs;          // Number of the last start that was counted as failed, as above.
 
   friend bool operator==(const StepProgress&, const StepProgress&) = default;
 };
@@ -99,6 +97,21 @@
   friend bool operator==(const ProgressRecord&, const ProgressRecord&) = default;
 };
 
+struct JobProgress {
+  std::string id;
+  ProgressRecord progress;
+
+  friend bool operator==(const JobProgress&, const JobProgress&) = default;
+};
+
+// One batch of the log.
+struct LogRecord {
+  std::vector<JobRecord> jobs;
+  std::vector<JobProgress> progress;
+
+  friend bool operator==(const LogRecord&, const LogRecord&) = default;
+};
+
 struct EndedJob {
   std::string id;
   std::string queue;
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -74,7 +74,7 @@
 void WorkerTable::AddFromRoster(const WorkerLifeRecord& life) {
   std::unique_ptr<Worker>& slot = workers_[life.id];
   if (slot == nullptr) {
-    slot = std::make_unique<Worker>();
+    slot = std::make_unique<Worker>(++last_number_);
     slot->entry.id = life.id;
     slot->entry.address = life.address;
     slot->entry.born_ms = life.born_ms;
@@ -92,7 +92,7 @@
 void WorkerTable::OnEntry(const WorkerEntry& entry) {
   std::unique_ptr<Worker>& slot = workers_[entry.id];
   if (slot == nullptr) {
-    slot = std::make_unique<Worker>();
+    slot = std::make_unique<Worker>(++last_number_);
     slot->entry = entry;
     slot->listed = true;
     HoldIn(*slot, 0us);
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -47,6 +47,9 @@
 
 class Worker {
  public:
+  explicit Worker(size_t its_number) : number(its_number) {}
+
+  const size_t number;  // Never used again for another worker of this table.
   WorkerEntry entry;
   bool listed = false;         // Its entry stands in the store.
   TimePoint unlisted_since{};  // If not listed.
@@ -146,6 +149,7 @@
   Listener& listener_;
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   int unsettled_ = 0;
+  size_t last_number_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/ports/event_log.cc
+++ b/src/ports/event_log.cc
@@ -4,6 +4,7 @@
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -17,6 +18,8 @@
 
 namespace {
 
+constexpr size_t kMostAtOnce = 32 * 1024;  // Bytes of one write: pipes take that much at once.
+
 // Gathers formatted lines; full means that a line is dropped and counted.
 class BufferSink final : public spdlog::sinks::base_sink<std::mutex> {
  public:
@@ -52,14 +55,17 @@
   int over = 0;
 };
 
-void WriteAll(int descriptor, std::string_view text) {
-  while (!text.empty()) {
-    const ssize_t written = write(descriptor, text.data(), text.size());
+// Writes what the reader takes now and returns how much that was.
+size_t WriteSome(int descriptor, std::string_view text) {
+  size_t done = 0;
+  while (done < text.size()) {
+    const ssize_t written = write(descriptor, text.data() + done, std::min(kMostAtOnce, text.size() - done));
     if (written <= 0) {
-      return;  // Nobody reads: there is no other place to say so.
+      break;  // The reader is slow or gone: what is left is tried again, and dropped when the buffer is full.
     }
-    text.remove_prefix(static_cast<size_t>(written));
+    done += static_cast<size_t>(written);
   }
+  return done;
 }
 
 }  // namespace
@@ -82,6 +88,7 @@
   std::map<std::string_view, Budget> budgets;  // Under mutex; by part, whose names are literals.
   bool stopping = false;                       // Under mutex.
   std::thread writer;
+  std::string unwritten;  // Writer's thread only.
 
   void WriteUntilStop();
   void WriteBuffer();
@@ -89,8 +96,10 @@
 
 void EventLog::State::WriteBuffer() {
   size_t dropped = 0;
-  const std::string lines = sink->Take(&dropped);
-  WriteAll(options.descriptor, lines);
+  if (unwritten.size() < options.most_buffered) {
+    unwritten += sink->Take(&dropped);
+  }
+  unwritten.erase(0, WriteSome(options.descriptor, unwritten));
   if (dropped > 0) {
     logger.info("part=log event=lines_dropped count={} reason=buffer_full", dropped);
   }
--- /dev/null
+++ b/standins/cell_fake_host.cc
@@ -0,0 +1,367 @@
+#include "standins/cell_fake_host.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include <fmt/core.h>
+#include <nlohmann/json.hpp>
+
+namespace hibiscus::cell {
+
+namespace {
+
+constexpr Duration kWay = 2ms;           // One way to the store, a worker or another host.
+constexpr Duration kNoAnswer = 1s;       // When a caller gives up.
+constexpr Duration kPoll = 5ms;          // Waiting watches and holds look this often.
+constexpr int kAllowedShare = 60;        // Percent of the workers that the advice service allows a step.
+constexpr Duration kLatest = 6s;         // Calls that are carried out late.
+
+}  // namespace
+
+std::string EncodeEntry(const WorkerEntry& entry) {
+  const nlohmann::json json{{"id", entry.id},
+                            {"born", entry.born_ms},
+                            {"service", entry.service},
+                            {"address", entry.address},
+                            {"dc", entry.data_centre},
+                            {"draining", entry.draining},
+                            {"cpu", entry.capacity.cpu_millis},
+                            {"mem", entry.capacity.memory_mb},
+                            {"labels", entry.labels}};
+  return json.dump();
+}
+
+struct FakeHost::Process {
+  Process(FakeHost& self, CellWorld& world, uint64_t incarnation)
+      : timers(clock_of(world)),
+        context{SettingsOf(self, incarnation), clock_of(world), self, timers, self, self, self, self, self, self, counters,
+                std::mt19937_64(world.random()())},
+        host(context, [](const CellConfiguration&) {}) {}
+
+  static const Clock& clock_of(CellWorld& world);
+  static CellSettings SettingsOf(const FakeHost& self, uint64_t incarnation) {
+    CellSettings settings;
+    settings.name = self.name_;
+    settings.peer_address = self.name_;
+    settings.incarnation = incarnation;
+    settings.advice_address = "advice";
+    return settings;
+  }
+
+  Timers timers;
+  Counters counters;
+  Context context;
+  Host host;
+};
+
+const Clock& FakeHost::Process::clock_of(CellWorld& world) {
+  return world.clock_;
+}
+
+FakeHost::FakeHost(CellWorld& world, std::string name) : world_(world), name_(std::move(name)) {}
+
+FakeHost::~FakeHost() = default;
+
+Host* FakeHost::host() const {
+  return process_ == nullptr ? nullptr : &process_->host;
+}
+
+void FakeHost::Boot() {
+  Kill();
+  ++life_;
+  process_ = std::make_unique<Process>(*this, world_, world_.random()() | 1);
+  process_->host.Begin();
+}
+
+void FakeHost::Kill() {
+  ++life_;
+  process_.reset();
+  inbox_.clear();
+  frozen_until_ = TimePoint{};
+}
+
+void FakeHost::Freeze(Duration time) {
+  frozen_until_ = world_.Now() + time;
+}
+
+TimePoint FakeHost::NextDue() const {
+  if (process_ == nullptr) {
+    return TimePoint::max();
+  }
+  const TimePoint next = inbox_.empty() ? process_->timers.next().value_or(TimePoint::max()) : world_.Now();
+  return std::max(next, frozen_until_);
+}
+
+void FakeHost::RunDue() {
+  if (process_ == nullptr || frozen_until_ > world_.Now()) {
+    return;
+  }
+  while (!inbox_.empty() && process_ != nullptr) {
+    const std::function<void()> work = std::move(inbox_.front());
+    inbox_.pop_front();
+    work();
+  }
+  if (process_ != nullptr) {
+    process_->timers.RunDue();
+  }
+}
+
+void FakeHost::Deliver(uint64_t life, std::function<void()> work) {
+  if (life != life_) {
+    return;
+  }
+  if (frozen_until_ > world_.Now()) {
+    inbox_.push_back(std::move(work));
+  } else {
+    work();
+  }
+}
+
+void FakeHost::Call(CallerRequest request, CellWorld::OnReply reply) {
+  if (process_ == nullptr || frozen_until_ > world_.Now()) {
+    world_.In(kNoAnswer, [reply] { reply(CallerReply{}); });  // Unsure.
+    return;
+  }
+  process_->host.Handle(std::move(request), world_.Now() + 2800ms, std::move(reply));
+}
+
+// --- Store ---
+
+void FakeHost::CallStore(bool changes, std::function<StoreAnswer()> apply, StorePort::Done done) {
+  const auto own = world_.store_.faults_of.find(name_);
+  CallFaults faults = world_.store_.faults;
+  if (own != world_.store_.faults_of.end() && !(own->second == CallFaults{})) {
+    faults = own->second;
+  }
+  const auto answer = [this, life = life_, done](Duration delay, const StoreAnswer& told) {
+    world_.In(delay, [this, life, done, told] { Deliver(life, [done, told] { done(told); }); });
+  };
+  if (faults.down) {
+    answer(kWay * 2, StoreAnswer{StoreStatus::kNotDone, 0, 0, {}, false});
+    return;
+  }
+  if (faults.silent || (changes && world_.Chance(faults.carry_out_late))) {
+    if (!faults.silent) {
+      world_.In(Duration(static_cast<int64_t>(world_.random()() % kLatest.count())), [apply] { apply(); });
+    }
+    answer(kNoAnswer, StoreAnswer{});
+    return;
+  }
+  const bool lost = changes && world_.Chance(faults.lose_answer);
+  world_.In(kWay, [apply, answer, lost, slower = faults.slower] {
+    const StoreAnswer told = apply();
+    lost ? answer(kNoAnswer, StoreAnswer{}) : answer(kWay + slower, told);
+  });
+}
+
+void FakeHost::Read(const std::string& key, StorePort::Done done) {
+  CallStore(false, [this, key] { return world_.store_.Read(key); }, std::move(done));
+}
+
+void FakeHost::Range(const std::string& prefix, const std::string& after, StorePort::Done done) {
+  CallStore(false, [this, prefix, after] { return world_.store_.Range(prefix, after); }, std::move(done));
+}
+
+void FakeHost::Watch(const std::string& prefix, uint64_t after, Duration wait, StorePort::Done done) {
+  PollWatch(prefix, after, world_.Now() + wait, life_, std::move(done));
+}
+
+void FakeHost::PollWatch(const std::string& prefix,
+                         uint64_t after,
+                         TimePoint until,
+                         uint64_t life,
+                         StorePort::Done done) {
+  CallStore(
+      false,
+      [this, prefix, after] {
+        const auto changes = world_.store_.Changes(prefix, after);
+        return changes.value_or(StoreAnswer{StoreStatus::kOk, 0, 0, {}, false});
+      },
+      [this, prefix, after, until, life, done](const StoreAnswer& answer) {
+        const bool nothing = answer.status == StoreStatus::kOk && answer.items.empty();
+        if (nothing && world_.Now() < until) {
+          world_.In(kPoll, [this, prefix, after, until, life, done] {
+            if (life == life_) {
+              PollWatch(prefix, after, until, life, done);
+            }
+          });
+          return;
+        }
+        done(answer);
+      });
+}
+
+void FakeHost::Commit(const StoreTransaction& transaction, StorePort::Done done) {
+  CallStore(true, [this, transaction] { return world_.store_.Commit(transaction); }, std::move(done));
+}
+
+void FakeHost::GrantLease(Duration ttl, StorePort::Done done) {
+  CallStore(true, [this, ttl] { return world_.store_.GrantLease(ttl); }, std::move(done));
+}
+
+void FakeHost::KeepLease(uint64_t lease, StorePort::Done done) {
+  CallStore(false, [this, lease] { return world_.store_.KeepLease(lease); }, std::move(done));
+}
+
+void FakeHost::EndLease(uint64_t lease, StorePort::Done done) {
+  CallStore(true, [this, lease] { return world_.store_.EndLease(lease); }, std::move(done));
+}
+
+// --- Workers ---
+
+FakeWorker* FakeHost::FindWorker(const WorkerTarget& target) const {
+  const auto found = std::find_if(world_.workers_.begin(), world_.workers_.end(),
+                                  [&](const auto& worker) { return worker->entry.address == target.address; });
+  return found == world_.workers_.end() ? nullptr : found->get();
+}
+
+void FakeHost::CallWorker(const WorkerTarget& target,
+                          std::function<OrderAnswer(FakeWorker&)> apply,
+                          WorkerPort::Done done) {
+  FakeWorker* worker = FindWorker(target);
+  const auto answer = [this, life = life_, done](Duration delay, const OrderAnswer& told) {
+    world_.In(delay, [this, life, done, told] { Deliver(life, [done, told] { done(told); }); });
+  };
+  if (worker == nullptr || !worker->up || worker->faults.silent) {
+    answer(kNoAnswer, OrderAnswer{});
+    return;
+  }
+  if (world_.Chance(worker->faults.carry_out_late)) {
+    const Duration late = 500ms + Duration(static_cast<int64_t>(world_.random()() % kLatest.count()));
+    world_.In(late, [worker, apply] {
+      if (worker->up) {
+        apply(*worker);
+      }
+    });
+    answer(kNoAnswer, OrderAnswer{});
+    return;
+  }
+  const bool lost = world_.Chance(worker->faults.lose_answer);
+  world_.In(kWay, [worker, apply, answer, lost] {
+    if (!worker->up) {
+      answer(kNoAnswer, OrderAnswer{});
+      return;
+    }
+    const OrderAnswer told = apply(*worker);
+    lost ? answer(kNoAnswer, OrderAnswer{}) : answer(kWay, told);
+  });
+}
+
+void FakeHost::Start(const WorkerTarget& worker, const StartOrder& order, WorkerPort::Done done) {
+  CallWorker(worker, [order](FakeWorker& target) { return target.Start(order); }, std::move(done));
+}
+
+void FakeHost::Stop(const WorkerTarget& worker, const RunRef& run, uint64_t token, WorkerPort::Done done) {
+  CallWorker(worker, [run, token](FakeWorker& target) { return target.Stop(run, token); }, std::move(done));
+}
+
+void FakeHost::Hold(const WorkerTarget& worker, const HoldOrder& order, WorkerPort::Done done) {
+  FakeWorker* target = FindWorker(worker);
+  const TimePoint until = world_.Now() + order.wait;
+  CallWorker(
+      worker, [order](FakeWorker& held) { return held.Hold(order); },
+      [this, target, order, until, done = std::move(done)](const OrderAnswer& answer) {
+        if (answer.status == OrderStatus::kOk && answer.ended.empty() && world_.Now() < until) {
+          WaitForEnd(*target, order, until, done);
+        } else {
+          done(answer);
+        }
+      });
+}
+
+// Looks again until an end is there, then takes the lists as they are at that time.
+void FakeHost::WaitForEnd(FakeWorker& worker, const HoldOrder& order, TimePoint until, WorkerPort::Done done) {
+  world_.In(kPoll, [this, &worker, order, until, done, life = life_] {
+    if (life != life_) {
+      return;
+    }
+    if (worker.up && !worker.faults.silent && !worker.HasEnds(order.acknowledged) && world_.Now() < until) {
+      WaitForEnd(worker, order, until, done);
+      return;
+    }
+    HoldOrder look = order;
+    look.deadline = Duration(0);
+    CallWorker(WorkerTarget{worker.entry.id, worker.entry.address},
+               [look](FakeWorker& held) { return held.Hold(look); }, done);
+  });
+}
+
+// --- Advice, peers, the rest ---
+
+void FakeHost::Ask(const TaskRef& step,
+                   const std::vector<std::string>& workers,
+                   Duration timeout,
+                   AdvicePort::Done done) {
+  const JobSpec* spec = world_.SpecOf(step.job);
+  const QueueSpec* queue = spec == nullptr ? nullptr : world_.configuration.FindQueue(spec->queue);
+  if (queue == nullptr || !queue->advice) {
+    world_.In(timeout, [this, life = life_, done] { Deliver(life, [done] { done(AdviceAnswer{}); }); });
+    return;
+  }
+  const Duration cost = queue->advice->base + queue->advice->per_worker * static_cast<int64_t>(workers.size());
+  advice_free_ = std::max(advice_free_, world_.Now()) + cost;
+  const Duration valid_until = advice_free_.time_since_epoch() + queue->advice->valid;
+  AdviceAnswer answer{true, {}};
+  for (const std::string& worker : workers) {
+    const size_t draw = std::hash<std::string>()(fmt::format("{}.{}.{}", step.job, step.step, worker)) % 100;
+    if (draw < kAllowedShare) {
+      answer.allowed.push_back(Ticket{worker, std::to_string(valid_until.count())});
+    }
+  }
+  world_.In(advice_free_ - world_.Now() + kWay, [this, life = life_, done, answer] {
+    Deliver(life, [done, answer] { done(answer); });
+  });
+}
+
+void FakeHost::Send(const std::string& address, std::string message) {
+  for (const std::unique_ptr<FakeHost>& host : world_.hosts_) {
+    if (host->name_ == address && !cut_from_peers && !host->cut_from_peers) {
+      FakeHost* to = host.get();
+      world_.In(kWay, [to, message = std::move(message)] {
+        if (to->process_ != nullptr) {
+          to->Deliver(to->life_, [to, message] { to->process_->host.OnPeerMessage(message); });
+        }
+      });
+      return;
+    }
+  }
+}
+
+tl::expected<CellConfiguration, std::string> FakeHost::ReadConfiguration(const StoreItem& /*item*/) const {
+  return world_.configuration;
+}
+
+tl::expected<WorkerEntry, std::string> FakeHost::ReadWorker(const StoreItem& item) const {
+  try {
+    const nlohmann::json json = nlohmann::json::parse(item.value);
+    WorkerEntry entry;
+    entry.id = json.at("id");
+    entry.born_ms = json.at("born");
+    entry.service = json.at("service");
+    entry.address = json.at("address");
+    entry.data_centre = json.at("dc");
+    entry.draining = json.at("draining");
+    entry.capacity.cpu_millis = json.at("cpu");
+    entry.capacity.memory_mb = json.at("mem");
+    entry.labels = json.at("labels").get<std::vector<std::string>>();
+    return entry;
+  } catch (const std::exception& error) {
+    return tl::unexpected(std::string(error.what()));
+  }
+}
+
+int64_t FakeHost::NowMs() const {
+  return 1'700'000'000'000 + Millis(world_.Now().time_since_epoch());
+}
+
+bool FakeHost::Takes(const char* /*part*/) {
+  return world_.log_to_stdout;
+}
+
+void FakeHost::Write(const char* part, const std::string& text) {
+  std::printf("%lld %s %s %s\n", Millis(world_.Now().time_since_epoch()) - 3'600'000, name_.c_str(), part,
+              text.c_str());
+}
+
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/standins/cell_world.cc
@@ -0,0 +1,683 @@
+#include "standins/cell_world.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include <fmt/core.h>
+
+#include "standins/cell_fake_host.h"
+
+namespace hibiscus::cell {
+
+namespace {
+
+constexpr size_t kPage = 20;  // Items of a page: small, so that paging is used.
+constexpr Duration kMostHold = 6s;
+constexpr Duration kStopTakes = 50ms;
+constexpr Duration kGangPatience = 3s;
+constexpr Duration kLongestRun = 1h;  // Tasks that run for good.
+
+}  // namespace
+
+// --- The store ---
+
+StoreAnswer FakeStore::Read(const std::string& key) const {
+  StoreAnswer answer;
+  answer.revision = revision_;
+  const auto found = items_.find(key);
+  answer.status = found == items_.end() ? StoreStatus::kNotFound : StoreStatus::kOk;
+  if (found != items_.end()) {
+    answer.items.push_back(found->second);
+  }
+  return answer;
+}
+
+StoreAnswer FakeStore::Range(const std::string& prefix, const std::string& after) const {
+  StoreAnswer answer;
+  answer.status = StoreStatus::kOk;
+  answer.revision = revision_;
+  for (auto each = items_.upper_bound(std::max(after, prefix)); each != items_.end(); ++each) {
+    if (!each->first.starts_with(prefix)) {
+      break;
+    }
+    if (answer.items.size() == kPage) {
+      answer.has_more = true;
+      break;
+    }
+    answer.items.push_back(each->second);
+  }
+  const auto exact = items_.find(prefix);
+  if (after.empty() && exact != items_.end()) {
+    answer.items.insert(answer.items.begin(), exact->second);
+  }
+  return answer;
+}
+
+std::optional<StoreAnswer> FakeStore::Changes(const std::string& prefix, uint64_t after) const {
+  StoreAnswer answer;
+  answer.revision = revision_;
+  if (after < history_from_) {
+    answer.status = StoreStatus::kHistoryLost;
+    return answer;
+  }
+  answer.status = StoreStatus::kOk;
+  for (const StoreItem& item : history_) {
+    if (item.revision > after && item.key.starts_with(prefix)) {
+      answer.items.push_back(item);
+    }
+  }
+  return answer.items.empty() ? std::nullopt : std::optional(answer);
+}
+
+void FakeStore::Write(const std::string& key, const std::string& value, uint64_t lease) {
+  items_[key] = StoreItem{key, value, ++revision_, lease, false};
+  history_.push_back(items_[key]);
+  on_change();
+}
+
+void FakeStore::Erase(const std::string& key) {
+  if (items_.erase(key) > 0) {
+    history_.push_back(StoreItem{key, "", ++revision_, 0, true});
+    on_change();
+  }
+}
+
+StoreAnswer FakeStore::Commit(const StoreTransaction& transaction) {
+  if (transaction.entries() > kMostEntries) {
+    world_.Violate(fmt::format("a transaction has {} entries", transaction.entries()));
+  }
+  StoreAnswer answer;
+  bool holds = true;
+  for (const Expectation& each : transaction.expected) {
+    const auto found = items_.find(each.key);
+    holds = holds && each.revision == (found == items_.end() ? 0 : found->second.revision);
+    if (found != items_.end()) {
+      answer.items.push_back(found->second);
+    }
+  }
+  if (!holds) {
+    answer.status = StoreStatus::kConflict;
+    return answer;
+  }
+  for (const StoreWrite& each : transaction.writes) {
+    if (each.lease != 0 && !leases_.contains(each.lease)) {
+      return StoreAnswer{StoreStatus::kNoLease, revision_, 0, {}, false};
+    }
+  }
+  // One revision for the whole transaction, as all its items change at once.
+  const uint64_t revision = ++revision_;
+  for (const StoreWrite& each : transaction.writes) {
+    items_[each.key] = StoreItem{each.key, each.value, revision, each.lease, false};
+    history_.push_back(items_[each.key]);
+  }
+  for (const std::string& key : transaction.removals) {
+    if (items_.erase(key) > 0) {
+      history_.push_back(StoreItem{key, "", revision, 0, true});
+    }
+  }
+  on_change();
+  return StoreAnswer{StoreStatus::kOk, revision, 0, {}, false};
+}
+
+StoreAnswer FakeStore::GrantLease(Duration ttl) {
+  const uint64_t lease = 70'000 + ++revision_;
+  leases_[lease] = Lease{ttl, world_.Now() + ttl};
+  return StoreAnswer{StoreStatus::kOk, revision_, lease, {}, false};
+}
+
+StoreAnswer FakeStore::KeepLease(uint64_t lease) {
+  const auto found = leases_.find(lease);
+  if (found == leases_.end()) {
+    return StoreAnswer{StoreStatus::kNotFound, revision_, 0, {}, false};
+  }
+  found->second.until = world_.Now() + found->second.ttl;
+  return StoreAnswer{StoreStatus::kOk, revision_, lease, {}, false};
+}
+
+StoreAnswer FakeStore::EndLease(uint64_t lease) {
+  leases_.erase(lease);
+  std::vector<std::string> gone;
+  for (const auto& [key, item] : items_) {
+    if (item.lease == lease && lease != 0) {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& key : gone) {
+    Erase(key);
+  }
+  return StoreAnswer{StoreStatus::kOk, revision_, 0, {}, false};
+}
+
+void FakeStore::ExpireLeases() {
+  std::vector<uint64_t> over;
+  for (const auto& [id, lease] : leases_) {
+    if (lease.until <= world_.Now()) {
+      over.push_back(id);
+    }
+  }
+  for (const uint64_t id : over) {
+    EndLease(id);
+  }
+}
+
+void FakeStore::RevokeLeases() {
+  std::vector<std::string> gone;
+  for (const auto& [key, item] : items_) {
+    if (item.lease != 0) {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& key : gone) {
+    Erase(key);
+  }
+}
+
+void FakeStore::ForgetHistory() {
+  history_.clear();
+  history_from_ = revision_;
+}
+
+// --- Workers ---
+
+FakeWorker::FakeWorker(CellWorld& world, WorkerEntry worker_entry)
+    : entry(std::move(worker_entry)), world_(world), clock_base_(world.Now() - 1s) {}
+
+Duration FakeWorker::ClockNow() const {
+  return Duration(static_cast<int64_t>(static_cast<double>((world_.Now() - clock_base_).count()) * clock_rate));
+}
+
+TimePoint FakeWorker::WhenClockShows(Duration clock) const {
+  return clock_base_ + Duration(static_cast<int64_t>(static_cast<double>(clock.count()) / clock_rate) + 1);
+}
+
+OrderAnswer FakeWorker::Answer(OrderStatus status) const {
+  OrderAnswer answer;
+  answer.status = status;
+  answer.worker_clock = std::chrono::floor<std::chrono::milliseconds>(ClockNow());
+  answer.born_ms = entry.born_ms;
+  return answer;
+}
+
+void FakeWorker::Extend(Duration deadline) {
+  hold_until_ = std::max(hold_until_, std::min(deadline, ClockNow() + kMostHold));
+}
+
+OrderAnswer FakeWorker::Start(const StartOrder& order) {
+  Advance();
+  if (order.token < token_) {
+    return Answer(OrderStatus::kFenced);
+  }
+  token_ = order.token;
+  if (ClockNow() >= order.deadline) {
+    return Answer(OrderStatus::kLate);
+  }
+  if (runs_.contains(order.run)) {
+    return Answer(OrderStatus::kOk);
+  }
+  Extend(order.deadline);
+  const auto highest = highest_.find(order.run.task);
+  if (highest != highest_.end() && order.run.run <= highest->second) {
+    return Answer(OrderStatus::kStale);
+  }
+  const JobSpec* spec = world_.SpecOf(order.run.task.job);
+  const QueueSpec* queue = spec == nullptr ? nullptr : world_.configuration.FindQueue(spec->queue);
+  if (queue != nullptr && queue->advice) {
+    const Duration until(order.ticket.empty() ? 0 : std::stoll(order.ticket));
+    if (world_.Now().time_since_epoch() > until) {
+      return Answer(OrderStatus::kNoTicket);
+    }
+  }
+  world_.OnRunStarted(*this, order);
+  Run run;
+  if (spec != nullptr) {
+    const StepSpec& step = spec->steps[static_cast<size_t>(order.run.task.step)];
+    const TaskBehaviour behaviour = world_.BehaviourOf(order.run.task.job);
+    run.size = step.size;
+    run.gang = step.gang;
+    run.how = order.run.run % 1000 <= behaviour.fails ? EndKind::kFailed : EndKind::kDone;
+    const Duration takes = step.long_running ? kLongestRun : behaviour.takes;
+    run.ends_at = world_.Now() + Duration(static_cast<int64_t>(static_cast<double>(takes.count()) / speed));
+    if (run.gang) {
+      run.ends_at = TimePoint::max();
+      run.alone_at = world_.Now() + kGangPatience;
+    }
+  }
+  runs_[order.run] = run;
+  if (run.gang) {
+    world_.GangMemberArrived(*this, order.run);
+  }
+  return Answer(OrderStatus::kOk);
+}
+
+OrderAnswer FakeWorker::Stop(const RunRef& run, uint64_t token) {
+  Advance();
+  if (token < token_) {
+    return Answer(OrderStatus::kFenced);
+  }
+  token_ = token;
+  int& highest = highest_[run.task];
+  highest = std::max(highest, run.run);
+  const auto found = runs_.find(run);
+  if (found != runs_.end() && !found->second.stopping) {
+    found->second.stopping = true;
+    found->second.ends_at = world_.Now() + kStopTakes;
+    found->second.how = EndKind::kStopped;
+  }
+  return Answer(OrderStatus::kOk);
+}
+
+OrderAnswer FakeWorker::Hold(const HoldOrder& order) {
+  Advance();
+  if (order.token < token_) {
+    return Answer(OrderStatus::kFenced);
+  }
+  token_ = order.token;
+  if (order.deadline > Duration(0)) {
+    Extend(order.deadline);
+  }
+  const auto first_kept =
+      std::find_if(ended_.begin(), ended_.end(), [&](const EndedRow& row) { return row.number > order.acknowledged; });
+  world_.OnEndsNoted(std::vector<EndedRow>(ended_.begin(), first_kept));
+  ended_.erase(ended_.begin(), first_kept);
+  OrderAnswer answer = Answer(OrderStatus::kOk);
+  for (const auto& [run, state] : runs_) {
+    answer.running.push_back(RunningRow{run, "", 0});
+  }
+  answer.ended.assign(ended_.begin(), ended_.begin() + static_cast<std::ptrdiff_t>(
+                                                           std::min(ended_.size(), kMostEndedRows)));
+  return answer;
+}
+
+void FakeWorker::Finish(RunRef run, EndKind how) {
+  const bool gang = runs_[run].gang;
+  runs_.erase(run);
+  int& highest = highest_[run.task];
+  highest = std::max(highest, run.run);
+  ended_.push_back(EndedRow{++last_end_, run, how, ""});
+  world_.OnRunEnded(*this, run, how);
+  if (gang) {
+    world_.GangMemberEnded(run, how);
+  }
+}
+
+void FakeWorker::Advance() {
+  if (!up) {
+    return;
+  }
+  if (!runs_.empty() && ClockNow() >= hold_until_) {
+    while (!runs_.empty()) {
+      Finish(runs_.begin()->first, EndKind::kLapsed);
+    }
+    return;
+  }
+  while (true) {
+    const auto due = std::find_if(runs_.begin(), runs_.end(), [&](const auto& entry_of) {
+      const Run& run = entry_of.second;
+      return run.ends_at <= world_.Now() || (run.gang && run.ends_at == TimePoint::max() && run.alone_at <= world_.Now());
+    });
+    if (due == runs_.end()) {
+      return;
+    }
+    Finish(due->first, due->second.ends_at <= world_.Now() ? due->second.how : EndKind::kAlone);
+  }
+}
+
+TimePoint FakeWorker::NextEnd() const {
+  if (!up || runs_.empty()) {
+    return TimePoint::max();
+  }
+  TimePoint next = WhenClockShows(hold_until_);
+  for (const auto& [run, state] : runs_) {
+    next = std::min(next, state.ends_at == TimePoint::max() ? state.alone_at : state.ends_at);
+  }
+  return next;
+}
+
+void FakeWorker::EndGangRun(const RunRef& run, EndKind how) {
+  if (runs_.contains(run)) {
+    Finish(run, how);
+  }
+}
+
+void FakeWorker::Crash() {
+  up = false;
+  while (!runs_.empty()) {
+    const RunRef run = runs_.begin()->first;
+    const bool gang = runs_.begin()->second.gang;
+    runs_.erase(run);
+    world_.OnRunEnded(*this, run, EndKind::kLapsed);
+    if (gang) {
+      world_.GangMemberEnded(run, EndKind::kLapsed);
+    }
+  }
+}
+
+void FakeWorker::Restart() {
+  up = true;
+  entry.born_ms += 1000;
+  clock_base_ = world_.Now();
+  token_ = 0;
+  hold_until_ = Duration(0);
+  highest_.clear();
+  ended_.clear();
+  last_end_ = 0;
+  world_.WriteEntry(*this);
+}
+
+// --- The world ---
+
+CellWorld::CellWorld(uint64_t seed, int hosts, int workers) : random_(seed), store_(*this) {
+  store_.on_change = [] {};
+  for (int i = 0; i < workers; ++i) {
+    WorkerEntry entry;
+    entry.id = fmt::format("w{}", i);
+    entry.born_ms = 1'000'000 + i;
+    entry.service = "pool";
+    entry.address = fmt::format("10.9.0.{}:1", i);
+    entry.data_centre = fmt::format("dc{}", i % 3);
+    entry.capacity = Resources{16'000, 64'000, 0};
+    entry.labels = {"a", fmt::format("r{}", i / 4)};
+    workers_.push_back(std::make_unique<FakeWorker>(*this, entry));
+    WriteEntry(*workers_.back());
+  }
+  for (int i = 0; i < hosts; ++i) {
+    hosts_.push_back(std::make_unique<FakeHost>(*this, fmt::format("h{}", i)));
+    Boot(static_cast<size_t>(i));
+  }
+}
+
+CellWorld::~CellWorld() = default;
+
+void CellWorld::Violate(const std::string& what) {
+  violations_.push_back(fmt::format("{} ms: {}", Millis(Now().time_since_epoch()) - 3'600'000, what));
+}
+
+void CellWorld::WriteEntry(const FakeWorker& worker) {
+  store_.Put("workers/" + worker.entry.id, EncodeEntry(worker.entry));
+}
+
+void CellWorld::Configure() {
+  ++configuration.version;
+  store_.Put("configuration", "configured");
+}
+
+TimePoint CellWorld::NextEvent() const {
+  TimePoint next = timers_.next().value_or(TimePoint::max());
+  for (const std::unique_ptr<FakeHost>& host : hosts_) {
+    next = std::min(next, host->NextDue());
+  }
+  for (const std::unique_ptr<FakeWorker>& worker : workers_) {
+    next = std::min(next, worker->NextEnd());
+  }
+  return next;
+}
+
+void CellWorld::Step(TimePoint until) {
+  const TimePoint next = std::min(NextEvent(), until);
+  if (next > clock_.Now()) {
+    clock_.Set(next);
+  }
+  store_.ExpireLeases();
+  for (const std::unique_ptr<FakeWorker>& worker : workers_) {
+    worker->Advance();
+  }
+  timers_.RunDue();
+  for (const std::unique_ptr<FakeHost>& host : hosts_) {
+    host->RunDue();
+  }
+}
+
+void CellWorld::RunFor(Duration time) {
+  const TimePoint until = Now() + time;
+  while (Now() < until) {
+    Step(until);
+  }
+}
+
+bool CellWorld::RunUntil(const std::function<bool()>& done, Duration limit) {
+  const TimePoint until = Now() + limit;
+  while (!done()) {
+    if (Now() >= until) {
+      return false;
+    }
+    Step(until);
+  }
+  return true;
+}
+
+Host* CellWorld::host(size_t index) {
+  return hosts_[index]->host();
+}
+
+std::optional<size_t> CellWorld::OwnerIndex() const {
+  std::optional<size_t> newest;
+  uint64_t term = 0;
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    const Host* host = hosts_[i]->host();
+    if (host != nullptr && host->owner() != nullptr && host->owner()->ownership().term > term) {
+      term = host->owner()->ownership().term;
+      newest = i;
+    }
+  }
+  return newest;
+}
+
+void CellWorld::Kill(size_t index) {
+  hosts_[index]->Kill();
+}
+
+void CellWorld::Boot(size_t index) {
+  hosts_[index]->Boot();
+}
+
+void CellWorld::Freeze(size_t index, Duration time) {
+  hosts_[index]->Freeze(time);
+}
+
+void CellWorld::Leave(size_t index) {
+  hosts_[index]->host()->Leave([] {});
+}
+
+void CellWorld::CutPeers(size_t index, bool cut) {
+  hosts_[index]->cut_from_peers = cut;
+}
+
+CallFaults& CellWorld::StoreFaultsOf(size_t index) {
+  return store_.faults_of[hosts_[index]->name()];
+}
+
+// --- Callers ---
+
+void CellWorld::Submit(size_t index, const JobSpec& job, const TaskBehaviour& behaviour, OnReply reply) {
+  submitted_[job.id] = job;
+  behaviours_[job.id] = behaviour;
+  CallerRequest request;
+  request.kind = CallerKind::kSubmit;
+  request.queue = job.queue;
+  request.job = job.id;
+  request.spec = EncodeRecord(job);
+  hosts_[index]->Call(request, [this, id = job.id, reply = std::move(reply)](const CallerReply& answer) {
+    if (answer.outcome == CallerOutcome::kDone) {
+      accepted_.insert(id);
+    }
+    reply(answer);
+  });
+}
+
+void CellWorld::SubmitSurely(const JobSpec& job, const TaskBehaviour& behaviour) {
+  const size_t index = random_() % hosts_.size();
+  auto answered = std::make_shared<bool>(false);
+  Submit(index, job, behaviour, [this, job, behaviour, answered](const CallerReply& reply) {
+    *answered = true;
+    if (reply.outcome != CallerOutcome::kDone && reply.outcome != CallerOutcome::kRejected) {
+      In(500ms, [this, job, behaviour] { SubmitSurely(job, behaviour); });
+    }
+  });
+  // The host may die with the request.
+  In(4s, [this, job, behaviour, answered] {
+    if (!*answered) {
+      SubmitSurely(job, behaviour);
+    }
+  });
+}
+
+void CellWorld::Ask(size_t index,
+                    CallerKind kind,
+                    const std::string& queue,
+                    const std::string& job,
+                    OnReply reply) {
+  CallerRequest request;
+  request.kind = kind;
+  request.queue = queue;
+  request.job = job;
+  hosts_[index]->Call(request, std::move(reply));
+}
+
+std::optional<JobState> CellWorld::StateOf(const std::string& queue, const std::string& job) {
+  std::optional<CallerReply> known;
+  for (int i = 0; i < 30 && !known; ++i) {
+    Ask(random_() % hosts_.size(), CallerKind::kState, queue, job, [&](const CallerReply& reply) {
+      if (reply.outcome == CallerOutcome::kDone || reply.outcome == CallerOutcome::kNoSuchJob) {
+        known = reply;
+      }
+    });
+    RunUntil([&] { return known.has_value(); }, 4s);
+  }
+  return !known || known->outcome == CallerOutcome::kNoSuchJob ? std::nullopt : std::optional(known->state);
+}
+
+// --- What the workers see ---
+
+const JobSpec* CellWorld::SpecOf(const std::string& job) const {
+  const auto found = submitted_.find(job);
+  return found == submitted_.end() ? nullptr : &found->second;
+}
+
+TaskBehaviour CellWorld::BehaviourOf(const std::string& job) const {
+  return behaviours_.at(job);
+}
+
+int CellWorld::TimesDone(const TaskRef& task) const {
+  const auto found = done_.find(task);
+  return found == done_.end() ? 0 : found->second;
+}
+
+void CellWorld::OnRunStarted(FakeWorker& worker, const StartOrder& order) {
+  ++starts_;
+  const TaskRef& task = order.run.task;
+  const std::string name = fmt::format("{}.{}.{}.{} run {} on {}", task.job, task.occurrence, task.step, task.index,
+                                       order.run.run, worker.entry.id);
+  const JobSpec* spec = SpecOf(task.job);
+  if (spec == nullptr || spec->payload != order.payload) {
+    Violate("a start of what nobody asked for: " + name);
+    return;
+  }
+  const StepSpec& step = spec->steps[static_cast<size_t>(task.step)];
+  if (!running_[task].empty() && !step.speculative) {
+    Violate("a task in two places: " + name + " and " + running_[task].begin()->first);
+  }
+  if (noted_done_.contains(task)) {
+    Violate("started after its end was noted: " + name);
+  }
+  for (const int before : step.after) {
+    for (int i = 0; i < spec->steps[static_cast<size_t>(before)].count; ++i) {
+      if (TimesDone(TaskRef{task.job, task.occurrence, before, i}) == 0) {
+        Violate("started before the step it waits for: " + name);
+      }
+    }
+  }
+  const QueueSpec* queue = configuration.FindQueue(spec->queue);
+  const TaskRef counted{task.job, task.occurrence, task.step, step.gang ? 0 : task.index};
+  if (queue != nullptr && !step.long_running && failed_runs_[counted] >= queue->max_attempts) {
+    Violate("started after the last attempt: " + name);
+  }
+  Resources used = step.size;
+  for (const auto& [run, state] : worker.runs_) {
+    used += state.size;
+  }
+  if (!used.FitsIn(worker.entry.capacity)) {
+    Violate("over the worker's room: " + name);
+  }
+  running_[task].insert({worker.entry.id, order.run.run});
+}
+
+void CellWorld::OnRunEnded(FakeWorker& worker, const RunRef& run, EndKind how) {
+  running_[run.task].erase({worker.entry.id, run.run});
+  const JobSpec* spec = SpecOf(run.task.job);
+  if (how != EndKind::kDone || spec == nullptr) {
+    return;
+  }
+  const StepSpec& step = spec->steps[static_cast<size_t>(run.task.step)];
+  if (!step.gang) {
+    ++done_[run.task];
+    return;
+  }
+  for (int i = 0; i < step.count; ++i) {
+    ++done_[TaskRef{run.task.job, run.task.occurrence, run.task.step, i}];
+  }
+}
+
+void CellWorld::OnEndsNoted(const std::vector<EndedRow>& ends) {
+  for (const EndedRow& row : ends) {
+    const JobSpec* spec = SpecOf(row.run.task.job);
+    if (spec == nullptr) {
+      continue;
+    }
+    const StepSpec& step = spec->steps[static_cast<size_t>(row.run.task.step)];
+    TaskRef task = row.run.task;
+    if (row.how == EndKind::kDone && !step.long_running) {
+      for (int i = 0; i < step.count; ++i) {
+        if (step.gang || i == task.index) {
+          noted_done_.insert(TaskRef{task.job, task.occurrence, task.step, i});
+        }
+      }
+    } else if (row.how == EndKind::kFailed) {
+      task.index = step.gang ? 0 : task.index;
+      ++failed_runs_[task];
+    }
+  }
+}
+
+void CellWorld::GangMemberArrived(FakeWorker& worker, const RunRef& run) {
+  const RunRef key{TaskRef{run.task.job, run.task.occurrence, run.task.step, 0}, run.run};
+  GangRun& gang = gangs_[key];
+  gang.present.insert(fmt::format("{}/{}", worker.entry.id, run.task.index));
+  gang.workers.push_back(&worker);
+  const StepSpec& step = SpecOf(run.task.job)->steps[static_cast<size_t>(run.task.step)];
+  if (static_cast<int>(gang.present.size()) < step.count) {
+    return;
+  }
+  const TaskBehaviour behaviour = BehaviourOf(run.task.job);
+  for (FakeWorker* each : gang.workers) {
+    for (auto& [member, state] : each->runs_) {
+      if (member.task.job == run.task.job && member.task.step == run.task.step && member.run == run.run) {
+        state.ends_at = Now() + behaviour.takes;
+      }
+    }
+  }
+}
+
+// One end represents all: the others are done too, or broken.
+void CellWorld::GangMemberEnded(const RunRef& run, EndKind how) {
+  const RunRef key{TaskRef{run.task.job, run.task.occurrence, run.task.step, 0}, run.run};
+  const auto found = gangs_.find(key);
+  if (found == gangs_.end()) {
+    return;
+  }
+  const GangRun gang = std::move(found->second);
+  gangs_.erase(found);
+  for (FakeWorker* each : gang.workers) {
+    std::vector<RunRef> members;
+    for (const auto& [member, state] : each->runs_) {
+      if (member.task.job == run.task.job && member.task.step == run.task.step && member.run == run.run) {
+        members.push_back(member);
+      }
+    }
+    for (const RunRef& member : members) {
+      each->EndGangRun(member, how == EndKind::kDone ? EndKind::kDone : EndKind::kBroken);
+    }
+  }
+}
+
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/standins/cell_world.h
@@ -0,0 +1,243 @@
+// A cell in virtual time: hosts with the real core, and a store, workers and an advice service that follow the
+// platform's rules, with faults on demand. One thread, seeded: the same seed gives the same course.
+//
+// The world checks what must always hold, from what the workers see: no worker over its room, no task in two places at
+// once, no start after a noted end, none of a job that nobody accepted, steps in order, attempts within bounds.
+#ifndef HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
+#define HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cell/host.h"
+#include "hibiscusstand/clock.h"
+
+namespace hibiscus::cell {
+
+class CellWorld;
+
+// How calls to one part of the world go wrong now.
+struct CallFaults {
+  bool down = false;          // Refused: nothing is done.
+  bool silent = false;        // No answer, nothing is done.
+  double lose_answer = 0;     // Share that is done, and the answer lost.
+  double carry_out_late = 0;  // Share that has no answer and is carried out seconds later.
+  Duration slower{};          // Added to each answer.
+
+  friend bool operator==(const CallFaults&, const CallFaults&) = default;
+};
+
+// The store's keys, leases and history.
+class FakeStore {
+ public:
+  explicit FakeStore(CellWorld& world) : world_(world) {}
+
+  StoreAnswer Read(const std::string& key) const;
+  StoreAnswer Range(const std::string& prefix, const std::string& after) const;
+  // None while there is no change yet.
+  std::optional<StoreAnswer> Changes(const std::string& prefix, uint64_t after) const;
+  StoreAnswer Commit(const StoreTransaction& transaction);
+  StoreAnswer GrantLease(Duration ttl);
+  StoreAnswer KeepLease(uint64_t lease);
+  StoreAnswer EndLease(uint64_t lease);
+
+  void Put(const std::string& key, const std::string& value) { Write(key, value, 0); }
+  void Erase(const std::string& key);
+  void ExpireLeases();
+  void RevokeLeases();   // Every key on a lease goes at once; the leases do not tell.
+  void ForgetHistory();  // Watches must read anew.
+  // Called after each change.
+  std::function<void()> on_change;
+
+  CallFaults faults;
+  std::map<std::string, CallFaults> faults_of;  // For single hosts, by name.
+
+ private:
+  struct Lease {
+    Duration ttl{};
+    TimePoint until{};
+  };
+
+  void Write(const std::string& key, const std::string& value, uint64_t lease);
+
+  CellWorld& world_;
+  std::map<std::string, StoreItem> items_;
+  std::vector<StoreItem> history_;
+  uint64_t history_from_ = 0;
+  uint64_t revision_ = 10;
+  std::map<uint64_t, Lease> leases_;
+};
+
+// A worker: obeys the highest token, kills all when its hold runs out, lists ends until they are acknowledged.
+class FakeWorker {
+ public:
+  FakeWorker(CellWorld& world, WorkerEntry entry);
+
+  OrderAnswer Start(const StartOrder& order);
+  OrderAnswer Stop(const RunRef& run, uint64_t token);
+  OrderAnswer Hold(const HoldOrder& order);
+  bool HasEnds(int64_t acknowledged) const { return !ended_.empty() && ended_.back().number > acknowledged; }
+
+  void Advance();             // Ends what is due.
+  TimePoint NextEnd() const;  // When something is due next.
+  void Crash();               // All is lost; Restart begins a new life.
+  void Restart();
+  void EndGangRun(const RunRef& run, EndKind how);
+
+  WorkerEntry entry;
+  bool up = true;
+  double speed = 1;
+  double clock_rate = 1;  // Of its own clock.
+  CallFaults faults;
+  int runs_over_room = 0;
+
+  bool Runs(const RunRef& run) const { return runs_.contains(run); }
+
+ private:
+  struct Run {
+    Resources size;
+    TimePoint ends_at{};  // Max: it waits for its gang, or runs for good.
+    EndKind how = EndKind::kDone;
+    bool gang = false;
+    TimePoint alone_at{};
+    bool stopping = false;
+  };
+
+  friend class CellWorld;
+
+  Duration ClockNow() const;
+  TimePoint WhenClockShows(Duration clock) const;
+  void Finish(RunRef run, EndKind how);  // A copy: the key it may come from goes.
+  OrderAnswer Answer(OrderStatus status) const;
+  void Extend(Duration deadline);
+
+  CellWorld& world_;
+  TimePoint clock_base_{};
+  uint64_t token_ = 0;
+  Duration hold_until_{};  // On its own clock.
+  std::map<RunRef, Run> runs_;
+  std::map<TaskRef, int> highest_;  // Run that was stopped or ended here.
+  std::vector<EndedRow> ended_;
+  int64_t last_end_ = 0;
+};
+
+// How the tasks of a job really behave.
+struct TaskBehaviour {
+  Duration takes = 500ms;
+  int fails = 0;  // The first so many runs of each task fail.
+
+  friend bool operator==(const TaskBehaviour&, const TaskBehaviour&) = default;
+};
+
+// One process of a host.
+class FakeHost;
+
+class CellWorld {
+ public:
+  CellWorld(uint64_t seed, int hosts, int workers);
+  ~CellWorld();
+  CellWorld(const CellWorld&) = delete;
+  CellWorld& operator=(const CellWorld&) = delete;
+
+  // --- Time ---
+  TimePoint Now() const { return clock_.Now(); }
+  void RunFor(Duration time);
+  // True as soon as `done` holds; false if it does not within `limit`.
+  bool RunUntil(const std::function<bool()>& done, Duration limit);
+  void In(Duration delay, std::function<void()> work) { timers_.In(delay, std::move(work)); }
+
+  // --- Hosts ---
+  size_t host_count() const { return hosts_.size(); }
+  Host* host(size_t index);                 // None while its process is dead.
+  std::optional<size_t> OwnerIndex() const;  // The newest owner among live processes.
+  void Kill(size_t index);
+  void Boot(size_t index);
+  void Freeze(size_t index, Duration time);
+  void Leave(size_t index);
+  void CutPeers(size_t index, bool cut);
+  CallFaults& StoreFaultsOf(size_t index);
+
+  // --- Callers ---
+  using OnReply = std::function<void(const CallerReply&)>;
+  void Submit(size_t host, const JobSpec& job, const TaskBehaviour& behaviour, OnReply reply);
+  void Ask(size_t host, CallerKind kind, const std::string& queue, const std::string& job, OnReply reply);
+  // Submits, and tries again through other hosts until it is accepted or rejected.
+  void SubmitSurely(const JobSpec& job, const TaskBehaviour& behaviour);
+  bool Accepted(const std::string& job) const { return accepted_.contains(job); }
+  // Asks through any host until it knows; within 30 s of virtual time.
+  std::optional<JobState> StateOf(const std::string& queue, const std::string& job);
+
+  // --- What holds ---
+  const std::vector<std::string>& violations() const { return violations_; }
+  void Violate(const std::string& what);
+  int starts() const { return starts_; }
+  int TimesDone(const TaskRef& task) const;
+
+  FakeStore& store() { return store_; }
+  FakeWorker& worker(size_t index) { return *workers_[index]; }
+  size_t worker_count() const { return workers_.size(); }
+  std::mt19937_64& random() { return random_; }
+  bool Chance(double share) { return std::uniform_real_distribution<double>(0, 1)(random_) < share; }
+
+  CellConfiguration configuration;
+  // Writes `configuration` for all hosts.
+  void Configure();
+  void WriteEntry(const FakeWorker& worker);
+  bool log_to_stdout = false;
+
+ private:
+  friend class FakeStore;
+  friend class FakeWorker;
+  friend class FakeHost;
+
+  struct Watcher {
+    std::string prefix;
+    uint64_t after = 0;
+    std::function<void(const StoreAnswer&)> done;
+  };
+  struct GangRun {
+    std::set<std::string> present;  // Workers and indices.
+    std::vector<FakeWorker*> workers;
+  };
+
+  void Step(TimePoint until);
+  TimePoint NextEvent() const;
+  // --- What workers tell the world ---
+  void OnRunStarted(FakeWorker& worker, const StartOrder& order);
+  void OnRunEnded(FakeWorker& worker, const RunRef& run, EndKind how);
+  void OnEndsNoted(const std::vector<EndedRow>& ends);
+  const JobSpec* SpecOf(const std::string& job) const;
+  TaskBehaviour BehaviourOf(const std::string& job) const;
+  void GangMemberArrived(FakeWorker& worker, const RunRef& run);
+  void GangMemberEnded(const RunRef& run, EndKind how);
+
+  ManualClock clock_;
+  Timers timers_{clock_};
+  std::mt19937_64 random_;
+  FakeStore store_;
+  std::vector<std::unique_ptr<FakeWorker>> workers_;
+  std::vector<std::unique_ptr<FakeHost>> hosts_;
+
+  std::map<std::string, JobSpec> submitted_;
+  std::map<std::string, TaskBehaviour> behaviours_;
+  std::set<std::string> accepted_;
+  std::map<TaskRef, std::set<std::pair<std::string, int>>> running_;  // Worker and run.
+  std::map<TaskRef, int> done_;        // Times ended as done.
+  std::set<TaskRef> noted_done_;
+  std::map<TaskRef, int> failed_runs_;  // Noted.
+  std::map<TaskRef, int> runs_of_;
+  std::map<RunRef, GangRun> gangs_;     // By step and run: the index is 0.
+  std::vector<std::string> violations_;
+  int starts_ = 0;
+};
+
+}  // namespace hibiscus::cell
+
+#endif  // HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
--- /dev/null
+++ b/tests/cell_chaos.cc
@@ -0,0 +1,292 @@
+#include "tests/cell_chaos.h"
+
+#include <array>
+#include <functional>
+
+#include "tests/cell_jobs.h"
+
+namespace hibiscus::cell {
+
+namespace {
+
+constexpr size_t kHosts = 4;
+constexpr size_t kWorkers = 9;
+constexpr Duration kCourse = 25s;        // Load and faults.
+constexpr Duration kCalm = 40s;          // Afterwards: everything that was accepted comes to an end.
+constexpr Duration kJobEvery = 120ms;
+constexpr Duration kFaultEvery = 1500ms;
+
+class Course {
+ public:
+  explicit Course(const CellChaosOptions& options) : world_(options.seed, kHosts, kWorkers) {
+    world_.log_to_stdout = options.log;
+    AddQueues(world_);
+  }
+
+  CellChaosResult Run() {
+    world_.RunFor(2s);
+    Load();
+    Faults();
+    world_.RunFor(kCourse);
+    over_ = true;
+    Heal();
+    world_.RunFor(kCalm);
+    return Judge();
+  }
+
+ private:
+  using Fault = void (Course::*)();
+
+  void Note(const std::string& what) {
+    result_.faults.push_back(fmt::format("{} ms: {}", Millis(world_.Now().time_since_epoch()) - 3'600'000, what));
+  }
+  size_t AnyHost() { return world_.random()() % kHosts; }
+  FakeWorker& AnyWorker() { return world_.worker(world_.random()() % kWorkers); }
+  Duration Between(Duration least, Duration most) {
+    return least + Duration(static_cast<int64_t>(world_.random()() % static_cast<uint64_t>((most - least).count())));
+  }
+
+  void Load() {
+    if (over_) {
+      return;
+    }
+    SubmitOne();
+    world_.In(Between(kJobEvery / 2, kJobEvery * 2), [this] { Load(); });
+  }
+
+  void SubmitOne() {
+    const int number = ++jobs_;
+    std::vector<StepSpec> steps;
+    const int kind = static_cast<int>(world_.random()() % 4);
+    StepSpec first = StepOf(1 + static_cast<int>(world_.random()() % 5), 1000 + 500 * static_cast<int>(world_.random()() % 8));
+    first.gang = kind == 1;
+    steps.push_back(first);
+    if (kind == 2) {
+      StepSpec second = StepOf(2, 3000);
+      second.after = {0};
+      steps.push_back(second);
+    }
+    const JobSpec job = JobOf(number, steps, world_.Chance(0.5) ? "plain" : "advised");
+    const TaskBehaviour behaviour{Between(100ms, 2s), world_.Chance(0.1) ? static_cast<int>(world_.random()() % 4) : 0};
+    world_.SubmitSurely(job, behaviour);
+    if (world_.Chance(0.05)) {
+      cancelled_.insert(job.id);
+      world_.In(Between(50ms, 3s), [this, job] { Cancel(job); });
+    }
+  }
+
+  void Cancel(const JobSpec& job) {
+    world_.Ask(AnyHost(), CallerKind::kCancel, job.queue, job.id, [this, job](const CallerReply& reply) {
+      if (reply.outcome != CallerOutcome::kDone && !over_) {
+        world_.In(500ms, [this, job] { Cancel(job); });
+      }
+    });
+  }
+
+  void Faults() {
+    static constexpr std::array kFaults = {
+        &Course::KillHost,      &Course::KillOwner,     &Course::KillAll,     &Course::FreezeOwner,
+        &Course::LeaveHost,     &Course::StoreDown,     &Course::StoreLoses,  &Course::StoreLate,
+        &Course::StoreSlow,     &Course::StoreTurnsAway, &Course::Revoke,     &Course::ForgetHistory,
+        &Course::CrashWorker,   &Course::CutWorker,     &Course::LateOrders,  &Course::LostOrders,
+        &Course::SlowClocks,    &Course::CutHost,       &Course::DrainWorker, &Course::FreezeHost};
+    if (over_) {
+      return;
+    }
+    (this->*kFaults[world_.random()() % kFaults.size()])();
+    world_.In(Between(kFaultEvery / 3, kFaultEvery * 2), [this] { Faults(); });
+  }
+
+  void Reboot(size_t host, Duration after) {
+    world_.In(after, [this, host] { world_.Boot(host); });
+  }
+  void KillHost() {
+    const size_t host = AnyHost();
+    Note(fmt::format("kill h{}", host));
+    world_.Kill(host);
+    Reboot(host, Between(300ms, 3s));
+  }
+  void KillOwner() {
+    const auto owner = world_.OwnerIndex();
+    if (owner) {
+      Note(fmt::format("kill owner h{}", *owner));
+      world_.Kill(*owner);
+      Reboot(*owner, Between(300ms, 4s));
+    }
+  }
+  void KillAll() {
+    Note("kill all");
+    for (size_t i = 0; i < kHosts; ++i) {
+      world_.Kill(i);
+      Reboot(i, Between(500ms, 2s));
+    }
+  }
+  void Freeze(size_t host) {
+    if (world_.host(host) != nullptr) {
+      const Duration time = Between(500ms, 5s);
+      Note(fmt::format("freeze h{} {} ms", host, Millis(time)));
+      world_.Freeze(host, time);
+    }
+  }
+  void FreezeOwner() { Freeze(world_.OwnerIndex().value_or(0)); }
+  void FreezeHost() { Freeze(AnyHost()); }
+  void LeaveHost() {
+    const size_t host = world_.Chance(0.5) ? world_.OwnerIndex().value_or(AnyHost()) : AnyHost();
+    if (world_.host(host) == nullptr) {
+      return;
+    }
+    Note(fmt::format("stop h{}", host));
+    world_.Leave(host);
+    world_.In(4s, [this, host] {
+      world_.Kill(host);
+      Reboot(host, 1s);
+    });
+  }
+  void FaultyStore(const char* what, const CallFaults& faults, Duration time) {
+    Note(fmt::format("store {} {} ms", what, Millis(time)));
+    world_.store().faults = faults;
+    world_.In(time, [this] { world_.store().faults = CallFaults{}; });
+  }
+  void StoreDown() {
+    CallFaults faults;
+    (world_.Chance(0.5) ? faults.down : faults.silent) = true;
+    FaultyStore("down", faults, Between(1s, 6s));
+  }
+  void StoreLoses() {
+    CallFaults faults;
+    faults.lose_answer = 0.35;
+    FaultyStore("loses answers", faults, Between(1s, 5s));
+  }
+  void StoreLate() {
+    CallFaults faults;
+    faults.carry_out_late = 0.3;
+    FaultyStore("carries out late", faults, Between(1s, 5s));
+  }
+  void StoreSlow() {
+    CallFaults faults;
+    faults.slower = 200ms;
+    FaultyStore("slow", faults, Between(1s, 5s));
+  }
+  void StoreTurnsAway() {
+    const size_t host = world_.Chance(0.5) ? world_.OwnerIndex().value_or(0) : AnyHost();
+    Note(fmt::format("store turns away h{}", host));
+    CallFaults faults;
+    (world_.Chance(0.5) ? faults.down : faults.silent) = true;
+    world_.StoreFaultsOf(host) = faults;
+    world_.In(Between(1s, 8s), [this, host] { world_.StoreFaultsOf(host) = CallFaults{}; });
+  }
+  void Revoke() {
+    Note("leases revoked");
+    world_.store().RevokeLeases();
+  }
+  void ForgetHistory() {
+    Note("history lost");
+    world_.store().ForgetHistory();
+  }
+  void CrashWorker() {
+    FakeWorker& worker = AnyWorker();
+    if (!worker.up) {
+      return;
+    }
+    Note("crash " + worker.entry.id);
+    worker.Crash();
+    world_.In(Between(300ms, 4s), [&worker] {
+      if (!worker.up) {
+        worker.Restart();
+      }
+    });
+  }
+  void FaultyWorker(const char* what, const CallFaults& faults) {
+    FakeWorker& worker = AnyWorker();
+    Note(fmt::format("{} {}", what, worker.entry.id));
+    worker.faults = faults;
+    world_.In(Between(1s, 9s), [&worker] { worker.faults = CallFaults{}; });
+  }
+  void CutWorker() {
+    CallFaults faults;
+    faults.silent = true;
+    FaultyWorker("cut", faults);
+  }
+  void LateOrders() {
+    CallFaults faults;
+    faults.carry_out_late = 0.3;
+    FaultyWorker("orders late at", faults);
+  }
+  void LostOrders() {
+    CallFaults faults;
+    faults.lose_answer = 0.3;
+    FaultyWorker("answers lost from", faults);
+  }
+  void SlowClocks() {
+    FakeWorker& worker = AnyWorker();
+    Note("restart with a slow clock " + worker.entry.id);
+    worker.Crash();
+    worker.clock_rate = 0.981;
+    worker.Restart();
+  }
+  void CutHost() {
+    const size_t host = AnyHost();
+    Note(fmt::format("h{} cut from hosts", host));
+    world_.CutPeers(host, true);
+    world_.In(Between(1s, 6s), [this, host] { world_.CutPeers(host, false); });
+  }
+  void DrainWorker() {
+    FakeWorker& worker = AnyWorker();
+    Note("drain " + worker.entry.id);
+    worker.entry.draining = true;
+    world_.WriteEntry(worker);
+    world_.In(Between(1s, 4s), [this, &worker] {
+      worker.entry.draining = false;
+      world_.WriteEntry(worker);
+    });
+  }
+
+  void Heal() {
+    world_.store().faults = CallFaults{};
+    for (size_t i = 0; i < kHosts; ++i) {
+      world_.StoreFaultsOf(i) = CallFaults{};
+      world_.CutPeers(i, false);
+    }
+    for (size_t i = 0; i < kWorkers; ++i) {
+      world_.worker(i).faults = CallFaults{};
+      if (!world_.worker(i).up) {
+        world_.worker(i).Restart();
+      }
+    }
+  }
+
+  CellChaosResult Judge() {
+    result_.violations = world_.violations();
+    result_.starts = world_.starts();
+    for (int i = 1; i <= jobs_; ++i) {
+      if (!world_.Accepted(JobId(i))) {
+        continue;
+      }
+      ++result_.accepted;
+      std::optional<JobState> state = world_.StateOf("plain", JobId(i));
+      if (!state) {
+        state = world_.StateOf("advised", JobId(i));
+      }
+      if (!state || !IsFinal(*state)) {
+        result_.lost.push_back(fmt::format("job {} is {}", JobId(i), state ? NameOf(*state) : "not known"));
+      } else if (*state == JobState::kCancelled && !cancelled_.contains(JobId(i))) {
+        result_.lost.push_back(fmt::format("job {} is cancelled, and nobody asked for that", JobId(i)));
+      }
+    }
+    return result_;
+  }
+
+  CellWorld world_;
+  CellChaosResult result_;
+  std::set<std::string> cancelled_;
+  int jobs_ = 0;
+  bool over_ = false;
+};
+
+}  // namespace
+
+CellChaosResult RunCellChaos(const CellChaosOptions& options) {
+  return Course(options).Run();
+}
+
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/tests/cell_chaos.h
@@ -0,0 +1,33 @@
+// A randomised course of a cell: load, and faults of every kind that the platform may show, drawn from a seed.
+#ifndef HIBISCUSSTAND_TESTS_CELL_CHAOS_H_
+#define HIBISCUSSTAND_TESTS_CELL_CHAOS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hibiscus::cell {
+
+struct CellChaosOptions {
+  uint64_t seed = 1;
+  bool log = false;
+
+  friend bool operator==(const CellChaosOptions&, const CellChaosOptions&) = default;
+};
+
+struct CellChaosResult {
+  std::vector<std::string> violations;  // What must always hold and did not.
+  std::vector<std::string> lost;        // Accepted jobs that did not come to an end.
+  std::vector<std::string> faults;      // What was done, in order.
+  int accepted = 0;
+  int starts = 0;
+
+  bool ok() const { return violations.empty() && lost.empty(); }
+  friend bool operator==(const CellChaosResult&, const CellChaosResult&) = default;
+};
+
+CellChaosResult RunCellChaos(const CellChaosOptions& options);
+
+}  // namespace hibiscus::cell
+
+#endif  // HIBISCUSSTAND_TESTS_CELL_CHAOS_H_
--- /dev/null
+++ b/tests/cell_chaos_main.cc
@@ -0,0 +1,54 @@
+// Runs randomised courses of a cell and prints those that went wrong.
+//   hibiscus_cell_chaos --seeds=1..300
+//   hibiscus_cell_chaos --seeds=17..17 --log
+#include <atomic>
+#include <cstdio>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <gflags/gflags.h>
+
+#include "tests/cell_chaos.h"
+
+DEFINE_string(seeds, "1..100", "first..last");
+DEFINE_int32(jobs, 2, "courses at once");
+DEFINE_bool(log, false, "prints what the hosts log; for one seed");
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const size_t dots = FLAGS_seeds.find("..");
+  const uint64_t first = std::stoull(FLAGS_seeds);
+  const uint64_t last = dots == std::string::npos ? first : std::stoull(FLAGS_seeds.substr(dots + 2));
+  std::atomic<uint64_t> next{first};
+  std::atomic<int> failed{0};
+  std::atomic<int> passed{0};
+  std::mutex mutex;
+  const auto work = [&] {
+    for (uint64_t seed = next++; seed <= last; seed = next++) {
+      const auto result = hibiscus::cell::RunCellChaos({seed, FLAGS_log});
+      (result.ok() ? passed : failed)++;
+      if (result.ok()) {
+        continue;
+      }
+      const std::lock_guard lock(mutex);
+      std::printf("seed %llu: %d accepted, %d starts\n", static_cast<unsigned long long>(seed), result.accepted,
+                  result.starts);
+      for (const auto* list : {&result.violations, &result.lost}) {
+        for (size_t i = 0; i < list->size() && i < 4; ++i) {
+          std::printf("  %s\n", (*list)[i].c_str());
+        }
+      }
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < FLAGS_jobs; ++i) {
+    threads.emplace_back(work);
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  std::printf("%d passed, %d failed\n", passed.load(), failed.load());
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/cell_faults_test.cc
@@ -0,0 +1,148 @@
+// The cell scheduler under faults: directed ones first, then seeded courses of all of them.
+#include <catch2/catch.hpp>
+
+#include "tests/cell_chaos.h"
+#include "tests/cell_jobs.h"
+
+namespace hibiscus::cell {
+namespace {
+
+TEST_CASE("another host takes over within three seconds of the owner's death, and nothing is lost") {
+  CellWorld world(11, 4, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const JobSpec job = JobOf(1, {StepOf(4, 2000)});
+  world.SubmitSurely(job, TaskBehaviour{2500ms, 0});
+  world.RunFor(1s);
+  REQUIRE(world.Accepted(job.id));
+  const size_t owner = *world.OwnerIndex();
+  world.Kill(owner);
+  REQUIRE(world.RunUntil([&] { return HasOwner(world); }, 3s));
+  CHECK(*world.OwnerIndex() != owner);
+  world.RunFor(4s);
+  CHECK(world.StateOf("plain", job.id) == JobState::kCompleted);
+  CHECK(world.starts() == 4);  // What ran went on.
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("a planned stop of the owner hands over at once") {
+  CellWorld world(12, 4, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const size_t owner = *world.OwnerIndex();
+  world.Leave(owner);
+  const auto other_owns = [&] { return HasOwner(world) && *world.OwnerIndex() != owner; };
+  CHECK(world.RunUntil(other_owns, 300ms));
+}
+
+// Every answer of the store takes 170 ms, so that a batch stands for what came meanwhile, and news never stops coming.
+TEST_CASE("a planned stop under load and a slow store hands over within two seconds") {
+  CellWorld world(13, 4, 8);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.store().faults.slower = 170ms;
+  for (int i = 1; i <= 200; ++i) {
+    world.In(i * 15ms, [&world, i] { world.SubmitSurely(JobOf(i, {StepOf(2, 500)}), TaskBehaviour{200ms, 0}); });
+  }
+  world.RunFor(1500ms);
+  const size_t owner = *world.OwnerIndex();
+  world.Leave(owner);
+  const auto other_owns = [&] { return HasOwner(world) && *world.OwnerIndex() != owner; };
+  CHECK(world.RunUntil(other_owns, 2s));
+  world.store().faults.slower = 0us;
+  world.RunFor(10s);
+  for (int i = 1; i <= 200; ++i) {
+    CHECK(world.StateOf("plain", JobId(i)) == JobState::kCompleted);
+  }
+  CHECK(world.violations().empty());
+}
+
+// A failed end on a worker that is cut off comes to light after a later start has failed elsewhere.
+TEST_CASE("ends of failed starts count in whatever order they are heard of") {
+  CellWorld world(14, 3, 2);
+  AddQueues(world);
+  world.configuration.queues[0].max_attempts = 4;
+  world.Configure();
+  REQUIRE(Settle(world));
+  const JobSpec job = JobOf(1, {StepOf(1, 1000)});
+  world.SubmitSurely(job, TaskBehaviour{400ms, 99});
+  REQUIRE(world.RunUntil([&] { return world.starts() == 1; }, 2s));
+  const size_t first = world.worker(0).Runs(RunRef{TaskRef{job.id, 0, 0, 0}, 1}) ? 0 : 1;
+  world.worker(first).faults.silent = true;
+  world.RunFor(10s);  // The run is given up, and the other worker fails the next ones.
+  world.worker(first).faults.silent = false;
+  world.RunFor(5s);
+  CHECK(world.StateOf("plain", job.id) == JobState::kFailed);
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("work goes on while the store is away, and is told once it is back") {
+  CellWorld world(15, 3, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const JobSpec job = JobOf(1, {StepOf(3, 1000), StepOf(2, 1000)});
+  JobSpec chained = job;
+  chained.steps[1].after = {0};
+  world.SubmitSurely(chained, TaskBehaviour{1s, 0});
+  world.RunFor(500ms);
+  REQUIRE(world.Accepted(job.id));
+  world.store().faults.down = true;
+  world.RunFor(6s);
+  CHECK(world.starts() == 5);
+  CallerReply refusal;
+  world.Submit(0, JobOf(2, {StepOf(1, 1000)}), TaskBehaviour{}, [&](const CallerReply& reply) { refusal = reply; });
+  world.RunFor(3s);
+  CHECK(refusal.outcome != CallerOutcome::kDone);
+  world.store().faults.down = false;
+  world.RunFor(3s);
+  CHECK(world.StateOf("plain", job.id) == JobState::kCompleted);
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("tasks of a dead worker are started elsewhere once its hold is surely over") {
+  CellWorld world(16, 3, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const JobSpec job = JobOf(1, {StepOf(8, 2000)});
+  world.SubmitSurely(job, TaskBehaviour{3s, 0});
+  world.RunFor(1s);
+  world.worker(0).faults.silent = true;
+  world.worker(1).Crash();
+  world.RunFor(12s);
+  CHECK(world.StateOf("plain", job.id) == JobState::kCompleted);
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("after the death of all hosts everything accepted is done") {
+  CellWorld world(17, 4, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  for (int i = 1; i <= 30; ++i) {
+    world.SubmitSurely(JobOf(i, {StepOf(2, 1000)}), TaskBehaviour{1s, 0});
+  }
+  world.RunFor(600ms);
+  for (size_t i = 0; i < 4; ++i) {
+    world.Kill(i);
+  }
+  world.RunFor(1s);
+  for (size_t i = 0; i < 4; ++i) {
+    world.Boot(i);
+  }
+  world.RunFor(15s);
+  for (int i = 1; i <= 30; ++i) {
+    CHECK(world.StateOf("plain", JobId(i)) == JobState::kCompleted);
+  }
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("seeded courses of faults") {
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    const CellChaosResult result = RunCellChaos({seed, false});
+    INFO("seed " << seed << ", first violation: " << (result.violations.empty() ? "none" : result.violations.front())
+                 << ", first loss: " << (result.lost.empty() ? "none" : result.lost.front()));
+    CHECK(result.ok());
+  }
+}
+
+}  // namespace
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/tests/cell_parts_test.cc
@@ -0,0 +1,135 @@
+// The cell scheduler's parts on their own: records, messages, placement.
+#include <catch2/catch.hpp>
+
+#include "cell/job_table.h"
+#include "cell/messages.h"
+#include "cell/placement_policy.h"
+#include "cell/records.h"
+#include "tests/cell_jobs.h"
+
+namespace hibiscus::cell {
+namespace {
+
+JobSpec RichJob() {
+  StepSpec step = StepOf(3, 1500, 700ms);
+  step.gang = true;
+  step.checkpoints = true;
+  step.required_label = "a";
+  step.data_rack = "r1";
+  step.most_per_worker = 2;
+  StepSpec second = StepOf(1, 200);
+  second.after = {0};
+  second.long_running = true;
+  JobSpec job = JobOf(7, {step, second});
+  job.first_due_ms = 1'700'000'000'123;
+  job.interval = 1500ms;
+  job.occurrences = 4;
+  return job;
+}
+
+TEST_CASE("records come back as they were") {
+  const JobRecord job{3, 1'700'000'000'000, RichJob()};
+  CHECK(DecodeRecord<JobRecord>(EncodeRecord(job)) == job);
+  ProgressRecord progress;
+  progress.occurrences_done = 2;
+  progress.steps.push_back(StepProgress{2, 0, false, {0, 2}, {{1, {1, 3}}}, {{1, "00ff"}}});
+  LogRecord log;
+  log.jobs.push_back(job);
+  log.progress.push_back(JobProgress{job.spec.id, progress});
+  CHECK(DecodeRecord<LogRecord>(EncodeRecord(log)) == log);
+  const OwnerRecord owner{"h1", "10.0.0.1:7", 9, 4, true};
+  CHECK(DecodeRecord<OwnerRecord>(EncodeRecord(owner)) == owner);
+  CHECK_FALSE(DecodeRecord<OwnerRecord>("no record").has_value());
+}
+
+TEST_CASE("messages come back as they were") {
+  const std::vector<Message> messages = {
+      CallerRequest{7, "h1", CallerKind::kSubmit, "q", JobId(1), EncodeRecord(RichJob())},
+      CallerReply{7, CallerOutcome::kRejected, JobState::kRunning, 5, 1500ms},
+      AdviceRequest{8, "h2", TaskRef{JobId(1), 0, 1, 0}, {"w1", "w2"}, 700ms},
+      AdviceReply{8, true, {Ticket{"w1", "t"}}},
+      Ping{"h3"},
+      OwnerNews{99, "h1", "10.0.0.1:7"},
+  };
+  for (const Message& message : messages) {
+    CHECK(DecodeMessage(EncodeMessage(message)) == message);
+  }
+  CHECK_FALSE(DecodeMessage("x").has_value());
+  CHECK_FALSE(DecodeMessage("").has_value());
+}
+
+TEST_CASE("jobs that cannot be meant are told what is wrong") {
+  CHECK(ProblemOf(RichJob()).empty());
+  JobSpec job = RichJob();
+  job.id = "short";
+  CHECK(ProblemOf(job).find("job id") != std::string::npos);
+  job = RichJob();
+  job.steps[0].after = {0};
+  CHECK(ProblemOf(job).find("earlier") != std::string::npos);
+  job = RichJob();
+  job.steps[0].count = 0;
+  CHECK_FALSE(ProblemOf(job).empty());
+  job = RichJob();
+  job.steps[0].size.cpu_millis = -1;
+  CHECK_FALSE(ProblemOf(job).empty());
+  job = RichJob();
+  job.steps.clear();
+  CHECK_FALSE(ProblemOf(job).empty());
+}
+
+TEST_CASE("progress of a job is restored, failed starts and all") {
+  Job job;
+  job.record.spec = JobOf(1, {StepOf(3, 1000), StepOf(2, 1000)});
+  job.occurrences.emplace(0, MakeOccurrence(job, 0, 0));
+  job.next_occurrence = 1;
+  StepRun& step = *job.occurrences.at(0).steps[0];
+  step.tasks[0].phase = TaskPhase::kDone;
+  step.done = 1;
+  step.waiting = 2;
+  step.tasks[1].failed_runs = {1, 4};
+  Job restored;
+  restored.record.spec = job.record.spec;
+  ApplyProgress(restored, ProgressOf(job), 1000);
+  const StepRun& again = *restored.occurrences.at(0).steps[0];
+  CHECK(again.done == 1);
+  CHECK(again.waiting == 2);
+  CHECK(again.tasks[1].failed_runs == std::set<int>{1, 4});
+  CHECK(again.tasks[1].run == 1000);
+}
+
+RoomView RoomOf(int64_t capacity, int64_t free, bool kept = false) {
+  RoomView room;
+  room.capacity = Resources{capacity, 100'000, 0};
+  room.free = Resources{free, 100'000, 0};
+  room.kept = kept;
+  return room;
+}
+
+TEST_CASE("a single task goes where it fits tightest, off kept room if it can") {
+  const RoomNeed need{Resources{4000, 100, 0}, 0};
+  CHECK(TightestFit({RoomOf(16'000, 16'000), RoomOf(16'000, 5000), RoomOf(16'000, 3000)}, need) == 1);
+  CHECK(TightestFit({RoomOf(16'000, 16'000), RoomOf(16'000, 5000, true)}, need) == 0);
+  CHECK(TightestFit({RoomOf(16'000, 5000, true)}, need) == 0);
+  CHECK_FALSE(TightestFit({RoomOf(16'000, 3000)}, need).has_value());
+}
+
+TEST_CASE("a gang fits as a whole or not at all") {
+  const RoomNeed need{Resources{5000, 100, 0}, 0};
+  const std::vector<RoomView> rooms = {RoomOf(16'000, 16'000), RoomOf(16'000, 6000), RoomOf(16'000, 11'000)};
+  CHECK(FitGang(rooms, need, 6, false) == std::vector<int>{3, 1, 2});
+  CHECK(FitGang(rooms, need, 7, false).empty());
+  CHECK(FitGang(rooms, need, 3, false) == std::vector<int>{3, 0, 0});
+  const RoomNeed spread{Resources{5000, 100, 0}, 1};
+  CHECK(FitGang(rooms, spread, 3, false) == std::vector<int>{1, 1, 1});
+  CHECK(FitGang(rooms, spread, 4, false).empty());
+}
+
+TEST_CASE("room is kept on as few workers as the gang needs when they are empty") {
+  const RoomNeed need{Resources{8000, 100, 0}, 0};
+  const std::vector<RoomView> rooms = {RoomOf(16'000, 1000), RoomOf(16'000, 9000), RoomOf(16'000, 500)};
+  CHECK(RoomsToKeep(rooms, need, 3) == std::vector<size_t>{1, 2});
+  CHECK(RoomsToKeep(rooms, need, 7).empty());
+}
+
+}  // namespace
+}  // namespace hibiscus::cell
--- /dev/null
+++ b/tests/cell_test.cc
@@ -0,0 +1,182 @@
+// The cell scheduler on calm days: jobs of every kind go through, whichever host takes them.
+#include <catch2/catch.hpp>
+
+#include "tests/cell_jobs.h"
+
+namespace hibiscus::cell {
+namespace {
+
+bool Completed(CellWorld& world, const JobSpec& job) {
+  return world.StateOf(job.queue, job.id) == JobState::kCompleted;
+}
+
+TEST_CASE("one host becomes the owner and the others know it") {
+  CellWorld world(1, 5, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  int owners = 0;
+  int ready = 0;
+  for (size_t i = 0; i < world.host_count(); ++i) {
+    owners += world.host(i)->owner() != nullptr ? 1 : 0;
+    ready += world.host(i)->ready() ? 1 : 0;
+  }
+  CHECK(owners == 1);
+  CHECK(ready == 5);
+}
+
+TEST_CASE("a job handed in anywhere runs and is shown as completed everywhere") {
+  CellWorld world(2, 4, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const JobSpec job = JobOf(1, {StepOf(4, 2000), StepOf(3, 4000)});
+  JobSpec chained = job;
+  chained.steps[1].after = {0};
+  for (size_t i = 0; i < world.host_count(); ++i) {
+    JobSpec mine = chained;
+    mine.id = JobId(static_cast<int>(i) + 1);
+    world.Submit(i, mine, TaskBehaviour{300ms, 0}, [](const CallerReply&) {});
+  }
+  world.RunFor(3s);
+  for (int i = 1; i <= 4; ++i) {
+    CHECK(world.Accepted(JobId(i)));
+    CHECK(world.StateOf("plain", JobId(i)) == JobState::kCompleted);
+  }
+  CHECK(world.starts() == 4 * 7);
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("a repeat of a job is the same job") {
+  CellWorld world(3, 3, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const JobSpec job = JobOf(1, {StepOf(2, 1000)});
+  int accepted = 0;
+  for (size_t i = 0; i < 3; ++i) {
+    world.Submit(i, job, TaskBehaviour{}, [&](const CallerReply& reply) {
+      accepted += reply.outcome == CallerOutcome::kDone ? 1 : 0;
+    });
+  }
+  world.RunFor(2s);
+  world.Submit(0, job, TaskBehaviour{}, [&](const CallerReply& reply) {
+    accepted += reply.outcome == CallerOutcome::kDone ? 1 : 0;
+  });
+  world.RunFor(2s);
+  CHECK(accepted == 4);
+  CHECK(world.starts() == 2);
+}
+
+TEST_CASE("advised steps start with tickets; gangs start together") {
+  CellWorld world(4, 3, 8);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  StepSpec gang = StepOf(6, 5000);
+  gang.gang = true;
+  const JobSpec first = JobOf(1, {gang}, "advised");
+  const JobSpec second = JobOf(2, {StepOf(5, 3000)}, "advised");
+  world.SubmitSurely(first, TaskBehaviour{600ms, 0});
+  world.SubmitSurely(second, TaskBehaviour{400ms, 0});
+  world.RunFor(5s);
+  CHECK(Completed(world, first));
+  CHECK(Completed(world, second));
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("a task is tried until it succeeds, and no more often than the queue allows") {
+  CellWorld world(5, 3, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const JobSpec hard = JobOf(1, {StepOf(2, 1000)});
+  const JobSpec hopeless = JobOf(2, {StepOf(1, 1000)});
+  world.SubmitSurely(hard, TaskBehaviour{100ms, 2});
+  world.SubmitSurely(hopeless, TaskBehaviour{100ms, 99});
+  world.RunFor(4s);
+  CHECK(Completed(world, hard));
+  CHECK(world.StateOf("plain", hopeless.id) == JobState::kFailed);
+  CHECK(world.starts() == 2 * 3 + 3);
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("a cancelled job stops and stays cancelled") {
+  CellWorld world(6, 3, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const JobSpec job = JobOf(1, {StepOf(3, 1000)});
+  world.SubmitSurely(job, TaskBehaviour{30s, 0});
+  world.RunFor(1s);
+  REQUIRE(world.StateOf("plain", job.id) == JobState::kRunning);
+  bool cancelled = false;
+  world.Ask(1, CallerKind::kCancel, "plain", job.id,
+            [&](const CallerReply& reply) { cancelled = reply.outcome == CallerOutcome::kDone; });
+  world.RunFor(1s);
+  CHECK(cancelled);
+  CHECK(world.StateOf("plain", job.id) == JobState::kCancelled);
+  bool runs = false;
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    for (int task = 0; task < 3; ++task) {
+      runs = runs || world.worker(i).Runs(RunRef{TaskRef{job.id, 0, 0, task}, 1});
+    }
+  }
+  CHECK_FALSE(runs);
+}
+
+TEST_CASE("a job that nobody handed in is not known") {
+  CellWorld world(7, 3, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  CHECK_FALSE(world.StateOf("plain", JobId(77)).has_value());
+}
+
+TEST_CASE("occurrences run when they are due") {
+  CellWorld world(8, 3, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  JobSpec job = JobOf(1, {StepOf(1, 1000)});
+  job.occurrences = 3;
+  job.interval = 1s;
+  job.first_due_ms = 1'700'000'000'000 + Millis(world.Now().time_since_epoch()) + 1000;
+  world.SubmitSurely(job, TaskBehaviour{200ms, 0});
+  world.RunFor(700ms);
+  CHECK(world.starts() == 0);
+  world.RunFor(800ms);
+  CHECK(world.starts() == 1);
+  world.RunFor(3s);
+  CHECK(world.starts() == 3);
+  CHECK(Completed(world, job));
+}
+
+TEST_CASE("a long-running task is started again however it ends") {
+  CellWorld world(9, 3, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  StepSpec step = StepOf(2, 1000);
+  step.long_running = true;
+  const JobSpec job = JobOf(1, {step});
+  world.SubmitSurely(job, TaskBehaviour{});
+  world.RunFor(1s);
+  REQUIRE(world.starts() == 2);
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    world.worker(i).Crash();
+    world.worker(i).Restart();
+  }
+  world.RunFor(3s);
+  CHECK(world.starts() == 4);
+  CHECK(world.StateOf("plain", job.id) == JobState::kRunning);
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("the count of waiting jobs is of those that have not begun") {
+  CellWorld world(10, 3, 1);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  for (int i = 1; i <= 5; ++i) {
+    world.SubmitSurely(JobOf(i, {StepOf(1, 16'000)}), TaskBehaviour{20s, 0});
+  }
+  world.RunFor(2s);
+  int64_t pending = -1;
+  world.Ask(2, CallerKind::kPending, "plain", "", [&](const CallerReply& reply) { pending = reply.pending; });
+  world.RunFor(200ms);
+  CHECK(pending == 4);
+}
+
+}  // namespace
+}  // namespace hibiscus::cell
