Starts without an answer are stopped in a worker's next life

Cause: a start that had no answer may be carried out seconds later, in a new life of the same id, on whose clock its deadline lies far ahead. Ruled out: the token (a new life has seen none). Change: unconfirmed starts stay placed through a new life and are stopped there; starts without an answer in the last 15 s are stopped in the next life as well.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -17,6 +17,7 @@
 constexpr Duration kAvoidFor = 700ms;        // A worker that refused work is left alone.
 constexpr Duration kUnlistedGrace = 2500ms;  // Entries come back within about two seconds of the store's return.
 constexpr Duration kForgetAfter = 15s;       // An unlisted worker that holds nothing.
+constexpr Duration kLatestArrival = 15s;     // An order without an answer may be carried out so much later.
 constexpr double kSlowestClock = 0.98;       // A worker's clock runs at least so fast; the platform's bound.
 constexpr Duration kClockSlack = 50ms;       // Rounding of clocks to milliseconds, and the kill itself.
 
@@ -124,7 +125,8 @@
   }
 }
 
-// Nothing of an earlier life is left: its runs are over, and its counts start anew.
+// Nothing that ran in an earlier life is left, and its counts start anew. Starts that it never confirmed may still
+// arrive, in this life.
 void WorkerTable::BeginLife(Worker& worker, int64_t born_ms) {
   context_.Log("worker", "event=new_life worker={} born_ms={} runs_lost={}", worker.entry.id, born_ms,
                worker.placed.size());
@@ -136,7 +138,29 @@
   worker.processed_ = 0;
   worker.acknowledged_ = 0;
   worker.lease_until_ = TimePoint{};
-  LoseAll(worker, GoneReason::kNewLife);
+  std::erase_if(worker.unanswered_,
+                [&](const auto& each) { return context_.Now() - each.second > kLatestArrival; });
+  for (const auto& [run, noted] : worker.unanswered_) {
+    worker.to_void_.insert(run);
+  }
+  std::vector<RunRef> unconfirmed;
+  std::vector<RunRef> lost;
+  for (const auto& [run, placed] : worker.placed) {
+    (placed.confirmed ? lost : unconfirmed).push_back(run);
+  }
+  if (!unconfirmed.empty()) {
+    worker.lease_until_ = context_.Now() + OnSlowestClock(context_.settings.most_hold) + kClockSlack;
+  }
+  for (const RunRef& run : unconfirmed) {
+    Placed& placed = worker.placed[run];
+    placed.phase = placed.phase == PlacedPhase::kStopping ? placed.phase : PlacedPhase::kUnsure;
+    placed.gone_after = Duration::max();  // Until a stop is answered.
+    SendStop(worker, run);
+  }
+  for (const RunRef& run : lost) {
+    Release(worker, run);
+    listener_.OnGone(worker, run, GoneReason::kNewLife);
+  }
   Settle(worker);
   HoldIn(worker, 0us);
 }
@@ -144,11 +168,28 @@
 void WorkerTable::LoseAll(Worker& worker, GoneReason reason) {
   while (!worker.placed.empty()) {
     const RunRef run = worker.placed.begin()->first;
+    if (!worker.placed.begin()->second.confirmed) {
+      worker.unanswered_[run] = context_.Now();
+    }
     Release(worker, run);
     listener_.OnGone(worker, run, reason);
   }
 }
 
+// Stops what was given up while the worker was silent: it may answer in a new life, on whose clock those starts are not
+// late.
+void WorkerTable::VoidStarts(Worker& worker) {
+  for (const RunRef& run : worker.to_void_) {
+    context_.workers.Stop(TargetOf(worker), run, token_,
+                          [this, alive = alive_, id = worker.entry.id, run](const OrderAnswer& answer) {
+                            Worker* found = *alive ? Find(id) : nullptr;
+                            if (found != nullptr && answer.status == OrderStatus::kOk) {
+                              found->to_void_.erase(run);
+                            }
+                          });
+  }
+}
+
 void WorkerTable::Settle(Worker& worker) {
   if (worker.unsettled) {
     worker.unsettled = false;
@@ -224,6 +265,7 @@
   }
   const bool first = !worker.held;
   worker.held = true;
+  VoidStarts(worker);
   const int64_t seen = worker.processed_;
   const std::shared_ptr<bool> alive = alive_;
   TakeLists(worker, answer);
@@ -253,6 +295,7 @@
   for (const RunningRow& row : answer.running) {
     const auto found = worker.placed.find(row.run);
     if (found != worker.placed.end()) {
+      found->second.confirmed = true;
       if (found->second.phase == PlacedPhase::kStarting) {
         found->second.phase = PlacedPhase::kRunning;
         found->second.gone_after = answer.worker_clock;
@@ -263,7 +306,7 @@
     }
     Resources size;
     const bool keep = listener_.OnFound(worker, row, size);
-    Place(worker, row.run, Placed{size, PlacedPhase::kRunning, answer.worker_clock, context_.Now()});
+    Place(worker, row.run, Placed{size, PlacedPhase::kRunning, answer.worker_clock, context_.Now(), true});
     if (!keep) {
       Stop(worker, row.run);
     }
@@ -285,7 +328,7 @@
     }
   }
   for (const RunRef& run : absent) {
-    const bool was_running = worker.placed[run].phase == PlacedPhase::kRunning;
+    const bool was_running = worker.placed[run].confirmed;
     Release(worker, run);
     listener_.OnGone(worker, run, was_running ? GoneReason::kVanished : GoneReason::kNeverRan);
   }
@@ -309,7 +352,7 @@
   order.token = token_;
   order.deadline = worker.ClockAt(now) + kStartDeadline;
   Allow(worker, order.deadline);
-  Place(worker, order.run, Placed{size, PlacedPhase::kStarting, order.deadline, now});
+  Place(worker, order.run, Placed{size, PlacedPhase::kStarting, order.deadline, now, false});
   context_.workers.Start(
       TargetOf(worker), order,
       [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run = order.run](
@@ -331,6 +374,7 @@
   Placed& placed = found->second;
   if (answer.status == OrderStatus::kOk) {
     placed.gone_after = answer.worker_clock;
+    placed.confirmed = true;
     if (placed.phase == PlacedPhase::kStarting) {
       placed.phase = PlacedPhase::kRunning;
       listener_.OnStarted(worker, run);
@@ -350,6 +394,7 @@
   }
   if (!heard && placed.phase == PlacedPhase::kStarting) {
     placed.phase = PlacedPhase::kUnsure;
+    worker.unanswered_[run] = context_.Now();
     context_.Log("worker", "event=start_unanswered worker={} job={} step={} index={} run={}", worker.entry.id,
                  run.task.job, run.task.step, run.task.index, run.run);
     SendStop(worker, run);
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -4,13 +4,15 @@
 // What silence leaves possible: an order without an answer may be carried out seconds later. A start is void once its
 // deadline has passed on the worker's clock, or once a stop of the same run was answered. A hold may lengthen what runs
 // up to its deadline, so a silent worker gets no further deadlines, and all its runs are over when the last one has
-// passed on the slowest clock.
+// passed on the slowest clock. A new life under the same id has a clock of its own, on which old deadlines lie far
+// ahead: starts that the old life did not confirm are stopped in the new one.
 #ifndef HIBISCUSSTAND_SRC_CELL_WORKER_TABLE_H_
 #define HIBISCUSSTAND_SRC_CELL_WORKER_TABLE_H_
 
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +43,7 @@
   PlacedPhase phase = PlacedPhase::kStarting;
   Duration gone_after = 0us;  // Worker's clock: an answer later than this and without the run shows that it is over.
   TimePoint since{};
+  bool confirmed = false;  // The worker has shown that it carried the start out.
 
   friend bool operator==(const Placed&, const Placed&) = default;
 };
@@ -78,6 +81,8 @@
   uint64_t hold_timer_ = 0;   // Only the newest timer counts.
   int64_t processed_ = 0;     // Ends up to this number were seen.
   int64_t acknowledged_ = 0;  // And stand in the store.
+  std::map<RunRef, TimePoint> unanswered_;  // Starts that had no answer, and when that was noted.
+  std::set<RunRef> to_void_;                // Starts to be stopped in this life, in case they still arrive.
 };
 
 class WorkerTable {
@@ -139,6 +144,7 @@
   void Place(Worker& worker, const RunRef& run, const Placed& placed);
   void Release(Worker& worker, const RunRef& run);
   void LoseAll(Worker& worker, GoneReason reason);
+  void VoidStarts(Worker& worker);
   void Settle(Worker& worker);
   // Allowed until this time on the worker's clock; the table remembers when that is over for sure.
   void Allow(Worker& worker, Duration deadline);
