--- a/src/cell/advice_desk.cc
+++ b/src/cell/advice_desk.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Duration kPatience = 700ms;  // Beyond the wait that the costs foretell: two ways between regions and a busy host.
+constexpr Duration kLongestLine = 300ms;  // Questions in line with one host: tickets are good for little more than a second.
 constexpr Duration kAvoidFor = 3s;     // A host that did not answer is not asked again for so long.
 
 }  // namespace
@@ -28,7 +29,7 @@
   askers_ = std::move(askers);
 }
 
-std::map<std::string, AdviceDesk::Asker>::iterator AdviceDesk::SoonestFree() {
+std::map<std::string, AdviceDesk::Asker>::const_iterator AdviceDesk::SoonestFree() const {
   const TimePoint now = context_.Now();
   const auto later = [&](const auto& a, const auto& b) {
     const bool avoid_a = a.second.avoid_until > now;
@@ -38,11 +39,16 @@
   return std::min_element(askers_.begin(), askers_.end(), later);
 }
 
+bool AdviceDesk::HasRoom() const {
+  const auto asker = SoonestFree();
+  return asker == askers_.end() || asker->second.busy_until - context_.Now() < kLongestLine;
+}
+
 void AdviceDesk::Ask(const TaskRef& step, const std::vector<std::string>& workers, Duration cost, Done done) {
   if (askers_.empty()) {
     SetHosts({});
   }
-  const auto asker = SoonestFree();
+  const auto asker = askers_.find(SoonestFree()->first);
   const TimePoint now = context_.Now();
   const TimePoint free_at = std::max(now, asker->second.busy_until) + cost;
   asker->second.busy_until = free_at;
--- a/src/cell/advice_desk.h
+++ b/src/cell/advice_desk.h
@@ -26,6 +26,8 @@
 
   // The hosts that may ask, this one included.
   void SetHosts(const std::vector<HostRecord>& hosts);
+  // Whether a question would be answered soon. The others wait with their owner, who knows which matters most.
+  bool HasRoom() const;
   // An unanswered question counts as not answered once `cost` and some patience have passed.
   void Ask(const TaskRef& step, const std::vector<std::string>& workers, Duration cost, Done done);
   void OnReply(const AdviceReply& reply);
@@ -41,7 +43,7 @@
     Done done;
   };
 
-  std::map<std::string, Asker>::iterator SoonestFree();
+  std::map<std::string, Asker>::const_iterator SoonestFree() const;
   void Finish(uint64_t call, const AdviceAnswer& answer);
 
   Context& context_;
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -163,7 +163,7 @@
 
 void Owner::PlaceSingles(StepRun& step) {
   if (step.job->queue.advice && !step.advice.known) {
-    if (!step.advice.asking) {
+    if (!step.advice.asking && advice_.HasRoom()) {
       AskAdvice(step, EligibleFor(step));
     }
     return;
@@ -255,8 +255,10 @@
     }
   }
   if (!tickets) {
-    Reserve(step, workers, counts);
     AskAdvice(step, chosen);
+    if (step.advice.asking) {
+      Reserve(step, workers, counts);
+    }
     return;
   }
   ++step.gang_run;
@@ -328,7 +330,7 @@
 // --- Advice ---
 
 void Owner::AskAdvice(StepRun& step, std::vector<Worker*> workers) {
-  if (step.advice.asking || workers.empty() || !step.job->queue.advice) {
+  if (step.advice.asking || workers.empty() || !step.job->queue.advice || !advice_.HasRoom()) {
     return;
   }
   step.advice.asking = true;
@@ -375,7 +377,7 @@
   }
   context_.Log("advice", "event=advice job={} step={} asked={} allowed={} answered={}", ref.job, ref.step,
                asked.size(), answer.allowed.size(), answer.answered);
-  Schedule();
+  ScheduleSoon();
 }
 
 }  // namespace hibiscus::cell
