--- a/src/cell/group_commit.cc
+++ b/src/cell/group_commit.cc
@@ -8,6 +8,11 @@
 namespace {
 
 constexpr Duration kWindow = 8ms;         // A first change waits for others; twice the store's usual answer time.
+constexpr int kOverdueFactor = 4;         // Usual times of an answer until a copy goes out.
+constexpr Duration kOverdueLeast = 100ms;  // Two ways between regions and a busy host.
+constexpr Duration kOverdueMost = 700ms;
+constexpr int kMostOutstanding = 8;  // Copies of one batch on their way.
+constexpr int kSmoothing = 8;        // Weight of what was known against the newest time.
 constexpr Duration kFirstBackoff = 30ms;  // After a refusal; doubled up to the longest.
 constexpr Duration kLongestBackoff = 500ms;
 
@@ -70,11 +75,28 @@
 
 void GroupCommit::Send() {
   context_.counters.Add("store_commits");
-  context_.store.Commit(transaction_, [this, alive = alive_](const StoreAnswer& answer) {
-    if (*alive) {
+  ++outstanding_;
+  copy_sent_ = context_.Now();
+  context_.store.Commit(transaction_, [this, alive = alive_, number = number_](const StoreAnswer& answer) {
+    // An answer to a copy of a batch that stands already tells nothing new.
+    if (*alive && in_flight_ && number == number_) {
+      --outstanding_;
       OnAnswer(answer);
     }
   });
+  const Duration overdue = std::clamp(usual_ * kOverdueFactor, kOverdueLeast, kOverdueMost);
+  context_.timers.In(overdue, [this, alive = alive_, number = number_] {
+    if (*alive && in_flight_ && number == number_) {
+      SendAgainIfSilent();
+    }
+  });
+}
+
+void GroupCommit::SendAgainIfSilent() {
+  if (outstanding_ > 0 && outstanding_ < kMostOutstanding) {
+    context_.counters.Add("store_commits_overdue");
+    Send();
+  }
 }
 
 void GroupCommit::OnAnswer(const StoreAnswer& answer) {
@@ -100,22 +122,29 @@
   context_.counters.Add(fmt::format("store_commit_failures{{status=\"{}\"}}", NameOf(answer.status)));
   context_.Log("commit", "event=commit_retry epoch={} batch={} status={} stalled_ms={}", epoch_, number_,
                NameOf(answer.status), Millis(stalled_for()));
+  if (outstanding_ > 0) {
+    return;  // A copy may still be answered.
+  }
   RetryIn(backoff_);
   backoff_ = std::min(backoff_ * 2, kLongestBackoff);
 }
 
 void GroupCommit::RetryIn(Duration delay) {
   context_.timers.In(delay, [this, alive = alive_] {
-    if (*alive) {
+    if (*alive && in_flight_ && outstanding_ == 0) {
       Send();
     }
   });
 }
 
 void GroupCommit::Succeed(uint64_t revision) {
+  const Duration took = context_.Now() - sent_;
+  const Duration answered_in = context_.Now() - copy_sent_;
+  usual_ = usual_ == Duration(0) ? answered_in : (usual_ * (kSmoothing - 1) + answered_in) / kSmoothing;
   head_revision_ = revision;
   in_flight_ = false;
-  context_.counters.Add("store_commit_seconds", std::chrono::duration<double>(context_.Now() - sent_).count());
+  outstanding_ = 0;
+  context_.counters.Add("store_commit_seconds", std::chrono::duration<double>(took).count());
   const Batch batch = std::exchange(batch_, Batch{});
   const std::shared_ptr<bool> alive = alive_;
   if (batch.stands) {
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -99,6 +99,25 @@
   CHECK(world.violations().empty());
 }
 
+// A third of the writes is carried out and not answered: each would cost the writer a whole timeout.
+TEST_CASE("jobs are accepted quickly while answers of the store are lost") {
+  CellWorld world(18, 3, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.store().faults.lose_answer = 0.35;
+  int accepted = 0;
+  for (int i = 1; i <= 60; ++i) {
+    world.In(i * 50ms, [&world, &accepted, i] {
+      world.Submit(0, JobOf(i, {StepOf(1, 500)}), TaskBehaviour{100ms, 0}, [&accepted](const CallerReply& reply) {
+        accepted += reply.outcome == CallerOutcome::kDone ? 1 : 0;
+      });
+    });
+  }
+  world.RunFor(3500ms);
+  CHECK(accepted == 60);
+  CHECK(world.violations().empty());
+}
+
 TEST_CASE("tasks of a dead worker are started elsewhere once its hold is surely over") {
   CellWorld world(16, 3, 4);
   AddQueues(world);
