--- a/src/cell/advice_desk.cc
+++ b/src/cell/advice_desk.cc
@@ -7,9 +7,11 @@
 
 namespace {
 
-constexpr Duration kPatience = 700ms;  // Beyond the wait that the costs foretell: two ways between regions and a busy host.
-constexpr Duration kLongestLine = 300ms;  // Questions in line with one host: tickets are good for little more than a second.
-constexpr Duration kAvoidFor = 3s;     // A host that did not answer is not asked again for so long.
+constexpr Duration kPatience =
+    700ms;  // Beyond the wait that the costs foretell: two ways between regions and a busy host.
+constexpr Duration kLongestLine =
+    300ms;                          // Questions in line with one host: tickets are good for little more than a second.
+constexpr Duration kAvoidFor = 3s;  // A host that did not answer is not asked again for so long.
 
 }  // namespace
 
--- a/src/cell/advice_desk.h
+++ b/src/cell/advice_desk.h
@@ -1,5 +1,5 @@
-// Asks the advice service for the owner. The service serves the calls of each calling host one after the other, and some
-// take most of a second, so the questions are spread over all hosts: each goes where it is answered soonest.
+// Asks the advice service for the owner. The service serves the calls of each calling host one after the other, and
+// some take most of a second, so the questions are spread over all hosts: each goes where it is answered soonest.
 #ifndef HIBISCUSSTAND_SRC_CELL_ADVICE_DESK_H_
 #define HIBISCUSSTAND_SRC_CELL_ADVICE_DESK_H_
 
--- a/src/cell/group_commit.cc
+++ b/src/cell/group_commit.cc
@@ -7,12 +7,12 @@
 
 namespace {
 
-constexpr Duration kWindow = 8ms;         // A first change waits for others; twice the store's usual answer time.
-constexpr int kOverdueFactor = 4;         // Usual times of an answer until a copy goes out.
+constexpr Duration kWindow = 8ms;          // A first change waits for others; twice the store's usual answer time.
+constexpr int kOverdueFactor = 4;          // Usual times of an answer until a copy goes out.
 constexpr Duration kOverdueLeast = 100ms;  // Two ways between regions and a busy host.
 constexpr Duration kOverdueMost = 700ms;
-constexpr int kMostOutstanding = 8;  // Copies of one batch on their way.
-constexpr int kSmoothing = 8;        // Weight of what was known against the newest time.
+constexpr int kMostOutstanding = 8;       // Copies of one batch on their way.
+constexpr int kSmoothing = 8;             // Weight of what was known against the newest time.
 constexpr Duration kFirstBackoff = 30ms;  // After a refusal; doubled up to the longest.
 constexpr Duration kLongestBackoff = 500ms;
 
@@ -107,8 +107,8 @@
   if (answer.status == StoreStatus::kConflict) {
     const auto head = std::find_if(answer.items.begin(), answer.items.end(),
                                    [](const StoreItem& item) { return item.key == kHeadKey; });
-    const auto record = head == answer.items.end() ? tl::unexpected(std::string("no head"))
-                                                   : DecodeRecord<HeadRecord>(head->value);
+    const auto record =
+        head == answer.items.end() ? tl::unexpected(std::string("no head")) : DecodeRecord<HeadRecord>(head->value);
     if (record && *record == HeadRecord{epoch_, number_}) {
       Succeed(head->revision);  // An earlier sending was carried out and its answer lost.
       return;
--- a/src/cell/group_commit.h
+++ b/src/cell/group_commit.h
@@ -1,7 +1,7 @@
-// Writes what the owner decides to the store, many changes in one transaction. Every transaction expects the head key as
-// the one before left it, so a late copy of an older one and a writer who is no longer the owner change nothing. That
-// makes it harmless to send a transaction again: when its answer is overdue, a copy goes out beside it, and whichever
-// finds the head as this batch left it tells that the batch stands.
+// Writes what the owner decides to the store, many changes in one transaction. Every transaction expects the head key
+// as the one before left it, so a late copy of an older one and a writer who is no longer the owner change nothing.
+// That makes it harmless to send a transaction again: when its answer is overdue, a copy goes out beside it, and
+// whichever finds the head as this batch left it tells that the batch stands.
 #ifndef HIBISCUSSTAND_SRC_CELL_GROUP_COMMIT_H_
 #define HIBISCUSSTAND_SRC_CELL_GROUP_COMMIT_H_
 
@@ -65,11 +65,11 @@
   bool in_flight_ = false;
   bool requested_ = false;
   bool closed_ = false;
-  TimePoint sent_{};      // First sending of the batch in flight.
+  TimePoint sent_{};       // First sending of the batch in flight.
   TimePoint copy_sent_{};  // Newest sending of it.
-  int outstanding_ = 0;   // Sendings of it without an answer.
-  Duration usual_{};      // Time of an answer, smoothed. 0: none came yet.
-  Duration backoff_{};    // Before the next try.
+  int outstanding_ = 0;    // Sendings of it without an answer.
+  Duration usual_{};       // Time of an answer, smoothed. 0: none came yet.
+  Duration backoff_{};     // Before the next try.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -34,10 +34,10 @@
           kLivePrefix,
           [this](const std::vector<StoreItem>& items) { OnLiveReset(items); },
           [this](const StoreItem& item) { OnLiveItem(item); }),
-      registration_(context,
-                    kHostPrefix + context.settings.name,
-                    EncodeRecord(HostRecord{context.settings.name, context.settings.peer_address,
-                                            context.settings.incarnation})),
+      registration_(
+          context,
+          kHostPrefix + context.settings.name,
+          EncodeRecord(HostRecord{context.settings.name, context.settings.peer_address, context.settings.incarnation})),
       last_call_(context.random()) {}
 
 Host::~Host() {
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -67,8 +67,8 @@
     CallerRequest request;
     TimePoint deadline{};
     Reply reply;
-    bool sent = false;     // It may have reached an owner.
-    uint64_t timer = 0;    // Only the newest counts.
+    bool sent = false;   // It may have reached an owner.
+    uint64_t timer = 0;  // Only the newest counts.
   };
 
   // --- host.cc: callers and other hosts ---
@@ -123,7 +123,7 @@
   CellConfiguration configuration_;
   PrefixWatch configuration_watch_;
   PrefixWatch live_watch_;
-  LiveLease registration_;  // Under which this host is listed.
+  LiveLease registration_;                   // Under which this host is listed.
   std::map<std::string, HostRecord> hosts_;  // By key: all that are listed.
 
   KnownOwner known_;
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -8,16 +8,16 @@
 
 namespace {
 
-constexpr Duration kOwnerLease = 2s;          // A dead owner's record is gone after this.
-constexpr Duration kRenewEvery = 500ms;       // Three renewals may fail within the lease.
-constexpr Duration kRenewAgain = 150ms;       // After one that had no answer.
-constexpr Duration kIncumbentFirst = 250ms;   // An owner whose record went while it lives writes it again within this.
-constexpr Duration kLongestRank = 300ms;      // Hosts far from the store claim so much later.
-constexpr Duration kClaimJitter = 20ms;       // Between hosts that are equally near.
-constexpr Duration kClaimAgain = 200ms;       // After a claim that came to nothing.
-constexpr Duration kReleaseWithin = 1500ms;   // A planned stop waits so long for the last batch.
-constexpr int kMostConflicts = 4;             // A claim is tried again so often while only the head has moved.
-constexpr int kRankFactor = 3;                // Round trips to the store that a claim waits.
+constexpr Duration kOwnerLease = 1500ms;         // A dead owner's record is gone after this.
+constexpr Duration kRenewEvery = 400ms;      // Three renewals may fail within the lease.
+constexpr Duration kRenewAgain = 150ms;      // After one that had no answer.
+constexpr Duration kIncumbentFirst = 150ms;  // An owner whose record went while it lives writes it again within this.
+constexpr Duration kLongestRank = 300ms;     // Hosts far from the store claim so much later.
+constexpr Duration kClaimJitter = 20ms;      // Between hosts that are equally near.
+constexpr Duration kClaimAgain = 200ms;      // After a claim that came to nothing.
+constexpr Duration kReleaseWithin = 1500ms;  // A planned stop waits so long for the last batch.
+constexpr int kMostConflicts = 4;            // A claim is tried again so often while only the head has moved.
+constexpr int kRankFactor = 3;               // Round trips to the store that a claim waits.
 
 }  // namespace
 
@@ -29,8 +29,7 @@
 // Whether the cell may be claimed: nobody owns it, or an earlier process of this host did, and is gone.
 bool Host::IsFree() const {
   const OwnerRecord& record = known_.record;
-  const bool by_earlier_process =
-      record.host == context_.settings.name && record.incarnation != 0 && !IsOwn(record);
+  const bool by_earlier_process = record.host == context_.settings.name && record.incarnation != 0 && !IsOwn(record);
   return !known_.present || record.released || by_earlier_process;
 }
 
@@ -178,8 +177,7 @@
                         if (number != claim_number_) {
                           return;
                         }
-                        const bool read =
-                            answer.status == StoreStatus::kOk || answer.status == StoreStatus::kNotFound;
+                        const bool read = answer.status == StoreStatus::kOk || answer.status == StoreStatus::kNotFound;
                         if (!read || !TakeHead(answer.items)) {
                           EndClaim("head_not_read", claim_.lease);
                           return;
@@ -265,8 +263,8 @@
   ClaimIfReady();
 }
 
-// The claim had no answer. The record tells whether it was carried out; if it is carried out after that, the watch brings
-// a record of this process without an owner behind it, which is released.
+// The claim had no answer. The record tells whether it was carried out; if it is carried out after that, the watch
+// brings a record of this process without an owner behind it, which is released.
 void Host::ResolveClaim(const Ownership& wanted, uint64_t lease) {
   context_.store.Read(kOwnerKey, Guarded([this, wanted, lease](const StoreAnswer& answer) {
                         const bool found = answer.status == StoreStatus::kOk && !answer.items.empty();
--- a/src/cell/job_table.cc
+++ b/src/cell/job_table.cc
@@ -8,10 +8,10 @@
 
 namespace {
 
-constexpr size_t kMostPayload = 4000;    // Bytes; the platform's bound.
-constexpr int kMostTasks = 20'000;       // Of one job: more would not fit any cell of the target size.
-constexpr size_t kMostSteps = 200;       // Of one job.
-constexpr size_t kIdLength = 16;         // Hexadecimal digits; the platform's bound.
+constexpr size_t kMostPayload = 4000;  // Bytes; the platform's bound.
+constexpr int kMostTasks = 20'000;     // Of one job: more would not fit any cell of the target size.
+constexpr size_t kMostSteps = 200;     // Of one job.
+constexpr size_t kIdLength = 16;       // Hexadecimal digits; the platform's bound.
 constexpr int64_t kMostAmount = 1'000'000'000;
 
 bool IsHex(const std::string& text) {
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -21,9 +21,9 @@
 
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
-  int run = 0;     // Highest number given to a start so far.
+  int run = 0;                // Highest number given to a start so far.
   std::set<int> failed_runs;  // Starts that failed. Their ends may be listed twice, and in any order.
-  std::string worker;  // Where it is placed.
+  std::string worker;         // Where it is placed.
   std::string checkpoint;
   TimePoint placed_at{};
   bool stopping = false;  // Placed, and told to stop.
@@ -43,7 +43,7 @@
   };
 
   bool asking = false;
-  bool known = false;                     // At least one question was answered.
+  bool known = false;           // At least one question was answered.
   std::vector<Permit> permits;  // By the worker's number.
 
   const Permit& For(size_t worker) const;
@@ -57,15 +57,15 @@
   int step = 0;
   const StepSpec* spec = nullptr;
   std::vector<TaskState> tasks;
-  int waiting = 0;             // Tasks in that phase.
+  int waiting = 0;  // Tasks in that phase.
   int done = 0;
-  bool open = false;           // The steps before it are done, and its job stands in the store.
+  bool open = false;  // The steps before it are done, and its job stands in the store.
   TimePoint opened_at{};
   std::map<std::string, int> on_worker;  // Placed tasks by worker.
 
-  int gang_run = 0;            // Number of the gang's last start.
+  int gang_run = 0;                // Number of the gang's last start.
   std::set<int> gang_failed_runs;  // Starts of the gang that failed, as above.
-  bool gang_ending = false;    // The members of the last start are on their way out; none may start before all are gone.
+  bool gang_ending = false;  // The members of the last start are on their way out; none may start before all are gone.
   std::string gang_checkpoint;
 
   StepAdvice advice;
@@ -83,28 +83,30 @@
 
 struct Job {
   JobRecord record;
-  QueueSpec queue;           // As the newest configuration that knew it stated it.
-  TimePoint accepted_at{};   // On this host's clock.
+  QueueSpec queue;                        // As the newest configuration that knew it stated it.
+  TimePoint accepted_at{};                // On this host's clock.
   std::map<int, Occurrence> occurrences;  // Begun and not finished.
-  int occurrences_done = 0;  // All before this one are done.
-  std::set<int> done_beyond; // Done out of order.
-  int next_occurrence = 0;   // Not begun yet.
-  bool started = false;      // Some task was started once.
+  int occurrences_done = 0;               // All before this one are done.
+  std::set<int> done_beyond;              // Done out of order.
+  int next_occurrence = 0;                // Not begun yet.
+  bool started = false;                   // Some task was started once.
   bool final = false;
   JobState final_state = JobState::kCompleted;
 
-  Duration objective{};      // From its acceptance; refreshed with the queue.
+  Duration objective{};  // From its acceptance; refreshed with the queue.
 
   bool spec_stored = false;
-  std::string spec_key;      // Batch of the log that has the job itself. Empty: none yet.
-  std::string progress_key;  // Batch that has how far it is. Empty: none yet.
-  bool dirty = false;        // Something of it is new to the store.
-  bool in_batch = false;     // Part of the batch on its way to the store.
+  std::string spec_key;                                // Batch of the log that has the job itself. Empty: none yet.
+  std::string progress_key;                            // Batch that has how far it is. Empty: none yet.
+  bool dirty = false;                                  // Something of it is new to the store.
+  bool in_batch = false;                               // Part of the batch on its way to the store.
   std::vector<std::function<void()>> on_stored;        // Waits for the next batch that has it.
   std::vector<std::function<void()>> on_batch_stands;  // Waits for the batch on its way.
 
   const std::string& id() const { return record.spec.id; }
   int occurrence_count() const { return record.spec.occurrences == 0 ? 1 : record.spec.occurrences; }
+  std::vector<std::function<void(Duration retry_after)>> on_withdrawn;  // Submitters, while it was never sent to the store.
+
   // Calls back once all that is known of it now stands in the store.
   void WhenStored(std::function<void()> done);
   JobState visible_state() const { return started ? JobState::kRunning : JobState::kQueued; }
--- a/src/cell/live_lease.cc
+++ b/src/cell/live_lease.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr Duration kTtl = 4s;            // A host that is gone is listed so long.
+constexpr Duration kTtl = 4s;             // A host that is gone is listed so long.
 constexpr Duration kRenewEvery = 1200ms;  // Three renewals within the lease.
 constexpr Duration kTryAgain = 300ms;
 
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -7,11 +7,12 @@
 
 namespace {
 
-constexpr Duration kTick = 100ms;              // Sweeps of workers, due occurrences.
-constexpr Duration kPendingCountAge = 500ms;   // Counts of waiting jobs may be this old; callers allow 2 s.
-constexpr Duration kStalledAfter = 600ms;      // No new jobs are taken while the store has confirmed nothing for so long.
-constexpr Duration kComeBack = 1s;             // Retry-After where no better time is known.
-constexpr size_t kMostJobs = 20'000;           // Held in memory; some 5 KB each within a host's memory.
+constexpr Duration kTick = 100ms;             // Sweeps of workers, due occurrences.
+constexpr Duration kPendingCountAge = 500ms;  // Counts of waiting jobs may be this old; callers allow 2 s.
+constexpr Duration kStalledAfter = 600ms;  // No new jobs are taken while the store has confirmed nothing for so long.
+constexpr Duration kComeBack = 1s;         // Retry-After where no better time is known.
+constexpr Duration kLongestComeBack = 3s;      // A store's outage: callers try again some four times.
+constexpr size_t kMostJobs = 20'000;       // Held in memory; some 5 KB each within a host's memory.
 
 }  // namespace
 
@@ -52,6 +53,7 @@
   if (!loaded_) {
     return;
   }
+  WithdrawUnsent();
   for (const auto& [id, job] : jobs_) {
     BeginDueOccurrences(*job);
   }
@@ -93,6 +95,9 @@
 
 void Owner::Submit(const CallerRequest& request, const Reply& reply) {
   const auto accepted = [call = request.call, reply] { reply(CallerReply{call, CallerOutcome::kDone, {}, 0, 0us}); };
+  const auto withdrawn = [call = request.call, reply](Duration retry_after) {
+    reply(CallerReply{call, CallerOutcome::kRejected, {}, 0, retry_after});
+  };
   if (ended_.contains(request.job)) {
     accepted();
     return;
@@ -101,6 +106,7 @@
     if (known->spec_stored) {
       accepted();
     } else {
+      known->on_withdrawn.push_back(withdrawn);
       known->WhenStored(accepted);
     }
     return;
@@ -122,16 +128,45 @@
     return;
   }
   AcceptJob(std::move(*spec), *queue, accepted);
+  FindJob(request.job)->on_withdrawn.push_back(withdrawn);
 }
 
 // Why no job can be taken now; none if one can.
 std::optional<CallerReply> Owner::Refusal() const {
   if (commit_.stalled_for() > kStalledAfter || jobs_.size() >= kMostJobs) {
-    return CallerReply{0, CallerOutcome::kRejected, {}, 0, kComeBack};
+    return CallerReply{0, CallerOutcome::kRejected, {}, 0, ComeBackAfter()};
   }
   return std::nullopt;
 }
 
+// An outage that has lasted a while is likely to last as long again; callers have few tries.
+Duration Owner::ComeBackAfter() const {
+  return std::clamp<Duration>(commit_.stalled_for(), kComeBack, kLongestComeBack);
+}
+
+// Jobs that wait for a store that does not answer, and were never sent to it, surely do not run: their callers are told.
+void Owner::WithdrawUnsent() {
+  if (commit_.stalled_for() <= kStalledAfter) {
+    return;
+  }
+  std::vector<std::string> unsent;
+  for (const std::string& id : dirty_) {
+    const Job* job = FindJob(id);
+    if (job != nullptr && !job->spec_stored && !job->in_batch && !job->final) {
+      unsent.push_back(id);
+    }
+  }
+  for (const std::string& id : unsent) {
+    const auto submitters = std::move(FindJob(id)->on_withdrawn);
+    jobs_.erase(id);
+    context_.Log("admission", "event=withdrawn job={} reason=store_stalled stalled_ms={}", id,
+                 Millis(commit_.stalled_for()));
+    for (const auto& tell : submitters) {
+      tell(ComeBackAfter());
+    }
+  }
+}
+
 void Owner::AcceptJob(JobSpec spec, const QueueSpec& queue, std::function<void()> accepted) {
   auto fresh = std::make_unique<Job>();
   Job& job = *fresh;
@@ -175,8 +210,7 @@
     return;
   }
   if (job->final || !job->spec_stored) {
-    job->WhenStored(
-        [tell, job] { tell(CallerOutcome::kDone, job->final ? job->final_state : job->visible_state()); });
+    job->WhenStored([tell, job] { tell(CallerOutcome::kDone, job->final ? job->final_state : job->visible_state()); });
     return;
   }
   tell(CallerOutcome::kDone, job->visible_state());
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -104,6 +104,8 @@
   void TellPending(const CallerRequest& request, const Reply& reply);
   void AcceptJob(JobSpec spec, const QueueSpec& queue, std::function<void()> accepted);
   std::optional<CallerReply> Refusal() const;
+  Duration ComeBackAfter() const;
+  void WithdrawUnsent();
   Job* FindJob(const std::string& id);
   void ForgetEnded();
 
@@ -231,7 +233,7 @@
   std::unordered_map<std::string, Ended> ended_;
   std::deque<EndedBatch> ended_batches_;
   std::map<std::string, Segment> segments_;  // By key: the log, oldest first.
-  std::deque<std::string> dirty_;  // Jobs, oldest news first.
+  std::deque<std::string> dirty_;            // Jobs, oldest news first.
   std::map<std::string, PendingCount> pending_counts_;
 
   bool ends_seen_ = false;  // Since the last batch was filled.
@@ -239,11 +241,11 @@
 
   uint64_t workers_revision_ = 0;
   std::vector<Occurrence> finished_occurrences_;  // Dropped by the next pass: callers may be inside them.
-  std::map<std::string, const StepRun*> kept_;     // Workers on which room is kept, by this pass so far.
-  std::set<std::string> kept_before_;              // By the last pass.
-  std::vector<Worker*> usable_;                    // Workers that this pass may place on.
-  Duration pass_takes_{};                          // What the last pass took of the control thread.
-  std::map<std::string, Resources> reserved_;  // By gangs that wait for tickets.
+  std::map<std::string, const StepRun*> kept_;    // Workers on which room is kept, by this pass so far.
+  std::set<std::string> kept_before_;             // By the last pass.
+  std::vector<Worker*> usable_;                   // Workers that this pass may place on.
+  Duration pass_takes_{};                         // What the last pass took of the control thread.
+  std::map<std::string, Resources> reserved_;     // By gangs that wait for tickets.
   bool schedule_soon_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -1,5 +1,6 @@
 // What starts where. One pass goes through all open steps that have waiting tasks: in the order of their queues'
-// priority, then of what is due first; jobs whose objective is long past come last. A gang that does not fit keeps room.
+// priority, then of what is due first; jobs whose objective is long past come last. A gang that does not fit keeps
+// room.
 #include <algorithm>
 #include <iterator>
 #include <numeric>
@@ -12,12 +13,12 @@
 
 namespace {
 
-constexpr Duration kPassDelay = 3ms;           // Gathers what comes together: ends of a gang, answers of one round.
-constexpr int kPassShare = 4;                  // Passes take at most one part in so many and one of the thread's time.
-constexpr Duration kTicketMargin = 250ms;      // A start takes this long at most on its way; a ticket must outlast it.
-constexpr double kMostKeptShare = 0.5;         // Of the workers a gang may use: more room is never kept idle.
-constexpr size_t kSpareAsked = 2;              // Workers asked about beyond those that are needed.
-constexpr int kWorthlessAfter = 3;             // Objectives: a job older than this counts for nobody any more.
+constexpr Duration kPassDelay = 3ms;       // Gathers what comes together: ends of a gang, answers of one round.
+constexpr int kPassShare = 4;              // Passes take at most one part in so many and one of the thread's time.
+constexpr Duration kTicketMargin = 250ms;  // A start takes this long at most on its way; a ticket must outlast it.
+constexpr double kMostKeptShare = 0.5;     // Of the workers a gang may use: more room is never kept idle.
+constexpr size_t kSpareAsked = 2;          // Workers asked about beyond those that are needed.
+constexpr int kWorthlessAfter = 3;         // Objectives: a job older than this counts for nobody any more.
 
 }  // namespace
 
@@ -369,14 +370,14 @@
       const Worker* worker = workers_.Find(id);
       const auto ticket = tickets.find(id);
       if (worker != nullptr) {
-        step->advice.At(worker->number) =
-            ticket == tickets.end() ? StepAdvice::Permit{StepAdvice::Word::kRefused, "", {}}
-                                    : StepAdvice::Permit{StepAdvice::Word::kAllowed, ticket->second, until};
+        step->advice.At(worker->number) = ticket == tickets.end()
+                                              ? StepAdvice::Permit{StepAdvice::Word::kRefused, "", {}}
+                                              : StepAdvice::Permit{StepAdvice::Word::kAllowed, ticket->second, until};
       }
     }
   }
-  context_.Log("advice", "event=advice job={} step={} asked={} allowed={} answered={}", ref.job, ref.step,
-               asked.size(), answer.allowed.size(), answer.answered);
+  context_.Log("advice", "event=advice job={} step={} asked={} allowed={} answered={}", ref.job, ref.step, asked.size(),
+               answer.allowed.size(), answer.answered);
   ScheduleSoon();
 }
 
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -140,8 +140,8 @@
 
 void Owner::OnGone(Worker& worker, const RunRef& run, GoneReason reason) {
   context_.counters.Add(fmt::format("runs_gone{{reason=\"{}\"}}", NameOf(reason)));
-  context_.Log("run", "event=gone reason={} worker={} job={} step={} index={} run={}", NameOf(reason),
-               worker.entry.id, run.task.job, run.task.step, run.task.index, run.run);
+  context_.Log("run", "event=gone reason={} worker={} job={} step={} index={} run={}", NameOf(reason), worker.entry.id,
+               run.task.job, run.task.step, run.task.index, run.run);
   StepRun* step = nullptr;
   TaskState* task = FindTask(run.task, &step);
   if (task == nullptr || !IsCurrent(*task, worker, run)) {
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -8,16 +8,16 @@
 
 namespace {
 
-constexpr Duration kReadAgain = 100ms;       // After a read without an answer.
-constexpr Duration kWatchWait = 1s;          // A look at the workers' entries waits so long for a change.
-constexpr Duration kWatchPause = 400ms;      // Between two looks: entries change far more often than they matter.
-constexpr size_t kMostExpired = 4;           // Old records of ended jobs removed by one batch.
-constexpr size_t kMergedAtOnce = 12;         // Records of ended jobs that become one.
-constexpr size_t kMostCleaned = 6;           // Batches of the log removed by one batch; it writes one.
-constexpr size_t kMostSegments = 300;        // Batches of the log: some ten seconds, and one page to read.
-constexpr Duration kOldestSegment = 60s;     // Older ones are written anew; half of the least time ended jobs are kept.
-constexpr size_t kMostLogBytes = 600'000;    // Of one batch: base64 makes 0.8 MB of it, a value may have 1 MB.
-constexpr int64_t kRunsPerEpoch = 1000;      // Starts of one task under one owner stay below this.
+constexpr Duration kReadAgain = 100ms;     // After a read without an answer.
+constexpr Duration kWatchWait = 1s;        // A look at the workers' entries waits so long for a change.
+constexpr Duration kWatchPause = 400ms;    // Between two looks: entries change far more often than they matter.
+constexpr size_t kMostExpired = 4;         // Old records of ended jobs removed by one batch.
+constexpr size_t kMergedAtOnce = 12;       // Records of ended jobs that become one.
+constexpr size_t kMostCleaned = 6;         // Batches of the log removed by one batch; it writes one.
+constexpr size_t kMostSegments = 300;      // Batches of the log: some ten seconds, and one page to read.
+constexpr Duration kOldestSegment = 60s;   // Older ones are written anew; half of the least time ended jobs are kept.
+constexpr size_t kMostLogBytes = 600'000;  // Of one batch: base64 makes 0.8 MB of it, a value may have 1 MB.
+constexpr int64_t kRunsPerEpoch = 1000;    // Starts of one task under one owner stay below this.
 
 }  // namespace
 
@@ -36,23 +36,22 @@
                     const std::string& after,
                     std::function<void(const StoreItem&)> take,
                     std::function<void(uint64_t)> done) {
-  context_.store.Range(
-      prefix, after, [this, alive = alive_, prefix, after, take, done](const StoreAnswer& answer) {
-        if (!*alive) {
-          return;
-        }
-        if (answer.status != StoreStatus::kOk) {
-          context_.Log("owner", "event=read_again prefix={} status={}", prefix, NameOf(answer.status));
-          Again(kReadAgain, [this, prefix, after, take, done] { ReadAll(prefix, after, take, done); });
-          return;
-        }
-        std::for_each(answer.items.begin(), answer.items.end(), take);
-        if (answer.has_more && !answer.items.empty()) {
-          ReadAll(prefix, answer.items.back().key, take, done);
-        } else {
-          done(answer.revision);
-        }
-      });
+  context_.store.Range(prefix, after, [this, alive = alive_, prefix, after, take, done](const StoreAnswer& answer) {
+    if (!*alive) {
+      return;
+    }
+    if (answer.status != StoreStatus::kOk) {
+      context_.Log("owner", "event=read_again prefix={} status={}", prefix, NameOf(answer.status));
+      Again(kReadAgain, [this, prefix, after, take, done] { ReadAll(prefix, after, take, done); });
+      return;
+    }
+    std::for_each(answer.items.begin(), answer.items.end(), take);
+    if (answer.has_more && !answer.items.empty()) {
+      ReadAll(prefix, answer.items.back().key, take, done);
+    } else {
+      done(answer.revision);
+    }
+  });
 }
 
 void Owner::ReadJobs() {
@@ -340,6 +339,7 @@
     }
     job->dirty = false;
     job->in_batch = true;
+    job->on_withdrawn.clear();
     job->on_batch_stands = std::exchange(job->on_stored, {});
     news.jobs.push_back(job->id());
     if (job->final) {
@@ -374,8 +374,8 @@
 
 // Many small records of ended jobs become one, so that a successor has few to read.
 void Owner::MergeEnded(Batch& batch, uint64_t number) {
-  const auto first = std::find_if(ended_batches_.begin(), ended_batches_.end(),
-                                  [](const EndedBatch& each) { return !each.merged; });
+  const auto first =
+      std::find_if(ended_batches_.begin(), ended_batches_.end(), [](const EndedBatch& each) { return !each.merged; });
   const auto available = static_cast<size_t>(ended_batches_.end() - first);
   if (available <= kMergedAtOnce) {
     return;
--- a/src/cell/placement_policy.cc
+++ b/src/cell/placement_policy.cc
@@ -53,8 +53,7 @@
   std::stable_sort(order.begin(), order.end(), [&](size_t a, size_t b) {
     const int slots_a = SlotsOf(rooms[a], need);
     const int slots_b = SlotsOf(rooms[b], need);
-    return slots_a != slots_b ? slots_a > slots_b
-                              : LeftAfter(rooms[a], need.size) < LeftAfter(rooms[b], need.size);
+    return slots_a != slots_b ? slots_a > slots_b : LeftAfter(rooms[a], need.size) < LeftAfter(rooms[b], need.size);
   });
   return order;
 }
--- a/src/cell/placement_policy.h
+++ b/src/cell/placement_policy.h
@@ -16,9 +16,9 @@
   Resources capacity;
   Resources free;
   std::string rack;
-  int already_there = 0;    // Tasks of the same step.
-  bool kept = false;        // Room on it is kept for a gang.
-  bool preferred = false;   // Nearer to the data.
+  int already_there = 0;   // Tasks of the same step.
+  bool kept = false;       // Room on it is kept for a gang.
+  bool preferred = false;  // Nearer to the data.
 
   friend bool operator==(const RoomView&, const RoomView&) = default;
 };
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -142,8 +142,8 @@
 
 struct OrderAnswer {
   OrderStatus status = OrderStatus::kUnknown;
-  Duration worker_clock = 0us;  // The worker's own clock when it answered.
-  int64_t born_ms = 0;          // Of the life that answered; 0: not said.
+  Duration worker_clock = 0us;      // The worker's own clock when it answered.
+  int64_t born_ms = 0;              // Of the life that answered; 0: not said.
   std::vector<RunningRow> running;  // Only of Hold.
   std::vector<EndedRow> ended;      // Only of Hold.
 
@@ -217,7 +217,8 @@
   virtual void Send(const std::string& address, std::string message) = 0;
 };
 
-// --- The platform's own entries in the store --------------------------------------------------------------------------
+// --- The platform's own entries in the store
+// --------------------------------------------------------------------------
 
 // Where operators and workers write, and how to read it. Unreadable bytes are an error in one sentence.
 class DirectoryPort {
--- a/src/cell/prefix_watch.cc
+++ b/src/cell/prefix_watch.cc
@@ -36,12 +36,11 @@
   if (after.empty()) {
     pages_.clear();
   }
-  context_.store.Range(prefix_, after,
-                       [this, alive = alive_, after, sent = context_.Now()](const StoreAnswer& answer) {
-                         if (*alive) {
-                           OnPage(answer, after, sent);
-                         }
-                       });
+  context_.store.Range(prefix_, after, [this, alive = alive_, after, sent = context_.Now()](const StoreAnswer& answer) {
+    if (*alive) {
+      OnPage(answer, after, sent);
+    }
+  });
 }
 
 void PrefixWatch::OnPage(const StoreAnswer& answer, const std::string& after, TimePoint sent) {
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -1,5 +1,5 @@
-// The records as JSON arrays, one place for each field in the order of the struct. A field is only ever added at the end;
-// a missing one keeps its default, so that hosts of two versions understand each other.
+// The records as JSON arrays, one place for each field in the order of the struct. A field is only ever added at the
+// end; a missing one keeps its default, so that hosts of two versions understand each other.
 #ifndef HIBISCUSSTAND_SRC_CELL_RECORD_JSON_H_
 #define HIBISCUSSTAND_SRC_CELL_RECORD_JSON_H_
 
@@ -17,136 +17,96 @@
 
 // The fields of each record, in their stored order.
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, OwnerRecord>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, OwnerRecord> {
   return std::tie(self.host, self.address, self.incarnation, self.epoch, self.released);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, HeadRecord>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, HeadRecord> {
   return std::tie(self.epoch, self.batch);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, HostRecord>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, HostRecord> {
   return std::tie(self.host, self.address, self.incarnation);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, WorkerLifeRecord>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, WorkerLifeRecord> {
   return std::tie(self.id, self.address, self.born_ms);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, Resources>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, Resources> {
   return std::tie(self.cpu_millis, self.memory_mb, self.accelerators);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, StepSpec>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StepSpec> {
   return std::tie(self.count, self.size, self.estimate, self.after, self.checkpoints, self.gang, self.same_rack,
                   self.required_label, self.data_rack, self.most_per_worker, self.speculative, self.long_running,
                   self.image, self.tail_target, self.fills, self.may_be_unavailable);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, JobSpec>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, JobSpec> {
   return std::tie(self.id, self.queue, self.payload, self.steps, self.first_due_ms, self.interval, self.occurrences);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, JobRecord>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, JobRecord> {
   return std::tie(self.epoch, self.accepted_at_ms, self.spec);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, StepProgress>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StepProgress> {
   return std::tie(self.occurrence, self.step, self.all_done, self.done, self.failed, self.checkpoints);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, ProgressRecord>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, ProgressRecord> {
   return std::tie(self.cancelled, self.occurrences_done, self.steps);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, JobProgress>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, JobProgress> {
   return std::tie(self.id, self.progress);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, LogRecord>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, LogRecord> {
   return std::tie(self.jobs, self.progress);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, EndedJob>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, EndedJob> {
   return std::tie(self.id, self.queue, self.state, self.ended_at_ms);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, TaskRef>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, TaskRef> {
   return std::tie(self.job, self.occurrence, self.step, self.index);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, Ticket>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, Ticket> {
   return std::tie(self.worker, self.ticket);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, CallerRequest>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, CallerRequest> {
   return std::tie(self.call, self.reply_to, self.kind, self.queue, self.job, self.spec);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, CallerReply>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, CallerReply> {
   return std::tie(self.call, self.outcome, self.state, self.pending, self.retry_after);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, AdviceRequest>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, AdviceRequest> {
   return std::tie(self.call, self.reply_to, self.step, self.workers, self.timeout);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, AdviceReply>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, AdviceReply> {
   return std::tie(self.call, self.answered, self.allowed);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, Ping>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, Ping> {
   return std::tie(self.reply_to);
 }
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, OwnerNews>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, OwnerNews> {
   return std::tie(self.term, self.host, self.address);
 }
 
 template <class Value>
-concept HasFields = requires(Value& value) { Fields(value); };
+concept HasFields = requires(Value& value) {
+  Fields(value);
+};
 
 // --- To JSON ---
 
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -39,7 +39,7 @@
   }
 }
 
-#define HIBISCUS_CELL_RECORD(Record)                  \
+#define HIBISCUS_CELL_RECORD(Record)                \
   template std::string EncodeRecord(const Record&); \
   template tl::expected<Record, std::string> DecodeRecord(const std::string&);
 
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -5,9 +5,9 @@
 //                 owner can write
 //   live/owner    who owns the cell; hangs on the owner's lease
 //   live/host/N   host N, on its own lease
-//   data/log/E-B    batch B of epoch E: jobs that were accepted, and how far jobs are; the later word on a job goes first
-//   data/ended/E-B  jobs that ended, of one batch or of several merged
-//   data/roster     worker lives that the owner may have given orders to
+//   data/log/E-B    batch B of epoch E: jobs that were accepted, and how far jobs are; the later word on a job goes
+//   first data/ended/E-B  jobs that ended, of one batch or of several merged data/roster     worker lives that the
+//   owner may have given orders to
 #ifndef HIBISCUSSTAND_SRC_CELL_RECORDS_H_
 #define HIBISCUSSTAND_SRC_CELL_RECORDS_H_
 
--- a/src/cell/values.h
+++ b/src/cell/values.h
@@ -1,4 +1,5 @@
-// What the cell scheduler speaks of: jobs and their steps, queues, workers and the ends of runs. Plain comparable values.
+// What the cell scheduler speaks of: jobs and their steps, queues, workers and the ends of runs. Plain comparable
+// values.
 #ifndef HIBISCUSSTAND_SRC_CELL_VALUES_H_
 #define HIBISCUSSTAND_SRC_CELL_VALUES_H_
 
@@ -33,21 +34,21 @@
 // A set of like tasks of a job.
 struct StepSpec {
   int count = 1;
-  Resources size;               // Of each task.
-  Duration estimate = 0us;      // Declared run time of a task; often far off.
-  std::vector<int> after;       // Earlier steps that must be done first.
-  bool checkpoints = false;     // A stopped run can be resumed.
-  bool gang = false;            // All tasks work together or not at all.
-  bool same_rack = false;       // Slower when its tasks lie on several racks.
-  std::string required_label;   // Empty: any worker.
-  std::string data_rack;        // Slower on any other rack. Empty: anywhere.
-  int most_per_worker = 0;      // 0: no limit.
-  bool speculative = false;     // Copies of a task may run at the same time.
-  bool long_running = false;    // Runs until the job is cancelled.
-  std::string image;            // Tasks of one image behave alike.
-  Duration tail_target = 0us;   // Long-running: bound on the tail of its response times.
-  bool fills = false;           // Uses processors that others leave idle; its processors are not counted.
-  int may_be_unavailable = 0;   // Long-running: tasks that the system may keep from work at the same time.
+  Resources size;              // Of each task.
+  Duration estimate = 0us;     // Declared run time of a task; often far off.
+  std::vector<int> after;      // Earlier steps that must be done first.
+  bool checkpoints = false;    // A stopped run can be resumed.
+  bool gang = false;           // All tasks work together or not at all.
+  bool same_rack = false;      // Slower when its tasks lie on several racks.
+  std::string required_label;  // Empty: any worker.
+  std::string data_rack;       // Slower on any other rack. Empty: anywhere.
+  int most_per_worker = 0;     // 0: no limit.
+  bool speculative = false;    // Copies of a task may run at the same time.
+  bool long_running = false;   // Runs until the job is cancelled.
+  std::string image;           // Tasks of one image behave alike.
+  Duration tail_target = 0us;  // Long-running: bound on the tail of its response times.
+  bool fills = false;          // Uses processors that others leave idle; its processors are not counted.
+  int may_be_unavailable = 0;  // Long-running: tasks that the system may keep from work at the same time.
 
   friend bool operator==(const StepSpec&, const StepSpec&) = default;
 };
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -8,12 +8,13 @@
 
 namespace {
 
-constexpr Duration kHold = 4500ms;           // Outlasts a takeover: an owner's lease, its successor's claim and first hold.
-constexpr Duration kHoldWait = 1s;           // A hold waits so long for an end; also how fast a dead worker is noticed.
-constexpr Duration kHoldAgain = 400ms;       // While ends wait for the store.
+constexpr Duration kHold = 4500ms;      // Outlasts a takeover: an owner's lease, its successor's claim and first hold.
+constexpr Duration kHoldWait = 1s;      // A hold waits so long for an end; also how fast a dead worker is noticed.
+constexpr Duration kHoldAgain = 400ms;  // While ends wait for the store.
 constexpr Duration kSilentAgain = 300ms;     // A silent worker is asked again.
 constexpr Duration kStopAgain = 300ms;       // A stop without an answer.
 constexpr Duration kStartDeadline = 1500ms;  // A start that arrives later is refused.
+constexpr Duration kLookAfter = 250ms;       // A start without an answer is looked for: ten usual answers between regions.
 constexpr Duration kAvoidFor = 700ms;        // A worker that refused work is left alone.
 constexpr Duration kUnlistedGrace = 2500ms;  // Entries come back within about two seconds of the store's return.
 constexpr Duration kForgetAfter = 15s;       // An unlisted worker that holds nothing.
@@ -135,11 +136,11 @@
   worker.rostered = false;
   worker.silent = false;
   worker.clock_known_ = false;
+  worker.lists_at_ = Duration(0);
   worker.processed_ = 0;
   worker.acknowledged_ = 0;
   worker.lease_until_ = TimePoint{};
-  std::erase_if(worker.unanswered_,
-                [&](const auto& each) { return context_.Now() - each.second > kLatestArrival; });
+  std::erase_if(worker.unanswered_, [&](const auto& each) { return context_.Now() - each.second > kLatestArrival; });
   for (const auto& [run, noted] : worker.unanswered_) {
     worker.to_void_.insert(run);
   }
@@ -284,6 +285,10 @@
 }
 
 void WorkerTable::TakeLists(Worker& worker, const OrderAnswer& answer) {
+  if (answer.worker_clock < worker.lists_at_) {
+    return;  // Overtaken by newer lists on another connection.
+  }
+  worker.lists_at_ = answer.worker_clock;
   for (const EndedRow& row : answer.ended) {
     if (row.number <= worker.processed_) {
       continue;
@@ -353,15 +358,21 @@
   order.deadline = worker.ClockAt(now) + kStartDeadline;
   Allow(worker, order.deadline);
   Place(worker, order.run, Placed{size, PlacedPhase::kStarting, order.deadline, now, false});
-  context_.workers.Start(
-      TargetOf(worker), order,
-      [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run = order.run](
-          const OrderAnswer& answer) {
-        Worker* found = *alive ? Find(id) : nullptr;
-        if (found != nullptr && found->entry.born_ms == born) {
-          OnStartAnswer(*found, run, answer);
-        }
-      });
+  context_.timers.In(kLookAfter, [this, alive = alive_, id = worker.entry.id, run = order.run] {
+    Worker* found = *alive ? Find(id) : nullptr;
+    const bool there = found != nullptr && found->placed.contains(run);
+    if (there && found->placed[run].phase == PlacedPhase::kStarting && !found->silent) {
+      LookAfterStart(*found, run);
+    }
+  });
+  context_.workers.Start(TargetOf(worker), order,
+                         [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms,
+                          run = order.run](const OrderAnswer& answer) {
+                           Worker* found = *alive ? Find(id) : nullptr;
+                           if (found != nullptr && found->entry.born_ms == born) {
+                             OnStartAnswer(*found, run, answer);
+                           }
+                         });
 }
 
 void WorkerTable::OnStartAnswer(Worker& worker, const RunRef& run, const OrderAnswer& answer) {
@@ -393,14 +404,45 @@
     return;
   }
   if (!heard && placed.phase == PlacedPhase::kStarting) {
-    placed.phase = PlacedPhase::kUnsure;
-    worker.unanswered_[run] = context_.Now();
-    context_.Log("worker", "event=start_unanswered worker={} job={} step={} index={} run={}", worker.entry.id,
-                 run.task.job, run.task.step, run.task.index, run.run);
-    SendStop(worker, run);
+    GiveUpStart(worker, run);
   }
 }
 
+// The start had no answer: it is made void, and the task may go elsewhere once that is sure.
+void WorkerTable::GiveUpStart(Worker& worker, const RunRef& run) {
+  worker.placed[run].phase = PlacedPhase::kUnsure;
+  worker.unanswered_[run] = context_.Now();
+  context_.Log("worker", "event=start_unanswered worker={} job={} step={} index={} run={}", worker.entry.id,
+               run.task.job, run.task.step, run.task.index, run.run);
+  SendStop(worker, run);
+}
+
+// Its answer is overdue: the lists tell whether it was carried out and only the answer was lost.
+void WorkerTable::LookAfterStart(Worker& worker, const RunRef& run) {
+  context_.counters.Add("worker_looks_after_starts");
+  context_.workers.Hold(
+      TargetOf(worker), HoldOrder{token_, worker.acknowledged_, 0us, 0us},
+      [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run](const OrderAnswer& answer) {
+        Worker* found = *alive ? Find(id) : nullptr;
+        if (found == nullptr || found->entry.born_ms != born || answer.status != OrderStatus::kOk ||
+            !NoteAnswer(*found, answer)) {
+          return;  // The start's own time-out decides.
+        }
+        const int64_t seen = found->processed_;
+        TakeLists(*found, answer);
+        if (!*alive) {
+          return;
+        }
+        if (found->processed_ > seen) {
+          listener_.OnEndsSeen(*found);
+        }
+        const auto placed = found->placed.find(run);
+        if (placed != found->placed.end() && placed->second.phase == PlacedPhase::kStarting) {
+          GiveUpStart(*found, run);
+        }
+      });
+}
+
 void WorkerTable::Stop(Worker& worker, const RunRef& run) {
   const auto found = worker.placed.find(run);
   if (found == worker.placed.end() || found->second.phase == PlacedPhase::kStopping) {
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -1,5 +1,6 @@
-// The owner's view of the workers: which lives there are, what may be running on each, how long each is surely held, and
-// how much room is left. Sends every order, and works out from answers, silence and clocks when a run is surely over.
+// The owner's view of the workers: which lives there are, what may be running on each, how long each is surely held,
+// and how much room is left. Sends every order, and works out from answers, silence and clocks when a run is surely
+// over.
 //
 // What silence leaves possible: an order without an answer may be carried out seconds later. A start is void once its
 // deadline has passed on the worker's clock, or once a stop of the same run was answered. A hold may lengthen what runs
@@ -74,13 +75,14 @@
 
   Resources used_;
   bool clock_known_ = false;
-  Duration clock_{};          // Worker's clock in its last answer.
-  TimePoint clock_read_{};    // When that answer came.
-  TimePoint lease_until_{};   // Whatever runs there is over by then.
-  bool holding_ = false;      // A hold is under way.
-  uint64_t hold_timer_ = 0;   // Only the newest timer counts.
-  int64_t processed_ = 0;     // Ends up to this number were seen.
-  int64_t acknowledged_ = 0;  // And stand in the store.
+  Duration clock_{};                        // Worker's clock in its last answer.
+  TimePoint clock_read_{};                  // When that answer came.
+  TimePoint lease_until_{};                 // Whatever runs there is over by then.
+  Duration lists_at_{};  // Worker's clock of the newest lists that were taken.
+  bool holding_ = false;                    // A hold is under way.
+  uint64_t hold_timer_ = 0;                 // Only the newest timer counts.
+  int64_t processed_ = 0;                   // Ends up to this number were seen.
+  int64_t acknowledged_ = 0;                // And stand in the store.
   std::map<RunRef, TimePoint> unanswered_;  // Starts that had no answer, and when that was noted.
   std::set<RunRef> to_void_;                // Starts to be stopped in this life, in case they still arrive.
 };
@@ -97,10 +99,10 @@
     virtual void OnGone(Worker& worker, const RunRef& run, GoneReason reason) = 0;
     virtual void OnStarted(Worker& worker, const RunRef& run) = 0;
     virtual void OnRefused(Worker& worker, const RunRef& run, OrderStatus status) = 0;
-    virtual void OnEndsSeen(Worker& worker) = 0;   // There are ends to acknowledge once they stand in the store.
-    virtual void OnSettled(Worker& worker) = 0;    // `unsettled` became false.
-    virtual void OnChanged(Worker& worker) = 0;    // Room, usability or roster.
-    virtual void OnFenced() = 0;                   // A worker has seen a higher token.
+    virtual void OnEndsSeen(Worker& worker) = 0;  // There are ends to acknowledge once they stand in the store.
+    virtual void OnSettled(Worker& worker) = 0;   // `unsettled` became false.
+    virtual void OnChanged(Worker& worker) = 0;   // Room, usability or roster.
+    virtual void OnFenced() = 0;                  // A worker has seen a higher token.
   };
 
   WorkerTable(Context& context, uint64_t token, Listener& listener);
@@ -137,7 +139,9 @@
   void OnHoldAnswer(Worker& worker, const OrderAnswer& answer);
   void TakeLists(Worker& worker, const OrderAnswer& answer);
   void TakeAbsent(Worker& worker, const OrderAnswer& answer);
+  void LookAfterStart(Worker& worker, const RunRef& run);
   void OnStartAnswer(Worker& worker, const RunRef& run, const OrderAnswer& answer);
+  void GiveUpStart(Worker& worker, const RunRef& run);
   void SendStop(Worker& worker, const RunRef& run);
   bool NoteAnswer(Worker& worker, const OrderAnswer& answer);
   void NoteSilence(Worker& worker);
--- a/src/daemon/cell_daemon.cc
+++ b/src/daemon/cell_daemon.cc
@@ -29,8 +29,8 @@
           http_,
           [this](std::function<void()> work) { loop_.Post(std::move(work)); },
           settings.cell.advice_address),
-      context_{settings.cell, clock_,     wall_, timers_,   store_, workers_, advice_,
-               peers_,        directory_, log_,  counters_, std::mt19937_64(settings.cell.incarnation)} {
+      context_{settings.cell, clock_, wall_,      timers_, store_,    workers_,
+               advice_,       peers_, directory_, log_,    counters_, std::mt19937_64(settings.cell.incarnation)} {
   host_ = std::make_unique<cell::Host>(
       context_, [this](const cell::CellConfiguration& configuration) { ingress_->OnConfiguration(configuration); });
   ingress_ = std::make_unique<platform::Ingress>(
--- a/src/daemon/cell_daemon.h
+++ b/src/daemon/cell_daemon.h
@@ -31,7 +31,6 @@
   HttpServerOptions metrics;
   std::string store_address;
   Duration stop_within = 6s;  // After SIGTERM; the platform kills the process then.
-
 };
 
 class CellDaemon {
--- a/src/ports/boot_clock.h
+++ b/src/ports/boot_clock.h
@@ -17,8 +17,8 @@
   TimePoint Now() const override {
     timespec now{};
     clock_gettime(CLOCK_BOOTTIME, &now);
-    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) +
-                                                          std::chrono::nanoseconds(now.tv_nsec)));
+    return TimePoint(
+        std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
   }
 };
 
--- a/src/ports/event_log.h
+++ b/src/ports/event_log.h
@@ -1,6 +1,6 @@
-// Structured log lines on standard output: time, host, part, then key=value words. Writing never blocks: lines gather in
-// a bounded buffer that a thread of its own empties, and each part has a budget of lines a second. What is dropped is
-// counted and said.
+// Structured log lines on standard output: time, host, part, then key=value words. Writing never blocks: lines gather
+// in a bounded buffer that a thread of its own empties, and each part has a budget of lines a second. What is dropped
+// is counted and said.
 #ifndef HIBISCUSSTAND_SRC_PORTS_EVENT_LOG_H_
 #define HIBISCUSSTAND_SRC_PORTS_EVENT_LOG_H_
 
--- a/src/ports/http_server.h
+++ b/src/ports/http_server.h
@@ -32,7 +32,7 @@
   std::string method;
   std::string path;  // Without the query.
   std::string body;
-  std::map<std::string, std::string> headers;  // The wanted ones that it has, by the name as wanted.
+  std::map<std::string, std::string> headers = {};  // The wanted ones that it has, by the name as wanted.
 };
 
 struct HttpReply {
--- a/src/ports/peer_link.cc
+++ b/src/ports/peer_link.cc
@@ -9,7 +9,8 @@
 namespace hibiscus {
 
 PeerLink::PeerLink(HostName self, const std::string& address, Receiver receiver)
-    : receiver_(std::move(receiver)), link_(std::move(self), address, [this](const HostName& from, const std::string& bytes) {
+    : receiver_(std::move(receiver)),
+      link_(std::move(self), address, [this](const HostName& from, const std::string& bytes) {
         tl::expected<PeerMessage, std::string> message = DecodePeerMessage(bytes);
         if (!message) {
           return message.error();
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -11,11 +11,11 @@
 
 namespace {
 
-constexpr Duration kWay = 2ms;           // One way to the store, a worker or another host.
-constexpr Duration kNoAnswer = 1s;       // When a caller gives up.
-constexpr Duration kPoll = 5ms;          // Waiting watches and holds look this often.
-constexpr int kAllowedShare = 85;        // Percent of the workers that the advice service allows a step.
-constexpr Duration kLatest = 6s;         // Calls that are carried out late.
+constexpr Duration kWay = 2ms;      // One way to the store, a worker or another host.
+constexpr Duration kNoAnswer = 1s;  // When a caller gives up.
+constexpr Duration kPoll = 5ms;     // Waiting watches and holds look this often.
+constexpr int kAllowedShare = 85;   // Percent of the workers that the advice service allows a step.
+constexpr Duration kLatest = 6s;    // Calls that are carried out late.
 
 }  // namespace
 
@@ -35,7 +35,17 @@
 struct FakeHost::Process {
   Process(FakeHost& self, CellWorld& world, uint64_t incarnation)
       : timers(clock_of(world)),
-        context{SettingsOf(self, incarnation), clock_of(world), self, timers, self, self, self, self, self, self, counters,
+        context{SettingsOf(self, incarnation),
+                clock_of(world),
+                self,
+                timers,
+                self,
+                self,
+                self,
+                self,
+                self,
+                self,
+                counters,
                 std::mt19937_64(world.random()())},
         host(context, [](const CellConfiguration&) {}) {}
 
@@ -156,11 +166,13 @@
 }
 
 void FakeHost::Read(const std::string& key, StorePort::Done done) {
-  CallStore(false, [this, key] { return world_.store_.Read(key); }, std::move(done));
+  CallStore(
+      false, [this, key] { return world_.store_.Read(key); }, std::move(done));
 }
 
 void FakeHost::Range(const std::string& prefix, const std::string& after, StorePort::Done done) {
-  CallStore(false, [this, prefix, after] { return world_.store_.Range(prefix, after); }, std::move(done));
+  CallStore(
+      false, [this, prefix, after] { return world_.store_.Range(prefix, after); }, std::move(done));
 }
 
 void FakeHost::Watch(const std::string& prefix, uint64_t after, Duration wait, StorePort::Done done) {
@@ -193,19 +205,23 @@
 }
 
 void FakeHost::Commit(const StoreTransaction& transaction, StorePort::Done done) {
-  CallStore(true, [this, transaction] { return world_.store_.Commit(transaction); }, std::move(done));
+  CallStore(
+      true, [this, transaction] { return world_.store_.Commit(transaction); }, std::move(done));
 }
 
 void FakeHost::GrantLease(Duration ttl, StorePort::Done done) {
-  CallStore(true, [this, ttl] { return world_.store_.GrantLease(ttl); }, std::move(done));
+  CallStore(
+      true, [this, ttl] { return world_.store_.GrantLease(ttl); }, std::move(done));
 }
 
 void FakeHost::KeepLease(uint64_t lease, StorePort::Done done) {
-  CallStore(false, [this, lease] { return world_.store_.KeepLease(lease); }, std::move(done));
+  CallStore(
+      false, [this, lease] { return world_.store_.KeepLease(lease); }, std::move(done));
 }
 
 void FakeHost::EndLease(uint64_t lease, StorePort::Done done) {
-  CallStore(true, [this, lease] { return world_.store_.EndLease(lease); }, std::move(done));
+  CallStore(
+      true, [this, lease] { return world_.store_.EndLease(lease); }, std::move(done));
 }
 
 // --- Workers ---
@@ -250,11 +266,13 @@
 }
 
 void FakeHost::Start(const WorkerTarget& worker, const StartOrder& order, WorkerPort::Done done) {
-  CallWorker(worker, [order](FakeWorker& target) { return target.Start(order); }, std::move(done));
+  CallWorker(
+      worker, [order](FakeWorker& target) { return target.Start(order); }, std::move(done));
 }
 
 void FakeHost::Stop(const WorkerTarget& worker, const RunRef& run, uint64_t token, WorkerPort::Done done) {
-  CallWorker(worker, [run, token](FakeWorker& target) { return target.Stop(run, token); }, std::move(done));
+  CallWorker(
+      worker, [run, token](FakeWorker& target) { return target.Stop(run, token); }, std::move(done));
 }
 
 void FakeHost::Hold(const WorkerTarget& worker, const HoldOrder& order, WorkerPort::Done done) {
@@ -283,8 +301,9 @@
     }
     HoldOrder look = order;
     look.deadline = Duration(0);
-    CallWorker(WorkerTarget{worker.entry.id, worker.entry.address},
-               [look](FakeWorker& held) { return held.Hold(look); }, done);
+    CallWorker(
+        WorkerTarget{worker.entry.id, worker.entry.address}, [look](FakeWorker& held) { return held.Hold(look); },
+        done);
   });
 }
 
@@ -310,9 +329,8 @@
       answer.allowed.push_back(Ticket{worker, std::to_string(valid_until.count())});
     }
   }
-  world_.In(advice_free_ - world_.Now() + kWay, [this, life = life_, done, answer] {
-    Deliver(life, [done, answer] { done(answer); });
-  });
+  world_.In(advice_free_ - world_.Now() + kWay,
+            [this, life = life_, done, answer] { Deliver(life, [done, answer] { done(answer); }); });
 }
 
 void FakeHost::Send(const std::string& address, std::string message) {
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -284,8 +284,8 @@
   for (const auto& [run, state] : runs_) {
     answer.running.push_back(RunningRow{run, "", 0});
   }
-  answer.ended.assign(ended_.begin(), ended_.begin() + static_cast<std::ptrdiff_t>(
-                                                           std::min(ended_.size(), kMostEndedRows)));
+  answer.ended.assign(ended_.begin(),
+                      ended_.begin() + static_cast<std::ptrdiff_t>(std::min(ended_.size(), kMostEndedRows)));
   return answer;
 }
 
@@ -314,7 +314,8 @@
   while (true) {
     const auto due = std::find_if(runs_.begin(), runs_.end(), [&](const auto& entry_of) {
       const Run& run = entry_of.second;
-      return run.ends_at <= world_.Now() || (run.gang && run.ends_at == TimePoint::max() && run.alone_at <= world_.Now());
+      return run.ends_at <= world_.Now() ||
+             (run.gang && run.ends_at == TimePoint::max() && run.alone_at <= world_.Now());
     });
     if (due == runs_.end()) {
       return;
@@ -522,11 +523,7 @@
   });
 }
 
-void CellWorld::Ask(size_t index,
-                    CallerKind kind,
-                    const std::string& queue,
-                    const std::string& job,
-                    OnReply reply) {
+void CellWorld::Ask(size_t index, CallerKind kind, const std::string& queue, const std::string& job, OnReply reply) {
   CallerRequest request;
   request.kind = kind;
   request.queue = queue;
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -155,7 +155,7 @@
 
   // --- Hosts ---
   size_t host_count() const { return hosts_.size(); }
-  Host* host(size_t index);                 // None while its process is dead.
+  Host* host(size_t index);                  // None while its process is dead.
   std::optional<size_t> OwnerIndex() const;  // The newest owner among live processes.
   void Kill(size_t index);
   void Boot(size_t index);
@@ -229,11 +229,11 @@
   std::map<std::string, TaskBehaviour> behaviours_;
   std::set<std::string> accepted_;
   std::map<TaskRef, std::set<std::pair<std::string, int>>> running_;  // Worker and run.
-  std::map<TaskRef, int> done_;        // Times ended as done.
+  std::map<TaskRef, int> done_;                                       // Times ended as done.
   std::set<TaskRef> noted_done_;
   std::map<TaskRef, int> failed_runs_;  // Noted.
   std::map<TaskRef, int> runs_of_;
-  std::map<RunRef, GangRun> gangs_;     // By step and run: the index is 0.
+  std::map<RunRef, GangRun> gangs_;  // By step and run: the index is 0.
   std::vector<std::string> violations_;
   int starts_ = 0;
 };
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -11,8 +11,8 @@
 
 constexpr size_t kHosts = 4;
 constexpr size_t kWorkers = 9;
-constexpr Duration kCourse = 25s;        // Load and faults.
-constexpr Duration kCalm = 40s;          // Afterwards: everything that was accepted comes to an end.
+constexpr Duration kCourse = 25s;  // Load and faults.
+constexpr Duration kCalm = 40s;    // Afterwards: everything that was accepted comes to an end.
 constexpr Duration kJobEvery = 120ms;
 constexpr Duration kFaultEvery = 1500ms;
 
@@ -58,7 +58,8 @@
     const int number = ++jobs_;
     std::vector<StepSpec> steps;
     const int kind = static_cast<int>(world_.random()() % 4);
-    StepSpec first = StepOf(1 + static_cast<int>(world_.random()() % 5), 1000 + 500 * static_cast<int>(world_.random()() % 8));
+    StepSpec first =
+        StepOf(1 + static_cast<int>(world_.random()() % 5), 1000 + 500 * static_cast<int>(world_.random()() % 8));
     first.gang = kind == 1;
     steps.push_back(first);
     if (kind == 2) {
@@ -85,11 +86,11 @@
 
   void Faults() {
     static constexpr std::array kFaults = {
-        &Course::KillHost,      &Course::KillOwner,     &Course::KillAll,     &Course::FreezeOwner,
-        &Course::LeaveHost,     &Course::StoreDown,     &Course::StoreLoses,  &Course::StoreLate,
-        &Course::StoreSlow,     &Course::StoreTurnsAway, &Course::Revoke,     &Course::ForgetHistory,
-        &Course::CrashWorker,   &Course::CutWorker,     &Course::LateOrders,  &Course::LostOrders,
-        &Course::SlowClocks,    &Course::CutHost,       &Course::DrainWorker, &Course::FreezeHost};
+        &Course::KillHost,    &Course::KillOwner,      &Course::KillAll,     &Course::FreezeOwner,
+        &Course::LeaveHost,   &Course::StoreDown,      &Course::StoreLoses,  &Course::StoreLate,
+        &Course::StoreSlow,   &Course::StoreTurnsAway, &Course::Revoke,      &Course::ForgetHistory,
+        &Course::CrashWorker, &Course::CutWorker,      &Course::LateOrders,  &Course::LostOrders,
+        &Course::SlowClocks,  &Course::CutHost,        &Course::DrainWorker, &Course::FreezeHost};
     if (over_) {
       return;
     }
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -118,6 +118,50 @@
   CHECK(world.violations().empty());
 }
 
+// Each start has a chance of being taken in and carried out seconds later.
+TEST_CASE("short tasks are in time although some starts have no answer") {
+  CellWorld world(19, 3, 8);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    world.worker(i).faults.carry_out_late = 0.1;
+  }
+  for (int i = 1; i <= 100; ++i) {
+    world.In(i * 30ms, [&world, i] {
+      world.Submit(0, JobOf(i, {StepOf(1, 500)}), TaskBehaviour{400ms, 0}, [](const CallerReply&) {});
+    });
+  }
+  world.RunFor(3s + 1200ms);
+  int completed = 0;
+  for (int i = 1; i <= 100; ++i) {
+    completed += world.TimesDone(TaskRef{JobId(i), 0, 0, 0}) > 0 ? 1 : 0;
+  }
+  CHECK(completed >= 95);  // Two losses in a row may cost more.
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("a job that was never sent to a silent store is refused, and does not run") {
+  CellWorld world(20, 3, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.store().faults.silent = true;
+  std::vector<CallerOutcome> outcomes(3, CallerOutcome::kDone);
+  for (int i = 0; i < 3; ++i) {
+    world.In(i * 100ms, [&world, &outcomes, i] {
+      world.Submit(0, JobOf(i + 1, {StepOf(1, 500)}), TaskBehaviour{}, [&outcomes, i](const CallerReply& reply) {
+        outcomes[static_cast<size_t>(i)] = reply.outcome;
+      });
+    });
+  }
+  world.RunFor(1s);
+  CHECK(outcomes[1] == CallerOutcome::kRejected);
+  CHECK(outcomes[2] == CallerOutcome::kRejected);
+  world.store().faults.silent = false;
+  world.RunFor(5s);
+  CHECK(outcomes[0] == CallerOutcome::kDone);  // It was on its way, so it was not called refused, and stands now.
+  CHECK(world.starts() == 1);
+}
+
 TEST_CASE("tasks of a dead worker are started elsewhere once its hold is surely over") {
   CellWorld world(16, 3, 4);
   AddQueues(world);
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -52,14 +52,12 @@
   const JobSpec job = JobOf(1, {StepOf(2, 1000)});
   int accepted = 0;
   for (size_t i = 0; i < 3; ++i) {
-    world.Submit(i, job, TaskBehaviour{}, [&](const CallerReply& reply) {
-      accepted += reply.outcome == CallerOutcome::kDone ? 1 : 0;
-    });
+    world.Submit(i, job, TaskBehaviour{},
+                 [&](const CallerReply& reply) { accepted += reply.outcome == CallerOutcome::kDone ? 1 : 0; });
   }
   world.RunFor(2s);
-  world.Submit(0, job, TaskBehaviour{}, [&](const CallerReply& reply) {
-    accepted += reply.outcome == CallerOutcome::kDone ? 1 : 0;
-  });
+  world.Submit(0, job, TaskBehaviour{},
+               [&](const CallerReply& reply) { accepted += reply.outcome == CallerOutcome::kDone ? 1 : 0; });
   world.RunFor(2s);
   CHECK(accepted == 4);
   CHECK(world.starts() == 2);
