--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -105,7 +105,7 @@
   void WriteRecordAgain(uint64_t lease);
   void Deposed();
   void DropOwner();
-  void ReleaseRecord(std::function<void()> left);
+  void ReleaseRecord(const std::function<void()>& left);
   OwnerRecord OwnRecord(uint64_t epoch, bool released) const;
   bool IsOwn(const OwnerRecord& record) const;
   bool IsFree() const;
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Duration kOwnerLease = 1500ms;         // A dead owner's record is gone after this.
+constexpr Duration kOwnerLease = 1500ms;     // A dead owner's record is gone after this.
 constexpr Duration kRenewEvery = 400ms;      // Three renewals may fail within the lease.
 constexpr Duration kRenewAgain = 150ms;      // After one that had no answer.
 constexpr Duration kIncumbentFirst = 150ms;  // An owner whose record went while it lives writes it again within this.
@@ -439,7 +439,7 @@
 }
 
 // Others may take over at once: the record stays, marked as released, until one of them replaces it.
-void Host::ReleaseRecord(std::function<void()> left) {
+void Host::ReleaseRecord(const std::function<void()>& left) {
   if (owner_ == nullptr) {
     left();
     return;
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -105,7 +105,8 @@
 
   const std::string& id() const { return record.spec.id; }
   int occurrence_count() const { return record.spec.occurrences == 0 ? 1 : record.spec.occurrences; }
-  std::vector<std::function<void(Duration retry_after)>> on_withdrawn;  // Submitters, while it was never sent to the store.
+  std::vector<std::function<void(Duration retry_after)>>
+      on_withdrawn;  // Submitters, while it was never sent to the store.
 
   // Calls back once all that is known of it now stands in the store.
   void WhenStored(std::function<void()> done);
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -11,7 +11,7 @@
 constexpr Duration kPendingCountAge = 500ms;  // Counts of waiting jobs may be this old; callers allow 2 s.
 constexpr Duration kStalledAfter = 600ms;  // No new jobs are taken while the store has confirmed nothing for so long.
 constexpr Duration kComeBack = 1s;         // Retry-After where no better time is known.
-constexpr Duration kLongestComeBack = 3s;      // A store's outage: callers try again some four times.
+constexpr Duration kLongestComeBack = 3s;  // A store's outage: callers try again some four times.
 constexpr size_t kMostJobs = 20'000;       // Held in memory; some 5 KB each within a host's memory.
 
 }  // namespace
@@ -144,7 +144,8 @@
   return std::clamp<Duration>(commit_.stalled_for(), kComeBack, kLongestComeBack);
 }
 
-// Jobs that wait for a store that does not answer, and were never sent to it, surely do not run: their callers are told.
+// Jobs that wait for a store that does not answer, and were never sent to it, surely do not run: their callers are
+// told.
 void Owner::WithdrawUnsent() {
   if (commit_.stalled_for() <= kStalledAfter) {
     return;
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -116,8 +116,8 @@
   // One prefix, page after page; `done` gets the store's revision of the last page.
   void ReadAll(const std::string& prefix,
                const std::string& after,
-               std::function<void(const StoreItem&)> take,
-               std::function<void(uint64_t revision)> done);
+               const std::function<void(const StoreItem&)>& take,
+               const std::function<void(uint64_t revision)>& done);
   void TakeLogItem(const StoreItem& item);
   void TakeEndedItem(const StoreItem& item);
   void RestoreJobs();
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -105,6 +105,7 @@
            std::tie(b.worthless, b.priority, b.due, b.step->job->id(), b.step->step);
   });
   std::vector<StepRun*> steps;
+  steps.reserve(places.size());
   for (const Place& place : places) {
     steps.push_back(place.step);
   }
@@ -339,6 +340,7 @@
                    [](const Worker* a, const Worker* b) { return a->free().cpu_millis > b->free().cpu_millis; });
   workers.resize(std::min(workers.size(), kMostAskedWorkers));
   std::vector<std::string> names;
+  names.reserve(workers.size());
   for (const Worker* worker : workers) {
     names.push_back(worker->entry.id);
   }
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -34,8 +34,8 @@
 
 void Owner::ReadAll(const std::string& prefix,
                     const std::string& after,
-                    std::function<void(const StoreItem&)> take,
-                    std::function<void(uint64_t)> done) {
+                    const std::function<void(const StoreItem&)>& take,
+                    const std::function<void(uint64_t)>& done) {
   context_.store.Range(prefix, after, [this, alive = alive_, prefix, after, take, done](const StoreAnswer& answer) {
     if (!*alive) {
       return;
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -78,7 +78,7 @@
   Duration clock_{};                        // Worker's clock in its last answer.
   TimePoint clock_read_{};                  // When that answer came.
   TimePoint lease_until_{};                 // Whatever runs there is over by then.
-  Duration lists_at_{};  // Worker's clock of the newest lists that were taken.
+  Duration lists_at_{};                     // Worker's clock of the newest lists that were taken.
   bool holding_ = false;                    // A hold is under way.
   uint64_t hold_timer_ = 0;                 // Only the newest timer counts.
   int64_t processed_ = 0;                   // Ends up to this number were seen.
--- a/src/ports/event_log.cc
+++ b/src/ports/event_log.cc
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr size_t kMostAtOnce = 32 * 1024;  // Bytes of one write: pipes take that much at once.
+constexpr size_t kMostAtOnce = size_t{32} * 1024;  // Bytes of one write: pipes take that much at once.
 
 // Gathers formatted lines; full means that a line is dropped and counted.
 class BufferSink final : public spdlog::sinks::base_sink<std::mutex> {
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -138,7 +138,7 @@
 
 // --- Store ---
 
-void FakeHost::CallStore(bool changes, std::function<StoreAnswer()> apply, StorePort::Done done) {
+void FakeHost::CallStore(bool changes, const std::function<StoreAnswer()>& apply, const StorePort::Done& done) {
   const auto own = world_.store_.faults_of.find(name_);
   CallFaults faults = world_.store_.faults;
   if (own != world_.store_.faults_of.end() && !(own->second == CallFaults{})) {
@@ -167,23 +167,23 @@
 
 void FakeHost::Read(const std::string& key, StorePort::Done done) {
   CallStore(
-      false, [this, key] { return world_.store_.Read(key); }, std::move(done));
+      false, [this, key] { return world_.store_.Read(key); }, done);
 }
 
 void FakeHost::Range(const std::string& prefix, const std::string& after, StorePort::Done done) {
   CallStore(
-      false, [this, prefix, after] { return world_.store_.Range(prefix, after); }, std::move(done));
+      false, [this, prefix, after] { return world_.store_.Range(prefix, after); }, done);
 }
 
 void FakeHost::Watch(const std::string& prefix, uint64_t after, Duration wait, StorePort::Done done) {
-  PollWatch(prefix, after, world_.Now() + wait, life_, std::move(done));
+  PollWatch(prefix, after, world_.Now() + wait, life_, done);
 }
 
 void FakeHost::PollWatch(const std::string& prefix,
                          uint64_t after,
                          TimePoint until,
                          uint64_t life,
-                         StorePort::Done done) {
+                         const StorePort::Done& done) {
   CallStore(
       false,
       [this, prefix, after] {
@@ -206,22 +206,22 @@
 
 void FakeHost::Commit(const StoreTransaction& transaction, StorePort::Done done) {
   CallStore(
-      true, [this, transaction] { return world_.store_.Commit(transaction); }, std::move(done));
+      true, [this, transaction] { return world_.store_.Commit(transaction); }, done);
 }
 
 void FakeHost::GrantLease(Duration ttl, StorePort::Done done) {
   CallStore(
-      true, [this, ttl] { return world_.store_.GrantLease(ttl); }, std::move(done));
+      true, [this, ttl] { return world_.store_.GrantLease(ttl); }, done);
 }
 
 void FakeHost::KeepLease(uint64_t lease, StorePort::Done done) {
   CallStore(
-      false, [this, lease] { return world_.store_.KeepLease(lease); }, std::move(done));
+      false, [this, lease] { return world_.store_.KeepLease(lease); }, done);
 }
 
 void FakeHost::EndLease(uint64_t lease, StorePort::Done done) {
   CallStore(
-      true, [this, lease] { return world_.store_.EndLease(lease); }, std::move(done));
+      true, [this, lease] { return world_.store_.EndLease(lease); }, done);
 }
 
 // --- Workers ---
@@ -233,8 +233,8 @@
 }
 
 void FakeHost::CallWorker(const WorkerTarget& target,
-                          std::function<OrderAnswer(FakeWorker&)> apply,
-                          WorkerPort::Done done) {
+                          const std::function<OrderAnswer(FakeWorker&)>& apply,
+                          const WorkerPort::Done& done) {
   FakeWorker* worker = FindWorker(target);
   const auto answer = [this, life = life_, done](Duration delay, const OrderAnswer& told) {
     world_.In(delay, [this, life, done, told] { Deliver(life, [done, told] { done(told); }); });
@@ -267,12 +267,12 @@
 
 void FakeHost::Start(const WorkerTarget& worker, const StartOrder& order, WorkerPort::Done done) {
   CallWorker(
-      worker, [order](FakeWorker& target) { return target.Start(order); }, std::move(done));
+      worker, [order](FakeWorker& target) { return target.Start(order); }, done);
 }
 
 void FakeHost::Stop(const WorkerTarget& worker, const RunRef& run, uint64_t token, WorkerPort::Done done) {
   CallWorker(
-      worker, [run, token](FakeWorker& target) { return target.Stop(run, token); }, std::move(done));
+      worker, [run, token](FakeWorker& target) { return target.Stop(run, token); }, done);
 }
 
 void FakeHost::Hold(const WorkerTarget& worker, const HoldOrder& order, WorkerPort::Done done) {
@@ -290,7 +290,7 @@
 }
 
 // Looks again until an end is there, then takes the lists as they are at that time.
-void FakeHost::WaitForEnd(FakeWorker& worker, const HoldOrder& order, TimePoint until, WorkerPort::Done done) {
+void FakeHost::WaitForEnd(FakeWorker& worker, const HoldOrder& order, TimePoint until, const WorkerPort::Done& done) {
   world_.In(kPoll, [this, &worker, order, until, done, life = life_] {
     if (life != life_) {
       return;
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -65,10 +65,16 @@
 
   // Takes an answer to this process, or nowhere if it is dead; later if it is frozen.
   void Deliver(uint64_t life, std::function<void()> work);
-  void CallStore(bool changes, std::function<StoreAnswer()> apply, StorePort::Done done);
-  void CallWorker(const WorkerTarget& target, std::function<OrderAnswer(FakeWorker&)> apply, WorkerPort::Done done);
-  void WaitForEnd(FakeWorker& worker, const HoldOrder& order, TimePoint until, WorkerPort::Done done);
-  void PollWatch(const std::string& prefix, uint64_t after, TimePoint until, uint64_t life, StorePort::Done done);
+  void CallStore(bool changes, const std::function<StoreAnswer()>& apply, const StorePort::Done& done);
+  void CallWorker(const WorkerTarget& target,
+                  const std::function<OrderAnswer(FakeWorker&)>& apply,
+                  const WorkerPort::Done& done);
+  void WaitForEnd(FakeWorker& worker, const HoldOrder& order, TimePoint until, const WorkerPort::Done& done);
+  void PollWatch(const std::string& prefix,
+                 uint64_t after,
+                 TimePoint until,
+                 uint64_t life,
+                 const StorePort::Done& done);
   FakeWorker* FindWorker(const WorkerTarget& target) const;
 
   CellWorld& world_;
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -289,7 +289,8 @@
   return answer;
 }
 
-void FakeWorker::Finish(RunRef run, EndKind how) {
+void FakeWorker::Finish(const RunRef& ended, EndKind how) {
+  const RunRef run = ended;  // It may be the key that goes.
   const bool gang = runs_[run].gang;
   runs_.erase(run);
   int& highest = highest_[run.task];
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -114,7 +114,7 @@
 
   Duration ClockNow() const;
   TimePoint WhenClockShows(Duration clock) const;
-  void Finish(RunRef run, EndKind how);  // A copy: the key it may come from goes.
+  void Finish(const RunRef& ended, EndKind how);
   OrderAnswer Answer(OrderStatus status) const;
   void Extend(Duration deadline);
 
@@ -166,8 +166,8 @@
 
   // --- Callers ---
   using OnReply = std::function<void(const CallerReply&)>;
-  void Submit(size_t host, const JobSpec& job, const TaskBehaviour& behaviour, OnReply reply);
-  void Ask(size_t host, CallerKind kind, const std::string& queue, const std::string& job, OnReply reply);
+  void Submit(size_t index, const JobSpec& job, const TaskBehaviour& behaviour, OnReply reply);
+  void Ask(size_t index, CallerKind kind, const std::string& queue, const std::string& job, OnReply reply);
   // Submits, and tries again through other hosts until it is accepted or rejected.
   void SubmitSurely(const JobSpec& job, const TaskBehaviour& behaviour);
   bool Accepted(const std::string& job) const { return accepted_.contains(job); }
--- a/tests/cell_chaos_main.cc
+++ b/tests/cell_chaos_main.cc
@@ -43,6 +43,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<size_t>(FLAGS_jobs));
   for (int i = 0; i < FLAGS_jobs; ++i) {
     threads.emplace_back(work);
   }
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -148,9 +148,8 @@
   std::vector<CallerOutcome> outcomes(3, CallerOutcome::kDone);
   for (int i = 0; i < 3; ++i) {
     world.In(i * 100ms, [&world, &outcomes, i] {
-      world.Submit(0, JobOf(i + 1, {StepOf(1, 500)}), TaskBehaviour{}, [&outcomes, i](const CallerReply& reply) {
-        outcomes[static_cast<size_t>(i)] = reply.outcome;
-      });
+      world.Submit(0, JobOf(i + 1, {StepOf(1, 500)}), TaskBehaviour{},
+                   [&outcomes, i](const CallerReply& reply) { outcomes[static_cast<size_t>(i)] = reply.outcome; });
     });
   }
   world.RunFor(1s);
