Workers that fail what others run, or on which tasks stand still, are kept out

Load pattern: a worker that fails at once is always free and draws ever more work; one on which tasks hang holds them for good. Change: Quarantine, as the project's own interface has it; a task that does not move for 1.5 s is taken off. Tests: tasks that stand still are taken off their worker; a worker that fails all it starts is kept out.

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -54,6 +54,8 @@
     return;
   }
   WithdrawUnsent();
+  quarantine_.Resize(workers_.workers().size());
+  quarantine_.Judge(context_.Now());
   for (const auto& [id, job] : jobs_) {
     BeginDueOccurrences(*job);
   }
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -25,6 +25,7 @@
 #include "cell/messages.h"
 #include "cell/placement_policy.h"
 #include "cell/worker_table.h"
+#include "hibiscusstand/quarantine.h"
 
 namespace hibiscus::cell {
 
@@ -167,6 +168,8 @@
   void TaskFailed(StepRun& step, int index, int run);
   void GangDone(StepRun& step, int run);
   void GangFailed(StepRun& step, int run);
+  void JudgeProgress(StepRun& step, int index, Worker& worker, int percent);
+  void JudgeWorker(const Worker& worker, const StepRun& step, EndKind how);
   void TakeCheckpoint(StepRun& step, int index, const std::string& checkpoint);
   bool Adopt(StepRun& step, int index, Worker& worker, const RunRef& run);
   Resources SizeOf(const StepRun& step) const;
@@ -187,6 +190,7 @@
   void SetQueue(Job& job, const QueueSpec& queue);
   void PlaceSingles(StepRun& step);
   void PlaceGang(StepRun& step);
+  void TryProbe(StepRun& step);
   void StartTask(StepRun& step, int index, Worker& worker);
   std::vector<Worker*> EligibleFor(const StepRun& step);
   bool IsEligible(const StepRun& step, const Worker& worker) const;
@@ -208,6 +212,7 @@
   std::function<void()> deposed_;
   WorkerTable workers_;
   AdviceDesk advice_;
+  Quarantine quarantine_;  // Workers that fail, or keep standing still, what others run.
   GroupCommit commit_;
 
   bool loaded_ = false;
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -175,9 +175,10 @@
   std::vector<Worker*> without_ticket;
   const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
   const bool advised = step.job->queue.advice.has_value();
+  TryProbe(step);
   for (Worker* worker : usable_) {
     const bool refused = advised && step.advice.For(worker->number).word == StepAdvice::Word::kRefused;
-    if (refused || !need.size.FitsIn(worker->free()) || IsKeptByOther(step, *worker) || !IsEligible(step, *worker)) {
+    if (refused || quarantine_.IsQuarantined(worker->entry.id) || !need.size.FitsIn(worker->free()) || IsKeptByOther(step, *worker) || !IsEligible(step, *worker)) {
       continue;
     }
     RoomView view = ViewOf(step, *worker);
@@ -208,6 +209,22 @@
   }
 }
 
+// One task goes to a quarantined worker whose time has come, to see whether it does its work again.
+void Owner::TryProbe(StepRun& step) {
+  for (const std::string& id : quarantine_.quarantined()) {
+    Worker* worker = workers_.Find(id);
+    const bool fits = worker != nullptr && worker->UsableAt(context_.Now()) && IsEligible(step, *worker) &&
+                      HasTicket(step, *worker) && SizeOf(step).FitsIn(worker->free());
+    if (fits && quarantine_.TakeProbe(id, context_.Now())) {
+      const auto waits = std::find_if(step.tasks.begin(), step.tasks.end(),
+                                      [](const TaskState& task) { return task.phase == TaskPhase::kWaiting; });
+      context_.Log("worker", "event=probe worker={} job={} step={}", id, step.job->id(), step.step);
+      StartTask(step, static_cast<int>(waits - step.tasks.begin()), *worker);
+      return;
+    }
+  }
+}
+
 // Some workers have room, but their tickets are over or they were never asked about.
 void Owner::AskAgain(StepRun& step, const std::vector<Worker*>& workers) {
   const size_t most = static_cast<size_t>(step.waiting) + kSpareAsked;
@@ -232,6 +249,9 @@
   std::vector<RoomView> views;
   for (Worker* worker : eligible) {
     const StepAdvice::Word word = step.advice.For(worker->number).word;
+    if (quarantine_.IsQuarantined(worker->entry.id)) {
+      continue;
+    }
     if (advised && word == StepAdvice::Word::kNotAsked) {
       never_asked.push_back(worker);
     } else if ((!advised || word == StepAdvice::Word::kAllowed) && !IsKeptByOther(step, *worker)) {
@@ -315,6 +335,8 @@
   task.phase = TaskPhase::kPlaced;
   task.worker = worker.entry.id;
   task.placed_at = context_.Now();
+  task.moved_at = task.placed_at;
+  task.percent = 0;
   task.stopping = false;
   --step.waiting;
   ++step.on_worker[worker.entry.id];
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -6,6 +6,12 @@
 
 namespace hibiscus::cell {
 
+namespace {
+
+constexpr Duration kStandstill = 1500ms;  // Several looks at a worker: even a slow task moves by a percent meanwhile.
+
+}  // namespace
+
 // --- Finding ---
 
 StepRun* Owner::FindStep(const TaskRef& task) {
@@ -52,6 +58,47 @@
   const TaskState* task = FindTask(row.run.task, &step);
   if (task != nullptr && IsCurrent(*task, worker, row.run)) {
     TakeCheckpoint(*step, row.run.task.index, row.checkpoint);
+    JudgeProgress(*step, row.run.task.index, worker, row.percent);
+  }
+}
+
+// A task that does not move while its worker answers is taken off it: it would stand there for good.
+void Owner::JudgeProgress(StepRun& step, int index, Worker& worker, int percent) {
+  TaskState& task = step.tasks[static_cast<size_t>(index)];
+  const TimePoint now = context_.Now();
+  if (percent > task.percent || task.moved_at < task.placed_at) {
+    task.moved_at = percent > task.percent ? now : std::max(task.moved_at, task.placed_at);
+    task.percent = percent;
+    return;
+  }
+  const Duration patience = kStandstill + (step.spec->gang ? context_.settings.gang_patience : Duration(0));
+  if (step.spec->long_running || task.stopping || now - task.moved_at < patience) {
+    return;
+  }
+  context_.counters.Add("runs_stood_still");
+  context_.Log("run", "event=stands_still worker={} job={} step={} index={} run={} percent={} for_ms={}",
+               worker.entry.id, step.job->id(), step.step, index, task.run, percent, Millis(now - task.moved_at));
+  JudgeWorker(worker, step, EndKind::kFailed);
+  if (step.spec->gang) {
+    EndGang(step);
+    return;
+  }
+  task.stopping = true;
+  workers_.Stop(worker, RunRef{step.RefOf(index), task.run});
+}
+
+void Owner::JudgeWorker(const Worker& worker, const StepRun& step, EndKind how) {
+  const bool was = quarantine_.IsQuarantined(worker.entry.id);
+  if (how == EndKind::kDone) {
+    quarantine_.Succeeded(worker.entry.id, step.job->queue.name, context_.Now());
+  } else if (how == EndKind::kFailed) {
+    quarantine_.Failed(worker.entry.id, step.job->queue.name, step.job->id(), context_.Now());
+  }
+  const bool is = quarantine_.IsQuarantined(worker.entry.id);
+  if (is != was) {
+    const QuarantineState state = quarantine_.StateOf(worker.entry.id, context_.Now());
+    context_.Log("worker", "event={} worker={} failures={} probe_in_ms={}", is ? "quarantined" : "released",
+                 worker.entry.id, state.failures, Millis(state.probe_in));
   }
 }
 
@@ -92,6 +139,8 @@
   task.run = run.run;
   task.worker = worker.entry.id;
   task.placed_at = context_.Now();
+  task.moved_at = context_.Now();
+  task.percent = 0;
   step.gang_run = step.spec->gang ? run.run : step.gang_run;
   --step.waiting;
   ++step.on_worker[worker.entry.id];
@@ -112,6 +161,7 @@
   }
   const int index = row.run.task.index;
   step->job->started = true;
+  JudgeWorker(worker, *step, row.how);
   if (row.how == EndKind::kDone) {
     if (step->spec->gang) {
       GangDone(*step, row.run.run);
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -238,6 +238,15 @@
     run.how = order.run.run % 1000 <= behaviour.fails ? EndKind::kFailed : EndKind::kDone;
     const Duration takes = step.long_running ? kLongestRun : behaviour.takes;
     run.ends_at = world_.Now() + Duration(static_cast<int64_t>(static_cast<double>(takes.count()) / speed));
+    run.began = world_.Now();
+    if (fails_all && !run.gang) {
+      run.how = EndKind::kFailed;
+      run.ends_at = world_.Now() + 5ms;
+    }
+    if (hangs && !run.gang) {
+      run.hangs = true;
+      run.ends_at = world_.Now() + kLongestRun;
+    }
     if (run.gang) {
       run.ends_at = TimePoint::max();
       run.alone_at = world_.Now() + kGangPatience;
@@ -267,6 +276,14 @@
   return Answer(OrderStatus::kOk);
 }
 
+int FakeWorker::PercentOf(const Run& run) const {
+  if (run.hangs || run.ends_at == TimePoint::max()) {
+    return 0;
+  }
+  const double whole = static_cast<double>((run.ends_at - run.began).count());
+  return static_cast<int>(100 * static_cast<double>((world_.Now() - run.began).count()) / std::max(1.0, whole));
+}
+
 OrderAnswer FakeWorker::Hold(const HoldOrder& order) {
   Advance();
   if (order.token < token_) {
@@ -282,7 +299,7 @@
   ended_.erase(ended_.begin(), first_kept);
   OrderAnswer answer = Answer(OrderStatus::kOk);
   for (const auto& [run, state] : runs_) {
-    answer.running.push_back(RunningRow{run, "", 0});
+    answer.running.push_back(RunningRow{run, "", PercentOf(state)});
   }
   answer.ended.assign(ended_.begin(),
                       ended_.begin() + static_cast<std::ptrdiff_t>(std::min(ended_.size(), kMostEndedRows)));
@@ -650,6 +667,7 @@
   for (FakeWorker* each : gang.workers) {
     for (auto& [member, state] : each->runs_) {
       if (member.task.job == run.task.job && member.task.step == run.task.step && member.run == run.run) {
+        state.began = Now();
         state.ends_at = Now() + behaviour.takes;
       }
     }
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -95,6 +95,8 @@
   bool up = true;
   double speed = 1;
   double clock_rate = 1;  // Of its own clock.
+  bool hangs = false;     // What it starts stands still.
+  bool fails_all = false;  // What it starts fails at once.
   CallFaults faults;
   int runs_over_room = 0;
 
@@ -107,6 +109,8 @@
     EndKind how = EndKind::kDone;
     bool gang = false;
     TimePoint alone_at{};
+    TimePoint began{};
+    bool hangs = false;
     bool stopping = false;
   };
 
@@ -122,6 +126,8 @@
   TimePoint clock_base_{};
   uint64_t token_ = 0;
   Duration hold_until_{};  // On its own clock.
+  int PercentOf(const Run& run) const;
+
   std::map<RunRef, Run> runs_;
   std::map<TaskRef, int> highest_;  // Run that was stopped or ended here.
   std::vector<EndedRow> ended_;
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -161,6 +161,39 @@
   CHECK(world.starts() == 1);
 }
 
+TEST_CASE("tasks that stand still are taken off their worker, and it gets no more") {
+  CellWorld world(21, 3, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.worker(0).hangs = true;
+  for (int i = 1; i <= 80; ++i) {
+    world.In(i * 50ms, [&world, i] { world.SubmitSurely(JobOf(i, {StepOf(3, 1000)}), TaskBehaviour{400ms, 0}); });
+  }
+  world.RunFor(12s);
+  for (int i = 1; i <= 80; ++i) {
+    CHECK(world.StateOf("plain", JobId(i)) == JobState::kCompleted);
+  }
+  CHECK(world.violations().empty());
+}
+
+// A worker that fails at once is always free, so that it would draw ever more work.
+TEST_CASE("a worker that fails all it starts is kept out, and jobs do not use up their attempts on it") {
+  CellWorld world(22, 3, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.worker(2).fails_all = true;
+  for (int i = 1; i <= 100; ++i) {
+    world.In(i * 40ms, [&world, i] { world.SubmitSurely(JobOf(i, {StepOf(2, 2000)}), TaskBehaviour{600ms, 0}); });
+  }
+  world.RunFor(10s);
+  int failed = 0;
+  for (int i = 1; i <= 100; ++i) {
+    failed += world.StateOf("plain", JobId(i)) == JobState::kCompleted ? 0 : 1;
+  }
+  CHECK(failed <= 2);  // Until it is noticed, a job may meet it with all its attempts.
+  CHECK(world.violations().empty());
+}
+
 TEST_CASE("tasks of a dead worker are started elsewhere once its hold is surely over") {
   CellWorld world(16, 3, 4);
   AddQueues(world);
