A job outlives its queue: the log keeps the queue as it was; latency histograms on the metrics address

Cause: a queue that the configuration drops left jobs of an earlier owner without a service to run on. Test: a job outlives its queue and its owner (fails before).

--- a/src/cell/advice_desk.cc
+++ b/src/cell/advice_desk.cc
@@ -56,7 +56,7 @@
   asker->second.busy_until = free_at;
   const Duration timeout = free_at - now + kPatience;
   const uint64_t call = ++last_call_;
-  questions_[call] = Question{asker->first, std::move(done)};
+  questions_[call] = Question{asker->first, std::move(done), now};
   context_.counters.Add("advice_questions");
   if (asker->second.self) {
     context_.advice.Ask(step, workers, timeout, [this, alive = alive_, call](const AdviceAnswer& answer) {
@@ -92,6 +92,8 @@
     return;  // Given up on before.
   }
   const Done done = std::move(question->second.done);
+  context_.counters.Measure("advice_seconds", answer.answered ? "answered" : "unanswered",
+                            context_.Now() - question->second.asked);
   questions_.erase(question);
   done(answer);
 }
--- a/src/cell/advice_desk.h
+++ b/src/cell/advice_desk.h
@@ -41,6 +41,7 @@
   struct Question {
     std::string asker;
     Done done;
+    TimePoint asked{};
   };
 
   std::map<std::string, Asker>::const_iterator SoonestFree() const;
--- a/src/cell/context.h
+++ b/src/cell/context.h
@@ -3,6 +3,7 @@
 #define HIBISCUSSTAND_SRC_CELL_CONTEXT_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -36,6 +37,14 @@
   void Set(const std::string& name, double to) { values_[name] = to; }
   const std::map<std::string, double>& values() const { return values_; }
 
+  // Takes each duration that was measured, with the name of its histogram and its class (a queue, a kind of call).
+  std::function<void(const char* name, const std::string& of, Duration value)> on_duration;
+  void Measure(const char* name, const std::string& of, Duration value) const {
+    if (on_duration) {
+      on_duration(name, of, value);
+    }
+  }
+
  private:
   std::map<std::string, double> values_;
 };
--- a/src/cell/group_commit.cc
+++ b/src/cell/group_commit.cc
@@ -144,7 +144,7 @@
   head_revision_ = revision;
   in_flight_ = false;
   outstanding_ = 0;
-  context_.counters.Add("store_commit_seconds", std::chrono::duration<double>(took).count());
+  context_.counters.Measure("commit_seconds", "batch", took);
   const Batch batch = std::exchange(batch_, Batch{});
   const std::shared_ptr<bool> alive = alive_;
   if (batch.stands) {
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -26,8 +26,8 @@
   std::string worker;         // Where it is placed.
   std::string checkpoint;
   TimePoint placed_at{};
-  int percent = 0;         // How far it is, as its worker said last.
-  TimePoint moved_at{};    // When that last changed.
+  int percent = 0;        // How far it is, as its worker said last.
+  TimePoint moved_at{};   // When that last changed.
   bool stopping = false;  // Placed, and told to stop.
 
   friend bool operator==(const TaskState&, const TaskState&) = default;
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -39,6 +39,7 @@
 
 void Owner::Begin() {
   context_.Log("owner", "event=takeover epoch={} term={}", ownership_.epoch, ownership_.term);
+  began_ = context_.Now();
   ReadJobs();
   Tick();
 }
@@ -173,7 +174,7 @@
 void Owner::AcceptJob(JobSpec spec, const QueueSpec& queue, std::function<void()> accepted) {
   auto fresh = std::make_unique<Job>();
   Job& job = *fresh;
-  job.record = JobRecord{ownership_.epoch, context_.wall.NowMs(), std::move(spec)};
+  job.record = JobRecord{ownership_.epoch, context_.wall.NowMs(), std::move(spec), queue};
   SetQueue(job, queue);
   job.accepted_at = context_.Now();
   jobs_[job.id()] = std::move(fresh);
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -215,6 +215,7 @@
   Quarantine quarantine_;  // Workers that fail, or keep standing still, what others run.
   GroupCommit commit_;
 
+  TimePoint began_{};
   bool loaded_ = false;
   bool closing_ = false;
   bool deposed_once_ = false;
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -178,7 +178,8 @@
   TryProbe(step);
   for (Worker* worker : usable_) {
     const bool refused = advised && step.advice.For(worker->number).word == StepAdvice::Word::kRefused;
-    if (refused || quarantine_.IsQuarantined(worker->entry.id) || !need.size.FitsIn(worker->free()) || IsKeptByOther(step, *worker) || !IsEligible(step, *worker)) {
+    if (refused || quarantine_.IsQuarantined(worker->entry.id) || !need.size.FitsIn(worker->free()) ||
+        IsKeptByOther(step, *worker) || !IsEligible(step, *worker)) {
       continue;
     }
     RoomView view = ViewOf(step, *worker);
@@ -348,6 +349,7 @@
   context_.Log("run", "event=start worker={} job={} queue={} step={} index={} run={} waited_ms={} free_cpu={}",
                worker.entry.id, step.job->id(), step.job->queue.name, step.step, index, task.run,
                Millis(context_.Now() - step.opened_at), worker.free().cpu_millis);
+  context_.counters.Measure("wait_seconds", step.job->queue.name, context_.Now() - step.opened_at);
   workers_.Start(worker, std::move(order), SizeOf(step));
 }
 
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -412,8 +412,7 @@
   job.final_state = state;
   context_.counters.Add(fmt::format("jobs_ended{{queue=\"{}\",state=\"{}\"}}", job.queue.name, NameOf(state)));
   const Duration age = context_.Now() - job.accepted_at;
-  context_.counters.Add(fmt::format("job_seconds{{queue=\"{}\",state=\"{}\"}}", job.queue.name, NameOf(state)),
-                        std::chrono::duration<double>(age).count());
+  context_.counters.Measure("job_seconds", job.queue.name, age);
   context_.Log("job", "event=job_ended state={} job={} queue={} age_ms={} objective_ms={}", NameOf(state), job.id(),
                job.queue.name, Millis(age), Millis(job.objective));
   for (auto& [number, occurrence] : job.occurrences) {
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -129,6 +129,7 @@
   RestoreJobs();
   context_.Log("owner", "event=loaded epoch={} jobs={} ended={} workers={} roster={}", ownership_.epoch, jobs_.size(),
                ended_.size(), loading_.workers.size(), loading_.roster.size());
+  context_.counters.Measure("takeover_seconds", "load", context_.Now() - began_);
   loading_ = Loading{};
   loaded_ = true;
   WatchWorkers();
@@ -149,9 +150,7 @@
     Job& job = *fresh;
     job.record = std::move(loaded.record);
     const QueueSpec* queue = configuration_.FindQueue(job.record.spec.queue);
-    QueueSpec unknown;
-    unknown.name = job.record.spec.queue;
-    SetQueue(job, queue == nullptr ? unknown : *queue);
+    SetQueue(job, queue == nullptr ? job.record.queue : *queue);
     const int64_t age_ms = std::clamp<int64_t>(now_ms - job.record.accepted_at_ms, 0, Millis(1h));
     job.accepted_at = context_.Now() - std::chrono::milliseconds(age_ms);
     job.spec_stored = true;
@@ -430,6 +429,9 @@
     job->in_batch = false;
     const bool first = !job->spec_stored;
     job->spec_stored = true;
+    if (first) {
+      context_.counters.Measure("accept_seconds", job->queue.name, context_.Now() - job->accepted_at);
+    }
     if (first && !job->final) {
       OpenSteps(*job);
     }
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -48,7 +48,16 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, JobRecord> {
-  return std::tie(self.epoch, self.accepted_at_ms, self.spec);
+  return std::tie(self.epoch, self.accepted_at_ms, self.spec, self.queue);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, AdviceSpec> {
+  return std::tie(self.base, self.per_worker, self.valid);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, QueueSpec> {
+  return std::tie(self.name, self.host, self.prefix, self.service, self.timeout, self.target_latency, self.priority,
+                  self.max_attempts, self.stretch, self.advice);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StepProgress> {
@@ -131,6 +140,16 @@
   return array;
 }
 
+// None is an empty list.
+template <class Value>
+nlohmann::json ToJson(const std::optional<Value>& value) {
+  nlohmann::json array = nlohmann::json::array();
+  if (value) {
+    array.push_back(ToJson(*value));
+  }
+  return array;
+}
+
 template <class Value>
 nlohmann::json ToJson(const Value& value) {
   if constexpr (HasFields<const Value>) {
@@ -167,6 +186,14 @@
   }
 }
 
+template <class Value>
+void FromJson(const nlohmann::json& json, std::optional<Value>& value) {
+  value.reset();
+  if (!json.empty()) {
+    FromJson(json.at(0), value.emplace());
+  }
+}
+
 template <class Value>
 void FromJson(const nlohmann::json& json, Value& value) {
   if constexpr (HasFields<Value>) {
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -73,6 +73,7 @@
   uint64_t epoch = 0;          // Of the owner that accepted it.
   int64_t accepted_at_ms = 0;  // Milliseconds since 1970.
   JobSpec spec;
+  QueueSpec queue;  // As it was then: the configuration may drop it before the job ends.
 
   friend bool operator==(const JobRecord&, const JobRecord&) = default;
 };
--- a/src/daemon/cell_daemon.cc
+++ b/src/daemon/cell_daemon.cc
@@ -31,6 +31,9 @@
           settings.cell.advice_address),
       context_{settings.cell, clock_, wall_,      timers_, store_,    workers_,
                advice_,       peers_, directory_, log_,    counters_, std::mt19937_64(settings.cell.incarnation)} {
+  counters_.on_duration = [this](const char* name, const std::string& of, Duration value) {
+    durations_[name][of].Add(value);
+  };
   host_ = std::make_unique<cell::Host>(
       context_, [this](const cell::CellConfiguration& configuration) { ingress_->OnConfiguration(configuration); });
   ingress_ = std::make_unique<platform::Ingress>(
@@ -137,6 +140,12 @@
   for (const auto& [name, value] : counters_.values()) {
     text += fmt::format("hibiscus_{} {}\n", name, value);
   }
+  for (const auto& [name, classes] : durations_) {
+    text += fmt::format("# TYPE hibiscus_{} histogram\n", name);
+    for (const auto& [of, histogram] : classes) {
+      RenderHistogram(text, "hibiscus_" + name, fmt::format("class=\"{}\"", of), histogram);
+    }
+  }
   return text;
 }
 
--- a/src/daemon/cell_daemon.h
+++ b/src/daemon/cell_daemon.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "cell/host.h"
+#include "daemon/metrics.h"
 #include "daemon/task_loop.h"
 #include "platform/ingress.h"
 #include "platform/store_client.h"
@@ -71,6 +72,7 @@
   cell::Timers timers_{clock_};
   EventLog log_;
   cell::Counters counters_;
+  std::map<std::string, std::map<std::string, Histogram>> durations_;  // By name and class. Control thread only.
   Peers peers_;
   std::unique_ptr<ByteLink> link_;
   TaskLoop loop_;
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -189,8 +189,20 @@
   return text;
 }
 
-void Metrics::RenderHistograms(std::string& text, const char* name, Histogram Series::*part) const {
+void RenderHistogram(std::string& text,
+                     const std::string& name,
+                     const std::string& labels,
+                     const Histogram& histogram) {
   const std::vector<double>& bounds = Histogram::BoundsSeconds();
+  for (size_t i = 0; i < bounds.size(); ++i) {
+    text += fmt::format("{}_bucket{{{},le=\"{}\"}} {}\n", name, labels, bounds[i], histogram.CountUpTo(i));
+  }
+  text += fmt::format("{}_bucket{{{},le=\"+Inf\"}} {}\n", name, labels, histogram.count());
+  text += fmt::format("{}_sum{{{}}} {}\n", name, labels, histogram.sum_seconds());
+  text += fmt::format("{}_count{{{}}} {}\n", name, labels, histogram.count());
+}
+
+void Metrics::RenderHistograms(std::string& text, const char* name, Histogram Series::*part) const {
   text += fmt::format("# TYPE {} histogram\n", name);
   for (const auto& [key, series] : series_) {
     const Histogram& histogram = series.*part;
@@ -198,12 +210,7 @@
       continue;
     }
     const std::string labels = fmt::format("tenant=\"{}\",class=\"{}\"", Escape(key.tenant), Escape(key.class_name));
-    for (size_t i = 0; i < bounds.size(); ++i) {
-      text += fmt::format("{}_bucket{{{},le=\"{}\"}} {}\n", name, labels, bounds[i], histogram.CountUpTo(i));
-    }
-    text += fmt::format("{}_bucket{{{},le=\"+Inf\"}} {}\n", name, labels, histogram.count());
-    text += fmt::format("{}_sum{{{}}} {}\n", name, labels, histogram.sum_seconds());
-    text += fmt::format("{}_count{{{}}} {}\n", name, labels, histogram.count());
+    RenderHistogram(text, name, labels, histogram);
   }
 }
 
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -37,6 +37,9 @@
   std::unique_ptr<State> state_;
 };
 
+// One histogram as Prometheus reads it; `labels` are key="value" words, at least one.
+void RenderHistogram(std::string& text, const std::string& name, const std::string& labels, const Histogram& histogram);
+
 // Names of the kinds of message between hosts, in the order of PeerMessage.
 std::string_view KindOf(const PeerMessage& message);
 
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -313,8 +313,7 @@
                    const std::vector<std::string>& workers,
                    Duration timeout,
                    AdvicePort::Done done) {
-  const JobSpec* spec = world_.SpecOf(step.job);
-  const QueueSpec* queue = spec == nullptr ? nullptr : world_.configuration.FindQueue(spec->queue);
+  const QueueSpec* queue = world_.QueueOf(step.job);
   if (queue == nullptr || !queue->advice) {
     world_.In(timeout, [this, life = life_, done] { Deliver(life, [done] { done(AdviceAnswer{}); }); });
     return;
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -221,7 +221,7 @@
     return Answer(OrderStatus::kStale);
   }
   const JobSpec* spec = world_.SpecOf(order.run.task.job);
-  const QueueSpec* queue = spec == nullptr ? nullptr : world_.configuration.FindQueue(spec->queue);
+  const QueueSpec* queue = world_.QueueOf(order.run.task.job);
   if (queue != nullptr && queue->advice) {
     const Duration until(order.ticket.empty() ? 0 : std::stoll(order.ticket));
     if (world_.Now().time_since_epoch() > until) {
@@ -511,6 +511,9 @@
 void CellWorld::Submit(size_t index, const JobSpec& job, const TaskBehaviour& behaviour, OnReply reply) {
   submitted_[job.id] = job;
   behaviours_[job.id] = behaviour;
+  if (const QueueSpec* queue = configuration.FindQueue(job.queue); queue != nullptr) {
+    queues_.emplace(job.id, *queue);
+  }
   CallerRequest request;
   request.kind = CallerKind::kSubmit;
   request.queue = job.queue;
@@ -569,6 +572,11 @@
   return found == submitted_.end() ? nullptr : &found->second;
 }
 
+const QueueSpec* CellWorld::QueueOf(const std::string& job) const {
+  const auto found = queues_.find(job);
+  return found == queues_.end() ? nullptr : &found->second;
+}
+
 TaskBehaviour CellWorld::BehaviourOf(const std::string& job) const {
   return behaviours_.at(job);
 }
@@ -602,7 +610,7 @@
       }
     }
   }
-  const QueueSpec* queue = configuration.FindQueue(spec->queue);
+  const QueueSpec* queue = QueueOf(task.job);
   const TaskRef counted{task.job, task.occurrence, task.step, step.gang ? 0 : task.index};
   if (queue != nullptr && !step.long_running && failed_runs_[counted] >= queue->max_attempts) {
     Violate("started after the last attempt: " + name);
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -94,8 +94,8 @@
   WorkerEntry entry;
   bool up = true;
   double speed = 1;
-  double clock_rate = 1;  // Of its own clock.
-  bool hangs = false;     // What it starts stands still.
+  double clock_rate = 1;   // Of its own clock.
+  bool hangs = false;      // What it starts stands still.
   bool fails_all = false;  // What it starts fails at once.
   CallFaults faults;
   int runs_over_room = 0;
@@ -220,6 +220,8 @@
   void OnRunEnded(FakeWorker& worker, const RunRef& run, EndKind how);
   void OnEndsNoted(const std::vector<EndedRow>& ends);
   const JobSpec* SpecOf(const std::string& job) const;
+  // The job's queue as it was when the job was handed in.
+  const QueueSpec* QueueOf(const std::string& job) const;
   TaskBehaviour BehaviourOf(const std::string& job) const;
   void GangMemberArrived(FakeWorker& worker, const RunRef& run);
   void GangMemberEnded(const RunRef& run, EndKind how);
@@ -233,6 +235,7 @@
 
   std::map<std::string, JobSpec> submitted_;
   std::map<std::string, TaskBehaviour> behaviours_;
+  std::map<std::string, QueueSpec> queues_;  // By job.
   std::set<std::string> accepted_;
   std::map<TaskRef, std::set<std::pair<std::string, int>>> running_;  // Worker and run.
   std::map<TaskRef, int> done_;                                       // Times ended as done.
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -194,6 +194,28 @@
   CHECK(world.violations().empty());
 }
 
+TEST_CASE("a job outlives its queue and its owner") {
+  CellWorld world(23, 3, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const JobSpec job = JobOf(1, {StepOf(1, 1000), StepOf(1, 1000)}, "advised");
+  JobSpec chained = job;
+  chained.steps[1].after = {0};
+  world.SubmitSurely(chained, TaskBehaviour{2s, 0});
+  world.RunFor(500ms);
+  REQUIRE(world.Accepted(job.id));
+  const QueueSpec dropped = world.configuration.queues[1];
+  world.configuration.queues.erase(world.configuration.queues.begin() + 1);
+  world.Configure();
+  world.RunFor(300ms);
+  world.Kill(*world.OwnerIndex());
+  world.RunFor(6s);
+  CHECK(world.TimesDone(TaskRef{job.id, 0, 1, 0}) == 1);
+  world.configuration.queues.push_back(dropped);
+  world.Configure();
+  CHECK(world.StateOf("advised", job.id) == JobState::kCompleted);
+}
+
 TEST_CASE("tasks of a dead worker are started elsewhere once its hold is surely over") {
   CellWorld world(16, 3, 4);
   AddQueues(world);
--- a/tests/cell_parts_test.cc
+++ b/tests/cell_parts_test.cc
@@ -28,7 +28,11 @@
 }
 
 TEST_CASE("records come back as they were") {
-  const JobRecord job{3, 1'700'000'000'000, RichJob()};
+  QueueSpec queue;
+  queue.name = "q";
+  queue.stretch = 2.25;
+  queue.advice = AdviceSpec{6500us, 93us, 1500ms};
+  const JobRecord job{3, 1'700'000'000'000, RichJob(), queue};
   CHECK(DecodeRecord<JobRecord>(EncodeRecord(job)) == job);
   ProgressRecord progress;
   progress.occurrences_done = 2;
