--- a/src/core/worker_queue.cc
+++ b/src/core/worker_queue.cc
@@ -92,8 +92,7 @@
     return true;
   }
   const RequestKey& key = reserve.run.task.key;
-  const int64_t members =
-      1 + std::ranges::distance(OfRequest(held_by_, key)) + std::ranges::distance(OfRequest(queued_, key));
+  const int64_t members = 1 + OfRequest(held_by_, key).size() + OfRequest(queued_, key).size();
   return members <= rooms_.MostOf(reserve.size);
 }
 
--- a/src/core/worker_role.h
+++ b/src/core/worker_role.h
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <map>
-#include <ranges>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -20,12 +20,23 @@
 
 namespace hibiscus {
 
+// Neighbouring entries of a map.
+template <class Iterator>
+struct EntryRange {
+  Iterator first;
+  Iterator last;
+
+  Iterator begin() const { return first; }
+  Iterator end() const { return last; }
+  int64_t size() const { return std::distance(first, last); }
+};
+
 // The entries of one request, which stand side by side.
 template <class Value>
 auto OfRequest(const std::map<RunId, Value>& by_run, const RequestKey& key) {
-  const auto first = by_run.lower_bound(RunId{TaskId{key, 0}, 0});
-  const auto last = std::find_if(first, by_run.end(), [&](const auto& entry) { return entry.first.task.key != key; });
-  return std::ranges::subrange(first, last);
+  auto first = by_run.lower_bound(RunId{TaskId{key, 0}, 0});
+  auto last = std::find_if(first, by_run.end(), [&](const auto& entry) { return entry.first.task.key != key; });
+  return EntryRange<decltype(first)>{first, last};
 }
 
 // A run on a worker of ours.
