An owner that alone is turned away by the store hands over before its lease ends

Change: after 600 ms without a confirmed batch it offers the cell; a host whose own watch of the store is healthy claims it on the condition of the record's revision. Safety is as before: head and tokens.

--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -14,6 +14,7 @@
 constexpr Duration kLookAgain = 50ms;     // While no owner is known.
 constexpr Duration kAfterUnsure = 150ms;  // Before a request is put to the next owner.
 constexpr Duration kPingAfter = 800ms;    // Without a word from the owner.
+constexpr Duration kHandOverAfter = 600ms;  // Several copies of a batch have had no answer by then.
 constexpr Duration kLostAfter = 2500ms;   // Without a word, callers are sent to other hosts; longer than a takeover.
 constexpr Duration kComeBack = 1s;        // Retry-After while there is no owner.
 
@@ -55,6 +56,7 @@
   context_.timers.In(kTick, Guarded([this] { Tick(); }));
   if (owner_ != nullptr) {
     Heard();
+    OfferIfStalled();
     return;
   }
   if (context_.Now() - heard_owner_ > kPingAfter) {
@@ -73,6 +75,26 @@
   ConsiderClaim();
 }
 
+// Alone turned away by the store: others may reach it. If nobody does, nothing is lost by the offer.
+void Host::OfferIfStalled() {
+  if (owner_->store_stalled_for() < kHandOverAfter) {
+    return;
+  }
+  for (const auto& [key, host] : hosts_) {
+    if (host.address != context_.settings.peer_address) {
+      Send(host.address, HandOver{known_.term});
+    }
+  }
+}
+
+void Host::OnHandOver(const HandOver& word) {
+  if (owner_ != nullptr || word.term != known_.term || !live_watch_.healthy() || context_.Now() < no_claim_until_) {
+    return;
+  }
+  known_.handed_over = true;
+  ConsiderClaim();
+}
+
 bool Host::ready() const {
   const bool in_contact = owner_ != nullptr || context_.Now() - heard_owner_ < kLostAfter;
   return configuration_.version > 0 && !leaving_ && in_contact;
@@ -203,6 +225,7 @@
                  },
                  [&](const Ping& ping) { OnPing(ping); },
                  [&](const OwnerNews& news) { OnOwnerNews(news); },
+                 [&](const HandOver& word) { OnHandOver(word); },
              },
              *message);
 }
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -53,6 +53,7 @@
   struct KnownOwner {
     uint64_t term = 0;  // Revision of the record. 0: none was ever seen.
     bool present = false;
+    bool handed_over = false;  // It said that it no longer reaches the store.
     OwnerRecord record;
   };
   // What a claim needs before it goes out.
@@ -81,6 +82,8 @@
   void OnAdviceRequest(const AdviceRequest& request);
   void OnOwnerNews(const OwnerNews& news);
   void OnPing(const Ping& ping);
+  void OnHandOver(const HandOver& word);
+  void OfferIfStalled();
   void Send(const std::string& address, const Message& message);
   void Heard() { heard_owner_ = context_.Now(); }
   void Tick();
@@ -130,6 +133,7 @@
   TimePoint heard_owner_{};  // Last word from it.
   bool claiming_ = false;
   uint64_t claim_number_ = 0;
+  TimePoint no_claim_until_{};  // After one that failed at the store.
   ClaimParts claim_;
   std::unique_ptr<Owner> owner_;
   uint64_t owner_lease_ = 0;
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -15,6 +15,7 @@
 constexpr Duration kLongestRank = 300ms;     // Hosts far from the store claim so much later.
 constexpr Duration kClaimJitter = 20ms;      // Between hosts that are equally near.
 constexpr Duration kClaimAgain = 200ms;      // After a claim that came to nothing.
+constexpr Duration kOfferIgnored = 1s;         // After a failed claim, offers of an owner that still holds the record.
 constexpr Duration kReleaseWithin = 1500ms;  // A planned stop waits so long for the last batch.
 constexpr int kMostConflicts = 4;            // A claim is tried again so often while only the head has moved.
 constexpr int kRankFactor = 3;               // Round trips to the store that a claim waits.
@@ -30,7 +31,7 @@
 bool Host::IsFree() const {
   const OwnerRecord& record = known_.record;
   const bool by_earlier_process = record.host == context_.settings.name && record.incarnation != 0 && !IsOwn(record);
-  return !known_.present || record.released || by_earlier_process;
+  return !known_.present || known_.handed_over || record.released || by_earlier_process;
 }
 
 bool Host::IsOwn(const OwnerRecord& record) const {
@@ -127,7 +128,7 @@
     return;  // Older than what another host said.
   }
   const bool news = term > known_.term || present != known_.present;
-  known_ = KnownOwner{term, present, record};
+  known_ = KnownOwner{term, present, known_.handed_over && !news, record};
   if (!news) {
     return;
   }
@@ -283,6 +284,8 @@
   ++claim_number_;  // What is still on its way for this claim is not waited for.
   context_.Log("owner", "event=claim_failed reason={} known_term={}", reason, known_.term);
   context_.counters.Add("owner_claims_failed");
+  known_.handed_over = false;
+  no_claim_until_ = context_.Now() + kOfferIgnored;
   if (lease != 0) {
     context_.store.EndLease(lease, [](const StoreAnswer&) {});
   }
@@ -301,7 +304,7 @@
   }
   context_.counters.Add("owner_takeovers");
   owner_lease_ = lease;
-  known_ = KnownOwner{ownership.term, true, OwnRecord(ownership.epoch, false)};
+  known_ = KnownOwner{ownership.term, true, false, OwnRecord(ownership.epoch, false)};
   owner_ = std::make_unique<Owner>(context_, ownership, configuration_, [this] {
     // The owner is inside a call of its own: it goes once that is over.
     context_.timers.In(Duration(0), Guarded([this] { Deposed(); }));
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -81,8 +81,15 @@
   friend bool operator==(const OwnerNews&, const OwnerNews&) = default;
 };
 
+// The owner of this term no longer reaches the store; a host that does may claim the cell without waiting for the lease.
+struct HandOver {
+  uint64_t term = 0;
+
+  friend bool operator==(const HandOver&, const HandOver&) = default;
+};
+
 // The order is part of the encoding: new kinds come last.
-using Message = std::variant<CallerRequest, CallerReply, AdviceRequest, AdviceReply, Ping, OwnerNews>;
+using Message = std::variant<CallerRequest, CallerReply, AdviceRequest, AdviceReply, Ping, OwnerNews, HandOver>;
 
 std::string EncodeMessage(const Message& message);
 tl::expected<Message, std::string> DecodeMessage(const std::string& bytes);
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -61,6 +61,8 @@
   // Writes nothing more, whether all stands or not.
   void StopWriting() { commit_.Close(); }
 
+  // How long the store has confirmed nothing of what it was sent.
+  Duration store_stalled_for() const { return commit_.stalled_for(); }
   const Ownership& ownership() const { return ownership_; }
   // Counts for operators.
   void UpdateGauges();
--- a/src/cell/prefix_watch.h
+++ b/src/cell/prefix_watch.h
@@ -22,6 +22,7 @@
   PrefixWatch& operator=(const PrefixWatch&) = delete;
 
   void Begin() { Read(""); }
+  bool healthy() const { return !failing_; }
   uint64_t revision() const { return revision_; }
   // Usual time of an answer of the store.
   Duration round_trip() const { return round_trip_; }
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -112,6 +112,13 @@
   return std::tie(self.term, self.host, self.address);
 }
 
+template <class Self>
+auto Fields(Self& self)
+  requires std::is_same_v<std::remove_const_t<Self>, HandOver>
+{
+  return std::tie(self.term);
+}
+
 template <class Value>
 concept HasFields = requires(Value& value) {
   Fields(value);
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -35,6 +35,26 @@
   CHECK(world.RunUntil(other_owns, 300ms));
 }
 
+TEST_CASE("an owner that alone is turned away by the store hands over before its lease ends") {
+  for (const bool silent : {false, true}) {
+    CellWorld world(24, 4, 6);
+    AddQueues(world);
+    REQUIRE(Settle(world));
+    const size_t owner = *world.OwnerIndex();
+    (silent ? world.StoreFaultsOf(owner).silent : world.StoreFaultsOf(owner).down) = true;
+    const auto other_owns = [&] { return HasOwner(world) && *world.OwnerIndex() != owner; };
+    for (int i = 1; i <= 40; ++i) {
+      world.In(i * 40ms, [&world, i] { world.SubmitSurely(JobOf(i, {StepOf(1, 500)}), TaskBehaviour{200ms, 0}); });
+    }
+    CHECK(world.RunUntil(other_owns, 1200ms));
+    world.RunFor(6s);
+    for (int i = 1; i <= 40; ++i) {
+      CHECK((!world.Accepted(JobId(i)) || world.StateOf("plain", JobId(i)) == JobState::kCompleted));
+    }
+    CHECK(world.violations().empty());
+  }
+}
+
 // Every answer of the store takes 170 ms, so that a batch stands for what came meanwhile, and news never stops coming.
 TEST_CASE("a planned stop under load and a slow store hands over within two seconds") {
   CellWorld world(13, 4, 8);
--- a/tests/cell_parts_test.cc
+++ b/tests/cell_parts_test.cc
@@ -54,6 +54,7 @@
       AdviceReply{8, true, {Ticket{"w1", "t"}}},
       Ping{"h3"},
       OwnerNews{99, "h1", "10.0.0.1:7"},
+      HandOver{99},
   };
   for (const Message& message : messages) {
     CHECK(DecodeMessage(EncodeMessage(message)) == message);
