--- a/src/cell/group_commit.cc
+++ b/src/cell/group_commit.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr Duration kWindow = 20ms;  // A first change waits for others: each call of the store is paid for.
+constexpr Duration kWindow = 20ms;         // A first change waits for others: each call of the store is paid for.
 constexpr int kOverdueFactor = 4;          // Usual times of an answer until a copy goes out.
 constexpr Duration kOverdueLeast = 100ms;  // Two ways between regions and a busy host.
 constexpr Duration kOverdueMost = 700ms;
--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -10,13 +10,13 @@
 namespace {
 
 constexpr Duration kTick = 200ms;
-constexpr Duration kAskAgain = 700ms;     // A request without a reply goes out again; the owner knows it by its id.
-constexpr Duration kLookAgain = 50ms;     // While no owner is known.
-constexpr Duration kAfterUnsure = 150ms;  // Before a request is put to the next owner.
-constexpr Duration kPingAfter = 800ms;    // Without a word from the owner.
+constexpr Duration kAskAgain = 700ms;       // A request without a reply goes out again; the owner knows it by its id.
+constexpr Duration kLookAgain = 50ms;       // While no owner is known.
+constexpr Duration kAfterUnsure = 150ms;    // Before a request is put to the next owner.
+constexpr Duration kPingAfter = 800ms;      // Without a word from the owner.
 constexpr Duration kHandOverAfter = 600ms;  // Several copies of a batch have had no answer by then.
-constexpr Duration kLostAfter = 2500ms;   // Without a word, callers are sent to other hosts; longer than a takeover.
-constexpr Duration kComeBack = 1s;        // Retry-After while there is no owner.
+constexpr Duration kLostAfter = 2500ms;     // Without a word, callers are sent to other hosts; longer than a takeover.
+constexpr Duration kComeBack = 1s;          // Retry-After while there is no owner.
 
 }  // namespace
 
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -81,7 +81,8 @@
   friend bool operator==(const OwnerNews&, const OwnerNews&) = default;
 };
 
-// The owner of this term no longer reaches the store; a host that does may claim the cell without waiting for the lease.
+// The owner of this term no longer reaches the store; a host that does may claim the cell without waiting for the
+// lease.
 struct HandOver {
   uint64_t term = 0;
 
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -113,9 +113,7 @@
 }
 
 template <class Self>
-auto Fields(Self& self)
-  requires std::is_same_v<std::remove_const_t<Self>, HandOver>
-{
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, HandOver> {
   return std::tie(self.term);
 }
 
--- a/src/core/worker_role.h
+++ b/src/core/worker_role.h
@@ -4,8 +4,8 @@
 #define HIBISCUSSTAND_SRC_CORE_WORKER_ROLE_H_
 
 #include <algorithm>
-#include <map>
 #include <iterator>
+#include <map>
 #include <string>
 #include <vector>
 
