--- a/src/cell/context.h
+++ b/src/cell/context.h
@@ -21,7 +21,6 @@
   std::string peer_address;      // Where other hosts reach this one.
   uint64_t incarnation = 0;      // Of this process, random.
   Duration most_hold = 6s;       // Longest hold that a worker grants; platform's bound.
-  Duration stop_takes = 400ms;   // Longest time that a worker takes to stop a run; platform's bound.
   Duration gang_patience = 3s;   // A member waits this long for the others; platform's bound.
   Duration state_kept = 120s;    // How long the state of an ended job is told; platform's bound.
   Duration shortest_lease = 1s;  // Of the store; platform's bound.
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -192,6 +192,7 @@
   void SetQueue(Job& job, const QueueSpec& queue);
   void PlaceSingles(StepRun& step);
   void PlaceGang(StepRun& step);
+  void StartGang(StepRun& step, const std::vector<Worker*>& workers, const std::vector<int>& counts);
   void TryProbe(StepRun& step);
   void StartTask(StepRun& step, int index, Worker& worker);
   std::vector<Worker*> EligibleFor(const StepRun& step);
@@ -244,7 +245,6 @@
   std::deque<std::string> dirty_;            // Jobs, oldest news first.
   std::map<std::string, PendingCount> pending_counts_;
 
-  bool ends_seen_ = false;  // Since the last batch was filled.
   bool roster_dirty_ = false;
 
   uint64_t workers_revision_ = 0;
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -269,6 +269,11 @@
     }
     return;
   }
+  StartGang(step, workers, counts);
+}
+
+// The gang fits. Its members start, or room is kept for them until there are tickets for all.
+void Owner::StartGang(StepRun& step, const std::vector<Worker*>& workers, const std::vector<int>& counts) {
   std::vector<Worker*> chosen;
   bool tickets = true;
   for (size_t i = 0; i < counts.size(); ++i) {
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -149,7 +149,6 @@
 }
 
 void Owner::OnEnded(Worker& worker, const EndedRow& row) {
-  ends_seen_ = true;
   context_.counters.Add(fmt::format("runs_ended{{how=\"{}\"}}", NameOf(row.how)));
   StepRun* step = nullptr;
   TaskState* task = FindTask(row.run.task, &step);
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -36,7 +36,6 @@
 DEFINE_string(metrics, "127.0.0.1:8083", "");
 DEFINE_string(advice, "", "");
 DEFINE_string(most_hold_ms, "6000", "");
-DEFINE_string(stop_takes_ms, "400", "");
 DEFINE_string(gang_patience_ms, "3000", "");
 DEFINE_string(state_kept_s, "120", "");
 DEFINE_string(shortest_lease_ms, "1000", "");
@@ -106,8 +105,6 @@
         {"advice", &FLAGS_advice, Kind::kAddressOrNone, "the advice service; empty: there is none"},
         {"most_hold_ms", &FLAGS_most_hold_ms, Kind::kNumber, "longest hold that a worker grants", 500, 600'000,
          "milliseconds"},
-        {"stop_takes_ms", &FLAGS_stop_takes_ms, Kind::kNumber, "longest time that a worker takes to stop a run", 0,
-         60'000, "milliseconds"},
         {"gang_patience_ms", &FLAGS_gang_patience_ms, Kind::kNumber, "a member waits this long for the others", 100,
          600'000, "milliseconds"},
         {"state_kept_s", &FLAGS_state_kept_s, Kind::kNumber, "the state of an ended job is told this long", 1, 86'400,
@@ -269,7 +266,6 @@
   settings.cell.peer_address = FLAGS_peer;
   settings.cell.advice_address = FLAGS_advice;
   settings.cell.most_hold = millis(FLAGS_most_hold_ms);
-  settings.cell.stop_takes = millis(FLAGS_stop_takes_ms);
   settings.cell.gang_patience = millis(FLAGS_gang_patience_ms);
   settings.cell.state_kept = std::chrono::seconds(Number(FLAGS_state_kept_s));
   settings.cell.shortest_lease = millis(FLAGS_shortest_lease_ms);
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -98,7 +98,6 @@
   bool hangs = false;      // What it starts stands still.
   bool fails_all = false;  // What it starts fails at once.
   CallFaults faults;
-  int runs_over_room = 0;
 
   bool Runs(const RunRef& run) const { return runs_.contains(run); }
 
