--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -454,8 +454,8 @@
   }
   ended_[ended.id] = Ended{ended.queue, ended.state, ended.ended_at_ms};
   const std::vector<std::function<void()>> waiters = std::exchange(job->on_stored, {});
-  jobs_.erase(ended.id);
   std::for_each(waiters.begin(), waiters.end(), [](const auto& waiter) { waiter(); });
+  jobs_.erase(ended.id);
 }
 
 // What comes to be known after the last batch, the next owner hears from the workers.
