--- a/src/cell/group_commit.h
+++ b/src/cell/group_commit.h
@@ -23,9 +23,6 @@
   size_t entries() const { return writes.size() + removals.size(); }
 };
 
-// Most entries of a batch: a transaction expects and writes the head besides.
-inline constexpr size_t kMostBatchEntries = kMostEntries - 2;
-
 class GroupCommit {
  public:
   // Fills a batch with what is new; called when a transaction can go out. Empty: nothing is new.
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -274,15 +274,15 @@
   commit_.Request();
 }
 
-void Owner::ForgetEnded() {
-  const int64_t now_ms = context_.wall.NowMs();
+// Its jobs need no longer be told of.
+bool Owner::HasExpired(const EndedBatch& batch) const {
   const int64_t kept_ms = Millis(context_.settings.state_kept) * 2;
-  for (const EndedBatch& batch : ended_batches_) {
-    if (now_ms - batch.written_at_ms <= kept_ms) {
-      return;
-    }
-    commit_.Request();  // The batch removes the key.
-    return;
+  return context_.wall.NowMs() - batch.written_at_ms > kept_ms;
+}
+
+void Owner::ForgetEnded() {
+  if (!ended_batches_.empty() && HasExpired(ended_batches_.front())) {
+    commit_.Request();  // The next batch removes the key.
   }
 }
 
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -110,6 +110,7 @@
   Duration ComeBackAfter() const;
   void WithdrawUnsent();
   Job* FindJob(const std::string& id);
+  bool HasExpired(const EndedBatch& batch) const;
   void ForgetEnded();
 
   // --- owner_store.cc ---
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -247,11 +247,9 @@
 
 // Ended jobs that need no longer be told of. Batches of the log that old are gone, so nothing brings them back.
 void Owner::AddExpired(Batch& batch) {
-  const int64_t now_ms = context_.wall.NowMs();
-  const int64_t kept_ms = Millis(context_.settings.state_kept) * 2;
   for (size_t i = 0; i < kMostExpired && !ended_batches_.empty(); ++i) {
     const EndedBatch& oldest = ended_batches_.front();
-    if (now_ms - oldest.written_at_ms <= kept_ms) {
+    if (!HasExpired(oldest)) {
       return;
     }
     for (const EndedJob& job : oldest.jobs) {
