--- /dev/null
+++ b/bench/cell_load_main.cc
@@ -0,0 +1,78 @@
+// Plays a deployment's load on a cell in virtual time and prints how each class was served.
+//   hibiscus_cell_load --deployment=small --seeds=1..5
+//   hibiscus_cell_load --deployment=large --length_s=8 --burst=quick:2:2:4
+#include <cstdio>
+#include <ctime>
+#include <string>
+
+#include <fmt/core.h>
+#include <gflags/gflags.h>
+
+#include "bench/cell_load.h"
+
+DEFINE_string(deployment, "small", "small (48 workers) or large (350)");
+DEFINE_string(seeds, "1..1", "first..last");
+DEFINE_double(length_s, 20, "seconds of traffic");
+DEFINE_double(load, 1, "times the deployment's usual rate");
+DEFINE_int32(event_cost_us, 0, "processor time of a host for each event, in microseconds");
+DEFINE_string(burst, "", "QUEUE:FACTOR:AT:SECONDS, many jobs of one class at once");
+
+namespace hibiscus::cell {
+namespace {
+
+LoadBurst ParseBurst(const std::string& text) {
+  LoadBurst burst;
+  const size_t colon = text.find(':');
+  burst.queue = text.substr(0, colon);
+  double at = 0;
+  double length = 0;
+  if (colon == std::string::npos ||
+      std::sscanf(text.c_str() + colon, ":%lf:%lf:%lf", &burst.factor, &at, &length) != 3) {
+    throw std::runtime_error("--burst is QUEUE:FACTOR:AT:SECONDS, not " + text);
+  }
+  burst.at = Duration(static_cast<int64_t>(at * 1e6));
+  burst.length = Duration(static_cast<int64_t>(length * 1e6));
+  return burst;
+}
+
+void Print(uint64_t seed, const LoadOutcome& outcome, double processor_s) {
+  fmt::print("seed {}: {} starts, {:.0f} s of advice, {:.2f} s of processor time, {} rules broken\n", seed,
+             outcome.starts, outcome.advice_seconds, processor_s, outcome.violations.size());
+  fmt::print("{:10} {:>6} {:>7} {:>6} {:>8} {:>10} {:>9} {:>6} {:>8} {:>8}\n", "class", "asked", "in time", "late",
+             "refused", "unanswered", "too late", "work", "p50 ms", "p99 ms");
+  for (const auto& [name, of] : outcome.classes) {
+    fmt::print("{:10} {:>6} {:>7} {:>6} {:>8} {:>10} {:>9} {:>6.3f} {:>8} {:>8}\n", name, of.asked, of.in_time, of.late,
+               of.refused, of.unanswered, of.too_late, of.work, Millis(of.median), Millis(of.p99));
+  }
+  for (size_t i = 0; i < outcome.violations.size() && i < 5; ++i) {
+    fmt::print("  {}\n", outcome.violations[i]);
+  }
+}
+
+}  // namespace
+}  // namespace hibiscus::cell
+
+int main(int argc, char** argv) {
+  using namespace hibiscus::cell;
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  LoadOptions options = FLAGS_deployment == "large" ? LargeDeployment() : SmallDeployment();
+  options.length = hibiscus::Duration(static_cast<int64_t>(FLAGS_length_s * 1e6));
+  options.event_cost = std::chrono::microseconds(FLAGS_event_cost_us);
+  for (LoadClass& of : options.classes) {
+    of.jobs_a_second *= FLAGS_load;
+  }
+  if (!FLAGS_burst.empty()) {
+    options.bursts.push_back(ParseBurst(FLAGS_burst));
+  }
+  const size_t dots = FLAGS_seeds.find("..");
+  const uint64_t first = std::stoull(FLAGS_seeds);
+  const uint64_t last = dots == std::string::npos ? first : std::stoull(FLAGS_seeds.substr(dots + 2));
+  bool broken = false;
+  for (options.seed = first; options.seed <= last; ++options.seed) {
+    const std::clock_t begin = std::clock();
+    const LoadOutcome outcome = RunLoad(options);
+    Print(options.seed, outcome, static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC);
+    broken = broken || !outcome.violations.empty();
+  }
+  return broken ? 1 : 0;
+}
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -71,7 +71,7 @@
   std::string gang_checkpoint;
 
   StepAdvice advice;
-  std::map<std::string, int> reserved;  // Members of a gang for which room is kept while tickets are asked for.
+  std::map<size_t, int> reserved;  // By worker's number: members for which room is kept while tickets are asked for.
 
   bool finished() const { return done == spec->count; }
   int placed() const { return spec->count - waiting - done; }
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -250,11 +250,17 @@
 
   uint64_t workers_revision_ = 0;
   std::vector<Occurrence> finished_occurrences_;  // Dropped by the next pass: callers may be inside them.
-  std::map<std::string, const StepRun*> kept_;    // Workers on which room is kept, by this pass so far.
-  std::set<std::string> kept_before_;             // By the last pass.
-  std::vector<Worker*> usable_;                   // Workers that this pass may place on.
-  Duration pass_takes_{};                         // What the last pass took of the control thread.
-  std::map<std::string, Resources> reserved_;     // By gangs that wait for tickets.
+  // What a pass works with. Vectors by the worker's number.
+  struct Usable {
+    Worker* worker = nullptr;
+    bool quarantined = false;
+  };
+  std::vector<Usable> usable_;         // Workers that this pass may place on.
+  std::vector<const StepRun*> kept_;   // For which gang room is kept there, by this pass so far.
+  size_t kept_count_ = 0;              // Workers on which it is.
+  std::vector<bool> kept_before_;      // Whether the last pass kept room there.
+  std::vector<Resources> reserved_;    // By gangs that wait for tickets.
+  Duration pass_takes_{};  // What the last pass took of the control thread.
   bool schedule_soon_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -41,12 +41,13 @@
   if (!loaded_ || closing_ || deposed_once_) {
     return;
   }
-  kept_before_.clear();
-  for (const auto& [worker, step] : kept_) {
-    kept_before_.insert(worker);
-  }
-  kept_.clear();
   const TimePoint begin = context_.Now();
+  kept_before_.assign(workers_.last_number() + 1, false);
+  for (size_t i = 0; i < kept_.size(); ++i) {
+    kept_before_[i] = kept_[i] != nullptr;
+  }
+  kept_.assign(workers_.last_number() + 1, nullptr);
+  kept_count_ = 0;
   LookAtRooms();
   for (StepRun* step : WaitingInOrder()) {
     if (step->spec->gang) {
@@ -60,10 +61,12 @@
 
 void Owner::LookAtRooms() {
   usable_.clear();
+  reserved_.resize(workers_.last_number() + 1);
   const TimePoint now = context_.Now();
+  const bool none_bad = quarantine_.quarantined().empty();
   for (const auto& [id, worker] : workers_.workers()) {
     if (worker->UsableAt(now)) {
-      usable_.push_back(worker.get());
+      usable_.push_back(Usable{worker.get(), !none_bad && quarantine_.IsQuarantined(id)});
     }
   }
 }
@@ -123,34 +126,37 @@
 std::vector<Worker*> Owner::EligibleFor(const StepRun& step) {
   LookAtRooms();
   std::vector<Worker*> eligible;
-  std::copy_if(usable_.begin(), usable_.end(), std::back_inserter(eligible),
-               [&](const Worker* worker) { return IsEligible(step, *worker); });
+  for (const Usable& usable : usable_) {
+    if (IsEligible(step, *usable.worker)) {
+      eligible.push_back(usable.worker);
+    }
+  }
   return eligible;
 }
 
 RoomView Owner::ViewOf(const StepRun& step, const Worker& worker) const {
   RoomView view;
   view.capacity = worker.entry.capacity;
-  view.free = worker.free();
-  const auto reserved = reserved_.find(worker.entry.id);
-  if (reserved != reserved_.end()) {
-    view.free -= reserved->second;
-  }
-  const auto own = step.reserved.find(worker.entry.id);
-  for (int i = 0; own != step.reserved.end() && i < own->second; ++i) {
-    view.free += SizeOf(step);
+  view.free = worker.free() - reserved_[worker.number];
+  if (!step.reserved.empty()) {
+    const auto own = step.reserved.find(worker.number);
+    for (int i = 0; own != step.reserved.end() && i < own->second; ++i) {
+      view.free += SizeOf(step);
+    }
   }
   view.rack = worker.entry.rack();
-  const auto there = step.on_worker.find(worker.entry.id);
-  view.already_there = there == step.on_worker.end() ? 0 : there->second;
-  view.kept = kept_before_.contains(worker.entry.id);
+  if (step.spec->most_per_worker > 0) {
+    const auto there = step.on_worker.find(worker.entry.id);
+    view.already_there = there == step.on_worker.end() ? 0 : there->second;
+  }
+  view.kept = worker.number < kept_before_.size() && kept_before_[worker.number];
   view.preferred = !step.spec->data_rack.empty() && worker.entry.HasLabel(step.spec->data_rack);
   return view;
 }
 
 bool Owner::IsKeptByOther(const StepRun& step, const Worker& worker) const {
-  const auto kept = kept_.find(worker.entry.id);
-  return kept != kept_.end() && kept->second != &step;
+  const StepRun* kept = worker.number < kept_.size() ? kept_[worker.number] : nullptr;
+  return kept != nullptr && kept != &step;
 }
 
 bool Owner::HasTicket(const StepRun& step, const Worker& worker) const {
@@ -176,10 +182,10 @@
   const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
   const bool advised = step.job->queue.advice.has_value();
   TryProbe(step);
-  for (Worker* worker : usable_) {
+  for (const auto& [worker, quarantined] : usable_) {
     const bool refused = advised && step.advice.For(worker->number).word == StepAdvice::Word::kRefused;
-    if (refused || quarantine_.IsQuarantined(worker->entry.id) || !need.size.FitsIn(worker->free()) ||
-        IsKeptByOther(step, *worker) || !IsEligible(step, *worker)) {
+    if (refused || quarantined || !need.size.FitsIn(worker->free()) || IsKeptByOther(step, *worker) ||
+        !IsEligible(step, *worker)) {
       continue;
     }
     RoomView view = ViewOf(step, *worker);
@@ -240,17 +246,16 @@
   if (step.advice.asking) {
     return;
   }
-  const std::vector<Worker*> eligible = EligibleFor(step);
   if (advised && !step.advice.known) {
-    AskAdvice(step, eligible);
+    AskAdvice(step, EligibleFor(step));
     return;
   }
   std::vector<Worker*> workers;
   std::vector<Worker*> never_asked;
   std::vector<RoomView> views;
-  for (Worker* worker : eligible) {
+  for (const auto& [worker, quarantined] : usable_) {
     const StepAdvice::Word word = step.advice.For(worker->number).word;
-    if (quarantine_.IsQuarantined(worker->entry.id)) {
+    if (quarantined || (advised && word == StepAdvice::Word::kRefused) || !IsEligible(step, *worker)) {
       continue;
     }
     if (advised && word == StepAdvice::Word::kNotAsked) {
@@ -302,11 +307,12 @@
   const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
   const std::vector<size_t> rooms = RoomsToKeep(views, need, step.spec->count);
   const auto most = static_cast<size_t>(kMostKeptShare * static_cast<double>(workers_.workers().size()));
-  if (rooms.empty() || kept_.size() + rooms.size() > most) {
+  if (rooms.empty() || kept_count_ + rooms.size() > most) {
     return;
   }
   for (const size_t room : rooms) {
-    kept_[workers[room]->entry.id] = &step;
+    kept_[workers[room]->number] = &step;
+    ++kept_count_;
   }
 }
 
@@ -314,20 +320,16 @@
   Unreserve(step);
   for (size_t i = 0; i < counts.size(); ++i) {
     for (int k = 0; k < counts[i]; ++k) {
-      ++step.reserved[workers[i]->entry.id];
-      reserved_[workers[i]->entry.id] += SizeOf(step);
+      ++step.reserved[workers[i]->number];
+      reserved_[workers[i]->number] += SizeOf(step);
     }
   }
 }
 
 void Owner::Unreserve(StepRun& step) {
   for (const auto& [worker, count] : step.reserved) {
-    Resources& reserved = reserved_[worker];
     for (int i = 0; i < count; ++i) {
-      reserved -= SizeOf(step);
-    }
-    if (reserved == Resources{}) {
-      reserved_.erase(worker);
+      reserved_[worker] -= SizeOf(step);
     }
   }
   step.reserved.clear();
--- a/src/cell/placement_policy.cc
+++ b/src/cell/placement_policy.cc
@@ -30,15 +30,46 @@
   return std::min(cpu, memory);
 }
 
+// A room in the order in which a gang takes them.
+struct Ranked {
+  size_t room = 0;
+  int slots = 0;    // Members that fit now.
+  double left = 0;  // Share that one member leaves free.
+};
+
+// Most slots first, then the tighter fit.
+void Sort(std::vector<Ranked>& rooms) {
+  std::stable_sort(rooms.begin(), rooms.end(), [](const Ranked& a, const Ranked& b) {
+    return a.slots != b.slots ? a.slots > b.slots : a.left < b.left;
+  });
+}
+
+std::vector<Ranked> Rank(const std::vector<RoomView>& rooms, const RoomNeed& need, int least_slots) {
+  std::vector<Ranked> ranked;
+  ranked.reserve(rooms.size());
+  for (size_t i = 0; i < rooms.size(); ++i) {
+    const int slots = SlotsOf(rooms[i], need);
+    if (slots >= least_slots) {
+      ranked.push_back(Ranked{i, slots, LeftAfter(rooms[i], need.size)});
+    }
+  }
+  return ranked;
+}
+
+int SlotsOf(const std::vector<Ranked>& rooms) {
+  int slots = 0;
+  for (const Ranked& room : rooms) {
+    slots = std::min(slots + room.slots, kUnlimited);
+  }
+  return slots;
+}
+
 // Spreads members over rooms in this order; empty if they do not all fit.
-std::vector<int> Fill(const std::vector<RoomView>& rooms,
-                      const std::vector<size_t>& order,
-                      const RoomNeed& need,
-                      int members) {
-  std::vector<int> counts(rooms.size());
-  for (const size_t i : order) {
-    const int taken = std::min(members, SlotsOf(rooms[i], need));
-    counts[i] = taken;
+std::vector<int> Fill(size_t rooms, const std::vector<Ranked>& order, int members) {
+  std::vector<int> counts(rooms);
+  for (const Ranked& each : order) {
+    const int taken = std::min(members, each.slots);
+    counts[each.room] = taken;
     members -= taken;
     if (members == 0) {
       return counts;
@@ -47,17 +78,6 @@
   return {};
 }
 
-std::vector<size_t> BySlots(const std::vector<RoomView>& rooms, const RoomNeed& need) {
-  std::vector<size_t> order(rooms.size());
-  std::iota(order.begin(), order.end(), 0);
-  std::stable_sort(order.begin(), order.end(), [&](size_t a, size_t b) {
-    const int slots_a = SlotsOf(rooms[a], need);
-    const int slots_b = SlotsOf(rooms[b], need);
-    return slots_a != slots_b ? slots_a > slots_b : LeftAfter(rooms[a], need.size) < LeftAfter(rooms[b], need.size);
-  });
-  return order;
-}
-
 }  // namespace
 
 int SlotsIn(const Resources& free, const Resources& size) {
@@ -92,32 +112,38 @@
 }
 
 std::vector<int> FitGang(const std::vector<RoomView>& rooms, const RoomNeed& need, int members, bool one_rack) {
-  const std::vector<size_t> order = BySlots(rooms, need);
+  std::vector<Ranked> order = Rank(rooms, need, 1);
+  if (SlotsOf(order) < members) {
+    return {};
+  }
+  Sort(order);
   if (one_rack) {
-    std::map<std::string, std::vector<size_t>> racks;
-    for (const size_t i : order) {
-      racks[rooms[i].rack].push_back(i);
+    std::map<std::string_view, std::vector<Ranked>> racks;
+    for (const Ranked& each : order) {
+      racks[rooms[each.room].rack].push_back(each);
     }
     for (const auto& [rack, of_rack] : racks) {
-      std::vector<int> counts = Fill(rooms, of_rack, need, members);
+      std::vector<int> counts = Fill(rooms.size(), of_rack, members);
       if (!counts.empty()) {
         return counts;
       }
     }
   }
-  return Fill(rooms, order, need, members);
+  return Fill(rooms.size(), order, members);
 }
 
 std::vector<size_t> RoomsToKeep(const std::vector<RoomView>& rooms, const RoomNeed& need, int members) {
+  std::vector<Ranked> order = Rank(rooms, need, 0);
+  Sort(order);
   std::vector<size_t> kept;
-  for (const size_t i : BySlots(rooms, need)) {
-    RoomView empty = rooms[i];
+  for (const Ranked& each : order) {
+    RoomView empty = rooms[each.room];
     empty.free = empty.capacity;
     const int slots = SlotsOf(empty, need);
     if (slots == 0) {
       continue;
     }
-    kept.push_back(i);
+    kept.push_back(each.room);
     members -= slots;
     if (members <= 0) {
       return kept;
--- a/src/cell/placement_policy.h
+++ b/src/cell/placement_policy.h
@@ -4,7 +4,7 @@
 
 #include <cstddef>
 #include <optional>
-#include <string>
+#include <string_view>
 #include <vector>
 
 #include "hibiscusstand/types.h"
@@ -15,7 +15,7 @@
 struct RoomView {
   Resources capacity;
   Resources free;
-  std::string rack;
+  std::string_view rack;   // Of the worker's entry, which outlives the view.
   int already_there = 0;   // Tasks of the same step.
   bool kept = false;       // Room on it is kept for a gang.
   bool preferred = false;  // Nearer to the data.
--- a/src/cell/timers.h
+++ b/src/cell/timers.h
@@ -22,9 +22,14 @@
   std::optional<TimePoint> next() const {
     return due_.empty() ? std::nullopt : std::optional<TimePoint>(due_.begin()->first.first);
   }
+  // How late the first timer of the last round was run: what the thread is behind with its work.
+  Duration lateness() const { return lateness_; }
   // Runs what is due by now, in order; work that is added meanwhile waits for the next call.
   void RunDue() {
     const std::pair<TimePoint, uint64_t> until(clock_.Now(), last_);
+    if (!due_.empty() && due_.begin()->first <= until) {
+      lateness_ = until.first - due_.begin()->first.first;
+    }
     while (!due_.empty() && due_.begin()->first <= until) {
       const std::function<void()> work = std::move(due_.begin()->second);
       due_.erase(due_.begin());
@@ -35,6 +40,7 @@
  private:
   const Clock& clock_;
   uint64_t last_ = 0;
+  Duration lateness_{};
   std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> due_;
 };
 
--- a/src/cell/values.h
+++ b/src/cell/values.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "hibiscusstand/types.h"
@@ -125,7 +126,7 @@
 
   friend bool operator==(const WorkerEntry&, const WorkerEntry&) = default;
   bool HasLabel(const std::string& label) const;
-  std::string rack() const { return labels.empty() ? std::string() : labels.back(); }
+  std::string_view rack() const { return labels.empty() ? std::string_view() : labels.back(); }
 };
 
 // How a run ended.
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -126,6 +126,7 @@
 
   Worker* Find(const std::string& id);
   std::map<std::string, std::unique_ptr<Worker>>& workers() { return workers_; }
+  size_t last_number() const { return last_number_; }  // No worker has a higher one.
   bool AnyUnsettled() const { return unsettled_ > 0; }
   std::vector<WorkerLifeRecord> Roster() const;  // Lives that starts were or may be given to.
 
--- a/src/daemon/cell_daemon.cc
+++ b/src/daemon/cell_daemon.cc
@@ -38,11 +38,9 @@
       context_, [this](const cell::CellConfiguration& configuration) { ingress_->OnConfiguration(configuration); });
   ingress_ = std::make_unique<platform::Ingress>(
       *host_, [this](std::function<void()> work) { loop_.Post(std::move(work)); }, clock_);
-  link_ = std::make_unique<ByteLink>(settings_.cell.name, settings_.cell.peer_address,
-                                     [this](const HostName& /*from*/, const std::string& bytes) {
-                                       loop_.Post([this, bytes] { host_->OnPeerMessage(bytes); });
-                                       return std::string();
-                                     });
+  link_ = std::make_unique<FrameLink>(settings_.cell.peer_address, [this](std::string bytes) {
+    loop_.Post([this, bytes = std::move(bytes)] { host_->OnPeerMessage(bytes); });
+  });
   ingress_->Open(settings_.callers, settings_.balancer);
   metrics_ = std::make_unique<HttpServer>(
       settings_.metrics, [this](uint64_t exchange, const HttpRequest& /*request*/) { AnswerMetrics(exchange); });
@@ -71,7 +69,7 @@
   ingress_->SetReady(host_->ready());
 }
 
-void CellDaemon::Peers::Flush(ByteLink& link) {
+void CellDaemon::Peers::Flush(FrameLink& link) {
   for (auto& [address, messages] : waiting_) {
     link.Send(address, std::move(messages));
   }
--- a/src/daemon/cell_daemon.h
+++ b/src/daemon/cell_daemon.h
@@ -18,8 +18,8 @@
 #include "platform/store_client.h"
 #include "platform/worker_client.h"
 #include "ports/boot_clock.h"
-#include "ports/byte_link.h"
 #include "ports/event_log.h"
+#include "ports/frame_link.h"
 #include "ports/http_client.h"
 #include "ports/http_server.h"
 
@@ -55,7 +55,7 @@
     void Send(const std::string& address, std::string message) override {
       waiting_[address].push_back(std::move(message));
     }
-    void Flush(ByteLink& link);
+    void Flush(FrameLink& link);
 
    private:
     std::map<std::string, std::vector<std::string>> waiting_;
@@ -74,7 +74,7 @@
   cell::Counters counters_;
   std::map<std::string, std::map<std::string, Histogram>> durations_;  // By name and class. Control thread only.
   Peers peers_;
-  std::unique_ptr<ByteLink> link_;
+  std::unique_ptr<FrameLink> link_;
   TaskLoop loop_;
   HttpClient http_;
   platform::Directory directory_;
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -13,9 +13,9 @@
 
 constexpr Duration kWay = 2ms;      // One way to the store, a worker or another host.
 constexpr Duration kNoAnswer = 1s;  // When a caller gives up.
-constexpr Duration kPoll = 5ms;     // Waiting watches and holds look this often.
-constexpr int kAllowedShare = 85;   // Percent of the workers that the advice service allows a step.
+constexpr int kAllowedPercent = 85;  // Of the workers that the advice service allows a step.
 constexpr Duration kLatest = 6s;    // Calls that are carried out late.
+constexpr Duration kCallerWait = 2800ms;  // How long a caller waits for an answer.
 
 }  // namespace
 
@@ -89,6 +89,7 @@
   process_.reset();
   inbox_.clear();
   frozen_until_ = TimePoint{};
+  busy_until_ = TimePoint{};
 }
 
 void FakeHost::Freeze(Duration time) {
@@ -100,16 +101,21 @@
     return TimePoint::max();
   }
   const TimePoint next = inbox_.empty() ? process_->timers.next().value_or(TimePoint::max()) : world_.Now();
-  return std::max(next, frozen_until_);
+  return std::max({next, frozen_until_, busy_until_});
 }
 
+// One round of the control loop: all that has come, then the timers.
 void FakeHost::RunDue() {
-  if (process_ == nullptr || frozen_until_ > world_.Now()) {
+  const TimePoint now = world_.Now();
+  if (process_ == nullptr || frozen_until_ > now || busy_until_ > now) {
     return;
   }
-  while (!inbox_.empty() && process_ != nullptr) {
-    const std::function<void()> work = std::move(inbox_.front());
-    inbox_.pop_front();
+  const bool timers_due = process_->timers.next().value_or(TimePoint::max()) <= now;
+  busy_until_ = now + world_.event_cost * (static_cast<int64_t>(inbox_.size()) + (timers_due ? 1 : 0));
+  std::deque<std::function<void()>> taken = std::exchange(inbox_, {});
+  while (!taken.empty() && process_ != nullptr) {
+    const std::function<void()> work = std::move(taken.front());
+    taken.pop_front();
     work();
   }
   if (process_ != nullptr) {
@@ -121,7 +127,7 @@
   if (life != life_) {
     return;
   }
-  if (frozen_until_ > world_.Now()) {
+  if (frozen_until_ > world_.Now() || world_.event_cost > Duration(0)) {
     inbox_.push_back(std::move(work));
   } else {
     work();
@@ -133,7 +139,9 @@
     world_.In(kNoAnswer, [reply] { reply(CallerReply{}); });  // Unsure.
     return;
   }
-  process_->host.Handle(std::move(request), world_.Now() + 2800ms, std::move(reply));
+  Deliver(life_, [this, request = std::move(request), until = world_.Now() + kCallerWait, reply = std::move(reply)] {
+    process_->host.Handle(request, until, reply);
+  });
 }
 
 // --- Store ---
@@ -193,11 +201,13 @@
       [this, prefix, after, until, life, done](const StoreAnswer& answer) {
         const bool nothing = answer.status == StoreStatus::kOk && answer.items.empty();
         if (nothing && world_.Now() < until) {
-          world_.In(kPoll, [this, prefix, after, until, life, done] {
-            if (life == life_) {
-              PollWatch(prefix, after, until, life, done);
-            }
-          });
+          world_.Wait(
+              world_.watches_, until, [this, prefix, after] { return world_.store_.Changes(prefix, after).has_value(); },
+              [this, prefix, after, until, life, done] {
+                if (life == life_) {
+                  PollWatch(prefix, after, until, life, done);
+                }
+              });
           return;
         }
         done(answer);
@@ -289,22 +299,20 @@
       });
 }
 
-// Looks again until an end is there, then takes the lists as they are at that time.
+// Takes the lists as they are once an end is there.
 void FakeHost::WaitForEnd(FakeWorker& worker, const HoldOrder& order, TimePoint until, const WorkerPort::Done& done) {
-  world_.In(kPoll, [this, &worker, order, until, done, life = life_] {
-    if (life != life_) {
-      return;
-    }
-    if (worker.up && !worker.faults.silent && !worker.HasEnds(order.acknowledged) && world_.Now() < until) {
-      WaitForEnd(worker, order, until, done);
-      return;
-    }
-    HoldOrder look = order;
-    look.deadline = Duration(0);
-    CallWorker(
-        WorkerTarget{worker.entry.id, worker.entry.address}, [look](FakeWorker& held) { return held.Hold(look); },
-        done);
-  });
+  world_.Wait(
+      world_.holds_[&worker], until, [&worker, order] { return worker.HasEnds(order.acknowledged); },
+      [this, &worker, order, done, life = life_] {
+        if (life != life_) {
+          return;
+        }
+        HoldOrder look = order;
+        look.deadline = Duration(0);
+        CallWorker(
+            WorkerTarget{worker.entry.id, worker.entry.address}, [look](FakeWorker& held) { return held.Hold(look); },
+            done);
+      });
 }
 
 // --- Advice, peers, the rest ---
@@ -320,11 +328,14 @@
   }
   const Duration cost = queue->advice->base + queue->advice->per_worker * static_cast<int64_t>(workers.size());
   advice_free_ = std::max(advice_free_, world_.Now()) + cost;
+  world_.advice_seconds += std::chrono::duration<double>(cost).count();
+  const auto stated = world_.allowed_percent.find(queue->name);
+  const auto allowed = static_cast<size_t>(stated == world_.allowed_percent.end() ? kAllowedPercent : stated->second);
   const Duration valid_until = advice_free_.time_since_epoch() + queue->advice->valid;
   AdviceAnswer answer{true, {}};
   for (const std::string& worker : workers) {
     const size_t draw = std::hash<std::string>()(fmt::format("{}.{}.{}", step.job, step.step, worker)) % 100;
-    if (draw < kAllowedShare) {
+    if (draw < allowed) {
       answer.allowed.push_back(Ticket{worker, std::to_string(valid_until.count())});
     }
   }
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -63,7 +63,7 @@
  private:
   struct Process;
 
-  // Takes an answer to this process, or nowhere if it is dead; later if it is frozen.
+  // Takes an answer to this process, or nowhere if it is dead; later if it is frozen or busy.
   void Deliver(uint64_t life, std::function<void()> work);
   void CallStore(bool changes, const std::function<StoreAnswer()>& apply, const StorePort::Done& done);
   void CallWorker(const WorkerTarget& target,
@@ -82,7 +82,8 @@
   std::unique_ptr<Process> process_;
   uint64_t life_ = 0;  // Of the process; rises with each boot and each death.
   TimePoint frozen_until_{};
-  std::deque<std::function<void()>> inbox_;  // While frozen.
+  TimePoint busy_until_{};                   // With what it has taken in, if events cost time.
+  std::deque<std::function<void()>> inbox_;  // While frozen or busy.
   TimePoint advice_free_{};
 };
 
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -62,11 +62,10 @@
     return answer;
   }
   answer.status = StoreStatus::kOk;
-  for (const StoreItem& item : history_) {
-    if (item.revision > after && item.key.starts_with(prefix)) {
-      answer.items.push_back(item);
-    }
-  }
+  const auto first = std::upper_bound(history_.begin(), history_.end(), after,
+                                      [](uint64_t revision, const StoreItem& item) { return revision < item.revision; });
+  std::copy_if(first, history_.end(), std::back_inserter(answer.items),
+               [&](const StoreItem& item) { return item.key.starts_with(prefix); });
   return answer.items.empty() ? std::nullopt : std::optional(answer);
 }
 
@@ -201,6 +200,7 @@
 
 void FakeWorker::Extend(Duration deadline) {
   hold_until_ = std::max(hold_until_, std::min(deadline, ClockNow() + kMostHold));
+  next_end_.reset();
 }
 
 OrderAnswer FakeWorker::Start(const StartOrder& order) {
@@ -253,6 +253,7 @@
     }
   }
   runs_[order.run] = run;
+  next_end_.reset();
   if (run.gang) {
     world_.GangMemberArrived(*this, order.run);
   }
@@ -269,6 +270,7 @@
   highest = std::max(highest, run.run);
   const auto found = runs_.find(run);
   if (found != runs_.end() && !found->second.stopping) {
+    next_end_.reset();
     found->second.stopping = true;
     found->second.ends_at = world_.Now() + kStopTakes;
     found->second.how = EndKind::kStopped;
@@ -310,6 +312,7 @@
   const RunRef run = ended;  // It may be the key that goes.
   const bool gang = runs_[run].gang;
   runs_.erase(run);
+  next_end_.reset();
   int& highest = highest_[run.task];
   highest = std::max(highest, run.run);
   ended_.push_back(EndedRow{++last_end_, run, how, ""});
@@ -317,10 +320,11 @@
   if (gang) {
     world_.GangMemberEnded(run, how);
   }
+  world_.WakeDue(world_.holds_[this]);
 }
 
 void FakeWorker::Advance() {
-  if (!up) {
+  if (!up || NextEnd() > world_.Now()) {
     return;
   }
   if (!runs_.empty() && ClockNow() >= hold_until_) {
@@ -346,11 +350,13 @@
   if (!up || runs_.empty()) {
     return TimePoint::max();
   }
-  TimePoint next = WhenClockShows(hold_until_);
-  for (const auto& [run, state] : runs_) {
-    next = std::min(next, state.ends_at == TimePoint::max() ? state.alone_at : state.ends_at);
+  if (!next_end_) {
+    next_end_ = WhenClockShows(hold_until_);
+    for (const auto& [run, state] : runs_) {
+      next_end_ = std::min(*next_end_, state.ends_at == TimePoint::max() ? state.alone_at : state.ends_at);
+    }
   }
-  return next;
+  return *next_end_;
 }
 
 void FakeWorker::EndGangRun(const RunRef& run, EndKind how) {
@@ -361,6 +367,7 @@
 
 void FakeWorker::Crash() {
   up = false;
+  next_end_.reset();
   while (!runs_.empty()) {
     const RunRef run = runs_.begin()->first;
     const bool gang = runs_.begin()->second.gang;
@@ -374,6 +381,7 @@
 
 void FakeWorker::Restart() {
   up = true;
+  next_end_.reset();
   entry.born_ms += 1000;
   clock_base_ = world_.Now();
   token_ = 0;
@@ -387,7 +395,7 @@
 // --- The world ---
 
 CellWorld::CellWorld(uint64_t seed, int hosts, int workers) : random_(seed), store_(*this) {
-  store_.on_change = [] {};
+  store_.on_change = [this] { WakeDue(watches_); };
   for (int i = 0; i < workers; ++i) {
     WorkerEntry entry;
     entry.id = fmt::format("w{}", i);
@@ -432,6 +440,33 @@
   return next;
 }
 
+void CellWorld::Wait(Waiters& among,
+                     TimePoint until,
+                     std::function<bool()> due,
+                     std::function<void()> go_on) {
+  if (due()) {
+    In(Duration(0), std::move(go_on));  // It came while the last look was on its way.
+    return;
+  }
+  auto waiter = std::make_shared<Waiter>(Waiter{std::move(due), std::move(go_on), false});
+  among.push_back(waiter);
+  In(until - Now(), [waiter] {
+    if (!std::exchange(waiter->gone, true)) {
+      waiter->go_on();
+    }
+  });
+}
+
+void CellWorld::WakeDue(Waiters& waiters) {
+  std::erase_if(waiters, [this](const std::shared_ptr<Waiter>& waiter) {
+    if (!waiter->gone && waiter->due()) {
+      waiter->gone = true;
+      In(Duration(0), waiter->go_on);
+    }
+    return waiter->gone;
+  });
+}
+
 void CellWorld::Step(TimePoint until) {
   const TimePoint next = std::min(NextEvent(), until);
   if (next > clock_.Now()) {
@@ -677,6 +712,7 @@
       if (member.task.job == run.task.job && member.task.step == run.task.step && member.run == run.run) {
         state.began = Now();
         state.ends_at = Now() + behaviour.takes;
+        each->next_end_.reset();
       }
     }
   }
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -122,6 +122,7 @@
   void Extend(Duration deadline);
 
   CellWorld& world_;
+  mutable std::optional<TimePoint> next_end_;  // Unless something has changed since it was worked out.
   TimePoint clock_base_{};
   uint64_t token_ = 0;
   Duration hold_until_{};  // On its own clock.
@@ -197,16 +198,24 @@
   void WriteEntry(const FakeWorker& worker);
   bool log_to_stdout = false;
 
+  // Processor time of a host for each message, answer or round of timers. Zero: hosts are as fast as need be.
+  Duration event_cost{};
+  // Of the workers, by queue: how many of a hundred the advice service allows a step. Without an entry 85.
+  std::map<std::string, int> allowed_percent;
+  double advice_seconds = 0;  // That the advice service has worked, over all hosts.
+
  private:
   friend class FakeStore;
   friend class FakeWorker;
   friend class FakeHost;
 
-  struct Watcher {
-    std::string prefix;
-    uint64_t after = 0;
-    std::function<void(const StoreAnswer&)> done;
+  // A watch or a hold that waits for news. Goes on once, with the news or when its time is over.
+  struct Waiter {
+    std::function<bool()> due;  // Whether there is news for it.
+    std::function<void()> go_on;
+    bool gone = false;
   };
+  using Waiters = std::vector<std::shared_ptr<Waiter>>;
   struct GangRun {
     std::set<std::string> present;  // Workers and indices.
     std::vector<FakeWorker*> workers;
@@ -214,6 +223,8 @@
 
   void Step(TimePoint until);
   TimePoint NextEvent() const;
+  void Wait(Waiters& among, TimePoint until, std::function<bool()> due, std::function<void()> go_on);
+  void WakeDue(Waiters& waiters);
   // --- What workers tell the world ---
   void OnRunStarted(FakeWorker& worker, const StartOrder& order);
   void OnRunEnded(FakeWorker& worker, const RunRef& run, EndKind how);
@@ -228,8 +239,10 @@
   ManualClock clock_;
   Timers timers_{clock_};
   std::mt19937_64 random_;
+  Waiters watches_;  // Of the store.
   FakeStore store_;
   std::vector<std::unique_ptr<FakeWorker>> workers_;
+  std::map<const FakeWorker*, Waiters> holds_;  // That wait for an end.
   std::vector<std::unique_ptr<FakeHost>> hosts_;
 
   std::map<std::string, JobSpec> submitted_;
