A refused request stays refused, whatever copies of it come late

Cause: a host takes the first definite reply, and copies of the request are still on their way to the same owner or the next. Ruled out: a second try by the caller (the host's log has one request). Change: requests carry the term they are for, replies the term they come from; a refusal counts only from the newest owner that was asked, an owner refuses what was meant for one before it, and remembers what it refused for 15 s.

--- a/bench/cell_load.h
+++ b/bench/cell_load.h
@@ -42,12 +42,13 @@
   uint64_t seed = 1;
   int hosts = 7;
   int workers = 48;
-  Resources room;             // Of each worker.
-  Duration length = 20s;      // Of the traffic.
-  Duration after = 15s;       // In which what was accepted may still end.
-  Duration event_cost{};      // Processor time of a host for each message, answer or timer.
+  Resources room;         // Of each worker.
+  Duration length = 20s;  // Of the traffic.
+  Duration after = 15s;   // In which what was accepted may still end.
+  Duration event_cost{};  // Processor time of a host for each message, answer or timer.
   std::vector<LoadClass> classes;
   std::vector<LoadBurst> bursts;
+  bool log = false;  // Prints what the hosts log.
 
   friend bool operator==(const LoadOptions&, const LoadOptions&) = default;
 };
@@ -58,11 +59,11 @@
   int asked = 0;
   int in_time = 0;
   int late = 0;
-  int refused = 0;   // Told that they were not accepted, by all tries.
+  int refused = 0;     // Told that they were not accepted, by all tries.
   int unanswered = 0;  // No answer in time to any try.
-  int too_late = 0;  // Accepted, and ended later than that or not at all.
-  double work = 0;   // Core-seconds in time, as a share of those asked for.
-  Duration median{}; // From first try to end, of those that ended.
+  int too_late = 0;    // Accepted, and ended later than that or not at all.
+  double work = 0;     // Core-seconds in time, as a share of those asked for.
+  Duration median{};   // From first try to end, of those that ended.
   Duration p99{};
 
   friend bool operator==(const ClassOutcome&, const ClassOutcome&) = default;
--- a/bench/cell_load_main.cc
+++ b/bench/cell_load_main.cc
@@ -15,6 +15,7 @@
 DEFINE_double(length_s, 20, "seconds of traffic");
 DEFINE_double(load, 1, "times the deployment's usual rate");
 DEFINE_int32(event_cost_us, 0, "processor time of a host for each event, in microseconds");
+DEFINE_bool(log, false, "prints what the hosts log; for one seed");
 DEFINE_string(burst, "", "QUEUE:FACTOR:AT:SECONDS, many jobs of one class at once");
 
 namespace hibiscus::cell {
@@ -58,6 +59,7 @@
   LoadOptions options = FLAGS_deployment == "large" ? LargeDeployment() : SmallDeployment();
   options.length = hibiscus::Duration(static_cast<int64_t>(FLAGS_length_s * 1e6));
   options.event_cost = std::chrono::microseconds(FLAGS_event_cost_us);
+  options.log = FLAGS_log;
   for (LoadClass& of : options.classes) {
     of.jobs_a_second *= FLAGS_load;
   }
--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Duration kTick = 200ms;
-constexpr Duration kAskAgain = 700ms;       // A request without a reply goes out again; the owner knows it by its id.
+constexpr Duration kAskAgain = 700ms;       // A request without a reply goes out again, then after twice that time.
 constexpr Duration kLookAgain = 50ms;       // While no owner is known.
 constexpr Duration kAfterUnsure = 150ms;    // Before a request is put to the next owner.
 constexpr Duration kPingAfter = 800ms;      // Without a word from the owner.
@@ -116,7 +116,7 @@
   const uint64_t call = ++last_call_;
   request.call = call;
   request.reply_to = context_.settings.peer_address;
-  pending_[call] = Pending{std::move(request), deadline, std::move(reply), false, 0};
+  pending_[call] = Pending{std::move(request), deadline, std::move(reply), false, 0, 0, kAskAgain};
   context_.timers.In(std::max(Duration(0), deadline - context_.Now()), Guarded([this, call] { GiveUp(call); }));
   Dispatch(call);
 }
@@ -139,14 +139,20 @@
   Pending& pending = pending_.at(call);
   if (owner_ != nullptr) {
     pending.sent = true;
+    pending.newest_term = known_.term;
     ++pending.timer;
-    owner_->Handle(pending.request, Guarded([this](const CallerReply& reply) { OnReply(reply); }));
+    owner_->Handle(pending.request, Guarded([this](CallerReply reply) {
+                     reply.term = known_.term;
+                     OnReply(reply);
+                   }));
     return;
   }
   if (!IsFree() && known_.record.address != context_.settings.peer_address) {
     pending.sent = true;
+    pending.newest_term = std::max(pending.newest_term, known_.term);
+    pending.request.term = known_.term;
     Send(known_.record.address, pending.request);
-    DispatchIn(call, kAskAgain);
+    DispatchIn(call, std::exchange(pending.ask_again, pending.ask_again * 2));
     return;
   }
   DispatchIn(call, kLookAgain);
@@ -177,6 +183,13 @@
     DispatchIn(reply.call, kAfterUnsure);
     return;
   }
+  const bool refused = reply.outcome == CallerOutcome::kRejected || reply.outcome == CallerOutcome::kUnavailable;
+  if (refused && reply.term < found->second.newest_term) {
+    // A later owner has a copy and may accept it: its word counts.
+    context_.Log("caller", "event=refusal_overtaken job={} term={} asked_term={}", found->second.request.job,
+                 reply.term, found->second.newest_term);
+    return;
+  }
   const Reply done = std::move(found->second.reply);
   pending_.erase(found);
   done(reply);
@@ -194,7 +207,7 @@
   context_.Log("caller", "event=given_up job={} queue={} kind={} sent={} owner={} owner_silent_ms={}",
                pending.request.job, pending.request.queue, static_cast<int>(pending.request.kind), pending.sent,
                known_.present ? known_.record.host : "none", Millis(context_.Now() - heard_owner_));
-  pending.reply(CallerReply{call, outcome, {}, 0, kComeBack});
+  pending.reply(CallerReply{call, outcome, {}, 0, kComeBack, 0});
 }
 
 // --- Other hosts ---
@@ -231,11 +244,15 @@
 }
 
 void Host::OnCallerRequest(const CallerRequest& request) {
-  if (owner_ == nullptr) {
-    Send(request.reply_to, CallerReply{request.call, CallerOutcome::kNotOwner, {}, 0, 0us});
+  // One that was meant for an owner before this one may be a copy that an owner in between has refused.
+  if (owner_ == nullptr || request.term < owner_->ownership().term) {
+    Send(request.reply_to, CallerReply{request.call, CallerOutcome::kNotOwner, {}, 0, 0us, 0});
     return;
   }
-  owner_->Handle(request, Guarded([this, to = request.reply_to](const CallerReply& reply) { Send(to, reply); }));
+  owner_->Handle(request, Guarded([this, to = request.reply_to](CallerReply reply) {
+                   reply.term = known_.term;
+                   Send(to, reply);
+                 }));
 }
 
 void Host::OnAdviceRequest(const AdviceRequest& request) {
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -68,8 +68,10 @@
     CallerRequest request;
     TimePoint deadline{};
     Reply reply;
-    bool sent = false;   // It may have reached an owner.
-    uint64_t timer = 0;  // Only the newest counts.
+    bool sent = false;         // It may have reached an owner.
+    uint64_t newest_term = 0;  // Of the owners that it was sent to.
+    uint64_t timer = 0;        // Only the newest counts.
+    Duration ask_again{};      // Until the next copy goes out; grows.
   };
 
   // --- host.cc: callers and other hosts ---
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -21,8 +21,9 @@
   std::string reply_to;  // Peer address of the sender.
   CallerKind kind = CallerKind::kState;
   std::string queue;
-  std::string job;   // Empty for kPending.
-  std::string spec;  // kSubmit: a JobSpec as a record.
+  std::string job;    // Empty for kPending.
+  std::string spec;   // kSubmit: a JobSpec as a record.
+  uint64_t term = 0;  // Of the owner that it is for: a later one has to be asked anew.
 
   friend bool operator==(const CallerRequest&, const CallerRequest&) = default;
 };
@@ -42,6 +43,7 @@
   JobState state = JobState::kQueued;  // kState.
   int64_t pending = 0;                 // kPending.
   Duration retry_after = 0us;
+  uint64_t term = 0;  // Of the owner that replies.
 
   friend bool operator==(const CallerReply&, const CallerReply&) = default;
 };
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -9,10 +9,11 @@
 
 constexpr Duration kTick = 100ms;             // Sweeps of workers, due occurrences.
 constexpr Duration kPendingCountAge = 500ms;  // Counts of waiting jobs may be this old; callers allow 2 s.
-constexpr Duration kStalledAfter = 600ms;  // No new jobs are taken while the store has confirmed nothing for so long.
-constexpr Duration kComeBack = 1s;         // Retry-After where no better time is known.
-constexpr Duration kLongestComeBack = 3s;  // A store's outage: callers try again some four times.
-constexpr size_t kMostJobs = 20'000;       // Held in memory; some 5 KB each within a host's memory.
+constexpr Duration kStalledAfter = 600ms;    // No new jobs are taken while the store has confirmed nothing for so long.
+constexpr Duration kComeBack = 1s;           // Retry-After where no better time is known.
+constexpr Duration kLongestComeBack = 3s;    // A store's outage: callers try again some four times.
+constexpr Duration kCopiesComeWithin = 15s;  // Of one request, after the first: longer than any caller waits.
+constexpr size_t kMostJobs = 20'000;         // Held in memory; some 5 KB each within a host's memory.
 
 }  // namespace
 
@@ -61,6 +62,7 @@
     BeginDueOccurrences(*job);
   }
   ForgetEnded();
+  ForgetRefused();
   ScheduleSoon();
 }
 
@@ -71,7 +73,7 @@
 
 void Owner::Handle(const CallerRequest& request, Reply reply) {
   if (deposed_once_ || closing_) {
-    reply(CallerReply{request.call, CallerOutcome::kNotOwner, {}, 0, 0us});
+    reply(CallerReply{request.call, CallerOutcome::kNotOwner, {}, 0, 0us, 0});
     return;
   }
   if (!loaded_) {
@@ -97,10 +99,14 @@
 // --- Submit ---
 
 void Owner::Submit(const CallerRequest& request, const Reply& reply) {
-  const auto accepted = [call = request.call, reply] { reply(CallerReply{call, CallerOutcome::kDone, {}, 0, 0us}); };
-  const auto withdrawn = [call = request.call, reply](Duration retry_after) {
-    reply(CallerReply{call, CallerOutcome::kRejected, {}, 0, retry_after});
+  const auto accepted = [call = request.call, reply] { reply(CallerReply{call, CallerOutcome::kDone, {}, 0, 0us, 0}); };
+  const auto withdrawn = [this, request, reply](Duration retry_after) {
+    Refuse(request, reply, CallerReply{0, CallerOutcome::kRejected, {}, 0, retry_after, 0});
   };
+  if (const auto copy = refused_.find({request.reply_to, request.call}); copy != refused_.end()) {
+    reply(copy->second);
+    return;
+  }
   if (ended_.contains(request.job)) {
     accepted();
     return;
@@ -119,25 +125,39 @@
   if (queue == nullptr || !spec) {
     context_.Log("admission", "event=rejected job={} queue={} reason={} config={}", request.job, request.queue,
                  queue == nullptr ? "queue_not_configured_here" : "unreadable", configuration_.version);
-    reply(CallerReply{request.call, CallerOutcome::kUnavailable, {}, 0, kComeBack});
+    Refuse(request, reply, CallerReply{0, CallerOutcome::kUnavailable, {}, 0, kComeBack, 0});
     return;
   }
   if (std::optional<CallerReply> refusal = Refusal(); refusal) {
     context_.counters.Add(fmt::format("rejected{{queue=\"{}\"}}", queue->name));
     context_.Log("admission", "event=rejected job={} queue={} jobs={} store_stalled_ms={} retry_after_ms={}",
                  request.job, queue->name, jobs_.size(), Millis(commit_.stalled_for()), Millis(refusal->retry_after));
-    refusal->call = request.call;
-    reply(*refusal);
+    Refuse(request, reply, *refusal);
     return;
   }
   AcceptJob(std::move(*spec), *queue, accepted);
   FindJob(request.job)->on_withdrawn.push_back(withdrawn);
 }
 
+void Owner::Refuse(const CallerRequest& request, const Reply& reply, CallerReply refusal) {
+  refusal.call = request.call;
+  const std::pair key(request.reply_to, request.call);
+  refused_[key] = refusal;
+  refused_at_.emplace_back(context_.Now(), key);
+  reply(refusal);
+}
+
+void Owner::ForgetRefused() {
+  while (!refused_at_.empty() && context_.Now() - refused_at_.front().first > kCopiesComeWithin) {
+    refused_.erase(refused_at_.front().second);
+    refused_at_.pop_front();
+  }
+}
+
 // Why no job can be taken now; none if one can.
 std::optional<CallerReply> Owner::Refusal() const {
   if (commit_.stalled_for() > kStalledAfter || jobs_.size() >= kMostJobs) {
-    return CallerReply{0, CallerOutcome::kRejected, {}, 0, ComeBackAfter()};
+    return CallerReply{0, CallerOutcome::kRejected, {}, 0, ComeBackAfter(), 0};
   }
   return std::nullopt;
 }
@@ -201,7 +221,7 @@
 
 void Owner::TellState(const CallerRequest& request, const Reply& reply) {
   const auto tell = [call = request.call, reply](CallerOutcome outcome, JobState state) {
-    reply(CallerReply{call, outcome, state, 0, 0us});
+    reply(CallerReply{call, outcome, state, 0, 0us, 0});
   };
   const auto ended = ended_.find(request.job);
   if (ended != ended_.end()) {
@@ -221,13 +241,13 @@
 }
 
 void Owner::Cancel(const CallerRequest& request, const Reply& reply) {
-  const auto done = [call = request.call, reply] { reply(CallerReply{call, CallerOutcome::kDone, {}, 0, 0us}); };
+  const auto done = [call = request.call, reply] { reply(CallerReply{call, CallerOutcome::kDone, {}, 0, 0us, 0}); };
   const auto ended = ended_.find(request.job);
   Job* job = FindJob(request.job);
   const bool known = job != nullptr ? job->record.spec.queue == request.queue
                                     : ended != ended_.end() && ended->second.queue == request.queue;
   if (!known) {
-    reply(CallerReply{request.call, CallerOutcome::kNoSuchJob, {}, 0, 0us});
+    reply(CallerReply{request.call, CallerOutcome::kNoSuchJob, {}, 0, 0us, 0});
     return;
   }
   if (job == nullptr) {
@@ -249,7 +269,7 @@
       return job.spec_stored && !job.started && !job.final && job.record.spec.queue == request.queue;
     });
   }
-  reply(CallerReply{request.call, CallerOutcome::kDone, {}, pending.count, 0us});
+  reply(CallerReply{request.call, CallerOutcome::kDone, {}, pending.count, 0us, 0});
 }
 
 // --- Configuration, the end ---
@@ -268,7 +288,7 @@
   closing_ = true;
   closed_ = std::move(closed);
   for (auto& [request, reply] : early_) {
-    reply(CallerReply{request.call, CallerOutcome::kNotOwner, {}, 0, 0us});
+    reply(CallerReply{request.call, CallerOutcome::kNotOwner, {}, 0, 0us, 0});
   }
   early_.clear();
   commit_.Request();
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -109,6 +109,8 @@
   std::optional<CallerReply> Refusal() const;
   Duration ComeBackAfter() const;
   void WithdrawUnsent();
+  void Refuse(const CallerRequest& request, const Reply& reply, CallerReply refusal);
+  void ForgetRefused();
   Job* FindJob(const std::string& id);
   bool HasExpired(const EndedBatch& batch) const;
   void ForgetEnded();
@@ -225,6 +227,9 @@
   bool deposed_once_ = false;
   std::function<void()> closed_;
   std::vector<std::pair<CallerRequest, Reply>> early_;  // Came before the jobs were read.
+  // Requests that were refused, by sender and call: a copy that comes later must be refused too.
+  std::map<std::pair<std::string, uint64_t>, CallerReply> refused_;
+  std::deque<std::pair<TimePoint, std::pair<std::string, uint64_t>>> refused_at_;
   // Read from the store, until all of it is here.
   struct LoadedJob {
     JobRecord record;
@@ -255,12 +260,12 @@
     Worker* worker = nullptr;
     bool quarantined = false;
   };
-  std::vector<Usable> usable_;         // Workers that this pass may place on.
-  std::vector<const StepRun*> kept_;   // For which gang room is kept there, by this pass so far.
-  size_t kept_count_ = 0;              // Workers on which it is.
-  std::vector<bool> kept_before_;      // Whether the last pass kept room there.
-  std::vector<Resources> reserved_;    // By gangs that wait for tickets.
-  Duration pass_takes_{};  // What the last pass took of the control thread.
+  std::vector<Usable> usable_;        // Workers that this pass may place on.
+  std::vector<const StepRun*> kept_;  // For which gang room is kept there, by this pass so far.
+  size_t kept_count_ = 0;             // Workers on which it is.
+  std::vector<bool> kept_before_;     // Whether the last pass kept room there.
+  std::vector<Resources> reserved_;   // By gangs that wait for tickets.
+  Duration pass_takes_{};             // What the last pass took of the control thread.
   bool schedule_soon_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -81,6 +81,7 @@
   struct Place {
     bool worthless = false;
     int priority = 0;
+    bool late = false;  // It cannot be in time any more.
     TimePoint due;
     StepRun* step = nullptr;
   };
@@ -94,18 +95,19 @@
     }
     const Duration objective = job->objective;
     const bool worthless = now - job->accepted_at > objective * kWorthlessAfter;
+    const bool late = now - job->accepted_at + LongestChain(job->record.spec) > objective;
     for (const auto& [number, occurrence] : job->occurrences) {
       for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
         const bool gang_partly_out = step->spec->gang && step->waiting < step->spec->count;
         if (step->open && step->waiting > 0 && !step->gang_ending && !gang_partly_out) {
-          places.push_back(Place{worthless, job->queue.priority, job->accepted_at + objective, step.get()});
+          places.push_back(Place{worthless, job->queue.priority, late, job->accepted_at + objective, step.get()});
         }
       }
     }
   }
   std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
-    return std::tie(a.worthless, a.priority, a.due, a.step->job->id(), a.step->step) <
-           std::tie(b.worthless, b.priority, b.due, b.step->job->id(), b.step->step);
+    return std::tie(a.worthless, a.priority, a.late, a.due, a.step->job->id(), a.step->step) <
+           std::tie(b.worthless, b.priority, b.late, b.due, b.step->job->id(), b.step->step);
   });
   std::vector<StepRun*> steps;
   steps.reserve(places.size());
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -89,11 +89,11 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, CallerRequest> {
-  return std::tie(self.call, self.reply_to, self.kind, self.queue, self.job, self.spec);
+  return std::tie(self.call, self.reply_to, self.kind, self.queue, self.job, self.spec, self.term);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, CallerReply> {
-  return std::tie(self.call, self.outcome, self.state, self.pending, self.retry_after);
+  return std::tie(self.call, self.outcome, self.state, self.pending, self.retry_after, self.term);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, AdviceRequest> {
--- a/src/ports/frame_link.cc
+++ b/src/ports/frame_link.cc
@@ -10,8 +10,8 @@
 #include <thread>
 #include <utility>
 
-#include <boost/asio.hpp>
 #include <fmt/core.h>
+#include <boost/asio.hpp>
 
 namespace hibiscus {
 
@@ -21,14 +21,14 @@
 using asio::ip::tcp;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-constexpr std::chrono::milliseconds kRound(200);     // Receipts go out, and silence is looked for, so often.
+constexpr std::chrono::milliseconds kRound(200);      // Receipts go out, and silence is looked for, so often.
 constexpr std::chrono::milliseconds kPatience(1000);  // Without a receipt, a connection counts as broken.
 constexpr std::chrono::milliseconds kConnectAgain(100);
 constexpr size_t kLengthBytes = 4;
 constexpr size_t kReceiptBytes = 8;
-constexpr size_t kReadBytes = size_t{16} * 1024;          // Taken from a connection at once.
-constexpr size_t kMostFrame = size_t{8} * 1024 * 1024;    // Bytes; a longer one ends the connection.
-constexpr size_t kMostQueued = size_t{4} * 1024 * 1024;   // Bytes that wait for one host; more is dropped.
+constexpr size_t kReadBytes = size_t{16} * 1024;         // Taken from a connection at once.
+constexpr size_t kMostFrame = size_t{8} * 1024 * 1024;   // Bytes; a longer one ends the connection.
+constexpr size_t kMostQueued = size_t{4} * 1024 * 1024;  // Bytes that wait for one host; more is dropped.
 
 template <size_t Bytes>
 void AppendNumber(std::string& text, uint64_t number) {
@@ -50,7 +50,8 @@
   const size_t colon = address.rfind(':');
   boost::system::error_code error;
   const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-  const unsigned long port = colon == std::string::npos ? 65536 : std::strtoul(address.c_str() + colon + 1, nullptr, 10);
+  const unsigned long port =
+      colon == std::string::npos ? 65536 : std::strtoul(address.c_str() + colon + 1, nullptr, 10);
   if (error || port > 65535) {
     throw std::runtime_error(fmt::format("'{}' is no ip:port", address));
   }
@@ -60,8 +61,7 @@
 // One connection that another host opened.
 class Incoming : public std::enable_shared_from_this<Incoming> {
  public:
-  Incoming(tcp::socket socket, const FrameLink::Receiver& receiver)
-      : socket_(std::move(socket)), receiver_(receiver) {}
+  Incoming(tcp::socket socket, const FrameLink::Receiver& receiver) : socket_(std::move(socket)), receiver_(receiver) {}
 
   void Read() {
     socket_.async_read_some(asio::buffer(chunk_),
@@ -264,11 +264,11 @@
   const tcp::endpoint endpoint_;
   std::atomic<uint64_t>& lost_;
   Phase phase_ = Phase::kClosed;
-  uint64_t connection_ = 0;  // Counts them.
-  std::string queue_;        // Framed messages that wait for the connection.
-  uint64_t queued_ = 0;      // Messages in it.
-  std::string written_;      // On its way into the connection.
-  uint64_t writing_ = 0;     // Messages in it.
+  uint64_t connection_ = 0;   // Counts them.
+  std::string queue_;         // Framed messages that wait for the connection.
+  uint64_t queued_ = 0;       // Messages in it.
+  std::string written_;       // On its way into the connection.
+  uint64_t writing_ = 0;      // Messages in it.
   uint64_t unreceipted_ = 0;  // Messages sent since all was last receipted.
   uint64_t sent_ = 0;         // Bytes.
   uint64_t receipted_ = 0;    // Bytes.
@@ -281,8 +281,7 @@
 
 class FrameLink::State {
  public:
-  State(const std::string& address, Receiver receiver)
-      : receiver_(std::move(receiver)), acceptor_(io_), round_(io_) {
+  State(const std::string& address, Receiver receiver) : receiver_(std::move(receiver)), acceptor_(io_), round_(io_) {
     const tcp::endpoint endpoint = EndpointOf(address);
     try {
       acceptor_.open(endpoint.protocol());
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -11,10 +11,11 @@
 
 namespace {
 
-constexpr Duration kWay = 2ms;      // One way to the store, a worker or another host.
-constexpr Duration kNoAnswer = 1s;  // When a caller gives up.
-constexpr int kAllowedPercent = 85;  // Of the workers that the advice service allows a step.
-constexpr Duration kLatest = 6s;    // Calls that are carried out late.
+constexpr Duration kWay = 2ms;            // One way to the store, a worker or another host.
+constexpr Duration kNoAnswer = 1s;        // When a caller gives up.
+constexpr int kAllowedPercent = 85;       // Of the workers that the advice service allows a step.
+constexpr Duration kLatestMessage = 2s;   // Of those between hosts that come late.
+constexpr Duration kLatest = 6s;          // Calls that are carried out late.
 constexpr Duration kCallerWait = 2800ms;  // How long a caller waits for an answer.
 
 }  // namespace
@@ -202,7 +203,8 @@
         const bool nothing = answer.status == StoreStatus::kOk && answer.items.empty();
         if (nothing && world_.Now() < until) {
           world_.Wait(
-              world_.watches_, until, [this, prefix, after] { return world_.store_.Changes(prefix, after).has_value(); },
+              world_.watches_, until,
+              [this, prefix, after] { return world_.store_.Changes(prefix, after).has_value(); },
               [this, prefix, after, until, life, done] {
                 if (life == life_) {
                   PollWatch(prefix, after, until, life, done);
@@ -347,7 +349,9 @@
   for (const std::unique_ptr<FakeHost>& host : world_.hosts_) {
     if (host->name_ == address && !cut_from_peers && !host->cut_from_peers) {
       FakeHost* to = host.get();
-      world_.In(kWay, [to, message = std::move(message)] {
+      const bool late = world_.late_messages > 0 && world_.Chance(world_.late_messages);
+      const Duration more = late ? Duration(static_cast<int64_t>(world_.random()() % kLatestMessage.count())) : 0us;
+      world_.In(kWay + more, [to, message = std::move(message)] {
         if (to->process_ != nullptr) {
           to->Deliver(to->life_, [to, message] { to->process_->host.OnPeerMessage(message); });
         }
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -198,6 +198,8 @@
   void WriteEntry(const FakeWorker& worker);
   bool log_to_stdout = false;
 
+  // Share of the messages between hosts that arrive up to two seconds late, after newer ones.
+  double late_messages = 0;
   // Processor time of a host for each message, answer or round of timers. Zero: hosts are as fast as need be.
   Duration event_cost{};
   // Of the workers, by queue: how many of a hundred the advice service allows a step. Without an entry 85.
@@ -249,6 +251,8 @@
   std::map<std::string, TaskBehaviour> behaviours_;
   std::map<std::string, QueueSpec> queues_;  // By job.
   std::set<std::string> accepted_;
+  // How often a job was handed in, and how often its caller was told that it was not accepted.
+  std::map<std::string, std::pair<int, int>> handed_in_;
   std::map<TaskRef, std::set<std::pair<std::string, int>>> running_;  // Worker and run.
   std::map<TaskRef, int> done_;                                       // Times ended as done.
   std::set<TaskRef> noted_done_;
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -55,6 +55,28 @@
   }
 }
 
+// Hosts send a request again while they wait. A copy may reach the owner, or the next one, after the caller was
+// refused.
+TEST_CASE("what a caller was told is not accepted does not run, whatever copies of its request come late") {
+  for (const bool owner_changes : {false, true}) {
+    CellWorld world(owner_changes ? 31 : 32, 4, 6);
+    AddQueues(world);
+    REQUIRE(Settle(world));
+    world.late_messages = 0.8;
+    const size_t owner = *world.OwnerIndex();
+    for (int i = 1; i <= 200; ++i) {
+      world.In(i * 30ms, [&world, i] { world.SubmitSurely(JobOf(i, {StepOf(1, 500)}), TaskBehaviour{200ms, 0}); });
+    }
+    for (int i = 0; i < 8; ++i) {  // The store goes silent again and again.
+      (owner_changes ? world.StoreFaultsOf(owner) : world.store().faults).silent = i % 2 == 0;
+      world.RunFor(1300ms);
+    }
+    world.RunFor(4s);
+    CHECK(world.starts() > 0);
+    CHECK(world.violations().empty());
+  }
+}
+
 // Every answer of the store takes 170 ms, so that a batch stands for what came meanwhile, and news never stops coming.
 TEST_CASE("a planned stop under load and a slow store hands over within two seconds") {
   CellWorld world(13, 4, 8);
