The owner is a strong host; one that is behind with its work refuses at once

The cell fell behind without bound, and every request ran to its deadline. Change: hosts state their processor in their record; weak ones claim later, and a weak owner hands over to one with half as much again or more. An owner whose timers run 300 ms late accepts nothing more until it has caught up.

--- a/src/cell/context.h
+++ b/src/cell/context.h
@@ -20,6 +20,7 @@
   DataCentre data_centre;
   std::string peer_address;      // Where other hosts reach this one.
   uint64_t incarnation = 0;      // Of this process, random.
+  int processor_millis = 0;      // Thousandths of a core that this host has. 0: not known.
   Duration most_hold = 6s;       // Longest hold that a worker grants; platform's bound.
   Duration gang_patience = 3s;   // A member waits this long for the others; platform's bound.
   Duration state_kept = 120s;    // How long the state of an ended job is told; platform's bound.
--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -17,6 +17,9 @@
 constexpr Duration kHandOverAfter = 600ms;  // Several copies of a batch have had no answer by then.
 constexpr Duration kLostAfter = 2500ms;     // Without a word, callers are sent to other hosts; longer than a takeover.
 constexpr Duration kComeBack = 1s;          // Retry-After while there is no owner.
+constexpr Duration kStepDownAfter = 1s;     // As an owner: all hosts are listed by then.
+constexpr Duration kStepDownFor = 2s;       // In which a stronger host takes over.
+constexpr double kMuchStronger = 1.5;       // Times the processor: worth the 200 ms of a planned takeover.
 
 }  // namespace
 
@@ -35,10 +38,10 @@
           kLivePrefix,
           [this](const std::vector<StoreItem>& items) { OnLiveReset(items); },
           [this](const StoreItem& item) { OnLiveItem(item); }),
-      registration_(
-          context,
-          kHostPrefix + context.settings.name,
-          EncodeRecord(HostRecord{context.settings.name, context.settings.peer_address, context.settings.incarnation})),
+      registration_(context,
+                    kHostPrefix + context.settings.name,
+                    EncodeRecord(HostRecord{context.settings.name, context.settings.peer_address,
+                                            context.settings.incarnation, context.settings.processor_millis})),
       last_call_(context.random()) {}
 
 Host::~Host() {
@@ -57,6 +60,7 @@
   if (owner_ != nullptr) {
     Heard();
     OfferIfStalled();
+    StepDownIfWeak();
     return;
   }
   if (context_.Now() - heard_owner_ > kPingAfter) {
@@ -87,6 +91,42 @@
   }
 }
 
+std::vector<HostRecord> Host::ListedHosts() const {
+  std::vector<HostRecord> hosts;
+  for (const auto& [key, host] : hosts_) {
+    hosts.push_back(host);
+  }
+  return hosts;
+}
+
+int Host::StrongestProcessor() const {
+  int strongest = context_.settings.processor_millis;
+  for (const auto& [key, host] : hosts_) {
+    strongest = std::max(strongest, host.processor_millis);
+  }
+  return strongest;
+}
+
+// The owner does far more than any other host. The first to claim may be a weak one, as when all have just started.
+void Host::StepDownIfWeak() {
+  const int own = context_.settings.processor_millis;
+  const int strongest = StrongestProcessor();
+  if (leaving_ || stepping_down_ || restoring_ || own == 0 || strongest < kMuchStronger * own ||
+      context_.Now() - owner_since_ < kStepDownAfter) {
+    return;
+  }
+  context_.Log("owner", "event=stepping_down epoch={} processor_millis={} strongest_millis={}",
+               owner_->ownership().epoch, own, strongest);
+  stepping_down_ = true;
+  HandBack([this] {
+    stepping_down_ = false;
+    stepped_down_until_ = context_.Now() + kStepDownFor;
+    if (owner_ != nullptr) {
+      DropOwner();
+    }
+  });
+}
+
 void Host::OnHandOver(const HandOver& word) {
   if (owner_ != nullptr || word.term != known_.term || !live_watch_.healthy() || context_.Now() < no_claim_until_) {
     return;
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -86,6 +86,9 @@
   void OnPing(const Ping& ping);
   void OnHandOver(const HandOver& word);
   void OfferIfStalled();
+  std::vector<HostRecord> ListedHosts() const;
+  int StrongestProcessor() const;
+  void StepDownIfWeak();
   void Send(const std::string& address, const Message& message);
   void Heard() { heard_owner_ = context_.Now(); }
   void Tick();
@@ -111,6 +114,8 @@
   void Deposed();
   void DropOwner();
   void ReleaseRecord(const std::function<void()>& left);
+  void HandBack(std::function<void()> done);
+  Duration ClaimDelay() const;
   OwnerRecord OwnRecord(uint64_t epoch, bool released) const;
   bool IsOwn(const OwnerRecord& record) const;
   bool IsFree() const;
@@ -138,6 +143,9 @@
   TimePoint no_claim_until_{};  // After one that failed at the store.
   ClaimParts claim_;
   std::unique_ptr<Owner> owner_;
+  TimePoint owner_since_{};
+  bool stepping_down_ = false;      // As the owner, for a host with more processor time.
+  TimePoint stepped_down_until_{};  // Another host is to take over.
   uint64_t owner_lease_ = 0;
   bool restoring_ = false;  // Its record is gone from the store and is being written again.
   bool leaving_ = false;
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -13,6 +13,7 @@
 constexpr Duration kRenewAgain = 150ms;      // After one that had no answer.
 constexpr Duration kIncumbentFirst = 150ms;  // An owner whose record went while it lives writes it again within this.
 constexpr Duration kLongestRank = 300ms;     // Hosts far from the store claim so much later.
+constexpr Duration kWeakestRank = 300ms;     // So do hosts with little processor time beside the strongest.
 constexpr Duration kClaimJitter = 20ms;      // Between hosts that are equally near.
 constexpr Duration kClaimAgain = 200ms;      // After a claim that came to nothing.
 constexpr Duration kOfferIgnored = 1s;       // After a failed claim, offers of an owner that still holds the record.
@@ -102,11 +103,7 @@
     context_.Log("store", "event=unreadable key={} reason=\"{}\"", item.key, host.error());
   }
   if (owner_ != nullptr) {
-    std::vector<HostRecord> hosts;
-    for (const auto& [key, host] : hosts_) {
-      hosts.push_back(host);
-    }
-    owner_->OnHosts(hosts);
+    owner_->OnHosts(ListedHosts());
   }
 }
 
@@ -152,14 +149,21 @@
 
 void Host::ConsiderClaim() {
   if (owner_ != nullptr || claiming_ || leaving_ || !IsFree() || configuration_.version == 0 ||
-      live_watch_.revision() == 0) {
+      live_watch_.revision() == 0 || context_.Now() < stepped_down_until_) {
     return;
   }
   claiming_ = true;
-  const bool may_live = known_.term != 0 && !known_.present;  // Its lease may have ended early.
-  const Duration rank = std::min(live_watch_.round_trip() * kRankFactor, kLongestRank);
-  const Duration delay = rank + context_.Jitter(kClaimJitter) + (may_live ? kIncumbentFirst : Duration(0));
-  context_.timers.In(delay, Guarded([this] { BeginClaim(); }));
+  context_.timers.In(ClaimDelay() + context_.Jitter(kClaimJitter), Guarded([this] { BeginClaim(); }));
+}
+
+// Near the store and strong ones first; an owner whose record went early before all.
+Duration Host::ClaimDelay() const {
+  const bool may_live = known_.term != 0 && !known_.present;
+  const Duration far = std::min(live_watch_.round_trip() * kRankFactor, kLongestRank);
+  const double strongest = StrongestProcessor();
+  const double weakness = strongest > 0 ? 1 - context_.settings.processor_millis / strongest : 0;
+  const Duration weak(static_cast<int64_t>(static_cast<double>(kWeakestRank.count()) * weakness));
+  return far + weak + (may_live ? kIncumbentFirst : Duration(0));
 }
 
 void Host::BeginClaim() {
@@ -304,19 +308,18 @@
   }
   context_.counters.Add("owner_takeovers");
   owner_lease_ = lease;
+  owner_since_ = context_.Now();
   known_ = KnownOwner{ownership.term, true, false, OwnRecord(ownership.epoch, false)};
   owner_ = std::make_unique<Owner>(context_, ownership, configuration_, [this] {
     // The owner is inside a call of its own: it goes once that is over.
     context_.timers.In(Duration(0), Guarded([this] { Deposed(); }));
   });
-  std::vector<HostRecord> hosts;
   for (const auto& [key, host] : hosts_) {
-    hosts.push_back(host);
     if (host.address != context_.settings.peer_address) {
       Send(host.address, OwnerNews{ownership.term, context_.settings.name, context_.settings.peer_address});
     }
   }
-  owner_->OnHosts(hosts);
+  owner_->OnHosts(ListedHosts());
   owner_->Begin();
   context_.timers.In(kRenewEvery, Guarded([this] { Renew(); }));
   DispatchAll();
@@ -431,7 +434,12 @@
     left();
     return;
   }
-  auto once = std::make_shared<std::function<void()>>(std::move(left));
+  HandBack(std::move(left));
+}
+
+// Takes no more work, writes what is known, and marks the record as released.
+void Host::HandBack(std::function<void()> done) {
+  auto once = std::make_shared<std::function<void()>>(std::move(done));
   const auto release = Guarded([this, once] {
     if (*once) {
       ReleaseRecord(std::exchange(*once, nullptr));
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -10,6 +10,7 @@
 constexpr Duration kTick = 100ms;             // Sweeps of workers, due occurrences.
 constexpr Duration kPendingCountAge = 500ms;  // Counts of waiting jobs may be this old; callers allow 2 s.
 constexpr Duration kStalledAfter = 600ms;    // No new jobs are taken while the store has confirmed nothing for so long.
+constexpr Duration kMostLateness = 300ms;    // Of this thread: more work would make all of it later.
 constexpr Duration kComeBack = 1s;           // Retry-After where no better time is known.
 constexpr Duration kLongestComeBack = 3s;    // A store's outage: callers try again some four times.
 constexpr Duration kCopiesComeWithin = 15s;  // Of one request, after the first: longer than any caller waits.
@@ -130,8 +131,10 @@
   }
   if (std::optional<CallerReply> refusal = Refusal(); refusal) {
     context_.counters.Add(fmt::format("rejected{{queue=\"{}\"}}", queue->name));
-    context_.Log("admission", "event=rejected job={} queue={} jobs={} store_stalled_ms={} retry_after_ms={}",
-                 request.job, queue->name, jobs_.size(), Millis(commit_.stalled_for()), Millis(refusal->retry_after));
+    context_.Log("admission",
+                 "event=rejected job={} queue={} jobs={} store_stalled_ms={} thread_late_ms={} retry_after_ms={}",
+                 request.job, queue->name, jobs_.size(), Millis(commit_.stalled_for()),
+                 Millis(context_.timers.lateness()), Millis(refusal->retry_after));
     Refuse(request, reply, *refusal);
     return;
   }
@@ -156,7 +159,8 @@
 
 // Why no job can be taken now; none if one can.
 std::optional<CallerReply> Owner::Refusal() const {
-  if (commit_.stalled_for() > kStalledAfter || jobs_.size() >= kMostJobs) {
+  const bool behind = context_.timers.lateness() > kMostLateness;
+  if (commit_.stalled_for() > kStalledAfter || behind || jobs_.size() >= kMostJobs) {
     return CallerReply{0, CallerOutcome::kRejected, {}, 0, ComeBackAfter(), 0};
   }
   return std::nullopt;
@@ -164,7 +168,7 @@
 
 // An outage that has lasted a while is likely to last as long again; callers have few tries.
 Duration Owner::ComeBackAfter() const {
-  return std::clamp<Duration>(commit_.stalled_for(), kComeBack, kLongestComeBack);
+  return std::clamp<Duration>(std::max(commit_.stalled_for(), context_.timers.lateness()), kComeBack, kLongestComeBack);
 }
 
 // Jobs that wait for a store that does not answer, and were never sent to it, surely do not run: their callers are
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -26,7 +26,7 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, HostRecord> {
-  return std::tie(self.host, self.address, self.incarnation);
+  return std::tie(self.host, self.address, self.incarnation, self.processor_millis);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, WorkerLifeRecord> {
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -57,6 +57,7 @@
   HostName host;
   std::string address;  // For peers.
   uint64_t incarnation = 0;
+  int processor_millis = 0;  // Thousandths of a core that the host has. 0: not known.
 
   friend auto operator<=>(const HostRecord&, const HostRecord&) = default;
 };
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include <fmt/core.h>
@@ -35,6 +36,8 @@
 DEFINE_string(ready, "127.0.0.1:8082", "");
 DEFINE_string(metrics, "127.0.0.1:8083", "");
 DEFINE_string(advice, "", "");
+DEFINE_string(processor_share, "", "");
+DEFINE_string(processor_speed, "", "");
 DEFINE_string(most_hold_ms, "6000", "");
 DEFINE_string(gang_patience_ms, "3000", "");
 DEFINE_string(state_kept_s, "120", "");
@@ -49,7 +52,9 @@
 
 namespace {
 
-enum class SettingKind { kName, kAddress, kAddressOrNone, kNumber, kLevel, kMode };
+constexpr double kMostShare = 1024;  // Cores of one process.
+
+enum class SettingKind { kName, kAddress, kAddressOrNone, kNumber, kShareOrNone, kLevel, kMode };
 
 // One setting: how it is explained, and what its value may be.
 struct Setting {
@@ -103,6 +108,10 @@
         {"ready", &FLAGS_ready, Kind::kAddress, "where the balancer asks for readiness"},
         {"metrics", &FLAGS_metrics, Kind::kAddress, "where metrics are read"},
         {"advice", &FLAGS_advice, Kind::kAddressOrNone, "the advice service; empty: there is none"},
+        {"processor_share", &FLAGS_processor_share, Kind::kShareOrNone,
+         "part of a core that this process has; empty: not known"},
+        {"processor_speed", &FLAGS_processor_speed, Kind::kShareOrNone,
+         "speed of that core beside others; empty: as any other"},
         {"most_hold_ms", &FLAGS_most_hold_ms, Kind::kNumber, "longest hold that a worker grants", 500, 600'000,
          "milliseconds"},
         {"gang_patience_ms", &FLAGS_gang_patience_ms, Kind::kNumber, "a member waits this long for the others", 100,
@@ -127,6 +136,14 @@
   return number;
 }
 
+// Empty if the text is no number above 0 and of this size.
+std::optional<double> ShareFrom(const std::string& text) {
+  double share = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), share);
+  const bool good = error == std::errc() && end == text.data() + text.size() && share > 0 && share <= kMostShare;
+  return good ? std::optional(share) : std::nullopt;
+}
+
 bool IsAddress(const std::string& value) {
   const size_t colon = value.rfind(':');
   if (colon == std::string::npos || colon == 0) {
@@ -160,6 +177,10 @@
                   : fmt::format("--{} is '{}'; it must be {} to {} {}", setting.flag, value, setting.least,
                                 setting.most, setting.unit);
     }
+    case SettingKind::kShareOrNone:
+      return value.empty() || ShareFrom(value) ? std::string()
+                                               : fmt::format("--{} is '{}'; it must be empty or above 0, at most {}",
+                                                             setting.flag, value, kMostShare);
     case SettingKind::kLevel: {
       const bool good = value == "debug" || value == "info" || value == "warning" || value == "error";
       return good ? std::string()
@@ -265,6 +286,8 @@
   settings.cell.data_centre = FLAGS_data_centre;
   settings.cell.peer_address = FLAGS_peer;
   settings.cell.advice_address = FLAGS_advice;
+  const double processor = ShareFrom(FLAGS_processor_share).value_or(0) * ShareFrom(FLAGS_processor_speed).value_or(1);
+  settings.cell.processor_millis = static_cast<int>(processor * 1000);
   settings.cell.most_hold = millis(FLAGS_most_hold_ms);
   settings.cell.gang_patience = millis(FLAGS_gang_patience_ms);
   settings.cell.state_kept = std::chrono::seconds(Number(FLAGS_state_kept_s));
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -56,6 +56,7 @@
     settings.name = self.name_;
     settings.peer_address = self.name_;
     settings.incarnation = incarnation;
+    settings.processor_millis = self.processor_millis;
     settings.advice_address = "advice";
     return settings;
   }
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -35,6 +35,7 @@
   TimePoint NextDue() const;
   void RunDue();
   bool cut_from_peers = false;
+  int processor_millis = 0;  // Told to the process when it boots.
 
   // --- Ports ---
   void Read(const std::string& key, StorePort::Done done) override;
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -527,6 +527,10 @@
   hosts_[index]->Freeze(time);
 }
 
+void CellWorld::SetProcessor(size_t index, int millis) {
+  hosts_[index]->processor_millis = millis;
+}
+
 void CellWorld::Leave(size_t index) {
   hosts_[index]->host()->Leave([] {});
 }
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -166,6 +166,7 @@
   void Kill(size_t index);
   void Boot(size_t index);
   void Freeze(size_t index, Duration time);
+  void SetProcessor(size_t index, int millis);  // From its next boot on.
   void Leave(size_t index);
   void CutPeers(size_t index, bool cut);
   CallFaults& StoreFaultsOf(size_t index);
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -77,6 +77,58 @@
   }
 }
 
+// Hosts of unlike strength: the owner does ten times the work of any other host.
+TEST_CASE("the cell comes to a strong host, at the start and after a takeover") {
+  CellWorld world(33, 6, 6);
+  for (size_t i = 0; i < world.host_count(); ++i) {
+    world.Kill(i);
+    world.SetProcessor(i, i < 2 ? 500 : 120);
+  }
+  AddQueues(world);
+  for (size_t i = world.host_count(); i > 0; --i) {  // The weak ones are there first.
+    world.In((6 - i) * 150ms, [&world, i] { world.Boot(i - 1); });
+  }
+  world.RunFor(4s);
+  REQUIRE(HasOwner(world));
+  const size_t first = *world.OwnerIndex();
+  CHECK(first < 2);
+  const JobSpec job = JobOf(1, {StepOf(4, 2000)});
+  world.SubmitSurely(job, TaskBehaviour{2500ms, 0});
+  world.RunFor(500ms);
+  world.Kill(first);
+  REQUIRE(world.RunUntil([&] { return HasOwner(world); }, 3s));
+  CHECK(*world.OwnerIndex() == 1 - first);
+  world.RunFor(4s);
+  CHECK(world.StateOf("plain", job.id) == JobState::kCompleted);
+  CHECK(world.violations().empty());
+}
+
+// The owner's thread takes 4 ms for each event, and more work comes than it can do.
+TEST_CASE("an owner that is behind with its work refuses at once, and what it accepts is done") {
+  CellWorld world(34, 4, 8);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.event_cost = 4ms;
+  int refused = 0;
+  int unanswered = 0;
+  for (int i = 1; i <= 600; ++i) {
+    world.In(i * 5ms, [&world, &refused, &unanswered, i] {
+      const auto count = [&](const CallerReply& reply) {
+        refused += reply.outcome == CallerOutcome::kRejected ? 1 : 0;
+        unanswered += reply.outcome == CallerOutcome::kUnsure ? 1 : 0;
+      };
+      world.Submit(static_cast<size_t>(i) % 4, JobOf(i, {StepOf(2, 500)}), TaskBehaviour{200ms, 0}, count);
+    });
+  }
+  world.RunFor(25s);
+  CHECK(refused > 0);
+  CHECK(unanswered < 60);  // A tenth.
+  for (int i = 1; i <= 600; ++i) {
+    CHECK((!world.Accepted(JobId(i)) || world.StateOf("plain", JobId(i)) == JobState::kCompleted));
+  }
+  CHECK(world.violations().empty());
+}
+
 // Every answer of the store takes 170 ms, so that a batch stands for what came meanwhile, and news never stops coming.
 TEST_CASE("a planned stop under load and a slow store hands over within two seconds") {
   CellWorld world(13, 4, 8);
