--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -191,6 +191,7 @@
   // --- owner_placement.cc ---
   void ScheduleSoon();
   void Schedule();
+  void TellWaiting(const std::vector<StepRun*>& waiting);
   std::vector<StepRun*> WaitingInOrder();
   void SetQueue(Job& job, const QueueSpec& queue);
   void PlaceSingles(StepRun& step);
@@ -207,6 +208,7 @@
   void AskAdvice(StepRun& step, std::vector<Worker*> workers);
   void Reserve(StepRun& step, const std::vector<Worker*>& workers, const std::vector<int>& counts);
   void Unreserve(StepRun& step);
+  void StartReserved(StepRun& step);
   void OnAdviceFor(const TaskRef& ref, const std::vector<std::string>& asked, const AdviceAnswer& answer);
   void KeepRoom(StepRun& step, const std::vector<Worker*>& workers, const std::vector<RoomView>& views);
   void LookAtRooms();
@@ -265,6 +267,7 @@
   size_t kept_count_ = 0;             // Workers on which it is.
   std::vector<bool> kept_before_;     // Whether the last pass kept room there.
   std::vector<Resources> reserved_;   // By gangs that wait for tickets.
+  TimePoint told_at_{};    // When a line last said what waits.
   Duration pass_takes_{};             // What the last pass took of the control thread.
   bool schedule_soon_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Duration kPassDelay = 3ms;       // Gathers what comes together: ends of a gang, answers of one round.
+constexpr Duration kTellEvery = 1s;        // Between two lines on what waits.
 constexpr int kPassShare = 4;              // Passes take at most one part in so many and one of the thread's time.
 constexpr Duration kTicketMargin = 250ms;  // A start takes this long at most on its way; a ticket must outlast it.
 constexpr double kMostKeptShare = 0.5;     // Of the workers a gang may use: more room is never kept idle.
@@ -49,7 +50,8 @@
   kept_.assign(workers_.last_number() + 1, nullptr);
   kept_count_ = 0;
   LookAtRooms();
-  for (StepRun* step : WaitingInOrder()) {
+  const std::vector<StepRun*> waiting = WaitingInOrder();
+  for (StepRun* step : waiting) {
     if (step->spec->gang) {
       PlaceGang(*step);
     } else {
@@ -57,6 +59,33 @@
     }
   }
   pass_takes_ = context_.Now() - begin;
+  if (begin - told_at_ > kTellEvery) {
+    told_at_ = begin;
+    TellWaiting(waiting);
+  }
+}
+
+// Why work waits, in figures: what is free, and what of it is kept.
+void Owner::TellWaiting(const std::vector<StepRun*>& waiting) {
+  int gangs = 0;
+  int tasks = 0;
+  int asking = 0;
+  for (const StepRun* step : waiting) {
+    gangs += step->spec->gang && step->waiting > 0 ? 1 : 0;
+    tasks += step->spec->gang ? 0 : step->waiting;
+    asking += step->advice.asking ? 1 : 0;
+  }
+  int64_t capacity = 0;
+  int64_t unused = 0;
+  for (const Usable& usable : usable_) {
+    capacity += usable.worker->entry.capacity.cpu_millis;
+    unused += usable.worker->free().cpu_millis;
+  }
+  context_.Log("placement",
+               "event=waiting gangs={} tasks={} asking={} questions_in_line={} workers_usable={} workers_kept={} "
+               "free_percent={} pass_us={}",
+               gangs, tasks, asking, advice_.in_line(), usable_.size(), kept_count_,
+               capacity == 0 ? 0 : 100 * unused / capacity, pass_takes_.count());
 }
 
 void Owner::LookAtRooms() {
@@ -262,7 +291,7 @@
     }
     if (advised && word == StepAdvice::Word::kNotAsked) {
       never_asked.push_back(worker);
-    } else if ((!advised || word == StepAdvice::Word::kAllowed) && !IsKeptByOther(step, *worker)) {
+    } else if (!IsKeptByOther(step, *worker) || step.reserved.contains(worker->number)) {
       workers.push_back(worker);
       views.push_back(ViewOf(step, *worker));
     }
@@ -393,7 +422,6 @@
     return;
   }
   step->advice.asking = false;
-  Unreserve(*step);
   if (answer.answered && step->job->queue.advice) {
     step->advice.known = true;
     const TimePoint until = context_.Now() + step->job->queue.advice->valid - kTicketMargin;
@@ -413,7 +441,22 @@
   }
   context_.Log("advice", "event=advice job={} step={} asked={} allowed={} answered={}", ref.job, ref.step, asked.size(),
                answer.allowed.size(), answer.answered);
+  if (!step->reserved.empty()) {
+    StartReserved(*step);
+  }
   ScheduleSoon();
 }
 
+// The tickets of a gang are here, and its room was kept for them: it starts now. By the next pass others would have taken
+// the room, and would have to ask for tickets in turn.
+void Owner::StartReserved(StepRun& step) {
+  if (loaded_ && !closing_ && !deposed_once_ && !step.job->final && step.waiting == step.spec->count) {
+    LookAtRooms();
+    PlaceGang(step);
+  }
+  if (!step.advice.asking) {
+    Unreserve(step);
+  }
+}
+
 }  // namespace hibiscus::cell
