--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Duration kPassDelay = 3ms;       // Gathers what comes together: ends of a gang, answers of one round.
+constexpr Duration kLeastRemaining = 100ms;  // Of a task that should have ended by its estimate.
+constexpr Duration kRunsOn = 1h;             // Of a task that runs until its job is cancelled.
 constexpr Duration kTellEvery = 1s;        // Between two lines on what waits.
 constexpr int kPassShare = 4;              // Passes take at most one part in so many and one of the thread's time.
 constexpr Duration kTicketMargin = 250ms;  // A start takes this long at most on its way; a ticket must outlast it.
@@ -51,6 +53,7 @@
   kept_count_ = 0;
   LookAtRooms();
   const std::vector<StepRun*> waiting = WaitingInOrder();
+  LookAtDrains();
   for (StepRun* step : waiting) {
     if (step->spec->gang) {
       PlaceGang(*step);
@@ -100,6 +103,41 @@
   }
 }
 
+namespace {
+
+// How long a placed task is likely to run on: by its progress, or by its estimate while there is none.
+Duration RemainingOf(const TaskState& task, const StepSpec& spec, TimePoint now) {
+  if (spec.long_running) {
+    return kRunsOn;
+  }
+  const Duration ran = now - task.placed_at;
+  const Duration whole = task.percent > 0 ? (task.moved_at - task.placed_at) * 100 / task.percent : spec.estimate;
+  return std::max(whole - ran, kLeastRemaining);
+}
+
+}  // namespace
+
+void Owner::LookAtDrains() {
+  drains_in_.assign(workers_.last_number() + 1, Duration(0));
+  const TimePoint now = context_.Now();
+  for (const auto& [id, job] : jobs_) {
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
+        if (step->placed() == 0) {
+          continue;
+        }
+        for (const TaskState& task : step->tasks) {
+          const Worker* worker = task.phase == TaskPhase::kPlaced ? workers_.Find(task.worker) : nullptr;
+          if (worker != nullptr) {
+            Duration& drains = drains_in_[worker->number];
+            drains = std::max(drains, RemainingOf(task, *step->spec, now));
+          }
+        }
+      }
+    }
+  }
+}
+
 void Owner::SetQueue(Job& job, const QueueSpec& queue) {
   job.queue = queue;
   const auto chain = static_cast<double>(LongestChain(job.record.spec).count());
@@ -181,6 +219,7 @@
     view.already_there = there == step.on_worker.end() ? 0 : there->second;
   }
   view.kept = worker.number < kept_before_.size() && kept_before_[worker.number];
+  view.drains_in = worker.number < drains_in_.size() ? drains_in_[worker.number] : Duration(0);
   view.preferred = !step.spec->data_rack.empty() && worker.entry.HasLabel(step.spec->data_rack);
   return view;
 }
