Questions to the advice service go to what is sure to use them

Cause: gangs that did not fit went on to ask about all other workers, a second of the service each; and steps of single tasks asked anew for each task's room. Change: a gang asks about further workers only while nobody stands in line; single tasks wait up to a second for more room to ask about.

--- a/src/cell/advice_desk.cc
+++ b/src/cell/advice_desk.cc
@@ -46,6 +46,11 @@
   return asker == askers_.end() || asker->second.busy_until - context_.Now() < kLongestLine;
 }
 
+bool AdviceDesk::IsBusy() const {
+  const auto asker = SoonestFree();
+  return asker != askers_.end() && asker->second.busy_until > context_.Now();
+}
+
 void AdviceDesk::Ask(const TaskRef& step, const std::vector<std::string>& workers, Duration cost, Done done) {
   if (askers_.empty()) {
     SetHosts({});
--- a/src/cell/advice_desk.h
+++ b/src/cell/advice_desk.h
@@ -28,6 +28,8 @@
   void SetHosts(const std::vector<HostRecord>& hosts);
   // Whether a question would be answered soon. The others wait with their owner, who knows which matters most.
   bool HasRoom() const;
+  // Whether a question would have to wait for others.
+  bool IsBusy() const;
   size_t in_line() const { return questions_.size(); }
   // An unanswered question counts as not answered once `cost` and some patience have passed.
   void Ask(const TaskRef& step, const std::vector<std::string>& workers, Duration cost, Done done);
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -46,6 +46,7 @@
 
   bool asking = false;
   bool known = false;           // At least one question was answered.
+  TimePoint asked_at{};         // The last question.
   std::vector<Permit> permits;  // By the worker's number.
 
   const Permit& For(size_t worker) const;
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "cell/advice_desk.h"
+#include "cell/advice_policy.h"
 #include "cell/context.h"
 #include "cell/group_commit.h"
 #include "cell/job_table.h"
@@ -191,7 +192,6 @@
   // --- owner_placement.cc ---
   void ScheduleSoon();
   void Schedule();
-  void LookAtDrains();
   void TellWaiting(const std::vector<StepRun*>& waiting);
   std::vector<StepRun*> WaitingInOrder();
   void SetQueue(Job& job, const QueueSpec& queue);
@@ -268,8 +268,7 @@
   size_t kept_count_ = 0;             // Workers on which it is.
   std::vector<bool> kept_before_;     // Whether the last pass kept room there.
   std::vector<Resources> reserved_;   // By gangs that wait for tickets.
-  std::vector<Duration> drains_in_;   // Until all that runs there has ended.
-  TimePoint told_at_{};    // When a line last said what waits.
+  TimePoint told_at_{};               // When a line last said what waits.
   Duration pass_takes_{};             // What the last pass took of the control thread.
   bool schedule_soon_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -14,8 +14,6 @@
 namespace {
 
 constexpr Duration kPassDelay = 3ms;       // Gathers what comes together: ends of a gang, answers of one round.
-constexpr Duration kLeastRemaining = 100ms;  // Of a task that should have ended by its estimate.
-constexpr Duration kRunsOn = 1h;             // Of a task that runs until its job is cancelled.
 constexpr Duration kTellEvery = 1s;        // Between two lines on what waits.
 constexpr int kPassShare = 4;              // Passes take at most one part in so many and one of the thread's time.
 constexpr Duration kTicketMargin = 250ms;  // A start takes this long at most on its way; a ticket must outlast it.
@@ -53,7 +51,6 @@
   kept_count_ = 0;
   LookAtRooms();
   const std::vector<StepRun*> waiting = WaitingInOrder();
-  LookAtDrains();
   for (StepRun* step : waiting) {
     if (step->spec->gang) {
       PlaceGang(*step);
@@ -103,41 +100,6 @@
   }
 }
 
-namespace {
-
-// How long a placed task is likely to run on: by its progress, or by its estimate while there is none.
-Duration RemainingOf(const TaskState& task, const StepSpec& spec, TimePoint now) {
-  if (spec.long_running) {
-    return kRunsOn;
-  }
-  const Duration ran = now - task.placed_at;
-  const Duration whole = task.percent > 0 ? (task.moved_at - task.placed_at) * 100 / task.percent : spec.estimate;
-  return std::max(whole - ran, kLeastRemaining);
-}
-
-}  // namespace
-
-void Owner::LookAtDrains() {
-  drains_in_.assign(workers_.last_number() + 1, Duration(0));
-  const TimePoint now = context_.Now();
-  for (const auto& [id, job] : jobs_) {
-    for (const auto& [number, occurrence] : job->occurrences) {
-      for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
-        if (step->placed() == 0) {
-          continue;
-        }
-        for (const TaskState& task : step->tasks) {
-          const Worker* worker = task.phase == TaskPhase::kPlaced ? workers_.Find(task.worker) : nullptr;
-          if (worker != nullptr) {
-            Duration& drains = drains_in_[worker->number];
-            drains = std::max(drains, RemainingOf(task, *step->spec, now));
-          }
-        }
-      }
-    }
-  }
-}
-
 void Owner::SetQueue(Job& job, const QueueSpec& queue) {
   job.queue = queue;
   const auto chain = static_cast<double>(LongestChain(job.record.spec).count());
@@ -219,7 +181,6 @@
     view.already_there = there == step.on_worker.end() ? 0 : there->second;
   }
   view.kept = worker.number < kept_before_.size() && kept_before_[worker.number];
-  view.drains_in = worker.number < drains_in_.size() ? drains_in_[worker.number] : Duration(0);
   view.preferred = !step.spec->data_rack.empty() && worker.entry.HasLabel(step.spec->data_rack);
   return view;
 }
@@ -304,6 +265,9 @@
 
 // Some workers have room, but their tickets are over or they were never asked about.
 void Owner::AskAgain(StepRun& step, const std::vector<Worker*>& workers) {
+  if (!IsWorthAsking(workers.size(), step.waiting, advice_.IsBusy(), context_.Now() - step.advice.asked_at)) {
+    return;
+  }
   const size_t most = static_cast<size_t>(step.waiting) + kSpareAsked;
   AskAdvice(step, std::vector<Worker*>(workers.begin(),
                                        workers.begin() + static_cast<std::ptrdiff_t>(std::min(workers.size(), most))));
@@ -339,7 +303,8 @@
   const std::vector<int> counts = FitGang(views, need, step.spec->count, step.spec->same_rack);
   if (counts.empty()) {
     KeepRoom(step, workers, views);
-    if (!never_asked.empty()) {
+    // More workers to choose from: worth a question only while nobody waits for one that is sure to be of use.
+    if (!never_asked.empty() && !advice_.IsBusy()) {
       AskAdvice(step, never_asked);
     }
     return;
@@ -437,6 +402,7 @@
     return;
   }
   step.advice.asking = true;
+  step.advice.asked_at = context_.Now();
   std::stable_sort(workers.begin(), workers.end(),
                    [](const Worker* a, const Worker* b) { return a->free().cpu_millis > b->free().cpu_millis; });
   workers.resize(std::min(workers.size(), kMostAskedWorkers));
@@ -486,8 +452,8 @@
   ScheduleSoon();
 }
 
-// The tickets of a gang are here, and its room was kept for them: it starts now. By the next pass others would have taken
-// the room, and would have to ask for tickets in turn.
+// The tickets of a gang are here, and its room was kept for them: it starts now. By the next pass others would have
+// taken the room, and would have to ask for tickets in turn.
 void Owner::StartReserved(StepRun& step) {
   if (loaded_ && !closing_ && !deposed_once_ && !step.job->final && step.waiting == step.spec->count) {
     LookAtRooms();
--- a/src/cell/placement_policy.cc
+++ b/src/cell/placement_policy.cc
@@ -44,12 +44,12 @@
   });
 }
 
-std::vector<Ranked> Rank(const std::vector<RoomView>& rooms, const RoomNeed& need) {
+std::vector<Ranked> Rank(const std::vector<RoomView>& rooms, const RoomNeed& need, int least_slots) {
   std::vector<Ranked> ranked;
   ranked.reserve(rooms.size());
   for (size_t i = 0; i < rooms.size(); ++i) {
     const int slots = SlotsOf(rooms[i], need);
-    if (slots > 0) {
+    if (slots >= least_slots) {
       ranked.push_back(Ranked{i, slots, LeftAfter(rooms[i], need.size)});
     }
   }
@@ -112,7 +112,7 @@
 }
 
 std::vector<int> FitGang(const std::vector<RoomView>& rooms, const RoomNeed& need, int members, bool one_rack) {
-  std::vector<Ranked> order = Rank(rooms, need);
+  std::vector<Ranked> order = Rank(rooms, need, 1);
   if (SlotsOf(order) < members) {
     return {};
   }
@@ -133,19 +133,17 @@
 }
 
 std::vector<size_t> RoomsToKeep(const std::vector<RoomView>& rooms, const RoomNeed& need, int members) {
-  std::vector<size_t> order(rooms.size());
-  std::iota(order.begin(), order.end(), 0);
-  std::stable_sort(order.begin(), order.end(),
-                   [&](size_t a, size_t b) { return rooms[a].drains_in < rooms[b].drains_in; });
+  std::vector<Ranked> order = Rank(rooms, need, 0);
+  Sort(order);
   std::vector<size_t> kept;
-  for (const size_t room : order) {
-    RoomView empty = rooms[room];
+  for (const Ranked& each : order) {
+    RoomView empty = rooms[each.room];
     empty.free = empty.capacity;
     const int slots = SlotsOf(empty, need);
     if (slots == 0) {
       continue;
     }
-    kept.push_back(room);
+    kept.push_back(each.room);
     members -= slots;
     if (members <= 0) {
       return kept;
--- a/src/cell/placement_policy.h
+++ b/src/cell/placement_policy.h
@@ -18,7 +18,6 @@
   std::string_view rack;   // Of the worker's entry, which outlives the view.
   int already_there = 0;   // Tasks of the same step.
   bool kept = false;       // Room on it is kept for a gang.
-  Duration drains_in{};    // Until all that runs there has ended, as far as can be told.
   bool preferred = false;  // Nearer to the data.
 
   friend bool operator==(const RoomView&, const RoomView&) = default;
@@ -44,9 +43,8 @@
 // rack if `one_rack` is asked for and possible. Answers gangs that compete with streams of small tasks.
 std::vector<int> FitGang(const std::vector<RoomView>& rooms, const RoomNeed& need, int members, bool one_rack);
 
-// The rooms to keep others off until the gang fits: those that are empty soonest, just as many as the gang needs then.
-// Empty if not even all would do. Answers gangs that wait in a full cell: kept room is idle until the last task there
-// has ended.
+// The rooms to keep others off until the gang fits: those that have most room now, just as many as the gang needs when
+// they are empty. Empty if not even all would do.
 std::vector<size_t> RoomsToKeep(const std::vector<RoomView>& rooms, const RoomNeed& need, int members);
 
 }  // namespace hibiscus::cell
