--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -18,6 +18,8 @@
 constexpr int kPassShare = 4;              // Passes take at most one part in so many and one of the thread's time.
 constexpr Duration kTicketMargin = 250ms;  // A start takes this long at most on its way; a ticket must outlast it.
 constexpr double kMostKeptShare = 0.5;     // Of the workers a gang may use: more room is never kept idle.
+constexpr double kMostlyFree = 0.4;        // Share of the room: no work may wait for long then.
+constexpr int kTwiceOver = 2;              // So often a gang must fit to start on room that is kept for others.
 constexpr size_t kSpareAsked = 2;          // Workers asked about beyond those that are needed.
 constexpr int kWorthlessAfter = 3;         // Objectives: a job older than this counts for nobody any more.
 
@@ -92,12 +94,20 @@
   usable_.clear();
   reserved_.resize(workers_.last_number() + 1);
   const TimePoint now = context_.Now();
+  Resources free;
+  Resources capacity;
   const bool none_bad = quarantine_.quarantined().empty();
   for (const auto& [id, worker] : workers_.workers()) {
     if (worker->UsableAt(now)) {
       usable_.push_back(Usable{worker.get(), !none_bad && quarantine_.IsQuarantined(id)});
+      free += worker->free();
+      capacity += worker->entry.capacity;
     }
   }
+  const auto enough = [](int64_t part, int64_t whole) {
+    return static_cast<double>(part) >= kMostlyFree * static_cast<double>(whole);
+  };
+  mostly_free_ = enough(free.cpu_millis, capacity.cpu_millis) && enough(free.memory_mb, capacity.memory_mb);
 }
 
 void Owner::SetQueue(Job& job, const QueueSpec& queue) {
@@ -215,7 +225,8 @@
   TryProbe(step);
   for (const auto& [worker, quarantined] : usable_) {
     const bool refused = advised && step.advice.For(worker->number).word == StepAdvice::Word::kRefused;
-    if (refused || quarantined || !need.size.FitsIn(worker->free()) || IsKeptByOther(step, *worker) ||
+    const bool kept = IsKeptByOther(step, *worker) && !mostly_free_;
+    if (refused || quarantined || !need.size.FitsIn(worker->free()) || kept ||
         !IsEligible(step, *worker)) {
       continue;
     }
@@ -287,6 +298,8 @@
   std::vector<Worker*> workers;
   std::vector<Worker*> never_asked;
   std::vector<RoomView> views;
+  std::vector<Worker*> kept_workers;
+  std::vector<RoomView> kept_views;
   for (const auto& [worker, quarantined] : usable_) {
     const StepAdvice::Word word = step.advice.For(worker->number).word;
     if (quarantined || (advised && word == StepAdvice::Word::kRefused) || !IsEligible(step, *worker)) {
@@ -297,10 +310,21 @@
     } else if (!IsKeptByOther(step, *worker) || step.reserved.contains(worker->number)) {
       workers.push_back(worker);
       views.push_back(ViewOf(step, *worker));
+    } else if (mostly_free_) {
+      kept_workers.push_back(worker);
+      kept_views.push_back(ViewOf(step, *worker));
     }
   }
   const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
-  const std::vector<int> counts = FitGang(views, need, step.spec->count, step.spec->same_rack);
+  std::vector<int> counts = FitGang(views, need, step.spec->count, step.spec->same_rack);
+  if (counts.empty() && !kept_workers.empty()) {
+    // With so much free, those that the room is kept for wait for few single workers: this one need not.
+    workers.insert(workers.end(), kept_workers.begin(), kept_workers.end());
+    views.insert(views.end(), kept_views.begin(), kept_views.end());
+    if (SlotsOf(views, need) >= kTwiceOver * step.spec->count) {
+      counts = FitGang(views, need, step.spec->count, step.spec->same_rack);
+    }
+  }
   if (counts.empty()) {
     KeepRoom(step, workers, views);
     // More workers to choose from: worth a question only while nobody waits for one that is sure to be of use.
--- a/src/cell/placement_policy.cc
+++ b/src/cell/placement_policy.cc
@@ -92,6 +92,14 @@
   return need.most_per_worker == 0 ? slots : std::min(slots, std::max(0, need.most_per_worker - room.already_there));
 }
 
+int SlotsOf(const std::vector<RoomView>& rooms, const RoomNeed& need) {
+  int slots = 0;
+  for (const RoomView& room : rooms) {
+    slots = std::min(slots + SlotsOf(room, need), kUnlimited);
+  }
+  return slots;
+}
+
 std::optional<size_t> TightestFit(const std::vector<RoomView>& rooms, const RoomNeed& need) {
   std::optional<size_t> best;
   const auto better = [&](const RoomView& a, const RoomView& b) {
--- a/src/cell/placement_policy.h
+++ b/src/cell/placement_policy.h
@@ -34,6 +34,7 @@
 // How many tasks fit into the free room.
 int SlotsIn(const Resources& free, const Resources& size);
 int SlotsOf(const RoomView& room, const RoomNeed& need);
+int SlotsOf(const std::vector<RoomView>& rooms, const RoomNeed& need);  // In all of them.
 
 // A single task: near its data first, then off kept room, then where it fits tightest by the scarcest resource, so that
 // wide room stays whole for large tasks. Answers a load of unlike sizes near capacity.
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -176,5 +176,28 @@
   CHECK(pending == 4);
 }
 
+// Room is kept for a gang that waits for one last worker; meanwhile most of the cell is idle.
+TEST_CASE("a gang with room for it twice over does not wait for one that waits") {
+  CellWorld world(21, 3, 12);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  StepSpec spread = StepOf(7, 2000, 30s);
+  spread.most_per_worker = 1;
+  world.SubmitSurely(JobOf(1, {spread}), TaskBehaviour{30s, 0});
+  world.RunFor(500ms);
+  StepSpec wide = StepOf(6, 15'000, 5s);  // Due before the other gang.
+  wide.gang = true;
+  world.SubmitSurely(JobOf(2, {wide}), TaskBehaviour{1s, 0});
+  world.RunFor(500ms);
+  StepSpec narrow = StepOf(2, 15'000, 10s);
+  narrow.gang = true;
+  world.SubmitSurely(JobOf(3, {narrow}), TaskBehaviour{1s, 0});
+  world.RunFor(3s);
+  CHECK(world.StateOf("plain", JobId(3)) == JobState::kCompleted);
+  world.RunFor(35s);
+  CHECK(world.StateOf("plain", JobId(2)) == JobState::kCompleted);
+  CHECK(world.violations().empty());
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
