--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -10,16 +10,17 @@
 namespace {
 
 constexpr Duration kTick = 200ms;
-constexpr Duration kAskAgain = 700ms;       // A request without a reply goes out again, then after twice that time.
-constexpr Duration kLookAgain = 50ms;       // While no owner is known.
-constexpr Duration kAfterUnsure = 150ms;    // Before a request is put to the next owner.
-constexpr Duration kPingAfter = 800ms;      // Without a word from the owner.
-constexpr Duration kHandOverAfter = 600ms;  // Several copies of a batch have had no answer by then.
-constexpr Duration kLostAfter = 2500ms;     // Without a word, callers are sent to other hosts; longer than a takeover.
-constexpr Duration kComeBack = 1s;          // Retry-After while there is no owner.
-constexpr Duration kStepDownAfter = 1s;     // As an owner: all hosts are listed by then.
-constexpr Duration kStepDownFor = 2s;       // In which a stronger host takes over.
-constexpr double kMuchStronger = 1.5;       // Times the processor: worth the 200 ms of a planned takeover.
+constexpr Duration kAskAgain = 700ms;          // A request without a reply goes out again,
+constexpr Duration kLongestAskAgain = 1400ms;  // and then so often: its owner may be behind with its work.
+constexpr Duration kLookAgain = 50ms;          // While no owner is known.
+constexpr Duration kAfterUnsure = 150ms;       // Before a request is put to the next owner.
+constexpr Duration kPingAfter = 800ms;         // Without a word from the owner.
+constexpr Duration kHandOverAfter = 600ms;     // Several copies of a batch have had no answer by then.
+constexpr Duration kLostAfter = 2500ms;  // Without a word, callers are sent to other hosts; longer than a takeover.
+constexpr Duration kComeBack = 1s;       // Retry-After while there is no owner.
+constexpr Duration kStepDownAfter = 1s;  // As an owner: all hosts are listed by then.
+constexpr Duration kStepDownFor = 2s;    // In which a stronger host takes over.
+constexpr double kMuchStronger = 1.5;    // Times the processor: worth the 200 ms of a planned takeover.
 
 }  // namespace
 
@@ -192,7 +193,7 @@
     pending.newest_term = std::max(pending.newest_term, known_.term);
     pending.request.term = known_.term;
     Send(known_.record.address, pending.request);
-    DispatchIn(call, std::exchange(pending.ask_again, pending.ask_again * 2));
+    DispatchIn(call, std::exchange(pending.ask_again, kLongestAskAgain));
     return;
   }
   DispatchIn(call, kLookAgain);
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -265,7 +265,7 @@
   };
   std::vector<Usable> usable_;        // Workers that this pass may place on.
   std::vector<const StepRun*> kept_;  // For which gang room is kept there, by this pass so far.
-  bool mostly_free_ = false;  // Much of the room is free: what is kept may be used.
+  bool mostly_free_ = false;          // Much of the room is free: what is kept may be used.
   size_t kept_count_ = 0;             // Workers on which it is.
   std::vector<bool> kept_before_;     // Whether the last pass kept room there.
   std::vector<Resources> reserved_;   // By gangs that wait for tickets.
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -226,8 +226,7 @@
   for (const auto& [worker, quarantined] : usable_) {
     const bool refused = advised && step.advice.For(worker->number).word == StepAdvice::Word::kRefused;
     const bool kept = IsKeptByOther(step, *worker) && !mostly_free_;
-    if (refused || quarantined || !need.size.FitsIn(worker->free()) || kept ||
-        !IsEligible(step, *worker)) {
+    if (refused || quarantined || !need.size.FitsIn(worker->free()) || kept || !IsEligible(step, *worker)) {
       continue;
     }
     RoomView view = ViewOf(step, *worker);
