--- a/bench/cell_load_main.cc
+++ b/bench/cell_load_main.cc
@@ -54,9 +54,12 @@
 }  // namespace hibiscus::cell
 
 int main(int argc, char** argv) {
-  using namespace hibiscus::cell;
+  using hibiscus::cell::LoadClass;
+  using hibiscus::cell::LoadOptions;
+  using hibiscus::cell::LoadOutcome;
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  LoadOptions options = FLAGS_deployment == "large" ? LargeDeployment() : SmallDeployment();
+  LoadOptions options =
+      FLAGS_deployment == "large" ? hibiscus::cell::LargeDeployment() : hibiscus::cell::SmallDeployment();
   options.length = hibiscus::Duration(static_cast<int64_t>(FLAGS_length_s * 1e6));
   options.event_cost = std::chrono::microseconds(FLAGS_event_cost_us);
   options.log = FLAGS_log;
@@ -64,7 +67,7 @@
     of.jobs_a_second *= FLAGS_load;
   }
   if (!FLAGS_burst.empty()) {
-    options.bursts.push_back(ParseBurst(FLAGS_burst));
+    options.bursts.push_back(hibiscus::cell::ParseBurst(FLAGS_burst));
   }
   const size_t dots = FLAGS_seeds.find("..");
   const uint64_t first = std::stoull(FLAGS_seeds);
@@ -72,8 +75,8 @@
   bool broken = false;
   for (options.seed = first; options.seed <= last; ++options.seed) {
     const std::clock_t begin = std::clock();
-    const LoadOutcome outcome = RunLoad(options);
-    Print(options.seed, outcome, static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC);
+    const LoadOutcome outcome = hibiscus::cell::RunLoad(options);
+    hibiscus::cell::Print(options.seed, outcome, static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC);
     broken = broken || !outcome.violations.empty();
   }
   return broken ? 1 : 0;
--- a/src/cell/advice_desk.cc
+++ b/src/cell/advice_desk.cc
@@ -51,6 +51,12 @@
   return asker != askers_.end() && asker->second.busy_until > context_.Now();
 }
 
+bool AdviceDesk::IsMostlyIdle() const {
+  const auto idle = std::count_if(askers_.begin(), askers_.end(),
+                                  [now = context_.Now()](const auto& each) { return each.second.busy_until <= now; });
+  return static_cast<size_t>(idle) * 2 > askers_.size();
+}
+
 void AdviceDesk::Ask(const TaskRef& step, const std::vector<std::string>& workers, Duration cost, Done done) {
   if (askers_.empty()) {
     SetHosts({});
--- a/src/cell/advice_desk.h
+++ b/src/cell/advice_desk.h
@@ -30,6 +30,8 @@
   bool HasRoom() const;
   // Whether a question would have to wait for others.
   bool IsBusy() const;
+  // Whether more than half of the hosts have nothing to ask.
+  bool IsMostlyIdle() const;
   size_t in_line() const { return questions_.size(); }
   // An unanswered question counts as not answered once `cost` and some patience have passed.
   void Ask(const TaskRef& step, const std::vector<std::string>& workers, Duration cost, Done done);
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -44,7 +44,7 @@
     friend bool operator==(const Permit&, const Permit&) = default;
   };
 
-  bool asking = false;
+  int asking = 0;               // Questions that are not answered yet.
   bool known = false;           // At least one question was answered.
   TimePoint asked_at{};         // The last question.
   std::vector<Permit> permits;  // By the worker's number.
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -207,6 +207,8 @@
   bool IsKeptByOther(const StepRun& step, const Worker& worker) const;
   void AskAgain(StepRun& step, const std::vector<Worker*>& workers);
   void AskAdvice(StepRun& step, std::vector<Worker*> workers);
+  void AskFurther(StepRun& step, std::vector<Worker*> workers);
+  void Ask(StepRun& step, const std::vector<Worker*>& workers);
   void Reserve(StepRun& step, const std::vector<Worker*>& workers, const std::vector<int>& counts);
   void Unreserve(StepRun& step);
   void StartReserved(StepRun& step);
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -23,6 +23,11 @@
 constexpr size_t kSpareAsked = 2;          // Workers asked about beyond those that are needed.
 constexpr int kWorthlessAfter = 3;         // Objectives: a job older than this counts for nobody any more.
 
+void MostRoomFirst(std::vector<Worker*>& workers) {
+  std::stable_sort(workers.begin(), workers.end(),
+                   [](const Worker* a, const Worker* b) { return a->free().cpu_millis > b->free().cpu_millis; });
+}
+
 }  // namespace
 
 void Owner::ScheduleSoon() {
@@ -75,7 +80,7 @@
   for (const StepRun* step : waiting) {
     gangs += step->spec->gang && step->waiting > 0 ? 1 : 0;
     tasks += step->spec->gang ? 0 : step->waiting;
-    asking += step->advice.asking ? 1 : 0;
+    asking += step->advice.asking > 0 ? 1 : 0;
   }
   int64_t capacity = 0;
   int64_t unused = 0;
@@ -212,7 +217,7 @@
 
 void Owner::PlaceSingles(StepRun& step) {
   if (step.job->queue.advice && !step.advice.known) {
-    if (!step.advice.asking && advice_.HasRoom()) {
+    if (advice_.HasRoom()) {
       AskAdvice(step, EligibleFor(step));
     }
     return;
@@ -238,7 +243,7 @@
       continue;
     }
     workers.push_back(worker);
-    views.push_back(std::move(view));
+    views.push_back(view);
   }
   for (int i = 0; i < step.spec->count && step.waiting > 0; ++i) {
     if (step.tasks[static_cast<size_t>(i)].phase != TaskPhase::kWaiting) {
@@ -287,7 +292,7 @@
 
 void Owner::PlaceGang(StepRun& step) {
   const bool advised = step.job->queue.advice.has_value();
-  if (step.advice.asking) {
+  if (step.advice.asking > 0) {
     return;
   }
   if (advised && !step.advice.known) {
@@ -326,10 +331,7 @@
   }
   if (counts.empty()) {
     KeepRoom(step, workers, views);
-    // More workers to choose from: worth a question only while nobody waits for one that is sure to be of use.
-    if (!never_asked.empty() && !advice_.IsBusy()) {
-      AskAdvice(step, never_asked);
-    }
+    AskFurther(step, std::move(never_asked));
     return;
   }
   StartGang(step, workers, counts);
@@ -347,7 +349,7 @@
   }
   if (!tickets) {
     AskAdvice(step, chosen);
-    if (step.advice.asking) {
+    if (step.advice.asking > 0) {
       Reserve(step, workers, counts);
     }
     return;
@@ -421,14 +423,31 @@
 // --- Advice ---
 
 void Owner::AskAdvice(StepRun& step, std::vector<Worker*> workers) {
-  if (step.advice.asking || workers.empty() || !step.job->queue.advice || !advice_.HasRoom()) {
+  if (step.advice.asking > 0 || workers.empty() || !step.job->queue.advice || !advice_.HasRoom()) {
     return;
   }
-  step.advice.asking = true;
-  step.advice.asked_at = context_.Now();
-  std::stable_sort(workers.begin(), workers.end(),
-                   [](const Worker* a, const Worker* b) { return a->free().cpu_millis > b->free().cpu_millis; });
+  MostRoomFirst(workers);
   workers.resize(std::min(workers.size(), kMostAskedWorkers));
+  Ask(step, workers);
+}
+
+// More workers to choose from, through several hosts at once: worth it only while most of them have nothing to ask that
+// is sure to be of use.
+void Owner::AskFurther(StepRun& step, std::vector<Worker*> workers) {
+  if (step.advice.asking > 0 || !step.job->queue.advice) {
+    return;
+  }
+  MostRoomFirst(workers);
+  for (auto next = workers.begin(); next != workers.end() && advice_.IsMostlyIdle();) {
+    const auto end = next + std::min<std::ptrdiff_t>(workers.end() - next, kMostAskedWorkers);
+    Ask(step, std::vector<Worker*>(next, end));
+    next = end;
+  }
+}
+
+void Owner::Ask(StepRun& step, const std::vector<Worker*>& workers) {
+  ++step.advice.asking;
+  step.advice.asked_at = context_.Now();
   std::vector<std::string> names;
   names.reserve(workers.size());
   for (const Worker* worker : workers) {
@@ -449,7 +468,7 @@
   if (step == nullptr) {
     return;
   }
-  step->advice.asking = false;
+  --step->advice.asking;
   if (answer.answered && step->job->queue.advice) {
     step->advice.known = true;
     const TimePoint until = context_.Now() + step->job->queue.advice->valid - kTicketMargin;
@@ -482,7 +501,7 @@
     LookAtRooms();
     PlaceGang(step);
   }
-  if (!step.advice.asking) {
+  if (step.advice.asking == 0) {
     Unreserve(step);
   }
 }
--- a/src/ports/frame_link.cc
+++ b/src/ports/frame_link.cc
@@ -135,7 +135,7 @@
   Outgoing(asio::io_context& io, const std::string& address, std::atomic<uint64_t>& lost)
       : socket_(io), endpoint_(EndpointOf(address)), lost_(lost) {}
 
-  void Send(std::vector<std::string> messages) {
+  void Send(const std::vector<std::string>& messages) {
     for (const std::string& message : messages) {
       if (queue_.size() + message.size() > kMostQueued) {
         ++lost_;
@@ -302,12 +302,12 @@
   }
 
   void Send(const std::string& address, std::vector<std::string> messages) {
-    asio::post(io_, [this, address, messages = std::move(messages)]() mutable {
+    asio::post(io_, [this, address, messages = std::move(messages)] {
       std::shared_ptr<Outgoing>& link = outgoing_[address];
       if (link == nullptr) {
         link = std::make_shared<Outgoing>(io_, address, lost_);
       }
-      link->Send(std::move(messages));
+      link->Send(messages);
     });
   }
 
--- a/tests/cell_load_test.cc
+++ b/tests/cell_load_test.cc
@@ -18,10 +18,9 @@
 };
 
 // Adds up several seeds: a class of few large jobs says little in one.
-std::map<std::string, Served> Play(LoadOptions options, int seeds) {
+std::map<std::string, Served> Play(LoadOptions options, uint64_t seeds) {
   std::map<std::string, Served> served;
-  for (int i = 0; i < seeds; ++i) {
-    options.seed = static_cast<uint64_t>(i + 1);
+  for (options.seed = 1; options.seed <= seeds; ++options.seed) {
     const LoadOutcome outcome = RunLoad(options);
     CHECK(outcome.violations.empty());
     for (const auto& [name, of] : outcome.classes) {
