A gang starts where its tickets are

Cause: with the tickets there, the workers were chosen anew; among equally good ones, those that had come free meanwhile won, and for them there were no tickets. Ruled out: refusals (all were allowed), room kept for others (none was kept then). Change: workers for which tickets are at hand come first.

--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -196,6 +196,23 @@
   std::vector<StepRun*> WaitingInOrder();
   void SetQueue(Job& job, const QueueSpec& queue);
   void PlaceSingles(StepRun& step);
+  // Rooms that a gang may use, by what has to be done first.
+  struct Rooms {
+    std::vector<Worker*> workers;
+    std::vector<RoomView> views;
+
+    void Add(Worker* worker, const RoomView& view) {
+      workers.push_back(worker);
+      views.push_back(view);
+    }
+  };
+  struct GangRooms {
+    Rooms with_ticket;                 // Nothing.
+    Rooms allowed;                     // Those, and others for which tickets are to be asked for.
+    Rooms kept;                        // Allowed, but kept for another gang; only while much is free.
+    std::vector<Worker*> never_asked;  // The advice service has not been asked whether they are allowed.
+  };
+  GangRooms RoomsFor(const StepRun& step) const;
   void PlaceGang(StepRun& step);
   void StartGang(StepRun& step, const std::vector<Worker*>& workers, const std::vector<int>& counts);
   void TryProbe(StepRun& step);
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -290,48 +290,64 @@
 
 // --- Gangs ---
 
-void Owner::PlaceGang(StepRun& step) {
+Owner::GangRooms Owner::RoomsFor(const StepRun& step) const {
   const bool advised = step.job->queue.advice.has_value();
-  if (step.advice.asking > 0) {
-    return;
-  }
-  if (advised && !step.advice.known) {
-    AskAdvice(step, EligibleFor(step));
-    return;
-  }
-  std::vector<Worker*> workers;
-  std::vector<Worker*> never_asked;
-  std::vector<RoomView> views;
-  std::vector<Worker*> kept_workers;
-  std::vector<RoomView> kept_views;
+  GangRooms rooms;
   for (const auto& [worker, quarantined] : usable_) {
     const StepAdvice::Word word = step.advice.For(worker->number).word;
     if (quarantined || (advised && word == StepAdvice::Word::kRefused) || !IsEligible(step, *worker)) {
       continue;
     }
     if (advised && word == StepAdvice::Word::kNotAsked) {
-      never_asked.push_back(worker);
-    } else if (!IsKeptByOther(step, *worker) || step.reserved.contains(worker->number)) {
-      workers.push_back(worker);
-      views.push_back(ViewOf(step, *worker));
-    } else if (mostly_free_) {
-      kept_workers.push_back(worker);
-      kept_views.push_back(ViewOf(step, *worker));
+      rooms.never_asked.push_back(worker);
+      continue;
+    }
+    const RoomView view = ViewOf(step, *worker);
+    if (IsKeptByOther(step, *worker) && !step.reserved.contains(worker->number)) {
+      if (mostly_free_) {
+        rooms.kept.Add(worker, view);
+      }
+      continue;
     }
+    rooms.allowed.Add(worker, view);
+    if (HasTicket(step, *worker)) {
+      rooms.with_ticket.Add(worker, view);
+    }
+  }
+  return rooms;
+}
+
+void Owner::PlaceGang(StepRun& step) {
+  const bool advised = step.job->queue.advice.has_value();
+  if (step.advice.asking > 0) {
+    return;
+  }
+  if (advised && !step.advice.known) {
+    AskAdvice(step, EligibleFor(step));
+    return;
   }
   const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
-  std::vector<int> counts = FitGang(views, need, step.spec->count, step.spec->same_rack);
-  if (counts.empty() && !kept_workers.empty()) {
+  GangRooms rooms = RoomsFor(step);
+  // Where tickets are at hand first: other rooms may fit better by now, but each further question takes as long again.
+  std::vector<int> counts = FitGang(rooms.with_ticket.views, need, step.spec->count, step.spec->same_rack);
+  if (!counts.empty()) {
+    StartGang(step, rooms.with_ticket.workers, counts);
+    return;
+  }
+  std::vector<Worker*>& workers = rooms.allowed.workers;
+  std::vector<RoomView>& views = rooms.allowed.views;
+  counts = FitGang(views, need, step.spec->count, step.spec->same_rack);
+  if (counts.empty() && !rooms.kept.workers.empty()) {
     // With so much free, those that the room is kept for wait for few single workers: this one need not.
-    workers.insert(workers.end(), kept_workers.begin(), kept_workers.end());
-    views.insert(views.end(), kept_views.begin(), kept_views.end());
+    workers.insert(workers.end(), rooms.kept.workers.begin(), rooms.kept.workers.end());
+    views.insert(views.end(), rooms.kept.views.begin(), rooms.kept.views.end());
     if (SlotsOf(views, need) >= kTwiceOver * step.spec->count) {
       counts = FitGang(views, need, step.spec->count, step.spec->same_rack);
     }
   }
   if (counts.empty()) {
     KeepRoom(step, workers, views);
-    AskFurther(step, std::move(never_asked));
+    AskFurther(step, std::move(rooms.never_asked));
     return;
   }
   StartGang(step, workers, counts);
--- a/tests/cell_test.cc
+++ b/tests/cell_test.cc
@@ -176,6 +176,27 @@
   CHECK(pending == 4);
 }
 
+// While tickets are asked for, rooms come free that would serve as well or better.
+TEST_CASE("a gang starts where its tickets are, whatever else has come free meanwhile") {
+  CellWorld world(22, 3, 12);
+  AddQueues(world);
+  world.configuration.queues[1].advice = AdviceSpec{300ms, 0us, 900ms};
+  world.Configure();
+  REQUIRE(Settle(world));
+  for (int i = 0; i < 12; ++i) {  // One on each worker; the last in the order of names ends first.
+    world.SubmitSurely(JobOf(i + 1, {StepOf(1, 9000)}), TaskBehaviour{1s + (12 - i) * 250ms, 0});
+    world.RunFor(50ms);
+  }
+  REQUIRE(world.starts() == 12);
+  StepSpec gang = StepOf(4, 9000);
+  gang.gang = true;
+  world.SubmitSurely(JobOf(20, {gang}, "advised"), TaskBehaviour{500ms, 0});
+  CHECK(world.RunUntil([&] { return world.starts() > 12; }, 3s));
+  world.RunFor(3s);
+  CHECK(world.StateOf("advised", JobId(20)) == JobState::kCompleted);
+  CHECK(world.violations().empty());
+}
+
 // Room is kept for a gang that waits for one last worker; meanwhile most of the cell is idle.
 TEST_CASE("a gang with room for it twice over does not wait for one that waits") {
   CellWorld world(21, 3, 12);
