--- a/tests/frame_link_test.cc
+++ b/tests/frame_link_test.cc
@@ -68,6 +68,7 @@
   FrameLink sender("127.0.0.1:0", [](const std::string&) {});
   const std::string address = AddressOf(static_cast<uint16_t>(receiver.port()));
   std::vector<std::string> sent;
+  sent.reserve(203);
   for (int i = 0; i < 200; ++i) {
     sent.push_back(fmt::format("message {}", i));
   }
