Runs of unknown size keep their worker's room until the last one has ended

Cause: after a takeover, runs of a job that has ended are found without a size; the first was counted with all free room, the others with none, so that the first one's end freed the worker. Test fails before: the successor finds four runs of a cancelled job, which end one after the other.

--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -158,7 +158,7 @@
 
   // --- owner_runs.cc ---
   void OnRunning(Worker& worker, const RunningRow& row) override;
-  bool OnFound(Worker& worker, const RunningRow& row, Resources& size) override;
+  bool OnFound(Worker& worker, const RunningRow& row, std::optional<Resources>& size) override;
   void OnEnded(Worker& worker, const EndedRow& row) override;
   void OnGone(Worker& worker, const RunRef& run, GoneReason reason) override;
   void OnStarted(Worker& worker, const RunRef& run) override;
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -110,11 +110,10 @@
 }
 
 // A run that an earlier owner started. It is taken over if its task still waits; else it is stopped.
-bool Owner::OnFound(Worker& worker, const RunningRow& row, Resources& size) {
+bool Owner::OnFound(Worker& worker, const RunningRow& row, std::optional<Resources>& size) {
   StepRun* step = nullptr;
   TaskState* task = FindTask(row.run.task, &step);
   if (task == nullptr) {
-    size = worker.free();  // Its size is not known any more: nothing else goes there until it is over.
     context_.Log("run", "event=stop_unknown_run worker={} job={} step={} index={} run={}", worker.entry.id,
                  row.run.task.job, row.run.task.step, row.run.task.index, row.run.run);
     return false;
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -44,7 +44,8 @@
 
 bool Worker::UsableAt(TimePoint now) const {
   const bool entry_good = listed || now - unlisted_since < kUnlistedGrace;
-  return entry_good && !entry.draining && held && !silent && rostered && !unsettled && now >= avoid_until;
+  return entry_good && unsized_ == 0 && !entry.draining && held && !silent && rostered && !unsettled &&
+         now >= avoid_until;
 }
 
 Duration Worker::ClockAt(TimePoint now) const {
@@ -202,12 +203,14 @@
 void WorkerTable::Place(Worker& worker, const RunRef& run, const Placed& placed) {
   worker.placed[run] = placed;
   worker.used_ += placed.size;
+  worker.unsized_ += placed.sized ? 0 : 1;
 }
 
 void WorkerTable::Release(Worker& worker, const RunRef& run) {
   const auto found = worker.placed.find(run);
   if (found != worker.placed.end()) {
     worker.used_ -= found->second.size;
+    worker.unsized_ -= found->second.sized ? 0 : 1;
     worker.placed.erase(found);
   }
 }
@@ -309,9 +312,11 @@
       listener_.OnRunning(worker, row);
       continue;
     }
-    Resources size;
+    std::optional<Resources> size;
     const bool keep = listener_.OnFound(worker, row, size);
-    Place(worker, row.run, Placed{size, PlacedPhase::kRunning, answer.worker_clock, context_.Now(), true});
+    Place(worker, row.run,
+          Placed{size.value_or(Resources{}), PlacedPhase::kRunning, answer.worker_clock, context_.Now(), true,
+                 size.has_value()});
     if (!keep) {
       Stop(worker, row.run);
     }
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -45,6 +45,7 @@
   Duration gone_after = 0us;  // Worker's clock: an answer later than this and without the run shows that it is over.
   TimePoint since{};
   bool confirmed = false;  // The worker has shown that it carried the start out.
+  bool sized = true;       // False: found running, and its job is not known any more.
 
   friend bool operator==(const Placed&, const Placed&) = default;
 };
@@ -74,6 +75,7 @@
   friend class WorkerTable;
 
   Resources used_;
+  int unsized_ = 0;  // Runs whose size is not known: nothing else may be started beside them.
   bool clock_known_ = false;
   Duration clock_{};                        // Worker's clock in its last answer.
   TimePoint clock_read_{};                  // When that answer came.
@@ -94,7 +96,8 @@
    public:
     virtual ~Listener() = default;
     virtual void OnRunning(Worker& worker, const RunningRow& row) = 0;  // Listed as running and already placed.
-    virtual bool OnFound(Worker& worker, const RunningRow& row, Resources& size) = 0;  // Not placed yet; true: keep it.
+    // Listed as running and not placed yet; true: keep it. `size` stays empty if it is not known.
+    virtual bool OnFound(Worker& worker, const RunningRow& row, std::optional<Resources>& size) = 0;
     virtual void OnEnded(Worker& worker, const EndedRow& row) = 0;
     virtual void OnGone(Worker& worker, const RunRef& run, GoneReason reason) = 0;
     virtual void OnStarted(Worker& worker, const RunRef& run) = 0;
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -14,7 +14,8 @@
 
 constexpr size_t kPage = 20;  // Items of a page: small, so that paging is used.
 constexpr Duration kMostHold = 6s;
-constexpr Duration kStopTakes = 50ms;
+constexpr Duration kStopTakes = 50ms;  // Of a task with index 0; later ones take up to four times as long.
+constexpr int kStopSteps = 4;
 constexpr Duration kGangPatience = 3s;
 constexpr Duration kLongestRun = 1h;  // Tasks that run for good.
 
@@ -273,7 +274,7 @@
   if (found != runs_.end() && !found->second.stopping) {
     next_end_.reset();
     found->second.stopping = true;
-    found->second.ends_at = world_.Now() + kStopTakes;
+    found->second.ends_at = world_.Now() + kStopTakes * (1 + run.task.index % kStopSteps);
     found->second.how = EndKind::kStopped;
   }
   return Answer(OrderStatus::kOk);
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -77,6 +77,30 @@
   }
 }
 
+// The successor finds runs of which only their names are known, and they end one after the other.
+TEST_CASE("runs of a job that was cancelled under an earlier owner keep their room until the last one has ended") {
+  CellWorld world(35, 3, 1);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const JobSpec first = JobOf(1, {StepOf(4, 4000)});
+  world.SubmitSurely(first, TaskBehaviour{20s, 0});
+  REQUIRE(world.RunUntil([&] { return world.starts() == 4; }, 3s));
+  const JobSpec second = JobOf(2, {StepOf(4, 4000)});
+  world.SubmitSurely(second, TaskBehaviour{500ms, 0});
+  world.RunFor(300ms);
+  world.worker(0).faults.silent = true;  // The stops are lost.
+  bool cancelled = false;
+  world.Ask(0, CallerKind::kCancel, first.queue, first.id,
+            [&](const CallerReply& reply) { cancelled = reply.outcome == CallerOutcome::kDone; });
+  REQUIRE(world.RunUntil([&] { return cancelled; }, 1s));
+  world.Kill(*world.OwnerIndex());
+  world.worker(0).faults.silent = false;
+  world.RunFor(10s);
+  CHECK(world.StateOf("plain", second.id) == JobState::kCompleted);
+  CHECK(world.starts() == 8);
+  CHECK(world.violations().empty());
+}
+
 // Hosts of unlike strength: the owner does ten times the work of any other host.
 TEST_CASE("the cell comes to a strong host, at the start and after a takeover") {
   CellWorld world(33, 6, 6);
