Placement looks at the rooms once a pass, and keeps no room that is kept already

Read once more: a pass looked at all workers again for each step that waited for its first answer (a guard on open questions was lost in this change), which also moved the measure of what is free within the pass; a gang that did not fit twice over went on to keep room that was kept for others; a gang without advice was fitted twice into the same rooms. One AskFirst serves the three callers; workers and their views go together as Rooms. Replies name the fields that they set. Tests unchanged and passing.

--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -248,7 +248,7 @@
   context_.Log("caller", "event=given_up job={} queue={} kind={} sent={} owner={} owner_silent_ms={}",
                pending.request.job, pending.request.queue, static_cast<int>(pending.request.kind), pending.sent,
                known_.present ? known_.record.host : "none", Millis(context_.Now() - heard_owner_));
-  pending.reply(CallerReply{call, outcome, {}, 0, kComeBack, 0});
+  pending.reply(CallerReply{.call = call, .outcome = outcome, .retry_after = kComeBack});
 }
 
 // --- Other hosts ---
@@ -287,7 +287,7 @@
 void Host::OnCallerRequest(const CallerRequest& request) {
   // One that was meant for an owner before this one may be a copy that an owner in between has refused.
   if (owner_ == nullptr || request.term < owner_->ownership().term) {
-    Send(request.reply_to, CallerReply{request.call, CallerOutcome::kNotOwner, {}, 0, 0us, 0});
+    Send(request.reply_to, CallerReply{.call = request.call, .outcome = CallerOutcome::kNotOwner});
     return;
   }
   owner_->Handle(request, Guarded([this, to = request.reply_to](CallerReply reply) {
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -74,7 +74,7 @@
 
 void Owner::Handle(const CallerRequest& request, Reply reply) {
   if (deposed_once_ || closing_) {
-    reply(CallerReply{request.call, CallerOutcome::kNotOwner, {}, 0, 0us, 0});
+    reply(CallerReply{.call = request.call, .outcome = CallerOutcome::kNotOwner});
     return;
   }
   if (!loaded_) {
@@ -100,9 +100,11 @@
 // --- Submit ---
 
 void Owner::Submit(const CallerRequest& request, const Reply& reply) {
-  const auto accepted = [call = request.call, reply] { reply(CallerReply{call, CallerOutcome::kDone, {}, 0, 0us, 0}); };
+  const auto accepted = [call = request.call, reply] {
+    reply(CallerReply{.call = call, .outcome = CallerOutcome::kDone});
+  };
   const auto withdrawn = [this, request, reply](Duration retry_after) {
-    Refuse(request, reply, CallerReply{0, CallerOutcome::kRejected, {}, 0, retry_after, 0});
+    Refuse(request, reply, CallerReply{.outcome = CallerOutcome::kRejected, .retry_after = retry_after});
   };
   if (const auto copy = refused_.find({request.reply_to, request.call}); copy != refused_.end()) {
     reply(copy->second);
@@ -126,7 +128,7 @@
   if (queue == nullptr || !spec) {
     context_.Log("admission", "event=rejected job={} queue={} reason={} config={}", request.job, request.queue,
                  queue == nullptr ? "queue_not_configured_here" : "unreadable", configuration_.version);
-    Refuse(request, reply, CallerReply{0, CallerOutcome::kUnavailable, {}, 0, kComeBack, 0});
+    Refuse(request, reply, CallerReply{.outcome = CallerOutcome::kUnavailable, .retry_after = kComeBack});
     return;
   }
   if (std::optional<CallerReply> refusal = Refusal(); refusal) {
@@ -161,7 +163,7 @@
 std::optional<CallerReply> Owner::Refusal() const {
   const bool behind = context_.timers.lateness() > kMostLateness;
   if (commit_.stalled_for() > kStalledAfter || behind || jobs_.size() >= kMostJobs) {
-    return CallerReply{0, CallerOutcome::kRejected, {}, 0, ComeBackAfter(), 0};
+    return CallerReply{.outcome = CallerOutcome::kRejected, .retry_after = ComeBackAfter()};
   }
   return std::nullopt;
 }
@@ -212,10 +214,14 @@
   MarkDirty(job);
   job.WhenStored(std::move(accepted));
   // Asked ahead: the answer is here by the time the job stands in the store.
+  if (!job.queue.advice) {
+    return;
+  }
+  LookAtRooms();
   for (const auto& [number, occurrence] : job.occurrences) {
     for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
-      if (step->spec->after.empty() && job.queue.advice) {
-        AskAdvice(*step, EligibleFor(*step));
+      if (step->spec->after.empty()) {
+        AskFirst(*step);
       }
     }
   }
@@ -225,7 +231,7 @@
 
 void Owner::TellState(const CallerRequest& request, const Reply& reply) {
   const auto tell = [call = request.call, reply](CallerOutcome outcome, JobState state) {
-    reply(CallerReply{call, outcome, state, 0, 0us, 0});
+    reply(CallerReply{.call = call, .outcome = outcome, .state = state});
   };
   const auto ended = ended_.find(request.job);
   if (ended != ended_.end()) {
@@ -245,13 +251,13 @@
 }
 
 void Owner::Cancel(const CallerRequest& request, const Reply& reply) {
-  const auto done = [call = request.call, reply] { reply(CallerReply{call, CallerOutcome::kDone, {}, 0, 0us, 0}); };
+  const auto done = [call = request.call, reply] { reply(CallerReply{.call = call, .outcome = CallerOutcome::kDone}); };
   const auto ended = ended_.find(request.job);
   Job* job = FindJob(request.job);
   const bool known = job != nullptr ? job->record.spec.queue == request.queue
                                     : ended != ended_.end() && ended->second.queue == request.queue;
   if (!known) {
-    reply(CallerReply{request.call, CallerOutcome::kNoSuchJob, {}, 0, 0us, 0});
+    reply(CallerReply{.call = request.call, .outcome = CallerOutcome::kNoSuchJob});
     return;
   }
   if (job == nullptr) {
@@ -273,7 +279,7 @@
       return job.spec_stored && !job.started && !job.final && job.record.spec.queue == request.queue;
     });
   }
-  reply(CallerReply{request.call, CallerOutcome::kDone, {}, pending.count, 0us, 0});
+  reply(CallerReply{.call = request.call, .outcome = CallerOutcome::kDone, .pending = pending.count});
 }
 
 // --- Configuration, the end ---
@@ -292,7 +298,7 @@
   closing_ = true;
   closed_ = std::move(closed);
   for (auto& [request, reply] : early_) {
-    reply(CallerReply{request.call, CallerOutcome::kNotOwner, {}, 0, 0us, 0});
+    reply(CallerReply{.call = request.call, .outcome = CallerOutcome::kNotOwner});
   }
   early_.clear();
   commit_.Request();
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -196,7 +196,7 @@
   std::vector<StepRun*> WaitingInOrder();
   void SetQueue(Job& job, const QueueSpec& queue);
   void PlaceSingles(StepRun& step);
-  // Rooms that a gang may use, by what has to be done first.
+  // Workers with what a placement sees of each.
   struct Rooms {
     std::vector<Worker*> workers;
     std::vector<RoomView> views;
@@ -206,6 +206,7 @@
       views.push_back(view);
     }
   };
+  // Rooms that a gang may use, by what has to be done first.
   struct GangRooms {
     Rooms with_ticket;                 // Nothing.
     Rooms allowed;                     // Those, and others for which tickets are to be asked for.
@@ -214,23 +215,24 @@
   };
   GangRooms RoomsFor(const StepRun& step) const;
   void PlaceGang(StepRun& step);
-  void StartGang(StepRun& step, const std::vector<Worker*>& workers, const std::vector<int>& counts);
+  void StartGang(StepRun& step, const Rooms& rooms, const std::vector<int>& counts);
   void TryProbe(StepRun& step);
   void StartTask(StepRun& step, int index, Worker& worker);
-  std::vector<Worker*> EligibleFor(const StepRun& step);
+  std::vector<Worker*> EligibleFor(const StepRun& step) const;
   bool IsEligible(const StepRun& step, const Worker& worker) const;
   RoomView ViewOf(const StepRun& step, const Worker& worker) const;
   bool HasTicket(const StepRun& step, const Worker& worker) const;
   bool IsKeptByOther(const StepRun& step, const Worker& worker) const;
   void AskAgain(StepRun& step, const std::vector<Worker*>& workers);
+  void AskFirst(StepRun& step);
   void AskAdvice(StepRun& step, std::vector<Worker*> workers);
   void AskFurther(StepRun& step, std::vector<Worker*> workers);
   void Ask(StepRun& step, const std::vector<Worker*>& workers);
-  void Reserve(StepRun& step, const std::vector<Worker*>& workers, const std::vector<int>& counts);
+  void Reserve(StepRun& step, const Rooms& rooms, const std::vector<int>& counts);
   void Unreserve(StepRun& step);
   void StartReserved(StepRun& step);
   void OnAdviceFor(const TaskRef& ref, const std::vector<std::string>& asked, const AdviceAnswer& answer);
-  void KeepRoom(StepRun& step, const std::vector<Worker*>& workers, const std::vector<RoomView>& views);
+  void KeepRoom(StepRun& step, const Rooms& rooms);
   void LookAtRooms();
   int RunBase(const Job& job) const;
 
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -2,8 +2,6 @@
 // priority, then of what is due first; jobs whose objective is long past come last. A gang that does not fit keeps
 // room.
 #include <algorithm>
-#include <iterator>
-#include <numeric>
 #include <tuple>
 #include <utility>
 
@@ -169,8 +167,7 @@
          (label.empty() || worker.entry.HasLabel(label));
 }
 
-std::vector<Worker*> Owner::EligibleFor(const StepRun& step) {
-  LookAtRooms();
+std::vector<Worker*> Owner::EligibleFor(const StepRun& step) const {
   std::vector<Worker*> eligible;
   for (const Usable& usable : usable_) {
     if (IsEligible(step, *usable.worker)) {
@@ -216,17 +213,14 @@
 // --- Single tasks ---
 
 void Owner::PlaceSingles(StepRun& step) {
-  if (step.job->queue.advice && !step.advice.known) {
-    if (advice_.HasRoom()) {
-      AskAdvice(step, EligibleFor(step));
-    }
+  const bool advised = step.job->queue.advice.has_value();
+  if (advised && !step.advice.known) {
+    AskFirst(step);
     return;
   }
-  std::vector<Worker*> workers;
-  std::vector<RoomView> views;
+  Rooms rooms;
   std::vector<Worker*> without_ticket;
   const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
-  const bool advised = step.job->queue.advice.has_value();
   TryProbe(step);
   for (const auto& [worker, quarantined] : usable_) {
     const bool refused = advised && step.advice.For(worker->number).word == StepAdvice::Word::kRefused;
@@ -234,7 +228,7 @@
     if (refused || quarantined || !need.size.FitsIn(worker->free()) || kept || !IsEligible(step, *worker)) {
       continue;
     }
-    RoomView view = ViewOf(step, *worker);
+    const RoomView view = ViewOf(step, *worker);
     if (SlotsOf(view, need) == 0) {
       continue;
     }
@@ -242,20 +236,19 @@
       without_ticket.push_back(worker);
       continue;
     }
-    workers.push_back(worker);
-    views.push_back(view);
+    rooms.Add(worker, view);
   }
   for (int i = 0; i < step.spec->count && step.waiting > 0; ++i) {
     if (step.tasks[static_cast<size_t>(i)].phase != TaskPhase::kWaiting) {
       continue;
     }
-    const std::optional<size_t> best = TightestFit(views, need);
+    const std::optional<size_t> best = TightestFit(rooms.views, need);
     if (!best) {
       break;
     }
-    StartTask(step, i, *workers[*best]);
-    views[*best].free -= need.size;
-    ++views[*best].already_there;
+    StartTask(step, i, *rooms.workers[*best]);
+    rooms.views[*best].free -= need.size;
+    ++rooms.views[*best].already_there;
   }
   if (step.waiting > 0) {
     AskAgain(step, without_ticket);
@@ -318,55 +311,57 @@
 }
 
 void Owner::PlaceGang(StepRun& step) {
-  const bool advised = step.job->queue.advice.has_value();
   if (step.advice.asking > 0) {
     return;
   }
-  if (advised && !step.advice.known) {
-    AskAdvice(step, EligibleFor(step));
+  if (step.job->queue.advice && !step.advice.known) {
+    AskFirst(step);
     return;
   }
   const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
   GangRooms rooms = RoomsFor(step);
+  const auto starts_in = [&](const Rooms& where) {
+    const std::vector<int> counts = FitGang(where.views, need, step.spec->count, step.spec->same_rack);
+    if (!counts.empty()) {
+      StartGang(step, where, counts);
+    }
+    return !counts.empty();
+  };
   // Where tickets are at hand first: other rooms may fit better by now, but each further question takes as long again.
-  std::vector<int> counts = FitGang(rooms.with_ticket.views, need, step.spec->count, step.spec->same_rack);
-  if (!counts.empty()) {
-    StartGang(step, rooms.with_ticket.workers, counts);
+  if (starts_in(rooms.with_ticket)) {
+    return;
+  }
+  const bool others_allowed = rooms.allowed.workers.size() > rooms.with_ticket.workers.size();
+  if (others_allowed && starts_in(rooms.allowed)) {
     return;
   }
-  std::vector<Worker*>& workers = rooms.allowed.workers;
-  std::vector<RoomView>& views = rooms.allowed.views;
-  counts = FitGang(views, need, step.spec->count, step.spec->same_rack);
-  if (counts.empty() && !rooms.kept.workers.empty()) {
+  if (!rooms.kept.workers.empty()) {
     // With so much free, those that the room is kept for wait for few single workers: this one need not.
-    workers.insert(workers.end(), rooms.kept.workers.begin(), rooms.kept.workers.end());
-    views.insert(views.end(), rooms.kept.views.begin(), rooms.kept.views.end());
-    if (SlotsOf(views, need) >= kTwiceOver * step.spec->count) {
-      counts = FitGang(views, need, step.spec->count, step.spec->same_rack);
+    Rooms all = rooms.allowed;
+    all.workers.insert(all.workers.end(), rooms.kept.workers.begin(), rooms.kept.workers.end());
+    all.views.insert(all.views.end(), rooms.kept.views.begin(), rooms.kept.views.end());
+    if (SlotsOf(all.views, need) >= kTwiceOver * step.spec->count && starts_in(all)) {
+      return;
     }
   }
-  if (counts.empty()) {
-    KeepRoom(step, workers, views);
-    AskFurther(step, std::move(rooms.never_asked));
-    return;
-  }
-  StartGang(step, workers, counts);
+  KeepRoom(step, rooms.allowed);
+  AskFurther(step, std::move(rooms.never_asked));
 }
 
 // The gang fits. Its members start, or room is kept for them until there are tickets for all.
-void Owner::StartGang(StepRun& step, const std::vector<Worker*>& workers, const std::vector<int>& counts) {
+void Owner::StartGang(StepRun& step, const Rooms& rooms, const std::vector<int>& counts) {
   std::vector<Worker*> chosen;
   bool tickets = true;
   for (size_t i = 0; i < counts.size(); ++i) {
     if (counts[i] > 0) {
-      chosen.push_back(workers[i]);
-      tickets = tickets && HasTicket(step, *workers[i]);
+      chosen.push_back(rooms.workers[i]);
+      tickets = tickets && HasTicket(step, *rooms.workers[i]);
     }
   }
   if (!tickets) {
     AskAdvice(step, chosen);
     if (step.advice.asking > 0) {
-      Reserve(step, workers, counts);
+      Reserve(step, rooms, counts);
     }
     return;
   }
@@ -374,30 +369,30 @@
   int index = 0;
   for (size_t i = 0; i < counts.size(); ++i) {
     for (int k = 0; k < counts[i]; ++k) {
-      StartTask(step, index++, *workers[i]);
+      StartTask(step, index++, *rooms.workers[i]);
     }
   }
 }
 
-void Owner::KeepRoom(StepRun& step, const std::vector<Worker*>& workers, const std::vector<RoomView>& views) {
+void Owner::KeepRoom(StepRun& step, const Rooms& rooms) {
   const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
-  const std::vector<size_t> rooms = RoomsToKeep(views, need, step.spec->count);
+  const std::vector<size_t> kept = RoomsToKeep(rooms.views, need, step.spec->count);
   const auto most = static_cast<size_t>(kMostKeptShare * static_cast<double>(workers_.workers().size()));
-  if (rooms.empty() || kept_count_ + rooms.size() > most) {
+  if (kept.empty() || kept_count_ + kept.size() > most) {
     return;
   }
-  for (const size_t room : rooms) {
-    kept_[workers[room]->number] = &step;
+  for (const size_t room : kept) {
+    kept_[rooms.workers[room]->number] = &step;
     ++kept_count_;
   }
 }
 
-void Owner::Reserve(StepRun& step, const std::vector<Worker*>& workers, const std::vector<int>& counts) {
+void Owner::Reserve(StepRun& step, const Rooms& rooms, const std::vector<int>& counts) {
   Unreserve(step);
   for (size_t i = 0; i < counts.size(); ++i) {
     for (int k = 0; k < counts[i]; ++k) {
-      ++step.reserved[workers[i]->number];
-      reserved_[workers[i]->number] += SizeOf(step);
+      ++step.reserved[rooms.workers[i]->number];
+      reserved_[rooms.workers[i]->number] += SizeOf(step);
     }
   }
 }
@@ -438,6 +433,12 @@
 
 // --- Advice ---
 
+void Owner::AskFirst(StepRun& step) {
+  if (step.advice.asking == 0 && advice_.HasRoom()) {
+    AskAdvice(step, EligibleFor(step));
+  }
+}
+
 void Owner::AskAdvice(StepRun& step, std::vector<Worker*> workers) {
   if (step.advice.asking > 0 || workers.empty() || !step.job->queue.advice || !advice_.HasRoom()) {
     return;
