One piece of code for lists from workers, for numbers of settings, and for ranges of seeds

The look after a start took a worker's lists as a hold does, line by line; three programs read first..last on their own; a share was read beside a number. Behaviour unchanged.

--- a/bench/cell_load_main.cc
+++ b/bench/cell_load_main.cc
@@ -9,6 +9,7 @@
 #include <gflags/gflags.h>
 
 #include "bench/cell_load.h"
+#include "standins/seed_range.h"
 
 DEFINE_string(deployment, "small", "small (48 workers) or large (350)");
 DEFINE_string(seeds, "1..1", "first..last");
@@ -69,9 +70,7 @@
   if (!FLAGS_burst.empty()) {
     options.bursts.push_back(hibiscus::cell::ParseBurst(FLAGS_burst));
   }
-  const size_t dots = FLAGS_seeds.find("..");
-  const uint64_t first = std::stoull(FLAGS_seeds);
-  const uint64_t last = dots == std::string::npos ? first : std::stoull(FLAGS_seeds.substr(dots + 2));
+  const auto [first, last] = hibiscus::ParseSeeds(FLAGS_seeds);
   bool broken = false;
   for (options.seed = first; options.seed <= last; ++options.seed) {
     const std::clock_t begin = std::clock();
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -270,28 +270,39 @@
   const bool first = !worker.held;
   worker.held = true;
   VoidStarts(worker);
-  const int64_t seen = worker.processed_;
-  const std::shared_ptr<bool> alive = alive_;
-  TakeLists(worker, answer);
-  if (!*alive) {
+  if (!TakeLists(worker, answer)) {
     return;
   }
   Settle(worker);
   if (first) {
     listener_.OnChanged(worker);
   }
-  if (worker.processed_ > seen) {
-    listener_.OnEndsSeen(worker);
-  }
   const bool waits = worker.processed_ > worker.acknowledged_;
   HoldIn(worker, waits ? kHoldAgain : 0us);
 }
 
-void WorkerTable::TakeLists(Worker& worker, const OrderAnswer& answer) {
+bool WorkerTable::TakeLists(Worker& worker, const OrderAnswer& answer) {
   if (answer.worker_clock < worker.lists_at_) {
-    return;  // Overtaken by newer lists on another connection.
+    return true;  // Overtaken by newer lists on another connection.
   }
   worker.lists_at_ = answer.worker_clock;
+  const std::shared_ptr<bool> alive = alive_;
+  const int64_t seen = worker.processed_;
+  TakeEnded(worker, answer);
+  TakeRunning(worker, answer);
+  if (answer.ended.size() < kMostEndedRows) {
+    TakeAbsent(worker, answer);
+  }
+  if (!*alive) {
+    return false;
+  }
+  if (worker.processed_ > seen) {
+    listener_.OnEndsSeen(worker);
+  }
+  return true;
+}
+
+void WorkerTable::TakeEnded(Worker& worker, const OrderAnswer& answer) {
   for (const EndedRow& row : answer.ended) {
     if (row.number <= worker.processed_) {
       continue;
@@ -300,6 +311,9 @@
     Release(worker, row.run);
     listener_.OnEnded(worker, row);
   }
+}
+
+void WorkerTable::TakeRunning(Worker& worker, const OrderAnswer& answer) {
   for (const RunningRow& row : answer.running) {
     const auto found = worker.placed.find(row.run);
     if (found != worker.placed.end()) {
@@ -321,9 +335,6 @@
       Stop(worker, row.run);
     }
   }
-  if (answer.ended.size() < kMostEndedRows) {
-    TakeAbsent(worker, answer);
-  }
 }
 
 void WorkerTable::TakeAbsent(Worker& worker, const OrderAnswer& answer) {
@@ -433,14 +444,9 @@
             !NoteAnswer(*found, answer)) {
           return;  // The start's own time-out decides.
         }
-        const int64_t seen = found->processed_;
-        TakeLists(*found, answer);
-        if (!*alive) {
+        if (!TakeLists(*found, answer)) {
           return;
         }
-        if (found->processed_ > seen) {
-          listener_.OnEndsSeen(*found);
-        }
         const auto placed = found->placed.find(run);
         if (placed != found->placed.end() && placed->second.phase == PlacedPhase::kStarting) {
           GiveUpStart(*found, run);
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -141,7 +141,10 @@
   void HoldIn(Worker& worker, Duration delay);
   void SendHold(Worker& worker);
   void OnHoldAnswer(Worker& worker, const OrderAnswer& answer);
-  void TakeLists(Worker& worker, const OrderAnswer& answer);
+  // False if the table is gone: a listener has dropped it.
+  bool TakeLists(Worker& worker, const OrderAnswer& answer);
+  void TakeEnded(Worker& worker, const OrderAnswer& answer);
+  void TakeRunning(Worker& worker, const OrderAnswer& answer);
   void TakeAbsent(Worker& worker, const OrderAnswer& answer);
   void LookAfterStart(Worker& worker, const RunRef& run);
   void OnStartAnswer(Worker& worker, const RunRef& run, const OrderAnswer& answer);
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -126,9 +126,10 @@
   return kGroups;
 }
 
-// Empty if the text is no whole number of this size.
-tl::expected<int, std::string> NumberFrom(const std::string& text) {
-  int number = 0;
+// An error if the text is no number of this type, whole.
+template <class Value>
+tl::expected<Value, std::string> ValueFrom(const std::string& text) {
+  Value number{};
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
   if (error != std::errc() || end != text.data() + text.size()) {
     return tl::unexpected(std::string("no number"));
@@ -136,12 +137,14 @@
   return number;
 }
 
-// Empty if the text is no number above 0 and of this size.
+tl::expected<int, std::string> NumberFrom(const std::string& text) {
+  return ValueFrom<int>(text);
+}
+
+// None if the text is no number above 0 and of this size.
 std::optional<double> ShareFrom(const std::string& text) {
-  double share = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), share);
-  const bool good = error == std::errc() && end == text.data() + text.size() && share > 0 && share <= kMostShare;
-  return good ? std::optional(share) : std::nullopt;
+  const auto share = ValueFrom<double>(text);
+  return share && *share > 0 && *share <= kMostShare ? std::optional(*share) : std::nullopt;
 }
 
 bool IsAddress(const std::string& value) {
--- /dev/null
+++ b/standins/seed_range.h
@@ -0,0 +1,27 @@
+// The seeds that a program is told to play: "first..last", or one alone.
+#ifndef HIBISCUSSTAND_STANDINS_SEED_RANGE_H_
+#define HIBISCUSSTAND_STANDINS_SEED_RANGE_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace hibiscus {
+
+struct SeedRange {
+  uint64_t first = 1;
+  uint64_t last = 1;  // Played too.
+
+  friend auto operator<=>(const SeedRange&, const SeedRange&) = default;
+};
+
+// Throws std::invalid_argument if the text begins with no number.
+inline SeedRange ParseSeeds(const std::string& text) {
+  const size_t dots = text.find("..");
+  const uint64_t first = std::stoull(text.substr(0, dots));
+  return SeedRange{first, dots == std::string::npos ? first : std::stoull(text.substr(dots + 2))};
+}
+
+}  // namespace hibiscus
+
+#endif  // HIBISCUSSTAND_STANDINS_SEED_RANGE_H_
--- a/tests/cell_chaos_main.cc
+++ b/tests/cell_chaos_main.cc
@@ -10,6 +10,7 @@
 
 #include <gflags/gflags.h>
 
+#include "standins/seed_range.h"
 #include "tests/cell_chaos.h"
 
 DEFINE_string(seeds, "1..100", "first..last");
@@ -18,15 +19,13 @@
 
 int main(int argc, char** argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  const size_t dots = FLAGS_seeds.find("..");
-  const uint64_t first = std::stoull(FLAGS_seeds);
-  const uint64_t last = dots == std::string::npos ? first : std::stoull(FLAGS_seeds.substr(dots + 2));
-  std::atomic<uint64_t> next{first};
+  const hibiscus::SeedRange seeds = hibiscus::ParseSeeds(FLAGS_seeds);
+  std::atomic<uint64_t> next{seeds.first};
   std::atomic<int> failed{0};
   std::atomic<int> passed{0};
   std::mutex mutex;
   const auto work = [&] {
-    for (uint64_t seed = next++; seed <= last; seed = next++) {
+    for (uint64_t seed = next++; seed <= seeds.last; seed = next++) {
       const auto result = hibiscus::cell::RunCellChaos({seed, FLAGS_log});
       (result.ok() ? passed : failed)++;
       if (result.ok()) {
--- a/tests/chaos_main.cc
+++ b/tests/chaos_main.cc
@@ -6,6 +6,7 @@
 #include <fmt/core.h>
 #include <gflags/gflags.h>
 
+#include "standins/seed_range.h"
 #include "tests/chaos_faults.h"
 
 DEFINE_string(seeds, "1..300", "first and last seed");
@@ -73,8 +74,6 @@
 int main(int argc, char** argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   std::signal(SIGABRT, hibiscus::OnAbort);
-  const size_t dots = FLAGS_seeds.find("..");
-  const uint64_t first = std::stoull(FLAGS_seeds.substr(0, dots));
-  const uint64_t last = dots == std::string::npos ? first : std::stoull(FLAGS_seeds.substr(dots + 2));
+  const auto [first, last] = hibiscus::ParseSeeds(FLAGS_seeds);
   return hibiscus::RunAll(first, last);
 }
