The store's answers go before all other work of the control thread

The owner renews its lease of 1.5 s on the control thread, behind whatever workers have answered, and its answer comes over the HTTP thread that serves 1,100 workers. A queue of posted tasks was run to its end before any timer.

--- a/src/daemon/cell_daemon.cc
+++ b/src/daemon/cell_daemon.cc
@@ -18,8 +18,8 @@
       log_(EventLogOptions{.host = settings.cell.name}, clock_),
       loop_(timers_, clock_, [this] { AfterRound(); }),
       store_(
-          http_,
-          [this](std::function<void()> work) { loop_.Post(std::move(work)); },
+          store_http_,
+          [this](std::function<void()> work) { loop_.PostUrgent(std::move(work)); },
           settings.store_address),
       workers_(
           http_,
--- a/src/daemon/cell_daemon.h
+++ b/src/daemon/cell_daemon.h
@@ -77,6 +77,7 @@
   std::unique_ptr<FrameLink> link_;
   TaskLoop loop_;
   HttpClient http_;
+  HttpClient store_http_;  // Apart: the store's answers must not wait behind those of many workers.
   platform::Directory directory_;
   platform::StoreClient store_;
   platform::WorkerClient workers_;
--- a/src/daemon/task_loop.h
+++ b/src/daemon/task_loop.h
@@ -2,7 +2,9 @@
 #ifndef HIBISCUSSTAND_SRC_DAEMON_TASK_LOOP_H_
 #define HIBISCUSSTAND_SRC_DAEMON_TASK_LOOP_H_
 
+#include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <mutex>
 #include <vector>
@@ -20,19 +22,25 @@
       : timers_(timers), clock_(clock), after_round_(std::move(after_round)) {}
 
   void Post(Task task);  // Thread-safe.
-  void Run();            // Returns after Stop.
-  void Stop();           // Thread-safe.
+  // Runs before everything that was posted and not begun: what the store says, on which this host's role hangs.
+  // Thread-safe.
+  void PostUrgent(Task task);
+  void Run();   // Returns after Stop.
+  void Stop();  // Thread-safe.
 
  private:
-  bool TakePosted(std::vector<Task>& tasks);
+  bool TakePosted(std::deque<Task>& tasks);
+  void RunUrgent();
 
   cell::Timers& timers_;
   const Clock& clock_;
   Task after_round_;
   std::mutex mutex_;
   std::condition_variable wake_;
-  std::vector<Task> posted_;
-  bool stopping_ = false;
+  std::deque<Task> posted_;               // Under mutex_.
+  std::vector<Task> urgent_;              // Under mutex_.
+  std::atomic<bool> has_urgent_ = false;  // So that the mutex is taken only if there are some.
+  bool stopping_ = false;                 // Under mutex_.
 };
 
 }  // namespace hibiscus
