A pass of the placement touches the workers that its steps may use

Cause: each pass went over all usable workers for each waiting step, sorted them again for each request for advice, and kept a permit for every worker of the cell with every step. At 1,100 workers passes took 90 to 313 ms of the owner's thread; they may take a fifth of it, so that tasks waited for seconds beside 85% of free room.

Change: permits are kept for the workers that were asked about, and a step looks at those; workers that were not asked about are taken from a list that is sorted once a pass, the freest first, and only as many as one request names. Chains of run times are worked out once a job. hibiscus_cell_load plays a fleet of 1,100 workers.

Ruled out: the number of waiting steps (the same load in virtual time, where passes cost nothing, is served).

The stand-in also learns to cut a host off from the workers and to read a host's counters.

--- a/bench/cell_load.cc
+++ b/bench/cell_load.cc
@@ -319,4 +319,30 @@
   return options;
 }
 
+LoadOptions FleetDeployment() {
+  LoadOptions options = SmallDeployment();
+  options.hosts = 147;
+  options.workers = 1100;
+  LoadClass& quick = options.classes[0];
+  quick.queue.advice = AdviceSpec{11ms, 160us, 1500ms};
+  quick.jobs_a_second = 142;
+  quick.width = 4.5;
+  quick.most_width = 27;
+  quick.size = Resources{16'000, 57'000, 0};
+  quick.takes = 800ms;
+  LoadClass& gangs = options.classes[1];
+  gangs.queue.advice = AdviceSpec{480ms, 6900us, 1500ms};
+  gangs.jobs_a_second = 6.8;
+  gangs.width = 40;
+  gangs.most_width = 240;
+  gangs.size = Resources{18'000, 52'000, 0};
+  LoadClass& batch = options.classes[2];
+  batch.queue.advice = AdviceSpec{140ms, 2ms, 1500ms};
+  batch.jobs_a_second = 11.2;
+  batch.width = 32;
+  batch.most_width = 160;
+  batch.size = Resources{11'000, 40'000, 0};
+  return options;
+}
+
 }  // namespace hibiscus::cell
--- a/bench/cell_load.h
+++ b/bench/cell_load.h
@@ -80,10 +80,11 @@
 
 LoadOutcome RunLoad(const LoadOptions& options);
 
-// Deployments that the program and the tests use: a few dozen workers of one kind with three unlike classes, and one
-// seven times as large.
+// Deployments that the program and the tests use: a few dozen workers of one kind with three unlike classes, one seven
+// times as large, and a fleet of over a thousand workers on which the owner's processor is what binds.
 LoadOptions SmallDeployment();
 LoadOptions LargeDeployment();
+LoadOptions FleetDeployment();
 
 }  // namespace hibiscus::cell
 
--- a/bench/cell_load_main.cc
+++ b/bench/cell_load_main.cc
@@ -11,7 +11,7 @@
 #include "bench/cell_load.h"
 #include "standins/seed_range.h"
 
-DEFINE_string(deployment, "small", "small (48 workers) or large (350)");
+DEFINE_string(deployment, "small", "small (48 workers), large (350) or fleet (1100)");
 DEFINE_string(seeds, "1..1", "first..last");
 DEFINE_double(length_s, 20, "seconds of traffic");
 DEFINE_double(load, 1, "times the deployment's usual rate");
@@ -37,6 +37,19 @@
   return burst;
 }
 
+LoadOptions DeploymentNamed(const std::string& name) {
+  if (name == "small") {
+    return SmallDeployment();
+  }
+  if (name == "large") {
+    return LargeDeployment();
+  }
+  if (name == "fleet") {
+    return FleetDeployment();
+  }
+  throw std::runtime_error("--deployment is small, large or fleet, not " + name);
+}
+
 void Print(uint64_t seed, const LoadOutcome& outcome, double processor_s) {
   fmt::print("seed {}: {} starts, {:.0f} s of advice, {:.2f} s of processor time, {} rules broken\n", seed,
              outcome.starts, outcome.advice_seconds, processor_s, outcome.violations.size());
@@ -59,8 +72,7 @@
   using hibiscus::cell::LoadOptions;
   using hibiscus::cell::LoadOutcome;
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  LoadOptions options =
-      FLAGS_deployment == "large" ? hibiscus::cell::LargeDeployment() : hibiscus::cell::SmallDeployment();
+  LoadOptions options = hibiscus::cell::DeploymentNamed(FLAGS_deployment);
   options.length = hibiscus::Duration(static_cast<int64_t>(FLAGS_length_s * 1e6));
   options.event_cost = std::chrono::microseconds(FLAGS_event_cost_us);
   options.log = FLAGS_log;
--- a/src/cell/job_table.cc
+++ b/src/cell/job_table.cc
@@ -45,14 +45,8 @@
 
 const StepAdvice::Permit& StepAdvice::For(size_t worker) const {
   static const Permit kNone;
-  return worker < permits.size() ? permits[worker] : kNone;
-}
-
-StepAdvice::Permit& StepAdvice::At(size_t worker) {
-  if (worker >= permits.size()) {
-    permits.resize(worker + 1);
-  }
-  return permits[worker];
+  const auto permit = permits.find(worker);
+  return permit == permits.end() ? kNone : permit->second;
 }
 
 void Job::WhenStored(std::function<void()> done) {
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -44,13 +44,13 @@
     friend bool operator==(const Permit&, const Permit&) = default;
   };
 
-  int asking = 0;               // Questions that are not answered yet.
-  bool known = false;           // At least one question was answered.
-  TimePoint asked_at{};         // The last question.
-  std::vector<Permit> permits;  // By the worker's number.
+  int asking = 0;                    // Requests that are not answered yet.
+  bool known = false;                // At least one request was answered.
+  TimePoint asked_at{};              // The last request.
+  std::map<size_t, Permit> permits;  // By the worker's number: those that were asked about, a small part of all.
 
   const Permit& For(size_t worker) const;
-  Permit& At(size_t worker);
+  Permit& At(size_t worker) { return permits[worker]; }
 };
 
 // One step of one occurrence.
@@ -97,6 +97,7 @@
   JobState final_state = JobState::kCompleted;
 
   Duration objective{};  // From its acceptance; refreshed with the queue.
+  Duration chain{};      // Longest chain of declared run times.
 
   bool spec_stored = false;
   std::string spec_key;                                // Batch of the log that has the job itself. Empty: none yet.
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -53,6 +53,7 @@
     }
   });
   workers_.Sweep();
+  LookAtRooms();  // The sweep may have dropped workers.
   if (!loaded_) {
     return;
   }
@@ -217,7 +218,6 @@
   if (!job.queue.advice) {
     return;
   }
-  LookAtRooms();
   for (const auto& [number, occurrence] : job.occurrences) {
     for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
       if (step->spec->after.empty()) {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -208,17 +208,24 @@
   };
   // Rooms that a gang may use, by what has to be done first.
   struct GangRooms {
-    Rooms with_ticket;                 // Nothing.
-    Rooms allowed;                     // Those, and others for which tickets are to be asked for.
-    Rooms kept;                        // Allowed, but kept for another gang; only while much is free.
-    std::vector<Worker*> never_asked;  // The advice service has not been asked whether they are allowed.
+    Rooms with_ticket;  // Nothing.
+    Rooms allowed;      // Those, and others for which tickets are to be asked for.
+    Rooms kept;         // Allowed, but kept for another gang; only while much is free.
   };
   GangRooms RoomsFor(const StepRun& step) const;
   void PlaceGang(StepRun& step);
   void StartGang(StepRun& step, const Rooms& rooms, const std::vector<int>& counts);
   void TryProbe(StepRun& step);
   void StartTask(StepRun& step, int index, Worker& worker);
-  std::vector<Worker*> EligibleFor(const StepRun& step) const;
+  // Workers that may run the step and that the advice service was not asked about, most free first; at most `most`,
+  // each with at least `least_free` free.
+  std::vector<Worker*> NeverAsked(const StepRun& step, size_t most, const Resources& least_free) const;
+  // What a single task of the step may use: a worker with a ticket goes to `rooms`, others to `without_ticket`.
+  struct SingleRooms {
+    Rooms rooms;
+    std::vector<Worker*> without_ticket;  // Those known to be allowed first.
+  };
+  SingleRooms SingleRoomsFor(const StepRun& step, const RoomNeed& need) const;
   bool IsEligible(const StepRun& step, const Worker& worker) const;
   RoomView ViewOf(const StepRun& step, const Worker& worker) const;
   bool HasTicket(const StepRun& step, const Worker& worker) const;
@@ -226,14 +233,21 @@
   void AskAgain(StepRun& step, const std::vector<Worker*>& workers);
   void AskFirst(StepRun& step);
   void AskAdvice(StepRun& step, std::vector<Worker*> workers);
-  void AskFurther(StepRun& step, std::vector<Worker*> workers);
+  void AskFurther(StepRun& step);
   void Ask(StepRun& step, const std::vector<Worker*>& workers);
   void Reserve(StepRun& step, const Rooms& rooms, const std::vector<int>& counts);
   void Unreserve(StepRun& step);
   void StartReserved(StepRun& step);
   void OnAdviceFor(const TaskRef& ref, const std::vector<std::string>& asked, const AdviceAnswer& answer);
   void KeepRoom(StepRun& step, const Rooms& rooms);
+  // A worker that a pass may place on.
+  struct Usable {
+    Worker* worker = nullptr;
+    bool quarantined = false;
+    int64_t free_cpu_millis = 0;  // When it was listed; less may be left.
+  };
   void LookAtRooms();
+  const Usable* UsableAt(size_t number) const;
   int RunBase(const Job& job) const;
 
   Context& context_;
@@ -280,14 +294,12 @@
   uint64_t workers_revision_ = 0;
   std::vector<Occurrence> finished_occurrences_;  // Dropped by the next pass: callers may be inside them.
   // What a pass works with. Vectors by the worker's number.
-  struct Usable {
-    Worker* worker = nullptr;
-    bool quarantined = false;
-  };
-  std::vector<Usable> usable_;        // Workers that this pass may place on.
+  std::vector<Usable> usable_;        // Workers that this pass may place on, most free first.
+  std::vector<size_t> usable_at_;     // Place in `usable_` by the worker's number; kNotUsable if it is not there.
   std::vector<const StepRun*> kept_;  // For which gang room is kept there, by this pass so far.
   bool mostly_free_ = false;          // Much of the room is free: what is kept may be used.
   size_t kept_count_ = 0;             // Workers on which it is.
+  mutable int64_t workers_viewed_ = 0;  // By placements, since the last pass ended: what a pass costs.
   std::vector<bool> kept_before_;     // Whether the last pass kept room there.
   std::vector<Resources> reserved_;   // By gangs that wait for tickets.
   TimePoint told_at_{};               // When a line last said what waits.
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -1,7 +1,9 @@
 // What starts where. One pass goes through all open steps that have waiting tasks: in the order of their queues'
 // priority, then of what is due first; jobs whose objective is long past come last. A gang that does not fit keeps
-// room.
+// room. A pass touches what its steps may use: workers that the advice service was asked about, and of the others only
+// as many of the freest as would be asked about next.
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -21,10 +23,7 @@
 constexpr size_t kSpareAsked = 2;          // Workers asked about beyond those that are needed.
 constexpr int kWorthlessAfter = 3;         // Objectives: a job older than this counts for nobody any more.
 
-void MostRoomFirst(std::vector<Worker*>& workers) {
-  std::stable_sort(workers.begin(), workers.end(),
-                   [](const Worker* a, const Worker* b) { return a->free().cpu_millis > b->free().cpu_millis; });
-}
+constexpr size_t kNotUsable = std::numeric_limits<size_t>::max();
 
 }  // namespace
 
@@ -64,6 +63,8 @@
     }
   }
   pass_takes_ = context_.Now() - begin;
+  context_.counters.Add("placement_passes");
+  context_.counters.Add("placement_workers_viewed", static_cast<double>(std::exchange(workers_viewed_, 0)));
   if (begin - told_at_ > kTellEvery) {
     told_at_ = begin;
     TellWaiting(waiting);
@@ -102,21 +103,36 @@
   const bool none_bad = quarantine_.quarantined().empty();
   for (const auto& [id, worker] : workers_.workers()) {
     if (worker->UsableAt(now)) {
-      usable_.push_back(Usable{worker.get(), !none_bad && quarantine_.IsQuarantined(id)});
-      free += worker->free();
+      const Resources left = worker->free();
+      usable_.push_back(Usable{worker.get(), !none_bad && quarantine_.IsQuarantined(id), left.cpu_millis});
+      free += left;
       capacity += worker->entry.capacity;
     }
   }
+  std::sort(usable_.begin(), usable_.end(), [](const Usable& a, const Usable& b) {
+    return a.free_cpu_millis != b.free_cpu_millis ? a.free_cpu_millis > b.free_cpu_millis
+                                                  : a.worker->number < b.worker->number;
+  });
+  usable_at_.assign(workers_.last_number() + 1, kNotUsable);
+  for (size_t i = 0; i < usable_.size(); ++i) {
+    usable_at_[usable_[i].worker->number] = i;
+  }
   const auto enough = [](int64_t part, int64_t whole) {
     return static_cast<double>(part) >= kMostlyFree * static_cast<double>(whole);
   };
   mostly_free_ = enough(free.cpu_millis, capacity.cpu_millis) && enough(free.memory_mb, capacity.memory_mb);
 }
 
+const Owner::Usable* Owner::UsableAt(size_t number) const {
+  const size_t place = number < usable_at_.size() ? usable_at_[number] : kNotUsable;
+  return place == kNotUsable ? nullptr : &usable_[place];
+}
+
 void Owner::SetQueue(Job& job, const QueueSpec& queue) {
   job.queue = queue;
-  const auto chain = static_cast<double>(LongestChain(job.record.spec).count());
-  job.objective = queue.target_latency + Duration(static_cast<int64_t>(queue.stretch * chain));
+  job.chain = LongestChain(job.record.spec);
+  job.objective =
+      queue.target_latency + Duration(static_cast<int64_t>(queue.stretch * static_cast<double>(job.chain.count())));
 }
 
 std::vector<StepRun*> Owner::WaitingInOrder() {
@@ -137,7 +153,7 @@
     }
     const Duration objective = job->objective;
     const bool worthless = now - job->accepted_at > objective * kWorthlessAfter;
-    const bool late = now - job->accepted_at + LongestChain(job->record.spec) > objective;
+    const bool late = now - job->accepted_at + job->chain > objective;
     for (const auto& [number, occurrence] : job->occurrences) {
       for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
         const bool gang_partly_out = step->spec->gang && step->waiting < step->spec->count;
@@ -167,14 +183,19 @@
          (label.empty() || worker.entry.HasLabel(label));
 }
 
-std::vector<Worker*> Owner::EligibleFor(const StepRun& step) const {
-  std::vector<Worker*> eligible;
+std::vector<Worker*> Owner::NeverAsked(const StepRun& step, size_t most, const Resources& least_free) const {
+  std::vector<Worker*> workers;
   for (const Usable& usable : usable_) {
-    if (IsEligible(step, *usable.worker)) {
-      eligible.push_back(usable.worker);
+    if (workers.size() >= most || usable.free_cpu_millis < least_free.cpu_millis) {
+      break;
+    }
+    ++workers_viewed_;
+    if (least_free.FitsIn(usable.worker->free()) && !step.advice.permits.contains(usable.worker->number) &&
+        IsEligible(step, *usable.worker)) {
+      workers.push_back(usable.worker);
     }
   }
-  return eligible;
+  return workers;
 }
 
 RoomView Owner::ViewOf(const StepRun& step, const Worker& worker) const {
@@ -218,26 +239,9 @@
     AskFirst(step);
     return;
   }
-  Rooms rooms;
-  std::vector<Worker*> without_ticket;
   const RoomNeed need{SizeOf(step), step.spec->most_per_worker};
   TryProbe(step);
-  for (const auto& [worker, quarantined] : usable_) {
-    const bool refused = advised && step.advice.For(worker->number).word == StepAdvice::Word::kRefused;
-    const bool kept = IsKeptByOther(step, *worker) && !mostly_free_;
-    if (refused || quarantined || !need.size.FitsIn(worker->free()) || kept || !IsEligible(step, *worker)) {
-      continue;
-    }
-    const RoomView view = ViewOf(step, *worker);
-    if (SlotsOf(view, need) == 0) {
-      continue;
-    }
-    if (!HasTicket(step, *worker)) {
-      without_ticket.push_back(worker);
-      continue;
-    }
-    rooms.Add(worker, view);
-  }
+  auto [rooms, without_ticket] = SingleRoomsFor(step, need);
   for (int i = 0; i < step.spec->count && step.waiting > 0; ++i) {
     if (step.tasks[static_cast<size_t>(i)].phase != TaskPhase::kWaiting) {
       continue;
@@ -255,6 +259,43 @@
   }
 }
 
+Owner::SingleRooms Owner::SingleRoomsFor(const StepRun& step, const RoomNeed& need) const {
+  SingleRooms found;
+  const auto take = [&](const Usable& usable) {
+    ++workers_viewed_;
+    Worker& worker = *usable.worker;
+    const bool kept = IsKeptByOther(step, worker) && !mostly_free_;
+    if (usable.quarantined || kept || !need.size.FitsIn(worker.free()) || !IsEligible(step, worker)) {
+      return;
+    }
+    const RoomView view = ViewOf(step, worker);
+    if (SlotsOf(view, need) == 0) {
+      return;
+    }
+    if (HasTicket(step, worker)) {
+      found.rooms.Add(&worker, view);
+    } else {
+      found.without_ticket.push_back(&worker);
+    }
+  };
+  if (!step.job->queue.advice) {
+    std::for_each(usable_.begin(), usable_.end(), take);
+    return found;
+  }
+  for (const auto& [number, permit] : step.advice.permits) {
+    const Usable* usable = permit.word == StepAdvice::Word::kAllowed ? UsableAt(number) : nullptr;
+    if (usable != nullptr) {
+      take(*usable);
+    }
+  }
+  for (Worker* worker : NeverAsked(step, kMostAskedWorkers, need.size)) {
+    if (!UsableAt(worker->number)->quarantined && (!IsKeptByOther(step, *worker) || mostly_free_)) {
+      found.without_ticket.push_back(worker);
+    }
+  }
+  return found;
+}
+
 // One task goes to a quarantined worker whose time has come, to see whether it does its work again.
 void Owner::TryProbe(StepRun& step) {
   for (const std::string& id : quarantine_.quarantined()) {
@@ -284,27 +325,33 @@
 // --- Gangs ---
 
 Owner::GangRooms Owner::RoomsFor(const StepRun& step) const {
-  const bool advised = step.job->queue.advice.has_value();
   GangRooms rooms;
-  for (const auto& [worker, quarantined] : usable_) {
-    const StepAdvice::Word word = step.advice.For(worker->number).word;
-    if (quarantined || (advised && word == StepAdvice::Word::kRefused) || !IsEligible(step, *worker)) {
-      continue;
-    }
-    if (advised && word == StepAdvice::Word::kNotAsked) {
-      rooms.never_asked.push_back(worker);
-      continue;
+  const auto take = [&](const Usable& usable) {
+    ++workers_viewed_;
+    Worker& worker = *usable.worker;
+    if (usable.quarantined || !IsEligible(step, worker)) {
+      return;
     }
-    const RoomView view = ViewOf(step, *worker);
-    if (IsKeptByOther(step, *worker) && !step.reserved.contains(worker->number)) {
+    const RoomView view = ViewOf(step, worker);
+    if (IsKeptByOther(step, worker) && !step.reserved.contains(worker.number)) {
       if (mostly_free_) {
-        rooms.kept.Add(worker, view);
+        rooms.kept.Add(&worker, view);
       }
-      continue;
+      return;
     }
-    rooms.allowed.Add(worker, view);
-    if (HasTicket(step, *worker)) {
-      rooms.with_ticket.Add(worker, view);
+    rooms.allowed.Add(&worker, view);
+    if (HasTicket(step, worker)) {
+      rooms.with_ticket.Add(&worker, view);
+    }
+  };
+  if (!step.job->queue.advice) {
+    std::for_each(usable_.begin(), usable_.end(), take);
+    return rooms;
+  }
+  for (const auto& [number, permit] : step.advice.permits) {
+    const Usable* usable = permit.word == StepAdvice::Word::kAllowed ? UsableAt(number) : nullptr;
+    if (usable != nullptr) {
+      take(*usable);
     }
   }
   return rooms;
@@ -345,7 +392,7 @@
     }
   }
   KeepRoom(step, rooms.allowed);
-  AskFurther(step, std::move(rooms.never_asked));
+  AskFurther(step);
 }
 
 // The gang fits. Its members start, or room is kept for them until there are tickets for all.
@@ -435,7 +482,7 @@
 
 void Owner::AskFirst(StepRun& step) {
   if (step.advice.asking == 0 && advice_.HasRoom()) {
-    AskAdvice(step, EligibleFor(step));
+    Ask(step, NeverAsked(step, kMostAskedWorkers, Resources{}));
   }
 }
 
@@ -443,18 +490,17 @@
   if (step.advice.asking > 0 || workers.empty() || !step.job->queue.advice || !advice_.HasRoom()) {
     return;
   }
-  MostRoomFirst(workers);
   workers.resize(std::min(workers.size(), kMostAskedWorkers));
   Ask(step, workers);
 }
 
 // More workers to choose from, through several hosts at once: worth it only while most of them have nothing to ask that
 // is sure to be of use.
-void Owner::AskFurther(StepRun& step, std::vector<Worker*> workers) {
-  if (step.advice.asking > 0 || !step.job->queue.advice) {
+void Owner::AskFurther(StepRun& step) {
+  if (step.advice.asking > 0 || !step.job->queue.advice || !advice_.IsMostlyIdle()) {
     return;
   }
-  MostRoomFirst(workers);
+  const std::vector<Worker*> workers = NeverAsked(step, usable_.size(), Resources{});
   for (auto next = workers.begin(); next != workers.end() && advice_.IsMostlyIdle();) {
     const auto end = next + std::min<std::ptrdiff_t>(workers.end() - next, kMostAskedWorkers);
     Ask(step, std::vector<Worker*>(next, end));
@@ -463,6 +509,9 @@
 }
 
 void Owner::Ask(StepRun& step, const std::vector<Worker*>& workers) {
+  if (workers.empty()) {
+    return;
+  }
   ++step.advice.asking;
   step.advice.asked_at = context_.Now();
   std::vector<std::string> names;
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -58,6 +58,8 @@
     settings.incarnation = incarnation;
     settings.processor_millis = self.processor_millis;
     settings.advice_address = "advice";
+    settings.data_centre = "dc" + self.name_.substr(1);
+    settings.max_direct_workers = self.world_.max_direct_workers;
     return settings;
   }
 
@@ -79,6 +81,14 @@
   return process_ == nullptr ? nullptr : &process_->host;
 }
 
+double FakeHost::CounterOf(const std::string& name) const {
+  if (process_ == nullptr) {
+    return 0;
+  }
+  const auto found = process_->counters.values().find(name);
+  return found == process_->counters.values().end() ? 0 : found->second;
+}
+
 void FakeHost::Boot() {
   Kill();
   ++life_;
@@ -252,7 +262,7 @@
   const auto answer = [this, life = life_, done](Duration delay, const OrderAnswer& told) {
     world_.In(delay, [this, life, done, told] { Deliver(life, [done, told] { done(told); }); });
   };
-  if (worker == nullptr || !worker->up || worker->faults.silent) {
+  if (worker == nullptr || !worker->up || worker->faults.silent || cut_from_workers) {
     answer(kNoAnswer, OrderAnswer{});
     return;
   }
@@ -313,8 +323,8 @@
         HoldOrder look = order;
         look.deadline = Duration(0);
         CallWorker(
-            WorkerTarget{worker.entry.id, worker.entry.address}, [look](FakeWorker& held) { return held.Hold(look); },
-            done);
+            WorkerTarget{worker.entry.id, worker.entry.address, worker.entry.data_centre},
+            [look](FakeWorker& held) { return held.Hold(look); }, done);
       });
 }
 
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -28,6 +28,7 @@
 
   const std::string& name() const { return name_; }
   Host* host() const;
+  double CounterOf(const std::string& name) const;
   void Boot();
   void Kill();
   void Freeze(Duration time);
@@ -35,6 +36,7 @@
   TimePoint NextDue() const;
   void RunDue();
   bool cut_from_peers = false;
+  bool cut_from_workers = false;
   int processor_millis = 0;  // Told to the process when it boots.
 
   // --- Ports ---
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -540,6 +540,14 @@
   hosts_[index]->cut_from_peers = cut;
 }
 
+void CellWorld::CutWorkers(size_t index, bool cut) {
+  hosts_[index]->cut_from_workers = cut;
+}
+
+double CellWorld::CounterOf(size_t index, const std::string& name) const {
+  return hosts_[index]->CounterOf(name);
+}
+
 CallFaults& CellWorld::StoreFaultsOf(size_t index) {
   return store_.faults_of[hosts_[index]->name()];
 }
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -169,7 +169,9 @@
   void SetProcessor(size_t index, int millis);  // From its next boot on.
   void Leave(size_t index);
   void CutPeers(size_t index, bool cut);
+  void CutWorkers(size_t index, bool cut);
   CallFaults& StoreFaultsOf(size_t index);
+  double CounterOf(size_t index, const std::string& name) const;  // 0 if it was never counted.
 
   // --- Callers ---
   using OnReply = std::function<void(const CallerReply&)>;
@@ -198,6 +200,7 @@
   void Configure();
   void WriteEntry(const FakeWorker& worker);
   bool log_to_stdout = false;
+  size_t max_direct_workers = CellSettings{}.max_direct_workers;  // Of processes that boot from now on.
 
   // Share of the messages between hosts that arrive up to two seconds late, after newer ones.
   double late_messages = 0;
--- a/tests/cell_load_test.cc
+++ b/tests/cell_load_test.cc
@@ -4,6 +4,7 @@
 
 #include "bench/cell_load.h"
 #include "cell/advice_policy.h"
+#include "tests/cell_jobs.h"
 
 namespace hibiscus::cell {
 namespace {
@@ -92,5 +93,30 @@
   CHECK_FALSE(IsWorthAsking(0, 20, false, 5s));
 }
 
+// Many wide steps wait in a full cell of several hundred workers: the worst load of a large fleet. Only the workers
+// that the advice service was asked about are of use to a step, however many there are.
+TEST_CASE("a pass looks at no more workers for a step than the advice service was asked about") {
+  constexpr int kWorkers = 300;
+  constexpr int kWaiting = 40;
+  CellWorld world(61, 3, kWorkers);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.SubmitSurely(JobOf(1, {StepOf(kWorkers, 14'000)}), TaskBehaviour{20s, 0});
+  REQUIRE(world.RunUntil([&] { return world.starts() == kWorkers; }, 5s));
+  for (int i = 2; i < 2 + kWaiting; ++i) {
+    world.SubmitSurely(JobOf(i, {StepOf(20, 4000)}, "advised"), TaskBehaviour{300ms, 0});
+  }
+  world.RunFor(8s);
+  const size_t owner = *world.OwnerIndex();
+  const double passes = world.CounterOf(owner, "placement_passes");
+  const double viewed = world.CounterOf(owner, "placement_workers_viewed");
+  world.RunFor(2s);
+  const double passes_since = world.CounterOf(owner, "placement_passes") - passes;
+  const double viewed_since = world.CounterOf(owner, "placement_workers_viewed") - viewed;
+  REQUIRE(passes_since > 0);
+  REQUIRE(viewed_since > 0);
+  CHECK(viewed_since <= passes_since * kWaiting * static_cast<double>(kMostAskedWorkers));
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
