With many workers the owner's orders go through other hosts

Cause: a call to a worker costs the owner some 120 us and several wake-ups, a message between hosts 45 us for both sides. 1,500 starts and 2,000 holds a second are most of the half core that the strongest host has.

Change: above 400 workers (max_direct_workers) the owner sends its orders to relays: hosts with at least half of the strongest's processor, one for each worker by rendezvous hashing, in the worker's data centre if there is one. A relay decides nothing and keeps nothing: the worker's token, the order's deadline and the run's number guard a late order as they guard one that was late on its way. A relay that knows a later owner's record answers that it passed nothing on. An order without an answer for 1.3 s is unknown, its relay avoided for 3 s, and its worker called directly for 1 s: several relays may have died together, and a hold outlasts the timeout of one only.

The relay now goes by the record's newest revision.

Ways weighed (docs/PLATFORM-DESIGN.md): shards of workers, which cut gangs; relays, which keep placement whole. They end where the owner's own passes and frames fill half a core.

--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -39,10 +39,11 @@
           kLivePrefix,
           [this](const std::vector<StoreItem>& items) { OnLiveReset(items); },
           [this](const StoreItem& item) { OnLiveItem(item); }),
-      registration_(context,
-                    kHostPrefix + context.settings.name,
-                    EncodeRecord(HostRecord{context.settings.name, context.settings.peer_address,
-                                            context.settings.incarnation, context.settings.processor_millis})),
+      registration_(
+          context,
+          kHostPrefix + context.settings.name,
+          EncodeRecord(HostRecord{context.settings.name, context.settings.peer_address, context.settings.incarnation,
+                                  context.settings.processor_millis, context.settings.data_centre})),
       last_call_(context.random()) {}
 
 Host::~Host() {
@@ -280,6 +281,21 @@
                  [&](const Ping& ping) { OnPing(ping); },
                  [&](const OwnerNews& news) { OnOwnerNews(news); },
                  [&](const HandOver& word) { OnHandOver(word); },
+                 [&](const StartRequest& request) {
+                   PassOn(request, [&](auto done) { context_.workers.Start(request.worker, request.order, done); });
+                 },
+                 [&](const StopRequest& request) {
+                   PassOn(request,
+                          [&](auto done) { context_.workers.Stop(request.worker, request.run, request.token, done); });
+                 },
+                 [&](const HoldRequest& request) {
+                   PassOn(request, [&](auto done) { context_.workers.Hold(request.worker, request.order, done); });
+                 },
+                 [&](const OrderReply& reply) {
+                   if (owner_ != nullptr) {
+                     owner_->OnOrderReply(reply);
+                   }
+                 },
              },
              *message);
 }
@@ -304,6 +320,21 @@
                       }));
 }
 
+// Gives the owner's order to a worker. An owner that this host knows to be replaced is not served: the worker would
+// refuse the order only once it has seen the new owner's token.
+template <class Request, class Give>
+void Host::PassOn(const Request& request, Give give) {
+  if (request.term < known_.term) {
+    context_.counters.Add("orders_of_replaced_owner");
+    Send(request.reply_to, OrderReply{request.call, AnswerOf(OrderStatus::kNotSent)});
+    return;
+  }
+  Heard();
+  give(Guarded([this, call = request.call, to = request.reply_to](const OrderAnswer& answer) {
+    Send(to, OrderReply{call, answer});
+  }));
+}
+
 void Host::OnPing(const Ping& ping) {
   OwnerNews news;
   if (!IsFree()) {
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -83,6 +83,8 @@
   void OnCallerRequest(const CallerRequest& request);
   void OnAdviceRequest(const AdviceRequest& request);
   void OnOwnerNews(const OwnerNews& news);
+  template <class Request, class Give>
+  void PassOn(const Request& request, Give give);
   void OnPing(const Ping& ping);
   void OnHandOver(const HandOver& word);
   void OfferIfStalled();
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -132,6 +132,9 @@
   context_.Log("owner", "event=owner_known host={} term={} present={} released={}", record.host, term, present,
                record.released);
   const bool other = present && record.address != context_.settings.peer_address;
+  if (owner_ != nullptr && present && IsOwn(record)) {
+    owner_->OnRecordRevision(term);
+  }
   if (owner_ != nullptr && other && term > owner_->ownership().term) {
     Deposed();
   } else if (owner_ != nullptr && !present && !leaving_) {
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -91,8 +91,58 @@
   friend bool operator==(const HandOver&, const HandOver&) = default;
 };
 
+// The owner has another host give an order to a worker, and hears its answer as an OrderReply. A host that knows a
+// later owner than `term` does not pass the order on.
+struct StartRequest {
+  uint64_t call = 0;
+  std::string reply_to;
+  uint64_t term = 0;
+  WorkerTarget worker;
+  StartOrder order;
+
+  friend bool operator==(const StartRequest&, const StartRequest&) = default;
+};
+
+struct StopRequest {
+  uint64_t call = 0;
+  std::string reply_to;
+  uint64_t term = 0;
+  WorkerTarget worker;
+  RunRef run;
+  uint64_t token = 0;
+
+  friend bool operator==(const StopRequest&, const StopRequest&) = default;
+};
+
+struct HoldRequest {
+  uint64_t call = 0;
+  std::string reply_to;
+  uint64_t term = 0;
+  WorkerTarget worker;
+  HoldOrder order;
+
+  friend bool operator==(const HoldRequest&, const HoldRequest&) = default;
+};
+
+struct OrderReply {
+  uint64_t call = 0;
+  OrderAnswer answer;
+
+  friend bool operator==(const OrderReply&, const OrderReply&) = default;
+};
+
 // The order is part of the encoding: new kinds come last.
-using Message = std::variant<CallerRequest, CallerReply, AdviceRequest, AdviceReply, Ping, OwnerNews, HandOver>;
+using Message = std::variant<CallerRequest,
+                             CallerReply,
+                             AdviceRequest,
+                             AdviceReply,
+                             Ping,
+                             OwnerNews,
+                             HandOver,
+                             StartRequest,
+                             StopRequest,
+                             HoldRequest,
+                             OrderReply>;
 
 std::string EncodeMessage(const Message& message);
 tl::expected<Message, std::string> DecodeMessage(const std::string& bytes);
--- /dev/null
+++ b/src/cell/order_relay.cc
@@ -0,0 +1,141 @@
+#include "cell/order_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "hibiscusstand/rendezvous.h"
+
+namespace hibiscus::cell {
+
+namespace {
+
+constexpr double kStrongShare = 0.5;        // Of the strongest host's processor: a relay has at least so much.
+constexpr Duration kReplyTimeout = 1300ms;  // A relay's own timeout for an order, and the way there and back.
+constexpr Duration kDirectFor = 1s;  // A silent worker is asked again within 300 ms; once it answers, relays serve it.
+constexpr Duration kAvoidFor = 3s;   // A relay that left an order without an answer.
+
+}  // namespace
+
+void OrderRelay::SetHosts(const std::vector<HostRecord>& hosts) {
+  int strongest = 0;
+  for (const HostRecord& host : hosts) {
+    strongest = std::max(strongest, host.processor_millis);
+  }
+  std::vector<Relay> relays;
+  for (const HostRecord& host : hosts) {
+    if (host.address == context_.settings.peer_address || host.processor_millis < kStrongShare * strongest) {
+      continue;
+    }
+    const auto known =
+        std::find_if(relays_.begin(), relays_.end(), [&](const Relay& relay) { return relay.address == host.address; });
+    const TimePoint avoid_until = known == relays_.end() ? TimePoint{} : known->avoid_until;
+    relays.push_back(Relay{host.address, host.data_centre, avoid_until});
+  }
+  relays_ = std::move(relays);
+}
+
+// One that answers goes before one that does not, one near the worker before one far from it.
+const OrderRelay::Relay* OrderRelay::RelayFor(const WorkerTarget& worker) const {
+  if (worker_count_ <= context_.settings.max_direct_workers || direct_until_.contains(worker.id)) {
+    return nullptr;
+  }
+  const TimePoint now = context_.Now();
+  const Relay* best = nullptr;
+  uint64_t best_score = 0;
+  for (const Relay& relay : relays_) {
+    if (relay.avoid_until > now) {
+      continue;
+    }
+    constexpr uint64_t kNearBit = uint64_t{1} << 63;
+    const uint64_t near = relay.data_centre == worker.data_centre ? kNearBit : 0;
+    const uint64_t score = near | RendezvousScore(worker.id, relay.address) >> 1;
+    if (best == nullptr || score > best_score) {
+      best = &relay;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+template <class Request>
+void OrderRelay::Send(const Relay& relay, const WorkerTarget& worker, Request request, Duration wait, Done done) {
+  request.call = ++last_call_;
+  request.reply_to = context_.settings.peer_address;
+  request.term = term_;
+  request.worker = worker;
+  calls_[request.call] = Call{relay.address, worker.id, context_.Now() + wait + kReplyTimeout, std::move(done)};
+  context_.counters.Add("orders_relayed");
+  context_.peers.Send(relay.address, EncodeMessage(std::move(request)));
+}
+
+void OrderRelay::Start(const WorkerTarget& worker, const StartOrder& order, Done done) {
+  const Relay* relay = RelayFor(worker);
+  if (relay == nullptr) {
+    context_.workers.Start(worker, order, std::move(done));
+    return;
+  }
+  StartRequest request;
+  request.order = order;
+  Send(*relay, worker, std::move(request), Duration(0), std::move(done));
+}
+
+void OrderRelay::Stop(const WorkerTarget& worker, const RunRef& run, uint64_t token, Done done) {
+  const Relay* relay = RelayFor(worker);
+  if (relay == nullptr) {
+    context_.workers.Stop(worker, run, token, std::move(done));
+    return;
+  }
+  StopRequest request;
+  request.run = run;
+  request.token = token;
+  Send(*relay, worker, std::move(request), Duration(0), std::move(done));
+}
+
+void OrderRelay::Hold(const WorkerTarget& worker, const HoldOrder& order, Done done) {
+  const Relay* relay = RelayFor(worker);
+  if (relay == nullptr) {
+    context_.workers.Hold(worker, order, std::move(done));
+    return;
+  }
+  HoldRequest request;
+  request.order = order;
+  Send(*relay, worker, std::move(request), order.wait, std::move(done));
+}
+
+void OrderRelay::OnReply(const OrderReply& reply) {
+  const auto call = calls_.find(reply.call);
+  if (call == calls_.end()) {
+    return;  // It was given up on before.
+  }
+  const Done done = std::move(call->second.done);
+  calls_.erase(call);
+  done(reply.answer);
+}
+
+void OrderRelay::Sweep() {
+  const TimePoint now = context_.Now();
+  std::erase_if(direct_until_, [&](const auto& each) { return now > each.second; });
+  std::vector<uint64_t> overdue;
+  for (const auto& [number, call] : calls_) {
+    if (now > call.overdue_at) {
+      overdue.push_back(number);
+    }
+  }
+  std::sort(overdue.begin(), overdue.end());
+  for (const uint64_t number : overdue) {
+    const auto call = calls_.find(number);
+    const auto relay = std::find_if(relays_.begin(), relays_.end(),
+                                    [&](const Relay& each) { return each.address == call->second.relay; });
+    if (relay != relays_.end() && relay->avoid_until <= now) {
+      relay->avoid_until = now + kAvoidFor;
+      context_.counters.Add("relays_silent");
+      context_.Log("relay", "event=relay_silent relay={} avoided_for_ms={}", relay->address, Millis(kAvoidFor));
+    }
+    direct_until_[call->second.worker] = now + kDirectFor;
+    const Done done = std::move(call->second.done);
+    calls_.erase(call);
+    done(AnswerOf(OrderStatus::kUnknown));
+  }
+}
+
+}  // namespace hibiscus::cell
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -26,7 +26,8 @@
       ownership_(ownership),
       configuration_(std::move(configuration)),
       deposed_(std::move(deposed)),
-      workers_(context, ownership.term, *this),
+      relay_(context, ownership.term),
+      workers_(context, relay_, ownership.term, *this),
       advice_(context),
       commit_(
           context,
@@ -52,6 +53,8 @@
       Tick();
     }
   });
+  relay_.SetWorkerCount(workers_.workers().size());
+  relay_.Sweep();
   workers_.Sweep();
   LookAtRooms();  // The sweep may have dropped workers.
   if (!loaded_) {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -24,6 +24,7 @@
 #include "cell/group_commit.h"
 #include "cell/job_table.h"
 #include "cell/messages.h"
+#include "cell/order_relay.h"
 #include "cell/placement_policy.h"
 #include "cell/worker_table.h"
 #include "hibiscusstand/quarantine.h"
@@ -54,8 +55,14 @@
   // Always replies once, unless the owner is deposed first.
   void Handle(const CallerRequest& request, Reply reply);
   void OnAdvice(const AdviceReply& reply) { advice_.OnReply(reply); }
+  // The record that names this owner was written again: relays know it by that revision.
+  void OnRecordRevision(uint64_t revision) { relay_.SetTerm(revision); }
+  void OnOrderReply(const OrderReply& reply) { relay_.OnReply(reply); }
   void OnConfiguration(const CellConfiguration& configuration);
-  void OnHosts(const std::vector<HostRecord>& hosts) { advice_.SetHosts(hosts); }
+  void OnHosts(const std::vector<HostRecord>& hosts) {
+    advice_.SetHosts(hosts);
+    relay_.SetHosts(hosts);
+  }
 
   // The planned end: starts nothing more, and calls back when all that was known by now stands.
   void Close(std::function<void()> closed);
@@ -254,6 +261,7 @@
   const Ownership ownership_;
   CellConfiguration configuration_;
   std::function<void()> deposed_;
+  OrderRelay relay_;
   WorkerTable workers_;
   AdviceDesk advice_;
   Quarantine quarantine_;  // Workers that fail, or keep standing still, what others run.
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -120,6 +120,7 @@
 }
 
 void Owner::FinishLoading() {
+  relay_.SetWorkerCount(loading_.workers.size());
   for (const WorkerEntry& entry : loading_.workers) {
     workers_.OnEntry(entry);
   }
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -97,7 +97,8 @@
 // One life of a worker: its orders reach no later one.
 struct WorkerTarget {
   std::string id;
-  std::string address;  // "ip:port".
+  std::string address;     // "ip:port".
+  DataCentre data_centre;  // Empty: not known.
 
   friend auto operator<=>(const WorkerTarget&, const WorkerTarget&) = default;
 };
@@ -150,6 +151,13 @@
   friend bool operator==(const OrderAnswer&, const OrderAnswer&) = default;
 };
 
+// An answer without lists.
+inline OrderAnswer AnswerOf(OrderStatus status) {
+  OrderAnswer answer;
+  answer.status = status;
+  return answer;
+}
+
 struct StartOrder {
   RunRef run;
   std::string payload;
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -26,7 +26,7 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, HostRecord> {
-  return std::tie(self.host, self.address, self.incarnation, self.processor_millis);
+  return std::tie(self.host, self.address, self.incarnation, self.processor_millis, self.data_centre);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, WorkerLifeRecord> {
@@ -116,6 +116,50 @@
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, HandOver> {
   return std::tie(self.term);
 }
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, RunRef> {
+  return std::tie(self.task, self.run);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, WorkerTarget> {
+  return std::tie(self.id, self.address, self.data_centre);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StartOrder> {
+  return std::tie(self.run, self.payload, self.deadline, self.token, self.checkpoint, self.ticket);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, HoldOrder> {
+  return std::tie(self.token, self.acknowledged, self.deadline, self.wait);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, RunningRow> {
+  return std::tie(self.run, self.checkpoint, self.percent);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, EndedRow> {
+  return std::tie(self.number, self.run, self.how, self.checkpoint);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, OrderAnswer> {
+  return std::tie(self.status, self.worker_clock, self.born_ms, self.running, self.ended);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StartRequest> {
+  return std::tie(self.call, self.reply_to, self.term, self.worker, self.order);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StopRequest> {
+  return std::tie(self.call, self.reply_to, self.term, self.worker, self.run, self.token);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, HoldRequest> {
+  return std::tie(self.call, self.reply_to, self.term, self.worker, self.order);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, OrderReply> {
+  return std::tie(self.call, self.answer);
+}
 
 template <class Value>
 concept HasFields = requires(Value& value) {
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -58,6 +58,7 @@
   std::string address;  // For peers.
   uint64_t incarnation = 0;
   int processor_millis = 0;  // Thousandths of a core that the host has. 0: not known.
+  DataCentre data_centre;    // Empty: not known.
 
   friend auto operator<=>(const HostRecord&, const HostRecord&) = default;
 };
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -52,8 +52,8 @@
   return clock_ + (now - clock_read_);
 }
 
-WorkerTable::WorkerTable(Context& context, uint64_t token, Listener& listener)
-    : context_(context), token_(token), listener_(listener) {}
+WorkerTable::WorkerTable(Context& context, WorkerPort& orders, uint64_t token, Listener& listener)
+    : context_(context), orders_(orders), token_(token), listener_(listener) {}
 
 WorkerTable::~WorkerTable() {
   *alive_ = false;
@@ -182,13 +182,13 @@
 // late.
 void WorkerTable::VoidStarts(Worker& worker) {
   for (const RunRef& run : worker.to_void_) {
-    context_.workers.Stop(TargetOf(worker), run, token_,
-                          [this, alive = alive_, id = worker.entry.id, run](const OrderAnswer& answer) {
-                            Worker* found = *alive ? Find(id) : nullptr;
-                            if (found != nullptr && answer.status == OrderStatus::kOk) {
-                              found->to_void_.erase(run);
-                            }
-                          });
+    orders_.Stop(TargetOf(worker), run, token_,
+                 [this, alive = alive_, id = worker.entry.id, run](const OrderAnswer& answer) {
+                   Worker* found = *alive ? Find(id) : nullptr;
+                   if (found != nullptr && answer.status == OrderStatus::kOk) {
+                     found->to_void_.erase(run);
+                   }
+                 });
   }
 }
 
@@ -244,13 +244,12 @@
   }
   worker.holding_ = true;
   context_.counters.Add("worker_holds");
-  context_.workers.Hold(TargetOf(worker), order,
-                        [this, alive = alive_, id = worker.entry.id](const OrderAnswer& answer) {
-                          Worker* found = *alive ? Find(id) : nullptr;
-                          if (found != nullptr) {
-                            OnHoldAnswer(*found, answer);
-                          }
-                        });
+  orders_.Hold(TargetOf(worker), order, [this, alive = alive_, id = worker.entry.id](const OrderAnswer& answer) {
+    Worker* found = *alive ? Find(id) : nullptr;
+    if (found != nullptr) {
+      OnHoldAnswer(*found, answer);
+    }
+  });
 }
 
 void WorkerTable::OnHoldAnswer(Worker& worker, const OrderAnswer& answer) {
@@ -381,14 +380,14 @@
       LookAfterStart(*found, run);
     }
   });
-  context_.workers.Start(TargetOf(worker), order,
-                         [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms,
-                          run = order.run](const OrderAnswer& answer) {
-                           Worker* found = *alive ? Find(id) : nullptr;
-                           if (found != nullptr && found->entry.born_ms == born) {
-                             OnStartAnswer(*found, run, answer);
-                           }
-                         });
+  orders_.Start(TargetOf(worker), order,
+                [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms,
+                 run = order.run](const OrderAnswer& answer) {
+                  Worker* found = *alive ? Find(id) : nullptr;
+                  if (found != nullptr && found->entry.born_ms == born) {
+                    OnStartAnswer(*found, run, answer);
+                  }
+                });
 }
 
 void WorkerTable::OnStartAnswer(Worker& worker, const RunRef& run, const OrderAnswer& answer) {
@@ -428,15 +427,15 @@
 void WorkerTable::GiveUpStart(Worker& worker, const RunRef& run) {
   worker.placed[run].phase = PlacedPhase::kUnsure;
   worker.unanswered_[run] = context_.Now();
-  context_.Log("worker", "event=start_unanswered worker={} job={} step={} index={} run={}", worker.entry.id,
-               run.task.job, run.task.step, run.task.index, run.run);
+  context_.Log("worker", "event=start_unanswered worker={} job={} step={} index={} run={}", worker.entry.id, run.task.job,
+               run.task.step, run.task.index, run.run);
   SendStop(worker, run);
 }
 
 // Its answer is overdue: the lists tell whether it was carried out and only the answer was lost.
 void WorkerTable::LookAfterStart(Worker& worker, const RunRef& run) {
   context_.counters.Add("worker_looks_after_starts");
-  context_.workers.Hold(
+  orders_.Hold(
       TargetOf(worker), HoldOrder{token_, worker.acknowledged_, 0us, 0us},
       [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run](const OrderAnswer& answer) {
         Worker* found = *alive ? Find(id) : nullptr;
@@ -468,7 +467,7 @@
 
 // Sent again until it is answered or the run is over.
 void WorkerTable::SendStop(Worker& worker, const RunRef& run) {
-  context_.workers.Stop(
+  orders_.Stop(
       TargetOf(worker), run, token_,
       [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run](const OrderAnswer& answer) {
         Worker* found = *alive ? Find(id) : nullptr;
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -108,7 +108,8 @@
     virtual void OnFenced() = 0;                  // A worker has seen a higher token.
   };
 
-  WorkerTable(Context& context, uint64_t token, Listener& listener);
+  // Orders go out through `orders`.
+  WorkerTable(Context& context, WorkerPort& orders, uint64_t token, Listener& listener);
   ~WorkerTable();
   WorkerTable(const WorkerTable&) = delete;
   WorkerTable& operator=(const WorkerTable&) = delete;
@@ -159,9 +160,12 @@
   void Settle(Worker& worker);
   // Allowed until this time on the worker's clock; the table remembers when that is over for sure.
   void Allow(Worker& worker, Duration deadline);
-  WorkerTarget TargetOf(const Worker& worker) const { return {worker.entry.id, worker.entry.address}; }
+  WorkerTarget TargetOf(const Worker& worker) const {
+    return {worker.entry.id, worker.entry.address, worker.entry.data_centre};
+  }
 
   Context& context_;
+  WorkerPort& orders_;
   const uint64_t token_;
   Listener& listener_;
   std::map<std::string, std::unique_ptr<Worker>> workers_;
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -21,6 +21,13 @@
   explicit Course(const CellChaosOptions& options) : world_(options.seed, kHosts, kWorkers) {
     world_.log_to_stdout = options.log;
     AddQueues(world_);
+    if (options.relays) {
+      world_.max_direct_workers = 0;
+      for (size_t i = 0; i < kHosts; ++i) {
+        world_.Kill(i);
+        world_.Boot(i);
+      }
+    }
   }
 
   CellChaosResult Run() {
--- a/tests/cell_chaos.h
+++ b/tests/cell_chaos.h
@@ -11,6 +11,7 @@
 struct CellChaosOptions {
   uint64_t seed = 1;
   bool log = false;
+  bool relays = false;  // The owner's orders go through other hosts.
 
   friend bool operator==(const CellChaosOptions&, const CellChaosOptions&) = default;
 };
--- a/tests/cell_chaos_main.cc
+++ b/tests/cell_chaos_main.cc
@@ -15,6 +15,7 @@
 
 DEFINE_string(seeds, "1..100", "first..last");
 DEFINE_int32(jobs, 2, "courses at once");
+DEFINE_bool(relays, false, "the owner's orders go through other hosts");
 DEFINE_bool(log, false, "prints what the hosts log; for one seed");
 
 int main(int argc, char** argv) {
@@ -26,7 +27,7 @@
   std::mutex mutex;
   const auto work = [&] {
     for (uint64_t seed = next++; seed <= seeds.last; seed = next++) {
-      const auto result = hibiscus::cell::RunCellChaos({seed, FLAGS_log});
+      const auto result = hibiscus::cell::RunCellChaos({seed, FLAGS_log, FLAGS_relays});
       (result.ok() ? passed : failed)++;
       if (result.ok()) {
         continue;
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -372,7 +372,16 @@
 
 TEST_CASE("seeded courses of faults") {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
-    const CellChaosResult result = RunCellChaos({seed, false});
+    const CellChaosResult result = RunCellChaos({seed, false, false});
+    INFO("seed " << seed << ", first violation: " << (result.violations.empty() ? "none" : result.violations.front())
+                 << ", first loss: " << (result.lost.empty() ? "none" : result.lost.front()));
+    CHECK(result.ok());
+  }
+}
+
+TEST_CASE("seeded courses of faults while orders go through relays") {
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    const CellChaosResult result = RunCellChaos({seed, false, true});
     INFO("seed " << seed << ", first violation: " << (result.violations.empty() ? "none" : result.violations.front())
                  << ", first loss: " << (result.lost.empty() ? "none" : result.lost.front()));
     CHECK(result.ok());
--- /dev/null
+++ b/tests/order_relay_test.cc
@@ -0,0 +1,103 @@
+// Orders that reach workers through other hosts.
+#include <catch2/catch.hpp>
+
+#include "cell/messages.h"
+#include "tests/cell_jobs.h"
+
+namespace hibiscus::cell {
+namespace {
+
+constexpr size_t kHosts = 5;
+
+// All hosts with `processor_millis` thousandths of a core, by index; 0: not known.
+void RebootWith(CellWorld& world, size_t max_direct_workers, const std::vector<int>& processor_millis) {
+  world.max_direct_workers = max_direct_workers;
+  for (size_t i = 0; i < world.host_count(); ++i) {
+    world.Kill(i);
+    world.SetProcessor(i, i < processor_millis.size() ? processor_millis[i] : 0);
+  }
+  for (size_t i = 0; i < world.host_count(); ++i) {
+    world.Boot(i);
+  }
+}
+
+bool CompletedWithin(CellWorld& world, const JobSpec& job, Duration limit) {
+  return world.RunUntil([&] { return world.StateOf(job.queue, job.id) == JobState::kCompleted; }, limit);
+}
+
+TEST_CASE("with many workers the owner leaves the calls to relays") {
+  for (const bool relays : {false, true}) {
+    CellWorld world(51, kHosts, 12);
+    RebootWith(world, relays ? 11 : 12, {});
+    AddQueues(world);
+    REQUIRE(Settle(world));
+    world.RunFor(2s);  // All hosts are listed.
+    world.CutWorkers(*world.OwnerIndex(), true);
+    const JobSpec job = JobOf(1, {StepOf(12, 4000)});
+    world.SubmitSurely(job, TaskBehaviour{300ms, 0});
+    CHECK(CompletedWithin(world, job, 4s) == relays);
+    CHECK(world.violations().empty());
+  }
+}
+
+TEST_CASE("weak hosts are no relays") {
+  CellWorld world(52, kHosts, 12);
+  RebootWith(world, 0, {500, 500, 100, 100, 100});
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.RunFor(4s);
+  for (size_t i = 2; i < kHosts; ++i) {
+    world.CutWorkers(i, true);
+  }
+  world.CutWorkers(*world.OwnerIndex(), true);
+  const JobSpec job = JobOf(1, {StepOf(12, 4000)});
+  world.SubmitSurely(job, TaskBehaviour{300ms, 0});
+  CHECK(CompletedWithin(world, job, 3s));
+  CHECK(world.violations().empty());
+}
+
+// Paused for longer than the owner's lease, and awake again with orders that it was given before.
+TEST_CASE("a relay that wakes up passes no order of a replaced owner on") {
+  CellWorld world(54, kHosts, 4);
+  RebootWith(world, 0, {});
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.RunFor(2s);
+  const size_t first = *world.OwnerIndex();
+  world.Kill(first);
+  REQUIRE(world.RunUntil([&] { return HasOwner(world); }, 5s));
+  world.RunFor(500ms);
+  const size_t relay = (*world.OwnerIndex() + 1) % kHosts == first ? (*world.OwnerIndex() + 2) % kHosts
+                                                                   : (*world.OwnerIndex() + 1) % kHosts;
+  const WorkerEntry& worker = world.worker(0).entry;
+  StartRequest late;
+  late.call = 1;
+  late.reply_to = "nobody";
+  late.term = 1;
+  late.worker = WorkerTarget{worker.id, worker.address, worker.data_centre};
+  late.order = StartOrder{RunRef{TaskRef{JobId(9), 0, 0, 0}, 1}, "work", 1h, 1'000'000, "", ""};
+  world.host(relay)->OnPeerMessage(EncodeMessage(late));
+  world.RunFor(1s);
+  CHECK(world.starts() == 0);
+}
+
+TEST_CASE("a malformed message between hosts is dropped") {
+  CellWorld world(55, 2, 2);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const std::string good = EncodeMessage(HoldRequest{});
+  for (size_t length = 0; length < good.size(); ++length) {
+    world.host(0)->OnPeerMessage(good.substr(0, length));
+  }
+  std::string changed = good;
+  for (size_t i = 0; i < good.size(); ++i) {
+    changed[i] = static_cast<char>(changed[i] ^ 0x5a);
+    world.host(0)->OnPeerMessage(changed);
+    changed[i] = good[i];
+  }
+  world.RunFor(1s);
+  CHECK(HasOwner(world));
+}
+
+}  // namespace
+}  // namespace hibiscus::cell
