A start whose answer is lost is looked for before it is given up

A start without an answer within its timeout was stopped at once, so that a worker that was only out of reach for a second, or whose relay had died, lost what it had just started.

Change: the run keeps its room until the worker's next lists. If they have it, it runs; if they do not and its deadline has passed on the worker's clock, it never ran and never will.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -419,7 +419,11 @@
     return;
   }
   if (!heard && placed.phase == PlacedPhase::kStarting) {
-    GiveUpStart(worker, run);
+    // It may be running while only answers are lost. The next lists tell: by then its deadline has passed, so that
+    // without it there it never ran.
+    worker.unanswered_[run] = context_.Now();
+    context_.Log("worker", "event=start_unanswered worker={} job={} step={} index={} run={}", worker.entry.id,
+                 run.task.job, run.task.step, run.task.index, run.run);
   }
 }
 
@@ -427,7 +431,7 @@
 void WorkerTable::GiveUpStart(Worker& worker, const RunRef& run) {
   worker.placed[run].phase = PlacedPhase::kUnsure;
   worker.unanswered_[run] = context_.Now();
-  context_.Log("worker", "event=start_unanswered worker={} job={} step={} index={} run={}", worker.entry.id, run.task.job,
+  context_.Log("worker", "event=start_given_up worker={} job={} step={} index={} run={}", worker.entry.id, run.task.job,
                run.task.step, run.task.index, run.run);
   SendStop(worker, run);
 }
--- a/tests/order_relay_test.cc
+++ b/tests/order_relay_test.cc
@@ -56,6 +56,29 @@
   CHECK(world.violations().empty());
 }
 
+// Holds last 4.5 s; what runs must outlive the time in which the relay's silence is noticed.
+TEST_CASE("when a relay dies its workers keep what they run, and get new work through others") {
+  CellWorld world(53, kHosts, 12);
+  RebootWith(world, 0, {});
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.RunFor(2s);
+  const JobSpec running = JobOf(1, {StepOf(12, 4000)});
+  world.SubmitSurely(running, TaskBehaviour{6s, 0});
+  REQUIRE(world.RunUntil([&] { return world.starts() == 12; }, 3s));
+  const size_t owner = *world.OwnerIndex();
+  for (size_t i = 0; i + 2 < kHosts; ++i) {
+    world.Kill((owner + 1 + i) % kHosts);  // One relay is left.
+  }
+  world.RunFor(4s);
+  const JobSpec later = JobOf(2, {StepOf(12, 4000)});
+  world.Submit(owner, later, TaskBehaviour{300ms, 0}, [](const CallerReply&) {});
+  CHECK(CompletedWithin(world, later, 4s));
+  CHECK(CompletedWithin(world, running, 5s));
+  CHECK(world.starts() == 24);
+  CHECK(world.violations().empty());
+}
+
 // Paused for longer than the owner's lease, and awake again with orders that it was given before.
 TEST_CASE("a relay that wakes up passes no order of a replaced owner on") {
   CellWorld world(54, kHosts, 4);
