A start that a relay was slow to pass on does not reach a worker's next life

Change: a start names the time on the relay's clock until which it may be passed on, half a second ahead. Relays state their clock with each reply; until one has, the owner gives starts itself. Stops and holds need no such limit: a stop names one run, and numbers of runs are not used again; a hold that comes late lengthens nothing past its deadline.

--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -282,6 +282,11 @@
                  [&](const OwnerNews& news) { OnOwnerNews(news); },
                  [&](const HandOver& word) { OnHandOver(word); },
                  [&](const StartRequest& request) {
+                   if (context_.Now().time_since_epoch() > request.valid_until) {
+                     context_.counters.Add("orders_too_late_to_pass_on");
+                     SendOrderReply(request.reply_to, request.call, AnswerOf(OrderStatus::kNotSent));
+                     return;
+                   }
                    PassOn(request, [&](auto done) { context_.workers.Start(request.worker, request.order, done); });
                  },
                  [&](const StopRequest& request) {
@@ -326,15 +331,19 @@
 void Host::PassOn(const Request& request, Give give) {
   if (request.term < known_.term) {
     context_.counters.Add("orders_of_replaced_owner");
-    Send(request.reply_to, OrderReply{request.call, AnswerOf(OrderStatus::kNotSent)});
+    SendOrderReply(request.reply_to, request.call, AnswerOf(OrderStatus::kNotSent));
     return;
   }
   Heard();
   give(Guarded([this, call = request.call, to = request.reply_to](const OrderAnswer& answer) {
-    Send(to, OrderReply{call, answer});
+    SendOrderReply(to, call, answer);
   }));
 }
 
+void Host::SendOrderReply(const std::string& address, uint64_t call, const OrderAnswer& answer) {
+  Send(address, OrderReply{call, answer, context_.Now().time_since_epoch()});
+}
+
 void Host::OnPing(const Ping& ping) {
   OwnerNews news;
   if (!IsFree()) {
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -85,6 +85,7 @@
   void OnOwnerNews(const OwnerNews& news);
   template <class Request, class Give>
   void PassOn(const Request& request, Give give);
+  void SendOrderReply(const std::string& address, uint64_t call, const OrderAnswer& answer);
   void OnPing(const Ping& ping);
   void OnHandOver(const HandOver& word);
   void OfferIfStalled();
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -99,6 +99,7 @@
   uint64_t term = 0;
   WorkerTarget worker;
   StartOrder order;
+  Duration valid_until = 0us;  // On the clock of the host that is to pass it on: not later.
 
   friend bool operator==(const StartRequest&, const StartRequest&) = default;
 };
@@ -127,6 +128,7 @@
 struct OrderReply {
   uint64_t call = 0;
   OrderAnswer answer;
+  Duration sender_clock = 0us;  // Of the host that passed the order on, when it replied.
 
   friend bool operator==(const OrderReply&, const OrderReply&) = default;
 };
--- a/src/cell/order_relay.cc
+++ b/src/cell/order_relay.cc
@@ -11,6 +11,9 @@
 
 constexpr double kStrongShare = 0.5;        // Of the strongest host's processor: a relay has at least so much.
 constexpr Duration kReplyTimeout = 1300ms;  // A relay's own timeout for an order, and the way there and back.
+// A start that a relay takes in later is dropped: a paused relay must not give it to a worker's next life, on whose
+// clock its deadline lies far ahead. Two ways between regions and a busy host.
+constexpr Duration kMaxRelayDelay = 500ms;
 constexpr Duration kDirectFor = 1s;  // A silent worker is asked again within 300 ms; once it answers, relays serve it.
 constexpr Duration kAvoidFor = 3s;   // A relay that left an order without an answer.
 
@@ -26,14 +29,20 @@
     if (host.address == context_.settings.peer_address || host.processor_millis < kStrongShare * strongest) {
       continue;
     }
-    const auto known =
-        std::find_if(relays_.begin(), relays_.end(), [&](const Relay& relay) { return relay.address == host.address; });
-    const TimePoint avoid_until = known == relays_.end() ? TimePoint{} : known->avoid_until;
-    relays.push_back(Relay{host.address, host.data_centre, avoid_until});
+    const Relay* known = FindRelay(host.address);
+    Relay& relay = relays.emplace_back(known == nullptr ? Relay{} : *known);
+    relay.address = host.address;
+    relay.data_centre = host.data_centre;
   }
   relays_ = std::move(relays);
 }
 
+OrderRelay::Relay* OrderRelay::FindRelay(const std::string& address) {
+  const auto found =
+      std::find_if(relays_.begin(), relays_.end(), [&](const Relay& relay) { return relay.address == address; });
+  return found == relays_.end() ? nullptr : &*found;
+}
+
 // One that answers goes before one that does not, one near the worker before one far from it.
 const OrderRelay::Relay* OrderRelay::RelayFor(const WorkerTarget& worker) const {
   if (worker_count_ <= context_.settings.max_direct_workers || direct_until_.contains(worker.id)) {
@@ -70,12 +79,13 @@
 
 void OrderRelay::Start(const WorkerTarget& worker, const StartOrder& order, Done done) {
   const Relay* relay = RelayFor(worker);
-  if (relay == nullptr) {
+  if (relay == nullptr || !relay->clock_known) {
     context_.workers.Start(worker, order, std::move(done));
     return;
   }
   StartRequest request;
   request.order = order;
+  request.valid_until = relay->clock + (context_.Now() - relay->clock_read) + kMaxRelayDelay;
   Send(*relay, worker, std::move(request), Duration(0), std::move(done));
 }
 
@@ -107,6 +117,11 @@
   if (call == calls_.end()) {
     return;  // It was given up on before.
   }
+  if (Relay* relay = FindRelay(call->second.relay); relay != nullptr) {
+    relay->clock_known = true;
+    relay->clock = reply.sender_clock;
+    relay->clock_read = context_.Now();
+  }
   const Done done = std::move(call->second.done);
   calls_.erase(call);
   done(reply.answer);
@@ -124,9 +139,8 @@
   std::sort(overdue.begin(), overdue.end());
   for (const uint64_t number : overdue) {
     const auto call = calls_.find(number);
-    const auto relay = std::find_if(relays_.begin(), relays_.end(),
-                                    [&](const Relay& each) { return each.address == call->second.relay; });
-    if (relay != relays_.end() && relay->avoid_until <= now) {
+    Relay* relay = FindRelay(call->second.relay);
+    if (relay != nullptr && relay->avoid_until <= now) {
       relay->avoid_until = now + kAvoidFor;
       context_.counters.Add("relays_silent");
       context_.Log("relay", "event=relay_silent relay={} avoided_for_ms={}", relay->address, Millis(kAvoidFor));
--- a/src/cell/order_relay.h
+++ b/src/cell/order_relay.h
@@ -44,6 +44,9 @@
     std::string address;
     DataCentre data_centre;
     TimePoint avoid_until{};  // It left an order without an answer.
+    bool clock_known = false;
+    Duration clock{};        // Its own, in its last reply.
+    TimePoint clock_read{};  // When that came.
   };
   struct Call {
     std::string relay;  // Its address.
@@ -52,6 +55,7 @@
     Done done;
   };
 
+  Relay* FindRelay(const std::string& address);
   // The relay for a worker; none if the owner is to speak to it itself.
   const Relay* RelayFor(const WorkerTarget& worker) const;
   // Sends `request` with a new call number and remembers who waits for its reply.
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -146,7 +146,7 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StartRequest> {
-  return std::tie(self.call, self.reply_to, self.term, self.worker, self.order);
+  return std::tie(self.call, self.reply_to, self.term, self.worker, self.order, self.valid_until);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StopRequest> {
@@ -158,7 +158,7 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, OrderReply> {
-  return std::tie(self.call, self.answer);
+  return std::tie(self.call, self.answer, self.sender_clock);
 }
 
 template <class Value>
--- a/tests/cell_parts_test.cc
+++ b/tests/cell_parts_test.cc
@@ -56,14 +56,16 @@
       OwnerNews{99, "h1", "10.0.0.1:7"},
       HandOver{99},
       StartRequest{9, "h1", 12, WorkerTarget{"w1", "w1:1", "dc"},
-                   StartOrder{RunRef{TaskRef{JobId(1), 0, 1, 2}, 3}, "work", 5s, 12, "00ff", "t"}},
+                   StartOrder{RunRef{TaskRef{JobId(1), 0, 1, 2}, 3}, "work", 5s, 12, "00ff", "t"}, 70s},
       StopRequest{10, "h1", 12, WorkerTarget{"w1", "w1:1", "dc"}, RunRef{TaskRef{JobId(1), 0, 1, 2}, 3}, 12},
       HoldRequest{11, "h1", 12, WorkerTarget{"w1", "w1:1", "dc"}, HoldOrder{12, 4, 5s, 1s}},
-      OrderReply{11, OrderAnswer{OrderStatus::kOk,
-                                 5s,
-                                 1'700'000'000'123,
-                                 {RunningRow{RunRef{TaskRef{JobId(1), 0, 1, 2}, 3}, "00ff", 40}},
-                                 {EndedRow{4, RunRef{TaskRef{JobId(1), 0, 1, 2}, 2}, EndKind::kFailed, ""}}}},
+      OrderReply{11,
+                 OrderAnswer{OrderStatus::kOk,
+                             5s,
+                             1'700'000'000'123,
+                             {RunningRow{RunRef{TaskRef{JobId(1), 0, 1, 2}, 3}, "00ff", 40}},
+                             {EndedRow{4, RunRef{TaskRef{JobId(1), 0, 1, 2}, 2}, EndKind::kFailed, ""}}},
+                 77s},
   };
   for (const Message& message : messages) {
     CHECK(DecodeMessage(EncodeMessage(message)) == message);
--- a/tests/order_relay_test.cc
+++ b/tests/order_relay_test.cc
@@ -99,11 +99,32 @@
   late.term = 1;
   late.worker = WorkerTarget{worker.id, worker.address, worker.data_centre};
   late.order = StartOrder{RunRef{TaskRef{JobId(9), 0, 0, 0}, 1}, "work", 1h, 1'000'000, "", ""};
+  late.valid_until = 1000h;
   world.host(relay)->OnPeerMessage(EncodeMessage(late));
   world.RunFor(1s);
   CHECK(world.starts() == 0);
 }
 
+// The relay was paused with the start in its hands; the worker's next life has a clock on which nothing is late.
+TEST_CASE("a relay passes no start on that it takes in too late") {
+  CellWorld world(56, kHosts, 4);
+  RebootWith(world, 0, {});
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const size_t relay = (*world.OwnerIndex() + 1) % kHosts;
+  const WorkerEntry& worker = world.worker(0).entry;
+  StartRequest late;
+  late.reply_to = "nobody";
+  late.term = 1'000'000;
+  late.worker = WorkerTarget{worker.id, worker.address, worker.data_centre};
+  late.order = StartOrder{RunRef{TaskRef{JobId(9), 0, 0, 0}, 1}, "work", 1h, 1'000'000, "", ""};
+  late.valid_until = world.Now().time_since_epoch() - 1ms;
+  world.host(relay)->OnPeerMessage(EncodeMessage(late));
+  world.RunFor(1s);
+  CHECK(world.starts() == 0);
+  CHECK(world.CounterOf(relay, "orders_too_late_to_pass_on") == 1);
+}
+
 TEST_CASE("a malformed message between hosts is dropped") {
   CellWorld world(55, 2, 2);
   AddQueues(world);
