A caller who asks for a job that ended in an outage of the store is answered

Change: after 600 ms without the store's word, what stands is told: the job is running.

Ruled out: telling the end at once, which a lost owner would make untrue.

Test: cell_faults_test, failed before (no answer within a second).

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -246,11 +246,24 @@
     tell(CallerOutcome::kNoSuchJob, JobState::kQueued);
     return;
   }
-  if (job->final || !job->spec_stored) {
-    job->WhenStored([tell, job] { tell(CallerOutcome::kDone, job->final ? job->final_state : job->visible_state()); });
+  if (!job->final && job->spec_stored) {
+    tell(CallerOutcome::kDone, job->visible_state());
     return;
   }
-  tell(CallerOutcome::kDone, job->visible_state());
+  const auto told = std::make_shared<bool>(false);
+  job->WhenStored([tell, job, told] {
+    if (!std::exchange(*told, true)) {
+      tell(CallerOutcome::kDone, job->final ? job->final_state : job->visible_state());
+    }
+  });
+  if (job->spec_stored) {
+    // The end does not stand yet. While the store is silent, what stands is told.
+    Again(kStalledAfter, [tell, told] {
+      if (!std::exchange(*told, true)) {
+        tell(CallerOutcome::kDone, JobState::kRunning);
+      }
+    });
+  }
 }
 
 void Owner::Cancel(const CallerRequest& request, const Reply& reply) {
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -51,6 +51,27 @@
   CHECK(world.CounterOf(owner, "owner_takeovers") == 1);
 }
 
+// The end of a job is told once it stands in the store. While the store does not answer, its callers are told what
+// stands.
+TEST_CASE("a caller who asks for a job that ended in an outage of the store is answered within a second") {
+  CellWorld world(50, 4, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const JobSpec job = JobOf(1, {StepOf(1, 500)});
+  world.SubmitSurely(job, TaskBehaviour{600ms, 0});
+  REQUIRE(world.RunUntil([&] { return world.starts() == 1; }, 1s));
+  world.store().faults.silent = true;
+  world.RunFor(900ms);
+  std::optional<CallerReply> told;
+  world.Ask(*world.OwnerIndex(), CallerKind::kState, job.queue, job.id,
+            [&](const CallerReply& reply) { told = reply; });
+  CHECK(world.RunUntil([&] { return told.has_value(); }, 1s));
+  CHECK((told && told->outcome == CallerOutcome::kDone && told->state == JobState::kRunning));
+  world.store().faults.silent = false;
+  world.RunFor(3s);
+  CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+}
+
 TEST_CASE("a planned stop of the owner hands over at once") {
   CellWorld world(12, 4, 6);
   AddQueues(world);
