--- a/bench/cell_load.cc
+++ b/bench/cell_load.cc
@@ -32,9 +32,15 @@
   bool accepted = false;
   bool refused = false;  // By the last try.
   bool given_up = false;
+  TimePoint last_try{};
+  Duration longest_refusal{};
   std::optional<TimePoint> ended;
 };
 
+double Seconds(Duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
 class Load {
  public:
   explicit Load(const LoadOptions& options);
@@ -146,6 +152,7 @@
     return;
   }
   const size_t host = random_() % world_.host_count();
+  course->last_try = world_.Now();
   world_.Submit(host, course->spec, course->behaviour,
                 [this, course](const CallerReply& reply) { OnAnswer(course, reply); });
 }
@@ -155,6 +162,9 @@
     return;
   }
   course->refused = reply.outcome == CallerOutcome::kRejected || reply.outcome == CallerOutcome::kUnavailable;
+  if (course->refused) {
+    course->longest_refusal = std::max(course->longest_refusal, world_.Now() - course->last_try);
+  }
   if (reply.outcome == CallerOutcome::kDone) {
     course->accepted = true;
     world_.In(course->behaviour.takes, [this, course] { Poll(course); });
@@ -189,9 +199,10 @@
     }
     double work = 0;
     for (const StepSpec& step : course->spec.steps) {
-      work += static_cast<double>(step.count * step.size.cpu_millis);
+      work += static_cast<double>(step.count * step.size.cpu_millis) * Seconds(course->behaviour.takes);
     }
     ++sum.asked;
+    sum.longest_refusal = std::max(sum.longest_refusal, course->longest_refusal);
     asked += work;
     if (!course->accepted) {
       ++(course->refused ? sum.refused : sum.unanswered);
@@ -219,6 +230,7 @@
     sum.p99 = times[times.size() * 99 / 100];
   }
   sum.work = asked > 0 ? served / asked : 1;
+  sum.served = served / 1000;
   return sum;
 }
 
--- a/bench/cell_load_main.cc
+++ b/bench/cell_load_main.cc
@@ -53,11 +53,11 @@
 void Print(uint64_t seed, const LoadOutcome& outcome, double processor_s) {
   fmt::print("seed {}: {} starts, {:.0f} s of advice, {:.2f} s of processor time, {} rules broken\n", seed,
              outcome.starts, outcome.advice_seconds, processor_s, outcome.violations.size());
-  fmt::print("{:10} {:>6} {:>7} {:>6} {:>8} {:>10} {:>9} {:>6} {:>8} {:>8}\n", "class", "asked", "in time", "late",
-             "refused", "unanswered", "too late", "work", "p50 ms", "p99 ms");
+  fmt::print("{:10} {:>6} {:>7} {:>6} {:>8} {:>10} {:>9} {:>6} {:>8} {:>8} {:>8}\n", "class", "asked", "in time",
+             "late", "refused", "unanswered", "too late", "work", "core s", "p50 ms", "p99 ms");
   for (const auto& [name, of] : outcome.classes) {
-    fmt::print("{:10} {:>6} {:>7} {:>6} {:>8} {:>10} {:>9} {:>6.3f} {:>8} {:>8}\n", name, of.asked, of.in_time, of.late,
-               of.refused, of.unanswered, of.too_late, of.work, Millis(of.median), Millis(of.p99));
+    fmt::print("{:10} {:>6} {:>7} {:>6} {:>8} {:>10} {:>9} {:>6.3f} {:>8.0f} {:>8} {:>8}\n", name, of.asked, of.in_time,
+               of.late, of.refused, of.unanswered, of.too_late, of.work, of.served, Millis(of.median), Millis(of.p99));
   }
   for (size_t i = 0; i < outcome.violations.size() && i < 5; ++i) {
     fmt::print("  {}\n", outcome.violations[i]);
