What waits on the control thread counts as lateness

Cause: timers run between posted tasks since the loop was cut into slices, so that their lateness no longer showed a queue that grows; the owner refuses new jobs by that figure.

Change: the time for which the oldest posted task has waited counts too.

Test: task_loop_test, 200 tasks of a millisecond each. The load program says what deployments it knows instead of throwing.

--- a/bench/cell_load_main.cc
+++ b/bench/cell_load_main.cc
@@ -3,6 +3,7 @@
 //   hibiscus_cell_load --deployment=large --length_s=8 --burst=quick:2:2:4
 #include <cstdio>
 #include <ctime>
+#include <optional>
 #include <string>
 
 #include <fmt/core.h>
@@ -37,7 +38,7 @@
   return burst;
 }
 
-LoadOptions DeploymentNamed(const std::string& name) {
+std::optional<LoadOptions> DeploymentNamed(const std::string& name) {
   if (name == "small") {
     return SmallDeployment();
   }
@@ -47,7 +48,7 @@
   if (name == "fleet") {
     return FleetDeployment();
   }
-  throw std::runtime_error("--deployment is small, large or fleet, not " + name);
+  return std::nullopt;
 }
 
 void Print(uint64_t seed, const LoadOutcome& outcome, double processor_s) {
@@ -72,7 +73,12 @@
   using hibiscus::cell::LoadOptions;
   using hibiscus::cell::LoadOutcome;
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  LoadOptions options = hibiscus::cell::DeploymentNamed(FLAGS_deployment);
+  const std::optional<LoadOptions> deployment = hibiscus::cell::DeploymentNamed(FLAGS_deployment);
+  if (!deployment) {
+    fmt::print(stderr, "--deployment is small, large or fleet, not {}\n", FLAGS_deployment);
+    return 2;
+  }
+  LoadOptions options = *deployment;
   options.length = hibiscus::Duration(static_cast<int64_t>(FLAGS_length_s * 1e6));
   options.event_cost = std::chrono::microseconds(FLAGS_event_cost_us);
   options.log = FLAGS_log;
--- a/src/cell/timers.h
+++ b/src/cell/timers.h
@@ -2,6 +2,7 @@
 #ifndef HIBISCUSSTAND_SRC_CELL_TIMERS_H_
 #define HIBISCUSSTAND_SRC_CELL_TIMERS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -22,8 +23,10 @@
   std::optional<TimePoint> next() const {
     return due_.empty() ? std::nullopt : std::optional<TimePoint>(due_.begin()->first.first);
   }
-  // How late the first timer of the last round was run: what the thread is behind with its work.
-  Duration lateness() const { return lateness_; }
+  // What the thread is behind with its work: how late the first timer of the last round was run, or for how long what
+  // other threads have posted has waited, whichever is more.
+  Duration lateness() const { return std::max(lateness_, queue_delay_); }
+  void SetQueueDelay(Duration delay) { queue_delay_ = delay; }
   // Runs what is due by now, in order; work that is added meanwhile waits for the next call.
   void RunDue() {
     const std::pair<TimePoint, uint64_t> until(clock_.Now(), last_);
@@ -41,6 +44,7 @@
   const Clock& clock_;
   uint64_t last_ = 0;
   Duration lateness_{};
+  Duration queue_delay_{};
   std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> due_;
 };
 
--- a/src/daemon/task_loop.cc
+++ b/src/daemon/task_loop.cc
@@ -1,7 +1,6 @@
 #include "daemon/task_loop.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace hibiscus {
@@ -17,8 +16,11 @@
   bool first = false;
   {
     const std::lock_guard lock(mutex_);
-    first = posted_.empty();
-    posted_.push_back(std::move(task));
+    first = posted_.tasks.empty();
+    if (first) {
+      posted_.since = clock_.Now();
+    }
+    posted_.tasks.push_back(std::move(task));
   }
   if (first) {
     wake_.notify_one();
@@ -42,17 +44,16 @@
   wake_.notify_one();
 }
 
-// Waits for something to do, unless `tasks` has some left; false at the end.
-bool TaskLoop::TakePosted(std::deque<Task>& tasks) {
+// Waits for something to do, unless some is left; false at the end.
+bool TaskLoop::TakePosted() {
   const std::optional<TimePoint> due = timers_.next();
   const Duration left = due ? std::clamp(*due - clock_.Now(), Duration(0), kLongestSleep) : kLongestSleep;
   std::unique_lock lock(mutex_);
-  if (tasks.empty()) {
-    wake_.wait_for(lock, left, [&] { return stopping_ || !posted_.empty() || !urgent_.empty(); });
-    tasks.swap(posted_);
-  } else {
-    std::move(posted_.begin(), posted_.end(), std::back_inserter(tasks));
-    posted_.clear();
+  if (batches_.empty()) {
+    wake_.wait_for(lock, left, [&] { return stopping_ || !posted_.tasks.empty() || !urgent_.empty(); });
+  }
+  if (!posted_.tasks.empty()) {
+    batches_.push_back(std::exchange(posted_, Batch{}));
   }
   return !stopping_;
 }
@@ -73,13 +74,17 @@
 }
 
 void TaskLoop::Run() {
-  std::deque<Task> tasks;
-  while (TakePosted(tasks)) {
-    const TimePoint until = clock_.Now() + kTimersEvery;
+  while (TakePosted()) {
+    const TimePoint begin = clock_.Now();
+    timers_.SetQueueDelay(batches_.empty() ? Duration(0) : begin - batches_.front().since);
     RunUrgent();
-    while (!tasks.empty() && clock_.Now() < until) {
+    while (!batches_.empty() && clock_.Now() - begin < kTimersEvery) {
+      std::deque<Task>& tasks = batches_.front().tasks;
       const Task task = std::move(tasks.front());
       tasks.pop_front();
+      if (tasks.empty()) {
+        batches_.pop_front();
+      }
       task();
       RunUrgent();
     }
--- a/src/daemon/task_loop.h
+++ b/src/daemon/task_loop.h
@@ -29,7 +29,13 @@
   void Stop();  // Thread-safe.
 
  private:
-  bool TakePosted(std::deque<Task>& tasks);
+  // What was posted until the control thread took it.
+  struct Batch {
+    TimePoint since{};  // When the first was posted.
+    std::deque<Task> tasks;
+  };
+
+  bool TakePosted();
   void RunUrgent();
 
   cell::Timers& timers_;
@@ -37,7 +43,8 @@
   Task after_round_;
   std::mutex mutex_;
   std::condition_variable wake_;
-  std::deque<Task> posted_;               // Under mutex_.
+  std::deque<Batch> batches_;             // Control thread only; oldest first, none of them empty.
+  Batch posted_;                          // Under mutex_.
   std::vector<Task> urgent_;              // Under mutex_.
   std::atomic<bool> has_urgent_ = false;  // So that the mutex is taken only if there are some.
   bool stopping_ = false;                 // Under mutex_.
--- a/tests/task_loop_test.cc
+++ b/tests/task_loop_test.cc
@@ -1,6 +1,7 @@
 // The control thread's loop: what may not wait for a long queue.
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 #include <thread>
 #include <vector>
@@ -55,5 +56,24 @@
   CHECK(done_at_timer < 500);
 }
 
+// An owner refuses new jobs by this figure: timers that run on time must not hide a queue that grows.
+TEST_CASE("a long queue shows as lateness although timers run between its tasks") {
+  Rig rig;
+  Duration most{};
+  rig.timers.In(5ms, [] {});
+  int done = 0;
+  for (int i = 0; i < 200; ++i) {
+    rig.loop.Post([&] {
+      std::this_thread::sleep_for(1ms);
+      most = std::max(most, rig.timers.lateness());
+      if (++done == 200) {
+        rig.loop.Stop();
+      }
+    });
+  }
+  rig.loop.Run();
+  CHECK(most >= 100ms);
+}
+
 }  // namespace
 }  // namespace hibiscus
