Relays above 100 workers; late answers to starts count as lateness

Passes that cost less left the control thread idle enough to accept everything, and the HTTP thread that calls 350 workers had filled the host: its backlog showed nowhere.

Change: relays are used above 100 workers, not 400. The time that starts take to be answered, smoothed over 32, counts as lateness like the control thread's: above 300 ms no jobs are taken.

Test: cell_faults_test, answers 600 ms late: no job was refused before.

--- a/src/cell/context.h
+++ b/src/cell/context.h
@@ -26,9 +26,9 @@
   Duration state_kept = 120s;    // How long the state of an ended job is told; platform's bound.
   Duration shortest_lease = 1s;  // Of the store; platform's bound.
   std::string advice_address;    // Empty: there is no advice service.
-  // The owner speaks itself to so many workers; with more, through relays. One host of half a core carries 400 workers
-  // and 800 starts a second (docs/CAPACITY.md).
-  size_t max_direct_workers = 400;
+  // The owner speaks itself to so many workers; with more, through relays. With 350 workers and 750 starts a second the
+  // calls alone filled a host of half a core (docs/CAPACITY.md).
+  size_t max_direct_workers = 100;
 
   friend bool operator==(const CellSettings&, const CellSettings&) = default;
 };
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -175,9 +175,10 @@
   if (std::optional<CallerReply> refusal = Refusal(); refusal) {
     context_.counters.Add(fmt::format("rejected{{queue=\"{}\"}}", queue->name));
     context_.Log("admission",
-                 "event=rejected job={} queue={} jobs={} store_stalled_ms={} thread_late_ms={} retry_after_ms={}",
+                 "event=rejected job={} queue={} jobs={} store_stalled_ms={} thread_late_ms={} start_delay_ms={} "
+                 "retry_after_ms={}",
                  request.job, queue->name, jobs_.size(), Millis(commit_.stalled_for()),
-                 Millis(context_.timers.lateness()), Millis(refusal->retry_after));
+                 Millis(context_.timers.lateness()), Millis(workers_.start_delay()), Millis(refusal->retry_after));
     Refuse(request, reply, *refusal);
     return;
   }
@@ -210,7 +211,7 @@
 
 // Why no job can be taken now; none if one can.
 std::optional<CallerReply> Owner::Refusal() const {
-  const bool behind = context_.timers.lateness() > kMostLateness;
+  const bool behind = context_.timers.lateness() > kMostLateness || workers_.start_delay() > kMostLateness;
   if (commit_.stalled_for() > kStalledAfter || behind || jobs_.size() >= kMostJobs) {
     return CallerReply{.outcome = CallerOutcome::kRejected, .retry_after = ComeBackAfter()};
   }
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -19,8 +19,10 @@
 constexpr Duration kUnlistedGrace = 2500ms;  // Entries come back within about two seconds of the store's return.
 constexpr Duration kForgetAfter = 15s;       // An unlisted worker that holds nothing.
 constexpr Duration kLatestArrival = 15s;     // An order without an answer may be carried out so much later.
-constexpr double kSlowestClock = 0.98;       // A worker's clock runs at least so fast; the platform's bound.
-constexpr Duration kClockSlack = 50ms;       // Rounding of clocks to milliseconds, and the kill itself.
+constexpr int kDelaySmoothing = 32;     // Weight of what was known against the newest: one slow worker says little.
+constexpr Duration kDelayKept = 1s;     // Without a start for so long, nothing is known of the delay.
+constexpr double kSlowestClock = 0.98;  // A worker's clock runs at least so fast; the platform's bound.
+constexpr Duration kClockSlack = 50ms;  // Rounding of clocks to milliseconds, and the kill itself.
 
 Duration OnSlowestClock(Duration worker_time) {
   return Duration(static_cast<int64_t>(static_cast<double>(worker_time.count()) / kSlowestClock));
@@ -394,6 +396,9 @@
   context_.counters.Add(fmt::format("worker_starts{{status=\"{}\"}}", NameOf(answer.status)));
   const bool heard = NoteAnswer(worker, answer);
   const auto found = worker.placed.find(run);
+  if (heard && found != worker.placed.end()) {
+    NoteStartDelay(context_.Now() - found->second.since);
+  }
   if (found == worker.placed.end()) {
     return;  // Its end was listed before, or a new life has begun.
   }
@@ -528,6 +533,15 @@
   return true;
 }
 
+void WorkerTable::NoteStartDelay(Duration delay) {
+  start_delay_ = (start_delay() * (kDelaySmoothing - 1) + delay) / kDelaySmoothing;
+  start_delay_noted_ = context_.Now();
+}
+
+Duration WorkerTable::start_delay() const {
+  return context_.Now() - start_delay_noted_ < kDelayKept ? start_delay_ : Duration(0);
+}
+
 void WorkerTable::NoteSilence(Worker& worker) {
   if (worker.silent) {
     return;
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -132,6 +132,8 @@
   std::map<std::string, std::unique_ptr<Worker>>& workers() { return workers_; }
   size_t last_number() const { return last_number_; }  // No worker has a higher one.
   bool AnyUnsettled() const { return unsettled_ > 0; }
+  // How long starts take to be answered, smoothed: what this host is behind with its calls. 0 if none was lately.
+  Duration start_delay() const;
   std::vector<WorkerLifeRecord> Roster() const;  // Lives that starts were or may be given to.
 
   // Looks for workers whose time has run out. Call it a few times a second.
@@ -153,6 +155,7 @@
   void SendStop(Worker& worker, const RunRef& run);
   bool NoteAnswer(Worker& worker, const OrderAnswer& answer);
   void NoteSilence(Worker& worker);
+  void NoteStartDelay(Duration delay);
   void Place(Worker& worker, const RunRef& run, const Placed& placed);
   void Release(Worker& worker, const RunRef& run);
   void LoseAll(Worker& worker, GoneReason reason);
@@ -171,6 +174,8 @@
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   int unsettled_ = 0;
   size_t last_number_ = 0;
+  Duration start_delay_{};
+  TimePoint start_delay_noted_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -284,7 +284,7 @@
       return;
     }
     const OrderAnswer told = apply(*worker);
-    lost ? answer(kNoAnswer, OrderAnswer{}) : answer(kWay, told);
+    lost ? answer(kNoAnswer, OrderAnswer{}) : answer(kWay + worker->faults.slower, told);
   });
 }
 
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -72,6 +72,40 @@
   CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
 }
 
+// The thread that speaks HTTP is behind, and the control thread is not: answers come late and nothing else shows it.
+TEST_CASE("an owner whose calls to workers are answered late takes no more jobs, until they are answered in time") {
+  CellWorld world(57, 3, 8);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  int refused = 0;
+  int accepted = 0;
+  const auto submit_some = [&](int first) {
+    for (int i = first; i < first + 60; ++i) {
+      world.In((i - first) * 50ms, [&, i] {
+        world.Submit(*world.OwnerIndex(), JobOf(i, {StepOf(2, 500)}), TaskBehaviour{200ms, 0},
+                     [&](const CallerReply& reply) {
+                       refused += reply.outcome == CallerOutcome::kRejected ? 1 : 0;
+                       accepted += reply.outcome == CallerOutcome::kDone ? 1 : 0;
+                     });
+      });
+    }
+    world.RunFor(4s);
+  };
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    world.worker(i).faults.slower = 600ms;
+  }
+  submit_some(1);
+  CHECK(refused > 0);
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    world.worker(i).faults.slower = Duration(0);
+  }
+  world.RunFor(2s);
+  accepted = 0;
+  submit_some(101);
+  CHECK(accepted == 60);
+  CHECK(world.violations().empty());
+}
+
 TEST_CASE("a planned stop of the owner hands over at once") {
   CellWorld world(12, 4, 6);
   AddQueues(world);
