--- a/src/cell/admission_policy.cc
+++ b/src/cell/admission_policy.cc
@@ -28,10 +28,11 @@
   }
   const double wait = waiting.Before(request.priority) / (kPacking * static_cast<double>(capacity_cpu_millis));
   const Duration end = Duration(static_cast<int64_t>(wait)) + request.chain;
-  if (end <= request.objective) {
+  const Duration latest = request.objective * 3 / 2;  // Declared run times are off by up to half.
+  if (end <= latest) {
     return std::nullopt;
   }
-  return std::clamp<Duration>(end - request.objective, kLeastRetryAfter, kLongestRetryAfter);
+  return std::clamp<Duration>(end - latest, kLeastRetryAfter, kLongestRetryAfter);
 }
 
 }  // namespace hibiscus::cell
