--- a/src/cell/admission_policy.h
+++ b/src/cell/admission_policy.h
@@ -40,8 +40,8 @@
   friend auto operator<=>(const AdmissionRequest&, const AdmissionRequest&) = default;
 };
 
-// None if the job may still end within its objective, as far as declared run times can tell; else the time after which it
-// might, if nothing else came.
+// None if the job may still end within its objective, as far as declared run times can tell; else the time after which
+// it might, if nothing else came.
 std::optional<Duration> RetryIfTooLate(const AdmissionRequest& request,
                                        const WaitingWork& waiting,
                                        int64_t capacity_cpu_millis);
