Revert admission by predicted finish

It was to refuse at once what cannot be in time.

Cause: objective, chain and waiting work are declared run times, and those of one class are off by up to nine tenths. A job that declares a tenth of its like has a tenth of the objective, and is refused at a wait of three seconds.

--- a/bench/cell_load.h
+++ b/bench/cell_load.h
@@ -59,13 +59,12 @@
   int asked = 0;
   int in_time = 0;
   int late = 0;
-  int refused = 0;             // Told that they were not accepted, by all tries.
-  int unanswered = 0;          // No answer in time to any try.
-  int too_late = 0;            // Accepted, and ended later than that or not at all.
-  double work = 0;             // Core-seconds in time, as a share of those asked for.
-  double served = 0;           // Core-seconds in time.
-  Duration longest_refusal{};  // From a try to the answer that it was not accepted.
-  Duration median{};           // From first try to end, of those that ended.
+  int refused = 0;     // Told that they were not accepted, by all tries.
+  int unanswered = 0;  // No answer in time to any try.
+  int too_late = 0;    // Accepted, and ended later than that or not at all.
+  double work = 0;     // Core-seconds in time, as a share of those asked for.
+  double served = 0;   // Core-seconds in time.
+  Duration median{};   // From first try to end, of those that ended.
   Duration p99{};
 
   friend bool operator==(const ClassOutcome&, const ClassOutcome&) = default;
--- a/src/cell/job_table.cc
+++ b/src/cell/job_table.cc
@@ -97,10 +97,6 @@
   return longest;
 }
 
-Duration ObjectiveOf(const QueueSpec& queue, Duration chain) {
-  return queue.target_latency + Duration(static_cast<int64_t>(queue.stretch * static_cast<double>(chain.count())));
-}
-
 ProgressRecord ProgressOf(const Job& job) {
   ProgressRecord record;
   record.occurrences_done = job.occurrences_done;
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -126,9 +126,6 @@
 // The longest chain of declared run times through the steps.
 Duration LongestChain(const JobSpec& spec);
 
-// The time from a job's acceptance within which it is to end.
-Duration ObjectiveOf(const QueueSpec& queue, Duration chain);
-
 // What is known of a job, to be stored; and back into a fresh one.
 ProgressRecord ProgressOf(const Job& job);
 void ApplyProgress(Job& job, const ProgressRecord& progress, int run_base);
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -66,48 +66,11 @@
   for (const auto& [id, job] : jobs_) {
     BeginDueOccurrences(*job);
   }
-  CountWaitingWork();
   ForgetEnded();
   ForgetRefused();
   ScheduleSoon();
 }
 
-// --- Waiting work ---
-
-// Jobs that are long past their objective are placed last, so that they are before nobody.
-void Owner::CountWaitingWork() {
-  waiting_work_.Clear();
-  const TimePoint now = context_.Now();
-  for (const auto& [id, job] : jobs_) {
-    if (!job->final && now - job->accepted_at + job->chain <= job->objective) {
-      AddWaitingWork(*job);
-    }
-  }
-}
-
-void Owner::AddWaitingWork(const Job& job) {
-  for (const auto& [number, occurrence] : job.occurrences) {
-    for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
-      if (!step->spec->long_running) {
-        const Resources size = SizeOf(*step);
-        waiting_work_.Add(job.queue.priority, step->waiting * ProcessorTime(size.cpu_millis, step->spec->estimate));
-      }
-    }
-  }
-}
-
-std::optional<Duration> Owner::TooLateFor(const JobSpec& spec, const QueueSpec& queue) const {
-  const bool due_later = spec.occurrences > 0;
-  const bool lasts =
-      std::any_of(spec.steps.begin(), spec.steps.end(), [](const auto& step) { return step.long_running; });
-  if (due_later || lasts) {
-    return std::nullopt;  // It waits for its time or for room; there is no end to foretell.
-  }
-  const Duration chain = LongestChain(spec);
-  const AdmissionRequest request{queue.priority, chain, ObjectiveOf(queue, chain)};
-  return RetryIfTooLate(request, waiting_work_, capacity_cpu_millis_);
-}
-
 Job* Owner::FindJob(const std::string& id) {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : found->second.get();
@@ -182,14 +145,6 @@
     Refuse(request, reply, *refusal);
     return;
   }
-  if (const std::optional<Duration> retry_after = TooLateFor(*spec, *queue); retry_after) {
-    context_.counters.Add(fmt::format("rejected{{queue=\"{}\"}}", queue->name));
-    context_.Log("admission", "event=rejected job={} queue={} reason=would_be_late waiting_core_s={} retry_after_ms={}",
-                 request.job, queue->name, static_cast<int64_t>(waiting_work_.Before(queue->priority) / 1e9),
-                 Millis(*retry_after));
-    Refuse(request, reply, CallerReply{.outcome = CallerOutcome::kRejected, .retry_after = *retry_after});
-    return;
-  }
   AcceptJob(std::move(*spec), *queue, accepted);
   FindJob(request.job)->on_withdrawn.push_back(withdrawn);
 }
@@ -261,7 +216,6 @@
   context_.counters.Add(fmt::format("accepted{{queue=\"{}\"}}", queue.name));
   context_.Log("admission", "event=accepted job={} queue={} steps={} jobs={} config={}", job.id(), queue.name,
                job.record.spec.steps.size(), jobs_.size(), configuration_.version);
-  AddWaitingWork(job);
   MarkDirty(job);
   job.WhenStored(std::move(accepted));
   // Asked ahead: the answer is here by the time the job stands in the store.
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -18,7 +18,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "cell/admission_policy.h"
 #include "cell/advice_desk.h"
 #include "cell/advice_policy.h"
 #include "cell/context.h"
@@ -116,10 +115,6 @@
   void TellPending(const CallerRequest& request, const Reply& reply);
   void AcceptJob(JobSpec spec, const QueueSpec& queue, std::function<void()> accepted);
   std::optional<CallerReply> Refusal() const;
-  // None if it is expected to end within its objective.
-  std::optional<Duration> TooLateFor(const JobSpec& spec, const QueueSpec& queue) const;
-  void CountWaitingWork();
-  void AddWaitingWork(const Job& job);
   Duration ComeBackAfter() const;
   void WithdrawUnsent();
   void Refuse(const CallerRequest& request, const Reply& reply, CallerReply refusal);
@@ -310,8 +305,6 @@
   std::vector<Usable> usable_;          // Workers that this pass may place on, most free first.
   std::vector<size_t> usable_at_;       // Place in `usable_` by the worker's number; kNotUsable if it is not there.
   std::vector<const StepRun*> kept_;    // For which gang room is kept there, by this pass so far.
-  WaitingWork waiting_work_;            // As of the last tick, and jobs accepted since.
-  int64_t capacity_cpu_millis_ = 0;     // Of the usable workers.
   bool mostly_free_ = false;            // Much of the room is free: what is kept may be used.
   size_t kept_count_ = 0;               // Workers on which it is.
   mutable int64_t workers_viewed_ = 0;  // By placements, since the last pass ended: what a pass costs.
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -117,7 +117,6 @@
   for (size_t i = 0; i < usable_.size(); ++i) {
     usable_at_[usable_[i].worker->number] = i;
   }
-  capacity_cpu_millis_ = capacity.cpu_millis;
   const auto enough = [](int64_t part, int64_t whole) {
     return static_cast<double>(part) >= kMostlyFree * static_cast<double>(whole);
   };
@@ -132,7 +131,8 @@
 void Owner::SetQueue(Job& job, const QueueSpec& queue) {
   job.queue = queue;
   job.chain = LongestChain(job.record.spec);
-  job.objective = ObjectiveOf(queue, job.chain);
+  job.objective =
+      queue.target_latency + Duration(static_cast<int64_t>(queue.stretch * static_cast<double>(job.chain.count())));
 }
 
 std::vector<StepRun*> Owner::WaitingInOrder() {
