--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -424,8 +424,8 @@
     return;
   }
   if (!heard && placed.phase == PlacedPhase::kStarting) {
-    // It may be running while only answers are lost. The lists tell: once its deadline has passed on the worker's clock,
-    // a start that they lack never ran.
+    // It may be running while only answers are lost. The lists tell: once its deadline has passed on the worker's
+    // clock, a start that they lack never ran.
     worker.unanswered_[run] = context_.Now();
     context_.Log("worker", "event=start_unanswered worker={} job={} step={} index={} run={}", worker.entry.id,
                  run.task.job, run.task.step, run.task.index, run.run);
