One loop over the workers that the advice service allows a step

Single tasks and gangs each had the same loop over a step's permits, or over all usable workers without advice. Behaviour stays as it is.

--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -255,6 +255,8 @@
   };
   void LookAtRooms();
   const Usable* UsableAt(size_t number) const;
+  // The usable workers that the advice service allows the step; all of them if its queue asks for no advice.
+  void ForEachAllowed(const StepRun& step, const std::function<void(const Usable&)>& take) const;
   int RunBase(const Job& job) const;
 
   Context& context_;
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -259,6 +259,19 @@
   }
 }
 
+void Owner::ForEachAllowed(const StepRun& step, const std::function<void(const Usable&)>& take) const {
+  if (!step.job->queue.advice) {
+    std::for_each(usable_.begin(), usable_.end(), take);
+    return;
+  }
+  for (const auto& [number, permit] : step.advice.permits) {
+    const Usable* usable = permit.word == StepAdvice::Word::kAllowed ? UsableAt(number) : nullptr;
+    if (usable != nullptr) {
+      take(*usable);
+    }
+  }
+}
+
 Owner::SingleRooms Owner::SingleRoomsFor(const StepRun& step, const RoomNeed& need) const {
   SingleRooms found;
   const auto take = [&](const Usable& usable) {
@@ -278,16 +291,10 @@
       found.without_ticket.push_back(&worker);
     }
   };
+  ForEachAllowed(step, take);
   if (!step.job->queue.advice) {
-    std::for_each(usable_.begin(), usable_.end(), take);
     return found;
   }
-  for (const auto& [number, permit] : step.advice.permits) {
-    const Usable* usable = permit.word == StepAdvice::Word::kAllowed ? UsableAt(number) : nullptr;
-    if (usable != nullptr) {
-      take(*usable);
-    }
-  }
   for (Worker* worker : NeverAsked(step, kMostAskedWorkers, need.size)) {
     if (!UsableAt(worker->number)->quarantined && (!IsKeptByOther(step, *worker) || mostly_free_)) {
       found.without_ticket.push_back(worker);
@@ -344,16 +351,7 @@
       rooms.with_ticket.Add(&worker, view);
     }
   };
-  if (!step.job->queue.advice) {
-    std::for_each(usable_.begin(), usable_.end(), take);
-    return rooms;
-  }
-  for (const auto& [number, permit] : step.advice.permits) {
-    const Usable* usable = permit.word == StepAdvice::Word::kAllowed ? UsableAt(number) : nullptr;
-    if (usable != nullptr) {
-      take(*usable);
-    }
-  }
+  ForEachAllowed(step, take);
   return rooms;
 }
 
