Each write of the log carries whole lines that a pipe takes at once

Cause: the writer passed up to 32 KiB to one write and went on within a line where it ended. A reader that takes a write in parts, or a second writer on the same pipe, then sees torn lines and loses what follows; nothing counted them. The count of dropped lines was a line of its own that could be dropped in turn. Ruled out: order of writes (one thread writes); lines lost before the buffer (the sink counts them). Change: a write ends at the last line end within PIPE_BUF bytes; longer lines are cut short and say so; the count of dropped lines is added when the buffer is emptied. owner_known has the key host once; the owner stands under owner. Conclusion: logs that a slow reader takes are whole or counted.

--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -129,7 +129,7 @@
   if (!news) {
     return;
   }
-  context_.Log("owner", "event=owner_known host={} term={} present={} released={}", record.host, term, present,
+  context_.Log("owner", "event=owner_known owner={} term={} present={} released={}", record.host, term, present,
                record.released);
   const bool other = present && record.address != context_.settings.peer_address;
   if (owner_ != nullptr && present && IsOwn(record)) {
--- a/src/ports/event_log.cc
+++ b/src/ports/event_log.cc
@@ -4,7 +4,7 @@
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
-#include <algorithm>
+#include <climits>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -18,33 +18,49 @@
 
 namespace {
 
-constexpr size_t kMostAtOnce = size_t{32} * 1024;  // Bytes of one write: pipes take that much at once.
+constexpr size_t kMaxWrite = PIPE_BUF;  // Bytes: a pipe takes as much whole or not at all.
+constexpr std::string_view kCutShort = " cut_short=1\n";
 
 // Gathers formatted lines; full means that a line is dropped and counted.
 class BufferSink final : public spdlog::sinks::base_sink<std::mutex> {
  public:
-  explicit BufferSink(size_t most) : most_(most) {}
+  explicit BufferSink(size_t max_size) : max_size_(max_size) {}
 
-  std::string Take(size_t* dropped) {
+  // The lines since the last call, and one that says how many were dropped.
+  std::string Take() {
     const std::lock_guard lock(mutex_);
-    *dropped = std::exchange(dropped_, 0);
+    if (dropped_ > 0) {
+      const std::string text =
+          fmt::format("part=log event=lines_dropped count={} reason=buffer_full", std::exchange(dropped_, 0));
+      lines_ += Format(spdlog::details::log_msg("events", spdlog::level::info, text));
+    }
     return std::exchange(lines_, {});
   }
 
  protected:
   void sink_it_(const spdlog::details::log_msg& message) override {
-    spdlog::memory_buf_t line;
-    formatter_->format(message, line);
-    if (lines_.size() + line.size() > most_) {
+    const std::string line = Format(message);
+    if (lines_.size() + line.size() > max_size_) {
       ++dropped_;
       return;
     }
-    lines_.append(line.data(), line.size());
+    lines_ += line;
   }
   void flush_() override {}
 
  private:
-  const size_t most_;
+  std::string Format(const spdlog::details::log_msg& message) {
+    spdlog::memory_buf_t buffer;
+    formatter_->format(message, buffer);
+    std::string line(buffer.data(), buffer.size());
+    if (line.size() > kMaxWrite) {
+      line.resize(kMaxWrite - kCutShort.size());
+      line += kCutShort;
+    }
+    return line;
+  }
+
+  const size_t max_size_;
   std::string lines_;
   size_t dropped_ = 0;
 };
@@ -55,11 +71,18 @@
   int over = 0;
 };
 
-// Writes what the reader takes now and returns how much that was.
+// The size of the longest run of whole lines at the front that one write carries.
+size_t WholeLines(std::string_view text) {
+  return text.rfind('\n', kMaxWrite - 1) + 1;
+}
+
+// Writes what the reader takes now and returns how much that was. A write never ends within a line: readers that lose
+// or interleave writes lose or interleave whole lines.
 size_t WriteSome(int descriptor, std::string_view text) {
   size_t done = 0;
   while (done < text.size()) {
-    const ssize_t written = write(descriptor, text.data() + done, std::min(kMostAtOnce, text.size() - done));
+    const std::string_view rest = text.substr(done);
+    const ssize_t written = write(descriptor, rest.data(), WholeLines(rest));
     if (written <= 0) {
       break;  // The reader is slow or gone: what is left is tried again, and dropped when the buffer is full.
     }
@@ -95,14 +118,10 @@
 };
 
 void EventLog::State::WriteBuffer() {
-  size_t dropped = 0;
   if (unwritten.size() < options.most_buffered) {
-    unwritten += sink->Take(&dropped);
+    unwritten += sink->Take();
   }
   unwritten.erase(0, WriteSome(options.descriptor, unwritten));
-  if (dropped > 0) {
-    logger.info("part=log event=lines_dropped count={} reason=buffer_full", dropped);
-  }
 }
 
 void EventLog::State::WriteUntilStop() {
@@ -127,6 +146,9 @@
   state_->wake.notify_one();
   state_->writer.join();
   state_->WriteBuffer();
+  if (state_->unwritten.empty()) {
+    state_->WriteBuffer();  // What the sink still has, if the first had enough of its own to write.
+  }
 }
 
 bool EventLog::Takes(const char* part) {
--- a/src/ports/event_log.h
+++ b/src/ports/event_log.h
@@ -1,6 +1,6 @@
 // Structured log lines on standard output: time, host, part, then key=value words. Writing never blocks: lines gather
 // in a bounded buffer that a thread of its own empties, and each part has a budget of lines a second. What is dropped
-// is counted and said.
+// is counted and logged; each write carries whole lines, and as many bytes at most as a pipe takes atomically.
 #ifndef HIBISCUSSTAND_SRC_PORTS_EVENT_LOG_H_
 #define HIBISCUSSTAND_SRC_PORTS_EVENT_LOG_H_
 
