A gang reserves the workers that drain first

Cause: of workers on which no member fits yet, the fullest were reserved, and chosen anew by each pass: a worker that a task had just left lost its reservation to a fuller one, and the next small task took the room. A gang whose members need whole workers never started in a stream of small tasks. Ruled out: order (the gang was first in it), the share that may be reserved. Test: placement_test, a gang in a stream that never ends: never started before, starts after.

--- a/src/cell/placement_policy.cc
+++ b/src/cell/placement_policy.cc
@@ -148,7 +148,10 @@
 
 std::vector<size_t> RoomsToReserve(const std::vector<RoomView>& rooms, const RoomNeed& need, int members) {
   std::vector<Ranked> order = Rank(rooms, need, 0);
-  Sort(order);
+  // Most slots first, then the most room: it drains first.
+  std::stable_sort(order.begin(), order.end(), [](const Ranked& a, const Ranked& b) {
+    return a.slots != b.slots ? a.slots > b.slots : a.left > b.left;
+  });
   std::vector<size_t> reserved;
   for (const Ranked& each : order) {
     RoomView empty = rooms[each.room];
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -134,6 +134,43 @@
   }
 }
 
+// Small tasks come as fast as others end: without reservations the gang never finds two empty workers.
+int PassesUntilGangStarts(const Policies& policies) {
+  PassRig rig(8, 16'000, policies);
+  std::deque<std::pair<StepRun*, size_t>> running;
+  const auto pass_and_note = [&] {
+    for (const StartTasks& starts : Of<StartTasks>(rig.Pass())) {
+      if (!starts.step->spec->gang) {
+        running.emplace_back(starts.step, starts.tasks[0].worker);
+      }
+    }
+  };
+  for (int i = 0; i < 32; ++i) {
+    rig.Add(1, 4000, false, 1s);
+  }
+  pass_and_note();
+  StepRun& gang = rig.Add(2, 16'000, true, 1s);
+  for (int pass = 1; pass <= 120; ++pass) {
+    rig.now += 10ms;
+    const auto [step, worker] = running.front();
+    running.pop_front();
+    rig.End(*step, 0, worker);
+    rig.Add(1, 4000, false, 900ms);  // Due before the gang.
+    pass_and_note();
+    if (gang.waiting == 0) {
+      return pass;
+    }
+  }
+  return -1;
+}
+
+TEST_CASE("a gang starts in a stream of small tasks that never ends, and does not without reservations") {
+  CHECK(PassesUntilGangStarts(Policies{}) > 0);
+  Policies none;
+  none.reservations = false;
+  CHECK(PassesUntilGangStarts(none) == -1);
+}
+
 TEST_CASE("more work than fits: what can still be in time comes before what cannot") {
   PassRig rig(1);
   StepRun& late = rig.Add(1, 16'000, false, 1s);
