An owner notices within 100 ms that the store answers again

Where leases lapse in an outage another host could take the cell over meanwhile, and an owner that had restored its record still offered to hand over, as its batch had not been tried again.

--- a/src/cell/group_commit.cc
+++ b/src/cell/group_commit.cc
@@ -14,7 +14,7 @@
 constexpr int kMostOutstanding = 8;       // Copies of one batch on their way.
 constexpr int kSmoothing = 8;             // Weight of what was known against the newest time.
 constexpr Duration kFirstBackoff = 30ms;  // After a refusal; doubled up to the longest.
-constexpr Duration kLongestBackoff = 500ms;
+constexpr Duration kMaxBackoff = 100ms;   // A tenth of the shortest objectives.
 
 }  // namespace
 
@@ -126,7 +126,13 @@
     return;  // A copy may still be answered.
   }
   RetryIn(backoff_);
-  backoff_ = std::min(backoff_ * 2, kLongestBackoff);
+  backoff_ = std::min(backoff_ * 2, kMaxBackoff);
+}
+
+void GroupCommit::RetryNow() {
+  if (in_flight_ && outstanding_ == 0 && !closed_) {
+    Send();
+  }
 }
 
 void GroupCommit::RetryIn(Duration delay) {
--- a/src/cell/group_commit.h
+++ b/src/cell/group_commit.h
@@ -41,6 +41,8 @@
   bool in_flight() const { return in_flight_; }
   // How long the store has not confirmed what was sent; 0 if nothing waits.
   Duration stalled_for() const;
+  // The store has answered something else: a batch that waits for its next try goes out now.
+  void RetryNow();
   uint64_t head_revision() const { return head_revision_; }
 
  private:
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -10,6 +10,7 @@
 
 constexpr Duration kOwnerLease = 1s;         // A dead owner's record is gone after this.
 constexpr Duration kRenewEvery = 250ms;      // Three renewals may fail within the lease.
+constexpr Duration kRenewAgain = 80ms;       // After one that failed: well within kIncumbentFirst.
 constexpr Duration kRestoreAgain = 150ms;    // After an attempt to write the record again that failed.
 constexpr Duration kIncumbentFirst = 150ms;  // An owner whose record went while it lives writes it again within this.
 constexpr Duration kLongestRank = 300ms;     // Hosts far from the store claim so much later.
@@ -336,16 +337,29 @@
     return;
   }
   const uint64_t number = ++renewal_;
-  context_.store.KeepLease(owner_lease_, Guarded([this, lease = owner_lease_](const StoreAnswer& answer) {
+  context_.store.KeepLease(owner_lease_, Guarded([this, number, lease = owner_lease_](const StoreAnswer& answer) {
                              const bool ended =
                                  answer.status == StoreStatus::kNoLease || answer.status == StoreStatus::kNotFound;
-                             if (owner_ != nullptr && lease == owner_lease_ && ended) {
+                             if (owner_ == nullptr || lease != owner_lease_) {
+                               return;
+                             }
+                             if (answer.status == StoreStatus::kOk) {
+                               owner_->OnStoreBack();
+                             } else if (ended) {
                                ++renewal_;  // The loop goes on once the record is written again.
                                RestoreRecord();
+                             } else if (number == renewal_) {
+                               RenewIn(kRenewAgain);
                              }
                            }));
-  context_.timers.In(kRenewEvery, Guarded([this, number] {
-                       if (number == renewal_) {
+  RenewIn(kRenewEvery);
+}
+
+// Only the newest timer counts.
+void Host::RenewIn(Duration delay) {
+  const uint64_t timer = ++renewal_timer_;
+  context_.timers.In(delay, Guarded([this, timer, number = renewal_] {
+                       if (timer == renewal_timer_ && number == renewal_) {
                          Renew();
                        }
                      }));
@@ -384,6 +398,7 @@
                           if (answer.status == StoreStatus::kOk) {
                             owner_lease_ = lease;
                             Learn(answer.revision, true, OwnRecord(owner_->ownership().epoch, false));
+                            owner_->OnStoreBack();
                             Renew();
                             return;
                           }
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -66,6 +66,8 @@
 
   // The planned end: starts nothing more, and calls back when all that was known by now stands.
   void Close(std::function<void()> closed);
+  // The store answers again.
+  void OnStoreBack() { commit_.RetryNow(); }
   // Writes nothing more, whether all stands or not.
   void StopWriting() { commit_.Close(); }
 
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -485,5 +485,60 @@
   CHECK(result.ok());
 }
 
+// --- Outages of the store under load: who is refused, and how soon the others are served ---
+
+struct OutageOutcome {
+  Duration first_accept{};  // From the store's return.
+  int accepted_at_once =
+      0;                   // Of those that came in the last 500 ms of the outage, within 150 ms of the store's return.
+  int late_in_outage = 0;  // That came in the last 500 ms.
+  Duration longest_to_refusal{};
+  int violations = 0;
+};
+
+// Quick jobs every 20 ms; their callers do not try again.
+OutageOutcome PlayOutage(Duration length) {
+  CellWorld world(71, 3, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  OutageOutcome outcome;
+  outcome.first_accept = 10s;
+  const TimePoint down = world.Now() + 1s;
+  const TimePoint up = down + length;
+  world.In(1s, [&] { world.store().faults.down = true; });
+  world.In(1s + length, [&] { world.store().faults.down = false; });
+  const auto jobs = static_cast<int>((length + 3s) / 20ms);
+  for (int i = 0; i < jobs; ++i) {
+    world.In(i * 20ms, [&, i] {
+      const TimePoint came = world.Now();
+      const bool late_in_outage = came >= up - 500ms && came < up;
+      outcome.late_in_outage += late_in_outage ? 1 : 0;
+      world.Submit(0, JobOf(1 + i, {StepOf(1, 1000)}), TaskBehaviour{100ms, 0},
+                   [&, came, late_in_outage](const CallerReply& reply) {
+                     if (reply.outcome == CallerOutcome::kRejected) {
+                       outcome.longest_to_refusal = std::max(outcome.longest_to_refusal, world.Now() - came);
+                     }
+                     if (reply.outcome == CallerOutcome::kDone && world.Now() >= up) {
+                       outcome.first_accept = std::min(outcome.first_accept, world.Now() - up);
+                       outcome.accepted_at_once += late_in_outage && world.Now() < up + 150ms ? 1 : 0;
+                     }
+                   });
+    });
+  }
+  world.RunFor(length + 6s);
+  outcome.violations = static_cast<int>(world.violations().size());
+  return outcome;
+}
+
+// The shortest objectives are some 1.5 s: a tenth of that may pass unused once the store is back.
+TEST_CASE("after an outage of the store jobs are accepted within 150 ms of its return, however long it was") {
+  for (const Duration length : {2100ms, 2900ms, 3300ms, 4050ms, 4400ms, 4600ms}) {
+    const OutageOutcome outcome = PlayOutage(length);
+    INFO("outage of " << Millis(length) << " ms");
+    CHECK(outcome.violations == 0);
+    CHECK(outcome.first_accept <= 150ms);
+  }
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
