A job waits up to 600 ms for a store that is away, whenever it came

Cause: once an outage was noticed each job was refused on arrival. Callers come back 0.3 to 1.1 s later, so that what came in the last second before the store's return was accepted too late for short objectives, or not at all where the hosts died soon after. Change: admission.h MayWaitForStore; a waiting job is withdrawn after 600 ms of its own, truthfully, and asks for no advice before. A job that was withdrawn leaves the list of jobs to be written: its repeat stood there twice and crashed the owner (found by cell_faults_test before landing).

--- a/src/cell/admission.cc
+++ b/src/cell/admission.cc
@@ -6,11 +6,12 @@
 
 namespace {
 
-constexpr Duration kMaxStall = 600ms;     // Of the store.
-constexpr Duration kMaxLateness = 300ms;  // Of the control thread or of starts.
-constexpr size_t kMaxJobs = 20'000;       // Some 5 KB each within a host's memory.
-constexpr Duration kMinRetryAfter = 1s;   // Where no better time is known.
-constexpr Duration kMaxRetryAfter = 3s;   // Callers try again some four times.
+constexpr Duration kMaxStoreWait = 600ms;  // Of one job.
+constexpr Duration kMaxStall = 600ms;      // Of the store.
+constexpr Duration kMaxLateness = 300ms;   // Of the control thread or of starts.
+constexpr size_t kMaxJobs = 20'000;        // Some 5 KB each within a host's memory.
+constexpr Duration kMinRetryAfter = 1s;    // Where no better time is known.
+constexpr Duration kMaxRetryAfter = 3s;    // Callers try again some four times.
 
 }  // namespace
 
@@ -29,6 +30,10 @@
   return view.jobs >= kMaxJobs ? RefusalReason::kTooManyJobs : RefusalReason::kNone;
 }
 
+bool MayWaitForStore(RefusalReason reason, Duration waited) {
+  return reason == RefusalReason::kStoreStalled && waited < kMaxStoreWait;
+}
+
 Duration RetryAfter(const AdmissionView& view) {
   return std::clamp<Duration>(std::max(view.store_stalled, view.thread_late), kMinRetryAfter, kMaxRetryAfter);
 }
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -135,7 +135,7 @@
   }
   const AdmissionView load = LoadView();
   const RefusalReason reason = ReasonToRefuse(load, context_.settings.policies);
-  if (reason != RefusalReason::kNone) {
+  if (reason != RefusalReason::kNone && !MayWaitForStore(reason, Duration(0))) {
     const Duration retry_after = RetryAfter(load);
     context_.counters.Add(fmt::format("rejected{{queue=\"{}\"}}", queue->name));
     context_.Log("admission",
@@ -179,10 +179,13 @@
   std::vector<std::string> unsent;
   for (const std::string& id : dirty_) {
     const Job* job = FindJob(id);
-    if (job != nullptr && !job->spec_stored && !job->in_batch && !job->final) {
+    if (job != nullptr && !job->spec_stored && !job->in_batch && !job->final &&
+        !MayWaitForStore(RefusalReason::kStoreStalled, context_.Now() - job->accepted_at)) {
       unsent.push_back(id);
     }
   }
+  std::erase_if(dirty_,
+                [&](const std::string& id) { return std::find(unsent.begin(), unsent.end(), id) != unsent.end(); });
   for (const std::string& id : unsent) {
     const auto submitters = std::move(FindJob(id)->on_withdrawn);
     jobs_.erase(id);
@@ -210,7 +213,9 @@
                job.record.spec.steps.size(), jobs_.size(), configuration_.version);
   MarkDirty(job);
   job.WhenStored(std::move(accepted));
-  AskAhead(job);
+  if (ReasonToRefuse(LoadView(), context_.settings.policies) == RefusalReason::kNone) {
+    AskAhead(job);  // A job that waits for the store may yet be withdrawn.
+  }
 }
 
 // --- State, cancel, pending ---
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -540,5 +540,16 @@
   }
 }
 
+TEST_CASE("jobs that come in the last moments of an outage are accepted when it ends, and none waits for it long") {
+  for (const Duration length : {2100ms, 3300ms, 4600ms}) {
+    const OutageOutcome outcome = PlayOutage(length);
+    INFO("outage of " << Millis(length) << " ms");
+    CHECK(outcome.violations == 0);
+    REQUIRE(outcome.late_in_outage > 0);
+    CHECK(outcome.accepted_at_once == outcome.late_in_outage);
+    CHECK(outcome.longest_to_refusal <= 800ms);  // Half of the shortest objectives.
+  }
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
