A worker that has left is taken out of the roster, where the next owner would wait for it

Cause: the stored roster was written anew only when a worker was added. Ruled out: room (half of it free), advice (asked only after that wait). Change: a silent worker without runs, whose entry is gone for 2.5 s or whose hold has lapsed, is retired: the roster that leaves it out goes with the next batch. It gets no starts until a later roster that names it stands; the mark is cleared when the roster is filled, since the worker may answer while that is on its way. Test: cell_faults_test, a takeover 8 s after a worker has left: the waiting job started after more than 3 s, now at once; a worker that comes back is waited for by the next owner. A worker that left in the last 4.6 s before a takeover is still waited for.

--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -174,6 +174,7 @@
   void OnEndsSeen(Worker& worker) override;
   void OnSettled(Worker& worker) override;
   void OnChanged(Worker& worker) override;
+  void OnRetired(Worker& worker) override;
   void OnFenced() override;
   StepRun* FindStep(const TaskRef& task);
   TaskState* FindTask(const TaskRef& task, StepRun** step);
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -246,6 +246,12 @@
   ScheduleSoon();
 }
 
+void Owner::OnRetired(Worker& worker) {
+  context_.Log("worker", "event=worker_retired worker={} listed={}", worker.entry.id, worker.listed);
+  roster_dirty_ = true;
+  commit_.Request();
+}
+
 void Owner::OnFenced() {
   if (!deposed_once_) {
     deposed_once_ = true;
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -264,7 +264,7 @@
 void Owner::AddRoster(Batch& batch, BatchNews& news) {
   if (roster_dirty_) {
     roster_dirty_ = false;
-    news.roster = workers_.Roster();
+    news.roster = workers_.TakeRoster();
     batch.writes.push_back(StoreWrite{kRosterKey, EncodeRecord(news.roster), 0});
   }
 }
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -71,11 +71,13 @@
   return found == workers_.end() ? nullptr : found->second.get();
 }
 
-std::vector<WorkerLifeRecord> WorkerTable::Roster() const {
+std::vector<WorkerLifeRecord> WorkerTable::TakeRoster() {
   std::vector<WorkerLifeRecord> roster;
   for (const auto& [id, worker] : workers_) {
     if (worker->held || worker->unsettled) {
       roster.push_back(WorkerLifeRecord{id, worker->entry.address, worker->entry.born_ms});
+    } else {
+      worker->rostered = false;  // From now on: the roster that leaves it out may stand before its answer is here.
     }
   }
   return roster;
@@ -560,6 +562,13 @@
   listener_.OnChanged(worker);
 }
 
+// Nothing of this owner's runs there: until it answers again it need not stand in the roster, where the next owner
+// would wait for it.
+void WorkerTable::Retire(Worker& worker) {
+  worker.held = false;
+  listener_.OnRetired(worker);
+}
+
 void WorkerTable::Sweep() {
   const TimePoint now = context_.Now();
   std::vector<std::string> forgotten;
@@ -569,6 +578,10 @@
       context_.Log("worker", "event=worker_lapsed worker={} runs_lost={}", id, worker.placed.size());
       LoseAll(worker, GoneReason::kLapsed);
       Settle(worker);
+      Retire(worker);
+    } else if (worker.held && worker.silent && !worker.listed && worker.placed.empty() &&
+               now - worker.unlisted_since > kUnlistedGrace) {
+      Retire(worker);
     }
     if (!worker.listed && worker.placed.empty() && !worker.unsettled && now - worker.unlisted_since > kForgetAfter) {
       forgotten.push_back(id);
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -106,6 +106,7 @@
     virtual void OnEndsSeen(Worker& worker) = 0;  // There are ends to acknowledge once they stand in the store.
     virtual void OnSettled(Worker& worker) = 0;   // `unsettled` became false.
     virtual void OnChanged(Worker& worker) = 0;   // Room, usability or roster.
+    virtual void OnRetired(Worker& worker) = 0;   // The roster need not name it any more.
     virtual void OnFenced() = 0;                  // A worker has seen a higher token.
   };
 
@@ -136,7 +137,8 @@
   bool AnyUnsettled() const { return unsettled_ > 0; }
   // How long starts take to be answered, smoothed: what this host is behind with its calls. 0 if none was lately.
   Duration start_delay() const;
-  std::vector<WorkerLifeRecord> Roster() const;  // Lives that starts were or may be given to.
+  // Lives that starts were or may be given to, to be stored. The others get none until they are part of a later roster.
+  std::vector<WorkerLifeRecord> TakeRoster();
 
   // Looks for workers whose time has run out. Call it a few times a second.
   void Sweep();
@@ -163,6 +165,7 @@
   void LoseAll(Worker& worker, GoneReason reason);
   void VoidStarts(Worker& worker);
   void Settle(Worker& worker);
+  void Retire(Worker& worker);
   // Allowed until this time on the worker's clock; the table remembers when that is over for sure.
   void Allow(Worker& worker, Duration deadline);
   WorkerTarget TargetOf(const Worker& worker) const {
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -182,6 +182,56 @@
   CHECK(world.violations().empty());
 }
 
+// A worker that left long ago: the jobs of the owner before must not wait for it.
+TEST_CASE("after a takeover waiting jobs start at once although a worker had left before") {
+  CellWorld world(44, 4, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.SubmitSurely(JobOf(1, {StepOf(6, 500)}), TaskBehaviour{200ms, 0});
+  world.RunFor(1s);
+  world.worker(5).Crash();
+  world.store().Erase("workers/" + world.worker(5).entry.id);
+  world.RunFor(8s);
+  REQUIRE(HasOwner(world));
+  world.SubmitSurely(JobOf(2, {StepOf(5, 14'000)}), TaskBehaviour{3s, 0});
+  world.RunFor(300ms);
+  world.SubmitSurely(JobOf(3, {StepOf(1, 14'000)}), TaskBehaviour{200ms, 0});
+  world.RunFor(300ms);
+  REQUIRE(world.Accepted(JobId(3)));
+  const size_t owner = *world.OwnerIndex();
+  world.Kill(owner);
+  const auto other_owns = [&] { return HasOwner(world) && *world.OwnerIndex() != owner; };
+  REQUIRE(world.RunUntil(other_owns, 3s));
+  // The worker's room is free again 3 s after the start of the second job, and the third waits for nothing else.
+  CHECK(world.RunUntil([&] { return world.TimesDone(TaskRef{JobId(3), 0, 0, 0}) == 1; }, 3s));
+  CHECK(world.violations().empty());
+}
+
+// Out of the roster and back: a worker may be given starts only while the stored roster names it.
+TEST_CASE("a worker that was silent and unlisted comes back, and its runs are waited for by the next owner") {
+  CellWorld world(45, 4, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.worker(3).faults.silent = true;
+  world.store().Erase("workers/" + world.worker(3).entry.id);
+  world.RunFor(7s);
+  world.worker(3).faults.silent = false;
+  world.WriteEntry(world.worker(3));
+  world.RunFor(1s);
+  world.SubmitSurely(JobOf(1, {StepOf(4, 14'000)}), TaskBehaviour{8s, 0});
+  REQUIRE(world.RunUntil([&] { return world.starts() == 4; }, 2s));
+  world.RunFor(500ms);
+  const size_t owner = *world.OwnerIndex();
+  world.worker(3).faults.silent = true;
+  world.Kill(owner);
+  world.RunFor(5s);
+  CHECK(world.starts() == 4);  // The silent worker may run its task still.
+  world.worker(3).faults.silent = false;
+  world.RunFor(12s);
+  CHECK(world.StateOf("plain", JobId(1)) == JobState::kCompleted);
+  CHECK(world.violations().empty());
+}
+
 // Hosts of unlike strength: the owner does ten times the work of any other host.
 TEST_CASE("the cell comes to a strong host, at the start and after a takeover") {
   CellWorld world(33, 6, 6);
