--- a/bench/cell_load.cc
+++ b/bench/cell_load.cc
@@ -63,7 +63,9 @@
 };
 
 Load::Load(const LoadOptions& options)
-    : options_(options), random_(options.seed), world_(options.seed, options.hosts, options.workers) {}
+    : options_(options),
+      random_(options.seed),
+      world_(options.seed, options.hosts, options.workers, options.policies) {}
 
 void Load::Configure() {
   for (size_t i = 0; i < world_.worker_count(); ++i) {
--- a/bench/cell_load.h
+++ b/bench/cell_load.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "cell/policies.h"
 #include "cell/values.h"
 
 namespace hibiscus::cell {
@@ -48,7 +49,8 @@
   Duration event_cost{};  // Processor time of a host for each message, answer or timer.
   std::vector<LoadClass> classes;
   std::vector<LoadBurst> bursts;
-  bool log = false;  // Prints what the hosts log.
+  Policies policies;  // Of the hosts.
+  bool log = false;   // Prints what the hosts log.
 
   friend bool operator==(const LoadOptions&, const LoadOptions&) = default;
 };
--- a/bench/cell_load_main.cc
+++ b/bench/cell_load_main.cc
@@ -17,6 +17,7 @@
 DEFINE_double(length_s, 20, "seconds of traffic");
 DEFINE_double(load, 1, "times the deployment's usual rate");
 DEFINE_int32(event_cost_us, 0, "processor time of a host for each event, in microseconds");
+DEFINE_string(without, "", "a policy to switch off, by its name in cell/policies.h");
 DEFINE_bool(log, false, "prints what the hosts log; for one seed");
 DEFINE_string(burst, "", "QUEUE:FACTOR:AT:SECONDS, many jobs of one class at once");
 
@@ -51,6 +52,17 @@
   return std::nullopt;
 }
 
+// Empty: none. False if there is no such policy.
+bool SwitchOff(const std::string& name, Policies& policies) {
+  for (const NamedPolicy& policy : kNamedPolicies) {
+    if (policy.name == name) {
+      policies.*policy.on = false;
+      return true;
+    }
+  }
+  return name.empty();
+}
+
 void Print(uint64_t seed, const LoadOutcome& outcome, double processor_s) {
   fmt::print("seed {}: {} starts, {:.0f} s of advice, {:.2f} s of processor time, {} rules broken\n", seed,
              outcome.starts, outcome.advice_seconds, processor_s, outcome.violations.size());
@@ -88,6 +100,10 @@
   if (!FLAGS_burst.empty()) {
     options.bursts.push_back(hibiscus::cell::ParseBurst(FLAGS_burst));
   }
+  if (!hibiscus::cell::SwitchOff(FLAGS_without, options.policies)) {
+    fmt::print(stderr, "--without names no policy: {}\n", FLAGS_without);
+    return 2;
+  }
   const auto [first, last] = hibiscus::ParseSeeds(FLAGS_seeds);
   bool broken = false;
   for (options.seed = first; options.seed <= last; ++options.seed) {
--- a/src/cell/policies.h
+++ b/src/cell/policies.h
@@ -34,6 +34,31 @@
   friend auto operator<=>(const Policies&, const Policies&) = default;
 };
 
+struct NamedPolicy {
+  const char* name = nullptr;
+  bool Policies::*on = nullptr;
+};
+
+inline constexpr NamedPolicy kNamedPolicies[] = {
+    {"priority", &Policies::priority},
+    {"due_first", &Policies::due_first},
+    {"late_last", &Policies::late_last},
+    {"expired_last", &Policies::expired_last},
+    {"tightest_fit", &Policies::tightest_fit},
+    {"data_rack", &Policies::data_rack},
+    {"reservations", &Policies::reservations},
+    {"open_reservations", &Policies::open_reservations},
+    {"tickets_first", &Policies::tickets_first},
+    {"tentative", &Policies::tentative},
+    {"ask_ahead", &Policies::ask_ahead},
+    {"ask_further", &Policies::ask_further},
+    {"gather_asks", &Policies::gather_asks},
+    {"quarantine", &Policies::quarantine},
+    {"standstill", &Policies::standstill},
+    {"refuse_behind", &Policies::refuse_behind},
+    {"refuse_stalled", &Policies::refuse_stalled},
+};
+
 }  // namespace hibiscus::cell
 
 #endif  // HIBISCUSSTAND_SRC_CELL_POLICIES_H_
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -60,6 +60,7 @@
     settings.advice_address = "advice";
     settings.data_centre = "dc" + self.name_.substr(1);
     settings.max_direct_workers = self.world_.max_direct_workers;
+    settings.policies = self.world_.policies;
     return settings;
   }
 
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -403,7 +403,8 @@
 
 // --- The world ---
 
-CellWorld::CellWorld(uint64_t seed, int hosts, int workers) : random_(seed), store_(*this) {
+CellWorld::CellWorld(uint64_t seed, int hosts, int workers, const Policies& its_policies)
+    : policies(its_policies), random_(seed), store_(*this) {
   store_.on_change = [this] { WakeDue(watches_); };
   for (int i = 0; i < workers; ++i) {
     WorkerEntry entry;
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -148,7 +148,7 @@
 
 class CellWorld {
  public:
-  CellWorld(uint64_t seed, int hosts, int workers);
+  CellWorld(uint64_t seed, int hosts, int workers, const Policies& its_policies = {});
   ~CellWorld();
   CellWorld(const CellWorld&) = delete;
   CellWorld& operator=(const CellWorld&) = delete;
@@ -201,6 +201,7 @@
   void Configure();
   void WriteEntry(const FakeWorker& worker);
   bool log_to_stdout = false;
+  const Policies policies;                                        // Of all hosts.
   size_t max_direct_workers = CellSettings{}.max_direct_workers;  // Of processes that boot from now on.
 
   // Share of the messages between hosts that arrive up to two seconds late, after newer ones.
