A worker that said it would leave is taken out of the roster when its entry goes

The 2.5 s are for entries that lapse in an outage of the store. Change: no such wait for a draining worker.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -569,6 +569,13 @@
   listener_.OnRetired(worker);
 }
 
+// Its entry may also be gone because the store was away; not that of a worker that had said it would leave.
+bool WorkerTable::HasLeft(const Worker& worker, TimePoint now) const {
+  const bool unlisted_for_good =
+      !worker.listed && (worker.entry.draining || now - worker.unlisted_since > kUnlistedGrace);
+  return worker.held && worker.silent && unlisted_for_good && worker.placed.empty();
+}
+
 void WorkerTable::Sweep() {
   const TimePoint now = context_.Now();
   std::vector<std::string> forgotten;
@@ -579,8 +586,7 @@
       LoseAll(worker, GoneReason::kLapsed);
       Settle(worker);
       Retire(worker);
-    } else if (worker.held && worker.silent && !worker.listed && worker.placed.empty() &&
-               now - worker.unlisted_since > kUnlistedGrace) {
+    } else if (HasLeft(worker, now)) {
       Retire(worker);
     }
     if (!worker.listed && worker.placed.empty() && !worker.unsettled && now - worker.unlisted_since > kForgetAfter) {
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -165,6 +165,7 @@
   void LoseAll(Worker& worker, GoneReason reason);
   void VoidStarts(Worker& worker);
   void Settle(Worker& worker);
+  bool HasLeft(const Worker& worker, TimePoint now) const;
   void Retire(Worker& worker);
   // Allowed until this time on the worker's clock; the table remembers when that is over for sure.
   void Allow(Worker& worker, Duration deadline);
