In an outage a caller learns before its deadline that its job does not run

Ruled out: the batch in flight, whose jobs cannot be told from stored ones. Change: a request carries how long its caller still waits; a job that waits for the store unsent is withdrawn 200 ms before. Test: cell_faults_test, a caller with 400 ms left: no answer before its deadline, now a refusal, and the job never runs.

--- a/src/cell/admission.cc
+++ b/src/cell/admission.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Duration kMaxStoreWait = 600ms;  // Of one job.
+constexpr Duration kReplyMargin = 200ms;   // A refusal takes a sweep of the owner and two ways between regions.
 constexpr Duration kMaxStall = 600ms;      // Of the store.
 constexpr Duration kMaxLateness = 300ms;   // Of the control thread or of starts.
 constexpr size_t kMaxJobs = 20'000;        // Some 5 KB each within a host's memory.
@@ -30,8 +31,8 @@
   return view.jobs >= kMaxJobs ? RefusalReason::kTooManyJobs : RefusalReason::kNone;
 }
 
-bool MayWaitForStore(RefusalReason reason, Duration waited) {
-  return reason == RefusalReason::kStoreStalled && waited < kMaxStoreWait;
+bool MayWaitForStore(RefusalReason reason, Duration waited, Duration caller_left) {
+  return reason == RefusalReason::kStoreStalled && waited < kMaxStoreWait && caller_left > kReplyMargin;
 }
 
 Duration RetryAfter(const AdmissionView& view) {
--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -179,6 +179,7 @@
 
 void Host::Dispatch(uint64_t call) {
   Pending& pending = pending_.at(call);
+  pending.request.time_left = std::max<Duration>(pending.deadline - context_.Now(), 1ms);
   if (owner_ != nullptr) {
     pending.sent = true;
     pending.newest_term = known_.term;
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -101,6 +101,7 @@
   Duration objective{};  // From its acceptance; refreshed with the queue.
   Duration chain{};      // Longest chain of declared run times.
 
+  TimePoint caller_until{};  // While it is not stored: until then a caller waits to know whether it will be.
   bool spec_stored = false;
   std::string spec_key;                                // Batch of the log that has the job itself. Empty: none yet.
   std::string progress_key;                            // Batch that has how far it is. Empty: none yet.
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -21,9 +21,10 @@
   std::string reply_to;  // Peer address of the sender.
   CallerKind kind = CallerKind::kState;
   std::string queue;
-  std::string job;    // Empty for kPending.
-  std::string spec;   // kSubmit: a JobSpec as a record.
-  uint64_t term = 0;  // Of the owner that it is for: a later one has to be asked anew.
+  std::string job;           // Empty for kPending.
+  std::string spec;          // kSubmit: a JobSpec as a record.
+  uint64_t term = 0;         // Of the owner that it is for: a later one has to be asked anew.
+  Duration time_left = 0us;  // Until its caller stops waiting. 0: not known.
 
   friend bool operator==(const CallerRequest&, const CallerRequest&) = default;
 };
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -11,7 +11,12 @@
 constexpr Duration kPendingCountAge = 500ms;     // Counts of waiting jobs may be this old; callers allow 2 s.
 constexpr Duration kStateStallTimeout = 600ms;   // Then what stands is shown, if the store does not confirm news.
 constexpr Duration kUnavailableRetryAfter = 1s;  // Configurations reach all hosts within seconds.
-constexpr Duration kCopiesComeWithin = 15s;      // Of one request, after the first: longer than any caller waits.
+constexpr Duration kMaxCallerWait = 15s;
+constexpr Duration kCopiesComeWithin = kMaxCallerWait;  // Of one request, after the first.
+
+Duration CallerLeft(const CallerRequest& request) {
+  return request.time_left > Duration(0) ? request.time_left : kMaxCallerWait;
+}
 
 }  // namespace
 
@@ -121,6 +126,7 @@
       accepted();
     } else {
       known->on_withdrawn.push_back(withdrawn);
+      known->caller_until = std::max(known->caller_until, context_.Now() + CallerLeft(request));
       known->WhenStored(accepted);
     }
     return;
@@ -135,7 +141,7 @@
   }
   const AdmissionView load = LoadView();
   const RefusalReason reason = ReasonToRefuse(load, context_.settings.policies);
-  if (reason != RefusalReason::kNone && !MayWaitForStore(reason, Duration(0))) {
+  if (reason != RefusalReason::kNone && !MayWaitForStore(reason, Duration(0), CallerLeft(request))) {
     const Duration retry_after = RetryAfter(load);
     context_.counters.Add(fmt::format("rejected{{queue=\"{}\"}}", queue->name));
     context_.Log("admission",
@@ -147,7 +153,9 @@
     return;
   }
   AcceptJob(std::move(*spec), *queue, accepted);
-  FindJob(request.job)->on_withdrawn.push_back(withdrawn);
+  Job& job = *FindJob(request.job);
+  job.on_withdrawn.push_back(withdrawn);
+  job.caller_until = context_.Now() + CallerLeft(request);
 }
 
 void Owner::Refuse(const CallerRequest& request, const Reply& reply, CallerReply refusal) {
@@ -180,7 +188,8 @@
   for (const std::string& id : dirty_) {
     const Job* job = FindJob(id);
     if (job != nullptr && !job->spec_stored && !job->in_batch && !job->final &&
-        !MayWaitForStore(RefusalReason::kStoreStalled, context_.Now() - job->accepted_at)) {
+        !MayWaitForStore(RefusalReason::kStoreStalled, context_.Now() - job->accepted_at,
+                         job->caller_until - context_.Now())) {
       unsent.push_back(id);
     }
   }
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -89,7 +89,7 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, CallerRequest> {
-  return std::tie(self.call, self.reply_to, self.kind, self.queue, self.job, self.spec, self.term);
+  return std::tie(self.call, self.reply_to, self.kind, self.queue, self.job, self.spec, self.term, self.time_left);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, CallerReply> {
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -601,5 +601,32 @@
   }
 }
 
+// A caller whose deadline passes while its job waits for the store, unsent, is told that the job does not run; else it
+// could not know, and the job would run for nobody once the store is back.
+TEST_CASE("in an outage a caller learns before its deadline that its job does not run") {
+  CellWorld world(72, 3, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const size_t owner = *world.OwnerIndex();
+  world.store().faults.down = true;
+  world.Submit(owner, JobOf(2, {StepOf(1, 500)}), TaskBehaviour{}, [](const CallerReply&) {});  // In flight.
+  world.RunFor(1500ms);
+  std::optional<CallerReply> answer;
+  const JobSpec job = JobOf(1, {StepOf(1, 500)});
+  CallerRequest request;
+  request.kind = CallerKind::kSubmit;
+  request.queue = job.queue;
+  request.job = job.id;
+  request.spec = EncodeRecord(job);
+  world.host(owner)->Handle(request, world.Now() + 400ms, [&](const CallerReply& reply) { answer = reply; });
+  world.RunFor(390ms);
+  REQUIRE(answer.has_value());
+  CHECK(answer->outcome == CallerOutcome::kRejected);
+  world.store().faults.down = false;
+  world.RunFor(5s);
+  CHECK(world.TimesDone(TaskRef{job.id, 0, 0, 0}) == 0);
+  CHECK(world.violations().empty());
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -255,6 +255,10 @@
   CHECK(ReasonToRefuse(AdmissionView{10, 0ms, 400ms, 0ms}, all) == RefusalReason::kOwnerBehind);
   CHECK(ReasonToRefuse(AdmissionView{10, 0ms, 0ms, 400ms}, all) == RefusalReason::kOwnerBehind);
   CHECK(ReasonToRefuse(AdmissionView{20'000, 0ms, 0ms, 0ms}, all) == RefusalReason::kTooManyJobs);
+  CHECK(MayWaitForStore(RefusalReason::kStoreStalled, 0ms, 3s));
+  CHECK_FALSE(MayWaitForStore(RefusalReason::kStoreStalled, 700ms, 3s));
+  CHECK_FALSE(MayWaitForStore(RefusalReason::kStoreStalled, 0ms, 100ms));
+  CHECK_FALSE(MayWaitForStore(RefusalReason::kOwnerBehind, 0ms, 3s));
   CHECK(RetryAfter(AdmissionView{10, 700ms, 0ms, 0ms}) == 1s);
   CHECK(RetryAfter(AdmissionView{10, 2s, 0ms, 0ms}) == 2s);
   CHECK(RetryAfter(AdmissionView{10, 20s, 0ms, 0ms}) == 3s);
