Answers of the advice service to a withdrawn submission are ignored

Cause: a job that is withdrawn in an outage and handed in again within a second gets the answer to a call of its first submission; the count of its own calls went below zero and it never asked again: accepted, never done. Ruled out: counting down to zero only, which would take the answer for the second call's. Change: an answer counts for the submission that asked. Test: cell_faults_test, withdrawn and handed in again: never completed before, completed after.

--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -151,9 +151,9 @@
   bool stepping_down_ = false;      // As the owner, for a host with more processor time.
   TimePoint stepped_down_until_{};  // Another host is to take over.
   uint64_t owner_lease_ = 0;
-  uint64_t renewal_ = 0;  // Number of the newest renewal; only the newest goes on.
-  uint64_t renewal_timer_ = 0;
-  bool restoring_ = false;  // Its record is gone from the store and is being written again.
+  uint64_t renewal_ = 0;        // Number of the newest renewal; only the newest goes on.
+  uint64_t renewal_timer_ = 0;  // Of the next renewal; only the newest counts.
+  bool restoring_ = false;      // Its record is gone from the store and is being written again.
   bool leaving_ = false;
 
   std::map<uint64_t, Pending> pending_;
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -11,7 +11,7 @@
 constexpr Duration kPendingCountAge = 500ms;     // Counts of waiting jobs may be this old; callers allow 2 s.
 constexpr Duration kStateStallTimeout = 600ms;   // Then what stands is shown, if the store does not confirm news.
 constexpr Duration kUnavailableRetryAfter = 1s;  // Configurations reach all hosts within seconds.
-constexpr Duration kMaxCallerWait = 15s;
+constexpr Duration kMaxCallerWait = 15s;         // Longer than any caller waits for an answer.
 constexpr Duration kCopiesComeWithin = kMaxCallerWait;  // Of one request, after the first.
 
 Duration CallerLeft(const CallerRequest& request) {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -207,7 +207,7 @@
   void StartTask(StepRun& step, int index, Worker& worker);
   void Ask(const AskAdvice& ask);
   void AskAhead(Job& job);
-  void OnAdviceFor(const TaskRef& ref, const std::vector<std::string>& asked, const AdviceAnswer& answer);
+  void OnAdviceFor(StepRun& step, const std::vector<std::string>& asked, const AdviceAnswer& answer);
   void TakePermits(StepRun& step, const std::vector<std::string>& asked, const AdviceAnswer& answer);
   void PlaceWithTickets(StepRun& step);
   void SetQueue(Job& job, const QueueSpec& queue);
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -202,26 +202,26 @@
   step.advice.asked_at = context_.Now();
   const Duration cost = AdviceCost(*step.job->queue.advice, names.size());
   const TaskRef ref = step.RefOf(0);
-  advice_.Ask(ref, names, cost, [this, alive = alive_, ref, names](const AdviceAnswer& answer) {
-    if (*alive) {
-      OnAdviceFor(ref, names, answer);
+  const TimePoint accepted_at = step.job->accepted_at;
+  advice_.Ask(ref, names, cost, [this, alive = alive_, ref, names, accepted_at](const AdviceAnswer& answer) {
+    StepRun* asked_for = *alive ? FindStep(ref) : nullptr;
+    // A job that was withdrawn and handed in again has calls of its own.
+    if (asked_for != nullptr && asked_for->job->accepted_at == accepted_at) {
+      OnAdviceFor(*asked_for, names, answer);
     }
   });
 }
 
-void Owner::OnAdviceFor(const TaskRef& ref, const std::vector<std::string>& asked, const AdviceAnswer& answer) {
-  StepRun* step = FindStep(ref);
-  if (step == nullptr) {
-    return;
-  }
-  --step->advice.asking;
-  if (answer.answered && step->job->queue.advice) {
-    TakePermits(*step, asked, answer);
+void Owner::OnAdviceFor(StepRun& step, const std::vector<std::string>& asked, const AdviceAnswer& answer) {
+  --step.advice.asking;
+  if (answer.answered && step.job->queue.advice) {
+    TakePermits(step, asked, answer);
   }
-  context_.Log("advice", "event=advice job={} step={} asked={} allowed={} answered={} took_ms={}", ref.job, ref.step,
-               asked.size(), answer.allowed.size(), answer.answered, Millis(context_.Now() - step->advice.asked_at));
-  if (!step->set_aside.empty()) {
-    PlaceWithTickets(*step);
+  context_.Log("advice", "event=advice job={} step={} asked={} allowed={} answered={} took_ms={}", step.job->id(),
+               step.step, asked.size(), answer.allowed.size(), answer.answered,
+               Millis(context_.Now() - step.advice.asked_at));
+  if (!step.set_aside.empty()) {
+    PlaceWithTickets(step);
   }
   ScheduleSoon();
 }
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -131,7 +131,7 @@
   void Acknowledge(const std::string& id, int64_t born_ms, int64_t number);
 
   Worker* Find(const std::string& id);
-  Worker* FindNumber(size_t number);
+  Worker* FindNumber(size_t number);  // By Worker::number.
   std::map<std::string, std::unique_ptr<Worker>>& workers() { return workers_; }
   size_t last_number() const { return last_number_; }  // No worker has a higher one.
   bool AnyUnsettled() const { return unsettled_ > 0; }
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -628,5 +628,32 @@
   CHECK(world.violations().empty());
 }
 
+// The answer of the advice service to the first submission comes while the second one waits for the store.
+TEST_CASE("a job that was withdrawn in an outage and handed in again is done") {
+  CellWorld world(73, 3, 4);
+  AddQueues(world);
+  world.configuration.queues[1].advice = AdviceSpec{1100ms, 1ms, 300ms};
+  world.Configure();
+  REQUIRE(Settle(world));
+  const size_t owner = *world.OwnerIndex();
+  world.store().faults.down = true;
+  world.Submit(owner, JobOf(2, {StepOf(1, 500)}), TaskBehaviour{}, [](const CallerReply&) {});  // In flight.
+  world.RunFor(30ms);
+  const JobSpec job = JobOf(1, {StepOf(1, 500)}, "advised");
+  std::vector<CallerOutcome> outcomes;
+  const auto note = [&](const CallerReply& reply) { outcomes.push_back(reply.outcome); };
+  world.Submit(owner, job, TaskBehaviour{200ms, 0}, note);
+  world.RunFor(900ms);
+  REQUIRE(outcomes == std::vector<CallerOutcome>{CallerOutcome::kRejected});
+  world.Submit(owner, job, TaskBehaviour{200ms, 0}, note);
+  world.RunFor(450ms);
+  world.store().faults.down = false;
+  world.RunFor(8s);
+  REQUIRE(outcomes.size() == 2);
+  CHECK(outcomes[1] == CallerOutcome::kDone);
+  CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+  CHECK(world.violations().empty());
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
