A member of a gang that has done its part is not taken for one that stands still

Cause: members of a gang end together. Change: such a member is waited for while another is at work. Test: cell_faults_test, a gang of 9 s whose first member is done after 3 s: started twice and never completed, now once.

--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr int kAllDone = 100;             // Percent.
 constexpr Duration kStandstill = 1500ms;  // Several looks at a worker: even a slow task moves by a percent meanwhile.
 
 }  // namespace
@@ -37,6 +38,12 @@
 
 namespace {
 
+// Members of a gang end together, the first to have done its part long before the last.
+bool AnyMemberAtWork(const StepRun& step) {
+  return std::any_of(step.tasks.begin(), step.tasks.end(),
+                     [](const TaskState& task) { return task.phase == TaskPhase::kPlaced && task.percent < kAllDone; });
+}
+
 bool IsCurrent(const TaskState& task, const Worker& worker, const RunRef& run) {
   return task.phase == TaskPhase::kPlaced && task.run == run.run && task.worker == worker.entry.id;
 }
@@ -63,6 +70,10 @@
     task.percent = percent;
     return;
   }
+  if (step.spec->gang && percent >= kAllDone && AnyMemberAtWork(step)) {
+    task.moved_at = now;
+    return;
+  }
   const Duration timeout = kStandstill + (step.spec->gang ? context_.settings.gang_timeout : Duration(0));
   const bool exempt = step.spec->long_running || !context_.settings.policies.standstill;
   if (exempt || task.stopping || now - task.moved_at < timeout) {
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -425,6 +425,21 @@
   CHECK(world.violations().empty());
 }
 
+// Members of a gang end together: on a fast worker, or with less to do, one is done long before the last.
+TEST_CASE("a member of a gang that has done its part is not taken for one that stands still") {
+  CellWorld world(26, 3, 2);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.worker(0).speed = 3;
+  StepSpec step = StepOf(2, 14'000);
+  step.gang = true;
+  world.SubmitSurely(JobOf(1, {step}), TaskBehaviour{9s, 0});
+  world.RunFor(11s);
+  CHECK(world.starts() == 2);
+  CHECK(world.StateOf("plain", JobId(1)) == JobState::kCompleted);
+  CHECK(world.violations().empty());
+}
+
 // A worker that fails at once is always free, so that it would draw ever more work.
 TEST_CASE("a worker that fails all it starts is kept out, and jobs do not use up their attempts on it") {
   CellWorld world(22, 3, 6);
