Reading the change again: one search for a host's queue, one pass of withdrawal, one maker of workers

What the change had written twice or in a roundabout way: the search for a host's queue of advice calls (two places), the list of jobs to be written searched again for each withdrawn one, workers numbered and entered in two places, three cases of event_log_test with the same writer and reader. Behaviour as before; the tests keep their assertions. Ruled out: merging the renewal's number with its timer (a late failure would then shorten the next renewal), and the sort of reservations with that of gangs (they differ in the order of ties on purpose).

--- a/src/cell/admission.h
+++ b/src/cell/admission.h
@@ -33,9 +33,9 @@
 RefusalReason ReasonToRefuse(const AdmissionView& view, const Policies& policies);
 
 // Whether a job that came this long ago may go on waiting for a store that confirms nothing; its caller stops waiting
-// after `caller_left`, and must know by then that it does not run. Answers the end of an
-// outage: what came in its last moments is stored at once, where a caller that was refused would come back too late for
-// a short objective. Baseline: only what came before the outage was noticed.
+// after `caller_left`, and must know by then that it does not run. Answers the end of an outage: what came in its last
+// moments is stored at once, where a caller that was refused would come back too late for a short objective. Baseline:
+// only what came before the outage was noticed.
 bool MayWaitForStore(RefusalReason reason, Duration waited, Duration caller_left);
 
 // Retry-After: as long as what the refusal is for has lasted, since that is likely to last as long again; within what
--- a/src/cell/advice_dispatcher.cc
+++ b/src/cell/advice_dispatcher.cc
@@ -24,14 +24,19 @@
   }
   std::vector<AdviceQueue> queues;
   for (const std::string& address : addresses) {
-    const auto known = std::lower_bound(hosts_.begin(), hosts_.end(), address);
-    const bool found = known != hosts_.end() && *known == address;
-    queues.push_back(found ? queues_.queues()[static_cast<size_t>(known - hosts_.begin())] : AdviceQueue{});
+    const std::optional<size_t> known = QueueOf(address);
+    queues.push_back(known ? queues_.queues()[*known] : AdviceQueue{});
   }
   hosts_.assign(addresses.begin(), addresses.end());
   queues_ = AdviceQueues(std::move(queues));
 }
 
+std::optional<size_t> AdviceDispatcher::QueueOf(const std::string& host) const {
+  const auto found = std::lower_bound(hosts_.begin(), hosts_.end(), host);
+  const bool known = found != hosts_.end() && *found == host;
+  return known ? std::optional<size_t>(found - hosts_.begin()) : std::nullopt;
+}
+
 void AdviceDispatcher::Ask(const TaskRef& step, const std::vector<std::string>& workers, Duration cost, Done done) {
   const TimePoint now = context_.Now();
   const size_t queue = queues_.Assign(now, cost);
@@ -62,9 +67,8 @@
   if (late == calls_.end()) {
     return;
   }
-  const auto host = std::lower_bound(hosts_.begin(), hosts_.end(), late->second.host);
-  if (host != hosts_.end() && *host == late->second.host) {
-    queues_.Avoid(static_cast<size_t>(host - hosts_.begin()), context_.Now() + kAvoidFor);
+  if (const std::optional<size_t> queue = QueueOf(late->second.host); queue) {
+    queues_.Avoid(*queue, context_.Now() + kAvoidFor);
   }
   context_.Log("advice", "event=advice_unanswered asker={}", late->second.host);
   context_.counters.Add("advice_unanswered");
--- a/src/cell/advice_dispatcher.h
+++ b/src/cell/advice_dispatcher.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,7 @@
     TimePoint begun{};
   };
 
+  std::optional<size_t> QueueOf(const std::string& host) const;  // None if the host is not listed.
   void Finish(uint64_t number, const AdviceAnswer& answer);
   void OnTimeout(uint64_t number);
 
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -184,18 +184,18 @@
   if (ReasonToRefuse(load, context_.settings.policies) != RefusalReason::kStoreStalled) {
     return;
   }
-  std::vector<std::string> unsent;
-  for (const std::string& id : dirty_) {
+  std::vector<std::string> withdrawn;
+  std::erase_if(dirty_, [&](const std::string& id) {
     const Job* job = FindJob(id);
-    if (job != nullptr && !job->spec_stored && !job->in_batch && !job->final &&
-        !MayWaitForStore(RefusalReason::kStoreStalled, context_.Now() - job->accepted_at,
-                         job->caller_until - context_.Now())) {
-      unsent.push_back(id);
+    const bool unsent = job != nullptr && !job->spec_stored && !job->in_batch && !job->final;
+    if (!unsent || MayWaitForStore(RefusalReason::kStoreStalled, context_.Now() - job->accepted_at,
+                                   job->caller_until - context_.Now())) {
+      return false;
     }
-  }
-  std::erase_if(dirty_,
-                [&](const std::string& id) { return std::find(unsent.begin(), unsent.end(), id) != unsent.end(); });
-  for (const std::string& id : unsent) {
+    withdrawn.push_back(id);
+    return true;
+  });
+  for (const std::string& id : withdrawn) {
     const auto submitters = std::move(FindJob(id)->on_withdrawn);
     jobs_.erase(id);
     context_.Log("admission", "event=withdrawn job={} reason=store_stalled stalled_ms={}", id,
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -83,11 +83,16 @@
   return roster;
 }
 
+std::unique_ptr<Worker> WorkerTable::MakeWorker() {
+  auto worker = std::make_unique<Worker>(++last_number_);
+  by_number_[last_number_] = worker.get();
+  return worker;
+}
+
 void WorkerTable::AddFromRoster(const WorkerLifeRecord& life) {
   std::unique_ptr<Worker>& slot = workers_[life.id];
   if (slot == nullptr) {
-    slot = std::make_unique<Worker>(++last_number_);
-    by_number_[last_number_] = slot.get();
+    slot = MakeWorker();
     slot->entry.id = life.id;
     slot->entry.address = life.address;
     slot->entry.born_ms = life.born_ms;
@@ -105,8 +110,7 @@
 void WorkerTable::OnEntry(const WorkerEntry& entry) {
   std::unique_ptr<Worker>& slot = workers_[entry.id];
   if (slot == nullptr) {
-    slot = std::make_unique<Worker>(++last_number_);
-    by_number_[last_number_] = slot.get();
+    slot = MakeWorker();
     slot->entry = entry;
     slot->listed = true;
     HoldIn(*slot, 0us);
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -144,6 +144,7 @@
   void Sweep();
 
  private:
+  std::unique_ptr<Worker> MakeWorker();  // With the next number.
   void BeginLife(Worker& worker, int64_t born_ms);
   void HoldIn(Worker& worker, Duration delay);
   void SendHold(Worker& worker);
--- a/tests/event_log_test.cc
+++ b/tests/event_log_test.cc
@@ -72,7 +72,8 @@
   return received;
 }
 
-void WriteLines(int descriptor, size_t most_buffered, size_t padding) {
+void WriteLines(int descriptor, size_t most_buffered) {
+  constexpr int kPadding = 90;  // Characters, and up to 16 more.
   const BootClock clock;
   EventLog log(EventLogOptions{.host = "a1",
                                .lines_a_second = kLines,
@@ -81,18 +82,25 @@
                                .descriptor = descriptor},
                clock);
   for (int i = 0; i < kLines; ++i) {
-    log.Write("test", fmt::format("event=test number={} {} end", i, std::string(padding + i % 17, 'x')));
+    log.Write("test",
+              fmt::format("event=test number={} {} end", i, std::string(static_cast<size_t>(kPadding + i % 17), 'x')));
   }
 }
 
-TEST_CASE("each write of the log carries whole lines and no more than a pipe takes at once") {
-  PacketPipe pipe;
+// Writes all lines while a reader takes them, pausing after each packet.
+Received ReadWhileWriting(PacketPipe& pipe, size_t most_buffered, Duration pause) {
   std::thread writer([&] {
-    WriteLines(pipe.ends[1], size_t{4} << 20, 90);
+    WriteLines(pipe.ends[1], most_buffered);
     pipe.CloseWriter();
   });
-  const Received received = ReadAll(pipe.ends[0], 0us);
+  const Received received = ReadAll(pipe.ends[0], pause);
   writer.join();
+  return received;
+}
+
+TEST_CASE("each write of the log carries whole lines and no more than a pipe takes at once") {
+  PacketPipe pipe;
+  const Received received = ReadWhileWriting(pipe, size_t{4} << 20, 0us);
   CHECK(received.torn == 0);
   CHECK(received.largest_packet <= PIPE_BUF);
   CHECK(received.lines == kLines);
@@ -100,12 +108,7 @@
 
 TEST_CASE("with a slow reader each line comes out whole or is counted as dropped") {
   PacketPipe pipe;
-  std::thread writer([&] {
-    WriteLines(pipe.ends[1], size_t{16} << 10, 90);
-    pipe.CloseWriter();
-  });
-  const Received received = ReadAll(pipe.ends[0], 1ms);
-  writer.join();
+  const Received received = ReadWhileWriting(pipe, size_t{16} << 10, 1ms);
   CHECK(received.torn == 0);
   CHECK(received.dropped > 0);
   CHECK(received.lines + received.dropped == kLines);
@@ -114,12 +117,7 @@
 TEST_CASE("with a reader that is behind and a log that does not block, no line is torn") {
   PacketPipe pipe;
   REQUIRE(fcntl(pipe.ends[1], F_SETFL, O_NONBLOCK | O_DIRECT) == 0);
-  std::thread writer([&] {
-    WriteLines(pipe.ends[1], size_t{64} << 10, 90);
-    pipe.CloseWriter();
-  });
-  const Received received = ReadAll(pipe.ends[0], 1ms);
-  writer.join();
+  const Received received = ReadWhileWriting(pipe, size_t{64} << 10, 1ms);
   CHECK(received.torn == 0);
 }
 
