Keys: callers of the cell are known by API keys, and a withdrawn key is refused in time by every host

Change: hosts refuse unknown keys at once (401) and pass on the digest of a key, never the key; the owner, from which alone success comes, checks it again while a linearizable read confirms that its configuration was the newest less than the withdrawal limit ago, counted from before the read was sent, on the clock that includes pauses. Nothing is read where the configuration has no tenants. Way not taken: each host confirms its own configuration. By count: 39 hosts x 3.3 reads a second against 3.3 of the owner, and a host that is cut off from the store refuses what the owner can still serve.

--- a/src/cell/context.h
+++ b/src/cell/context.h
@@ -27,6 +27,8 @@
   Duration ended_job_retention = 120s;  // How long the state of an ended job is reported; limit of the platform.
   Duration min_lease_ttl = 1s;          // Shortest lease that the store grants; limit of the platform.
   std::string advice_address;           // Empty: no advice service.
+  // A withdrawn API key is refused by every host after this time. 0: as soon as its host has the configuration.
+  Duration key_withdrawal_limit = 0us;
   // Up to this many workers, the owner contacts them directly; with more, through relays. With 350 workers and 750
   // starts per second, the calls alone saturated a host of half a core (docs/CAPACITY.md).
   size_t max_direct_workers = 100;
--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -172,6 +172,12 @@
   Dispatch(call);
 }
 
+void Host::CountUnknownKey(const KeyDigest& key, uint64_t version) {
+  const char* reason = key.empty() ? "no_key" : "unknown_key";
+  context_.counters.Add(fmt::format("key_refusals{{reason=\"{}\"}}", reason));
+  context_.Log("key", "event=refused reason={} key={} config={}", reason, LoggedDigits(key), version);
+}
+
 void Host::DispatchIn(uint64_t call, Duration delay) {
   const auto pending = pending_.find(call);
   if (pending == pending_.end()) {
@@ -235,8 +241,7 @@
     DispatchIn(reply.call, kUnsureRetryDelay);
     return;
   }
-  const bool refused = reply.outcome == CallerOutcome::kRejected || reply.outcome == CallerOutcome::kUnavailable;
-  if (refused && reply.term < found->second.newest_sent_term) {
+  if (IsRefusal(reply.outcome) && reply.term < found->second.newest_sent_term) {
     // A newer owner also has the request and may accept it, so its reply is decisive.
     context_.Log("caller", "event=refusal_overtaken job={} term={} asked_term={}", found->second.request.job,
                  reply.term, found->second.newest_sent_term);
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -38,6 +38,8 @@
   // `reply_to` of the request.
   void Handle(CallerRequest request, TimePoint deadline, Reply reply);
   void OnPeerMessage(const std::string& bytes);
+  // A request was refused because no tenant has its key in the configuration of this version.
+  void CountUnknownKey(const KeyDigest& key, uint64_t version);
 
   // Starts a planned shutdown: an owner releases its ownership, and callers are still served. Calls `on_left` once.
   void Leave(std::function<void()> on_left);
--- a/src/cell/job_table.cc
+++ b/src/cell/job_table.cc
@@ -51,6 +51,10 @@
   return size;
 }
 
+const std::string& StepRun::tenant() const {
+  return job->record.tenant;
+}
+
 const StepAdvice::Permit& StepAdvice::For(size_t worker) const {
   static const Permit kNone;
   const auto permit = permits.find(worker);
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -16,6 +16,9 @@
 
 struct Job;
 
+// Identifies a call of another host: its address and the id that it chose.
+using CallId = std::pair<std::string, uint64_t>;
+
 enum class TaskPhase { kWaiting, kPlaced, kDone };
 
 struct TaskState {
@@ -78,6 +81,9 @@
   TaskRef RefOf(int index) const;
   // Resources that one task takes on a worker.
   Resources task_size() const;
+  // Resources of one task that count against its tenant's maximum.
+  const Resources& quota_size() const { return spec->size; }
+  const std::string& tenant() const;
 };
 
 struct Occurrence {
@@ -100,6 +106,8 @@
   Duration objective{};           // Target time since acceptance; updated with the queue.
   Duration critical_path_time{};  // Longest chain of declared run times.
 
+  bool beyond_share = false;  // Its tenant sent more than the rate that it is owed.
+
   TimePoint caller_deadline{};  // While the job is not stored: until when a caller waits to learn whether it will be.
   bool spec_stored = false;
   std::string spec_key;                                   // Log batch that contains the job itself. Empty: none yet.
@@ -113,6 +121,7 @@
   int occurrence_count() const { return record.spec.occurrences == 0 ? 1 : record.spec.occurrences; }
   // Callbacks of submitters until the job is first sent to the store.
   std::vector<std::function<void(Duration retry_after)>> on_withdrawn;
+  std::set<CallId> submissions;  // Calls of this job that were authorized: copies that come later are not judged again.
 
   // Calls `done` once the current state of the job is stored.
   void WhenStored(std::function<void()> done);
--- a/src/cell/messages.cc
+++ b/src/cell/messages.cc
@@ -26,6 +26,11 @@
 
 }  // namespace
 
+bool IsRefusal(CallerOutcome outcome) {
+  return outcome == CallerOutcome::kRejected || outcome == CallerOutcome::kUnavailable ||
+         outcome == CallerOutcome::kUnauthorized || outcome == CallerOutcome::kInvalidJob;
+}
+
 std::string EncodeMessage(const Message& message) {
   Json fields = std::visit([](const auto& value) { return ToJson(value); }, message);
   std::string bytes;
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -27,6 +27,7 @@
   std::string spec;   // kSubmit: the encoded JobSpec.
   uint64_t term = 0;  // Term of the addressed owner; owners of later terms decline, so the sender must ask again.
   Duration time_left = 0us;  // Time until the caller stops waiting; 0 if unknown.
+  KeyDigest key;             // Of the caller's API key; empty if it sent none.
 
   friend bool operator==(const CallerRequest&, const CallerRequest&) = default;
 };
@@ -38,7 +39,11 @@
   kUnavailable,     // Nothing was done, and the job's state is unknown; retry after `retry_after`.
   kOutcomeUnknown,  // Submit, cancel: may have been committed to the store; repeat the request.
   kNotOwner,        // Nothing was done; this host does not own the cell.
+  kUnauthorized,    // Nothing was done: the call carries no valid API key.
+  kInvalidJob,      // Submit: the job was not accepted, and repeating the request will not help.
 };
+// True if the request was refused: it was not carried out and never will be.
+bool IsRefusal(CallerOutcome outcome);
 
 struct CallerReply {
   uint64_t call = 0;
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -12,12 +12,9 @@
 // If the store has not confirmed a job's end by then, a state query gets the last stored state.
 constexpr Duration kStateStallTimeout = 600ms;
 constexpr Duration kUnavailableRetryAfter = 1s;  // A new configuration reaches all hosts within seconds.
-constexpr Duration kMaxCallerWait = 15s;         // Upper bound of the time that callers wait for an answer.
-// Duplicates of a request arrive within this time after the first copy.
-constexpr Duration kDuplicateWindow = kMaxCallerWait;
 
 Duration CallerTimeLeft(const CallerRequest& request) {
-  return request.time_left > Duration(0) ? request.time_left : kMaxCallerWait;
+  return request.time_left > Duration(0) ? request.time_left : Owner::kMaxCallerWait;
 }
 
 }  // namespace
@@ -29,6 +26,11 @@
     : context_(context),
       ownership_(ownership),
       configuration_(std::move(configuration)),
+      proof_(context,
+             [this](const StoreItem& item) {
+               const auto read = context_.directory.ReadConfiguration(item);
+               return read && PutInForce(*read);
+             }),
       on_deposed_(std::move(on_deposed)),
       relay_(context, ownership.term),
       workers_(context, relay_, ownership.term, *this),
@@ -48,6 +50,9 @@
 void Owner::Begin() {
   context_.Log("owner", "event=takeover epoch={} term={}", ownership_.epoch, ownership_.term);
   loading_began_at_ = context_.Now();
+  if (configuration_.needs_keys && context_.settings.key_withdrawal_limit > Duration(0)) {
+    proof_.Begin();
+  }
   ReadJobs();
   Tick();
 }
@@ -90,15 +95,22 @@
     deferred_requests_.emplace_back(request, std::move(reply));
     return;
   }
+  if (request.kind == CallerKind::kSubmit) {
+    Submit(request, reply);
+    return;
+  }
+  const std::optional<std::string> tenant = Authorize(request, reply);
+  if (!tenant) {
+    return;
+  }
   switch (request.kind) {
     case CallerKind::kSubmit:
-      Submit(request, reply);
       return;
     case CallerKind::kState:
-      ReplyState(request, reply);
+      ReplyState(request, *tenant, reply);
       return;
     case CallerKind::kCancel:
-      Cancel(request, reply);
+      Cancel(request, *tenant, reply);
       return;
     case CallerKind::kPending:
       ReplyPending(request, reply);
@@ -109,31 +121,53 @@
 // --- Submit ---
 
 void Owner::Submit(const CallerRequest& request, const Reply& reply) {
-  const auto accepted = [call = request.call, reply] {
-    reply(CallerReply{.call = call, .outcome = CallerOutcome::kDone});
-  };
-  const auto withdrawn = [this, request, reply](Duration retry_after) {
-    Refuse(request, reply, CallerReply{.outcome = CallerOutcome::kRejected, .retry_after = retry_after});
-  };
-  if (const auto earlier_refusal = refusals_.find({request.reply_to, request.call});
-      earlier_refusal != refusals_.end()) {
+  const CallId call(request.reply_to, request.call);
+  if (const auto earlier_refusal = refusals_.find(call); earlier_refusal != refusals_.end()) {
     reply(earlier_refusal->second);
     return;
   }
-  if (ended_jobs_.contains(request.job)) {
-    accepted();
+  const Job* existing = FindJob(request.job);
+  if (existing != nullptr && existing->submissions.contains(call)) {
+    SubmitKnown(request, reply);
     return;
   }
-  if (Job* existing = FindJob(request.job); existing != nullptr) {
-    if (existing->spec_stored) {
-      accepted();
-    } else {
-      existing->on_withdrawn.push_back(withdrawn);
-      existing->caller_deadline = std::max(existing->caller_deadline, context_.Now() + CallerTimeLeft(request));
-      existing->WhenStored(accepted);
-    }
+  const std::optional<std::string> tenant = Authorize(request, reply);
+  if (!tenant) {
     return;
   }
+  const std::optional<std::string> known = TenantOfJob(request.job);
+  if (!known) {
+    SubmitNew(request, *tenant, reply);
+  } else if (MayAccess(request, *tenant, *known)) {
+    SubmitKnown(request, reply);
+  } else {
+    context_.Log("admission", "event=rejected job={} queue={} tenant={} reason=id_of_other_tenant", request.job,
+                 request.queue, *tenant);
+    Refuse(request, reply, CallerReply{.outcome = CallerOutcome::kInvalidJob});
+  }
+}
+
+// Submission of a job that was already submitted, or a copy of an earlier request.
+void Owner::SubmitKnown(const CallerRequest& request, const Reply& reply) {
+  Job* job = FindJob(request.job);
+  if (job == nullptr || job->spec_stored) {
+    reply(CallerReply{.call = request.call, .outcome = CallerOutcome::kDone});
+    return;
+  }
+  AwaitAcceptance(*job, request, reply);
+}
+
+// Replies once the job is stored or withdrawn.
+void Owner::AwaitAcceptance(Job& job, const CallerRequest& request, const Reply& reply) {
+  job.submissions.emplace(request.reply_to, request.call);
+  job.on_withdrawn.push_back([this, request, reply](Duration retry_after) {
+    Refuse(request, reply, CallerReply{.outcome = CallerOutcome::kRejected, .retry_after = retry_after});
+  });
+  job.caller_deadline = std::max(job.caller_deadline, context_.Now() + CallerTimeLeft(request));
+  job.WhenStored([call = request.call, reply] { reply(CallerReply{.call = call, .outcome = CallerOutcome::kDone}); });
+}
+
+void Owner::SubmitNew(const CallerRequest& request, const std::string& tenant, const Reply& reply) {
   const QueueSpec* queue = configuration_.FindQueue(request.queue);
   auto spec = DecodeRecord<JobSpec>(request.spec);
   if (queue == nullptr || !spec) {
@@ -155,10 +189,7 @@
     Refuse(request, reply, CallerReply{.outcome = CallerOutcome::kRejected, .retry_after = retry_after});
     return;
   }
-  AcceptJob(std::move(*spec), *queue, accepted);
-  Job& job = *FindJob(request.job);
-  job.on_withdrawn.push_back(withdrawn);
-  job.caller_deadline = context_.Now() + CallerTimeLeft(request);
+  AwaitAcceptance(AcceptJob(std::move(*spec), *queue, tenant), request, reply);
 }
 
 void Owner::Refuse(const CallerRequest& request, const Reply& reply, CallerReply refusal) {
@@ -209,10 +240,10 @@
   }
 }
 
-void Owner::AcceptJob(JobSpec spec, const QueueSpec& queue, std::function<void()> accepted) {
+Job& Owner::AcceptJob(JobSpec spec, const QueueSpec& queue, const std::string& tenant) {
   auto new_job = std::make_unique<Job>();
   Job& job = *new_job;
-  job.record = JobRecord{ownership_.epoch, context_.wall.NowMs(), std::move(spec), queue};
+  job.record = JobRecord{ownership_.epoch, context_.wall.NowMs(), std::move(spec), queue, tenant};
   SetQueue(job, queue);
   job.accepted_at = context_.Now();
   jobs_[job.id()] = std::move(new_job);
@@ -221,29 +252,29 @@
     job.next_occurrence = 1;
   }
   context_.counters.Add(fmt::format("accepted{{queue=\"{}\"}}", queue.name));
-  context_.Log("admission", "event=accepted job={} queue={} steps={} jobs={} config={}", job.id(), queue.name,
-               job.record.spec.steps.size(), jobs_.size(), configuration_.version);
+  context_.Log("admission", "event=accepted job={} queue={} tenant={} steps={} jobs={} config={}", job.id(), queue.name,
+               tenant, job.record.spec.steps.size(), jobs_.size(), configuration_.version);
   MarkDirty(job);
-  job.WhenStored(std::move(accepted));
   if (ReasonToRefuse(CurrentLoad(), context_.settings.policies) == RefusalReason::kNone) {
     RequestAdviceAhead(job);  // Not while overloaded: the job may still be withdrawn.
   }
+  return job;
 }
 
 // --- State, cancel, pending ---
 
-void Owner::ReplyState(const CallerRequest& request, const Reply& reply) {
+void Owner::ReplyState(const CallerRequest& request, const std::string& tenant, const Reply& reply) {
   const auto answer = [call = request.call, reply](CallerOutcome outcome, JobState state) {
     reply(CallerReply{.call = call, .outcome = outcome, .state = state});
   };
   const auto ended = ended_jobs_.find(request.job);
   if (ended != ended_jobs_.end()) {
-    answer(ended->second.queue == request.queue ? CallerOutcome::kDone : CallerOutcome::kNoSuchJob,
-           ended->second.state);
+    const bool own = ended->second.queue == request.queue && MayAccess(request, tenant, ended->second.tenant);
+    answer(own ? CallerOutcome::kDone : CallerOutcome::kNoSuchJob, ended->second.state);
     return;
   }
   Job* job = FindJob(request.job);
-  if (job == nullptr || job->record.spec.queue != request.queue) {
+  if (job == nullptr || job->record.spec.queue != request.queue || !MayAccess(request, tenant, job->record.tenant)) {
     answer(CallerOutcome::kNoSuchJob, JobState::kQueued);
     return;
   }
@@ -267,13 +298,13 @@
   }
 }
 
-void Owner::Cancel(const CallerRequest& request, const Reply& reply) {
+void Owner::Cancel(const CallerRequest& request, const std::string& tenant, const Reply& reply) {
   const auto done = [call = request.call, reply] { reply(CallerReply{.call = call, .outcome = CallerOutcome::kDone}); };
   const auto ended = ended_jobs_.find(request.job);
   Job* job = FindJob(request.job);
   const bool known = job != nullptr ? job->record.spec.queue == request.queue
                                     : ended != ended_jobs_.end() && ended->second.queue == request.queue;
-  if (!known) {
+  if (!known || !MayAccess(request, tenant, *TenantOfJob(request.job))) {
     reply(CallerReply{.call = request.call, .outcome = CallerOutcome::kNoSuchJob});
     return;
   }
@@ -299,17 +330,7 @@
   reply(CallerReply{.call = request.call, .outcome = CallerOutcome::kDone, .pending = pending.count});
 }
 
-// --- Configuration and shutdown ---
-
-void Owner::OnConfiguration(const CellConfiguration& configuration) {
-  configuration_ = configuration;
-  for (const auto& [id, job] : jobs_) {
-    if (const QueueSpec* queue = configuration_.FindQueue(job->record.spec.queue); queue != nullptr) {
-      SetQueue(*job, *queue);
-    }
-  }
-  SchedulePlacementPass();
-}
+// --- Shutdown ---
 
 void Owner::Close(std::function<void()> on_closed) {
   closing_ = true;
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -2,6 +2,7 @@
 // every caller. A host creates it when it takes ownership of the cell and destroys it when it loses ownership.
 //
 //   callers    owner.cc            requests: submit, state, cancel, pending
+//   tenants    owner_tenants.cc    the configuration, and whether a caller's API key allows a request
 //   store      owner_store.cc      loads the stored state, fills the batches of the group commit
 //   runs       owner_runs.cc       handles what workers report about runs
 //   placement  owner_placement.cc  executes the decisions of placement.h: starts, and calls to the advice service
@@ -20,6 +21,7 @@
 
 #include "cell/admission.h"
 #include "cell/advice_dispatcher.h"
+#include "cell/configuration_proof.h"
 #include "cell/context.h"
 #include "cell/group_commit.h"
 #include "cell/job_table.h"
@@ -44,6 +46,10 @@
  public:
   using Reply = std::function<void(const CallerReply&)>;
 
+  static constexpr Duration kMaxCallerWait = 15s;  // Upper bound of the time that callers wait for an answer.
+  // Duplicates of a request arrive within this time after the first copy.
+  static constexpr Duration kDuplicateWindow = kMaxCallerWait;
+
   // Calls `on_deposed` once when it detects that another host owns the cell; it writes and orders nothing after that.
   Owner(Context& context,
         const Ownership& ownership,
@@ -61,7 +67,7 @@
   // The owner record was rewritten: the hosts that relay orders now know this owner under that revision as its term.
   void OnRecordRevision(uint64_t revision) { relay_.SetTerm(revision); }
   void OnOrderReply(const OrderReply& reply) { relay_.OnReply(reply); }
-  void OnConfiguration(const CellConfiguration& configuration);
+  void OnConfiguration(const CellConfiguration& configuration) { PutInForce(configuration); }
   void OnHosts(const std::vector<HostRecord>& hosts) {
     advice_.SetHosts(hosts);
     relay_.SetHosts(hosts);
@@ -85,6 +91,7 @@
     std::string queue;
     JobState state = JobState::kCompleted;
     int64_t ended_at_ms = 0;
+    std::string tenant;
   };
   // Ended jobs that are stored under one key and expire together.
   struct EndedBatch {
@@ -116,10 +123,13 @@
   // --- owner.cc ---
   void Tick();
   void Submit(const CallerRequest& request, const Reply& reply);
-  void ReplyState(const CallerRequest& request, const Reply& reply);
-  void Cancel(const CallerRequest& request, const Reply& reply);
+  void SubmitKnown(const CallerRequest& request, const Reply& reply);
+  void SubmitNew(const CallerRequest& request, const std::string& tenant, const Reply& reply);
+  void ReplyState(const CallerRequest& request, const std::string& tenant, const Reply& reply);
+  void Cancel(const CallerRequest& request, const std::string& tenant, const Reply& reply);
   void ReplyPending(const CallerRequest& request, const Reply& reply);
-  void AcceptJob(JobSpec spec, const QueueSpec& queue, std::function<void()> accepted);
+  Job& AcceptJob(JobSpec spec, const QueueSpec& queue, const std::string& tenant);
+  void AwaitAcceptance(Job& job, const CallerRequest& request, const Reply& reply);
   OwnerLoad CurrentLoad() const;
   void WithdrawUnsentJobs();
   void Refuse(const CallerRequest& request, const Reply& reply, CallerReply refusal);
@@ -128,6 +138,17 @@
   bool HasExpired(const EndedBatch& batch) const;
   void RequestExpiry();
 
+  // --- owner_tenants.cc ---
+  bool PutInForce(const CellConfiguration& configuration);
+  // The tenant for which the request acts; empty if its queue needs no key. Replies and returns nothing if the request
+  // must not be served.
+  std::optional<std::string> Authorize(const CallerRequest& request, const Reply& reply);
+  void RefuseKey(const CallerRequest& request, const Reply& reply, CallerOutcome outcome, const char* reason);
+  // True if a request for this tenant may act on a job of `job_tenant`.
+  bool MayAccess(const CallerRequest& request, const std::string& tenant, const std::string& job_tenant) const;
+  // The tenant of a job that has not expired; empty if the job is unknown.
+  std::optional<std::string> TenantOfJob(const std::string& job);
+
   // --- owner_store.cc ---
   void ReadJobs();
   void ReadWorkers();
@@ -224,6 +245,7 @@
   Context& context_;
   const Ownership ownership_;
   CellConfiguration configuration_;
+  ConfigurationProof proof_;
   std::function<void()> on_deposed_;
   OrderRelay relay_;
   WorkerTable workers_;
@@ -238,9 +260,9 @@
   bool is_deposed_ = false;
   std::function<void()> on_closed_;
   std::vector<std::pair<CallerRequest, Reply>> deferred_requests_;  // Received before loading was done.
-  // Replies to refused requests, by sender and call id: a duplicate that arrives later gets the same refusal.
-  std::map<std::pair<std::string, uint64_t>, CallerReply> refusals_;
-  std::deque<std::pair<TimePoint, std::pair<std::string, uint64_t>>> refusal_times_;
+  // Replies to refused requests: a duplicate that arrives later gets the same refusal.
+  std::map<CallId, CallerReply> refusals_;
+  std::deque<std::pair<TimePoint, CallId>> refusal_times_;
   // State read from the store so far; used only while loading.
   struct LoadedJob {
     JobRecord record;
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -101,7 +101,7 @@
     return;
   }
   for (const EndedJob& job : *jobs) {
-    ended_jobs_[job.id] = EndedJobState{job.queue, job.state, job.ended_at_ms};
+    ended_jobs_[job.id] = EndedJobState{job.queue, job.state, job.ended_at_ms, job.tenant};
   }
   ended_batches_.push_back(EndedBatch{item.key, *jobs, context_.wall.NowMs(), jobs->size() > kEndedMergeCount});
 }
@@ -348,7 +348,8 @@
     job->on_batch_committed = std::exchange(job->on_stored, {});
     contents.jobs.push_back(job->id());
     if (job->final) {
-      contents.ended.push_back(EndedJob{job->id(), job->record.spec.queue, job->final_state, context_.wall.NowMs()});
+      contents.ended.push_back(
+          EndedJob{job->id(), job->record.spec.queue, job->final_state, context_.wall.NowMs(), job->record.tenant});
       DropFromSegments(*job);
       continue;
     }
@@ -463,7 +464,7 @@
   if (job == nullptr) {
     return;
   }
-  ended_jobs_[ended.id] = EndedJobState{ended.queue, ended.state, ended.ended_at_ms};
+  ended_jobs_[ended.id] = EndedJobState{ended.queue, ended.state, ended.ended_at_ms, ended.tenant};
   const std::vector<std::function<void()>> waiters = std::exchange(job->on_stored, {});
   std::for_each(waiters.begin(), waiters.end(), [](const auto& waiter) { waiter(); });
   jobs_.erase(ended.id);
--- /dev/null
+++ b/src/cell/owner_tenants.cc
@@ -0,0 +1,79 @@
+// The configuration in force at the owner, and whether a caller's API key allows its request.
+//
+// Every answer that reports success comes from the owner, so the owner alone decides whether a key is valid, however
+// old the configuration of the host that took the request is.
+#include "cell/owner.h"
+
+namespace hibiscus::cell {
+
+// Returns true if this configuration or a newer one is in force.
+bool Owner::PutInForce(const CellConfiguration& configuration) {
+  if (configuration.version <= configuration_.version) {
+    return true;
+  }
+  configuration_ = configuration;
+  context_.Log("config", "event=config_at_owner version={} tenants={}", configuration_.version,
+               configuration_.tenants.size());
+  if (configuration_.needs_keys && context_.settings.key_withdrawal_limit > Duration(0)) {
+    proof_.Begin();
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (const QueueSpec* queue = configuration_.FindQueue(job->record.spec.queue); queue != nullptr) {
+      SetQueue(*job, *queue);
+    }
+  }
+  SchedulePlacementPass();
+  return true;
+}
+
+std::optional<std::string> Owner::Authorize(const CallerRequest& request, const Reply& reply) {
+  const TenantSpec* tenant = configuration_.FindTenantByKey(request.key);
+  const std::string name = tenant == nullptr ? std::string() : tenant->name;
+  if (!configuration_.NeedsKey(configuration_.FindQueue(request.queue))) {
+    return name;
+  }
+  const Duration limit = context_.settings.key_withdrawal_limit;
+  if (limit > Duration(0) && !proof_.IsFresh(limit)) {
+    RefuseKey(request, reply, CallerOutcome::kUnavailable, "config_unconfirmed");
+    return std::nullopt;
+  }
+  if (tenant == nullptr) {
+    RefuseKey(request, reply, CallerOutcome::kUnauthorized, request.key.empty() ? "no_key" : "unknown_key");
+    return std::nullopt;
+  }
+  return name;
+}
+
+void Owner::RefuseKey(const CallerRequest& request, const Reply& reply, CallerOutcome outcome, const char* reason) {
+  context_.counters.Add(fmt::format("key_refusals{{reason=\"{}\"}}", reason));
+  const std::optional<Duration> age = proof_.age();
+  context_.Log("key", "event=refused reason={} key={} job={} queue={} config={} config_age_ms={}", reason,
+               LoggedDigits(request.key), request.job, request.queue, configuration_.version, age ? Millis(*age) : -1);
+  // An earlier owner may have accepted another copy of this request, which "not accepted" would deny.
+  const bool may_be_accepted = request.kind == CallerKind::kSubmit && TenantOfJob(request.job).has_value() &&
+                               context_.Now() - loading_began_at_ < kDuplicateWindow;
+  if (may_be_accepted) {
+    reply(CallerReply{.call = request.call, .outcome = CallerOutcome::kOutcomeUnknown});
+    return;
+  }
+  CallerReply refusal{.call = request.call, .outcome = outcome, .retry_after = RetryAfter(CurrentLoad())};
+  if (request.kind == CallerKind::kSubmit) {
+    Refuse(request, reply, refusal);
+  } else {
+    reply(refusal);
+  }
+}
+
+bool Owner::MayAccess(const CallerRequest& request, const std::string& tenant, const std::string& job_tenant) const {
+  return tenant == job_tenant || !configuration_.NeedsKey(configuration_.FindQueue(request.queue));
+}
+
+std::optional<std::string> Owner::TenantOfJob(const std::string& id) {
+  if (const Job* job = FindJob(id); job != nullptr) {
+    return job->record.tenant;
+  }
+  const auto ended = ended_jobs_.find(id);
+  return ended == ended_jobs_.end() ? std::nullopt : std::optional(ended->second.tenant);
+}
+
+}  // namespace hibiscus::cell
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -49,7 +49,7 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, JobRecord> {
-  return std::tie(self.epoch, self.accepted_at_ms, self.spec, self.queue);
+  return std::tie(self.epoch, self.accepted_at_ms, self.spec, self.queue, self.tenant);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, AdviceSpec> {
@@ -58,7 +58,7 @@
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, QueueSpec> {
   return std::tie(self.name, self.host, self.prefix, self.service, self.timeout, self.target_latency, self.priority,
-                  self.max_attempts, self.stretch, self.advice);
+                  self.max_attempts, self.stretch, self.advice, self.is_public);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StepProgress> {
@@ -78,7 +78,7 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, EndedJob> {
-  return std::tie(self.id, self.queue, self.state, self.ended_at_ms);
+  return std::tie(self.id, self.queue, self.state, self.ended_at_ms, self.tenant);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, TaskRef> {
@@ -90,7 +90,8 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, CallerRequest> {
-  return std::tie(self.call, self.reply_to, self.kind, self.queue, self.job, self.spec, self.term, self.time_left);
+  return std::tie(self.call, self.reply_to, self.kind, self.queue, self.job, self.spec, self.term, self.time_left,
+                  self.key);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, CallerReply> {
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -78,7 +78,8 @@
   uint64_t epoch = 0;          // Epoch of the owner that accepted the job.
   int64_t accepted_at_ms = 0;  // Milliseconds since 1970.
   JobSpec spec;
-  QueueSpec queue;  // The queue when the job was accepted; used if the queue is removed from the configuration.
+  QueueSpec queue;     // The queue when the job was accepted; used if the queue is removed from the configuration.
+  std::string tenant;  // Whose API key submitted it; empty if it needed none.
 
   friend bool operator==(const JobRecord&, const JobRecord&) = default;
 };
@@ -126,6 +127,7 @@
   std::string queue;
   JobState state = JobState::kCompleted;
   int64_t ended_at_ms = 0;  // Milliseconds since 1970.
+  std::string tenant;
 
   friend bool operator==(const EndedJob&, const EndedJob&) = default;
 };
--- a/src/cell/values.cc
+++ b/src/cell/values.cc
@@ -21,6 +21,27 @@
   return best;
 }
 
+std::string LoggedDigits(const KeyDigest& key) {
+  constexpr size_t kLoggedDigits = 8;
+  return key.empty() ? "none" : key.substr(0, kLoggedDigits);
+}
+
+const TenantSpec* CellConfiguration::FindTenant(const std::string& name) const {
+  const auto found =
+      std::find_if(tenants.begin(), tenants.end(), [&](const TenantSpec& tenant) { return tenant.name == name; });
+  return found == tenants.end() ? nullptr : &*found;
+}
+
+const TenantSpec* CellConfiguration::FindTenantByKey(const KeyDigest& key) const {
+  if (key.empty()) {
+    return nullptr;
+  }
+  const auto found = std::find_if(tenants.begin(), tenants.end(), [&](const TenantSpec& tenant) {
+    return std::find(tenant.keys.begin(), tenant.keys.end(), key) != tenant.keys.end();
+  });
+  return found == tenants.end() ? nullptr : &*found;
+}
+
 bool WorkerEntry::HasLabel(const std::string& label) const {
   return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
--- a/src/cell/values.h
+++ b/src/cell/values.h
@@ -87,6 +87,7 @@
   int max_attempts = 1;
   double stretch = 1;  // A job's objective is target_latency + stretch * (run time of its longest chain of steps).
   std::optional<AdviceSpec> advice;  // None: starts need no ticket of the advice service.
+  bool is_public = false;            // Its requests need no API key.
 
   friend bool operator==(const QueueSpec&, const QueueSpec&) = default;
 };
@@ -99,17 +100,39 @@
   friend bool operator==(const ServiceSpec&, const ServiceSpec&) = default;
 };
 
+// Digest by which an API key is known to the cell: it identifies the key and does not reveal it. Empty for no key.
+using KeyDigest = std::string;
+// The part of the digest that is logged: enough to tell keys apart.
+std::string LoggedDigits(const KeyDigest& key);
+
+// Operators' configuration of one tenant.
+struct TenantSpec {
+  std::string name;
+  std::vector<KeyDigest> keys;  // The API keys that are valid now.
+  double jobs_per_second = 0;   // Rate of jobs that the tenant is owed when the cell is full; 0: not configured.
+  Resources maximum;            // Of its running tasks, in the whole cell. A component of 0 is unlimited.
+
+  friend bool operator==(const TenantSpec&, const TenantSpec&) = default;
+};
+
 // Operators' configuration of the cell. It is always replaced as a whole, and its version only increases.
 struct CellConfiguration {
   uint64_t version = 0;  // 0: no configuration is known yet.
   std::vector<QueueSpec> queues;
   std::vector<ServiceSpec> services;
-  size_t body_limit = 0;  // Maximum size of a request's body in bytes; 0 if not configured.
+  size_t body_limit = 0;    // Maximum size of a request's body in bytes; 0 if not configured.
+  bool needs_keys = false;  // Requests carry a tenant's API key, except on public queues.
+  std::vector<TenantSpec> tenants;
 
   friend bool operator==(const CellConfiguration&, const CellConfiguration&) = default;
   const QueueSpec* FindQueue(const std::string& name) const;
   // The queue for a request to this host and path: the one with the longest matching prefix. Null if none matches.
   const QueueSpec* FindQueueForPath(const std::string& host, const std::string& path) const;
+  const TenantSpec* FindTenant(const std::string& name) const;
+  // The tenant to which an API key belongs. Null if no tenant has this key.
+  const TenantSpec* FindTenantByKey(const KeyDigest& key) const;
+  // Whether requests to this queue must carry an API key; a queue that is not configured counts as not public.
+  bool NeedsKey(const QueueSpec* queue) const { return needs_keys && (queue == nullptr || !queue->is_public); }
 };
 
 // A worker as described by its own entry in the store.
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -43,6 +43,7 @@
 DEFINE_string(state_kept_s, "120", "");
 DEFINE_string(shortest_lease_ms, "1000", "");
 DEFINE_string(grace_s, "6", "");
+DEFINE_string(key_withdrawal_ms, "0", "");
 DEFINE_bool(check, false, "");
 DECLARE_string(flagfile);
 DECLARE_bool(help);
@@ -123,7 +124,12 @@
         {"shortest_lease_ms", &FLAGS_shortest_lease_ms, Kind::kNumber, "minimum lease of the store", 1, 60'000,
          "milliseconds"},
         {"grace_s", &FLAGS_grace_s, Kind::kNumber, "the platform kills a stopping process after this", 1, 600,
-         "seconds"}}},
+         "seconds"},
+        {"key_withdrawal_ms", &FLAGS_key_withdrawal_ms, Kind::kNumber,
+         "a withdrawn API key is refused by every host after this, even by one that is cut off; 0: once the host has "
+         "the "
+         "configuration",
+         0, 600'000, "milliseconds"}}},
       {"Log", {{"log_level", &FLAGS_log_level, Kind::kLevel, "minimum level: debug, info, warning or error"}}},
   };
   return kGroups;
@@ -304,6 +310,7 @@
   settings.cell.gang_timeout = millis(FLAGS_gang_timeout_ms);
   settings.cell.ended_job_retention = std::chrono::seconds(ValidatedInt(FLAGS_state_kept_s));
   settings.cell.min_lease_ttl = millis(FLAGS_shortest_lease_ms);
+  settings.cell.key_withdrawal_limit = millis(FLAGS_key_withdrawal_ms);
   settings.callers = CallerServerFromFlags();
   settings.balancer = ServerOptionsFor(FLAGS_ready);
   settings.metrics = ServerOptionsFor(FLAGS_metrics);
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -61,6 +61,7 @@
     settings.data_centre = "dc" + self.name_.substr(1);
     settings.max_direct_workers = self.world_.max_direct_workers;
     settings.policies = self.world_.policies;
+    settings.key_withdrawal_limit = self.world_.key_withdrawal_limit;
     return settings;
   }
 
@@ -377,8 +378,12 @@
   }
 }
 
-tl::expected<CellConfiguration, std::string> FakeHost::ReadConfiguration(const StoreItem& /*item*/) const {
-  return world_.configuration;
+tl::expected<CellConfiguration, std::string> FakeHost::ReadConfiguration(const StoreItem& item) const {
+  const CellConfiguration* found = world_.ConfigurationOf(std::stoull(item.value));
+  if (found == nullptr) {
+    return tl::unexpected(std::string("no such version"));
+  }
+  return *found;
 }
 
 tl::expected<WorkerEntry, std::string> FakeHost::ReadWorker(const StoreItem& item) const {
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -440,7 +440,51 @@
 
 void CellWorld::Configure() {
   ++configuration.version;
-  store_.Put("configuration", "configured");
+  published_.emplace_back(Now(), configuration);
+  store_.Put("configuration", std::to_string(configuration.version));
+}
+
+const CellConfiguration* CellWorld::ConfigurationOf(uint64_t version) const {
+  const auto found = std::find_if(published_.begin(), published_.end(),
+                                  [&](const auto& each) { return each.second.version == version; });
+  return found == published_.end() ? nullptr : &found->second;
+}
+
+std::optional<std::string> CellWorld::TenantAt(const KeyDigest& key, TimePoint sent) const {
+  for (size_t i = published_.size(); i > 0; --i) {
+    if (const TenantSpec* tenant = published_[i - 1].second.FindTenantByKey(key); tenant != nullptr) {
+      return tenant->name;
+    }
+    const bool may_still_be_in_force =
+        key_withdrawal_limit == Duration(0) || sent <= published_[i - 1].first + key_withdrawal_limit;
+    if (!may_still_be_in_force) {
+      break;  // This configuration replaced the one before it longer ago than allowed.
+    }
+  }
+  return std::nullopt;
+}
+
+void CellWorld::CheckKey(const CallerRequest& request, TimePoint sent, const CallerReply& reply) {
+  const QueueSpec* queue = configuration.FindQueue(request.queue);
+  if (reply.outcome != CallerOutcome::kDone || queue == nullptr || !configuration.NeedsKey(queue)) {
+    return;
+  }
+  const std::optional<std::string> tenant = TenantAt(request.key, sent);
+  const auto owner = tenants_.find(request.job);
+  if (!tenant) {
+    ReportViolation(fmt::format("served a request with the invalid key '{}' for job {}", request.key, request.job));
+  } else if (request.kind == CallerKind::kSubmit) {
+    tenants_.emplace(request.job, *tenant);
+  } else if (request.kind != CallerKind::kPending && owner != tenants_.end() && owner->second != *tenant) {
+    ReportViolation(fmt::format("tenant {} saw or cancelled job {} of {}", *tenant, request.job, owner->second));
+  }
+}
+
+void CellWorld::Call(size_t index, const CallerRequest& request, OnReply reply) {
+  hosts_[index]->Call(request, [this, request, sent = Now(), reply = std::move(reply)](const CallerReply& answer) {
+    CheckKey(request, sent, answer);
+    reply(answer);
+  });
 }
 
 TimePoint CellWorld::NextEvent() const {
@@ -581,10 +625,11 @@
   request.queue = job.queue;
   request.job = job.id;
   request.spec = EncodeRecord(job);
-  hosts_[index]->Call(request, [this, id = job.id, reply = std::move(reply)](const CallerReply& answer) {
+  request.key = keys_[job.id];
+  Call(index, request, [this, id = job.id, reply = std::move(reply)](const CallerReply& answer) {
     if (answer.outcome == CallerOutcome::kDone) {
       accepted_.insert(id);
-    } else if (answer.outcome == CallerOutcome::kRejected || answer.outcome == CallerOutcome::kUnavailable) {
+    } else if (IsRefusal(answer.outcome)) {
       ++submission_counts_[id].second;
     }
     reply(answer);
@@ -596,7 +641,8 @@
   auto answered = std::make_shared<bool>(false);
   Submit(index, job, behaviour, [this, job, behaviour, answered](const CallerReply& reply) {
     *answered = true;
-    if (reply.outcome != CallerOutcome::kDone && reply.outcome != CallerOutcome::kRejected) {
+    const bool again = reply.outcome == CallerOutcome::kUnavailable || !IsRefusal(reply.outcome);
+    if (reply.outcome != CallerOutcome::kDone && again) {
       In(500ms, [this, job, behaviour] { SubmitWithRetries(job, behaviour); });
     }
   });
@@ -613,7 +659,8 @@
   request.kind = kind;
   request.queue = queue;
   request.job = job;
-  hosts_[index]->Call(request, std::move(reply));
+  request.key = keys_[job];
+  Call(index, request, std::move(reply));
 }
 
 std::optional<JobState> CellWorld::StateOf(const std::string& queue, const std::string& job) {
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -3,7 +3,8 @@
 //
 // Checks these invariants on the runs that workers start: no worker exceeds its capacity, no task runs in two places at
 // once, none starts after its end was acknowledged, none belongs to a job that was not accepted, steps run in order,
-// and failed attempts stay within the limit.
+// and failed attempts stay within the limit. And on the replies to callers: none reports success for a key that no
+// configuration held, that was withdrawn longer ago than allowed, or that is of another tenant than the job.
 #ifndef HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
 #define HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
 
@@ -180,6 +181,8 @@
   using OnReply = std::function<void(const CallerReply&)>;
   void Submit(size_t index, const JobSpec& job, const TaskBehaviour& behaviour, OnReply reply);
   void Ask(size_t index, CallerKind kind, const std::string& queue, const std::string& job, OnReply reply);
+  // The API key that requests for this job carry; initially none.
+  void SetKey(const std::string& job, const KeyDigest& key) { keys_[job] = key; }
   // Submits through random hosts, with retries, until the job is accepted or rejected.
   void SubmitWithRetries(const JobSpec& job, const TaskBehaviour& behaviour);
   bool Accepted(const std::string& job) const { return accepted_.contains(job); }
@@ -201,6 +204,8 @@
   CellConfiguration configuration;
   // Publishes `configuration` to all hosts under a new version.
   void Configure();
+  // Time after which withdrawn keys must be refused; takes effect at a process's next boot. 0: no limit.
+  Duration key_withdrawal_limit{};
   void WriteWorkerEntry(const FakeWorker& worker);
   bool log_to_stdout = false;
   const Policies policies;                                        // Used by all hosts.
@@ -233,6 +238,11 @@
 
   void Step(TimePoint until);
   TimePoint NextEvent() const;
+  const CellConfiguration* ConfigurationOf(uint64_t version) const;
+  // The tenant of this key in the configurations that may be in force for a request sent at that time.
+  std::optional<std::string> TenantAt(const KeyDigest& key, TimePoint sent) const;
+  void CheckKey(const CallerRequest& request, TimePoint sent, const CallerReply& reply);
+  void Call(size_t index, const CallerRequest& request, OnReply reply);
   void AddWaiter(Waiters& waiters, TimePoint until, std::function<bool()> is_ready, std::function<void()> resume);
   void WakeReadyWaiters(Waiters& waiters);
   // --- Events reported by workers ---
@@ -257,7 +267,10 @@
 
   std::map<std::string, JobSpec> submitted_;
   std::map<std::string, TaskBehaviour> behaviours_;
-  std::map<std::string, QueueSpec> queues_;  // By job id.
+  std::map<std::string, QueueSpec> queues_;                         // By job id.
+  std::map<std::string, KeyDigest> keys_;                           // By job id.
+  std::map<std::string, std::string> tenants_;                      // Of accepted jobs, by job id.
+  std::vector<std::pair<TimePoint, CellConfiguration>> published_;  // All configurations, oldest first.
   std::set<std::string> accepted_;
   // By job: number of submissions, and of replies that it was rejected or the cell unavailable.
   std::map<std::string, std::pair<int, int>> submission_counts_;
--- a/tests/cell_parts_test.cc
+++ b/tests/cell_parts_test.cc
@@ -32,7 +32,7 @@
   queue.name = "q";
   queue.stretch = 2.25;
   queue.advice = AdviceSpec{6500us, 93us, 1500ms};
-  const JobRecord job{3, 1'700'000'000'000, RichJob(), queue};
+  const JobRecord job{3, 1'700'000'000'000, RichJob(), queue, "north"};
   CHECK(DecodeRecord<JobRecord>(EncodeRecord(job)) == job);
   ProgressRecord progress;
   progress.occurrences_done = 2;
@@ -48,7 +48,7 @@
 
 TEST_CASE("messages come back as they were") {
   const std::vector<Message> messages = {
-      CallerRequest{7, "h1", CallerKind::kSubmit, "q", JobId(1), EncodeRecord(RichJob()), 12, 2s},
+      CallerRequest{7, "h1", CallerKind::kSubmit, "q", JobId(1), EncodeRecord(RichJob()), 12, 2s, "00ff"},
       CallerReply{7, CallerOutcome::kRejected, JobState::kRunning, 5, 1500ms, 12},
       AdviceRequest{8, "h2", TaskRef{JobId(1), 0, 1, 0}, {"w1", "w2"}, 700ms},
       AdviceReply{8, true, {Ticket{"w1", "t"}}},
--- /dev/null
+++ b/tests/cell_tenants_test.cc
@@ -0,0 +1,207 @@
+// API keys and tenants in the cell: who is served, and for how long after a key was withdrawn.
+#include <catch2/catch.hpp>
+
+#include "tests/cell_jobs.h"
+
+namespace hibiscus::cell {
+namespace {
+
+constexpr Duration kWithdrawalLimit = 5s;
+
+// Two tenants with two keys each.
+void AddTenants(CellWorld& world) {
+  world.key_withdrawal_limit = kWithdrawalLimit;
+  for (size_t i = 0; i < world.host_count(); ++i) {
+    world.Boot(i);
+  }
+  AddQueues(world);
+  world.configuration.needs_keys = true;
+  world.configuration.tenants = {TenantSpec{"north", {"n1", "n2"}, 50, {}}, TenantSpec{"south", {"s1", "s2"}, 50, {}}};
+  world.Configure();
+  REQUIRE(Settle(world));
+}
+
+CallerOutcome SubmitWith(CellWorld& world, size_t host, int number, const KeyDigest& key) {
+  world.SetKey(JobId(number), key);
+  std::optional<CallerOutcome> outcome;
+  world.Submit(host, JobOf(number, {StepOf(1, 500)}), TaskBehaviour{300ms, 0},
+               [&](const CallerReply& reply) { outcome = reply.outcome; });
+  world.RunUntil([&] { return outcome.has_value(); }, 4s);
+  return outcome.value_or(CallerOutcome::kOutcomeUnknown);
+}
+
+CallerOutcome AskWith(CellWorld& world, CallerKind kind, int number, const KeyDigest& key) {
+  world.SetKey(JobId(number), key);
+  std::optional<CallerOutcome> outcome;
+  world.Ask(0, kind, "plain", JobId(number), [&](const CallerReply& reply) { outcome = reply.outcome; });
+  world.RunUntil([&] { return outcome.has_value(); }, 4s);
+  return outcome.value_or(CallerOutcome::kOutcomeUnknown);
+}
+
+TEST_CASE("requests without a valid key are refused on every host and run nothing") {
+  CellWorld world(401, 4, 6);
+  AddTenants(world);
+  int number = 0;
+  for (size_t host = 0; host < world.host_count(); ++host) {
+    CHECK(SubmitWith(world, host, ++number, "") == CallerOutcome::kUnauthorized);
+    CHECK(SubmitWith(world, host, ++number, "x1") == CallerOutcome::kUnauthorized);
+    CHECK(SubmitWith(world, host, ++number, "n2") == CallerOutcome::kDone);
+  }
+  world.RunFor(1s);
+  CHECK(world.starts() == static_cast<int>(world.host_count()));
+  CHECK(AskWith(world, CallerKind::kState, 3, "x1") == CallerOutcome::kUnauthorized);
+  CHECK(AskWith(world, CallerKind::kPending, 3, "") == CallerOutcome::kUnauthorized);
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("a public queue needs no key") {
+  CellWorld world(402, 3, 4);
+  AddTenants(world);
+  world.configuration.queues[0].is_public = true;
+  world.Configure();
+  world.RunFor(500ms);
+  CHECK(SubmitWith(world, 0, 1, "") == CallerOutcome::kDone);
+  CHECK(AskWith(world, CallerKind::kState, 1, "") == CallerOutcome::kDone);
+}
+
+TEST_CASE("a job is seen and cancelled with its tenant's keys only, also after a takeover") {
+  CellWorld world(403, 4, 6);
+  AddTenants(world);
+  REQUIRE(SubmitWith(world, 1, 1, "n1") == CallerOutcome::kDone);
+  for (const bool taken_over : {false, true}) {
+    if (taken_over) {
+      world.RunFor(1s);  // It has ended.
+      world.Kill(*world.OwnerIndex());
+      world.RunFor(3s);
+    }
+    CHECK(AskWith(world, CallerKind::kState, 1, "s1") == CallerOutcome::kNoSuchJob);
+    CHECK(AskWith(world, CallerKind::kCancel, 1, "s2") == CallerOutcome::kNoSuchJob);
+    CHECK(SubmitWith(world, 2, 1, "s1") == CallerOutcome::kInvalidJob);
+    CHECK(AskWith(world, CallerKind::kState, 1, "n2") == CallerOutcome::kDone);
+    CHECK(SubmitWith(world, 2, 1, "n2") == CallerOutcome::kDone);
+  }
+  CHECK(world.StateOf("plain", JobId(1)) == JobState::kCompleted);
+  CHECK(world.starts() == 1);
+  CHECK(world.violations().empty());
+}
+
+// No host learns of the withdrawal, because the store serves only the operator.
+TEST_CASE("a withdrawn key is refused in time by hosts that are cut off from the store") {
+  for (const bool silent : {false, true}) {
+    CellWorld world(404, 4, 6);
+    AddTenants(world);
+    (silent ? world.store().faults.silent : world.store().faults.down) = true;
+    world.configuration.tenants[0].keys = {"n2"};
+    world.Configure();
+    const TimePoint withdrawn = world.Now();
+    CHECK(AskWith(world, CallerKind::kPending, 900, "n1") == CallerOutcome::kDone);
+    CHECK(AskWith(world, CallerKind::kPending, 900, "n2") == CallerOutcome::kDone);
+    while (world.Now() < withdrawn + kWithdrawalLimit * 2) {
+      AskWith(world, CallerKind::kPending, 900, "n1");
+      world.RunFor(50ms);
+    }
+    CHECK(AskWith(world, CallerKind::kPending, 900, "n2") == CallerOutcome::kUnavailable);
+    world.store().faults = CallFaults{};
+    world.RunFor(2s);
+    CHECK(AskWith(world, CallerKind::kPending, 900, "n1") == CallerOutcome::kUnauthorized);
+    CHECK(AskWith(world, CallerKind::kPending, 900, "n2") == CallerOutcome::kDone);
+    CHECK(world.violations().empty());
+  }
+}
+
+// Outages of a few seconds are ordinary, and a limit that is hardly longer must not stop the service.
+TEST_CASE("keys stay valid through a store outage of 4.5 s") {
+  CellWorld world(405, 4, 6);
+  AddTenants(world);
+  REQUIRE(SubmitWith(world, 1, 1, "n1") == CallerOutcome::kDone);
+  world.store().faults.down = true;
+  world.RunFor(4500ms);
+  CHECK(AskWith(world, CallerKind::kState, 1, "n1") == CallerOutcome::kDone);
+}
+
+TEST_CASE("an owner that was paused does not accept a key that was withdrawn meanwhile") {
+  for (const Duration pause : {4000ms, 5500ms, 9000ms}) {
+    CellWorld world(406, 1, 4);  // A single host: no other becomes the owner.
+    AddTenants(world);
+    world.configuration.tenants[0].keys.clear();
+    world.Freeze(0, pause);
+    world.Configure();
+    for (int i = 0; i < 40; ++i) {
+      world.In(i * 300ms, [&world, i] {
+        world.SetKey(JobId(100 + i), "n1");
+        world.Submit(0, JobOf(100 + i, {StepOf(1, 500)}), TaskBehaviour{}, [](const CallerReply&) {});
+      });
+    }
+    world.RunFor(14s);
+    CHECK(world.violations().empty());
+    CHECK(SubmitWith(world, 0, 1, "n1") == CallerOutcome::kUnauthorized);
+  }
+}
+
+// Watches are silent while the configuration changes, and the history is dropped afterwards.
+TEST_CASE("keys that were withdrawn and added are in force although the store has lost its history") {
+  CellWorld world(407, 4, 6);
+  AddTenants(world);
+  world.configuration.tenants[0].keys = {"n3"};
+  world.Configure();
+  world.store().ForgetHistory();
+  world.RunFor(4s);
+  for (size_t host = 0; host < world.host_count(); ++host) {
+    CHECK(SubmitWith(world, host, 10 + static_cast<int>(host), "n1") == CallerOutcome::kUnauthorized);
+    CHECK(SubmitWith(world, host, 20 + static_cast<int>(host), "n3") == CallerOutcome::kDone);
+  }
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("a key that was withdrawn is not in use again after a restart, and one that is given back is") {
+  CellWorld world(408, 4, 6);
+  AddTenants(world);
+  world.configuration.tenants[0].keys = {"n2"};
+  world.Configure();
+  world.RunFor(1s);
+  for (size_t i = 0; i < world.host_count(); ++i) {
+    world.Kill(i);
+    world.Boot(i);
+  }
+  REQUIRE(Settle(world));
+  CHECK(SubmitWith(world, 1, 1, "n1") == CallerOutcome::kUnauthorized);
+  world.configuration.tenants[0].keys = {"n1"};
+  world.Configure();
+  world.RunFor(1s);
+  CHECK(SubmitWith(world, 1, 2, "n1") == CallerOutcome::kDone);
+  CHECK(SubmitWith(world, 1, 3, "n2") == CallerOutcome::kUnauthorized);
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("jobs of a tenant that has lost its last key come to their end") {
+  CellWorld world(409, 4, 2);
+  AddTenants(world);
+  REQUIRE(SubmitWith(world, 0, 1, "n1") == CallerOutcome::kDone);
+  world.configuration.tenants[0].keys.clear();
+  world.Configure();
+  world.RunFor(2s);
+  CHECK(AskWith(world, CallerKind::kState, 1, "n1") == CallerOutcome::kUnauthorized);
+  CHECK(world.CompletionCount(TaskRef{JobId(1), 0, 0, 0}) == 1);
+}
+
+// The host sends another copy of a request while the first one's job is being stored, and the key goes in between.
+TEST_CASE("a copy of a request whose job was accepted is not denied because its key was withdrawn since") {
+  CellWorld world(410, 3, 4);
+  AddTenants(world);
+  const size_t owner = *world.OwnerIndex();
+  world.SetKey(JobId(1), "n1");
+  world.store().faults.extra_delay = 900ms;
+  std::vector<CallerOutcome> outcomes;
+  world.Submit((owner + 1) % 3, JobOf(1, {StepOf(1, 500)}), TaskBehaviour{},
+               [&](const CallerReply& reply) { outcomes.push_back(reply.outcome); });
+  world.RunFor(100ms);
+  world.configuration.tenants[0].keys.clear();
+  world.Configure();
+  world.RunFor(6s);
+  REQUIRE(outcomes.size() == 1);
+  CHECK(outcomes[0] == CallerOutcome::kDone);
+  CHECK(world.violations().empty());
+}
+
+}  // namespace
+}  // namespace hibiscus::cell
