Quotas: no start brings a tenant above its maximum

Change: the worker table counts by tenant everything that may run (placed, unanswered, abandoned, stopping, adopted); after a takeover the free capacity of workers whose runs are not all known counts for every tenant. A pass starts what the maximum leaves, in the usual order; a step without quota takes no reservation, advice call or ticket; a gang that waits for the quota closes its tenant to what comes later in the order. A task larger than the maximum runs alone, which the users' rule allows; a gang that can never fit is refused at once (400). Considered: blocking a limited tenant until every worker has answered (stops large tenants for seconds after each takeover for one silent worker); counting stored upper bounds (a record more in each batch).

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -176,6 +176,13 @@
     Refuse(request, reply, CallerReply{.outcome = CallerOutcome::kUnavailable, .retry_after = kUnavailableRetryAfter});
     return;
   }
+  if (NeverFits(*spec, tenant)) {
+    context_.Log("admission", "event=rejected job={} queue={} tenant={} reason=above_maximum config={}", request.job,
+                 request.queue, tenant, configuration_.version);
+    context_.counters.Add(fmt::format("rejected{{queue=\"{}\"}}", queue->name));
+    Refuse(request, reply, CallerReply{.outcome = CallerOutcome::kInvalidJob});
+    return;
+  }
   const OwnerLoad load = CurrentLoad();
   const RefusalReason reason = ReasonToRefuse(load, context_.settings.policies);
   if (reason != RefusalReason::kNone && !MayWaitForStore(reason, Duration(0), CallerTimeLeft(request))) {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -2,7 +2,7 @@
 // every caller. A host creates it when it takes ownership of the cell and destroys it when it loses ownership.
 //
 //   callers    owner.cc            requests: submit, state, cancel, pending
-//   tenants    owner_tenants.cc    the configuration, and whether a caller's API key allows a request
+//   tenants    owner_tenants.cc    the configuration, whether a caller's API key allows a request, and quotas
 //   store      owner_store.cc      loads the stored state, fills the batches of the group commit
 //   runs       owner_runs.cc       handles what workers report about runs
 //   placement  owner_placement.cc  executes the decisions of placement.h: starts, and calls to the advice service
@@ -146,6 +146,9 @@
   void RefuseKey(const CallerRequest& request, const Reply& reply, CallerOutcome outcome, const char* reason);
   // True if a request for this tenant may act on a job of `job_tenant`.
   bool MayAccess(const CallerRequest& request, const std::string& tenant, const std::string& job_tenant) const;
+  // True if a step of the job can never start under its tenant's maximum.
+  bool NeverFits(const JobSpec& spec, const std::string& tenant) const;
+  TenantQuotas CurrentQuotas() const;
   // The tenant of a job that has not expired; empty if the job is unknown.
   std::optional<std::string> TenantOfJob(const std::string& job);
 
@@ -192,7 +195,7 @@
 
   // --- owner_runs.cc ---
   void OnRunning(Worker& worker, const RunningRun& row) override;
-  bool OnFound(Worker& worker, const RunningRun& row, std::optional<Resources>& size) override;
+  bool OnFound(Worker& worker, const RunningRun& row, std::optional<RunDemand>& demand) override;
   void OnEnded(Worker& worker, const EndedRun& row) override;
   void OnGone(Worker& worker, const RunRef& run, GoneReason reason) override;
   void OnStarted(Worker& worker, const RunRef& run) override;
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -41,7 +41,7 @@
   const TimePoint begin = context_.Now();
   RefreshWorkers();
   const std::vector<StepRun*> waiting = SortByUrgency(WaitingSteps(), begin, context_.settings.policies);
-  Execute(placement_.Plan(waiting, advice_.queues(), begin));
+  Execute(placement_.Plan(waiting, advice_.queues(), CurrentQuotas(), begin));
   last_pass_duration_ = context_.Now() - begin;
   context_.counters.Add("placement_passes");
   context_.counters.Add("placement_workers_viewed", static_cast<double>(placement_.TakeInspectedCount()));
@@ -170,7 +170,7 @@
                worker.entry.id, step.job->id(), step.job->queue.name, step.step, index, task.run,
                Millis(context_.Now() - step.opened_at), worker.free().cpu_millis);
   context_.counters.RecordDuration("wait_seconds", step.job->queue.name, context_.Now() - step.opened_at);
-  workers_.Start(worker, std::move(order), step.task_size());
+  workers_.Start(worker, std::move(order), DemandOf(step));
 }
 
 // --- Advice ---
@@ -179,10 +179,11 @@
   if (!job.queue.advice) {
     return;
   }
+  const TenantQuotas quotas = CurrentQuotas();
   for (const auto& [number, occurrence] : job.occurrences) {
     for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
       if (step->spec->after.empty()) {
-        Execute(placement_.PlanAdviceAhead(*step, advice_.queues(), context_.Now()));
+        Execute(placement_.PlanAdviceAhead(*step, advice_.queues(), quotas, context_.Now()));
       }
     }
   }
@@ -250,7 +251,7 @@
 void Owner::PlaceWithTickets(StepRun& step) {
   if (loaded_ && !closing_ && !is_deposed_ && !step.job->final && step.waiting == step.spec->count) {
     RefreshWorkers();
-    Execute(placement_.PlanStep(step, advice_.queues(), context_.Now()));
+    Execute(placement_.PlanStep(step, advice_.queues(), CurrentQuotas(), context_.Now()));
   }
   if (step.advice.pending_requests == 0) {
     placement_.ReleaseTentative(step);
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -119,7 +119,7 @@
 
 // A worker reports a run that an earlier owner started. It is adopted if its task is still waiting; if not, returning
 // false has the worker table stop it.
-bool Owner::OnFound(Worker& worker, const RunningRun& row, std::optional<Resources>& size) {
+bool Owner::OnFound(Worker& worker, const RunningRun& row, std::optional<RunDemand>& demand) {
   StepRun* step = nullptr;
   TaskState* task = FindTask(row.run.task, &step);
   if (task == nullptr) {
@@ -127,7 +127,7 @@
                  row.run.task.job, row.run.task.step, row.run.task.index, row.run.run);
     return false;
   }
-  size = step->task_size();
+  demand = DemandOf(*step);
   const bool adopted = !step->job->final && Adopt(*step, row.run.task.index, worker, row.run);
   context_.Log("run", "event={} worker={} job={} step={} index={} run={}", adopted ? "adopted" : "stop_found_run",
                worker.entry.id, row.run.task.job, row.run.task.step, row.run.task.index, row.run.run);
--- a/src/cell/owner_tenants.cc
+++ b/src/cell/owner_tenants.cc
@@ -2,6 +2,8 @@
 //
 // Every answer that reports success comes from the owner, so the owner alone decides whether a key is valid, however
 // old the configuration of the host that took the request is.
+#include <algorithm>
+
 #include "cell/owner.h"
 
 namespace hibiscus::cell {
@@ -68,6 +70,17 @@
   return tenant == job_tenant || !configuration_.NeedsKey(configuration_.FindQueue(request.queue));
 }
 
+bool Owner::NeverFits(const JobSpec& spec, const std::string& tenant_name) const {
+  const TenantSpec* tenant = configuration_.FindTenant(tenant_name);
+  return tenant != nullptr && std::any_of(spec.steps.begin(), spec.steps.end(), [&](const StepSpec& step) {
+           return step.gang && !FitsMaximum(tenant->maximum, step.size, step.count);
+         });
+}
+
+TenantQuotas Owner::CurrentQuotas() const {
+  return TenantQuotas(configuration_.tenants, workers_.tenant_usage(), workers_.UnaccountedResources());
+}
+
 std::optional<std::string> Owner::TenantOfJob(const std::string& id) {
   if (const Job* job = FindJob(id); job != nullptr) {
     return job->record.tenant;
--- a/src/cell/placement.cc
+++ b/src/cell/placement.cc
@@ -85,14 +85,17 @@
   return load;
 }
 
-std::vector<Decision> Placement::Plan(const std::vector<StepRun*>& waiting, const AdviceQueues& queues, TimePoint now) {
+std::vector<Decision> Placement::Plan(const std::vector<StepRun*>& waiting,
+                                      const AdviceQueues& queues,
+                                      const TenantQuotas& quotas,
+                                      TimePoint now) {
   previously_reserved_.assign(positions_.size(), false);
   for (size_t i = 0; i < reserved_for_.size(); ++i) {
     previously_reserved_[i] = reserved_for_[i] != nullptr;
   }
   reserved_for_.assign(positions_.size(), nullptr);
   reserved_count_ = 0;
-  Pass pass{now, queues, {}};
+  Pass pass{now, queues, quotas, {}};
   for (StepRun* step : waiting) {
     if (step->spec->gang) {
       PlaceGang(*step, pass);
@@ -103,15 +106,21 @@
   return std::move(pass.decisions);
 }
 
-std::vector<Decision> Placement::PlanStep(StepRun& step, const AdviceQueues& queues, TimePoint now) {
-  Pass pass{now, queues, {}};
+std::vector<Decision> Placement::PlanStep(StepRun& step,
+                                          const AdviceQueues& queues,
+                                          const TenantQuotas& quotas,
+                                          TimePoint now) {
+  Pass pass{now, queues, quotas, {}};
   PlaceGang(step, pass);
   return std::move(pass.decisions);
 }
 
-std::vector<Decision> Placement::PlanAdviceAhead(StepRun& step, const AdviceQueues& queues, TimePoint now) {
-  Pass pass{now, queues, {}};
-  if (policies_.ask_ahead) {
+std::vector<Decision> Placement::PlanAdviceAhead(StepRun& step,
+                                                 const AdviceQueues& queues,
+                                                 const TenantQuotas& quotas,
+                                                 TimePoint now) {
+  Pass pass{now, queues, quotas, {}};
+  if (policies_.ask_ahead && quotas.Allows(step.tenant(), step.quota_size())) {
     AskInitially(step, pass);
   }
   return std::move(pass.decisions);
@@ -179,6 +188,9 @@
 // --- Single tasks ---
 
 void Placement::PlaceSingleTasks(StepRun& step, Pass& pass) {
+  if (!pass.quotas.Allows(step.tenant(), step.quota_size())) {
+    return;
+  }
   if (step.job->queue.advice && !step.advice.has_answer) {
     AskInitially(step, pass);
     return;
@@ -191,11 +203,12 @@
   for (const int index : waiting) {
     const std::optional<size_t> best =
         policies_.tightest_fit ? TightestFit(candidates.views, demand) : FirstFit(candidates.views, demand);
-    if (!best) {
+    if (!best || !pass.quotas.Allows(step.tenant(), step.quota_size())) {
       break;
     }
     WorkerView& worker = *candidates.workers[*best];
     starts.tasks.push_back({index, worker.number});
+    pass.quotas.Take(step.tenant(), step.quota_size());
     worker.free -= demand.size;
     candidates.views[*best].free -= demand.size;
     ++candidates.views[*best].same_step_tasks;
@@ -205,7 +218,7 @@
   if (!starts.tasks.empty()) {
     pass.decisions.emplace_back(std::move(starts));
   }
-  if (!all) {
+  if (!all && pass.quotas.Allows(step.tenant(), step.quota_size())) {
     const bool ask_now =
         ShouldAskForTickets(without_ticket.size(), unplaced, policies_.gather_asks && pass.queues.IsBusy(pass.now),
                             pass.now - step.advice.last_request_at);
@@ -255,6 +268,7 @@
     if (fits && !waiting.empty()) {
       worker.probe_due = false;
       worker.free -= step.task_size();
+      pass.quotas.Take(step.tenant(), step.quota_size());
       pass.decisions.emplace_back(StartTasks{&step, {{waiting.front(), worker.number}}, true});
       waiting.erase(waiting.begin());
       return;
@@ -287,6 +301,10 @@
 }
 
 void Placement::PlaceGang(StepRun& step, Pass& pass) {
+  if (!pass.quotas.Allows(step.tenant(), step.quota_size(), step.spec->count)) {
+    pass.quotas.WaitFor(step.tenant(), step.quota_size(), step.spec->count);
+    return;
+  }
   if (step.advice.pending_requests > 0) {
     return;
   }
@@ -358,6 +376,7 @@
       candidates.workers[i]->free -= step.task_size();
     }
   }
+  pass.quotas.Take(step.tenant(), step.quota_size(), step.spec->count);
   pass.decisions.emplace_back(std::move(starts));
 }
 
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -1,6 +1,7 @@
 // Placement of waiting steps on workers, and selection of advice queries. A pass takes the waiting steps in scheduling
-// order, the free resources of the workers and the advice service's queues, and returns decisions that the caller
-// executes. Only reservations and tentative allocations persist between passes. Performs no I/O and reads no clock.
+// order, the free resources of the workers, the tenants' quotas and the advice service's queues, and returns decisions
+// that the caller executes. Only reservations and tentative allocations persist between passes. Performs no I/O and
+// reads no clock.
 //
 // A pass inspects only the workers that its steps may use: those the advice service was asked about and, of the others,
 // only as many of the freest as the next query would name.
@@ -17,6 +18,7 @@
 #include "cell/job_table.h"
 #include "cell/placement_policy.h"
 #include "cell/policies.h"
+#include "cell/tenant_quota.h"
 
 namespace hibiscus::cell {
 
@@ -83,14 +85,20 @@
   void Refresh(std::vector<WorkerView> workers, size_t max_number);
 
   // Runs one pass over all waiting steps. Reservations of the previous pass end unless their step renews them.
-  std::vector<Decision> Plan(const std::vector<StepRun*>& waiting, const AdviceQueues& queues, TimePoint now);
+  std::vector<Decision> Plan(const std::vector<StepRun*>& waiting,
+                             const AdviceQueues& queues,
+                             const TenantQuotas& quotas,
+                             TimePoint now);
 
   // Places one gang as soon as its tickets have arrived: before the next pass other steps could take its workers.
-  std::vector<Decision> PlanStep(StepRun& step, const AdviceQueues& queues, TimePoint now);
+  std::vector<Decision> PlanStep(StepRun& step, const AdviceQueues& queues, const TenantQuotas& quotas, TimePoint now);
 
   // Requests advice for a step whose job is still being stored, so that the answer is available when the step may
   // start.
-  std::vector<Decision> PlanAdviceAhead(StepRun& step, const AdviceQueues& queues, TimePoint now);
+  std::vector<Decision> PlanAdviceAhead(StepRun& step,
+                                        const AdviceQueues& queues,
+                                        const TenantQuotas& quotas,
+                                        TimePoint now);
 
   // Releases the step's tentative allocation.
   void ReleaseTentative(StepRun& step);
@@ -125,6 +133,7 @@
   struct Pass {
     TimePoint now;
     AdviceQueues queues;
+    TenantQuotas quotas;
     std::vector<Decision> decisions;
   };
 
--- /dev/null
+++ b/src/cell/tenant_quota.h
@@ -0,0 +1,54 @@
+// Quotas of tenants: how much of its maximum each tenant has left for new starts. Pure values, no I/O and no clock.
+//
+// Load pattern: a tenant sends several times the work that its maximum lets run. The excess waits for the tenant's own
+// quota and takes no reservations, advice calls or tickets that other tenants could use. Within the tenant, a gang that
+// waits for the quota is not overtaken by less urgent steps, which would use up each part of it that becomes free.
+#ifndef HIBISCUSSTAND_SRC_CELL_TENANT_QUOTA_H_
+#define HIBISCUSSTAND_SRC_CELL_TENANT_QUOTA_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cell/values.h"
+
+namespace hibiscus::cell {
+
+// Resources of the runs that may exist, by tenant.
+using TenantUsage = std::map<std::string, Resources>;
+
+// True if `count` tasks of this size may run at the same time under the maximum. The last one may exceed it, so that a
+// task larger than the maximum can run alone.
+bool FitsMaximum(const Resources& maximum, const Resources& size, int count);
+
+class TenantQuotas {
+ public:
+  // No limits.
+  TenantQuotas() = default;
+  // `unaccounted` is an upper bound of what may be running without its tenant being known; it counts for every tenant.
+  // Without a bound, tenants that have a maximum start nothing.
+  TenantQuotas(const std::vector<TenantSpec>& tenants,
+               const TenantUsage& usage,
+               const std::optional<Resources>& unaccounted);
+
+  // True if `count` tasks of this size may start now, all of them.
+  bool Allows(const std::string& tenant, const Resources& size, int count = 1) const;
+  // Records that `count` tasks of this size are being started.
+  void Take(const std::string& tenant, const Resources& size, int count = 1);
+  // Called for a gang that the quota does not allow now: if it could ever run, nothing more of its tenant may start.
+  void WaitFor(const std::string& tenant, const Resources& size, int count);
+
+ private:
+  struct Quota {
+    Resources maximum;
+    Resources used;
+    bool closed = false;  // Nothing more may start.
+  };
+
+  std::map<std::string, Quota> quotas_;  // Of the tenants that have a maximum.
+};
+
+}  // namespace hibiscus::cell
+
+#endif  // HIBISCUSSTAND_SRC_CELL_TENANT_QUOTA_H_
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -44,9 +44,13 @@
   return "?";
 }
 
+RunDemand DemandOf(const StepRun& step) {
+  return RunDemand{step.task_size(), step.quota_size(), step.tenant()};
+}
+
 bool Worker::UsableAt(TimePoint now) const {
   const bool entry_good = listed || now - unlisted_since < kUnlistedGrace;
-  return entry_good && unknown_size_runs_ == 0 && !entry.draining && hold_confirmed && !silent && in_roster &&
+  return entry_good && unknown_demand_runs_ == 0 && !entry.draining && hold_confirmed && !silent && in_roster &&
          !unsettled && now >= avoid_until;
 }
 
@@ -218,17 +222,46 @@
 
 void WorkerTable::AddRun(Worker& worker, const RunRef& run, const PlacedRun& placed) {
   worker.placed[run] = placed;
-  worker.used_ += placed.size;
-  worker.unknown_size_runs_ += placed.size_known ? 0 : 1;
+  worker.used_ += placed.demand.size;
+  if (placed.demand_known) {
+    tenant_usage_[placed.demand.tenant] += placed.demand.quota_size;
+  } else {
+    ++worker.unknown_demand_runs_;
+    ++unknown_demand_runs_;
+  }
 }
 
 void WorkerTable::RemoveRun(Worker& worker, const RunRef& run) {
   const auto found = worker.placed.find(run);
-  if (found != worker.placed.end()) {
-    worker.used_ -= found->second.size;
-    worker.unknown_size_runs_ -= found->second.size_known ? 0 : 1;
-    worker.placed.erase(found);
+  if (found == worker.placed.end()) {
+    return;
+  }
+  const PlacedRun& placed = found->second;
+  worker.used_ -= placed.demand.size;
+  if (placed.demand_known) {
+    tenant_usage_[placed.demand.tenant] -= placed.demand.quota_size;
+  } else {
+    --worker.unknown_demand_runs_;
+    --unknown_demand_runs_;
+  }
+  worker.placed.erase(found);
+}
+
+std::optional<Resources> WorkerTable::UnaccountedResources() const {
+  Resources sum;
+  if (unsettled_ == 0 && unknown_demand_runs_ == 0) {
+    return sum;
+  }
+  for (const auto& [id, worker] : workers_) {
+    if (!worker->unsettled && worker->unknown_demand_runs_ == 0) {
+      continue;
+    }
+    if (worker->entry.capacity == Resources{}) {
+      return std::nullopt;  // It was never listed.
+    }
+    sum += worker->free();
   }
+  return sum;
 }
 
 void WorkerTable::ExtendLease(Worker& worker, Duration deadline) {
@@ -341,11 +374,11 @@
       listener_.OnRunning(worker, row);
       continue;
     }
-    std::optional<Resources> size;
-    const bool keep = listener_.OnFound(worker, row, size);
+    std::optional<RunDemand> demand;
+    const bool keep = listener_.OnFound(worker, row, demand);
     AddRun(worker, row.run,
-           PlacedRun{size.value_or(Resources{}), PlacedPhase::kRunning, answer.worker_clock, context_.Now(), true,
-                     size.has_value()});
+           PlacedRun{demand.value_or(RunDemand{}), PlacedPhase::kRunning, answer.worker_clock, context_.Now(), true,
+                     demand.has_value()});
     if (!keep) {
       Stop(worker, row.run);
     }
@@ -383,12 +416,12 @@
 
 // --- Orders ---
 
-void WorkerTable::Start(Worker& worker, StartOrder order, const Resources& size) {
+void WorkerTable::Start(Worker& worker, StartOrder order, const RunDemand& demand) {
   const TimePoint now = context_.Now();
   order.token = token_;
   order.deadline = worker.ClockAt(now) + kStartDeadline;
   ExtendLease(worker, order.deadline);
-  AddRun(worker, order.run, PlacedRun{size, PlacedPhase::kStarting, order.deadline, now, false});
+  AddRun(worker, order.run, PlacedRun{demand, PlacedPhase::kStarting, order.deadline, now, false});
   context_.timers.In(kStartCheckDelay, [this, alive = alive_, id = worker.entry.id, run = order.run] {
     Worker* found = *alive ? Find(id) : nullptr;
     const bool still_placed = found != nullptr && found->placed.contains(run);
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -19,7 +19,9 @@
 #include <vector>
 
 #include "cell/context.h"
+#include "cell/job_table.h"
 #include "cell/records.h"
+#include "cell/tenant_quota.h"
 
 namespace hibiscus::cell {
 
@@ -39,15 +41,25 @@
 };
 const char* NameOf(GoneReason reason);
 
+// What a run takes, and of whose quota.
+struct RunDemand {
+  Resources size;        // Of its worker's capacity.
+  Resources quota_size;  // Of its tenant's maximum.
+  std::string tenant;
+
+  friend bool operator==(const RunDemand&, const RunDemand&) = default;
+};
+RunDemand DemandOf(const StepRun& step);
+
 // A run that uses, or may be using, resources of a worker.
 struct PlacedRun {
-  Resources size;
+  RunDemand demand;
   PlacedPhase phase = PlacedPhase::kStarting;
   // On the worker's clock: lists later than this that lack the run prove that it is over.
   Duration absence_valid_after = 0us;
   TimePoint placed_at{};
-  bool confirmed = false;  // The worker has confirmed that it carried out the start.
-  bool size_known = true;  // False for a run found on the worker whose job is unknown to the owner.
+  bool confirmed = false;    // The worker has confirmed that it carried out the start.
+  bool demand_known = true;  // False for a run found on the worker whose job is unknown to the owner.
 
   friend bool operator==(const PlacedRun&, const PlacedRun&) = default;
 };
@@ -77,7 +89,7 @@
   friend class WorkerTable;
 
   Resources used_;
-  int unknown_size_runs_ = 0;  // Runs of unknown size: nothing may be started beside them.
+  int unknown_demand_runs_ = 0;  // Runs of unknown demand: nothing may be started beside them.
   bool clock_known_ = false;
   Duration last_clock_{};                          // Latest worker clock received.
   TimePoint last_clock_at_{};                      // Local time at which it was received.
@@ -99,8 +111,8 @@
     virtual ~Listener() = default;
     // A run already placed there is listed as running.
     virtual void OnRunning(Worker& worker, const RunningRun& row) = 0;
-    // A run not yet placed there is listed as running. Returns true to keep it; leaves `size` empty if unknown.
-    virtual bool OnFound(Worker& worker, const RunningRun& row, std::optional<Resources>& size) = 0;
+    // A run not yet placed there is listed as running. Returns true to keep it; leaves `demand` empty if unknown.
+    virtual bool OnFound(Worker& worker, const RunningRun& row, std::optional<RunDemand>& demand) = 0;
     virtual void OnEnded(Worker& worker, const EndedRun& row) = 0;
     virtual void OnGone(Worker& worker, const RunRef& run, GoneReason reason) = 0;
     virtual void OnStarted(Worker& worker, const RunRef& run) = 0;
@@ -124,7 +136,7 @@
   void OnEntry(const WorkerEntry& entry);
   void OnEntryGone(const std::string& id);
 
-  void Start(Worker& worker, StartOrder order, const Resources& size);
+  void Start(Worker& worker, StartOrder order, const RunDemand& demand);
   void Stop(Worker& worker, const RunRef& run);
 
   // Number of the last end received. Pass it to Acknowledge once the ends up to it are stored.
@@ -137,6 +149,11 @@
   std::map<std::string, std::unique_ptr<Worker>>& workers() { return workers_; }
   size_t max_number() const { return max_number_; }  // Highest worker number assigned so far.
   bool AnyUnsettled() const { return unsettled_ > 0; }
+  // Resources of all runs that may exist and whose tenant is known.
+  const TenantUsage& tenant_usage() const { return tenant_usage_; }
+  // Upper bound of the resources of the other runs that may exist: the free capacity of workers that may have runs the
+  // owner does not know. Empty if the capacity of one of them is unknown.
+  std::optional<Resources> UnaccountedResources() const;
   // Smoothed response time of starts, a measure of how far this host lags behind with its calls. 0 without recent
   // starts.
   Duration start_delay() const;
@@ -184,6 +201,8 @@
   Listener& listener_;
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   int unsettled_ = 0;
+  int unknown_demand_runs_ = 0;  // On all workers.
+  TenantUsage tenant_usage_;
   size_t max_number_ = 0;
   std::unordered_map<size_t, Worker*> by_number_;
   Duration start_delay_{};
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -17,7 +17,8 @@
 constexpr Duration kMinStopTime = 50ms;  // For index 0; other indices take up to four times as long.
 constexpr int kStopTimeSteps = 4;
 constexpr Duration kGangFormationTimeout = 3s;
-constexpr Duration kUnboundedRunTime = 1h;  // Run time of long-running and hanging tasks.
+constexpr Duration kConfigurationDelay = 5s;  // A configuration is in force everywhere by then.
+constexpr Duration kUnboundedRunTime = 1h;    // Run time of long-running and hanging tasks.
 
 }  // namespace
 
@@ -464,6 +465,43 @@
   return std::nullopt;
 }
 
+std::string CellWorld::TenantOfKey(const KeyDigest& key) const {
+  for (auto each = published_.rbegin(); each != published_.rend(); ++each) {
+    if (const TenantSpec* tenant = each->second.FindTenantByKey(key); tenant != nullptr) {
+      return tenant->name;
+    }
+  }
+  return {};
+}
+
+// Of the configurations that may be in force, the one with the highest maximum counts.
+void CellWorld::CheckQuota(const StartOrder& order, const StepSpec& step) {
+  const std::string tenant = TenantOfKey(keys_[order.run.task.job]);
+  Resources maximum;
+  for (size_t i = published_.size(); i > 0; --i) {
+    const TenantSpec* of = published_[i - 1].second.FindTenant(tenant);
+    if (of == nullptr || of->maximum.cpu_millis == 0) {
+      return;
+    }
+    maximum.cpu_millis = std::max(maximum.cpu_millis, of->maximum.cpu_millis);
+    if (published_[i - 1].first + kConfigurationDelay < Now()) {
+      break;
+    }
+  }
+  int64_t used = 0;
+  for (const std::unique_ptr<FakeWorker>& worker : workers_) {
+    for (const auto& [run, state] : worker->runs_) {
+      const auto key = keys_.find(run.task.job);
+      const bool same = key != keys_.end() && TenantOfKey(key->second) == tenant;
+      used += same ? SpecOf(run.task.job)->steps[static_cast<size_t>(run.task.step)].size.cpu_millis : 0;
+    }
+  }
+  if (10 * used > 11 * maximum.cpu_millis) {
+    ReportViolation(fmt::format("tenant {} has {} running of {} and starts {}", tenant, used, maximum.cpu_millis,
+                                step.size.cpu_millis));
+  }
+}
+
 void CellWorld::CheckKey(const CallerRequest& request, TimePoint sent, const CallerReply& reply) {
   const QueueSpec* queue = configuration.FindQueue(request.queue);
   if (reply.outcome != CallerOutcome::kDone || queue == nullptr || !configuration.NeedsKey(queue)) {
@@ -730,6 +768,7 @@
   if (queue != nullptr && !step.long_running && acknowledged_failures_[counted] >= queue->max_attempts) {
     ReportViolation("started after the maximum number of failed attempts: " + name);
   }
+  CheckQuota(order, step);
   Resources used = step.size;
   for (const auto& [run, state] : worker.runs_) {
     used += state.size;
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -4,7 +4,8 @@
 // Checks these invariants on the runs that workers start: no worker exceeds its capacity, no task runs in two places at
 // once, none starts after its end was acknowledged, none belongs to a job that was not accepted, steps run in order,
 // and failed attempts stay within the limit. And on the replies to callers: none reports success for a key that no
-// configuration held, that was withdrawn longer ago than allowed, or that is of another tenant than the job.
+// configuration held, that was withdrawn longer ago than allowed, or that is of another tenant than the job. No start
+// brings a tenant above a tenth more than its maximum and one task.
 #ifndef HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
 #define HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
 
@@ -241,6 +242,8 @@
   const CellConfiguration* ConfigurationOf(uint64_t version) const;
   // The tenant of this key in the configurations that may be in force for a request sent at that time.
   std::optional<std::string> TenantAt(const KeyDigest& key, TimePoint sent) const;
+  std::string TenantOfKey(const KeyDigest& key) const;  // In the newest configuration that has it; empty if none has.
+  void CheckQuota(const StartOrder& order, const StepSpec& step);
   void CheckKey(const CallerRequest& request, TimePoint sent, const CallerReply& reply);
   void Call(size_t index, const CallerRequest& request, OnReply reply);
   void AddWaiter(Waiters& waiters, TimePoint until, std::function<bool()> is_ready, std::function<void()> resume);
--- a/tests/cell_tenants_test.cc
+++ b/tests/cell_tenants_test.cc
@@ -1,6 +1,7 @@
 // API keys and tenants in the cell: who is served, and for how long after a key was withdrawn.
 #include <catch2/catch.hpp>
 
+#include "cell/tenant_quota.h"
 #include "tests/cell_jobs.h"
 
 namespace hibiscus::cell {
@@ -203,5 +204,167 @@
   CHECK(world.violations().empty());
 }
 
+// --- Quotas ---
+
+Resources Cpu(int64_t millis) {
+  return Resources{millis, 100, 0};
+}
+
+TenantSpec Limited(const std::string& name, int64_t cpu_millis) {
+  return TenantSpec{name, {name + "1", name + "2"}, 50, Resources{cpu_millis, 0, 0}};
+}
+
+TEST_CASE("a tenant may start what its maximum leaves") {
+  const std::vector<TenantSpec> tenants = {Limited("a", 8000), Limited("b", 0)};
+  TenantQuotas quotas(tenants, {{"a", Cpu(5000)}}, Resources{});
+  CHECK(quotas.Allows("a", Cpu(3000)));
+  CHECK_FALSE(quotas.Allows("a", Cpu(3001)));
+  CHECK(quotas.Allows("a", Cpu(1000), 3));
+  CHECK_FALSE(quotas.Allows("a", Cpu(1000), 4));
+  CHECK(quotas.Allows("b", Cpu(1'000'000)));
+  CHECK(quotas.Allows("", Cpu(1'000'000)));
+  quotas.Take("a", Cpu(1500), 2);
+  CHECK_FALSE(quotas.Allows("a", Cpu(1)));
+}
+
+TEST_CASE("a task larger than its tenant's maximum runs alone") {
+  const std::vector<TenantSpec> tenants = {Limited("a", 2000)};
+  CHECK(TenantQuotas(tenants, {}, Resources{}).Allows("a", Cpu(3000)));
+  CHECK_FALSE(TenantQuotas(tenants, {}, Resources{}).Allows("a", Cpu(3000), 2));
+  CHECK_FALSE(TenantQuotas(tenants, {{"a", Cpu(100)}}, Resources{}).Allows("a", Cpu(3000)));
+}
+
+TEST_CASE("what may be running unknown counts for every tenant, and without a bound nothing limited starts") {
+  const std::vector<TenantSpec> tenants = {Limited("a", 8000), Limited("b", 0)};
+  CHECK_FALSE(TenantQuotas(tenants, {}, Cpu(16'000)).Allows("a", Cpu(500)));
+  CHECK(TenantQuotas(tenants, {}, Cpu(7000)).Allows("a", Cpu(500)));
+  CHECK_FALSE(TenantQuotas(tenants, {}, std::nullopt).Allows("a", Cpu(500)));
+  CHECK(TenantQuotas(tenants, {}, std::nullopt).Allows("b", Cpu(500)));
+}
+
+TEST_CASE("what comes after a gang that waits for its tenant's maximum waits too, unless the gang can never run") {
+  const std::vector<TenantSpec> tenants = {Limited("a", 8000)};
+  TenantQuotas quotas(tenants, {{"a", Cpu(6000)}}, Resources{});
+  quotas.WaitFor("a", Cpu(3000), 9);
+  CHECK(quotas.Allows("a", Cpu(1000)));
+  quotas.WaitFor("a", Cpu(1000), 5);
+  CHECK_FALSE(quotas.Allows("a", Cpu(1000)));
+}
+
+void AddQuota(CellWorld& world, int64_t north_cpu_millis) {
+  AddTenants(world);
+  world.configuration.tenants[0].maximum = Resources{north_cpu_millis, 0, 0};
+  world.Configure();
+  world.RunFor(6s);  // The configuration without a maximum is in force nowhere.
+}
+
+void SubmitLater(CellWorld& world, Duration at, const JobSpec& job, const KeyDigest& key, Duration takes) {
+  world.SetKey(job.id, key);
+  world.In(at, [&world, job, takes] { world.SubmitWithRetries(job, TaskBehaviour{takes, 0}); });
+}
+
+// Load: one tenant sends seven times what its maximum lets run.
+TEST_CASE("a tenant above its maximum waits for itself and does not delay others") {
+  CellWorld world(420, 4, 6);
+  AddQuota(world, 8000);
+  for (int i = 1; i <= 28; ++i) {
+    SubmitLater(world, i * 10ms, JobOf(i, {StepOf(2, 1000)}), "n1", 1s);
+  }
+  for (int i = 101; i <= 110; ++i) {
+    SubmitLater(world, i * 5ms, JobOf(i, {StepOf(1, 4000)}), "s1", 500ms);
+  }
+  world.RunFor(1500ms);
+  for (int i = 101; i <= 110; ++i) {
+    CHECK(world.StateOf("plain", JobId(i)) == JobState::kCompleted);
+  }
+  world.RunFor(9s);
+  for (int i = 1; i <= 28; ++i) {
+    CHECK(world.StateOf("plain", JobId(i)) == JobState::kCompleted);
+  }
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("a takeover while workers are silent brings no tenant above its maximum") {
+  for (uint64_t seed = 421; seed < 429; ++seed) {
+    CellWorld world(seed, 4, 6);
+    AddQuota(world, 8000);
+    for (int i = 1; i <= 40; ++i) {
+      SubmitLater(world, i * 150ms, JobOf(i, {StepOf(2, 2000)}), i % 2 == 0 ? "n1" : "n2", 4s);
+    }
+    for (int i = 0; i < 3; ++i) {
+      world.RunFor(1300ms);
+      const auto silence_most = [&](bool silent) {
+        for (size_t worker = 0; worker < world.worker_count(); ++worker) {
+          world.worker(worker).faults.silent = silent && worker != seed % world.worker_count();
+        }
+      };
+      silence_most(true);
+      world.Kill(*world.OwnerIndex());
+      world.RunFor(2500ms);
+      silence_most(false);
+      for (size_t host = 0; host < world.host_count(); ++host) {
+        if (world.host(host) == nullptr) {
+          world.Boot(host);
+        }
+      }
+    }
+    world.RunFor(120s);
+    for (int i = 1; i <= 40; ++i) {
+      CHECK((!world.Accepted(JobId(i)) || world.StateOf("plain", JobId(i)) == JobState::kCompleted));
+    }
+    CHECK(world.violations().empty());
+  }
+}
+
+TEST_CASE("a maximum that is lowered far below what runs holds starts back until it is raised") {
+  CellWorld world(430, 4, 6);
+  AddQuota(world, 16'000);
+  for (int i = 1; i <= 60; ++i) {
+    SubmitLater(world, i * 100ms, JobOf(i, {StepOf(1, 2000)}), "n1", 1s);
+  }
+  world.RunFor(2s);
+  world.configuration.tenants[0].maximum.cpu_millis = 1000;
+  world.Configure();
+  world.RunFor(1500ms);
+  const int starts = world.starts();
+  world.RunFor(3s);
+  CHECK(world.starts() - starts <= 4);  // One at a time.
+  world.configuration.tenants[0].maximum.cpu_millis = 16'000;
+  world.Configure();
+  world.RunFor(12s);
+  for (int i = 1; i <= 60; ++i) {
+    CHECK(world.StateOf("plain", JobId(i)) == JobState::kCompleted);
+  }
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("a gang is not overtaken for ever by small jobs of its tenant") {
+  CellWorld world(431, 4, 6);
+  AddQuota(world, 8000);
+  for (int i = 1; i <= 100; ++i) {
+    SubmitLater(world, i * 50ms, JobOf(i, {StepOf(1, 1000)}), "n1", 500ms);
+  }
+  StepSpec gang = StepOf(7, 1000);
+  gang.gang = true;
+  SubmitLater(world, 1s, JobOf(200, {gang}), "n1", 500ms);
+  world.RunFor(4s);
+  CHECK(world.StateOf("plain", JobId(200)) == JobState::kCompleted);
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("a gang that its tenant's maximum can never hold is refused at once") {
+  CellWorld world(432, 4, 6);
+  AddQuota(world, 8000);
+  StepSpec gang = StepOf(12, 1000);
+  gang.gang = true;
+  world.SetKey(JobId(1), "n1");
+  std::optional<CallerOutcome> outcome;
+  world.Submit(0, JobOf(1, {gang}), TaskBehaviour{}, [&](const CallerReply& reply) { outcome = reply.outcome; });
+  world.RunFor(100ms);
+  CHECK(outcome == CallerOutcome::kInvalidJob);
+  world.RunFor(3s);
+  CHECK(world.starts() == 0);
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -71,7 +71,7 @@
         waiting.push_back(step);
       }
     }
-    std::vector<Decision> decisions = placement.Plan(SortByUrgency(waiting, now, policies), queues, now);
+    std::vector<Decision> decisions = placement.Plan(SortByUrgency(waiting, now, policies), queues, quotas, now);
     for (const Decision& decision : decisions) {
       if (const auto* starts = std::get_if<StartTasks>(&decision)) {
         Start(*starts);
@@ -91,6 +91,7 @@
   const Policies policies;
   TimePoint now = kBegin;
   AdviceQueues queues{{AdviceQueue{}}};
+  TenantQuotas quotas;
   std::deque<WorkerEntry> entries;
   std::vector<std::unique_ptr<Job>> jobs;
   Placement placement;
@@ -210,7 +211,7 @@
   }
   gang.advice.pending_requests = 0;
   rig.now += 410ms;
-  const std::vector<Decision> then = rig.placement.PlanStep(gang, rig.queues, rig.now);
+  const std::vector<Decision> then = rig.placement.PlanStep(gang, rig.queues, rig.quotas, rig.now);
   REQUIRE(Of<StartTasks>(then).size() == 1);
   CHECK(Of<StartTasks>(then)[0].tasks.size() == 2);
 }
