--- a/tests/cell_chaos.h
+++ b/tests/cell_chaos.h
@@ -13,6 +13,7 @@
   uint64_t seed = 1;
   bool log = false;
   bool relays = false;     // The owner's orders go through other hosts.
+  bool tenants = false;    // Callers have API keys and quotas, and operators change both.
   size_t fault_kinds = 0;  // Draws only from the first kinds of faults, as seeds found earlier did. 0: from all.
 
   friend bool operator==(const CellChaosOptions&, const CellChaosOptions&) = default;
