Quotas: after a takeover the roster bounds what runs on workers that have left

Change: the roster keeps each worker's capacity. Test: after a takeover a tenant with enough left of its maximum does not wait for a worker that has left (fails before).

--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -31,7 +31,7 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, WorkerInstanceRecord> {
-  return std::tie(self.id, self.address, self.born_ms);
+  return std::tie(self.id, self.address, self.born_ms, self.capacity);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, Resources> {
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -69,6 +69,7 @@
   std::string id;
   std::string address;
   int64_t born_ms = 0;  // Start of this instance, in milliseconds since 1970.
+  Resources capacity;   // Upper bound of what may be running there.
 
   friend auto operator<=>(const WorkerInstanceRecord&, const WorkerInstanceRecord&) = default;
 };
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -79,7 +79,7 @@
   std::vector<WorkerInstanceRecord> roster;
   for (const auto& [id, worker] : workers_) {
     if (worker->hold_confirmed || worker->unsettled) {
-      roster.push_back(WorkerInstanceRecord{id, worker->entry.address, worker->entry.born_ms});
+      roster.push_back(WorkerInstanceRecord{id, worker->entry.address, worker->entry.born_ms, worker->entry.capacity});
     } else {
       worker->in_roster = false;  // The roster without it may be stored before its answer arrives.
     }
@@ -100,6 +100,7 @@
     slot->entry.id = life.id;
     slot->entry.address = life.address;
     slot->entry.born_ms = life.born_ms;
+    slot->entry.capacity = life.capacity;
     slot->unlisted_since = context_.Now() - kUnlistedGrace;
     ScheduleHold(*slot, 0us);
   }
--- a/tests/cell_tenants_test.cc
+++ b/tests/cell_tenants_test.cc
@@ -321,6 +321,24 @@
   }
 }
 
+// Load: workers are taken away at short notice, and a takeover finds them in the roster and not in the store.
+TEST_CASE("after a takeover a tenant with enough left of its maximum does not wait for a worker that has left") {
+  CellWorld world(440, 4, 6);
+  AddQuota(world, 40'000);
+  SubmitLater(world, 0ms, JobOf(1, {StepOf(6, 1000)}), "n1", 8s);
+  world.RunFor(1s);
+  world.worker(5).Crash();
+  world.store().Erase("workers/" + world.worker(5).entry.id);
+  world.Kill(*world.OwnerIndex());
+  REQUIRE(world.RunUntil([&] { return HasOwner(world); }, 3s));
+  const int starts = world.starts();
+  world.SetKey(JobId(2), "n1");
+  world.Submit(*world.OwnerIndex(), JobOf(2, {StepOf(2, 1000)}), TaskBehaviour{300ms, 0}, [](const CallerReply&) {});
+  world.RunFor(700ms);
+  CHECK(world.starts() == starts + 2);
+  CHECK(world.violations().empty());
+}
+
 TEST_CASE("a maximum that is lowered far below what runs holds starts back until it is raised") {
   CellWorld world(430, 4, 6);
   AddQuota(world, 16'000);
