Mend: an owner that was stopped in an outage kept the cell until its process ended

Cause: a release that the store did not take was tried once, and the lease was renewed on; the host sent callers away and nobody could claim for the 2.5 s to 6 s that a stopping process lives. Change: a stopping owner renews no more and repeats the release until the store takes it. Test: an owner that is stopped in an outage of the store hands over when the store is back (before: not within 1 s after outages of 1 s to 3 s). Also: queue_statistics tells how many steps wait for their tenant's quota (quota_waits).

--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -20,9 +20,10 @@
 constexpr Duration kClaimRetryDelay = 200ms;    // After a failed claim.
 // After a failed claim, hand-over offers of an owner that still holds the record are ignored for this time.
 constexpr Duration kHandOverIgnorePeriod = 1s;
-constexpr Duration kReleaseTimeout = 1500ms;  // Longest wait of a planned stop for the last batch.
-constexpr int kMaxHeadConflicts = 4;          // Retries of a claim while only the head has changed.
-constexpr int kLatencyDelayRoundTrips = 3;    // Claim delay in round trips to the store.
+constexpr Duration kReleaseTimeout = 1500ms;    // Longest wait of a planned stop for the last batch.
+constexpr Duration kReleaseRetryDelay = 150ms;  // After a failed attempt to mark the owner record as released.
+constexpr int kMaxHeadConflicts = 4;            // Retries of a claim while only the head has changed.
+constexpr int kLatencyDelayRoundTrips = 3;      // Claim delay in round trips to the store.
 
 }  // namespace
 
@@ -477,13 +478,15 @@
   owner_->Close(release);
 }
 
-// Keeps the owner record, marked as released, until another host replaces it. Other hosts may claim at once.
+// Keeps the owner record, marked as released, until another host replaces it. Other hosts may claim at once. While the
+// store does not answer, the attempt is repeated and the lease is not renewed: this host serves no caller as the owner.
 void Host::MarkRecordReleased(const std::function<void()>& on_left) {
   if (owner_ == nullptr) {
     on_left();
     return;
   }
   owner_->StopWriting();
+  ++renewal_number_;  // Cancels the scheduled renewal.
   StoreTransaction transaction;
   transaction.expected = {RevisionCheck{kOwnerKey, known_.term}};
   transaction.writes = {StoreWrite{kOwnerKey, EncodeRecord(MakeOwnRecord(owner_->ownership().epoch, true)), 0}};
@@ -491,8 +494,9 @@
                           context_.Log("owner", "event=released status={}", NameOf(answer.status));
                           if (answer.status == StoreStatus::kOk) {
                             UpdateKnownOwner(answer.revision, true, MakeOwnRecord(0, true));
-                          } else {
+                          } else if (answer.status != StoreStatus::kConflict) {
                             context_.store.EndLease(owner_lease_, [](const StoreAnswer&) {});
+                            context_.timers.In(kReleaseRetryDelay, IfAlive([this] { MarkRecordReleased([] {}); }));
                           }
                           on_left();
                         }));
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -65,9 +65,10 @@
   const int64_t capacity = load.capacity.cpu_millis;
   context_.Log("placement",
                "event=queue_statistics gangs={} tasks={} asking={} advice_calls={} workers_usable={} "
-               "workers_reserved={} free_percent={} pass_us={}",
+               "workers_reserved={} quota_waits={} free_percent={} pass_us={}",
                gangs, tasks, asking_steps, advice_.calls(), load.workers, load.reserved_workers,
-               capacity == 0 ? 0 : 100 * load.free.cpu_millis / capacity, last_pass_duration_.count());
+               placement_.quota_waits(), capacity == 0 ? 0 : 100 * load.free.cpu_millis / capacity,
+               last_pass_duration_.count());
 }
 
 // --- Inputs of a pass ---
--- a/src/cell/placement.cc
+++ b/src/cell/placement.cc
@@ -95,6 +95,7 @@
   }
   reserved_for_.assign(positions_.size(), nullptr);
   reserved_count_ = 0;
+  quota_waits_ = 0;
   Pass pass{now, queues, quotas, {}};
   for (StepRun* step : waiting) {
     if (step->spec->gang) {
@@ -189,6 +190,7 @@
 
 void Placement::PlaceSingleTasks(StepRun& step, Pass& pass) {
   if (!pass.quotas.Allows(step.tenant(), step.quota_size())) {
+    ++quota_waits_;
     return;
   }
   if (step.job->queue.advice && !step.advice.has_answer) {
@@ -303,6 +305,7 @@
 void Placement::PlaceGang(StepRun& step, Pass& pass) {
   if (!pass.quotas.Allows(step.tenant(), step.quota_size(), step.spec->count)) {
     pass.quotas.WaitFor(step.tenant(), step.quota_size(), step.spec->count);
+    ++quota_waits_;
     return;
   }
   if (step.advice.pending_requests > 0) {
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -104,6 +104,8 @@
   void ReleaseTentative(StepRun& step);
 
   PlacementLoad load() const;
+  // Number of steps that the last pass left waiting for their tenant's quota.
+  int quota_waits() const { return quota_waits_; }
   // Number of workers inspected since the last call: a measure of the cost of passes.
   int64_t TakeInspectedCount() { return std::exchange(inspected_count_, 0); }
 
@@ -178,6 +180,7 @@
   std::vector<const StepRun*> reserved_for_;    // By worker number: the gang the worker is reserved for.
   std::vector<bool> previously_reserved_;       // By worker number: whether the previous pass reserved it.
   size_t reserved_count_ = 0;
+  int quota_waits_ = 0;
   int64_t inspected_count_ = 0;
 };
 
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -153,7 +153,10 @@
 
 void FakeStore::ExpireLeases() {
   std::vector<uint64_t> expired;
-  for (const auto& [id, lease] : leases_) {
+  for (auto& [id, lease] : leases_) {
+    if (leases_paused) {
+      lease.expires_at = world_.Now() + lease.ttl;
+    }
     if (lease.expires_at <= world_.Now()) {
       expired.push_back(id);
     }
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -59,6 +59,7 @@
   // Called after each change.
   std::function<void()> on_change;
 
+  bool leases_paused = false;  // Leases do not run; each has its whole time left afterwards.
   CallFaults faults;
   std::map<std::string, CallFaults> host_faults;  // Overrides `faults`, by host name.
 
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -215,6 +215,25 @@
   }
 }
 
+// The store pauses leases while it is down, and the stopped host goes on answering for some seconds.
+TEST_CASE("an owner that is stopped in an outage of the store hands over when the store is back") {
+  for (const Duration outage : {1000ms, 1600ms, 2200ms, 3000ms}) {
+    CellWorld world(76, 4, 6);
+    AddQueues(world);
+    REQUIRE(Settle(world));
+    world.store().faults.down = true;
+    world.store().leases_paused = true;
+    const size_t owner = *world.OwnerIndex();
+    world.Leave(owner);
+    world.RunFor(outage);
+    world.store().faults.down = false;
+    world.store().leases_paused = false;
+    const auto other_owns = [&] { return HasOwner(world) && *world.OwnerIndex() != owner; };
+    INFO("outage of " << Millis(outage) << " ms");
+    CHECK(world.RunUntil(other_owns, 1s));
+  }
+}
+
 // The host that is cut off goes on telling the others of the dead owner. They have read the store since: it has none.
 TEST_CASE("hosts that start anew do not take a dead owner for alive because a cut-off host tells them of it") {
   CellWorld world(75, 4, 6);
