--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -253,6 +253,8 @@
   job.record = JobRecord{ownership_.epoch, context_.wall.NowMs(), std::move(spec), queue, tenant};
   SetQueue(job, queue);
   job.accepted_at = context_.Now();
+  const TenantSpec* of = configuration_.FindTenant(tenant);
+  job.beyond_share = of != nullptr && !shares_.IsWithinShare(tenant, of->jobs_per_second, job.accepted_at);
   jobs_[job.id()] = std::move(new_job);
   if (job.record.spec.occurrences == 0) {
     job.occurrences.emplace(0, MakeOccurrence(job, 0, 0));
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -28,6 +28,7 @@
 #include "cell/messages.h"
 #include "cell/order_relay.h"
 #include "cell/placement.h"
+#include "cell/tenant_share.h"
 #include "cell/worker_table.h"
 #include "hibiscusstand/quarantine.h"
 
@@ -254,6 +255,7 @@
   WorkerTable workers_;
   AdviceDispatcher advice_;
   Placement placement_;
+  TenantShares shares_;
   Quarantine quarantine_;  // Workers on which tasks fail or stall that succeed on others.
   GroupCommit commit_;
 
--- a/src/cell/placement.cc
+++ b/src/cell/placement.cc
@@ -304,7 +304,9 @@
 
 void Placement::PlaceGang(StepRun& step, Pass& pass) {
   if (!pass.quotas.Allows(step.tenant(), step.quota_size(), step.spec->count)) {
-    pass.quotas.WaitFor(step.tenant(), step.quota_size(), step.spec->count);
+    if (policies_.quota_gangs) {
+      pass.quotas.WaitFor(step.tenant(), step.quota_size(), step.spec->count);
+    }
     ++quota_waits_;
     return;
   }
--- a/src/cell/policies.h
+++ b/src/cell/policies.h
@@ -13,6 +13,7 @@
   bool due_first = true;     // Order by the job's due time.
   bool late_last = true;     // Jobs that can no longer meet their objective come last within their priority.
   bool expired_last = true;  // Expired jobs, whose result is worthless to the caller, come last of all.
+  bool tenant_shares = true;  // What a tenant sends beyond its rate comes after what is within the rates.
   // Placement (placement.h).
   bool tightest_fit = true;       // Off: the first worker on which the task fits.
   bool data_rack = true;          // Prefer workers in the rack of the step's data.
@@ -20,6 +21,7 @@
   bool open_reservations = true;  // Gangs may use workers reserved for others while much is free.
   bool tickets_first = true;      // Gangs prefer workers for which they hold valid tickets.
   bool tentative = true;          // Resources for a gang are allocated tentatively while its tickets are requested.
+  bool quota_gangs = true;        // A gang that waits for its tenant's quota is not overtaken by its tenant.
   // Advice (advice_policy.h).
   bool ask_ahead = true;    // Request advice while the job is still being stored.
   bool ask_further = true;  // Ask about more workers while most hosts have no call in progress.
@@ -44,12 +46,14 @@
     {"due_first", &Policies::due_first},
     {"late_last", &Policies::late_last},
     {"expired_last", &Policies::expired_last},
+    {"tenant_shares", &Policies::tenant_shares},
     {"tightest_fit", &Policies::tightest_fit},
     {"data_rack", &Policies::data_rack},
     {"reservations", &Policies::reservations},
     {"open_reservations", &Policies::open_reservations},
     {"tickets_first", &Policies::tickets_first},
     {"tentative", &Policies::tentative},
+    {"quota_gangs", &Policies::quota_gangs},
     {"ask_ahead", &Policies::ask_ahead},
     {"ask_further", &Policies::ask_further},
     {"gather_asks", &Policies::gather_asks},
--- a/src/cell/wait_order.cc
+++ b/src/cell/wait_order.cc
@@ -11,6 +11,7 @@
 
 struct SortKey {
   bool expired = false;
+  bool beyond_share = false;
   int priority = 0;
   bool late = false;  // It can no longer meet its objective.
   TimePoint due;
@@ -21,14 +22,15 @@
   const Job& job = *step.job;
   const Duration age = now - job.accepted_at;
   return SortKey{policies.expired_last && age > job.objective * kExpiryObjectives,
+                 policies.tenant_shares && job.beyond_share,
                  policies.priority ? job.queue.priority : 0,
                  policies.late_last && age + job.critical_path_time > job.objective,
                  job.accepted_at + (policies.due_first ? job.objective : Duration(0)), &step};
 }
 
 bool ComesBefore(const SortKey& a, const SortKey& b) {
-  return std::tie(a.expired, a.priority, a.late, a.due, a.step->job->id(), a.step->step) <
-         std::tie(b.expired, b.priority, b.late, b.due, b.step->job->id(), b.step->step);
+  return std::tie(a.expired, a.beyond_share, a.priority, a.late, a.due, a.step->job->id(), a.step->step) <
+         std::tie(b.expired, b.beyond_share, b.priority, b.late, b.due, b.step->job->id(), b.step->step);
 }
 
 }  // namespace
--- a/tests/cell_tenants_test.cc
+++ b/tests/cell_tenants_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "cell/tenant_quota.h"
+#include "cell/tenant_share.h"
 #include "tests/cell_jobs.h"
 
 namespace hibiscus::cell {
@@ -389,5 +390,50 @@
   CHECK(world.starts() == 0);
 }
 
+// --- Shares ---
+
+TEST_CASE("a tenant may send its rate, and a second's worth of it at once") {
+  TenantShares shares;
+  TimePoint now{};
+  int within = 0;
+  for (int i = 0; i < 100; ++i) {
+    within += shares.IsWithinShare("a", 10, now) ? 1 : 0;
+  }
+  CHECK(within == 11);
+  now += 500ms;
+  within = 0;
+  for (int i = 0; i < 100; ++i) {
+    within += shares.IsWithinShare("a", 10, now) ? 1 : 0;
+  }
+  CHECK(within == 5);
+  CHECK(shares.IsWithinShare("b", 10, now));
+  CHECK(shares.IsWithinShare("", 0, now));
+}
+
+// Load: a full cell, a tenant that sends five times its rate, and one that keeps to its own.
+TEST_CASE("in a full cell a hot tenant delays itself and not the others") {
+  CellWorld world(450, 4, 2);
+  AddTenants(world);
+  world.configuration.tenants[0].jobs_per_second = 4;
+  world.configuration.tenants[1].jobs_per_second = 4;
+  world.Configure();
+  world.RunFor(500ms);
+  for (int i = 1; i <= 160; ++i) {  // 20 jobs a second of 2 cores and 1 s: the cell holds 16.
+    SubmitLater(world, i * 50ms, JobOf(i, {StepOf(1, 2000)}), "n1", 1s);
+  }
+  for (int i = 1001; i <= 1024; ++i) {
+    SubmitLater(world, (i - 1000) * 333ms, JobOf(i, {StepOf(1, 2000)}), "s1", 1s);
+  }
+  world.RunFor(10s);
+  int ended = 0;
+  for (int i = 1001; i <= 1024; ++i) {
+    ended += world.CompletionCount(TaskRef{JobId(i), 0, 0, 0});
+  }
+  CHECK(ended == 24);
+  world.RunFor(5s);
+  CHECK(world.StateOf("plain", JobId(160)) == JobState::kCompleted);  // Lent what the others left.
+  CHECK(world.violations().empty());
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
