--- a/src/cell/policies.h
+++ b/src/cell/policies.h
@@ -9,10 +9,10 @@
 
 struct Policies {
   // Order of waiting steps (wait_order.h). With all of them off: first come, first served.
-  bool priority = true;      // Order by queue priority.
-  bool due_first = true;     // Order by the job's due time.
-  bool late_last = true;     // Jobs that can no longer meet their objective come last within their priority.
-  bool expired_last = true;  // Expired jobs, whose result is worthless to the caller, come last of all.
+  bool priority = true;       // Order by queue priority.
+  bool due_first = true;      // Order by the job's due time.
+  bool late_last = true;      // Jobs that can no longer meet their objective come last within their priority.
+  bool expired_last = true;   // Expired jobs, whose result is worthless to the caller, come last of all.
   bool tenant_shares = true;  // What a tenant sends beyond its rate comes after what is within the rates.
   // Placement (placement.h).
   bool tightest_fit = true;       // Off: the first worker on which the task fits.
--- a/src/cell/wait_order.cc
+++ b/src/cell/wait_order.cc
@@ -25,7 +25,8 @@
                  policies.tenant_shares && job.beyond_share,
                  policies.priority ? job.queue.priority : 0,
                  policies.late_last && age + job.critical_path_time > job.objective,
-                 job.accepted_at + (policies.due_first ? job.objective : Duration(0)), &step};
+                 job.accepted_at + (policies.due_first ? job.objective : Duration(0)),
+                 &step};
 }
 
 bool ComesBefore(const SortKey& a, const SortKey& b) {
