--- a/src/cell/owner_tenants.cc
+++ b/src/cell/owner_tenants.cc
@@ -81,11 +81,11 @@
   return TenantQuotas(configuration_.tenants, workers_.tenant_usage(), workers_.UnaccountedResources());
 }
 
-std::optional<std::string> Owner::TenantOfJob(const std::string& id) {
-  if (const Job* job = FindJob(id); job != nullptr) {
-    return job->record.tenant;
+std::optional<std::string> Owner::TenantOfJob(const std::string& job) {
+  if (const Job* open = FindJob(job); open != nullptr) {
+    return open->record.tenant;
   }
-  const auto ended = ended_jobs_.find(id);
+  const auto ended = ended_jobs_.find(job);
   return ended == ended_jobs_.end() ? std::nullopt : std::optional(ended->second.tenant);
 }
 
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -469,12 +469,9 @@
 }
 
 std::string CellWorld::TenantOfKey(const KeyDigest& key) const {
-  for (auto each = published_.rbegin(); each != published_.rend(); ++each) {
-    if (const TenantSpec* tenant = each->second.FindTenantByKey(key); tenant != nullptr) {
-      return tenant->name;
-    }
-  }
-  return {};
+  const auto found = std::find_if(published_.rbegin(), published_.rend(),
+                                  [&](const auto& each) { return each.second.FindTenantByKey(key) != nullptr; });
+  return found == published_.rend() ? std::string() : found->second.FindTenantByKey(key)->name;
 }
 
 // Of the configurations that may be in force, the one with the highest maximum counts.
