Quotas: a pass looks up only the tenants whose steps wait, and a new job none of the workers

Change: quotas are looked up by tenant as steps ask for them; advice that is asked for ahead goes by what is known to run.

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -26,6 +26,7 @@
     : context_(context),
       ownership_(ownership),
       configuration_(std::move(configuration)),
+      maxima_(MaximaOf(configuration_.tenants)),
       proof_(context,
              [this](const StoreItem& item) {
                const auto read = context_.directory.ReadConfiguration(item);
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -249,6 +249,7 @@
   Context& context_;
   const Ownership ownership_;
   CellConfiguration configuration_;
+  TenantMaxima maxima_;  // Of `configuration_`.
   ConfigurationProof proof_;
   std::function<void()> on_deposed_;
   OrderRelay relay_;
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -180,7 +180,8 @@
   if (!job.queue.advice) {
     return;
   }
-  const TenantQuotas quotas = CurrentQuotas();
+  // Runs that are not accounted for are left out: nothing starts here, and to sum them up takes a look at each worker.
+  const TenantQuotas quotas(maxima_, workers_.tenant_usage(), Resources{});
   for (const auto& [number, occurrence] : job.occurrences) {
     for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
       if (step->spec->after.empty()) {
--- a/src/cell/owner_tenants.cc
+++ b/src/cell/owner_tenants.cc
@@ -14,6 +14,7 @@
     return true;
   }
   configuration_ = configuration;
+  maxima_ = MaximaOf(configuration_.tenants);
   context_.Log("config", "event=config_at_owner version={} tenants={}", configuration_.version,
                configuration_.tenants.size());
   if (configuration_.needs_keys && context_.settings.key_withdrawal_limit > Duration(0)) {
@@ -78,7 +79,7 @@
 }
 
 TenantQuotas Owner::CurrentQuotas() const {
-  return TenantQuotas(configuration_.tenants, workers_.tenant_usage(), workers_.UnaccountedResources());
+  return TenantQuotas(maxima_, workers_.tenant_usage(), workers_.UnaccountedResources());
 }
 
 std::optional<std::string> Owner::TenantOfJob(const std::string& job) {
--- a/src/cell/tenant_quota.cc
+++ b/src/cell/tenant_quota.cc
@@ -21,45 +21,57 @@
   return IsWithin(Multiply(size, count - 1), maximum);
 }
 
-TenantQuotas::TenantQuotas(const std::vector<TenantSpec>& tenants,
-                           const TenantUsage& usage,
-                           const std::optional<Resources>& unaccounted) {
+TenantMaxima MaximaOf(const std::vector<TenantSpec>& tenants) {
+  TenantMaxima maxima;
   for (const TenantSpec& tenant : tenants) {
-    if (tenant.maximum == Resources{}) {
-      continue;
+    if (!(tenant.maximum == Resources{})) {
+      maxima[tenant.name] = tenant.maximum;
     }
-    Quota quota{tenant.maximum, unaccounted.value_or(Resources{}), !unaccounted.has_value()};
-    if (const auto used = usage.find(tenant.name); used != usage.end()) {
-      quota.used += used->second;
-    }
-    quotas_[tenant.name] = quota;
   }
+  return maxima;
+}
+
+TenantQuotas::Quota* TenantQuotas::Find(const std::string& tenant) const {
+  if (const auto known = quotas_.find(tenant); known != quotas_.end()) {
+    return &known->second;
+  }
+  if (maxima_ == nullptr) {
+    return nullptr;
+  }
+  const auto maximum = maxima_->find(tenant);
+  if (maximum == maxima_->end()) {
+    return nullptr;
+  }
+  Quota quota{maximum->second, unaccounted_.value_or(Resources{}), !unaccounted_.has_value()};
+  if (const auto used = usage_->find(tenant); used != usage_->end()) {
+    quota.used += used->second;
+  }
+  return &quotas_.emplace(tenant, quota).first->second;
 }
 
 bool TenantQuotas::Allows(const std::string& tenant, const Resources& size, int count) const {
-  const auto found = quotas_.find(tenant);
-  if (found == quotas_.end()) {
+  const Quota* quota = Find(tenant);
+  if (quota == nullptr) {
     return true;
   }
-  const Quota& quota = found->second;
-  if (quota.closed) {
+  if (quota->closed) {
     return false;
   }
-  if (quota.used == Resources{}) {
-    return FitsMaximum(quota.maximum, size, count);
+  if (quota->used == Resources{}) {
+    return FitsMaximum(quota->maximum, size, count);
   }
-  return IsWithin(quota.used + Multiply(size, count), quota.maximum);
+  return IsWithin(quota->used + Multiply(size, count), quota->maximum);
 }
 
 void TenantQuotas::Take(const std::string& tenant, const Resources& size, int count) {
-  if (const auto found = quotas_.find(tenant); found != quotas_.end()) {
-    found->second.used += Multiply(size, count);
+  if (Quota* quota = Find(tenant); quota != nullptr) {
+    quota->used += Multiply(size, count);
   }
 }
 
 void TenantQuotas::WaitFor(const std::string& tenant, const Resources& size, int count) {
-  if (const auto found = quotas_.find(tenant); found != quotas_.end()) {
-    found->second.closed = found->second.closed || FitsMaximum(found->second.maximum, size, count);
+  if (Quota* quota = Find(tenant); quota != nullptr) {
+    quota->closed = quota->closed || FitsMaximum(quota->maximum, size, count);
   }
 }
 
--- a/src/cell/tenant_quota.h
+++ b/src/cell/tenant_quota.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "cell/values.h"
@@ -17,6 +18,9 @@
 
 // Resources of the runs that may exist, by tenant.
 using TenantUsage = std::map<std::string, Resources>;
+// Maxima of the tenants that have one.
+using TenantMaxima = std::unordered_map<std::string, Resources>;
+TenantMaxima MaximaOf(const std::vector<TenantSpec>& tenants);
 
 // True if `count` tasks of this size may run at the same time under the maximum. The last one may exceed it, so that a
 // task larger than the maximum can run alone.
@@ -26,11 +30,11 @@
  public:
   // No limits.
   TenantQuotas() = default;
-  // `unaccounted` is an upper bound of what may be running without its tenant being known; it counts for every tenant.
-  // Without a bound, tenants that have a maximum start nothing.
-  TenantQuotas(const std::vector<TenantSpec>& tenants,
-               const TenantUsage& usage,
-               const std::optional<Resources>& unaccounted);
+  // Looks tenants up as they are asked for; `maxima` and `usage` must outlive this object and stay as they are. Starts
+  // are recorded with Take. `unaccounted` is an upper bound of what may be running without its tenant being known; it
+  // counts for every tenant. Without a bound, tenants that have a maximum start nothing.
+  TenantQuotas(const TenantMaxima& maxima, const TenantUsage& usage, const std::optional<Resources>& unaccounted)
+      : maxima_(&maxima), usage_(&usage), unaccounted_(unaccounted) {}
 
   // True if `count` tasks of this size may start now, all of them.
   bool Allows(const std::string& tenant, const Resources& size, int count = 1) const;
@@ -46,7 +50,12 @@
     bool closed = false;  // Nothing more may start.
   };
 
-  std::map<std::string, Quota> quotas_;  // Of the tenants that have a maximum.
+  Quota* Find(const std::string& tenant) const;  // Null if the tenant has no maximum.
+
+  const TenantMaxima* maxima_ = nullptr;
+  const TenantUsage* usage_ = nullptr;
+  std::optional<Resources> unaccounted_;
+  mutable std::map<std::string, Quota> quotas_;  // Of the tenants that were asked for.
 };
 
 }  // namespace hibiscus::cell
--- a/tests/cell_tenants_test.cc
+++ b/tests/cell_tenants_test.cc
@@ -222,8 +222,9 @@
 }
 
 TEST_CASE("a tenant may start what its maximum leaves") {
-  const std::vector<TenantSpec> tenants = {Limited("a", 8000), Limited("b", 0)};
-  TenantQuotas quotas(tenants, {{"a", Cpu(5000)}}, Resources{});
+  const TenantMaxima maxima = MaximaOf({Limited("a", 8000), Limited("b", 0)});
+  const TenantUsage usage = {{"a", Cpu(5000)}};
+  TenantQuotas quotas(maxima, usage, Resources{});
   CHECK(quotas.Allows("a", Cpu(3000)));
   CHECK_FALSE(quotas.Allows("a", Cpu(3001)));
   CHECK(quotas.Allows("a", Cpu(1000), 3));
@@ -235,23 +236,27 @@
 }
 
 TEST_CASE("a task larger than its tenant's maximum runs alone") {
-  const std::vector<TenantSpec> tenants = {Limited("a", 2000)};
-  CHECK(TenantQuotas(tenants, {}, Resources{}).Allows("a", Cpu(3000)));
-  CHECK_FALSE(TenantQuotas(tenants, {}, Resources{}).Allows("a", Cpu(3000), 2));
-  CHECK_FALSE(TenantQuotas(tenants, {{"a", Cpu(100)}}, Resources{}).Allows("a", Cpu(3000)));
+  const TenantMaxima maxima = MaximaOf({Limited("a", 2000)});
+  const TenantUsage none;
+  const TenantUsage some = {{"a", Cpu(100)}};
+  CHECK(TenantQuotas(maxima, none, Resources{}).Allows("a", Cpu(3000)));
+  CHECK_FALSE(TenantQuotas(maxima, none, Resources{}).Allows("a", Cpu(3000), 2));
+  CHECK_FALSE(TenantQuotas(maxima, some, Resources{}).Allows("a", Cpu(3000)));
 }
 
 TEST_CASE("what may be running unknown counts for every tenant, and without a bound nothing limited starts") {
-  const std::vector<TenantSpec> tenants = {Limited("a", 8000), Limited("b", 0)};
-  CHECK_FALSE(TenantQuotas(tenants, {}, Cpu(16'000)).Allows("a", Cpu(500)));
-  CHECK(TenantQuotas(tenants, {}, Cpu(7000)).Allows("a", Cpu(500)));
-  CHECK_FALSE(TenantQuotas(tenants, {}, std::nullopt).Allows("a", Cpu(500)));
-  CHECK(TenantQuotas(tenants, {}, std::nullopt).Allows("b", Cpu(500)));
+  const TenantMaxima maxima = MaximaOf({Limited("a", 8000), Limited("b", 0)});
+  const TenantUsage none;
+  CHECK_FALSE(TenantQuotas(maxima, none, Cpu(16'000)).Allows("a", Cpu(500)));
+  CHECK(TenantQuotas(maxima, none, Cpu(7000)).Allows("a", Cpu(500)));
+  CHECK_FALSE(TenantQuotas(maxima, none, std::nullopt).Allows("a", Cpu(500)));
+  CHECK(TenantQuotas(maxima, none, std::nullopt).Allows("b", Cpu(500)));
 }
 
 TEST_CASE("what comes after a gang that waits for its tenant's maximum waits too, unless the gang can never run") {
-  const std::vector<TenantSpec> tenants = {Limited("a", 8000)};
-  TenantQuotas quotas(tenants, {{"a", Cpu(6000)}}, Resources{});
+  const TenantMaxima maxima = MaximaOf({Limited("a", 8000)});
+  const TenantUsage usage = {{"a", Cpu(6000)}};
+  TenantQuotas quotas(maxima, usage, Resources{});
   quotas.WaitFor("a", Cpu(3000), 9);
   CHECK(quotas.Allows("a", Cpu(1000)));
   quotas.WaitFor("a", Cpu(1000), 5);
