Quotas: after a takeover a tenant's own jobs bound what may be running of it unknown

Change: while workers have not answered, a tenant's unknown runs are at most the tasks of its older jobs that were not found, and what was still running of its jobs that ended (the record of the end says how much); the lower of that and the free capacity counts.

--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -149,7 +149,10 @@
   bool MayAccess(const CallerRequest& request, const std::string& tenant, const std::string& job_tenant) const;
   // True if a step of the job can never start under its tenant's maximum.
   bool NeverFits(const JobSpec& spec, const std::string& tenant) const;
-  TenantQuotas CurrentQuotas() const;
+  void RefreshUnaccountedRuns();
+  TenantQuotas CurrentQuotas() const { return TenantQuotas(maxima_, workers_.tenant_usage(), unaccounted_); }
+  // Of the tenant's maximum, what tasks of an ending job may still be running.
+  Resources StillRunning(const Job& job) const;
   // The tenant of a job that has not expired; empty if the job is unknown.
   std::optional<std::string> TenantOfJob(const std::string& job);
 
@@ -249,7 +252,10 @@
   Context& context_;
   const Ownership ownership_;
   CellConfiguration configuration_;
-  TenantMaxima maxima_;  // Of `configuration_`.
+  TenantMaxima maxima_;          // Of `configuration_`.
+  UnaccountedRuns unaccounted_;  // As of the last pass.
+  // Tasks of ended jobs that may still be running, by tenant; complete as long as there are unsettled workers.
+  TenantUsage ended_running_;
   ConfigurationProof proof_;
   std::function<void()> on_deposed_;
   OrderRelay relay_;
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -40,6 +40,7 @@
   }
   const TimePoint begin = context_.Now();
   RefreshWorkers();
+  RefreshUnaccountedRuns();
   const std::vector<StepRun*> waiting = SortByUrgency(WaitingSteps(), begin, context_.settings.policies);
   Execute(placement_.Plan(waiting, advice_.queues(), CurrentQuotas(), begin));
   last_pass_duration_ = context_.Now() - begin;
@@ -180,8 +181,9 @@
   if (!job.queue.advice) {
     return;
   }
-  // Runs that are not accounted for are left out: nothing starts here, and to sum them up takes a look at each worker.
-  const TenantQuotas quotas(maxima_, workers_.tenant_usage(), Resources{});
+  // Runs that are not accounted for do not matter, as nothing starts here.
+  static const UnaccountedRuns kNone;
+  const TenantQuotas quotas(maxima_, workers_.tenant_usage(), kNone);
   for (const auto& [number, occurrence] : job.occurrences) {
     for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
       if (step->spec->after.empty()) {
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -241,6 +241,7 @@
   if (workers_.AnyUnsettled()) {
     return;
   }
+  ended_running_.clear();
   // All runs of earlier owners are known now. A gang of which only some members were found cannot continue.
   for (const auto& [id, job] : jobs_) {
     for (auto& [number, occurrence] : job->occurrences) {
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -18,6 +18,8 @@
 constexpr size_t kMaxSegments = 300;         // About ten seconds of log batches; one page of a read.
 // Older log batches are rewritten. Half of the shortest time for which ended jobs are retained.
 constexpr Duration kMaxSegmentAge = 60s;
+// Runs of an ended job are over by then: the longest hold and a stop. Longer, as clocks of hosts may jump by seconds.
+constexpr Duration kMaxStopTime = 30s;
 constexpr size_t kMaxLogBytes = 600'000;    // Per log batch: 0.8 MB as base64; the store allows values of 1 MB.
 constexpr int64_t kMaxRunsPerEpoch = 1000;  // Upper bound of the starts of one task under one owner.
 
@@ -101,6 +103,9 @@
     return;
   }
   for (const EndedJob& job : *jobs) {
+    if (context_.wall.NowMs() - job.ended_at_ms < Millis(kMaxStopTime)) {
+      ended_running_[job.tenant] += job.still_running;
+    }
     ended_jobs_[job.id] = EndedJobState{job.queue, job.state, job.ended_at_ms, job.tenant};
   }
   ended_batches_.push_back(EndedBatch{item.key, *jobs, context_.wall.NowMs(), jobs->size() > kEndedMergeCount});
@@ -348,8 +353,8 @@
     job->on_batch_committed = std::exchange(job->on_stored, {});
     contents.jobs.push_back(job->id());
     if (job->final) {
-      contents.ended.push_back(
-          EndedJob{job->id(), job->record.spec.queue, job->final_state, context_.wall.NowMs(), job->record.tenant});
+      contents.ended.push_back(EndedJob{job->id(), job->record.spec.queue, job->final_state, context_.wall.NowMs(),
+                                        job->record.tenant, StillRunning(*job)});
       DropFromSegments(*job);
       continue;
     }
@@ -465,6 +470,9 @@
     return;
   }
   ended_jobs_[ended.id] = EndedJobState{ended.queue, ended.state, ended.ended_at_ms, ended.tenant};
+  if (workers_.AnyUnsettled()) {
+    ended_running_[ended.tenant] += ended.still_running;
+  }
   const std::vector<std::function<void()>> waiters = std::exchange(job->on_stored, {});
   std::for_each(waiters.begin(), waiters.end(), [](const auto& waiter) { waiter(); });
   jobs_.erase(ended.id);
--- a/src/cell/owner_tenants.cc
+++ b/src/cell/owner_tenants.cc
@@ -78,8 +78,38 @@
          });
 }
 
-TenantQuotas Owner::CurrentQuotas() const {
-  return TenantQuotas(maxima_, workers_.tenant_usage(), workers_.UnaccountedResources());
+// After a takeover a tenant must not wait for the last worker's answer if it has enough left of its maximum.
+void Owner::RefreshUnaccountedRuns() {
+  unaccounted_ = UnaccountedRuns{};
+  unaccounted_.any = workers_.AnyUnsettled() || workers_.AnyUnknownDemand();
+  if (!unaccounted_.any) {
+    return;
+  }
+  unaccounted_.capacity = workers_.UnaccountedResources();
+  if (!workers_.AnyUnsettled()) {
+    return;
+  }
+  unaccounted_.tasks = ended_running_;
+  for (const auto& [id, job] : jobs_) {
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
+        if (job->record.epoch != ownership_.epoch) {
+          (*unaccounted_.tasks)[job->record.tenant] += Multiply(step->quota_size(), step->waiting);
+        }
+      }
+    }
+  }
+}
+
+Resources Owner::StillRunning(const Job& job) const {
+  const bool may_run_unknown = job.record.epoch != ownership_.epoch && workers_.AnyUnsettled();
+  Resources sum;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
+      sum += Multiply(step->quota_size(), step->placed() + (may_run_unknown ? step->waiting : 0));
+    }
+  }
+  return sum;
 }
 
 std::optional<std::string> Owner::TenantOfJob(const std::string& job) {
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -78,7 +78,7 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, EndedJob> {
-  return std::tie(self.id, self.queue, self.state, self.ended_at_ms, self.tenant);
+  return std::tie(self.id, self.queue, self.state, self.ended_at_ms, self.tenant, self.still_running);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, TaskRef> {
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -129,6 +129,7 @@
   JobState state = JobState::kCompleted;
   int64_t ended_at_ms = 0;  // Milliseconds since 1970.
   std::string tenant;
+  Resources still_running;  // Of its tenant's maximum: runs that were being stopped when it ended.
 
   friend bool operator==(const EndedJob&, const EndedJob&) = default;
 };
--- a/src/cell/tenant_quota.cc
+++ b/src/cell/tenant_quota.cc
@@ -1,13 +1,11 @@
 #include "cell/tenant_quota.h"
 
+#include <algorithm>
+
 namespace hibiscus::cell {
 
 namespace {
 
-Resources Multiply(const Resources& size, int count) {
-  return Resources{size.cpu_millis * count, size.memory_mb * count, size.accelerators * count};
-}
-
 // A component of 0 in the maximum is unlimited.
 bool IsWithin(const Resources& used, const Resources& maximum) {
   const auto within = [](int64_t amount, int64_t limit) { return limit == 0 || amount <= limit; };
@@ -17,6 +15,10 @@
 
 }  // namespace
 
+Resources Multiply(const Resources& size, int count) {
+  return Resources{size.cpu_millis * count, size.memory_mb * count, size.accelerators * count};
+}
+
 bool FitsMaximum(const Resources& maximum, const Resources& size, int count) {
   return IsWithin(Multiply(size, count - 1), maximum);
 }
@@ -31,6 +33,20 @@
   return maxima;
 }
 
+std::optional<Resources> UnaccountedRuns::BoundFor(const std::string& tenant) const {
+  if (!any) {
+    return Resources{};
+  }
+  if (!tasks) {
+    return capacity;
+  }
+  const auto found = tasks->find(tenant);
+  const Resources own = found == tasks->end() ? Resources{} : found->second;
+  const Resources limit = capacity.value_or(own);
+  return Resources{std::min(own.cpu_millis, limit.cpu_millis), std::min(own.memory_mb, limit.memory_mb),
+                   std::min(own.accelerators, limit.accelerators)};
+}
+
 TenantQuotas::Quota* TenantQuotas::Find(const std::string& tenant) const {
   if (const auto known = quotas_.find(tenant); known != quotas_.end()) {
     return &known->second;
@@ -42,7 +58,8 @@
   if (maximum == maxima_->end()) {
     return nullptr;
   }
-  Quota quota{maximum->second, unaccounted_.value_or(Resources{}), !unaccounted_.has_value()};
+  const std::optional<Resources> unaccounted = unaccounted_->BoundFor(tenant);
+  Quota quota{maximum->second, unaccounted.value_or(Resources{}), !unaccounted.has_value()};
   if (const auto used = usage_->find(tenant); used != usage_->end()) {
     quota.used += used->second;
   }
--- a/src/cell/tenant_quota.h
+++ b/src/cell/tenant_quota.h
@@ -22,6 +22,20 @@
 using TenantMaxima = std::unordered_map<std::string, Resources>;
 TenantMaxima MaximaOf(const std::vector<TenantSpec>& tenants);
 
+// The resources of `count` tasks of this size.
+Resources Multiply(const Resources& size, int count);
+
+// Bounds what may be running without the owner knowing of it, after it took over from another.
+struct UnaccountedRuns {
+  bool any = false;                   // False: all runs are known.
+  std::optional<Resources> capacity;  // Free capacity of the workers whose runs are not all known. Empty: unknown.
+  // Tasks that earlier owners may have started and this one has not found, by tenant. Empty: not known.
+  std::optional<TenantUsage> tasks;
+
+  // The bound for one tenant; empty if there is none.
+  std::optional<Resources> BoundFor(const std::string& tenant) const;
+};
+
 // True if `count` tasks of this size may run at the same time under the maximum. The last one may exceed it, so that a
 // task larger than the maximum can run alone.
 bool FitsMaximum(const Resources& maximum, const Resources& size, int count);
@@ -30,11 +44,11 @@
  public:
   // No limits.
   TenantQuotas() = default;
-  // Looks tenants up as they are asked for; `maxima` and `usage` must outlive this object and stay as they are. Starts
-  // are recorded with Take. `unaccounted` is an upper bound of what may be running without its tenant being known; it
-  // counts for every tenant. Without a bound, tenants that have a maximum start nothing.
-  TenantQuotas(const TenantMaxima& maxima, const TenantUsage& usage, const std::optional<Resources>& unaccounted)
-      : maxima_(&maxima), usage_(&usage), unaccounted_(unaccounted) {}
+  // Looks tenants up as they are asked for; the arguments must outlive this object and stay as they are. Starts are
+  // recorded with Take. `unaccounted` bounds what may be running of any one tenant beside `usage`. Without a bound,
+  // tenants that have a maximum start nothing.
+  TenantQuotas(const TenantMaxima& maxima, const TenantUsage& usage, const UnaccountedRuns& unaccounted)
+      : maxima_(&maxima), usage_(&usage), unaccounted_(&unaccounted) {}
 
   // True if `count` tasks of this size may start now, all of them.
   bool Allows(const std::string& tenant, const Resources& size, int count = 1) const;
@@ -54,7 +68,7 @@
 
   const TenantMaxima* maxima_ = nullptr;
   const TenantUsage* usage_ = nullptr;
-  std::optional<Resources> unaccounted_;
+  const UnaccountedRuns* unaccounted_ = nullptr;
   mutable std::map<std::string, Quota> quotas_;  // Of the tenants that were asked for.
 };
 
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -149,6 +149,7 @@
   std::map<std::string, std::unique_ptr<Worker>>& workers() { return workers_; }
   size_t max_number() const { return max_number_; }  // Highest worker number assigned so far.
   bool AnyUnsettled() const { return unsettled_ > 0; }
+  bool AnyUnknownDemand() const { return unknown_demand_runs_ > 0; }
   // Resources of all runs that may exist and whose tenant is known.
   const TenantUsage& tenant_usage() const { return tenant_usage_; }
   // Upper bound of the resources of the other runs that may exist: the free capacity of workers that may have runs the
