Read-through: keys and quotas do no work where there are no tenants, and say what they do once

The condition for reading the configuration stood twice, PutInForce always returned true, and the sum over old jobs asked for the epoch in its innermost loop. Change: no tenants, no search; OnConfiguration and BeginProofIfNeeded serve both callers; the epoch is asked for once a job. No behaviour changes.

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -30,7 +30,10 @@
       proof_(context,
              [this](const StoreItem& item) {
                const auto read = context_.directory.ReadConfiguration(item);
-               return read && PutInForce(*read);
+               if (read) {
+                 OnConfiguration(*read);
+               }
+               return read.has_value();
              }),
       on_deposed_(std::move(on_deposed)),
       relay_(context, ownership.term),
@@ -51,9 +54,7 @@
 void Owner::Begin() {
   context_.Log("owner", "event=takeover epoch={} term={}", ownership_.epoch, ownership_.term);
   loading_began_at_ = context_.Now();
-  if (configuration_.needs_keys && context_.settings.key_withdrawal_limit > Duration(0)) {
-    proof_.Begin();
-  }
+  BeginProofIfNeeded();
   ReadJobs();
   Tick();
 }
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -68,7 +68,8 @@
   // The owner record was rewritten: the hosts that relay orders now know this owner under that revision as its term.
   void OnRecordRevision(uint64_t revision) { relay_.SetTerm(revision); }
   void OnOrderReply(const OrderReply& reply) { relay_.OnReply(reply); }
-  void OnConfiguration(const CellConfiguration& configuration) { PutInForce(configuration); }
+  // Puts the configuration in force unless it or a newer one already is.
+  void OnConfiguration(const CellConfiguration& configuration);
   void OnHosts(const std::vector<HostRecord>& hosts) {
     advice_.SetHosts(hosts);
     relay_.SetHosts(hosts);
@@ -140,7 +141,7 @@
   void RequestExpiry();
 
   // --- owner_tenants.cc ---
-  bool PutInForce(const CellConfiguration& configuration);
+  void BeginProofIfNeeded();
   // The tenant for which the request acts; empty if its queue needs no key. Replies and returns nothing if the request
   // must not be served.
   std::optional<std::string> Authorize(const CallerRequest& request, const Reply& reply);
--- a/src/cell/owner_tenants.cc
+++ b/src/cell/owner_tenants.cc
@@ -1,4 +1,4 @@
-// The configuration in force at the owner, and whether a caller's API key allows its request.
+// The configuration in force at the owner, whether a caller's API key allows its request, and the tenants' quotas.
 //
 // Every answer that reports success comes from the owner, so the owner alone decides whether a key is valid, however
 // old the configuration of the host that took the request is.
@@ -8,28 +8,33 @@
 
 namespace hibiscus::cell {
 
-// Returns true if this configuration or a newer one is in force.
-bool Owner::PutInForce(const CellConfiguration& configuration) {
+void Owner::OnConfiguration(const CellConfiguration& configuration) {
   if (configuration.version <= configuration_.version) {
-    return true;
+    return;
   }
   configuration_ = configuration;
   maxima_ = MaximaOf(configuration_.tenants);
   context_.Log("config", "event=config_at_owner version={} tenants={}", configuration_.version,
                configuration_.tenants.size());
-  if (configuration_.needs_keys && context_.settings.key_withdrawal_limit > Duration(0)) {
-    proof_.Begin();
-  }
+  BeginProofIfNeeded();
   for (const auto& [id, job] : jobs_) {
     if (const QueueSpec* queue = configuration_.FindQueue(job->record.spec.queue); queue != nullptr) {
       SetQueue(*job, *queue);
     }
   }
   SchedulePlacementPass();
-  return true;
+}
+
+void Owner::BeginProofIfNeeded() {
+  if (configuration_.needs_keys && context_.settings.key_withdrawal_limit > Duration(0)) {
+    proof_.Begin();
+  }
 }
 
 std::optional<std::string> Owner::Authorize(const CallerRequest& request, const Reply& reply) {
+  if (!configuration_.needs_keys) {
+    return std::string();  // Spares the search for the queue, which is done for each request otherwise.
+  }
   const TenantSpec* tenant = configuration_.FindTenantByKey(request.key);
   const std::string name = tenant == nullptr ? std::string() : tenant->name;
   if (!configuration_.NeedsKey(configuration_.FindQueue(request.queue))) {
@@ -91,11 +96,13 @@
   }
   unaccounted_.tasks = ended_running_;
   for (const auto& [id, job] : jobs_) {
+    if (job->record.epoch == ownership_.epoch) {
+      continue;
+    }
+    Resources& sum = (*unaccounted_.tasks)[job->record.tenant];
     for (const auto& [number, occurrence] : job->occurrences) {
       for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
-        if (job->record.epoch != ownership_.epoch) {
-          (*unaccounted_.tasks)[job->record.tenant] += Multiply(step->quota_size(), step->waiting);
-        }
+        sum += Multiply(step->quota_size(), step->waiting);
       }
     }
   }
