--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -82,8 +82,8 @@
     const int number = ++jobs_;
     std::vector<StepSpec> steps;
     const int kind = static_cast<int>(world_.random()() % 4);
-    StepSpec first =
-        StepOf(1 + static_cast<int>(world_.random()() % 5), 1000 + 500 * static_cast<int>(world_.random()() % 8));
+    const int cpu_millis = 1000 + 500 * static_cast<int>(world_.random()() % 8);
+    StepSpec first = StepOf(1 + static_cast<int>(world_.random()() % 5), cpu_millis);
     first.gang = kind == 1;
     steps.push_back(first);
     if (kind == 2) {
--- a/tests/chaos_callers.cc
+++ b/tests/chaos_callers.cc
@@ -35,7 +35,8 @@
   const auto& centres = world_.data_centres();
   const Resources size{static_cast<int64_t>(500 + world_.Draw(3500)), static_cast<int64_t>(100 + world_.Draw(3000)),
                        world_.Chance(0.1) ? 1 : 0};
-  Submit(classes[world_.Draw(classes.size())].name, centres[world_.Draw(centres.size())], size, false);
+  const DataCentre& data_centre = centres[world_.Draw(centres.size())];
+  Submit(classes[world_.Draw(classes.size())].name, data_centre, size, false);
   world_.At(world_.DrawTime(0us, 2 * kMeanGap), [this, until] { SendOne(until); });
 }
 
--- a/tests/chaos_faults.cc
+++ b/tests/chaos_faults.cc
@@ -235,8 +235,8 @@
 
 void ChaosRun::SubmitImpossible(Duration) {
   const auto& centres = world_.data_centres();
-  callers_.Submit(world_.Chance(0.5) ? "batch" : "crew", centres[world_.Draw(centres.size())],
-                  Resources{64'000, 100, 0}, false);
+  const DataCentre& data_centre = centres[world_.Draw(centres.size())];
+  callers_.Submit(world_.Chance(0.5) ? "batch" : "crew", data_centre, Resources{64'000, 100, 0}, false);
 }
 
 void ChaosRun::CancelAll(Duration) {
