Planned stop: a request that reaches a leaving host after the announcement is sent on to the next home host

Cause, from the trace: a third attempt of t/batch25 reaches dc1-h3 at 15.5 s. dc1-h3 knows an old claim of dc1-h1 and answers "moved to dc1-h1", as a leaving host counts as reachable. dc1-h1, which had refused and forgotten the request at 11.9 s, accepts it as its home host, cannot complete the claim while messages are lost (dc1-h3 holds no leases), starts a run at 20.4 s and stays until its end.

Change: once the announcement has reached every peer (`suspect_timeout` after the request to leave), a leaving host without the request answers ForwardMoved with the next home host instead of accepting. That host gets a resubmitted request, claims it as after the loss of a home host, and does not redirect it again, so there is no loop. Requests that are open at the leaving host are joined as before; without any live host it accepts as before.

Test: leave_test, "a request that reaches a leaving host after the announcement*", failed before and passes after.

--- a/src/core/context.h
+++ b/src/core/context.h
@@ -90,6 +90,7 @@
   bool IsReachable(const HostName& host) const;  // Has a recent heartbeat or digest, or is this host.
   bool IsRemote(const HostName& host) const;     // A live host of another data centre, according to the digests.
   bool IsRecovering() const { return Now() < recovering_until; }
+  bool HasAnnouncedLeave() const { return leaving && Now() >= leave_announced_by; }
 
   StepObserver* step_observer = nullptr;
   const HostSettings settings;
@@ -104,6 +105,7 @@
   TimePoint recovering_until{};     // After a start or a pause, requests of unknown age may arrive until then.
   uint64_t view = 0;                // Hash of `live`.
   bool leaving = false;             // True if this host is leaving.
+  TimePoint leave_announced_by{};   // By then each peer has received the announcement or considers this host lost.
   Configuration configuration;      // Version 0 if none is known yet.
   Heartbeat own_load;               // Contents of the next heartbeat; each role fills in its fields.
 
--- a/src/core/home_role.cc
+++ b/src/core/home_role.cc
@@ -114,7 +114,7 @@
     context_.Send(from, ForwardAnswer{forward.forward_id, answer});
     return;
   }
-  if (RedirectToClaimant(from, forward)) {
+  if (RedirectFromLeavingHost(from, forward) || RedirectToClaimant(from, forward)) {
     return;
   }
   Job& job = jobs_[request.key];
@@ -156,6 +156,18 @@
   Accept(from, repeat);
 }
 
+// Once every peer knows that this host is leaving, no host selects it as the home of a request, so a request can only
+// have been late or directed here by an old claim. It would delay the planned stop up to its finish target. The next
+// home host accepts a resubmitted request itself, so that the redirect ends there. If the redirect is lost, the entry
+// host's poll or the caller's repeat finds a home host.
+bool HomeRole::RedirectFromLeavingHost(const HostName& from, const ForwardRequest& forward) {
+  if (!context_.HasAnnouncedLeave() || context_.live.empty()) {
+    return false;
+  }
+  context_.Send(from, ForwardMoved{forward.forward_id, context_.HomeOf(forward.request.key)});
+  return true;
+}
+
 // Redirects the entry host to the home host that has claimed the request. Only once per request, so that two hosts that
 // name each other do not redirect it endlessly.
 bool HomeRole::RedirectToClaimant(const HostName& from, const ForwardRequest& forward) {
--- a/src/core/home_role.h
+++ b/src/core/home_role.h
@@ -182,6 +182,7 @@
   static bool IsRefused(const Job& job);
   static Answer InProgress(const RequestKey& key);
   void Accept(const HostName& from, const ForwardRequest& forward);
+  bool RedirectFromLeavingHost(const HostName& from, const ForwardRequest& forward);
   bool RedirectToClaimant(const HostName& from, const ForwardRequest& forward);
   void StartJob(Job& job);
   void Finish(Job& job);
--- a/src/core/host_core.cc
+++ b/src/core/host_core.cc
@@ -156,7 +156,7 @@
   if (!context_.leaving) {
     context_.leaving = true;
     context_.ReportStep(Step::kLeaveBegun);
-    leave_announced_by_ = context_.Now() + context_.settings.suspect_timeout;
+    context_.leave_announced_by = context_.Now() + context_.settings.suspect_timeout;
     leave_deadline_ = context_.Now() + context_.settings.leave_timeout;
   }
 }
@@ -165,7 +165,7 @@
   if (!context_.leaving || exited_) {
     return;
   }
-  if (context_.Now() < leave_announced_by_) {
+  if (!context_.HasAnnouncedLeave()) {
     return;  // A peer that has not seen the announcement may still forward a request to this host.
   }
   const bool busy = entry_.open() + home_.active() + servers_.open() + workers_.leases() > 0;
--- a/src/core/host_core.h
+++ b/src/core/host_core.h
@@ -68,8 +68,7 @@
   ServerRole servers_;
   LogRole log_;
   TimePoint last_event_;
-  TimePoint leave_announced_by_{};  // By then each peer has received the announcement or considers this host lost.
-  TimePoint leave_deadline_{};      // While leaving: the planned stop ends by this time, finished or not.
+  TimePoint leave_deadline_{};  // While leaving: the planned stop ends by this time, finished or not.
   bool exited_ = false;
 };
 
--- a/tools/mutant_table.py
+++ b/tools/mutant_table.py
@@ -168,7 +168,7 @@
            "if (writing && context_.Now() < leave_deadline_) {",
            ["leave_test", DRIVER]),
     Mutant("exit before the peers have heard", "src/core/host_core.cc",
-           "if (context_.Now() < leave_announced_by_) {",
+           "if (!context_.HasAnnouncedLeave()) {",
            "if (false) {",
            ["takeover_test", DRIVER]),
     Mutant("give no answer when the home host is silent", "src/core/entry_role.cc",
