Driver: workers that start again under their id, orders in transit, cut paths, and a gang counted as one task

The driver compared the members of a gang one by one, so that a member of a new run beside another member of the old run passed. Its workers came back either at once or after a crash that everybody saw, and an order never reached the next life of a worker.

- A gang's members that run at the same time must belong to one run.
- Faults: a worker is cut off, crashes behind the cut and starts again under its id; a worker restarts at once; hosts lose the path to some workers; orders arrive and no answer comes back.
An order that arrives late within 1.5 s may reach the next process; later ones die with the process, as before.
- A hold that waits at a worker ends with the worker's process instead of being passed on to the next one.

--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -11,12 +11,13 @@
 
 namespace {
 
-constexpr Duration kOneWayDelay = 2ms;       // Network delay to the store, a worker or another host.
-constexpr Duration kCallTimeout = 1s;        // Of calls to the store, to workers and to hosts that are down.
-constexpr int kDefaultAllowedPercent = 85;   // Workers that the advice service allows a step.
-constexpr Duration kMaxMessageDelay = 2s;    // Exclusive bound for delayed messages between hosts.
-constexpr Duration kMaxExecutionDelay = 6s;  // Exclusive bound for calls carried out late.
-constexpr Duration kCallerTimeout = 2800ms;  // Deadline of a caller's request.
+constexpr Duration kOneWayDelay = 2ms;        // Network delay to the store, a worker or another host.
+constexpr Duration kCallTimeout = 1s;         // Of calls to the store, to workers and to hosts that are down.
+constexpr int kDefaultAllowedPercent = 85;    // Workers that the advice service allows a step.
+constexpr Duration kMaxMessageDelay = 2s;     // Exclusive bound for delayed messages between hosts.
+constexpr Duration kMaxExecutionDelay = 11s;  // Exclusive bound for calls carried out late.
+constexpr Duration kMaxTransitTime = 1500ms;  // Of an order that reaches a worker late.
+constexpr Duration kCallerTimeout = 2800ms;   // Deadline of a caller's request.
 
 }  // namespace
 
@@ -263,15 +264,16 @@
   const auto answer = [this, generation = generation_, done](Duration delay, const OrderAnswer& result) {
     world_.In(delay, [this, generation, done, result] { Deliver(generation, [done, result] { done(result); }); });
   };
-  if (worker == nullptr || !worker->up || worker->faults.silent || cut_from_workers) {
+  if (worker == nullptr || !worker->up || worker->faults.silent || cut_from_workers ||
+      unreachable_workers.contains(worker->entry.id)) {
     answer(kCallTimeout, OrderAnswer{});
     return;
   }
   if (world_.Chance(worker->faults.late_execution_share)) {
     const Duration late = 500ms + Duration(static_cast<int64_t>(world_.random()() % kMaxExecutionDelay.count()));
-    // An order that a worker has received is lost if its process ends.
-    world_.In(late, [worker, apply, born = worker->entry.born_ms] {
-      if (worker->up && worker->entry.born_ms == born) {
+    // An order in transit may reach the next process; one that a worker has received is lost if its process ends.
+    world_.In(late, [worker, apply, in_transit = late < kMaxTransitTime, born = worker->entry.born_ms] {
+      if (worker->up && (in_transit || worker->entry.born_ms == born)) {
         apply(*worker);
       }
     });
@@ -290,6 +292,18 @@
 }
 
 void FakeHost::Start(const WorkerTarget& worker, const StartOrder& order, WorkerPort::Done done) {
+  FakeWorker* slow = FindWorker(worker);
+  if (slow != nullptr && slow->up && slow->starts_in_transit > 0) {
+    --slow->starts_in_transit;
+    world_.In(slow->transit_time, [slow, order] {
+      if (slow->up) {
+        slow->Start(order);
+      }
+    });
+    world_.In(kCallTimeout,
+              [this, generation = generation_, done] { Deliver(generation, [done] { done(OrderAnswer{}); }); });
+    return;
+  }
   CallWorker(
       worker, [order](FakeWorker& target) { return target.Start(order); }, done);
 }
@@ -318,10 +332,14 @@
 void FakeHost::WaitForEnd(FakeWorker& worker, const HoldOrder& order, TimePoint until, const WorkerPort::Done& done) {
   world_.AddWaiter(
       world_.pending_holds_[&worker], until, [&worker, order] { return worker.HasEnds(order.acknowledged); },
-      [this, &worker, order, done, generation = generation_] {
+      [this, &worker, order, done, generation = generation_, born = worker.entry.born_ms] {
         if (generation != generation_) {
           return;
         }
+        if (worker.entry.born_ms != born) {
+          done(OrderAnswer{});  // The connection ended with the worker's process.
+          return;
+        }
         HoldOrder poll_order = order;
         poll_order.deadline = Duration(0);
         CallWorker(
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -37,7 +37,8 @@
   void RunDue();
   bool cut_from_peers = false;
   bool cut_from_workers = false;
-  int processor_millis = 0;  // Passed to the process at boot.
+  std::set<std::string> unreachable_workers;  // Ids of workers that have no path to and from this host.
+  int processor_millis = 0;                   // Passed to the process at boot.
 
   // --- Ports ---
   void Read(const std::string& key, StorePort::Done done) override;
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -14,7 +14,6 @@
 
 constexpr size_t kPageItems = 20;  // Small, so that tests exercise paging.
 constexpr Duration kMaxHold = 6s;
-constexpr Duration kMinStopTime = 50ms;  // For index 0; other indices take up to four times as long.
 constexpr int kStopTimeSteps = 4;
 constexpr Duration kGangFormationTimeout = 3s;
 constexpr Duration kConfigurationDelay = 15s;  // A configuration is in force by then, however long the store was out.
@@ -281,7 +280,7 @@
   if (found != runs_.end() && !found->second.stopping) {
     next_end_.reset();
     found->second.stopping = true;
-    found->second.ends_at = world_.Now() + kMinStopTime * (1 + run.task.index % kStopTimeSteps);
+    found->second.ends_at = world_.Now() + min_stop_time * (1 + run.task.index % kStopTimeSteps);
     found->second.how = EndKind::kStopped;
   }
   return MakeAnswer(OrderStatus::kOk);
@@ -645,6 +644,15 @@
   return hosts_[index]->CounterOf(name);
 }
 
+void CellWorld::CutPath(size_t index, const FakeWorker& worker, bool cut) {
+  std::set<std::string>& unreachable = hosts_[index]->unreachable_workers;
+  if (cut) {
+    unreachable.insert(worker.entry.id);
+  } else {
+    unreachable.erase(worker.entry.id);
+  }
+}
+
 CallFaults& CellWorld::StoreFaultsOf(size_t index) {
   return store_.host_faults[hosts_[index]->name()];
 }
@@ -753,6 +761,9 @@
   if (!running_[task].empty() && !step.speculative) {
     ReportViolation("task runs in two places: " + name + " and " + running_[task].begin()->first);
   }
+  if (step.gang) {
+    CheckSingleGangRun(order.run, step, name);
+  }
   if (acknowledged_done_.contains(task)) {
     ReportViolation("started after its end was acknowledged: " + name);
   }
@@ -779,6 +790,22 @@
   running_[task].insert({worker.entry.id, order.run.run});
 }
 
+// All members of a gang that run at the same time belong to the same run.
+void CellWorld::CheckSingleGangRun(const RunRef& started, const StepSpec& step, const std::string& name) {
+  for (int i = 0; i < step.count; ++i) {
+    const auto others = running_.find(TaskRef{started.task.job, started.task.occurrence, started.task.step, i});
+    if (others == running_.end()) {
+      continue;
+    }
+    for (const auto& [worker, run] : others->second) {
+      if (run != started.run) {
+        ReportViolation(fmt::format("gang runs twice at once: {} and member {} run {} on {}", name, i, run, worker));
+        return;
+      }
+    }
+  }
+}
+
 void CellWorld::OnRunEnded(FakeWorker& worker, const RunRef& run, EndKind how) {
   running_[run.task].erase({worker.entry.id, run.run});
   const JobSpec* spec = SpecOf(run.task.job);
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -103,8 +103,12 @@
   bool hangs = false;            // Runs that start now make no progress, except gang members.
   bool fails_every_run = false;  // Runs that start now fail after 5 ms, except gang members.
   CallFaults faults;
+  int starts_in_transit = 0;  // This many starts are delivered after `transit_time`, and their answers are lost.
+  Duration transit_time{};
+  Duration min_stop_time = 50ms;  // Of index 0; other indices take up to four times as long.
 
   bool IsRunning(const RunRef& run) const { return runs_.contains(run); }
+  bool IsIdle() const { return runs_.empty(); }
 
  private:
   struct Run {
@@ -176,6 +180,8 @@
   // Disconnect a host from all other hosts or from all workers, or reconnect it.
   void CutPeers(size_t index, bool cut);
   void CutWorkers(size_t index, bool cut);
+  // Disconnects a host from one worker, or reconnects it.
+  void CutPath(size_t index, const FakeWorker& worker, bool cut);
   CallFaults& StoreFaultsOf(size_t index);
   double CounterOf(size_t index, const std::string& name) const;  // 0 if the counter does not exist.
 
@@ -251,6 +257,7 @@
   void WakeReadyWaiters(Waiters& waiters);
   // --- Events reported by workers ---
   void OnRunStarted(FakeWorker& worker, const StartOrder& order);
+  void CheckSingleGangRun(const RunRef& started, const StepSpec& step, const std::string& name);
   void OnRunEnded(FakeWorker& worker, const RunRef& run, EndKind how);
   void OnEndsAcknowledged(const std::vector<EndedRun>& ends);
   const JobSpec* SpecOf(const std::string& job) const;
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -13,7 +13,7 @@
 constexpr size_t kWorkers = 9;
 constexpr Duration kCourse = 25s;  // Load and faults.
 constexpr Duration kCalm = 40s;    // Afterwards: everything that was accepted comes to an end.
-constexpr Duration kCalmWithQuotas = 90s;
+constexpr Duration kLongCalm = 90s;
 constexpr Duration kJobEvery = 120ms;
 constexpr Duration kFaultEvery = 1500ms;
 constexpr Duration kWithdrawalLimit = 5s;
@@ -54,7 +54,7 @@
     world_.RunFor(kCourse);
     over_ = true;
     Heal();
-    world_.RunFor(options_.tenants ? kCalmWithQuotas : kCalm);
+    world_.RunFor(options_.tenants || options_.dense ? kLongCalm : kCalm);
     return Judge();
   }
 
@@ -93,7 +93,8 @@
     }
     const JobSpec job = JobOf(number, steps, world_.Chance(0.5) ? "plain" : "advised");
     world_.SetKey(job.id, key);
-    const TaskBehaviour behaviour{Between(100ms, 2s), world_.Chance(0.1) ? static_cast<int>(world_.random()() % 4) : 0};
+    const TaskBehaviour behaviour{options_.dense && world_.Chance(0.3) ? Between(2s, 7s) : Between(100ms, 2s),
+                                  world_.Chance(0.1) ? static_cast<int>(world_.random()() % 4) : 0};
     world_.SubmitWithRetries(job, behaviour);
     if (world_.Chance(0.05)) {
       cancelled_.insert(job.id);
@@ -112,12 +113,13 @@
   void Faults() {
     // New kinds go to the end: `fault_kinds` counts from the first.
     static constexpr std::array kFaults = {
-        &Course::KillHost,     &Course::KillOwner,       &Course::KillAll,     &Course::FreezeOwner,
-        &Course::LeaveHost,    &Course::StoreDown,       &Course::StoreLoses,  &Course::StoreLate,
-        &Course::StoreSlow,    &Course::StoreTurnsAway,  &Course::Revoke,      &Course::ForgetHistory,
-        &Course::CrashWorker,  &Course::CutWorker,       &Course::LateOrders,  &Course::LostOrders,
-        &Course::SlowClocks,   &Course::CutHost,         &Course::DrainWorker, &Course::FreezeHost,
-        &Course::MessagesLate, &Course::StopLoadingOwner};
+        &Course::KillHost,     &Course::KillOwner,        &Course::KillAll,          &Course::FreezeOwner,
+        &Course::LeaveHost,    &Course::StoreDown,        &Course::StoreLoses,       &Course::StoreLate,
+        &Course::StoreSlow,    &Course::StoreTurnsAway,   &Course::Revoke,           &Course::ForgetHistory,
+        &Course::CrashWorker,  &Course::CutWorker,        &Course::LateOrders,       &Course::LostOrders,
+        &Course::SlowClocks,   &Course::CutHost,          &Course::DrainWorker,      &Course::FreezeHost,
+        &Course::MessagesLate, &Course::StopLoadingOwner, &Course::RestartCutWorker, &Course::CutPaths,
+        &Course::OneWayWorker, &Course::RestartWorker};
     if (over_) {
       return;
     }
@@ -128,7 +130,8 @@
     }
     const size_t kinds = options_.fault_kinds == 0 ? kFaults.size() : options_.fault_kinds;
     (this->*kFaults[world_.random()() % kinds])();
-    world_.In(Between(kFaultEvery / 3, kFaultEvery * 2), [this] { Faults(); });
+    const Duration interval = options_.dense ? kFaultEvery / 3 : kFaultEvery;
+    world_.In(Between(interval / 3, interval * 2), [this] { Faults(); });
   }
 
   void Reboot(size_t host, Duration after) {
@@ -276,6 +279,49 @@
     faults.lost_answer_share = 0.3;
     FaultyWorker("answers lost from", faults);
   }
+  // A worker is cut off, crashes behind the cut and starts again under its id.
+  void RestartCutWorker() {
+    FakeWorker& worker = AnyWorker();
+    Note("cut and restart " + worker.entry.id);
+    CallFaults faults;
+    faults.silent = true;
+    worker.faults = faults;
+    const Duration cut = Between(1s, 6s);
+    world_.In(Between(100ms, cut), [&worker] {
+      worker.Crash();
+      worker.Restart();
+    });
+    world_.In(cut, [&worker] { worker.faults = CallFaults{}; });
+  }
+  void RestartWorker() {
+    FakeWorker& worker = AnyWorker();
+    Note("restart " + worker.entry.id);
+    worker.Crash();
+    worker.Restart();
+  }
+  // Some workers lose the path to some of the hosts.
+  void CutPaths() {
+    Note("paths cut");
+    const Duration cut = Between(1s, 7s);
+    const auto owner = world_.OwnerIndex();
+    for (size_t host = 0; host < kHosts; ++host) {
+      if (world_.Chance(0.5) || (owner && host == *owner && world_.Chance(0.5))) {
+        continue;
+      }
+      for (size_t i = 0; i < kWorkers; ++i) {
+        if (world_.Chance(0.25)) {
+          world_.CutPath(host, world_.worker(i), true);
+          world_.In(cut, [this, host, i] { world_.CutPath(host, world_.worker(i), false); });
+        }
+      }
+    }
+  }
+  // Orders arrive, and nothing comes back.
+  void OneWayWorker() {
+    CallFaults faults;
+    faults.lost_answer_share = 1;
+    FaultyWorker("no answers from", faults);
+  }
   void SlowClocks() {
     FakeWorker& worker = AnyWorker();
     Note("restart with a slow clock " + worker.entry.id);
--- a/tests/cell_chaos.h
+++ b/tests/cell_chaos.h
@@ -14,6 +14,7 @@
   bool log = false;
   bool relays = false;     // The owner's orders go through other hosts.
   bool tenants = false;    // Callers have API keys and quotas, and operators change both.
+  bool dense = false;      // More faults at the same time, and longer tasks.
   size_t fault_kinds = 0;  // Draws only from the first kinds of faults, as seeds found earlier did. 0: from all.
 
   friend bool operator==(const CellChaosOptions&, const CellChaosOptions&) = default;
--- a/tests/cell_chaos_main.cc
+++ b/tests/cell_chaos_main.cc
@@ -18,6 +18,7 @@
 DEFINE_int32(jobs, 2, "courses at once");
 DEFINE_bool(relays, false, "the owner's orders go through other hosts");
 DEFINE_bool(tenants, false, "callers have API keys and quotas, and operators change both");
+DEFINE_bool(dense, false, "more faults at the same time, and longer tasks");
 DEFINE_bool(log, false, "prints what the hosts log; for one seed");
 
 int main(int argc, char** argv) {
@@ -30,7 +31,7 @@
   const auto work = [&] {
     for (uint64_t seed = next++; seed <= seeds.last; seed = next++) {
       const auto result = hibiscus::cell::RunCellChaos(
-          {.seed = seed, .log = FLAGS_log, .relays = FLAGS_relays, .tenants = FLAGS_tenants});
+          {.seed = seed, .log = FLAGS_log, .relays = FLAGS_relays, .tenants = FLAGS_tenants, .dense = FLAGS_dense});
       (result.ok() ? passed : failed)++;
       if (result.ok()) {
         continue;
