--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -129,8 +129,9 @@
   }
   demand = DemandOf(*step);
   const bool adopted = !step->job->final && Adopt(*step, row.run.task.index, worker, row.run);
-  context_.Log("run", "event={} worker={} job={} step={} index={} run={}", adopted ? "adopted" : "stop_found_run",
-               worker.entry.id, row.run.task.job, row.run.task.step, row.run.task.index, row.run.run);
+  context_.Log("run", "event={} worker={} born_ms={} job={} step={} index={} run={} placed_on={} current_run={}",
+               adopted ? "adopted" : "stop_found_run", worker.entry.id, worker.entry.born_ms, row.run.task.job,
+               row.run.task.step, row.run.task.index, row.run.run, adopted ? "" : task->worker, task->run);
   if (adopted) {
     UpdateCheckpoint(*step, row.run.task.index, row.checkpoint);
   }
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -150,8 +150,8 @@
 // Resets the state of the worker for a new life: no run of an earlier life is left, and its counters restart. Starts
 // that the earlier life never confirmed may still arrive in this one.
 void WorkerTable::BeginLife(Worker& worker, int64_t born_ms) {
-  context_.Log("worker", "event=new_life worker={} born_ms={} runs_lost={}", worker.entry.id, born_ms,
-               worker.placed.size());
+  context_.Log("worker", "event=new_life worker={} born_ms={} earlier_born_ms={} runs_lost={} starts_unanswered={}",
+               worker.entry.id, born_ms, worker.entry.born_ms, worker.placed.size(), worker.unanswered_starts_.size());
   worker.entry.born_ms = born_ms;
   worker.hold_confirmed = false;
   worker.in_roster = false;
