Mend: a worker that started again counted as free of an earlier owner's runs before it had answered

What callers saw: a task runs twice at the same time (TWICE) when its owner dies while a start is on its way and the worker starts again under its id. The start reaches the new life, which has seen no token. The next owner reads the earlier life in the roster and the new one in the list, takes the worker for empty and starts the task elsewhere before the worker's first answer. Cause: AddFromRoster and BeginLife settled a worker because its life had changed. A life says only that runs of the earlier one are over; orders to that one may have reached the next. Class: a belief of one life applied to the next. Change: such a worker stays unsettled until it answers a hold, which fences the earlier owner's orders, or until the longest lease has passed. An entry that is older than the roster no longer hides the newer life. After an answer from a new life the next hold goes out at once instead of after 300 ms. Ruled out: leases (the bound counts from the last deadline on the slowest clock), lists that overtake each other (a phantom run is dropped by the next list). Test: "a task that an earlier owner's start runs in a worker's new life is not started elsewhere" failed before (two starts) and passes.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -104,9 +104,13 @@
     slot->unlisted_since = context_.Now() - kUnlistedGrace;
     ScheduleHold(*slot, 0us);
   }
-  if (slot->entry.born_ms != life.born_ms) {
-    return;  // A newer life is listed: no run of the old one is left.
+  if (slot->entry.born_ms < life.born_ms) {
+    // The entry is out of date: its worker has started again and has not written a new one.
+    slot->entry.born_ms = life.born_ms;
+    slot->listed = false;
+    slot->unlisted_since = context_.Now() - kUnlistedGrace;
   }
+  // Also if a newer life is listed: orders to the earlier one may have reached it.
   slot->unsettled = true;
   ++unsettled_;
   slot->lease_until_ = context_.Now() + MaxLocalTime(context_.settings.max_hold) + kClockTolerance;
@@ -171,7 +175,7 @@
   for (const auto& [run, placed] : worker.placed) {
     (placed.confirmed ? lost : unconfirmed).push_back(run);
   }
-  if (!unconfirmed.empty()) {
+  if (!unconfirmed.empty() || worker.unsettled) {
     worker.lease_until_ = context_.Now() + MaxLocalTime(context_.settings.max_hold) + kClockTolerance;
   }
   for (const RunRef& run : unconfirmed) {
@@ -184,7 +188,7 @@
     RemoveRun(worker, run);
     listener_.OnGone(worker, run, GoneReason::kWorkerRestarted);
   }
-  MarkSettled(worker);
+  // An earlier owner's order may have reached the new life, so an unsettled worker stays so until it answers a hold.
   ScheduleHold(worker, 0us);
 }
 
@@ -304,8 +308,10 @@
 
 void WorkerTable::OnHoldAnswer(Worker& worker, const OrderAnswer& answer) {
   worker.hold_in_flight_ = false;
+  const int64_t born_ms = worker.entry.born_ms;
   if (!RecordAnswer(worker, answer)) {
-    ScheduleHold(worker, kSilentRetryInterval);
+    const bool new_life = worker.entry.born_ms != born_ms;
+    ScheduleHold(worker, new_life ? Duration(0) : kSilentRetryInterval);
     return;
   }
   if (answer.status == OrderStatus::kFenced) {
--- /dev/null
+++ b/tests/cell_restart_test.cc
@@ -0,0 +1,55 @@
+// Workers that start again under their id: what an order to an earlier life may do in the next one, which has seen no
+// token, knows of no stop and has a clock of its own.
+#include <catch2/catch.hpp>
+
+#include "tests/cell_jobs.h"
+
+namespace hibiscus::cell {
+namespace {
+
+void RestartWorker(FakeWorker& worker) {
+  worker.Crash();
+  worker.Restart();
+}
+
+FakeWorker* WorkerThatRuns(CellWorld& world, const RunRef& run) {
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    if (world.worker(i).IsRunning(run)) {
+      return &world.worker(i);
+    }
+  }
+  return nullptr;
+}
+
+// The start is in transit when the owner dies and the workers start again; the stored roster names their earlier lives.
+TEST_CASE("a task that an earlier owner's start runs in a worker's new life is not started elsewhere") {
+  CellWorld world(81, 4, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    world.worker(i).starts_in_transit = 1;
+    world.worker(i).transit_time = 700ms;
+  }
+  const JobSpec job = JobOf(1, {StepOf(1, 2000)});
+  const size_t owner = *world.OwnerIndex();
+  world.Submit(owner, job, TaskBehaviour{4s, 0}, [](const CallerReply&) {});
+  world.RunFor(100ms);
+  REQUIRE(world.Accepted(job.id));
+  world.Kill(owner);
+  world.RunFor(200ms);
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    RestartWorker(world.worker(i));
+    world.worker(i).starts_in_transit = 0;
+  }
+  world.RunFor(500ms);
+  FakeWorker* worker = WorkerThatRuns(world, RunRef{TaskRef{job.id, 0, 0, 0}, 1});
+  REQUIRE(worker != nullptr);
+  worker->faults.extra_delay = 300ms;
+  world.RunFor(8s);
+  CHECK(world.violations().empty());
+  CHECK(world.starts() == 1);
+  CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+}
+
+}  // namespace
+}  // namespace hibiscus::cell
