Mend: a gang was started again while a start of its last run could arrive in a worker's new life

What callers saw: two runs of one gang at the same time (TWICE). A member's start has no answer, is given up and stopped; the worker starts again under its id and has forgotten the stop; the gang, which lost its other members in that crash, is started elsewhere 3 ms later; then the first start arrives in the new life. Cause: starts without an answer were stopped in the new life only after its first hold had been answered, and their tasks did not wait for that. What remains: a task that already runs elsewhere when the worker starts again; the start can still arrive before the owner knows of the new life. Test: "a gang is not started again while a start of its last run may arrive in a worker's new life" failed before for restarts 330 to 590 ms after the start, and passes.

--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -84,7 +84,7 @@
     }
     for (const auto& [number, occurrence] : job->occurrences) {
       for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
-        if (IsReadyToStart(*step)) {
+        if (IsReadyToStart(*step) && !workers_.MayStillStart(step->RefOf(0))) {
           waiting.push_back(step.get());
         }
       }
@@ -254,7 +254,8 @@
 
 // Starts a gang with a tentative allocation once its tickets have arrived.
 void Owner::PlaceWithTickets(StepRun& step) {
-  if (loaded_ && !closing_ && !is_deposed_ && !step.job->final && step.waiting == step.spec->count) {
+  if (loaded_ && !closing_ && !is_deposed_ && !step.job->final && step.waiting == step.spec->count &&
+      !workers_.MayStillStart(step.RefOf(0))) {
     RefreshWorkers();
     Execute(placement_.PlanStep(step, advice_.queues(), CurrentQuotas(), context_.Now()));
   }
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -24,6 +24,13 @@
 constexpr double kMinClockRate = 0.98;        // Lowest rate of a worker's clock; guaranteed by the platform.
 constexpr Duration kClockTolerance = 50ms;  // Covers the rounding of clocks to milliseconds and the time to kill a run.
 
+// Identifies the step of a run.
+TaskRef StepOf(const RunRef& run) {
+  TaskRef step = run.task;
+  step.index = 0;
+  return step;
+}
+
 Duration MaxLocalTime(Duration worker_time) {
   return Duration(static_cast<int64_t>(static_cast<double>(worker_time.count()) / kMinClockRate));
 }
@@ -165,11 +172,13 @@
   worker.last_end_seen_ = 0;
   worker.last_end_acknowledged_ = 0;
   worker.lease_until_ = TimePoint{};
-  std::erase_if(worker.unanswered_starts_,
-                [&](const auto& each) { return context_.Now() - each.second > kMaxOrderDelay; });
   for (const auto& [run, unanswered_since] : worker.unanswered_starts_) {
-    worker.starts_to_void_.insert(run);
+    const bool may_arrive = context_.Now() - unanswered_since <= kMaxOrderDelay;
+    if (may_arrive && worker.starts_to_void_.emplace(run, unanswered_since).second) {
+      ++starts_to_void_of_step_[StepOf(run)];
+    }
   }
+  worker.unanswered_starts_.clear();
   std::vector<RunRef> unconfirmed;
   std::vector<RunRef> lost;
   for (const auto& [run, placed] : worker.placed) {
@@ -189,6 +198,7 @@
     listener_.OnGone(worker, run, GoneReason::kWorkerRestarted);
   }
   // An earlier owner's order may have reached the new life, so an unsettled worker stays so until it answers a hold.
+  StopVoidedStarts(worker);
   ScheduleHold(worker, 0us);
 }
 
@@ -203,17 +213,42 @@
   }
 }
 
-// Stops starts that were abandoned while the worker was silent: it may answer in a new life, on whose clock their
-// deadlines have not passed.
+// Stops starts that earlier lives of the worker left unanswered: they may still arrive in this one, on whose clock
+// their deadlines have not passed and which does not know of earlier stops.
 void WorkerTable::StopVoidedStarts(Worker& worker) {
-  for (const RunRef& run : worker.starts_to_void_) {
-    orders_.Stop(TargetOf(worker), run, token_,
-                 [this, alive = alive_, id = worker.entry.id, run](const OrderAnswer& answer) {
-                   Worker* found = *alive ? Find(id) : nullptr;
-                   if (found != nullptr && answer.status == OrderStatus::kOk) {
-                     found->starts_to_void_.erase(run);
-                   }
-                 });
+  for (const auto& [run, unanswered_since] : worker.starts_to_void_) {
+    orders_.Stop(
+        TargetOf(worker), run, token_,
+        [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms,
+         voided = run](const OrderAnswer& answer) {
+          Worker* found = *alive ? Find(id) : nullptr;
+          const bool by_this_life = answer.born_ms == 0 || answer.born_ms == born;
+          if (found != nullptr && found->entry.born_ms == born && by_this_life && answer.status == OrderStatus::kOk) {
+            RemoveStartToVoid(*found, voided);
+          }
+        });
+  }
+}
+
+void WorkerTable::RemoveStartToVoid(Worker& worker, const RunRef& run) {
+  if (worker.starts_to_void_.erase(run) == 0) {
+    return;
+  }
+  const auto of_step = starts_to_void_of_step_.find(StepOf(run));
+  if (--of_step->second == 0) {
+    starts_to_void_of_step_.erase(of_step);
+  }
+}
+
+void WorkerTable::ExpireStartsToVoid(Worker& worker, TimePoint now) {
+  std::vector<RunRef> expired;
+  for (const auto& [run, unanswered_since] : worker.starts_to_void_) {
+    if (now - unanswered_since > kMaxOrderDelay) {
+      expired.push_back(run);
+    }
+  }
+  for (const RunRef& run : expired) {
+    RemoveStartToVoid(worker, run);
   }
 }
 
@@ -626,6 +661,7 @@
   std::vector<std::string> forgotten;
   for (const auto& [id, each] : workers_) {
     Worker& worker = *each;
+    ExpireStartsToVoid(worker, now);
     if ((worker.silent || !worker.hold_confirmed) && now > worker.lease_until_ &&
         (worker.unsettled || !worker.placed.empty())) {
       context_.Log("worker", "event=worker_lapsed worker={} runs_lost={}", id, worker.placed.size());
@@ -635,7 +671,7 @@
     } else if (HasDeparted(worker, now)) {
       Retire(worker);
     }
-    if (!worker.listed && worker.placed.empty() && !worker.unsettled &&
+    if (!worker.listed && worker.placed.empty() && !worker.unsettled && worker.starts_to_void_.empty() &&
         now - worker.unlisted_since > kUnlistedRetention) {
       forgotten.push_back(id);
     }
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -100,7 +100,8 @@
   int64_t last_end_seen_ = 0;                      // Ends up to this number were received.
   int64_t last_end_acknowledged_ = 0;              // Ends up to this number are stored.
   std::map<RunRef, TimePoint> unanswered_starts_;  // Starts without an answer, and when that was recorded.
-  std::set<RunRef> starts_to_void_;                // Starts to stop in this life in case they still arrive.
+  // Starts of earlier lives, to be stopped in this life in case they still arrive, and since when they are unanswered.
+  std::map<RunRef, TimePoint> starts_to_void_;
 };
 
 class WorkerTable {
@@ -149,6 +150,8 @@
   std::map<std::string, std::unique_ptr<Worker>>& workers() { return workers_; }
   size_t max_number() const { return max_number_; }  // Highest worker number assigned so far.
   bool AnyUnsettled() const { return unsettled_ > 0; }
+  // True if a start of this step, identified by a task with index 0, may still arrive in a new life of its worker.
+  bool MayStillStart(const TaskRef& step) const { return starts_to_void_of_step_.contains(step); }
   bool AnyUnknownDemand() const { return unknown_demand_runs_ > 0; }
   // Resources of all runs that may exist and whose tenant is known.
   const TenantUsage& tenant_usage() const { return tenant_usage_; }
@@ -187,6 +190,8 @@
   void RemoveRun(Worker& worker, const RunRef& run);
   void RemoveAllRuns(Worker& worker, GoneReason reason);
   void StopVoidedStarts(Worker& worker);
+  void RemoveStartToVoid(Worker& worker, const RunRef& run);
+  void ExpireStartsToVoid(Worker& worker, TimePoint now);
   void MarkSettled(Worker& worker);
   bool HasDeparted(const Worker& worker, TimePoint now) const;
   void Retire(Worker& worker);
@@ -204,6 +209,7 @@
   int unsettled_ = 0;
   int unknown_demand_runs_ = 0;  // On all workers.
   TenantUsage tenant_usage_;
+  std::map<TaskRef, int> starts_to_void_of_step_;  // Number of starts to void on all workers, by step.
   size_t max_number_ = 0;
   std::unordered_map<size_t, Worker*> by_number_;
   Duration start_delay_{};
--- a/tests/cell_restart_test.cc
+++ b/tests/cell_restart_test.cc
@@ -51,5 +51,42 @@
   CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
 }
 
+// The start of one member is in transit, given up and stopped; then the worker starts again and has forgotten the stop.
+TEST_CASE("a gang is not started again while a start of its last run may arrive in a worker's new life") {
+  for (Duration restart = 260ms; restart < 600ms; restart += 10ms) {
+    CellWorld world(82, 2, 2);
+    AddQueues(world);
+    REQUIRE(Settle(world));
+    // Its ends make both workers report, so that the owner learns that the given-up start is not running.
+    StepSpec spread = StepOf(2, 1000);
+    spread.max_per_worker = 1;
+    const JobSpec other = JobOf(2, {spread});
+    world.SubmitWithRetries(other, TaskBehaviour{330ms, 0});
+    REQUIRE(world.RunUntil([&] { return world.starts() == 2; }, 1s));
+    for (size_t i = 0; i < world.worker_count(); ++i) {
+      world.worker(i).starts_in_transit = 1;
+      world.worker(i).transit_time = 600ms;
+      world.worker(i).min_stop_time = 300ms;
+    }
+    StepSpec step = StepOf(2, 1000);
+    step.gang = true;
+    const JobSpec job = JobOf(1, {step});
+    world.SubmitWithRetries(job, TaskBehaviour{2s, 0});
+    REQUIRE(world.RunUntil([&] { return world.starts() == 3; }, 1s));  // The other member's start is in transit.
+    FakeWorker* worker = WorkerThatRuns(world, RunRef{TaskRef{job.id, 0, 0, 1}, 1});
+    REQUIRE(worker != nullptr);
+    world.RunFor(restart);
+    RestartWorker(*worker);
+    for (size_t i = 0; i < world.worker_count(); ++i) {
+      world.worker(i).starts_in_transit = 0;
+    }
+    world.RunFor(6s);
+    INFO("restart after " << Millis(restart) << " ms"
+                          << (world.violations().empty() ? "" : ": " + world.violations().front()));
+    CHECK(world.violations().empty());
+    CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+  }
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
