Mend: an owner that woke from a pause started tasks on workers that had started again meanwhile

What callers saw: a task runs twice at the same time (TWICE). The owner is paused for seconds, another host takes over; workers start again under their ids and have not heard of the new owner when the first one wakes. What was due before the pause goes out, and a worker without a token carries it out. Cause: ownership was checked by the workers' fence alone, and a new life has none. Class: a process acts after a pause on a permission that has run out. Change: an owner that was not active for 500 ms, less than another host needs to take over, sends no start to a worker and does not extend its lease until the worker has answered a hold that was sent after the pause. A replaced owner is fenced by that hold; a new life gets starts only after a commit to the store. event=paused and the counter owner_pauses say when. Ruled out: the renewal, the watch and the announcement depose the owner too, but their order against other input after a pause is not given.

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr Duration kTickInterval = 100ms;        // Period of Tick.
+constexpr Duration kTickInterval = 100ms;  // Period of Tick.
+// Less than the time in which another host can take over: the lease of the owner less one renewal interval.
+constexpr Duration kPauseThreshold = 500ms;
 constexpr Duration kMaxPendingCountAge = 500ms;  // Callers accept counts of pending jobs up to 2 s old.
 // If the store has not confirmed a job's end by then, a state query gets the last stored state.
 constexpr Duration kStateStallTimeout = 600ms;
@@ -54,12 +56,27 @@
 void Owner::Begin() {
   context_.Log("owner", "event=takeover epoch={} term={}", ownership_.epoch, ownership_.term);
   loading_began_at_ = context_.Now();
+  last_active_at_ = context_.Now();
   BeginProofIfNeeded();
   ReadJobs();
   Tick();
 }
 
+// After a pause, orders that were due before it must not go out on an ownership that may have been lost meanwhile.
+void Owner::CheckForPause() {
+  const TimePoint now = context_.Now();
+  const Duration paused = now - last_active_at_;
+  last_active_at_ = now;
+  if (paused > kPauseThreshold) {
+    context_.counters.Add("owner_pauses");
+    context_.Log("owner", "event=paused epoch={} for_ms={} workers={}", ownership_.epoch, Millis(paused),
+                 workers_.workers().size());
+    workers_.RecheckAll();
+  }
+}
+
 void Owner::Tick() {
+  CheckForPause();
   context_.timers.In(kTickInterval, [this, alive = alive_] {
     if (*alive) {
       Tick();
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -124,6 +124,7 @@
 
   // --- owner.cc ---
   void Tick();
+  void CheckForPause();
   void Submit(const CallerRequest& request, const Reply& reply);
   void SubmitKnown(const CallerRequest& request, const Reply& reply);
   void SubmitNew(const CallerRequest& request, const std::string& tenant, const Reply& reply);
@@ -268,6 +269,7 @@
   GroupCommit commit_;
 
   TimePoint loading_began_at_{};
+  TimePoint last_active_at_{};  // When CheckForPause was last called.
   bool loaded_ = false;
   bool closing_ = false;
   bool is_deposed_ = false;
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -38,6 +38,7 @@
   if (!loaded_ || closing_ || is_deposed_) {
     return;
   }
+  CheckForPause();
   const TimePoint begin = context_.Now();
   RefreshWorkers();
   RefreshUnaccountedRuns();
@@ -256,6 +257,7 @@
 void Owner::PlaceWithTickets(StepRun& step) {
   if (loaded_ && !closing_ && !is_deposed_ && !step.job->final && step.waiting == step.spec->count &&
       !workers_.MayStillStart(step.RefOf(0))) {
+    CheckForPause();
     RefreshWorkers();
     Execute(placement_.PlanStep(step, advice_.queues(), CurrentQuotas(), context_.Now()));
   }
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -58,7 +58,7 @@
 bool Worker::UsableAt(TimePoint now) const {
   const bool entry_good = listed || now - unlisted_since < kUnlistedGrace;
   return entry_good && unknown_demand_runs_ == 0 && !entry.draining && hold_confirmed && !silent && in_roster &&
-         !unsettled && now >= avoid_until;
+         !unsettled && !recheck && now >= avoid_until;
 }
 
 Duration Worker::ClockAt(TimePoint now) const {
@@ -309,6 +309,13 @@
   worker.lease_until_ = std::max(worker.lease_until_, over);
 }
 
+void WorkerTable::RecheckAll() {
+  recheck_since_ = context_.Now();
+  for (const auto& [id, worker] : workers_) {
+    worker->recheck = true;
+  }
+}
+
 // --- Holds ---
 
 void WorkerTable::ScheduleHold(Worker& worker, Duration delay) {
@@ -324,7 +331,7 @@
 void WorkerTable::SendHold(Worker& worker) {
   const TimePoint now = context_.Now();
   HoldOrder order{token_, worker.last_end_acknowledged_, 0us, 0us};
-  if (worker.clock_known_ && !worker.silent) {
+  if (worker.clock_known_ && !worker.silent && !worker.recheck) {
     order.deadline = worker.ClockAt(now) + std::min(kHoldDuration, context_.settings.max_hold);
     ExtendLease(worker, order.deadline);
   }
@@ -333,15 +340,16 @@
   }
   worker.hold_in_flight_ = true;
   context_.counters.Add("worker_holds");
-  orders_.Hold(TargetOf(worker), order, [this, alive = alive_, id = worker.entry.id](const OrderAnswer& answer) {
-    Worker* found = *alive ? Find(id) : nullptr;
-    if (found != nullptr) {
-      OnHoldAnswer(*found, answer);
-    }
-  });
+  orders_.Hold(TargetOf(worker), order,
+               [this, alive = alive_, id = worker.entry.id, sent_at = now](const OrderAnswer& answer) {
+                 Worker* found = *alive ? Find(id) : nullptr;
+                 if (found != nullptr) {
+                   OnHoldAnswer(*found, sent_at, answer);
+                 }
+               });
 }
 
-void WorkerTable::OnHoldAnswer(Worker& worker, const OrderAnswer& answer) {
+void WorkerTable::OnHoldAnswer(Worker& worker, TimePoint sent_at, const OrderAnswer& answer) {
   worker.hold_in_flight_ = false;
   const int64_t born_ms = worker.entry.born_ms;
   if (!RecordAnswer(worker, answer)) {
@@ -357,14 +365,15 @@
     ScheduleHold(worker, kSilentRetryInterval);
     return;
   }
-  const bool first = !worker.hold_confirmed;
+  const bool became_usable = !worker.hold_confirmed || worker.recheck;
   worker.hold_confirmed = true;
+  worker.recheck = worker.recheck && sent_at < recheck_since_;
   StopVoidedStarts(worker);
   if (!ApplyLists(worker, answer)) {
     return;
   }
   MarkSettled(worker);
-  if (first) {
+  if (became_usable) {
     listener_.OnChanged(worker);
   }
   const bool ends_pending = worker.last_end_seen_ > worker.last_end_acknowledged_;
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -76,6 +76,7 @@
   bool silent = false;          // The last call got no answer.
   bool in_roster = false;       // The stored roster contains this life, so it may receive starts.
   bool unsettled = false;       // It may have runs of an earlier owner that are not known yet.
+  bool recheck = false;         // Gets no starts and no longer lease until it answers a hold sent after a pause.
   TimePoint avoid_until{};      // Receives no starts until then because it refused one.
   std::map<RunRef, PlacedRun> placed;
 
@@ -165,6 +166,10 @@
   // roster contains them.
   std::vector<WorkerInstanceRecord> TakeRoster();
 
+  // Called after a pause of this process, in which another host may have become the owner and workers may have started
+  // again: each worker must answer a new hold before it receives further starts.
+  void RecheckAll();
+
   // Handles workers whose lease has expired and drops those no longer listed. Call a few times a second.
   void Sweep();
 
@@ -173,7 +178,7 @@
   void BeginLife(Worker& worker, int64_t born_ms);
   void ScheduleHold(Worker& worker, Duration delay);
   void SendHold(Worker& worker);
-  void OnHoldAnswer(Worker& worker, const OrderAnswer& answer);
+  void OnHoldAnswer(Worker& worker, TimePoint sent_at, const OrderAnswer& answer);
   // Returns false if a listener has destroyed this table.
   bool ApplyLists(Worker& worker, const OrderAnswer& answer);
   void ApplyEnded(Worker& worker, const OrderAnswer& answer);
@@ -210,6 +215,7 @@
   int unknown_demand_runs_ = 0;  // On all workers.
   TenantUsage tenant_usage_;
   std::map<TaskRef, int> starts_to_void_of_step_;  // Number of starts to void on all workers, by step.
+  TimePoint recheck_since_{};                      // Time of the last RecheckAll.
   size_t max_number_ = 0;
   std::unordered_map<size_t, Worker*> by_number_;
   Duration start_delay_{};
--- a/tests/cell_restart_test.cc
+++ b/tests/cell_restart_test.cc
@@ -88,5 +88,35 @@
   }
 }
 
+// The answer of the store that lets the job start reaches the owner after the pause. The workers that start again have
+// not heard of the new owner yet.
+TEST_CASE("an owner that wakes from a pause starts nothing on workers that have started again meanwhile") {
+  for (uint64_t seed = 83; seed < 99; ++seed) {
+    CellWorld world(seed, 4, 6);
+    AddQueues(world);
+    REQUIRE(Settle(world));
+    const size_t owner = *world.OwnerIndex();
+    const JobSpec job = JobOf(1, {StepOf(4, 9000)});
+    world.Submit(owner, job, TaskBehaviour{9s, 0}, [](const CallerReply&) {});
+    world.RunFor(23ms);
+    constexpr Duration kPause = 4s;
+    world.CutPeers(owner, true);
+    world.StoreFaultsOf(owner).silent = true;
+    world.Freeze(owner, kPause);
+    const Duration before_wake = 5ms + 10ms * static_cast<int64_t>(seed % 16);
+    world.RunFor(kPause - before_wake);
+    REQUIRE(world.starts() == 4);  // By the new owner.
+    for (size_t i = 0; i < world.worker_count(); ++i) {
+      if (!world.worker(i).IsIdle()) {
+        RestartWorker(world.worker(i));
+      }
+    }
+    world.RunFor(16s);
+    INFO("seed " << seed << (world.violations().empty() ? "" : ": " + world.violations().front()));
+    CHECK(world.violations().empty());
+    CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+  }
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
