Mend: after a run was adopted the next start took a run number of the earlier owner

Cause: each owner has a range of run numbers of its own, since an earlier owner may have sent starts that nobody recorded. Adopting a run set the counter to that run's number, so the next start was 2 instead of 1001: a number that the earlier owner may have used. Workers refuse a start that is not above what they stopped or ended, take one with a known number for the same run, and failed attempts with the same number counted once. Change: the next number is above both the last one and the base of the owner. Test: "after a run was adopted the next start has a run number of the new owner's range" failed before for a task and for a gang, and passes.

--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -239,6 +239,7 @@
   void RefreshWorkers();
   void Execute(const std::vector<Decision>& decisions);
   void Start(const StartTasks& starts);
+  int NextRun(const StepRun& step, int last_run) const;
   void StartTask(StepRun& step, int index, Worker& worker);
   void Ask(const AskAdvice& ask);
   void RequestAdviceAhead(Job& job);
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -138,7 +138,7 @@
 void Owner::Start(const StartTasks& starts) {
   StepRun& step = *starts.step;
   if (step.spec->gang) {
-    ++step.gang_run;
+    step.gang_run = NextRun(step, step.gang_run);
   }
   for (const StartTasks::Assignment& each : starts.tasks) {
     Worker* worker = workers_.FindByNumber(each.worker);
@@ -153,9 +153,14 @@
   }
 }
 
+// An adopted run has a number of an earlier owner, who may have sent starts with higher ones.
+int Owner::NextRun(const StepRun& step, int last_run) const {
+  return std::max(last_run, RunNumberBase(*step.job)) + 1;
+}
+
 void Owner::StartTask(StepRun& step, int index, Worker& worker) {
   TaskState& task = step.tasks[static_cast<size_t>(index)];
-  task.run = step.spec->gang ? step.gang_run : task.run + 1;
+  task.run = step.spec->gang ? step.gang_run : NextRun(step, task.run);
   task.phase = TaskPhase::kPlaced;
   task.worker = worker.entry.id;
   task.placed_at = context_.Now();
--- a/tests/cell_restart_test.cc
+++ b/tests/cell_restart_test.cc
@@ -118,5 +118,33 @@
   }
 }
 
+// Starts of the earlier owner that were never recorded may have numbers above that of the run that was found.
+TEST_CASE("after a run was adopted the next start has a run number of the new owner's range") {
+  CellWorld world(84, 4, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  StepSpec gang = StepOf(2, 1000);
+  gang.gang = true;
+  for (const StepSpec& step : {StepOf(2, 1000), gang}) {
+    const JobSpec job = JobOf(step.gang ? 2 : 1, {step});
+    const int starts_before = world.starts();
+    world.SubmitWithRetries(job, TaskBehaviour{5s, 0});
+    REQUIRE(world.RunUntil([&] { return world.starts() == starts_before + 2; }, 1s));
+    world.RunFor(500ms);
+    const size_t owner = *world.OwnerIndex();
+    world.Kill(owner);
+    REQUIRE(world.RunUntil([&] { return HasOwner(world); }, 3s));
+    world.RunFor(300ms);
+    FakeWorker* worker = WorkerThatRuns(world, RunRef{TaskRef{job.id, 0, 0, 0}, 1});
+    REQUIRE(worker != nullptr);
+    RestartWorker(*worker);
+    const RunRef next{TaskRef{job.id, 0, 0, 0}, 1001};
+    CHECK(world.RunUntil([&] { return WorkerThatRuns(world, next) != nullptr; }, 3s));
+    world.Boot(owner);
+    world.RunFor(7s);
+  }
+  CHECK(world.violations().empty());
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
