A slow name lookup for one worker's address holds up no other call

Test: "a name that is looked up for long does not hold up other calls" failed before: the client's thread was held until the lookup ended (8 s in the test, against a time-out of 100 ms). Seen by callers (by reading): an entry whose Address is a host name that the resolver answers late stops all calls of that host, to the store too: it loses its lease, and as the owner it starts nothing. Each hold to that worker, every 1.1 s, does it again. Cause: libcurl looks names up in a thread and joins it when the call has ended, also after the call's time-out. Change: CURLOPT_QUICK_EXIT, the lookup's thread ends by itself. Ruled out by a test: an address that libcurl refuses (port 99999 or 0, empty, spaces, 9 MB) ends its call once, as not sent. Not shown: a real resolver; the test replaces getaddrinfo.

--- a/src/ports/http_client.cc
+++ b/src/ports/http_client.cc
@@ -189,6 +189,8 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max(1L, static_cast<long>(Millis(call.timeout))));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(Millis(kConnectTimeout)));
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  // A call that ends during the lookup of a host name does not wait for the lookup, which would stop all other calls.
+  curl_easy_setopt(easy, CURLOPT_QUICK_EXIT, 1L);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer->body);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
