A log line stays one line of valid UTF-8 whatever an entry's key holds

Test: "a key or reason with any bytes takes one line of the log" failed before (two lines). Seen by operators: a key with a line break tears the line of the log, and bytes that are no UTF-8 (the parser quotes what it refuses) stop strict readers. Cause: texts from outside went into lines as they are. Change: EventLog::Write replaces control characters by '?' and invalid UTF-8 by U+FFFD. Lines of ASCII are only looked through.

--- a/src/ports/event_log.cc
+++ b/src/ports/event_log.cc
@@ -14,6 +14,8 @@
 
 #include <fmt/core.h>
 
+#include "ports/text_repair.h"
+
 namespace hibiscus {
 
 namespace {
@@ -173,7 +175,7 @@
 }
 
 void EventLog::Write(const char* part, const std::string& text) {
-  state_->logger.info("part={} {}", part, text);
+  state_->logger.info("part={} {}", part, ToOneLine(text));
 }
 
 }  // namespace hibiscus
