Mend: a relay that was paused passed a hold of a worker's earlier life on to the next one

Cause: a hold names the ends that the owner has received. Given to the next life of the worker under the same id, whose ends are numbered anew, it makes the worker forget ends that the owner has not received, and extends its lease. Starts had a limit on the relay's clock, holds none. Change: HoldRequest carries valid_until, 1.3 s after its sending, when the owner counts it as unanswered. Test: "a relay passes no hold on that it takes in too late" (without the change the field does not exist; with it ignored the owner is fenced).

--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -298,8 +298,7 @@
                  [&](const OwnershipHandover& hand_over) { OnHandOver(hand_over); },
                  [&](const StartRequest& request) {
                    if (context_.Now().time_since_epoch() > request.valid_until) {
-                     context_.counters.Add("orders_too_late_to_pass_on");
-                     SendOrderReply(request.reply_to, request.call, AnswerOf(OrderStatus::kNotSent));
+                     RefuseLateOrder(request.reply_to, request.call);
                      return;
                    }
                    RelayOrder(request, [&](auto done) { context_.workers.Start(request.worker, request.order, done); });
@@ -310,6 +309,10 @@
                    });
                  },
                  [&](const HoldRequest& request) {
+                   if (request.valid_until > Duration(0) && context_.Now().time_since_epoch() > request.valid_until) {
+                     RefuseLateOrder(request.reply_to, request.call);
+                     return;
+                   }
                    RelayOrder(request, [&](auto done) { context_.workers.Hold(request.worker, request.order, done); });
                  },
                  [&](const OrderReply& reply) {
@@ -356,6 +359,11 @@
   }));
 }
 
+void Host::RefuseLateOrder(const std::string& reply_to, uint64_t call) {
+  context_.counters.Add("orders_too_late_to_pass_on");
+  SendOrderReply(reply_to, call, AnswerOf(OrderStatus::kNotSent));
+}
+
 void Host::SendOrderReply(const std::string& address, uint64_t call, const OrderAnswer& answer) {
   Send(address, OrderReply{call, answer, context_.Now().time_since_epoch()});
 }
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -87,6 +87,7 @@
   void OnOwnerAnnouncement(const OwnerAnnouncement& announcement);
   template <class Request, class SendToWorker>
   void RelayOrder(const Request& request, SendToWorker send_to_worker);
+  void RefuseLateOrder(const std::string& reply_to, uint64_t call);
   void SendOrderReply(const std::string& address, uint64_t call, const OrderAnswer& answer);
   void OnOwnerQuery(const OwnerQuery& ping);
   void OnHandOver(const OwnershipHandover& hand_over);
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -129,6 +129,7 @@
   uint64_t term = 0;
   WorkerTarget worker;
   HoldOrder order;
+  Duration valid_until = 0us;  // As in StartRequest. 0: no limit, as sent by hosts without this field.
 
   friend bool operator==(const HoldRequest&, const HoldRequest&) = default;
 };
--- a/src/cell/order_relay.cc
+++ b/src/cell/order_relay.cc
@@ -11,7 +11,9 @@
 
 // A relay must have at least this share of the strongest host's processor time.
 constexpr double kMinProcessorShare = 0.5;
-// Covers a relay's own timeout for an order and the round trip to the relay.
+// Covers a relay's own timeout for an order and the round trip to the relay. A relay drops holds that it receives
+// later: in the worker's next instance they would acknowledge ends that the owner has not received, and extend the
+// lease.
 constexpr Duration kReplyTimeout = 1300ms;
 // A relay drops starts that it receives later than this. Otherwise a relay that was paused could deliver the start to
 // the worker's next instance, on whose clock the deadline is far in the future. Covers a round trip between regions and
@@ -90,7 +92,7 @@
   }
   StartRequest request;
   request.order = order;
-  request.valid_until = relay->clock + (context_.Now() - relay->clock_received_at) + kMaxRelayDelay;
+  request.valid_until = relay->ClockAt(context_.Now()) + kMaxRelayDelay;
   Send(*relay, worker, std::move(request), Duration(0), std::move(done));
 }
 
@@ -114,6 +116,9 @@
   }
   HoldRequest request;
   request.order = order;
+  if (relay->clock_known) {
+    request.valid_until = relay->ClockAt(context_.Now()) + kReplyTimeout;
+  }
   Send(*relay, worker, std::move(request), order.wait, std::move(done));
 }
 
--- a/src/cell/order_relay.h
+++ b/src/cell/order_relay.h
@@ -48,6 +48,8 @@
     bool clock_known = false;
     Duration clock{};               // The relay's clock in its last reply.
     TimePoint clock_received_at{};  // Local time of that reply.
+
+    Duration ClockAt(TimePoint now) const { return clock + (now - clock_received_at); }
   };
   struct Call {
     std::string relay;  // Address of the relay.
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -156,7 +156,7 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, HoldRequest> {
-  return std::tie(self.call, self.reply_to, self.term, self.worker, self.order);
+  return std::tie(self.call, self.reply_to, self.term, self.worker, self.order, self.valid_until);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, OrderReply> {
--- a/tests/order_relay_test.cc
+++ b/tests/order_relay_test.cc
@@ -125,6 +125,30 @@
   CHECK(world.CounterOf(relay, "orders_too_late_to_pass_on") == 1);
 }
 
+// In the worker's next life the hold would take ends as acknowledged that the owner has not received.
+TEST_CASE("a relay passes no hold on that it takes in too late") {
+  for (const bool late : {true, false}) {
+    CellWorld world(57, kHosts, 4);
+    RebootWith(world, 0, {});
+    AddQueues(world);
+    REQUIRE(Settle(world));
+    const size_t owner = *world.OwnerIndex();
+    const size_t relay = (owner + 1) % kHosts;
+    const WorkerEntry& worker = world.worker(0).entry;
+    HoldRequest hold;
+    hold.reply_to = "nobody";
+    hold.term = 1'000'000;
+    hold.worker = WorkerTarget{worker.id, worker.address, worker.data_centre};
+    hold.order = HoldOrder{1'000'000, 99, 1h, 0us};
+    hold.valid_until = late ? world.Now().time_since_epoch() - 1ms : 0us;  // 0: from a host without the field.
+    world.host(relay)->OnPeerMessage(EncodeMessage(hold));
+    world.RunFor(1500ms);
+    CHECK(world.CounterOf(relay, "orders_too_late_to_pass_on") == (late ? 1 : 0));
+    // A hold that was passed on has fenced the owner.
+    CHECK((world.CounterOf(owner, "owner_deposed") == 0) == late);
+  }
+}
+
 TEST_CASE("a malformed message between hosts is dropped") {
   CellWorld world(55, 2, 2);
   AddQueues(world);
