Cell log: which answer made a worker silent, and which instance answers at its address

A crash of a worker showed as event=worker_silent and, about 4.6 s later, event=worker_lapsed; whether and when another instance answered there, under which id and since when, could not be read. event=worker_silent now has the status of the call, event=worker_listed says address and start of a new worker, event=other_instance that another one answers (421). No change of decisions.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -129,6 +129,8 @@
     slot = MakeWorker();
     slot->entry = entry;
     slot->listed = true;
+    context_.Log("worker", "event=worker_listed worker={} address={} born_ms={}", entry.id, entry.address,
+                 entry.born_ms);
     ScheduleHold(*slot, 0us);
     return;
   }
@@ -607,7 +609,7 @@
 bool WorkerTable::RecordAnswer(Worker& worker, const OrderAnswer& answer) {
   if (answer.status == OrderStatus::kUnknown || answer.status == OrderStatus::kNotSent ||
       answer.status == OrderStatus::kOtherInstance) {
-    MarkSilent(worker);
+    MarkSilent(worker, answer.status);
     return false;
   }
   if (answer.born_ms != 0 && answer.born_ms != worker.entry.born_ms) {
@@ -640,14 +642,20 @@
   return context_.Now() - start_delay_updated_at_ < kStartDelayValidity ? start_delay_ : Duration(0);
 }
 
-void WorkerTable::MarkSilent(Worker& worker) {
+void WorkerTable::MarkSilent(Worker& worker, OrderStatus status) {
+  const bool was_replaced = std::exchange(worker.replaced_, status == OrderStatus::kOtherInstance);
+  if (worker.replaced_ && !was_replaced) {
+    context_.Log("worker", "event=other_instance worker={} address={} runs={}", worker.entry.id, worker.entry.address,
+                 worker.placed.size());
+  }
   if (worker.silent) {
     return;
   }
   worker.silent = true;
   context_.counters.Add("worker_silences");
-  context_.Log("worker", "event=worker_silent worker={} runs={} surely_over_in_ms={}", worker.entry.id,
-               worker.placed.size(), Millis(std::max(Duration(0), worker.lease_until_ - context_.Now())));
+  context_.Log("worker", "event=worker_silent worker={} status={} runs={} surely_over_in_ms={}", worker.entry.id,
+               NameOf(status), worker.placed.size(),
+               Millis(std::max(Duration(0), worker.lease_until_ - context_.Now())));
   listener_.OnChanged(worker);
 }
 
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -96,6 +96,7 @@
   TimePoint last_clock_at_{};                      // Local time at which it was received.
   TimePoint lease_until_{};                        // All its runs are over by then.
   Duration lists_clock_{};                         // Worker clock of the newest lists applied.
+  bool replaced_ = false;                          // The last call was answered by another instance at its address.
   bool hold_in_flight_ = false;                    // A hold awaits its answer.
   uint64_t hold_timer_ = 0;                        // Number of the newest hold timer; older ones are ignored.
   int64_t last_end_seen_ = 0;                      // Ends up to this number were received.
@@ -189,7 +190,7 @@
   void AbandonStart(Worker& worker, const RunRef& run);
   void SendStop(Worker& worker, const RunRef& run);
   bool RecordAnswer(Worker& worker, const OrderAnswer& answer);
-  void MarkSilent(Worker& worker);
+  void MarkSilent(Worker& worker, OrderStatus status);
   void RecordStartDelay(Duration delay);
   void AddRun(Worker& worker, const RunRef& run, const PlacedRun& placed);
   void RemoveRun(Worker& worker, const RunRef& run);
