Owner: a task that crashes its workers is given up

Cause: only ends that workers list as failed count as attempts; a crash lists none, and the runs ended with their lease.

Silence alone is no proof of a crash: tasks of workers that are cut off are not given up for it.

Change: the owner counts the crashes under a task, or under a gang as a whole. Certain is one that a later life or another instance at the worker's address proves before the lease is over; possible are the others, and silence within a second of the start until the same life answers. The counts are stored at the end of the record of progress, so a takeover keeps them and older hosts read it. Suspect tasks are spread over the workers. With proof, confirmed runs are over at once.

--- a/src/cell/job_table.cc
+++ b/src/cell/job_table.cc
@@ -43,6 +43,17 @@
   return TaskRef{job->id(), occurrence, step, index};
 }
 
+bool CrashHistory::Record(int run, bool is_certain) {
+  if (certain.contains(run)) {
+    return false;
+  }
+  if (is_certain) {
+    possible.erase(run);
+    return certain.insert(run).second;
+  }
+  return possible.insert(run).second;
+}
+
 Resources StepRun::task_size() const {
   Resources size = spec->size;
   if (spec->best_effort) {
@@ -109,17 +120,30 @@
   return longest;
 }
 
+namespace {
+
+void AddCrashes(const CrashHistory& crashes, int index, StepProgress& progress) {
+  if (!crashes.certain.empty()) {
+    progress.crashed[index].assign(crashes.certain.begin(), crashes.certain.end());
+  }
+  if (!crashes.possible.empty()) {
+    progress.possibly_crashed[index].assign(crashes.possible.begin(), crashes.possible.end());
+  }
+}
+
+}  // namespace
+
 ProgressRecord ProgressOf(const Job& job) {
   ProgressRecord record;
   record.occurrences_done = job.occurrences_done;
   for (const int number : job.done_out_of_order) {
     for (size_t i = 0; i < job.record.spec.steps.size(); ++i) {
-      record.steps.push_back(StepProgress{number, static_cast<int>(i), true, {}, {}, {}});
+      record.steps.push_back(StepProgress{number, static_cast<int>(i), true, {}, {}, {}, {}, {}});
     }
   }
   for (const auto& [number, occurrence] : job.occurrences) {
     for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
-      StepProgress progress{number, step->step, step->finished(), {}, {}, {}};
+      StepProgress progress{number, step->step, step->finished(), {}, {}, {}, {}, {}};
       if (!progress.all_done) {
         for (int i = 0; i < step->spec->count; ++i) {
           const TaskState& task = step->tasks[static_cast<size_t>(i)];
@@ -133,15 +157,17 @@
           if (!task.checkpoint.empty()) {
             progress.checkpoints[i] = task.checkpoint;
           }
+          AddCrashes(task.crashes, i, progress);
         }
         if (!step->gang_failed_runs.empty()) {
           progress.failed[0].assign(step->gang_failed_runs.begin(), step->gang_failed_runs.end());
         }
+        AddCrashes(step->gang_crashes, 0, progress);
         if (!step->gang_checkpoint.empty()) {
           progress.checkpoints[0] = step->gang_checkpoint;
         }
       }
-      if (progress.all_done || !progress.done.empty() || !progress.failed.empty() || !progress.checkpoints.empty()) {
+      if (progress.HasContent()) {
         record.steps.push_back(std::move(progress));
       }
     }
@@ -160,7 +186,20 @@
   }
 }
 
+void ApplyCrashes(StepRun& step, const std::map<int, std::vector<int>>& runs_of, bool certain) {
+  for (const auto& [index, runs] : runs_of) {
+    if (index < 0 || index >= step.spec->count) {
+      continue;
+    }
+    for (const int run : runs) {
+      step.CrashesOf(index).Record(run, certain);
+    }
+  }
+}
+
 void ApplyStep(StepRun& step, const StepProgress& progress) {
+  ApplyCrashes(step, progress.crashed, true);
+  ApplyCrashes(step, progress.possibly_crashed, false);
   const auto in_range = [&](int index) { return index >= 0 && index < step.spec->count; };
   for (int i = 0; progress.all_done && i < step.spec->count; ++i) {
     MarkDone(step, i);
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -21,6 +21,18 @@
 
 enum class TaskPhase { kWaiting, kPlaced, kDone };
 
+// Crashes of workers under the runs of a task, or of a gang as a whole.
+struct CrashHistory {
+  std::set<int> certain;   // Run numbers that were certainly running when the worker crashed.
+  std::set<int> possible;  // Run numbers that may have been.
+  int prompt = 0;          // Of `certain`: crashes soon after the start. Not stored.
+
+  size_t count() const { return certain.size() + possible.size(); }
+  // Returns false if nothing new was learnt.
+  bool Record(int run, bool is_certain);
+  friend bool operator==(const CrashHistory&, const CrashHistory&) = default;
+};
+
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
   int run = 0;                // Highest run number assigned to a start so far.
@@ -31,6 +43,7 @@
   int percent = 0;            // Progress last reported by its worker.
   TimePoint progressed_at{};  // When `percent` last changed.
   bool stopping = false;      // Placed, and a stop was sent.
+  CrashHistory crashes;       // Of a gang: StepRun::gang_crashes.
 
   friend bool operator==(const TaskState&, const TaskState&) = default;
 };
@@ -72,6 +85,7 @@
   std::set<int> gang_failed_runs;  // Run numbers that failed, as in TaskState.
   bool gang_ending = false;        // The last start is being stopped; no member may start until all are gone.
   std::string gang_checkpoint;
+  CrashHistory gang_crashes;
 
   StepAdvice advice;
   std::map<size_t, int> tentative_members;  // Tentatively allocated members by worker number.
@@ -79,6 +93,10 @@
   bool finished() const { return done == spec->count; }
   int placed() const { return spec->count - waiting - done; }
   TaskRef RefOf(int index) const;
+  const CrashHistory& CrashesOf(int index) const {
+    return spec->gang ? gang_crashes : tasks[static_cast<size_t>(index)].crashes;
+  }
+  CrashHistory& CrashesOf(int index) { return spec->gang ? gang_crashes : tasks[static_cast<size_t>(index)].crashes; }
   // Resources that one task takes on a worker.
   Resources task_size() const;
   // Resources of one task that count against its tenant's maximum.
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -5,6 +5,7 @@
 //   tenants    owner_tenants.cc    the configuration, whether a caller's API key allows a request, and quotas
 //   store      owner_store.cc      loads the stored state, fills the batches of the group commit
 //   runs       owner_runs.cc       handles what workers report about runs
+//   crashes    owner_crashes.cc    gives up tasks that crash their workers
 //   placement  owner_placement.cc  executes the decisions of placement.h: starts, and calls to the advice service
 #ifndef HIBISCUSSTAND_SRC_CELL_OWNER_H_
 #define HIBISCUSSTAND_SRC_CELL_OWNER_H_
@@ -232,6 +233,21 @@
   void OpenStep(StepRun& step);
   void BeginDueOccurrences(Job& job);
 
+  // --- owner_crashes.cc ---
+  void OnCrashed(Worker& worker, const std::vector<CrashedRun>& crashed) override;
+  void OnSilent(Worker& worker, const std::vector<CrashedRun>& runs) override;
+  void OnAnswers(Worker& worker, const std::vector<CrashedRun>& runs) override;
+  // Null if nothing can be learnt about its task.
+  CrashHistory* FindCrashHistory(const RunRef& run, StepRun** step);
+  void GiveUpRestoredTasks();
+  bool RecordCrash(const CrashedRun& crashed);
+  struct CrashComparison {
+    bool last = true;   // No other run was started there as late as this one.
+    bool leads = true;  // No other run there has as many crashes.
+  };
+  CrashComparison CompareWithOthers(const StepRun& step, const CrashedRun& crashed, const std::vector<CrashedRun>& all);
+  void DecideAfterCrash(const Worker& worker, const CrashedRun& crashed, const std::vector<CrashedRun>& all);
+
   // --- owner_placement.cc ---
   void SchedulePlacementPass();
   void RunPlacementPass();
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -103,7 +103,8 @@
     if (!worker->UsableAt(now)) {
       continue;
     }
-    WorkerView view{.number = worker->number, .entry = &worker->entry, .free = worker->free()};
+    WorkerView view{
+        .number = worker->number, .entry = &worker->entry, .free = worker->free(), .suspicion = worker->suspicion()};
     view.quarantined = any_quarantined && quarantine_.IsQuarantined(id);
     view.probe_due = view.quarantined && quarantine_.StateOf(id, now).probe_in == Duration(0);
     views.push_back(view);
@@ -179,7 +180,7 @@
                worker.entry.id, worker.entry.born_ms, step.job->id(), step.job->queue.name, step.step, index, task.run,
                Millis(context_.Now() - step.opened_at), worker.free().cpu_millis);
   context_.counters.RecordDuration("wait_seconds", step.job->queue.name, context_.Now() - step.opened_at);
-  workers_.Start(worker, std::move(order), DemandOf(step));
+  workers_.Start(worker, std::move(order), DemandOf(step, index));
 }
 
 // --- Advice ---
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -127,7 +127,7 @@
                  row.run.task.job, row.run.task.step, row.run.task.index, row.run.run);
     return false;
   }
-  demand = DemandOf(*step);
+  demand = DemandOf(*step, row.run.task.index);
   const bool adopted = !step->job->final && Adopt(*step, row.run.task.index, worker, row.run);
   context_.Log("run", "event={} worker={} born_ms={} job={} step={} index={} run={} placed_on={} current_run={}",
                adopted ? "adopted" : "stop_found_run", worker.entry.id, worker.entry.born_ms, row.run.task.job,
--- a/src/cell/placement.cc
+++ b/src/cell/placement.cc
@@ -188,6 +188,24 @@
 
 // --- Single tasks ---
 
+std::optional<size_t> Placement::BestFor(const StepRun& step, int index, const Candidates& candidates) const {
+  const TaskDemand demand = DemandOf(step);
+  std::vector<CandidateView> least;
+  if (step.CrashesOf(index).count() > 0) {
+    int lowest = std::numeric_limits<int>::max();
+    for (size_t i = 0; i < candidates.views.size(); ++i) {
+      const bool fits = SlotsOf(candidates.views[i], demand) > 0;
+      lowest = fits ? std::min(lowest, candidates.workers[i]->suspicion) : lowest;
+    }
+    least = candidates.views;
+    for (size_t i = 0; i < least.size(); ++i) {
+      least[i].free = candidates.workers[i]->suspicion > lowest ? Resources{} : least[i].free;
+    }
+  }
+  const std::vector<CandidateView>& views = least.empty() ? candidates.views : least;
+  return policies_.tightest_fit ? TightestFit(views, demand) : FirstFit(views, demand);
+}
+
 void Placement::PlaceSingleTasks(StepRun& step, Pass& pass) {
   if (!pass.quotas.Allows(step.tenant(), step.quota_size())) {
     ++quota_waits_;
@@ -203,13 +221,13 @@
   auto [candidates, without_ticket] = FindSingleTaskCandidates(step, demand, pass.now);
   StartTasks starts{&step, {}, false};
   for (const int index : waiting) {
-    const std::optional<size_t> best =
-        policies_.tightest_fit ? TightestFit(candidates.views, demand) : FirstFit(candidates.views, demand);
+    const std::optional<size_t> best = BestFor(step, index, candidates);
     if (!best || !pass.quotas.Allows(step.tenant(), step.quota_size())) {
       break;
     }
     WorkerView& worker = *candidates.workers[*best];
     starts.tasks.push_back({index, worker.number});
+    worker.suspicion += static_cast<int>(step.CrashesOf(index).count());
     pass.quotas.Take(step.tenant(), step.quota_size());
     worker.free -= demand.size;
     candidates.views[*best].free -= demand.size;
@@ -379,6 +397,7 @@
     for (int k = 0; k < counts[i]; ++k) {
       starts.tasks.push_back({index++, candidates.workers[i]->number});
       candidates.workers[i]->free -= step.task_size();
+      candidates.workers[i]->suspicion += static_cast<int>(step.gang_crashes.count());
     }
   }
   pass.quotas.Take(step.tenant(), step.quota_size(), step.spec->count);
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -27,6 +27,7 @@
   size_t number = 0;                   // Worker::number: small, never reused for another worker.
   const WorkerEntry* entry = nullptr;  // Owned by the worker table; outlives the view.
   Resources free;
+  int suspicion = 0;  // Sum of the runs there, see RunDemand.
   bool quarantined = false;
   bool probe_due = false;        // Quarantined, and one task may be started on it as a probe.
   int64_t initial_free_cpu = 0;  // Free CPU at the last Refresh, the sort key; later passes reduce only `free`.
@@ -150,6 +151,9 @@
   CandidateView ViewOf(const StepRun& step, const WorkerView& worker) const;
   bool IsReservedForOther(const StepRun& step, const WorkerView& worker) const;
 
+  // Returns the best candidate for a task. A suspect one goes where the sum of suspicion is lowest: the next crash then
+  // tells the guilty from the others.
+  std::optional<size_t> BestFor(const StepRun& step, int index, const Candidates& candidates) const;
   void PlaceSingleTasks(StepRun& step, Pass& pass);
   SingleTaskCandidates FindSingleTaskCandidates(const StepRun& step, const TaskDemand& demand, TimePoint now);
   // Starts the first of the waiting tasks, and removes it from `waiting`, on a quarantined worker whose probe is due.
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -62,7 +62,8 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StepProgress> {
-  return std::tie(self.occurrence, self.step, self.all_done, self.done, self.failed, self.checkpoints);
+  return std::tie(self.occurrence, self.step, self.all_done, self.done, self.failed, self.checkpoints, self.crashed,
+                  self.possibly_crashed);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, ProgressRecord> {
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -93,6 +93,14 @@
   std::vector<int> done;                   // Indices of the tasks that are done; empty if all_done.
   std::map<int, std::vector<int>> failed;  // Run numbers that failed, by task index; a gang's are at index 0.
   std::map<int, std::string> checkpoints;  // By task index; a gang's is at index 0.
+  // Run numbers under which a worker crashed, certainly or possibly; by task index, a gang's are at index 0.
+  std::map<int, std::vector<int>> crashed;
+  std::map<int, std::vector<int>> possibly_crashed;
+
+  bool HasContent() const {
+    return all_done || !done.empty() || !failed.empty() || !checkpoints.empty() || !crashed.empty() ||
+           !possibly_crashed.empty();
+  }
 
   friend bool operator==(const StepProgress&, const StepProgress&) = default;
 };
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -132,6 +132,7 @@
     context_.Log("worker", "event=worker_listed worker={} address={} born_ms={}", entry.id, entry.address,
                  entry.born_ms);
     ScheduleHold(*slot, 0us);
+    ReplaceWorkersAt(entry);
     return;
   }
   Worker& worker = *slot;
@@ -141,6 +142,9 @@
   }
   worker.listed = true;
   const bool changed = !(worker.entry == entry);
+  if (new_life) {
+    ReportCrash(worker);
+  }
   worker.entry = entry;
   if (new_life) {
     BeginLife(worker, entry.born_ms);
@@ -169,6 +173,7 @@
   worker.hold_confirmed = false;
   worker.in_roster = false;
   worker.silent = false;
+  worker.replaced_ = false;
   worker.clock_known_ = false;
   worker.lists_clock_ = Duration(0);
   worker.last_end_seen_ = 0;
@@ -265,6 +270,7 @@
 void WorkerTable::AddRun(Worker& worker, const RunRef& run, const PlacedRun& placed) {
   worker.placed[run] = placed;
   worker.used_ += placed.demand.size;
+  worker.suspicion_ += placed.demand.suspicion;
   if (placed.demand_known) {
     tenant_usage_[placed.demand.tenant] += placed.demand.quota_size;
   } else {
@@ -280,6 +286,7 @@
   }
   const PlacedRun& placed = found->second;
   worker.used_ -= placed.demand.size;
+  worker.suspicion_ -= placed.demand.suspicion;
   if (placed.demand_known) {
     tenant_usage_[placed.demand.tenant] -= placed.demand.quota_size;
   } else {
@@ -343,10 +350,16 @@
   worker.hold_in_flight_ = true;
   context_.counters.Add("worker_holds");
   orders_.Hold(TargetOf(worker), order,
-               [this, alive = alive_, id = worker.entry.id, sent_at = now](const OrderAnswer& answer) {
+               [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, address = worker.entry.address,
+                sent_at = now](const OrderAnswer& answer) {
                  Worker* found = *alive ? Find(id) : nullptr;
-                 if (found != nullptr) {
-                   OnHoldAnswer(*found, sent_at, answer);
+                 if (found == nullptr) {
+                   return;
+                 }
+                 const bool same_life = found->entry.born_ms == born && found->entry.address == address;
+                 OnHoldAnswer(*found, sent_at, answer);
+                 if (same_life && answer.status == OrderStatus::kOtherInstance) {
+                   OnReplaced(*found);
                  }
                });
 }
@@ -614,6 +627,7 @@
   }
   if (answer.born_ms != 0 && answer.born_ms != worker.entry.born_ms) {
     if (answer.born_ms > worker.entry.born_ms) {
+      ReportCrash(worker);
       worker.listed = false;  // Its entry may describe the previous life, and the new one may differ in kind.
       worker.unlisted_since = context_.Now() - kUnlistedGrace;
       BeginLife(worker, answer.born_ms);
@@ -626,6 +640,7 @@
     worker.last_clock_at_ = context_.Now();
   }
   if (worker.silent) {
+    ReportNoCrash(worker);
     worker.silent = false;
     context_.Log("worker", "event=worker_answers worker={} runs={}", worker.entry.id, worker.placed.size());
     listener_.OnChanged(worker);
@@ -643,19 +658,16 @@
 }
 
 void WorkerTable::MarkSilent(Worker& worker, OrderStatus status) {
-  const bool was_replaced = std::exchange(worker.replaced_, status == OrderStatus::kOtherInstance);
-  if (worker.replaced_ && !was_replaced) {
-    context_.Log("worker", "event=other_instance worker={} address={} runs={}", worker.entry.id, worker.entry.address,
-                 worker.placed.size());
-  }
   if (worker.silent) {
     return;
   }
   worker.silent = true;
+  worker.silent_since_ = context_.Now();
   context_.counters.Add("worker_silences");
   context_.Log("worker", "event=worker_silent worker={} status={} runs={} surely_over_in_ms={}", worker.entry.id,
                NameOf(status), worker.placed.size(),
                Millis(std::max(Duration(0), worker.lease_until_ - context_.Now())));
+  listener_.OnSilent(worker, RunsAtCrash(worker));
   listener_.OnChanged(worker);
 }
 
@@ -682,6 +694,8 @@
     if ((worker.silent || !worker.hold_confirmed) && now > worker.lease_until_ &&
         (worker.unsettled || !worker.placed.empty())) {
       context_.Log("worker", "event=worker_lapsed worker={} runs_lost={}", id, worker.placed.size());
+      worker.lapsed_ = RunsAtCrash(worker);
+      std::for_each(worker.lapsed_.begin(), worker.lapsed_.end(), [](CrashedRun& run) { run.certain = false; });
       RemoveAllRuns(worker, GoneReason::kLeaseExpired);
       MarkSettled(worker);
       Retire(worker);
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -46,10 +46,12 @@
   Resources size;        // Of its worker's capacity.
   Resources quota_size;  // Of its tenant's maximum.
   std::string tenant;
+  int suspicion = 0;  // Number of earlier runs of its task under which a worker crashed.
 
   friend bool operator==(const RunDemand&, const RunDemand&) = default;
 };
 RunDemand DemandOf(const StepRun& step);
+RunDemand DemandOf(const StepRun& step, int index);
 
 // A run that uses, or may be using, resources of a worker.
 struct PlacedRun {
@@ -64,6 +66,15 @@
   friend bool operator==(const PlacedRun&, const PlacedRun&) = default;
 };
 
+// A run that was on a worker whose process has crashed.
+struct CrashedRun {
+  RunRef run;
+  bool certain = false;  // It certainly ran there when the process crashed.
+  Duration ran{};        // From its placement to the first sign of the crash.
+
+  friend bool operator==(const CrashedRun&, const CrashedRun&) = default;
+};
+
 class Worker {
  public:
   explicit Worker(size_t its_number) : number(its_number) {}
@@ -82,6 +93,7 @@
 
   const Resources& used() const { return used_; }
   Resources free() const { return entry.capacity - used_; }
+  int suspicion() const { return suspicion_; }  // Sum of its runs.
   bool UsableAt(TimePoint now) const;
   // Estimates the worker's clock at `now`, assuming that it runs at the nominal rate.
   Duration ClockAt(TimePoint now) const;
@@ -90,13 +102,16 @@
   friend class WorkerTable;
 
   Resources used_;
+  int suspicion_ = 0;
   int unknown_demand_runs_ = 0;  // Runs of unknown demand: nothing may be started beside them.
   bool clock_known_ = false;
   Duration last_clock_{};                          // Latest worker clock received.
   TimePoint last_clock_at_{};                      // Local time at which it was received.
   TimePoint lease_until_{};                        // All its runs are over by then.
   Duration lists_clock_{};                         // Worker clock of the newest lists applied.
-  bool replaced_ = false;                          // The last call was answered by another instance at its address.
+  bool replaced_ = false;                          // Another instance has its address: its process has ended.
+  TimePoint silent_since_{};                       // Valid while silent.
+  std::vector<CrashedRun> lapsed_;                 // Runs whose lease expired; it may have crashed under them before.
   bool hold_in_flight_ = false;                    // A hold awaits its answer.
   uint64_t hold_timer_ = 0;                        // Number of the newest hold timer; older ones are ignored.
   int64_t last_end_seen_ = 0;                      // Ends up to this number were received.
@@ -118,6 +133,10 @@
     virtual bool OnFound(Worker& worker, const RunningRun& row, std::optional<RunDemand>& demand) = 0;
     virtual void OnEnded(Worker& worker, const EndedRun& row) = 0;
     virtual void OnGone(Worker& worker, const RunRef& run, GoneReason reason) = 0;
+    // The worker's process has crashed with these runs; OnGone follows for each once it is certainly over.
+    virtual void OnCrashed(Worker& worker, const std::vector<CrashedRun>& crashed) = 0;
+    virtual void OnSilent(Worker& worker, const std::vector<CrashedRun>& runs) = 0;   // It may have crashed with these.
+    virtual void OnAnswers(Worker& worker, const std::vector<CrashedRun>& runs) = 0;  // It has not.
     virtual void OnStarted(Worker& worker, const RunRef& run) = 0;
     virtual void OnRefused(Worker& worker, const RunRef& run, OrderStatus status) = 0;
     virtual void OnEndsSeen(Worker& worker) = 0;  // New ends were received; acknowledge them once they are stored.
@@ -191,6 +210,13 @@
   void SendStop(Worker& worker, const RunRef& run);
   bool RecordAnswer(Worker& worker, const OrderAnswer& answer);
   void MarkSilent(Worker& worker, OrderStatus status);
+  // Another instance answers at the worker's address, or is listed with it: the worker's process has ended.
+  void OnReplaced(Worker& worker);
+  void ReplaceWorkersAt(const WorkerEntry& entry);
+  // Reports the runs under which the worker's process has crashed. Call before a new life begins.
+  void ReportCrash(Worker& worker);
+  void ReportNoCrash(Worker& worker);
+  std::vector<CrashedRun> RunsAtCrash(const Worker& worker) const;
   void RecordStartDelay(Duration delay);
   void AddRun(Worker& worker, const RunRef& run, const PlacedRun& placed);
   void RemoveRun(Worker& worker, const RunRef& run);
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -264,11 +264,21 @@
   const auto answer = [this, generation = generation_, done](Duration delay, const OrderAnswer& result) {
     world_.In(delay, [this, generation, done, result] { Deliver(generation, [done, result] { done(result); }); });
   };
+  if (worker != nullptr && worker->refuses) {
+    answer(kOneWayDelay * 2, OrderAnswer{});
+    return;
+  }
   if (worker == nullptr || !worker->up || worker->faults.silent || cut_from_workers ||
       unreachable_workers.contains(worker->entry.id)) {
     answer(kCallTimeout, OrderAnswer{});
     return;
   }
+  if (worker->entry.id != target.id) {
+    OrderAnswer other;
+    other.status = OrderStatus::kOtherInstance;
+    answer(kOneWayDelay * 2, other);
+    return;
+  }
   if (world_.Chance(worker->faults.late_execution_share)) {
     const Duration late = 500ms + Duration(static_cast<int64_t>(world_.random()() % kMaxExecutionDelay.count()));
     // An order in transit may reach the next process; one that a worker has received is lost if its process ends.
@@ -318,9 +328,9 @@
   const TimePoint until = world_.Now() + order.wait;
   CallWorker(
       worker, [order](FakeWorker& target_worker) { return target_worker.Hold(order); },
-      [this, target, order, until, done = std::move(done)](const OrderAnswer& answer) {
+      [this, worker, target, order, until, done = std::move(done)](const OrderAnswer& answer) {
         if (answer.status == OrderStatus::kOk && answer.ended.empty() && world_.Now() < until) {
-          WaitForEnd(*target, order, until, done);
+          WaitForEnd(worker, *target, order, until, done);
         } else {
           done(answer);
         }
@@ -329,10 +339,15 @@
 
 // Waits for an end to report or for the timeout, then answers with the worker's current lists without extending its
 // hold.
-void FakeHost::WaitForEnd(FakeWorker& worker, const HoldOrder& order, TimePoint until, const WorkerPort::Done& done) {
+void FakeHost::WaitForEnd(const WorkerTarget& target,
+                          FakeWorker& worker,
+                          const HoldOrder& order,
+                          TimePoint until,
+                          const WorkerPort::Done& done) {
   world_.AddWaiter(
-      world_.pending_holds_[&worker], until, [&worker, order] { return worker.HasEnds(order.acknowledged); },
-      [this, &worker, order, done, generation = generation_, born = worker.entry.born_ms] {
+      world_.pending_holds_[&worker], until,
+      [&worker, order] { return worker.refuses || worker.HasEnds(order.acknowledged); },
+      [this, &worker, target, order, done, generation = generation_, born = worker.entry.born_ms] {
         if (generation != generation_) {
           return;
         }
@@ -343,8 +358,7 @@
         HoldOrder poll_order = order;
         poll_order.deadline = Duration(0);
         CallWorker(
-            WorkerTarget{worker.entry.id, worker.entry.address, worker.entry.data_centre},
-            [poll_order](FakeWorker& target_worker) { return target_worker.Hold(poll_order); }, done);
+            target, [poll_order](FakeWorker& target_worker) { return target_worker.Hold(poll_order); }, done);
       });
 }
 
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -74,7 +74,11 @@
   void CallWorker(const WorkerTarget& target,
                   const std::function<OrderAnswer(FakeWorker&)>& apply,
                   const WorkerPort::Done& done);
-  void WaitForEnd(FakeWorker& worker, const HoldOrder& order, TimePoint until, const WorkerPort::Done& done);
+  void WaitForEnd(const WorkerTarget& target,
+                  FakeWorker& worker,
+                  const HoldOrder& order,
+                  TimePoint until,
+                  const WorkerPort::Done& done);
   void PollWatch(const std::string& prefix,
                  uint64_t after,
                  TimePoint until,
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -17,6 +17,10 @@
 constexpr int kStopTimeSteps = 4;
 constexpr Duration kGangFormationTimeout = 3s;
 constexpr Duration kConfigurationDelay = 15s;  // A configuration is in force by then, however long the store was out.
+constexpr Duration kCrashDelay = 10ms;         // From the start of a task that crashes its worker.
+constexpr Duration kRestartDelay = 3s;         // Of a worker that a task has crashed.
+constexpr Duration kEntryLifetime = 600ms;     // Of an entry whose worker has restarted under another id.
+constexpr int kMaxCrashes = 3;                 // Under a task; then at most two starts more.
 constexpr Duration kUnboundedRunTime = 1h;     // Run time of long-running and hanging tasks.
 
 }  // namespace
@@ -265,6 +269,10 @@
   if (run.gang) {
     world_.OnGangMemberStarted(*this, order.run);
   }
+  if (const TaskBehaviour behaviour = world_.BehaviourOf(order.run.task.job);
+      behaviour.crashes_worker == order.run.task.index) {
+    CrashSoon(order.run, behaviour.restarts_under_new_id);
+  }
   return MakeAnswer(OrderStatus::kOk);
 }
 
@@ -380,7 +388,30 @@
   }
 }
 
+void FakeWorker::CrashSoon(const RunRef& run, bool new_id) {
+  world_.In(kCrashDelay, [this, run, new_id, born = entry.born_ms] {
+    if (!up || entry.born_ms != born || !IsRunning(run)) {
+      return;
+    }
+    Crash();
+    refuses = true;
+    world_.WakeReadyWaiters(world_.pending_holds_[this]);
+    world_.In(kRestartDelay, [this, new_id, born] {
+      if (!up && entry.born_ms == born) {
+        new_id ? RestartUnderNewId() : Restart();
+      }
+    });
+  });
+}
+
+void FakeWorker::RestartUnderNewId() {
+  world_.In(kEntryLifetime, [&world = world_, key = "workers/" + entry.id] { world.store_.Erase(key); });
+  entry.id += "n";
+  Restart();
+}
+
 void FakeWorker::Crash() {
+  world_.OnWorkerCrash(*this);
   up = false;
   next_end_.reset();
   while (!runs_.empty()) {
@@ -396,6 +427,7 @@
 
 void FakeWorker::Restart() {
   up = true;
+  refuses = false;
   next_end_.reset();
   entry.born_ms += 1000;
   clock_base_ = world_.Now();
@@ -787,6 +819,7 @@
   if (!used.FitsIn(worker.entry.capacity)) {
     ReportViolation("exceeds the worker's capacity: " + name);
   }
+  CheckCrashes(order.run, step);
   running_[task].insert({worker.entry.id, order.run.run});
 }
 
@@ -806,6 +839,37 @@
   }
 }
 
+void CellWorld::CheckCrashes(const RunRef& run, const StepSpec& step) {
+  const TaskRef counted{run.task.job, run.task.occurrence, run.task.step, step.gang ? 0 : run.task.index};
+  const int guilty = BehaviourOf(run.task.job).crashes_worker;
+  if (guilty < 0 || (!step.gang && guilty != run.task.index) || crashes_[counted] < kMaxCrashes) {
+    return;
+  }
+  starts_after_crashes_[counted].insert(run.run);
+  if (static_cast<int>(starts_after_crashes_[counted].size()) >= kMaxCrashes) {
+    ReportViolation(fmt::format("started three times more after three workers had crashed under it: {}.{}.{}.{} run {}",
+                                run.task.job, run.task.occurrence, run.task.step, run.task.index, run.run));
+  }
+}
+
+void CellWorld::OnWorkerCrash(const FakeWorker& worker) {
+  std::set<TaskRef> under;
+  for (const auto& [run, state] : worker.runs_) {
+    under.insert(TaskRef{run.task.job, run.task.occurrence, run.task.step, state.gang ? 0 : run.task.index});
+  }
+  for (const TaskRef& task : under) {
+    ++crashes_[task];
+  }
+}
+
+int CellWorld::CrashCount(const std::string& job) const {
+  int most = 0;
+  for (const auto& [task, crashes] : crashes_) {
+    most = task.job == job ? std::max(most, crashes) : most;
+  }
+  return most;
+}
+
 void CellWorld::OnRunEnded(FakeWorker& worker, const RunRef& run, EndKind how) {
   running_[run.task].erase({worker.entry.id, run.run});
   const JobSpec* spec = SpecOf(run.task.job);
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -3,7 +3,8 @@
 //
 // Checks these invariants on the runs that workers start: no worker exceeds its capacity, no task runs in two places at
 // once, none starts after its end was acknowledged, none belongs to a job that was not accepted, steps run in order,
-// and failed attempts stay within the limit. And on the replies to callers: none reports success for a key that no
+// failed attempts stay within the limit, and a task that crashes its workers is not started three times more after
+// three of them have crashed under it. And on the replies to callers: none reports success for a key that no
 // configuration held, that was withdrawn longer ago than allowed, or that is of another tenant than the job. No start
 // brings a tenant above a tenth more than its maximum and one task.
 #ifndef HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
@@ -94,10 +95,12 @@
   TimePoint NextEnd() const;  // Time of the next end or hold expiry.
   void Crash();               // Loses all runs; Restart starts a new process.
   void Restart();
+  void RestartUnderNewId();                              // At the same address.
   void FinishIfRunning(const RunRef& run, EndKind how);  // For members of a gang whose first member has ended.
 
   WorkerEntry entry;
   bool up = true;
+  bool refuses = false;  // Not up, and its machine refuses connections at once.
   double speed = 1;
   double clock_rate = 1;         // Speed of the worker's clock relative to virtual time.
   bool hangs = false;            // Runs that start now make no progress, except gang members.
@@ -124,6 +127,7 @@
 
   friend class CellWorld;
 
+  void CrashSoon(const RunRef& run, bool new_id);
   Duration ClockNow() const;
   TimePoint TimeAtClock(Duration clock) const;
   void Finish(const RunRef& ended, EndKind how);
@@ -148,6 +152,9 @@
 struct TaskBehaviour {
   Duration takes = 500ms;
   int fails = 0;  // Number of runs of each task that fail before one succeeds.
+  // Index of the tasks that crash their worker soon after each start; it restarts after some seconds. -1: none.
+  int crashes_worker = -1;
+  bool restarts_under_new_id = false;
 
   friend bool operator==(const TaskBehaviour&, const TaskBehaviour&) = default;
 };
@@ -202,6 +209,8 @@
   void ReportViolation(const std::string& what);
   int starts() const { return starts_; }
   int CompletionCount(const TaskRef& task) const;
+  // Highest number of workers that crashed under a task, or a gang, of the job.
+  int CrashCount(const std::string& job) const;
 
   FakeStore& store() { return store_; }
   FakeWorker& worker(size_t index) { return *workers_[index]; }
@@ -259,6 +268,8 @@
   void OnRunStarted(FakeWorker& worker, const StartOrder& order);
   void CheckSingleGangRun(const RunRef& started, const StepSpec& step, const std::string& name);
   void OnRunEnded(FakeWorker& worker, const RunRef& run, EndKind how);
+  void OnWorkerCrash(const FakeWorker& worker);
+  void CheckCrashes(const RunRef& run, const StepSpec& step);
   void OnEndsAcknowledged(const std::vector<EndedRun>& ends);
   const JobSpec* SpecOf(const std::string& job) const;
   // The job's queue as configured when the job was first submitted.
@@ -290,7 +301,9 @@
   std::set<TaskRef> acknowledged_done_;
   std::map<TaskRef, int> acknowledged_failures_;  // Failed runs whose end the owner has acknowledged.
   std::map<TaskRef, int> runs_of_;
-  std::map<RunRef, GangRun> gangs_;  // Keyed by step and run, with index 0.
+  std::map<TaskRef, int> crashes_;                         // Workers that crashed under it; a gang's at index 0.
+  std::map<TaskRef, std::set<int>> starts_after_crashes_;  // Run numbers, after kMaxCrashes.
+  std::map<RunRef, GangRun> gangs_;                        // Keyed by step and run, with index 0.
   std::vector<std::string> violations_;
   int starts_ = 0;
 };
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -95,6 +95,9 @@
     world_.SetKey(job.id, key);
     const TaskBehaviour behaviour{options_.dense && world_.Chance(0.3) ? Between(2s, 7s) : Between(100ms, 2s),
                                   world_.Chance(0.1) ? static_cast<int>(world_.random()() % 4) : 0};
+    if (behaviour.fails > 0) {
+      failing_.insert(job.id);
+    }
     world_.SubmitWithRetries(job, behaviour);
     if (world_.Chance(0.05)) {
       cancelled_.insert(job.id);
@@ -102,6 +105,19 @@
     }
   }
 
+  // A job of which one task crashes each worker that starts it.
+  void DeadlyTask() {
+    const int number = ++jobs_;
+    std::vector<StepSpec> steps{StepOf(1 + static_cast<int>(world_.random()() % 4), 1000)};
+    steps[0].gang = world_.Chance(0.2);
+    const JobSpec job = JobOf(number, steps, world_.Chance(0.5) ? "plain" : "advised");
+    world_.SetKey(job.id, options_.tenants ? AnyKey() : KeyDigest());
+    deadly_.insert(job.id);
+    Note("deadly task in job " + job.id);
+    world_.SubmitWithRetries(
+        job, TaskBehaviour{.takes = 500ms, .crashes_worker = 0, .restarts_under_new_id = world_.Chance(0.5)});
+  }
+
   void Cancel(const JobSpec& job) {
     world_.Ask(AnyHost(), CallerKind::kCancel, job.queue, job.id, [this, job](const CallerReply& reply) {
       if (reply.outcome != CallerOutcome::kDone && !over_) {
@@ -119,7 +135,7 @@
         &Course::CrashWorker,  &Course::CutWorker,        &Course::LateOrders,       &Course::LostOrders,
         &Course::SlowClocks,   &Course::CutHost,          &Course::DrainWorker,      &Course::FreezeHost,
         &Course::MessagesLate, &Course::StopLoadingOwner, &Course::RestartCutWorker, &Course::CutPaths,
-        &Course::OneWayWorker, &Course::RestartWorker};
+        &Course::OneWayWorker, &Course::RestartWorker,    &Course::DeadlyTask};
     if (over_) {
       return;
     }
@@ -448,6 +464,10 @@
         result_.lost.push_back(fmt::format("job {} is {}", JobId(i), state ? NameOf(*state) : "not known"));
       } else if (*state == JobState::kCancelled && !cancelled_.contains(JobId(i))) {
         result_.lost.push_back(fmt::format("job {} is cancelled, and nobody asked for that", JobId(i)));
+      } else if (*state == JobState::kFailed && failing_.count(JobId(i)) == 0 && world_.CrashCount(JobId(i)) < 2) {
+        result_.lost.push_back(fmt::format("job {} is failed without cause", JobId(i)));
+      } else if (*state == JobState::kCompleted && deadly_.contains(JobId(i))) {
+        result_.lost.push_back(fmt::format("job {} is completed and cannot be", JobId(i)));
       }
     }
     return result_;
@@ -457,6 +477,8 @@
   CellWorld world_;
   CellChaosResult result_;
   std::set<std::string> cancelled_;
+  std::set<std::string> failing_;  // Some of their runs fail.
+  std::set<std::string> deadly_;   // One of their tasks crashes its workers.
   int jobs_ = 0;
   bool over_ = false;
 };
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -637,6 +637,90 @@
   CHECK(result.ok());
 }
 
+// --- Tasks that crash their workers ---
+
+struct DeadlyOutcome {
+  int innocent_completed = 0;
+  std::optional<JobState> deadly;
+  int crashes = 0;
+  std::vector<std::string> violations;
+};
+
+constexpr int kInnocentJobs = 12;
+
+// Twelve jobs of four seconds on four workers, and one whose task crashes each worker that starts it.
+DeadlyOutcome PlayDeadly(bool new_id, bool gang, Duration owner_killed_after) {
+  CellWorld world(81, 3, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  for (int i = 1; i <= kInnocentJobs; ++i) {
+    world.SubmitWithRetries(JobOf(i, {StepOf(2, 1000)}), TaskBehaviour{4s, 0});
+  }
+  world.RunFor(1s);
+  JobSpec deadly = JobOf(100, {StepOf(2, 1000)});
+  deadly.steps[0].gang = gang;
+  world.SubmitWithRetries(deadly, TaskBehaviour{.takes = 1s, .crashes_worker = 0, .restarts_under_new_id = new_id});
+  if (owner_killed_after > Duration(0)) {
+    world.RunFor(owner_killed_after);
+    const size_t owner = world.OwnerIndex().value_or(0);
+    world.Kill(owner);
+    world.In(1s, [&world, owner] { world.Boot(owner); });
+  }
+  world.RunFor(60s);
+  DeadlyOutcome outcome;
+  for (int i = 1; i <= kInnocentJobs; ++i) {
+    outcome.innocent_completed += world.StateOf("plain", JobId(i)) == JobState::kCompleted ? 1 : 0;
+  }
+  outcome.deadly = world.StateOf("plain", deadly.id);
+  outcome.crashes = world.CrashCount(deadly.id);
+  outcome.violations = world.violations();
+  return outcome;
+}
+
+TEST_CASE("a task that crashes its workers is given up, and the tasks beside it are done") {
+  for (const bool new_id : {false, true}) {
+    for (const bool gang : {false, true}) {
+      const DeadlyOutcome outcome = PlayDeadly(new_id, gang, 0s);
+      INFO("new id " << new_id << ", gang " << gang << ", crashes " << outcome.crashes
+                     << ", first violation: " << (outcome.violations.empty() ? "none" : outcome.violations.front()));
+      CHECK(outcome.violations.empty());
+      CHECK(outcome.deadly == JobState::kFailed);
+      CHECK(outcome.crashes <= 3);
+      CHECK(outcome.innocent_completed == kInnocentJobs);
+    }
+  }
+}
+
+TEST_CASE("a takeover keeps the count of the workers that crashed under a task") {
+  for (const bool new_id : {false, true}) {
+    for (const Duration after : {4s, 6s, 8s}) {
+      const DeadlyOutcome outcome = PlayDeadly(new_id, false, after);
+      INFO("new id " << new_id << ", owner killed after " << Millis(after) << " ms, crashes " << outcome.crashes);
+      CHECK(outcome.violations.empty());
+      CHECK(outcome.deadly == JobState::kFailed);
+      CHECK(outcome.crashes <= 4);  // One may fall into the takeover.
+      CHECK(outcome.innocent_completed == kInnocentJobs);
+    }
+  }
+}
+
+// Silence is no crash: nothing counts against the tasks of a worker that is cut off, however often.
+TEST_CASE("a task on workers that are cut off again and again is not given up") {
+  CellWorld world(82, 3, 1);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.SubmitWithRetries(JobOf(1, {StepOf(2, 1000)}), TaskBehaviour{2s, 0});
+  for (int i = 0; i < 6; ++i) {
+    world.RunFor(1s);
+    world.worker(0).faults.silent = true;
+    world.RunFor(9s);
+    world.worker(0).faults.silent = false;
+  }
+  world.RunFor(20s);
+  CHECK(world.StateOf("plain", JobId(1)) == JobState::kCompleted);
+  CHECK(world.violations().empty());
+}
+
 // --- Outages of the store under load: who is refused, and how soon the others are served ---
 
 struct OutageOutcome {
--- a/tests/cell_parts_test.cc
+++ b/tests/cell_parts_test.cc
@@ -4,6 +4,7 @@
 #include "cell/job_table.h"
 #include "cell/messages.h"
 #include "cell/placement_policy.h"
+#include "cell/record_json.h"
 #include "cell/records.h"
 #include "tests/cell_jobs.h"
 
@@ -36,7 +37,7 @@
   CHECK(DecodeRecord<JobRecord>(EncodeRecord(job)) == job);
   ProgressRecord progress;
   progress.occurrences_done = 2;
-  progress.steps.push_back(StepProgress{2, 0, false, {0, 2}, {{1, {1, 3}}}, {{1, "00ff"}}});
+  progress.steps.push_back(StepProgress{2, 0, false, {0, 2}, {{1, {1, 3}}}, {{1, "00ff"}}, {{2, {1}}}, {{2, {3}}}});
   LogRecord log;
   log.jobs.push_back(job);
   log.progress.push_back(JobProgress{job.spec.id, progress});
@@ -46,6 +47,25 @@
   CHECK_FALSE(DecodeRecord<OwnerRecord>("no record").has_value());
 }
 
+// Hosts of the versions before and after run side by side.
+TEST_CASE("progress of a host that counts no crashes reads as no crash, and such a host reads progress with crashes") {
+  StepProgress with;
+  with.done = {0, 2};
+  with.crashed = {{1, {1, 4}}};
+  with.possibly_crashed = {{1, {2}}};
+  nlohmann::json fields = ToJson(with);
+  REQUIRE(fields.size() == 8);
+  fields.erase(fields.begin() + 6, fields.end());
+  StepProgress without;
+  FromJson(fields, without);
+  CHECK(without.done == with.done);
+  CHECK(without.crashed.empty());
+  CHECK(without.possibly_crashed.empty());
+  // The first six fields are what an older host reads; it passes over the others.
+  const nlohmann::json whole = ToJson(with);
+  CHECK(std::equal(fields.begin(), fields.end(), whole.begin()));
+}
+
 TEST_CASE("messages come back as they were") {
   const std::vector<Message> messages = {
       CallerRequest{7, "h1", CallerKind::kSubmit, "q", JobId(1), EncodeRecord(RichJob()), 12, 2s, "00ff"},
