Mend: a run that a worker's new life had confirmed was taken for one lost with the earlier life

What callers saw: two runs of one task, or of one gang, at the same time (TWICE), without a lost answer, a late order or another owner. A worker starts again under its id and has no path to the store, so that its entry does not show it; the owner's hold is still open. A start reaches the new life, which answers 200. The next hold tells of the new life, and the owner takes the run for one that ended with the earlier one and starts it elsewhere 3 ms later. Cause: the platform's answers to starts and stops do not name the life that gave them, and such an answer counted as one of the life that the owner knew. Class: a belief of one life applied to the next. Change: only a list, or an answer that names the life, shows that a run belongs to the current one. At a new life the other confirmed runs are stopped there and wait for the proof, as starts without an answer do. The fake workers named their life in all answers, so no test or course could see it; their answers to starts and stops no longer do.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -189,7 +189,7 @@
   std::vector<RunRef> unconfirmed;
   std::vector<RunRef> lost;
   for (const auto& [run, placed] : worker.placed) {
-    (placed.confirmed ? lost : unconfirmed).push_back(run);
+    (placed.confirmed && placed.in_current_life ? lost : unconfirmed).push_back(run);
   }
   if (!unconfirmed.empty() || worker.unsettled) {
     worker.lease_until_ = context_.Now() + MaxLocalTime(context_.settings.max_hold) + kClockTolerance;
@@ -432,6 +432,7 @@
     const auto found = worker.placed.find(row.run);
     if (found != worker.placed.end()) {
       found->second.confirmed = true;
+      found->second.in_current_life = true;
       if (found->second.phase == PlacedPhase::kStarting) {
         found->second.phase = PlacedPhase::kRunning;
         found->second.absence_valid_after = answer.worker_clock;
@@ -443,8 +444,13 @@
     std::optional<RunDemand> demand;
     const bool keep = listener_.OnFound(worker, row, demand);
     AddRun(worker, row.run,
-           PlacedRun{demand.value_or(RunDemand{}), PlacedPhase::kRunning, answer.worker_clock, context_.Now(), true,
-                     demand.has_value()});
+           PlacedRun{.demand = demand.value_or(RunDemand{}),
+                     .phase = PlacedPhase::kRunning,
+                     .absence_valid_after = answer.worker_clock,
+                     .placed_at = context_.Now(),
+                     .confirmed = true,
+                     .in_current_life = true,
+                     .demand_known = demand.has_value()});
     if (!keep) {
       Stop(worker, row.run);
     }
@@ -487,7 +493,7 @@
   order.token = token_;
   order.deadline = worker.ClockAt(now) + kStartDeadline;
   ExtendLease(worker, order.deadline);
-  AddRun(worker, order.run, PlacedRun{demand, PlacedPhase::kStarting, order.deadline, now, false});
+  AddRun(worker, order.run, PlacedRun{.demand = demand, .absence_valid_after = order.deadline, .placed_at = now});
   context_.timers.In(kStartCheckDelay, [this, alive = alive_, id = worker.entry.id, run = order.run] {
     Worker* found = *alive ? Find(id) : nullptr;
     const bool still_placed = found != nullptr && found->placed.contains(run);
@@ -519,6 +525,7 @@
   if (answer.status == OrderStatus::kOk) {
     placed.absence_valid_after = answer.worker_clock;
     placed.confirmed = true;
+    placed.in_current_life = placed.in_current_life || answer.born_ms != 0;
     if (placed.phase == PlacedPhase::kStarting) {
       placed.phase = PlacedPhase::kRunning;
       listener_.OnStarted(worker, run);
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -60,7 +60,9 @@
   // On the worker's clock: lists later than this that lack the run prove that it is over.
   Duration absence_valid_after = 0us;
   TimePoint placed_at{};
-  bool confirmed = false;    // The worker has confirmed that it carried out the start.
+  bool confirmed = false;  // The worker has confirmed that it carried out the start.
+  // The confirmation came from the current life: a list, or an answer that names the life. Answers to starts need not.
+  bool in_current_life = false;
   bool demand_known = true;  // False for a run found on the worker whose job is unknown to the owner.
 
   friend bool operator==(const PlacedRun&, const PlacedRun&) = default;
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -19,6 +19,12 @@
 constexpr Duration kMaxTransitTime = 1500ms;  // Of an order that reaches a worker late.
 constexpr Duration kCallerTimeout = 2800ms;   // Deadline of a caller's request.
 
+// Answers to starts and stops do not say which life of the worker gave them.
+OrderAnswer WithoutLife(OrderAnswer answer) {
+  answer.born_ms = 0;
+  return answer;
+}
+
 }  // namespace
 
 std::string EncodeWorkerEntry(const WorkerEntry& entry) {
@@ -315,12 +321,12 @@
     return;
   }
   CallWorker(
-      worker, [order](FakeWorker& target) { return target.Start(order); }, done);
+      worker, [order](FakeWorker& target) { return WithoutLife(target.Start(order)); }, done);
 }
 
 void FakeHost::Stop(const WorkerTarget& worker, const RunRef& run, uint64_t token, WorkerPort::Done done) {
   CallWorker(
-      worker, [run, token](FakeWorker& target) { return target.Stop(run, token); }, done);
+      worker, [run, token](FakeWorker& target) { return WithoutLife(target.Stop(run, token)); }, done);
 }
 
 void FakeHost::Hold(const WorkerTarget& worker, const HoldOrder& order, WorkerPort::Done done) {
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -425,7 +425,7 @@
   }
 }
 
-void FakeWorker::Restart() {
+void FakeWorker::Restart(bool write_entry) {
   up = true;
   refuses = false;
   next_end_.reset();
@@ -437,7 +437,9 @@
   ended_.clear();
   last_end_ = 0;
   last_end_before_renewal_ = 0;
-  world_.WriteWorkerEntry(*this);
+  if (write_entry) {
+    world_.WriteWorkerEntry(*this);
+  }
 }
 
 // --- The world ---
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -91,11 +91,11 @@
   OrderAnswer Hold(const HoldOrder& order);
   bool HasEnds(int64_t acknowledged) const { return !ended_.empty() && ended_.back().number > acknowledged; }
 
-  void FinishDueRuns();       // Ends all runs that are due.
-  TimePoint NextEnd() const;  // Time of the next end or hold expiry.
-  void Crash();               // Loses all runs; Restart starts a new process.
-  void Restart();
-  void RestartUnderNewId();                              // At the same address.
+  void FinishDueRuns();                   // Ends all runs that are due.
+  TimePoint NextEnd() const;              // Time of the next end or hold expiry.
+  void Crash();                           // Loses all runs; Restart starts a new process.
+  void Restart(bool write_entry = true);  // Without a path to the store a worker does not write its entry.
+  void RestartUnderNewId();               // At the same address.
   void FinishIfRunning(const RunRef& run, EndKind how);  // For members of a gang whose first member has ended.
 
   WorkerEntry entry;
--- a/tests/cell_restart_test.cc
+++ b/tests/cell_restart_test.cc
@@ -146,5 +146,29 @@
   CHECK(world.violations().empty());
 }
 
+// The owner has not noticed the restart when it sends the start, whose answer does not say which life gave it.
+TEST_CASE("a run that a worker's new life has confirmed is not taken for one that was lost with the earlier life") {
+  for (Duration restart = 0ms; restart < 650ms; restart += 50ms) {
+    CellWorld world(85, 3, 2);
+    AddQueues(world);
+    REQUIRE(Settle(world));
+    world.RunFor(restart);  // Anywhere between two holds.
+    FakeWorker& worker = world.worker(0);
+    worker.Crash();
+    worker.Restart(/*write_entry=*/false);
+    const JobSpec job = JobOf(1, {StepOf(4, 2000)});
+    world.SubmitWithRetries(job, TaskBehaviour{3s, 0});
+    world.RunFor(100ms);
+    REQUIRE(!worker.IsIdle());
+    world.RunFor(3s);
+    world.WriteWorkerEntry(worker);
+    world.RunFor(6s);
+    INFO("restart at " << Millis(restart) << " ms"
+                       << (world.violations().empty() ? "" : ": " + world.violations().front()));
+    CHECK(world.violations().empty());
+    CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+  }
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
