A start of an earlier life counts as void once a list shows that it does not run

A stop that was answered only begins to stop what has arrived, so that its step could be started again while the run was ending; and a start that was stopped in one life may still arrive in the one after it. Change: after the answer to the stop a later list without the run is needed, and the start is remembered for a further life. Found by reading; no test of its own fails without it.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -179,9 +179,12 @@
   worker.last_end_seen_ = 0;
   worker.last_end_acknowledged_ = 0;
   worker.lease_until_ = TimePoint{};
+  for (auto& [run, start] : worker.starts_to_void_) {
+    start.stopped_at = Duration(0);
+  }
   for (const auto& [run, unanswered_since] : worker.unanswered_starts_) {
     const bool may_arrive = context_.Now() - unanswered_since <= kMaxOrderDelay;
-    if (may_arrive && worker.starts_to_void_.emplace(run, unanswered_since).second) {
+    if (may_arrive && worker.starts_to_void_.emplace(run, StartToVoid{unanswered_since}).second) {
       ++starts_to_void_of_step_[StepOf(run)];
     }
   }
@@ -223,7 +226,10 @@
 // Stops starts that earlier lives of the worker left unanswered: they may still arrive in this one, on whose clock
 // their deadlines have not passed and which does not know of earlier stops.
 void WorkerTable::StopVoidedStarts(Worker& worker) {
-  for (const auto& [run, unanswered_since] : worker.starts_to_void_) {
+  for (const auto& [run, start] : worker.starts_to_void_) {
+    if (start.stopped_at > Duration(0)) {
+      continue;
+    }
     orders_.Stop(
         TargetOf(worker), run, token_,
         [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms,
@@ -231,7 +237,10 @@
           Worker* found = *alive ? Find(id) : nullptr;
           const bool by_this_life = answer.born_ms == 0 || answer.born_ms == born;
           if (found != nullptr && found->entry.born_ms == born && by_this_life && answer.status == OrderStatus::kOk) {
-            RemoveStartToVoid(*found, voided);
+            const auto stopped = found->starts_to_void_.find(voided);
+            if (stopped != found->starts_to_void_.end()) {
+              stopped->second.stopped_at = answer.worker_clock;
+            }
           }
         });
   }
@@ -247,10 +256,24 @@
   }
 }
 
+// A start that was stopped in this life may still arrive in the next one.
+void WorkerTable::RemoveVoidedStarts(Worker& worker, const std::set<RunRef>& running, Duration clock) {
+  std::vector<RunRef> voided;
+  for (const auto& [run, start] : worker.starts_to_void_) {
+    if (start.stopped_at > Duration(0) && clock > start.stopped_at && !running.contains(run)) {
+      voided.push_back(run);
+      worker.unanswered_starts_.emplace(run, start.unanswered_since);
+    }
+  }
+  for (const RunRef& run : voided) {
+    RemoveStartToVoid(worker, run);
+  }
+}
+
 void WorkerTable::ExpireStartsToVoid(Worker& worker, TimePoint now) {
   std::vector<RunRef> expired;
-  for (const auto& [run, unanswered_since] : worker.starts_to_void_) {
-    if (now - unanswered_since > kMaxOrderDelay) {
+  for (const auto& [run, start] : worker.starts_to_void_) {
+    if (now - start.unanswered_since > kMaxOrderDelay) {
       expired.push_back(run);
     }
   }
@@ -462,6 +485,7 @@
   for (const RunningRun& row : answer.running) {
     running.insert(row.run);
   }
+  RemoveVoidedStarts(worker, running, answer.worker_clock);
   std::vector<RunRef> absent;
   for (const auto& [run, placed] : worker.placed) {
     if (answer.worker_clock > placed.absence_valid_after && !running.contains(run)) {
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -77,6 +77,15 @@
   friend bool operator==(const CrashedRun&, const CrashedRun&) = default;
 };
 
+// A start of an earlier life of a worker that is stopped in the current one in case it still arrives.
+struct StartToVoid {
+  TimePoint unanswered_since{};
+  // Clock of the worker when it answered the stop: a later list without the run proves that it is void. 0: no answer.
+  Duration stopped_at = 0us;
+
+  friend bool operator==(const StartToVoid&, const StartToVoid&) = default;
+};
+
 class Worker {
  public:
   explicit Worker(size_t its_number) : number(its_number) {}
@@ -119,8 +128,7 @@
   int64_t last_end_seen_ = 0;                      // Ends up to this number were received.
   int64_t last_end_acknowledged_ = 0;              // Ends up to this number are stored.
   std::map<RunRef, TimePoint> unanswered_starts_;  // Starts without an answer, and when that was recorded.
-  // Starts of earlier lives, to be stopped in this life in case they still arrive, and since when they are unanswered.
-  std::map<RunRef, TimePoint> starts_to_void_;
+  std::map<RunRef, StartToVoid> starts_to_void_;
 };
 
 class WorkerTable {
@@ -226,6 +234,7 @@
   void StopVoidedStarts(Worker& worker);
   void RemoveStartToVoid(Worker& worker, const RunRef& run);
   void ExpireStartsToVoid(Worker& worker, TimePoint now);
+  void RemoveVoidedStarts(Worker& worker, const std::set<RunRef>& running, Duration clock);
   void MarkSettled(Worker& worker);
   bool HasDeparted(const Worker& worker, TimePoint now) const;
   void Retire(Worker& worker);
