The roster keeps a worker in a new life while starts of its earlier life may arrive there

From the review. Between a worker's new life and its first hold the roster was stored without it, so the next owner did not wait for it although a start without an answer could arrive there. Found by reading; no test of its own fails without it.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -85,7 +85,9 @@
 std::vector<WorkerInstanceRecord> WorkerTable::TakeRoster() {
   std::vector<WorkerInstanceRecord> roster;
   for (const auto& [id, worker] : workers_) {
-    if (worker->hold_confirmed || worker->unsettled) {
+    // In a new life, starts of the earlier one may still arrive.
+    const bool may_receive_starts = !worker->placed.empty() || !worker->starts_to_void_.empty();
+    if (worker->hold_confirmed || worker->unsettled || may_receive_starts) {
       roster.push_back(WorkerInstanceRecord{id, worker->entry.address, worker->entry.born_ms, worker->entry.capacity});
     } else {
       worker->in_roster = false;  // The roster without it may be stored before its answer arrives.
