A hold that is sent to check a worker after a pause does not wait for an end

The worker gets no longer lease before it has answered, and waiting for an end delayed the answer by up to a second of a lease of 4.5 s.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -369,7 +369,8 @@
     order.deadline = worker.ClockAt(now) + std::min(kHoldDuration, context_.settings.max_hold);
     ExtendLease(worker, order.deadline);
   }
-  if (worker.hold_confirmed && !worker.silent && worker.last_end_seen_ == worker.last_end_acknowledged_) {
+  if (worker.hold_confirmed && !worker.silent && !worker.recheck &&
+      worker.last_end_seen_ == worker.last_end_acknowledged_) {
     order.wait = kHoldPollTimeout;
   }
   worker.hold_in_flight_ = true;
