Test: the tasks of a worker whose next life has an earlier time of birth are started elsewhere

Suspected in the review and ruled out: a hold that is open when the process ends has no answer, so the worker counts as silent and its lease runs out.

--- a/tests/cell_restart_test.cc
+++ b/tests/cell_restart_test.cc
@@ -170,5 +170,24 @@
   }
 }
 
+// The clock from which a worker takes its time of birth went back before it started again.
+TEST_CASE("the tasks of a worker whose next life has an earlier time of birth are started elsewhere") {
+  CellWorld world(86, 3, 3);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const JobSpec job = JobOf(1, {StepOf(1, 9000)});
+  world.SubmitWithRetries(job, TaskBehaviour{2s, 0});
+  REQUIRE(world.RunUntil([&] { return world.starts() == 1; }, 1s));
+  world.RunFor(500ms);
+  FakeWorker* worker = WorkerThatRuns(world, RunRef{TaskRef{job.id, 0, 0, 0}, 1});
+  REQUIRE(worker != nullptr);
+  RestartWorker(*worker);
+  worker->entry.born_ms -= 5000;
+  world.WriteWorkerEntry(*worker);
+  world.RunFor(12s);
+  CHECK(world.violations().empty());
+  CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
