--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -5,8 +5,11 @@
 // An order without an answer may still be carried out seconds later. A start can no longer take effect once its
 // deadline has passed on the worker's clock, or once a stop of the same run was answered. A hold may extend the lease
 // of what runs up to the hold's deadline; a silent worker therefore gets no further deadlines, and all its runs are
-// over once the last deadline has passed on the slowest permitted clock. A new life under the same id has its own
-// clock, on which old deadlines lie far ahead: starts that the old life did not confirm are stopped in the new one.
+// over once the last deadline has passed on the slowest permitted clock.
+//
+// A new life under the same id has seen no token, knows of no stop and has its own clock, on which old deadlines lie
+// far ahead. A start that reaches it may run there although an earlier life stopped it. Such a start is voided: it is
+// stopped in the new life, and its step waits until a list of that life shows that it does not run.
 #ifndef HIBISCUSSTAND_SRC_CELL_WORKER_TABLE_H_
 #define HIBISCUSSTAND_SRC_CELL_WORKER_TABLE_H_
 
