Read-through: runs lost in a crash and the seeded courses each have one piece of code

Two places removed the runs that ended with a worker's process, two gathered the runs of a worker that may have crashed, and four test cases repeated the check of a course; each has one function now. No behaviour changes, the assertions stay.

--- a/src/cell/worker_crashes.cc
+++ b/src/cell/worker_crashes.cc
@@ -15,10 +15,15 @@
   return runs;
 }
 
-void WorkerTable::ReportCrash(Worker& worker) {
+std::vector<CrashedRun> WorkerTable::TakeSuspectRuns(Worker& worker) const {
   std::vector<CrashedRun> runs = RunsAtCrash(worker);
   runs.insert(runs.end(), worker.lapsed_.begin(), worker.lapsed_.end());
   worker.lapsed_.clear();
+  return runs;
+}
+
+void WorkerTable::ReportCrash(Worker& worker) {
+  const std::vector<CrashedRun> runs = TakeSuspectRuns(worker);
   const bool has_left = worker.entry.draining;
   if (!has_left && !runs.empty()) {
     listener_.OnCrashed(worker, runs);
@@ -26,10 +31,7 @@
 }
 
 void WorkerTable::ReportNoCrash(Worker& worker) {
-  std::vector<CrashedRun> runs = RunsAtCrash(worker);
-  runs.insert(runs.end(), worker.lapsed_.begin(), worker.lapsed_.end());
-  worker.lapsed_.clear();
-  listener_.OnAnswers(worker, runs);
+  listener_.OnAnswers(worker, TakeSuspectRuns(worker));
 }
 
 // The runs that the worker confirmed ended with its process. The other starts may still arrive if the worker begins
@@ -48,10 +50,7 @@
       lost.push_back(run);
     }
   }
-  for (const RunRef& run : lost) {
-    RemoveRun(worker, run);
-    listener_.OnGone(worker, run, GoneReason::kWorkerRestarted);
-  }
+  RemoveLostRuns(worker, lost);
 }
 
 void WorkerTable::ReplaceWorkersAt(const WorkerEntry& entry) {
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -205,13 +205,17 @@
     placed.absence_valid_after = Duration::max();  // Until a stop is answered.
     SendStop(worker, run);
   }
+  RemoveLostRuns(worker, lost);
+  // An earlier owner's order may have reached the new life, so an unsettled worker stays so until it answers a hold.
+  StopVoidedStarts(worker);
+  ScheduleHold(worker, 0us);
+}
+
+void WorkerTable::RemoveLostRuns(Worker& worker, const std::vector<RunRef>& lost) {
   for (const RunRef& run : lost) {
     RemoveRun(worker, run);
     listener_.OnGone(worker, run, GoneReason::kWorkerRestarted);
   }
-  // An earlier owner's order may have reached the new life, so an unsettled worker stays so until it answers a hold.
-  StopVoidedStarts(worker);
-  ScheduleHold(worker, 0us);
 }
 
 void WorkerTable::RemoveAllRuns(Worker& worker, GoneReason reason) {
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -230,10 +230,14 @@
   void ReportCrash(Worker& worker);
   void ReportNoCrash(Worker& worker);
   std::vector<CrashedRun> RunsAtCrash(const Worker& worker) const;
+  // The runs there and those whose lease expired before, which are then no longer remembered.
+  std::vector<CrashedRun> TakeSuspectRuns(Worker& worker) const;
   void RecordStartDelay(Duration delay);
   void AddRun(Worker& worker, const RunRef& run, const PlacedRun& placed);
   void RemoveRun(Worker& worker, const RunRef& run);
   void RemoveAllRuns(Worker& worker, GoneReason reason);
+  // Removes runs that ended with the worker's process.
+  void RemoveLostRuns(Worker& worker, const std::vector<RunRef>& lost);
   void StopVoidedStarts(Worker& worker);
   void RemoveStartToVoid(Worker& worker, const RunRef& run);
   void ExpireStartsToVoid(Worker& worker, TimePoint now);
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -591,39 +591,35 @@
   CHECK(world.violations().empty());
 }
 
+void CheckCourse(const CellChaosOptions& options) {
+  const CellChaosResult result = RunCellChaos(options);
+  INFO("seed " << options.seed
+               << ", first violation: " << (result.violations.empty() ? "none" : result.violations.front())
+               << ", first loss: " << (result.lost.empty() ? "none" : result.lost.front()));
+  CHECK(result.ok());
+}
+
 TEST_CASE("seeded courses of faults") {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
-    const CellChaosResult result = RunCellChaos({.seed = seed});
-    INFO("seed " << seed << ", first violation: " << (result.violations.empty() ? "none" : result.violations.front())
-                 << ", first loss: " << (result.lost.empty() ? "none" : result.lost.front()));
-    CHECK(result.ok());
+    CheckCourse({.seed = seed});
   }
 }
 
 TEST_CASE("seeded courses of faults while orders go through relays") {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
-    const CellChaosResult result = RunCellChaos({.seed = seed, .relays = true});
-    INFO("seed " << seed << ", first violation: " << (result.violations.empty() ? "none" : result.violations.front())
-                 << ", first loss: " << (result.lost.empty() ? "none" : result.lost.front()));
-    CHECK(result.ok());
+    CheckCourse({.seed = seed, .relays = true});
   }
 }
 
 TEST_CASE("seeded courses with several faults at once and longer tasks") {
   for (uint64_t seed = 1; seed <= 40; ++seed) {
-    const CellChaosResult result = RunCellChaos({.seed = seed, .relays = seed % 2 == 0, .dense = true});
-    INFO("seed " << seed << ", first violation: " << (result.violations.empty() ? "none" : result.violations.front())
-                 << ", first loss: " << (result.lost.empty() ? "none" : result.lost.front()));
-    CHECK(result.ok());
+    CheckCourse({.seed = seed, .relays = seed % 2 == 0, .dense = true});
   }
 }
 
 TEST_CASE("seeded courses of faults while operators change keys and quotas") {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
-    const CellChaosResult result = RunCellChaos({.seed = seed, .relays = seed % 2 == 0, .tenants = true});
-    INFO("seed " << seed << ", first violation: " << (result.violations.empty() ? "none" : result.violations.front())
-                 << ", first loss: " << (result.lost.empty() ? "none" : result.lost.front()));
-    CHECK(result.ok());
+    CheckCourse({.seed = seed, .relays = seed % 2 == 0, .tenants = true});
   }
 }
 
