--- a/tests/cell_parts_test.cc
+++ b/tests/cell_parts_test.cc
@@ -47,6 +47,24 @@
   CHECK_FALSE(DecodeRecord<OwnerRecord>("no record").has_value());
 }
 
+// Hosts of the versions before and after run side by side.
+TEST_CASE(
+    "a hold of a host that sets no time limit reads as one without a limit, and such a host reads one with a limit") {
+  HoldRequest with;
+  with.call = 7;
+  with.order = HoldOrder{3, 4, 1s, 2s};
+  with.valid_until = 5s;
+  const nlohmann::json whole = ToJson(with);
+  nlohmann::json fields = whole;
+  REQUIRE(fields.size() == 6);
+  fields.erase(fields.begin() + 5, fields.end());
+  HoldRequest without;
+  FromJson(fields, without);
+  CHECK(without.order == with.order);
+  CHECK(without.valid_until == Duration(0));
+  CHECK(std::equal(fields.begin(), fields.end(), whole.begin()));
+}
+
 // Hosts of the versions before and after run side by side.
 TEST_CASE("progress of a host that counts no crashes reads as no crash, and such a host reads progress with crashes") {
   StepProgress with;
