Review case 5: run.sh names TROUBLE

Cause: the script passed TROUBLE from the environment to its program without a word of it. Change: run.sh exports it, 1 where it isn't set; the program reads it as before.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
 # Cuts off one minion while a task that lasts ends there; checks the rule TWICE.
+export TROUBLE="${TROUBLE:-1}" # 0: the same without the cut; the rule must hold.
 . "$(dirname "$0")/../run-case.sh"
