Review case 4: the run without the cut needs no certain leader; the stand-ins end in order

The reason was not recorded. Change: the leader is asked for only with the disruption; the hosts end and the view goes before the minions; an abnormal end is reported with its code.

--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -30,7 +30,8 @@
   const Json job{{"TaskSpec", "report"},
                  {"Steps", {{{"Count", kTasks}, {"Cpu", 5000}, {"MemMb", 256}, {"EstimateMs", kTaskMs}}}}};
   if (!world.Submit(kJob, job) || !world.WaitFor(10'000, [&] { return CountRunning(world) == kTasks; }) ||
-      world.leader() != 0) {
+      (settings.trouble && world.leader() != 0)) {
+    world.record().Line("not run: leading is " + world.host(world.leader()).name());
     return Verdict::kNotRun;
   }
   world.Sleep(2000);
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -14,5 +14,8 @@
 for log in "$temporary"/*.log; do
   [ -f "$log" ] && [ -n "${KEEP_LOGS:-}" ] && cp "$log" "$KEEP_LOGS/"
 done
-[ "$code" -le 2 ] || code=2
+if [ "$code" -gt 2 ]; then
+  echo "case $number: the program ended with code $code" >&2
+  code=2
+fi
 exit "$code"
--- a/review/standin/store.cc
+++ b/review/standin/store.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <set>
 #include <thread>
+#include <utility>
 
 namespace review {
 
@@ -88,6 +89,11 @@
   }
 }
 
+void Store::SetView(View view) {
+  const std::lock_guard lock(mutex_);
+  view_ = std::move(view);
+}
+
 void Store::Put(const std::string& key, const std::string& value) {
   const std::lock_guard lock(mutex_);
   Write(key, value, 0, ++revision_);
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -32,7 +32,7 @@
   Store& operator=(const Store&) = delete;
 
   std::string address(size_t host) const { return servers_[host]->address(); }
-  void SetView(View view) { view_ = std::move(view); }
+  void SetView(View view);
 
   // Writes of the operator and of the minions.
   void Put(const std::string& key, const std::string& value);
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -91,6 +91,14 @@
   }
 }
 
+// Calls of the hosts that are still being answered must not look at minions and hosts that are gone.
+World::~World() {
+  for (const auto& host : hosts_) {
+    host->Kill();
+  }
+  store_.SetView(nullptr);
+}
+
 // Each host reaches each minion on a path of its own. Between the first zone and the others, hosts reach each other
 // through proxies, whose addresses are as long, so that they can replace the others in any encoding.
 std::string World::SeenBy(size_t host, const std::string& key, const std::string& value) const {
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -41,6 +41,7 @@
 class World {
  public:
   World(const WorldSettings& settings, const Minion::Planner& planner);
+  ~World();
   World(const World&) = delete;
   World& operator=(const World&) = delete;
 
