Count crashes by task, and silence for nothing, before a job is given up

Cause: crashes of a gang were added up over its members; a worker that was silent within a second of a start counted as a possible crash, also where the start was never carried out; a start answered without naming its life passed for certain although the next life may have carried it out.

Change: a crash counts for the task that ran there, if the life itself had confirmed the run and a later life or another instance shows. Silence soon after a confirmed start is stored with worker and life as a suspicion, which the same or the next owner resolves when the worker shows again. Starts that were never confirmed are evidence only beside certain ones. Records: one field more at the end; `crashed` of a gang holds the runs of its worst member for hosts of the version before, whose `possibly_crashed` is no longer read.

New fault kind CrashSeries in the courses; the stand-in counts crashes by task, as the rule does.

--- a/src/cell/job_table.cc
+++ b/src/cell/job_table.cc
@@ -1,6 +1,7 @@
 #include "cell/job_table.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include <fmt/core.h>
 
@@ -43,15 +44,18 @@
   return TaskRef{job->id(), occurrence, step, index};
 }
 
-bool CrashHistory::Record(int run, bool is_certain) {
-  if (certain.contains(run)) {
-    return false;
+bool CrashHistory::RecordCertain(int run, bool is_prompt) {
+  suspected.erase(run);
+  unconfirmed.erase(run);
+  if (is_prompt) {
+    prompt.insert(run);
   }
-  if (is_certain) {
-    possible.erase(run);
-    return certain.insert(run).second;
-  }
-  return possible.insert(run).second;
+  return certain.insert(run).second;
+}
+
+bool CrashHistory::RecordUnconfirmed(int run) {
+  suspected.erase(run);
+  return !certain.contains(run) && unconfirmed.insert(run).second;
 }
 
 Resources StepRun::task_size() const {
@@ -122,12 +126,37 @@
 
 namespace {
 
+std::vector<int> ToVector(const std::set<int>& runs) {
+  return {runs.begin(), runs.end()};
+}
+
 void AddCrashes(const CrashHistory& crashes, int index, StepProgress& progress) {
-  if (!crashes.certain.empty()) {
-    progress.crashed[index].assign(crashes.certain.begin(), crashes.certain.end());
+  if (crashes.empty()) {
+    return;
+  }
+  CrashRecord& record = progress.crash_records[index];
+  record.certain = ToVector(crashes.certain);
+  record.prompt = ToVector(crashes.prompt);
+  record.unconfirmed = ToVector(crashes.unconfirmed);
+  for (const auto& [run, suspected] : crashes.suspected) {
+    record.suspected.push_back(suspected);
+  }
+}
+
+// For hosts of the version before crash_records, which add up the crashes of a gang: those of its worst member.
+void AddCrashedRuns(const StepRun& step, StepProgress& progress) {
+  std::set<int> worst;
+  for (int i = 0; i < step.spec->count; ++i) {
+    const std::set<int>& certain = step.CrashesOf(i).certain;
+    if (step.spec->gang) {
+      worst = certain.size() > worst.size() ? certain : worst;
+    } else if (!certain.empty()) {
+      progress.crashed[i] = ToVector(certain);
+    }
   }
-  if (!crashes.possible.empty()) {
-    progress.possibly_crashed[index].assign(crashes.possible.begin(), crashes.possible.end());
+  worst.insert(step.unattributed_crashes.begin(), step.unattributed_crashes.end());
+  if (!worst.empty()) {
+    progress.crashed[0] = ToVector(worst);
   }
 }
 
@@ -138,12 +167,18 @@
   record.occurrences_done = job.occurrences_done;
   for (const int number : job.done_out_of_order) {
     for (size_t i = 0; i < job.record.spec.steps.size(); ++i) {
-      record.steps.push_back(StepProgress{number, static_cast<int>(i), true, {}, {}, {}, {}, {}});
+      StepProgress& progress = record.steps.emplace_back();
+      progress.occurrence = number;
+      progress.step = static_cast<int>(i);
+      progress.all_done = true;
     }
   }
   for (const auto& [number, occurrence] : job.occurrences) {
     for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
-      StepProgress progress{number, step->step, step->finished(), {}, {}, {}, {}, {}};
+      StepProgress progress;
+      progress.occurrence = number;
+      progress.step = step->step;
+      progress.all_done = step->finished();
       if (!progress.all_done) {
         for (int i = 0; i < step->spec->count; ++i) {
           const TaskState& task = step->tasks[static_cast<size_t>(i)];
@@ -162,7 +197,7 @@
         if (!step->gang_failed_runs.empty()) {
           progress.failed[0].assign(step->gang_failed_runs.begin(), step->gang_failed_runs.end());
         }
-        AddCrashes(step->gang_crashes, 0, progress);
+        AddCrashedRuns(*step, progress);
         if (!step->gang_checkpoint.empty()) {
           progress.checkpoints[0] = step->gang_checkpoint;
         }
@@ -186,21 +221,40 @@
   }
 }
 
-void ApplyCrashes(StepRun& step, const std::map<int, std::vector<int>>& runs_of, bool certain) {
-  for (const auto& [index, runs] : runs_of) {
-    if (index < 0 || index >= step.spec->count) {
+bool HasTask(const StepRun& step, int index) {
+  return index >= 0 && index < step.spec->count;
+}
+
+// Leaves out `possibly_crashed`, which older versions wrote for each worker that fell silent, whether it had crashed or
+// not.
+void ApplyCrashes(StepRun& step, const StepProgress& progress) {
+  std::set<int> recorded;
+  for (const auto& [index, record] : progress.crash_records) {
+    if (!HasTask(step, index)) {
       continue;
     }
-    for (const int run : runs) {
-      step.CrashesOf(index).Record(run, certain);
+    CrashHistory& crashes = step.CrashesOf(index);
+    crashes.certain.insert(record.certain.begin(), record.certain.end());
+    crashes.prompt.insert(record.prompt.begin(), record.prompt.end());
+    crashes.unconfirmed.insert(record.unconfirmed.begin(), record.unconfirmed.end());
+    for (const SuspectedCrash& suspected : record.suspected) {
+      crashes.suspected[suspected.run] = suspected;
+    }
+    recorded.insert(record.certain.begin(), record.certain.end());
+  }
+  for (const auto& [index, runs] : progress.crashed) {
+    if (!HasTask(step, index)) {
+      continue;
     }
+    std::set<int>& certain = step.spec->gang ? step.unattributed_crashes : step.CrashesOf(index).certain;
+    std::copy_if(runs.begin(), runs.end(), std::inserter(certain, certain.end()),
+                 [&](int run) { return !step.spec->gang || !recorded.contains(run); });
   }
 }
 
 void ApplyStep(StepRun& step, const StepProgress& progress) {
-  ApplyCrashes(step, progress.crashed, true);
-  ApplyCrashes(step, progress.possibly_crashed, false);
-  const auto in_range = [&](int index) { return index >= 0 && index < step.spec->count; };
+  ApplyCrashes(step, progress);
+  const auto in_range = [&](int index) { return HasTask(step, index); };
   for (int i = 0; progress.all_done && i < step.spec->count; ++i) {
     MarkDone(step, i);
   }
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -21,15 +21,20 @@
 
 enum class TaskPhase { kWaiting, kPlaced, kDone };
 
-// Crashes of workers under the runs of a task, or of a gang as a whole.
+// Crashes of workers under the runs of a task, by run number.
 struct CrashHistory {
-  std::set<int> certain;   // Run numbers that were certainly running when the worker crashed.
-  std::set<int> possible;  // Run numbers that may have been.
-  int prompt = 0;          // Of `certain`: crashes soon after the start. Not stored.
-
-  size_t count() const { return certain.size() + possible.size(); }
+  std::set<int> certain;      // The worker had confirmed the run, and its process was replaced before the lease ended.
+  std::set<int> prompt;       // Of `certain`: soon after the start.
+  std::set<int> unconfirmed;  // The worker crashed soon after the start, perhaps without having carried it out.
+  // The worker fell silent soon after it had confirmed the start. No evidence of a crash until another life shows.
+  std::map<int, SuspectedCrash> suspected;
+
+  size_t evidence() const { return certain.size() + unconfirmed.size(); }
+  size_t suspicion() const { return evidence() + suspected.size(); }
+  bool empty() const { return suspicion() == 0; }
   // Returns false if nothing new was learnt.
-  bool Record(int run, bool is_certain);
+  bool RecordCertain(int run, bool is_prompt);
+  bool RecordUnconfirmed(int run);
   friend bool operator==(const CrashHistory&, const CrashHistory&) = default;
 };
 
@@ -43,7 +48,7 @@
   int percent = 0;            // Progress last reported by its worker.
   TimePoint progressed_at{};  // When `percent` last changed.
   bool stopping = false;      // Placed, and a stop was sent.
-  CrashHistory crashes;       // Of a gang: StepRun::gang_crashes.
+  CrashHistory crashes;
 
   friend bool operator==(const TaskState&, const TaskState&) = default;
 };
@@ -85,7 +90,8 @@
   std::set<int> gang_failed_runs;  // Run numbers that failed, as in TaskState.
   bool gang_ending = false;        // The last start is being stopped; no member may start until all are gone.
   std::string gang_checkpoint;
-  CrashHistory gang_crashes;
+  // Runs of the gang under which a worker crashed, as stored by a version that did not record under which members.
+  std::set<int> unattributed_crashes;
 
   StepAdvice advice;
   std::map<size_t, int> tentative_members;  // Tentatively allocated members by worker number.
@@ -93,10 +99,8 @@
   bool finished() const { return done == spec->count; }
   int placed() const { return spec->count - waiting - done; }
   TaskRef RefOf(int index) const;
-  const CrashHistory& CrashesOf(int index) const {
-    return spec->gang ? gang_crashes : tasks[static_cast<size_t>(index)].crashes;
-  }
-  CrashHistory& CrashesOf(int index) { return spec->gang ? gang_crashes : tasks[static_cast<size_t>(index)].crashes; }
+  const CrashHistory& CrashesOf(int index) const { return tasks[static_cast<size_t>(index)].crashes; }
+  CrashHistory& CrashesOf(int index) { return tasks[static_cast<size_t>(index)].crashes; }
   // Resources that one task takes on a worker.
   Resources task_size() const;
   // Resources of one task that count against its tenant's maximum.
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -89,6 +89,7 @@
   if (!loaded_) {
     return;
   }
+  ResolveRestoredSuspects();
   WithdrawUnsentJobs();
   quarantine_.SetTargetCount(workers_.workers().size());
   quarantine_.ReleaseUnprobed(context_.Now());
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -239,7 +239,9 @@
   void OnAnswers(Worker& worker, const std::vector<CrashedRun>& runs) override;
   // Null if nothing can be learnt about its task.
   CrashHistory* FindCrashHistory(const RunRef& run, StepRun** step);
-  void GiveUpRestoredTasks();
+  void RestoreCrashes();
+  void RestoreCrashes(const StepRun& step);
+  void ResolveRestoredSuspects();
   bool RecordCrash(const CrashedRun& crashed);
   struct CrashComparison {
     bool last = true;   // No other run was started there as late as this one.
@@ -316,6 +318,9 @@
   std::deque<std::string> dirty_jobs_;  // Ids of jobs with unstored changes, in order of change.
   std::map<std::string, PendingCount> pending_counts_;
 
+  // Runs that an earlier owner suspected to have crashed their worker, by its id and born_ms.
+  std::map<std::pair<std::string, int64_t>, std::vector<RunRef>> restored_suspects_;
+
   bool roster_dirty_ = false;  // The stored roster is out of date.
 
   uint64_t workers_revision_ = 0;                 // Store revision up to which worker entries were read.
--- a/src/cell/owner_crashes.cc
+++ b/src/cell/owner_crashes.cc
@@ -1,5 +1,6 @@
 // Gives up tasks that crash their workers. Other tasks that were on a crashed worker are innocent, and one crash cannot
-// tell them apart; suspect tasks are therefore spread over the workers (placement.h), and the next crash can.
+// tell them apart; suspect tasks are therefore spread over the workers (placement.h), and the next crash can. Only a
+// later life of the worker, or another instance at its address, shows a crash; a silent worker may be cut off.
 #include <algorithm>
 
 #include "cell/owner.h"
@@ -8,12 +9,33 @@
 
 namespace {
 
-constexpr Duration kPromptCrash = 1s;  // A crash this soon after a start is likely due to it.
-// Numbers of crashes after which a task is given up. The platform allows it from the second on and forbids the third
-// start after the third crash; takeovers may miss crashes.
-constexpr size_t kMinCertainCrashes = 2;  // Below it is given up only after kMaxCrashes.
-constexpr size_t kLeadingCrashes = 3;     // With possible ones, if no other run there has as many.
-constexpr size_t kMaxCrashes = 4;         // With possible ones, whatever else was there.
+// A crash this soon after a start is likely due to it: a process that ends breaks its pending hold at once. Shorter
+// than the timeout of a call, after which a worker that is cut off is silent.
+constexpr Duration kPromptCrash = 300ms;
+
+// Numbers of crashes after which a task is given up. The platform allows it from the second certain one on and forbids
+// the third start after the third crash; takeovers may miss crashes.
+constexpr size_t kMinCertainCrashes = 2;  // Below it, a task is given up only after kMaxCrashes.
+constexpr size_t kMinPromptCrashes = 2;   // If no other run there was started as late or has as many.
+constexpr size_t kLeadingCrashes = 3;     // Soon after a start, if no other run there has as many.
+constexpr size_t kRepeatedCrashes = 4;    // Soon after a start, one of them certain, if it leads and was started last.
+constexpr size_t kMaxCertainCrashes = 4;  // With unconfirmed ones, whatever else was there.
+constexpr size_t kMaxCrashes = 5;         // Whatever else was there, and however many of them are unconfirmed.
+
+// A gang loses its run to the crash of any of its workers, so that innocent members are exposed to more crashes.
+size_t MaxCertainCrashes(const StepRun& step) {
+  return step.spec->gang ? kMaxCrashes : kMaxCertainCrashes;
+}
+
+size_t EvidenceOf(const StepRun& step, const CrashHistory& crashes) {
+  return crashes.evidence() + step.unattributed_crashes.size();
+}
+
+bool ExceedsAnyLimit(const StepRun& step, const CrashHistory& crashes) {
+  const size_t evidence = EvidenceOf(step, crashes);
+  return (crashes.certain.size() >= kMinCertainCrashes && evidence >= MaxCertainCrashes(step)) ||
+         evidence >= kMaxCrashes;
+}
 
 bool IsSameGangRun(const StepRun& step, const RunRef& a, const RunRef& b) {
   return step.spec->gang && a.run == b.run && a.task.job == b.task.job && a.task.occurrence == b.task.occurrence &&
@@ -24,7 +46,7 @@
 
 RunDemand DemandOf(const StepRun& step, int index) {
   RunDemand demand = DemandOf(step);
-  demand.suspicion = static_cast<int>(step.CrashesOf(index).count());
+  demand.suspicion = static_cast<int>(step.CrashesOf(index).suspicion());
   return demand;
 }
 
@@ -43,19 +65,20 @@
   return open ? &(*step)->CrashesOf(run.task.index) : nullptr;
 }
 
-// A worker that is silent soon after a start has often crashed. That is stored at once: a takeover before the proof
-// would forget the crash.
+// Stores which runs a worker had begun shortly before it fell silent: if another host takes over before the proof, it
+// can still tell under which tasks the worker crashed.
 void Owner::OnSilent(Worker& worker, const std::vector<CrashedRun>& runs) {
   for (const CrashedRun& each : runs) {
     StepRun* step = nullptr;
-    CrashHistory* crashes = each.ran < kPromptCrash ? FindCrashHistory(each.run, &step) : nullptr;
-    if (crashes != nullptr && crashes->Record(each.run.run, false)) {
-      context_.Log("run",
-                   "event=crash_suspected worker={} job={} step={} index={} run={} ran_ms={} crashes={} possible={}",
-                   worker.entry.id, each.run.task.job, each.run.task.step, each.run.task.index, each.run.run,
-                   Millis(each.ran), crashes->certain.size(), crashes->possible.size());
-      MarkDirty(*step->job);
+    CrashHistory* crashes = each.certain && each.ran < kPromptCrash ? FindCrashHistory(each.run, &step) : nullptr;
+    if (crashes == nullptr || crashes->certain.contains(each.run.run)) {
+      continue;
     }
+    crashes->suspected[each.run.run] = SuspectedCrash{each.run.run, worker.entry.id, worker.entry.born_ms};
+    context_.Log("run", "event=crash_suspected worker={} job={} step={} index={} run={} ran_ms={} crashes={}",
+                 worker.entry.id, each.run.task.job, each.run.task.step, each.run.task.index, each.run.run,
+                 Millis(each.ran), crashes->certain.size());
+    MarkDirty(*step->job);
   }
 }
 
@@ -63,30 +86,68 @@
   for (const CrashedRun& each : runs) {
     StepRun* step = nullptr;
     CrashHistory* crashes = FindCrashHistory(each.run, &step);
-    if (crashes != nullptr && crashes->possible.erase(each.run.run) > 0) {
+    if (crashes != nullptr && crashes->suspected.erase(each.run.run) > 0) {
       MarkDirty(*step->job);
     }
   }
 }
 
-// An earlier owner may not have come to decide.
-void Owner::GiveUpRestoredTasks() {
+// --- After a takeover ---
+
+// An earlier owner may not have come to decide, or to learn whether a worker had crashed.
+void Owner::RestoreCrashes() {
   for (const auto& [id, job] : jobs_) {
     for (const auto& [number, occurrence] : job->occurrences) {
       for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
-        const bool give_up = std::any_of(step->tasks.begin(), step->tasks.end(), [&](const TaskState& task) {
-          const CrashHistory& crashes = step->spec->gang ? step->gang_crashes : task.crashes;
-          return task.phase != TaskPhase::kDone && crashes.count() >= kMaxCrashes;
-        });
-        if (give_up && !job->final) {
-          context_.Log("run", "event=given_up_on_loading job={} step={}", id, step->step);
-          FinishJob(*job, JobState::kFailed);
-        }
+        RestoreCrashes(*step);
       }
     }
   }
 }
 
+void Owner::RestoreCrashes(const StepRun& step) {
+  for (int i = 0; i < step.spec->count && !step.job->final; ++i) {
+    const TaskState& task = step.tasks[static_cast<size_t>(i)];
+    if (task.phase == TaskPhase::kDone) {
+      continue;
+    }
+    if (ExceedsAnyLimit(step, task.crashes)) {
+      context_.Log("run", "event=given_up_on_loading job={} step={} index={}", step.job->id(), step.step, i);
+      FinishJob(*step.job, JobState::kFailed);
+      return;
+    }
+    for (const auto& [run, suspected] : task.crashes.suspected) {
+      restored_suspects_[{suspected.worker, suspected.born_ms}].push_back(RunRef{step.RefOf(i), run});
+    }
+  }
+}
+
+// Resolves the suspicions of an earlier owner once its workers show whether they have crashed.
+void Owner::ResolveRestoredSuspects() {
+  for (auto each = restored_suspects_.begin(); each != restored_suspects_.end();) {
+    const auto& [id, born_ms] = each->first;
+    Worker* worker = workers_.Find(id);
+    const bool same_life_answers = worker != nullptr && worker->hold_confirmed && worker->entry.born_ms == born_ms;
+    const bool crashed = worker != nullptr && workers_.HasLaterInstance(*worker, born_ms);
+    if (worker != nullptr && !same_life_answers && !crashed) {
+      ++each;
+      continue;
+    }
+    std::vector<CrashedRun> runs;
+    for (const RunRef& run : each->second) {
+      runs.push_back(CrashedRun{run, true, Duration(0)});
+    }
+    each = restored_suspects_.erase(each);
+    if (crashed) {
+      OnCrashed(*worker, runs);
+    } else if (same_life_answers) {
+      OnAnswers(*worker, runs);
+    }
+  }
+}
+
+// --- Decisions ---
+
 // Returns false if the crash says nothing new about the task.
 bool Owner::RecordCrash(const CrashedRun& crashed) {
   StepRun* step = nullptr;
@@ -95,20 +156,21 @@
     return false;
   }
   CrashHistory& crashes = *history;
-  const bool prompt = crashed.certain && crashed.ran < kPromptCrash;
-  if (step->spec->long_running && !prompt) {
-    if (crashes.count() > 0) {
+  const bool prompt = crashed.ran < kPromptCrash;
+  if (step->spec->long_running && !(crashed.certain && prompt)) {
+    if (!crashes.empty()) {
       crashes = CrashHistory{};  // It had run well; over its long life its workers crash for other reasons.
       MarkDirty(*step->job);
     }
     return false;
   }
-  if (!crashes.Record(crashed.run.run, crashed.certain)) {
-    return false;
+  const bool was_suspected = crashes.suspected.erase(crashed.run.run) > 0;
+  const bool recorded = crashed.certain ? crashes.RecordCertain(crashed.run.run, prompt)
+                                        : prompt && crashes.RecordUnconfirmed(crashed.run.run);
+  if (recorded || was_suspected) {
+    MarkDirty(*step->job);
   }
-  crashes.prompt += prompt ? 1 : 0;
-  MarkDirty(*step->job);
-  return true;
+  return recorded;
 }
 
 // What the other runs on the crashed worker say about this one.
@@ -116,7 +178,7 @@
                                                 const CrashedRun& crashed,
                                                 const std::vector<CrashedRun>& all) {
   CrashComparison result;
-  const size_t count = step.CrashesOf(crashed.run.task.index).count();
+  const size_t count = step.CrashesOf(crashed.run.task.index).evidence();
   for (const CrashedRun& other : all) {
     StepRun* other_step = nullptr;
     if (other.run == crashed.run || IsSameGangRun(step, crashed.run, other.run) ||
@@ -124,7 +186,7 @@
       continue;
     }
     result.last = result.last && crashed.ran < other.ran;
-    result.leads = result.leads && count > other_step->CrashesOf(other.run.task.index).count();
+    result.leads = result.leads && count > other_step->CrashesOf(other.run.task.index).evidence();
   }
   return result;
 }
@@ -138,16 +200,20 @@
   }
   const CrashComparison others = CompareWithOthers(*step, crashed, all);
   const size_t certain = crashes->certain.size();
-  const bool all_prompt = crashed.certain && static_cast<size_t>(crashes->prompt) == certain;
-  const bool likely = others.leads && ((all_prompt && others.last) || crashes->count() >= kLeadingCrashes);
-  const bool give_up = (certain >= kMinCertainCrashes && likely) || crashes->count() >= kMaxCrashes;
+  const size_t prompt = crashes->prompt.size();
+  const size_t soon_after_start = prompt + crashes->unconfirmed.size() + step->unattributed_crashes.size();
+  const bool likely = prompt >= kMinPromptCrashes && others.last;
+  const bool is_sure = certain >= kMinCertainCrashes && (likely || soon_after_start >= kLeadingCrashes);
+  const bool is_repeated = certain > 0 && soon_after_start >= kRepeatedCrashes && others.last;
+  const bool give_up = (others.leads && (is_sure || is_repeated)) || ExceedsAnyLimit(*step, *crashes);
   context_.counters.Add(fmt::format("task_crashes{{given_up=\"{}\"}}", give_up));
   context_.Log(
       "run",
       "event=crashed worker={} job={} step={} index={} run={} certain={} ran_ms={} last={} leads={} crashes={} "
-      "possible={} prompt={} given_up={}",
+      "unconfirmed={} prompt={} unattributed={} given_up={}",
       worker.entry.id, run.task.job, run.task.step, run.task.index, run.run, crashed.certain, Millis(crashed.ran),
-      others.last, others.leads, certain, crashes->possible.size(), crashes->prompt, give_up);
+      others.last, others.leads, certain, crashes->unconfirmed.size(), prompt, step->unattributed_crashes.size(),
+      give_up);
   if (give_up) {
     FinishJob(*step->job, JobState::kFailed);
   }
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -105,6 +105,8 @@
     }
     WorkerView view{
         .number = worker->number, .entry = &worker->entry, .free = worker->free(), .suspicion = worker->suspicion()};
+    // A crash in a young life might be that of the life before, and says less about the runs there.
+    view.suspicion += workers_.IsLifeEstablished(*worker) ? 0 : 1;
     view.quarantined = any_quarantined && quarantine_.IsQuarantined(id);
     view.probe_due = view.quarantined && quarantine_.StateOf(id, now).probe_in == Duration(0);
     views.push_back(view);
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -138,7 +138,7 @@
     workers_.AddFromRoster(instance);
   }
   RestoreJobs();
-  GiveUpRestoredTasks();
+  RestoreCrashes();
   context_.Log("owner", "event=loaded epoch={} jobs={} ended={} workers={} roster={}", ownership_.epoch, jobs_.size(),
                ended_jobs_.size(), loading_.workers.size(), loading_.roster.size());
   context_.counters.RecordDuration("takeover_seconds", "load", context_.Now() - loading_began_at_);
--- a/src/cell/placement.cc
+++ b/src/cell/placement.cc
@@ -191,7 +191,7 @@
 std::optional<size_t> Placement::BestFor(const StepRun& step, int index, const Candidates& candidates) const {
   const TaskDemand demand = DemandOf(step);
   std::vector<CandidateView> least;
-  if (step.CrashesOf(index).count() > 0) {
+  if (!step.CrashesOf(index).empty()) {
     int lowest = std::numeric_limits<int>::max();
     for (size_t i = 0; i < candidates.views.size(); ++i) {
       const bool fits = SlotsOf(candidates.views[i], demand) > 0;
@@ -227,7 +227,7 @@
     }
     WorkerView& worker = *candidates.workers[*best];
     starts.tasks.push_back({index, worker.number});
-    worker.suspicion += static_cast<int>(step.CrashesOf(index).count());
+    worker.suspicion += static_cast<int>(step.CrashesOf(index).suspicion());
     pass.quotas.Take(step.tenant(), step.quota_size());
     worker.free -= demand.size;
     candidates.views[*best].free -= demand.size;
@@ -395,9 +395,10 @@
   int index = 0;
   for (size_t i = 0; i < counts.size(); ++i) {
     for (int k = 0; k < counts[i]; ++k) {
-      starts.tasks.push_back({index++, candidates.workers[i]->number});
+      starts.tasks.push_back({index, candidates.workers[i]->number});
       candidates.workers[i]->free -= step.task_size();
-      candidates.workers[i]->suspicion += static_cast<int>(step.gang_crashes.count());
+      candidates.workers[i]->suspicion += static_cast<int>(step.CrashesOf(index).suspicion());
+      ++index;
     }
   }
   pass.quotas.Take(step.tenant(), step.quota_size(), step.spec->count);
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -61,9 +61,17 @@
                   self.max_attempts, self.stretch, self.advice, self.is_public);
 }
 template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, SuspectedCrash> {
+  return std::tie(self.run, self.worker, self.born_ms);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, CrashRecord> {
+  return std::tie(self.certain, self.prompt, self.unconfirmed, self.suspected);
+}
+template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StepProgress> {
   return std::tie(self.occurrence, self.step, self.all_done, self.done, self.failed, self.checkpoints, self.crashed,
-                  self.possibly_crashed);
+                  self.possibly_crashed, self.crash_records);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, ProgressRecord> {
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -85,6 +85,25 @@
   friend bool operator==(const JobRecord&, const JobRecord&) = default;
 };
 
+// A worker instance that fell silent soon after it had confirmed the start of a run.
+struct SuspectedCrash {
+  int run = 0;
+  std::string worker;
+  int64_t born_ms = 0;  // Identifies the instance.
+
+  friend bool operator==(const SuspectedCrash&, const SuspectedCrash&) = default;
+};
+
+// Crashes of workers under the runs of one task, by run number: see CrashHistory.
+struct CrashRecord {
+  std::vector<int> certain;
+  std::vector<int> prompt;
+  std::vector<int> unconfirmed;
+  std::vector<SuspectedCrash> suspected;
+
+  friend bool operator==(const CrashRecord&, const CrashRecord&) = default;
+};
+
 // Progress of one step of one occurrence. Steps without progress are not stored.
 struct StepProgress {
   int occurrence = 0;
@@ -93,13 +112,15 @@
   std::vector<int> done;                   // Indices of the tasks that are done; empty if all_done.
   std::map<int, std::vector<int>> failed;  // Run numbers that failed, by task index; a gang's are at index 0.
   std::map<int, std::string> checkpoints;  // By task index; a gang's is at index 0.
-  // Run numbers under which a worker crashed, certainly or possibly; by task index, a gang's are at index 0.
+  // Run numbers under which a worker certainly crashed, by task index; a gang's are at index 0, whatever the member.
   std::map<int, std::vector<int>> crashed;
+  // Run numbers whose worker fell silent. Written by earlier versions and no longer used.
   std::map<int, std::vector<int>> possibly_crashed;
+  std::map<int, CrashRecord> crash_records;  // By task index, also of a gang. Earlier versions do not write it.
 
   bool HasContent() const {
     return all_done || !done.empty() || !failed.empty() || !checkpoints.empty() || !crashed.empty() ||
-           !possibly_crashed.empty();
+           !crash_records.empty();
   }
 
   friend bool operator==(const StepProgress&, const StepProgress&) = default;
--- a/src/cell/worker_crashes.cc
+++ b/src/cell/worker_crashes.cc
@@ -10,7 +10,7 @@
   const TimePoint crashed_at = worker.silent ? worker.silent_since_ : context_.Now();
   std::vector<CrashedRun> runs;
   for (const auto& [run, placed] : worker.placed) {
-    runs.push_back(CrashedRun{run, placed.confirmed, crashed_at - placed.placed_at});
+    runs.push_back(CrashedRun{run, placed.confirmed && placed.in_current_life, crashed_at - placed.placed_at});
   }
   return runs;
 }
@@ -53,6 +53,13 @@
   RemoveLostRuns(worker, lost);
 }
 
+bool WorkerTable::HasLaterInstance(const Worker& worker, int64_t born_ms) const {
+  return worker.replaced_ || std::any_of(workers_.begin(), workers_.end(), [&](const auto& each) {
+           const WorkerEntry& entry = each.second->entry;
+           return entry.address == worker.entry.address && entry.born_ms > born_ms;
+         });
+}
+
 void WorkerTable::ReplaceWorkersAt(const WorkerEntry& entry) {
   for (const auto& [id, worker] : workers_) {
     if (worker->silent && worker->entry.address == entry.address && worker->entry.born_ms < entry.born_ms) {
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -19,6 +19,7 @@
 constexpr Duration kUnlistedGrace = 2500ms;   // Entries reappear within about two seconds after the store recovers.
 constexpr Duration kUnlistedRetention = 15s;  // Before an unlisted worker without runs is dropped.
 constexpr Duration kMaxOrderDelay = 15s;      // An unanswered order may still be carried out this much later.
+constexpr Duration kMaxAnswerAge = 2s;        // An answer is this much older than its arrival at most.
 constexpr int kStartDelaySmoothing = 32;  // Divisor of the moving average: limits the effect of a single slow worker.
 constexpr Duration kStartDelayValidity = 1s;  // The average expires this long after the last answered start.
 constexpr double kMinClockRate = 0.98;        // Lowest rate of a worker's clock; guaranteed by the platform.
@@ -430,6 +431,7 @@
     return true;  // Newer lists have arrived on another connection.
   }
   worker.lists_clock_ = answer.worker_clock;
+  worker.lists_applied_at_ = context_.Now();
   const std::shared_ptr<bool> alive = alive_;
   const int64_t seen = worker.last_end_seen_;
   ApplyEnded(worker, answer);
@@ -556,7 +558,7 @@
   if (answer.status == OrderStatus::kOk) {
     placed.absence_valid_after = answer.worker_clock;
     placed.confirmed = true;
-    placed.in_current_life = placed.in_current_life || answer.born_ms != 0;
+    placed.in_current_life = placed.in_current_life || IsFromCurrentLife(worker, answer);
     if (placed.phase == PlacedPhase::kStarting) {
       placed.phase = PlacedPhase::kRunning;
       listener_.OnStarted(worker, run);
@@ -686,6 +688,17 @@
   return true;
 }
 
+// An answer that does not name its life may come from a later one, whose clock starts anew: it shows less time than has
+// passed since the current life was last seen.
+bool WorkerTable::IsFromCurrentLife(const Worker& worker, const OrderAnswer& answer) const {
+  const bool bears_its_clock = worker.lists_clock_ > Duration(0) && answer.worker_clock >= worker.lists_clock_;
+  return answer.born_ms != 0 || (bears_its_clock && answer.worker_clock > MaxAgeOfLaterLife(worker));
+}
+
+Duration WorkerTable::MaxAgeOfLaterLife(const Worker& worker) const {
+  return context_.Now() - worker.lists_applied_at_ + kMaxAnswerAge;
+}
+
 void WorkerTable::RecordStartDelay(Duration delay) {
   start_delay_ = (start_delay() * (kStartDelaySmoothing - 1) + delay) / kStartDelaySmoothing;
   start_delay_updated_at_ = context_.Now();
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -64,7 +64,7 @@
   Duration absence_valid_after = 0us;
   TimePoint placed_at{};
   bool confirmed = false;  // The worker has confirmed that it carried out the start.
-  // The confirmation came from the current life: a list, or an answer that names the life. Answers to starts need not.
+  // The confirmation came from the current life: a list, or an answer that names the life or bears its clock.
   bool in_current_life = false;
   bool demand_known = true;  // False for a run found on the worker whose job is unknown to the owner.
 
@@ -123,6 +123,7 @@
   TimePoint last_clock_at_{};                      // Local time at which it was received.
   TimePoint lease_until_{};                        // All its runs are over by then.
   Duration lists_clock_{};                         // Worker clock of the newest lists applied.
+  TimePoint lists_applied_at_{};                   // Local time at which they were.
   bool replaced_ = false;                          // Another instance has its address: its process has ended.
   TimePoint silent_since_{};                       // Valid while silent.
   std::vector<CrashedRun> lapsed_;                 // Runs whose lease expired; it may have crashed under them before.
@@ -177,6 +178,11 @@
   // Number of the last end received. Pass it to Acknowledge once the ends up to it are stored.
   int64_t seen(const Worker& worker) const { return worker.last_end_seen_; }
   int64_t acknowledged(const Worker& worker) const { return worker.last_end_acknowledged_; }
+  // True if the worker's clock alone tells its current life from a later one.
+  bool IsLifeEstablished(const Worker& worker) const { return worker.lists_clock_ > MaxAgeOfLaterLife(worker); }
+  // True if the process of the worker's life `born_ms` has ended: the worker has begun another life, or another
+  // instance has its address.
+  bool HasLaterInstance(const Worker& worker, int64_t born_ms) const;
   void Acknowledge(const std::string& id, int64_t born_ms, int64_t number);
 
   Worker* Find(const std::string& id);
@@ -222,6 +228,9 @@
   void AbandonStart(Worker& worker, const RunRef& run);
   void SendStop(Worker& worker, const RunRef& run);
   bool RecordAnswer(Worker& worker, const OrderAnswer& answer);
+  bool IsFromCurrentLife(const Worker& worker, const OrderAnswer& answer) const;
+  // Longest time for which a life after the one last seen can have run.
+  Duration MaxAgeOfLaterLife(const Worker& worker) const;
   void MarkSilent(Worker& worker, OrderStatus status);
   // Another instance answers at the worker's address, or is listed with it: the worker's process has ended.
   void OnReplaced(Worker& worker);
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -388,6 +388,10 @@
   }
 }
 
+bool FakeWorker::RunsTask(const TaskRef& task) const {
+  return std::any_of(runs_.begin(), runs_.end(), [&](const auto& each) { return each.first.task == task; });
+}
+
 void FakeWorker::CrashSoon(const RunRef& run, bool new_id) {
   world_.In(kCrashDelay, [this, run, new_id, born = entry.born_ms] {
     if (!up || entry.born_ms != born || !IsRunning(run)) {
@@ -842,8 +846,8 @@
 }
 
 void CellWorld::CheckCrashes(const RunRef& run, const StepSpec& step) {
-  const TaskRef counted{run.task.job, run.task.occurrence, run.task.step, step.gang ? 0 : run.task.index};
   const int guilty = BehaviourOf(run.task.job).crashes_worker;
+  const TaskRef counted{run.task.job, run.task.occurrence, run.task.step, guilty};
   if (guilty < 0 || (!step.gang && guilty != run.task.index) || crashes_[counted] < kMaxCrashes) {
     return;
   }
@@ -855,12 +859,8 @@
 }
 
 void CellWorld::OnWorkerCrash(const FakeWorker& worker) {
-  std::set<TaskRef> under;
   for (const auto& [run, state] : worker.runs_) {
-    under.insert(TaskRef{run.task.job, run.task.occurrence, run.task.step, state.gang ? 0 : run.task.index});
-  }
-  for (const TaskRef& task : under) {
-    ++crashes_[task];
+    ++crashes_[run.task];
   }
 }
 
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -111,6 +111,7 @@
   Duration min_stop_time = 50ms;  // Of index 0; other indices take up to four times as long.
 
   bool IsRunning(const RunRef& run) const { return runs_.contains(run); }
+  bool RunsTask(const TaskRef& task) const;  // Any run of it.
   bool IsIdle() const { return runs_.empty(); }
 
  private:
@@ -209,7 +210,7 @@
   void ReportViolation(const std::string& what);
   int starts() const { return starts_; }
   int CompletionCount(const TaskRef& task) const;
-  // Highest number of workers that crashed under a task, or a gang, of the job.
+  // Highest number of workers that crashed under a task of the job.
   int CrashCount(const std::string& job) const;
 
   FakeStore& store() { return store_; }
@@ -301,7 +302,7 @@
   std::set<TaskRef> acknowledged_done_;
   std::map<TaskRef, int> acknowledged_failures_;  // Failed runs whose end the owner has acknowledged.
   std::map<TaskRef, int> runs_of_;
-  std::map<TaskRef, int> crashes_;                         // Workers that crashed under it; a gang's at index 0.
+  std::map<TaskRef, int> crashes_;                         // Workers that crashed under it.
   std::map<TaskRef, std::set<int>> starts_after_crashes_;  // Run numbers, after kMaxCrashes.
   std::map<RunRef, GangRun> gangs_;                        // Keyed by step and run, with index 0.
   std::vector<std::string> violations_;
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -18,7 +18,11 @@
 constexpr Duration kFaultEvery = 1500ms;
 constexpr Duration kWithdrawalLimit = 5s;
 constexpr double kTenantFaultShare = 0.4;  // Of the faults, in a course with tenants.
-constexpr int kHotJobs = 25;               // Of one tenant at once.
+constexpr int kSeriesGangs = 5;
+constexpr int kSeriesCrashes = 6;
+constexpr Duration kSeriesInterval = 2500ms;
+constexpr double kSeriesShare = 0.14;  // Of the workers, as the platform's largest crashes.
+constexpr int kHotJobs = 25;           // Of one tenant at once.
 
 std::vector<TenantSpec> AllTenants() {
   return {TenantSpec{"north", {"n1", "n2"}, 5, Resources{20'000, 0, 0}},
@@ -135,7 +139,7 @@
         &Course::CrashWorker,  &Course::CutWorker,        &Course::LateOrders,       &Course::LostOrders,
         &Course::SlowClocks,   &Course::CutHost,          &Course::DrainWorker,      &Course::FreezeHost,
         &Course::MessagesLate, &Course::StopLoadingOwner, &Course::RestartCutWorker, &Course::CutPaths,
-        &Course::OneWayWorker, &Course::RestartWorker,    &Course::DeadlyTask};
+        &Course::OneWayWorker, &Course::RestartWorker,    &Course::DeadlyTask,       &Course::CrashSeries};
     if (over_) {
       return;
     }
@@ -274,6 +278,36 @@
       }
     });
   }
+  // Many workers crash at the same time, again and again, under gangs of every width.
+  void CrashSeries() {
+    Note("series of crashes");
+    for (int i = 0; i < kSeriesGangs; ++i) {
+      StepSpec step = StepOf(1 + static_cast<int>(world_.random()() % kWorkers), 5000);
+      step.gang = true;
+      SubmitSteps({step}, TaskBehaviour{Between(500ms, 3s), 0});
+    }
+    for (int i = 0; i < kSeriesCrashes; ++i) {
+      world_.In(i * kSeriesInterval, [this] { CrashSome(); });
+    }
+  }
+  void CrashSome() {
+    for (size_t i = 0; i < kWorkers; ++i) {
+      FakeWorker& worker = world_.worker(i);
+      if (!over_ && worker.up && world_.Chance(kSeriesShare)) {
+        worker.Crash();
+        world_.In(Between(200ms, 1600ms), [&worker, born = worker.entry.born_ms] {
+          if (!worker.up && worker.entry.born_ms == born) {
+            worker.Restart();
+          }
+        });
+      }
+    }
+  }
+  void SubmitSteps(const std::vector<StepSpec>& steps, const TaskBehaviour& behaviour) {
+    const JobSpec job = JobOf(++jobs_, steps);
+    world_.SetKey(job.id, options_.tenants ? AnyKey() : KeyDigest());
+    world_.SubmitWithRetries(job, behaviour);
+  }
   void FaultyWorker(const char* what, const CallFaults& faults) {
     FakeWorker& worker = AnyWorker();
     Note(fmt::format("{} {}", what, worker.entry.id));
--- a/tests/cell_chaos_main.cc
+++ b/tests/cell_chaos_main.cc
@@ -19,6 +19,7 @@
 DEFINE_bool(relays, false, "the owner's orders go through other hosts");
 DEFINE_bool(tenants, false, "callers have API keys and quotas, and operators change both");
 DEFINE_bool(dense, false, "more faults at the same time, and longer tasks");
+DEFINE_int32(fault_kinds, 0, "draws only from this many kinds of faults, the oldest first; 0: from all");
 DEFINE_bool(log, false, "prints what the hosts log; for one seed");
 
 int main(int argc, char** argv) {
@@ -30,8 +31,12 @@
   std::mutex mutex;
   const auto work = [&] {
     for (uint64_t seed = next++; seed <= seeds.last; seed = next++) {
-      const auto result = hibiscus::cell::RunCellChaos(
-          {.seed = seed, .log = FLAGS_log, .relays = FLAGS_relays, .tenants = FLAGS_tenants, .dense = FLAGS_dense});
+      const auto result = hibiscus::cell::RunCellChaos({.seed = seed,
+                                                        .log = FLAGS_log,
+                                                        .relays = FLAGS_relays,
+                                                        .tenants = FLAGS_tenants,
+                                                        .dense = FLAGS_dense,
+                                                        .fault_kinds = static_cast<size_t>(FLAGS_fault_kinds)});
       (result.ok() ? passed : failed)++;
       if (result.ok()) {
         continue;
--- a/tests/cell_parts_test.cc
+++ b/tests/cell_parts_test.cc
@@ -37,7 +37,15 @@
   CHECK(DecodeRecord<JobRecord>(EncodeRecord(job)) == job);
   ProgressRecord progress;
   progress.occurrences_done = 2;
-  progress.steps.push_back(StepProgress{2, 0, false, {0, 2}, {{1, {1, 3}}}, {{1, "00ff"}}, {{2, {1}}}, {{2, {3}}}});
+  progress.steps.push_back(StepProgress{2,
+                                        0,
+                                        false,
+                                        {0, 2},
+                                        {{1, {1, 3}}},
+                                        {{1, "00ff"}},
+                                        {{2, {1}}},
+                                        {{2, {3}}},
+                                        {{2, CrashRecord{{1}, {1}, {4}, {SuspectedCrash{5, "w1", 17}}}}}});
   LogRecord log;
   log.jobs.push_back(job);
   log.progress.push_back(JobProgress{job.spec.id, progress});
@@ -71,14 +79,16 @@
   with.done = {0, 2};
   with.crashed = {{1, {1, 4}}};
   with.possibly_crashed = {{1, {2}}};
+  with.crash_records = {{1, CrashRecord{{1}, {1}, {4}, {SuspectedCrash{5, "w1", 17}}}}};
   nlohmann::json fields = ToJson(with);
-  REQUIRE(fields.size() == 8);
+  REQUIRE(fields.size() == 9);
   fields.erase(fields.begin() + 6, fields.end());
   StepProgress without;
   FromJson(fields, without);
   CHECK(without.done == with.done);
   CHECK(without.crashed.empty());
   CHECK(without.possibly_crashed.empty());
+  CHECK(without.crash_records.empty());
   // The first six fields are what an older host reads; it passes over the others.
   const nlohmann::json whole = ToJson(with);
   CHECK(std::equal(fields.begin(), fields.end(), whole.begin()));
