An owner in doubt acts only while most workers have met no successor

Cause: nothing ended an ownership that could not be renewed, and both owners concluded from a deadline that runs on workers they could not reach were over, which holds only if no other owner extends it. Ruled out: late orders; no worker had seen two tokens.

Change: the workers are witnesses. An owner whose lease may be over, or whose cell others may claim, starts tasks and extends leases only as long as more than half of the stored roster has answered holds of the last 2 s in its stored life, for 12 s at most, and takes no silent worker's runs for over. A successor takes the runs of workers it cannot reach for over only after it has fenced half of the roster, and 2 s and the longest lease have passed. Two majorities share a worker, so that the old owner meets the fence. Offers of the cell are withdrawn by writing the record at a new revision. Weighed against: stopping at the end of each lease, which ends all runs in an outage; hosts as witnesses, which one lost host stops. Nothing stored or sent has changed its form. Starts answered without a life are now told apart by the time at which the last lists were requested, so that crashes in young lives count as certain.

--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -68,6 +68,7 @@
   if (owner_ != nullptr) {
     NoteOwnerContact();
     OfferHandOverIfStalled();
+    WithdrawOffers();
     StepDownForStrongerHost();
     return;
   }
@@ -93,6 +94,8 @@
   if (owner_->store_stalled_for() < kHandOverStallThreshold) {
     return;
   }
+  offered_ = true;
+  owner_->OnClaimable();
   for (const auto& [key, host] : hosts_) {
     if (host.address != context_.settings.peer_address) {
       Send(host.address, OwnershipHandover{known_.term});
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -65,6 +65,7 @@
     uint64_t epoch = 0;
     uint64_t lease = 0;  // 0: not yet granted.
     int conflicts = 0;
+    TimePoint begun_at{};  // The lease runs from then on, at least.
   };
   struct PendingRequest {
     CallerRequest request;
@@ -117,7 +118,8 @@
   void RenewLease();
   void ScheduleRenewal(Duration delay);
   void RestoreOwnerRecord();
-  void RewriteOwnerRecord(uint64_t lease);
+  void RewriteOwnerRecord(uint64_t lease, TimePoint granted_at);
+  void WithdrawOffers();
   void OnDeposed();
   void DestroyOwner();
   void MarkRecordReleased(const std::function<void()>& on_left);
@@ -157,6 +159,8 @@
   uint64_t renewal_number_ = 0;        // Of the newest renewal; older ones are ignored.
   uint64_t renewal_timer_number_ = 0;  // Of the newest renewal timer; older ones are ignored.
   bool restoring_ = false;             // The owner record has disappeared and is being written again.
+  bool offered_ = false;               // Other hosts were offered the cell under the present record.
+  bool withdrawing_offers_ = false;
   bool leaving_ = false;
 
   std::map<uint64_t, PendingRequest> pending_;
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr Duration kOwnerLeaseTtl = 1s;         // The record of a crashed owner expires after this time.
 constexpr Duration kRenewInterval = 250ms;      // Three renewals may fail within the lease.
 constexpr Duration kRenewRetryDelay = 80ms;     // After a failed renewal; well within kIncumbentGracePeriod.
 constexpr Duration kRestoreRetryDelay = 150ms;  // After a failed attempt to restore the owner record.
@@ -188,6 +187,7 @@
 void Host::PrepareClaim() {
   const uint64_t claim_id = ++claim_id_;
   claim_ = ClaimProgress{};
+  claim_.begun_at = context_.Now();
   context_.store.Read(kHeadKey, IfAlive([this, claim_id](const StoreAnswer& answer) {
                         if (claim_id != claim_id_) {
                           return;
@@ -250,7 +250,8 @@
   claim.writes = {StoreWrite{kOwnerKey, EncodeRecord(MakeOwnRecord(claim_.epoch, false)), claim_.lease},
                   StoreWrite{kHeadKey, EncodeRecord(HeadRecord{claim_.epoch, 0}), 0}};
   context_.store.Commit(claim, IfAlive([this, record_revision](const StoreAnswer& answer) {
-                          const Ownership wanted{claim_.epoch, answer.revision, answer.revision};
+                          const Duration ttl = std::max(kOwnerLeaseTtl, context_.settings.min_lease_ttl);
+                          const Ownership wanted{claim_.epoch, answer.revision, answer.revision, claim_.begun_at + ttl};
                           if (answer.status == StoreStatus::kOk) {
                             BecomeOwner(wanted, claim_.lease);
                           } else if (answer.status == StoreStatus::kUnknown) {
@@ -288,7 +289,7 @@
                                                   : tl::unexpected(std::string("absent"));
                         if (record && IsOwn(*record) && record->epoch == wanted.epoch && !record->released) {
                           const uint64_t revision = answer.items.front().revision;
-                          BecomeOwner(Ownership{wanted.epoch, revision, revision}, lease);
+                          BecomeOwner(Ownership{wanted.epoch, revision, revision, wanted.lease_until}, lease);
                           return;
                         }
                         AbortClaim("unanswered", lease);
@@ -345,12 +346,14 @@
   }
   const uint64_t renewal_number = ++renewal_number_;
   context_.store.KeepLease(
-      owner_lease_, IfAlive([this, renewal_number, lease = owner_lease_](const StoreAnswer& answer) {
+      owner_lease_,
+      IfAlive([this, renewal_number, lease = owner_lease_, sent_at = context_.Now()](const StoreAnswer& answer) {
         const bool ended = answer.status == StoreStatus::kNoLease || answer.status == StoreStatus::kNotFound;
         if (owner_ == nullptr || lease != owner_lease_) {
           return;
         }
         if (answer.status == StoreStatus::kOk) {
+          owner_->OnLeaseConfirmed(sent_at);
           owner_->OnStoreReachable();
         } else if (ended) {
           ++renewal_number_;  // Renewals resume once the record is restored.
@@ -379,11 +382,12 @@
     return;
   }
   restoring_ = true;
+  owner_->OnClaimable();
   context_.Log("owner", "event=record_gone epoch={} term={}", owner_->ownership().epoch, owner_->ownership().term);
   const Duration ttl = std::max(kOwnerLeaseTtl, context_.settings.min_lease_ttl);
-  context_.store.GrantLease(ttl, IfAlive([this](const StoreAnswer& answer) {
+  context_.store.GrantLease(ttl, IfAlive([this, sent_at = context_.Now()](const StoreAnswer& answer) {
                               if (answer.status == StoreStatus::kOk && owner_ != nullptr) {
-                                RewriteOwnerRecord(answer.lease);
+                                RewriteOwnerRecord(answer.lease, sent_at);
                                 return;
                               }
                               context_.timers.In(kRestoreRetryDelay, IfAlive([this] {
@@ -393,11 +397,11 @@
                             }));
 }
 
-void Host::RewriteOwnerRecord(uint64_t lease) {
+void Host::RewriteOwnerRecord(uint64_t lease, TimePoint granted_at) {
   StoreTransaction transaction;
   transaction.expected = {RevisionCheck{kOwnerKey, 0}};
   transaction.writes = {StoreWrite{kOwnerKey, EncodeRecord(MakeOwnRecord(owner_->ownership().epoch, false)), lease}};
-  context_.store.Commit(transaction, IfAlive([this, lease](const StoreAnswer& answer) {
+  context_.store.Commit(transaction, IfAlive([this, lease, granted_at](const StoreAnswer& answer) {
                           restoring_ = false;
                           if (owner_ == nullptr) {
                             return;
@@ -405,6 +409,9 @@
                           if (answer.status == StoreStatus::kOk) {
                             owner_lease_ = lease;
                             UpdateKnownOwner(answer.revision, true, MakeOwnRecord(owner_->ownership().epoch, false));
+                            offered_ = false;
+                            owner_->OnRecordRenewed();
+                            owner_->OnLeaseConfirmed(granted_at);
                             owner_->OnStoreReachable();
                             RenewLease();
                             return;
@@ -419,6 +426,8 @@
                               }
                               if (item.key == kOwnerKey && record && IsOwn(*record)) {
                                 owner_lease_ = item.lease;
+                                UpdateKnownOwner(item.revision, true, *record);
+                                owner_->OnRecordRenewed();
                                 RenewLease();
                                 return;
                               }
@@ -428,6 +437,35 @@
                         }));
 }
 
+// Writes the owner record anew once the store has confirmed a batch again: hosts may still act on offers that name the
+// revision before.
+void Host::WithdrawOffers() {
+  if (!offered_ || withdrawing_offers_ || restoring_ || leaving_ || stepping_down_ ||
+      owner_->store_stalled_for() > Duration(0)) {
+    return;
+  }
+  withdrawing_offers_ = true;
+  StoreTransaction transaction;
+  transaction.expected = {RevisionCheck{kOwnerKey, known_.term}};
+  transaction.writes = {
+      StoreWrite{kOwnerKey, EncodeRecord(MakeOwnRecord(owner_->ownership().epoch, false)), owner_lease_}};
+  context_.store.Commit(transaction, IfAlive([this](const StoreAnswer& answer) {
+                          withdrawing_offers_ = false;
+                          if (owner_ == nullptr) {
+                            return;
+                          }
+                          if (answer.status == StoreStatus::kOk) {
+                            offered_ = false;
+                            UpdateKnownOwner(answer.revision, true, MakeOwnRecord(owner_->ownership().epoch, false));
+                            owner_->OnRecordRenewed();
+                          } else if (answer.status == StoreStatus::kConflict) {
+                            for (const StoreItem& item : answer.items) {
+                              OnLiveItem(item);
+                            }
+                          }
+                        }));
+}
+
 // --- Losing ownership ---
 
 void Host::OnDeposed() {
@@ -444,6 +482,8 @@
 void Host::DestroyOwner() {
   owner_.reset();
   owner_lease_ = 0;
+  offered_ = false;
+  withdrawing_offers_ = false;
   restoring_ = false;
   if (known_.present && known_.record.address == context_.settings.peer_address) {
     known_.present = false;
@@ -486,6 +526,7 @@
     return;
   }
   owner_->StopWriting();
+  owner_->OnClaimable();
   ++renewal_number_;  // Cancels the scheduled renewal.
   StoreTransaction transaction;
   transaction.expected = {RevisionCheck{kOwnerKey, known_.term}};
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -47,7 +47,8 @@
           ownership.epoch,
           ownership.head_revision,
           [this](uint64_t number) { return FillBatch(number); },
-          [this] { OnFenced(); }) {}
+          [this] { OnFenced(); }),
+      lease_until_(ownership.lease_until) {}
 
 Owner::~Owner() {
   *alive_ = false;
@@ -75,8 +76,40 @@
   }
 }
 
+void Owner::OnLeaseConfirmed(TimePoint sent_at) {
+  const Duration ttl = std::max(kOwnerLeaseTtl, context_.settings.min_lease_ttl);
+  lease_until_ = std::max(lease_until_, sent_at + ttl);
+  UpdateAuthority();
+}
+
+void Owner::OnClaimable() {
+  claimable_since_ = claimable_since_.value_or(context_.Now());
+  UpdateAuthority();
+}
+
+void Owner::OnRecordRenewed() {
+  claimable_since_.reset();
+  UpdateAuthority();
+}
+
+void Owner::UpdateAuthority() {
+  Authority authority;
+  authority.sole_until = std::min(lease_until_, claimable_since_.value_or(TimePoint::max()));
+  const TimePoint by_witnesses = std::min(workers_.WitnessedUntil(), authority.sole_until + kMaxDoubt);
+  authority.active_until = std::max(authority.sole_until, by_witnesses);
+  workers_.SetAuthority(authority);
+  if (workers_.MayAct() != was_active_) {
+    was_active_ = workers_.MayAct();
+    context_.counters.Add("owner_suspensions", was_active_ ? 0 : 1);
+    context_.Log("owner", "event={} epoch={} lease_over_ms={} claimable={}", was_active_ ? "active_again" : "suspended",
+                 ownership_.epoch, Millis(context_.Now() - lease_until_), claimable());
+    SchedulePlacementPass();
+  }
+}
+
 void Owner::Tick() {
   CheckForPause();
+  UpdateAuthority();
   context_.timers.In(kTickInterval, [this, alive = alive_] {
     if (*alive) {
       Tick();
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -35,11 +35,14 @@
 
 namespace hibiscus::cell {
 
+inline constexpr Duration kOwnerLeaseTtl = 1s;  // The record of a crashed owner expires after this time.
+
 // The result of a successful claim of the cell.
 struct Ownership {
   uint64_t epoch = 0;          // Epoch in the owner record.
   uint64_t term = 0;           // Revision of the owner record; increases with each owner and is the fencing token.
   uint64_t head_revision = 0;  // Revision of the head key, written in the same transaction as the owner record.
+  TimePoint lease_until{};     // The lease of the owner record runs until then, at least.
 
   friend auto operator<=>(const Ownership&, const Ownership&) = default;
 };
@@ -66,6 +69,13 @@
   // Replies exactly once, unless the owner is deposed first.
   void Handle(const CallerRequest& request, Reply reply);
   void OnAdviceReply(const AdviceReply& reply) { advice_.OnReply(reply); }
+  // The store has confirmed by an answer to a call sent at `sent_at` that the owner's lease runs.
+  void OnLeaseConfirmed(TimePoint sent_at);
+  // Another host may claim the cell at any time, whether or not the lease runs: until OnRecordRenewed.
+  void OnClaimable();
+  // The owner record stands at a new revision, which no claim expects.
+  void OnRecordRenewed();
+  bool claimable() const { return claimable_since_.has_value(); }
   // The owner record was rewritten: the hosts that relay orders now know this owner under that revision as its term.
   void OnRecordRevision(uint64_t revision) { relay_.SetTerm(revision); }
   void OnOrderReply(const OrderReply& reply) { relay_.OnReply(reply); }
@@ -126,6 +136,7 @@
   // --- owner.cc ---
   void Tick();
   void CheckForPause();
+  void UpdateAuthority();
   void Submit(const CallerRequest& request, const Reply& reply);
   void SubmitKnown(const CallerRequest& request, const Reply& reply);
   void SubmitNew(const CallerRequest& request, const std::string& tenant, const Reply& reply);
@@ -182,6 +193,7 @@
   struct BatchContents {
     std::vector<std::string> jobs;
     std::vector<EndedJob> ended;
+    bool has_roster = false;  // `roster` is part of the batch.
     std::vector<WorkerInstanceRecord> roster;
     std::vector<EndAcknowledgement> acknowledgements;
     bool last = false;  // The owner is closing and sends no further batch.
@@ -288,7 +300,10 @@
   GroupCommit commit_;
 
   TimePoint loading_began_at_{};
-  TimePoint last_active_at_{};  // When CheckForPause was last called.
+  TimePoint last_active_at_{};                  // When CheckForPause was last called.
+  TimePoint lease_until_{};                     // Of the owner record, at least.
+  std::optional<TimePoint> claimable_since_{};  // Another host may claim the cell since then.
+  bool was_active_ = true;                      // As of the last UpdateAuthority.
   bool loaded_ = false;
   bool closing_ = false;
   bool is_deposed_ = false;
--- a/src/cell/owner_crashes.cc
+++ b/src/cell/owner_crashes.cc
@@ -156,7 +156,7 @@
     return false;
   }
   CrashHistory& crashes = *history;
-  const bool prompt = crashed.ran < kPromptCrash;
+  const bool prompt = crashed.ran < kPromptCrash || crashes.suspected.contains(crashed.run.run);
   if (step->spec->long_running && !(crashed.certain && prompt)) {
     if (!crashes.empty()) {
       crashes = CrashHistory{};  // It had run well; over its long life its workers crash for other reasons.
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -39,6 +39,9 @@
     return;
   }
   CheckForPause();
+  if (!workers_.MayAct()) {
+    return;
+  }
   const TimePoint begin = context_.Now();
   RefreshWorkers();
   RefreshUnaccountedRuns();
@@ -105,8 +108,6 @@
     }
     WorkerView view{
         .number = worker->number, .entry = &worker->entry, .free = worker->free(), .suspicion = worker->suspicion()};
-    // A crash in a young life might be that of the life before, and says less about the runs there.
-    view.suspicion += workers_.IsLifeEstablished(*worker) ? 0 : 1;
     view.quarantined = any_quarantined && quarantine_.IsQuarantined(id);
     view.probe_due = view.quarantined && quarantine_.StateOf(id, now).probe_in == Duration(0);
     views.push_back(view);
@@ -263,9 +264,9 @@
 
 // Starts a gang with a tentative allocation once its tickets have arrived.
 void Owner::PlaceWithTickets(StepRun& step) {
+  CheckForPause();
   if (loaded_ && !closing_ && !is_deposed_ && !step.job->final && step.waiting == step.spec->count &&
-      !workers_.MayStillStart(step.RefOf(0))) {
-    CheckForPause();
+      !workers_.MayStillStart(step.RefOf(0)) && workers_.MayAct()) {
     RefreshWorkers();
     Execute(placement_.PlanStep(step, advice_.queues(), CurrentQuotas(), context_.Now()));
   }
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -137,6 +137,7 @@
   for (const WorkerInstanceRecord& instance : loading_.roster) {
     workers_.AddFromRoster(instance);
   }
+  workers_.SetStoredRoster(loading_.roster);
   RestoreJobs();
   RestoreCrashes();
   context_.Log("owner", "event=loaded epoch={} jobs={} ended={} workers={} roster={}", ownership_.epoch, jobs_.size(),
@@ -277,6 +278,8 @@
   if (roster_dirty_) {
     roster_dirty_ = false;
     contents.roster = workers_.TakeRoster();
+    contents.has_roster = true;
+    workers_.SetPendingRoster(contents.roster);
     batch.writes.push_back(StoreWrite{kRosterKey, EncodeRecord(contents.roster), 0});
   }
 }
@@ -433,6 +436,9 @@
   for (const EndAcknowledgement& each : contents.acknowledgements) {
     workers_.Acknowledge(each.worker, each.born_ms, each.number);
   }
+  if (contents.has_roster) {
+    workers_.SetStoredRoster(contents.roster);
+  }
   for (const WorkerInstanceRecord& instance : contents.roster) {
     Worker* worker = workers_.Find(instance.id);
     if (worker != nullptr && worker->entry.born_ms == instance.born_ms) {
--- a/src/cell/worker_crashes.cc
+++ b/src/cell/worker_crashes.cc
@@ -41,6 +41,7 @@
     return;
   }
   worker.replaced_ = true;
+  CountFencedWorker(worker);
   context_.Log("worker", "event=worker_replaced worker={} address={} runs={}", worker.entry.id, worker.entry.address,
                worker.placed.size());
   ReportCrash(worker);
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -19,10 +19,13 @@
 constexpr Duration kUnlistedGrace = 2500ms;   // Entries reappear within about two seconds after the store recovers.
 constexpr Duration kUnlistedRetention = 15s;  // Before an unlisted worker without runs is dropped.
 constexpr Duration kMaxOrderDelay = 15s;      // An unanswered order may still be carried out this much later.
-constexpr Duration kMaxAnswerAge = 2s;        // An answer is this much older than its arrival at most.
 constexpr int kStartDelaySmoothing = 32;  // Divisor of the moving average: limits the effect of a single slow worker.
 constexpr Duration kStartDelayValidity = 1s;  // The average expires this long after the last answered start.
-constexpr double kMinClockRate = 0.98;        // Lowest rate of a worker's clock; guaranteed by the platform.
+// How long an answered hold shows that no other owner had fenced the worker: covers a hold that waits for an end and
+// the next one.
+constexpr Duration kWitnessValidity = 2s;
+constexpr Duration kMaxDoubtHoldWait = 300ms;  // Longest wait of a hold while the owner depends on its answer.
+constexpr double kMinClockRate = 0.98;         // Lowest rate of a worker's clock; guaranteed by the platform.
 constexpr Duration kClockTolerance = 50ms;  // Covers the rounding of clocks to milliseconds and the time to kill a run.
 
 // Identifies the step of a run.
@@ -88,7 +91,11 @@
   for (const auto& [id, worker] : workers_) {
     // In a new life, starts of the earlier one may still arrive.
     const bool may_receive_starts = !worker->placed.empty() || !worker->starts_to_void_.empty();
-    if (worker->hold_confirmed || worker->unsettled || may_receive_starts) {
+    // An earlier owner counts the workers that it stored: a successor must find them, and no others, until that owner
+    // is fenced.
+    const bool fixed = !half_fenced_at_ && unsettled_ > 0;
+    const bool wanted = worker->hold_confirmed || worker->unsettled || may_receive_starts;
+    if (fixed ? worker->inherited : wanted) {
       roster.push_back(WorkerInstanceRecord{id, worker->entry.address, worker->entry.born_ms, worker->entry.capacity});
     } else {
       worker->in_roster = false;  // The roster without it may be stored before its answer arrives.
@@ -122,7 +129,10 @@
   }
   // Also if a newer life is listed: orders to the earlier one may have reached it.
   slot->unsettled = true;
+  slot->inherited = true;
   ++unsettled_;
+  ++inherited_;
+  inherited_at_ = context_.Now();
   slot->lease_until_ = context_.Now() + MaxLocalTime(context_.settings.max_hold) + kClockTolerance;
 }
 
@@ -174,6 +184,7 @@
                worker.entry.id, born_ms, worker.entry.born_ms, worker.placed.size(), worker.unanswered_starts_.size());
   worker.entry.born_ms = born_ms;
   worker.hold_confirmed = false;
+  worker.witnessed_at = TimePoint{};
   worker.in_roster = false;
   worker.silent = false;
   worker.replaced_ = false;
@@ -289,6 +300,57 @@
   }
 }
 
+void WorkerTable::SetStoredRoster(const std::vector<WorkerInstanceRecord>& roster) {
+  stored_roster_ = roster;
+  pending_roster_.reset();
+}
+
+void WorkerTable::SetPendingRoster(const std::vector<WorkerInstanceRecord>& roster) {
+  pending_roster_ = roster;
+}
+
+TimePoint WorkerTable::WitnessedUntil(const std::vector<WorkerInstanceRecord>& roster) const {
+  std::vector<TimePoint> witnessed;
+  for (const WorkerInstanceRecord& life : roster) {
+    const auto found = workers_.find(life.id);
+    const bool same_life = found != workers_.end() && found->second->entry.born_ms == life.born_ms;
+    if (same_life && found->second->hold_confirmed) {
+      witnessed.push_back(found->second->witnessed_at);
+    }
+  }
+  const size_t majority = roster.size() / 2 + 1;
+  if (witnessed.size() < majority) {
+    return TimePoint{};
+  }
+  const auto last_needed = witnessed.begin() + static_cast<std::ptrdiff_t>(majority - 1);
+  std::nth_element(witnessed.begin(), last_needed, witnessed.end(), std::greater<>());
+  return *last_needed + kWitnessValidity;
+}
+
+// A roster that was sent may be stored although it was not confirmed.
+TimePoint WorkerTable::WitnessedUntil() const {
+  const TimePoint by_stored = WitnessedUntil(stored_roster_);
+  return pending_roster_ ? std::min(by_stored, WitnessedUntil(*pending_roster_)) : by_stored;
+}
+
+void WorkerTable::CountFencedWorker(Worker& worker) {
+  if (!worker.unsettled || worker.fence_counted_) {
+    return;
+  }
+  worker.fence_counted_ = true;
+  ++fenced_;
+  if (!half_fenced_at_ && 2 * fenced_ >= inherited_) {
+    half_fenced_at_ = context_.Now();
+    context_.Log("worker", "event=earlier_owner_fenced workers={} of={}", fenced_, inherited_);
+  }
+}
+
+TimePoint WorkerTable::InheritedRunsOverAt() const {
+  const Duration longest_lease = MaxLocalTime(std::min(kHoldDuration, context_.settings.max_hold)) + kClockTolerance;
+  const TimePoint inactive_at = half_fenced_at_ ? *half_fenced_at_ + kWitnessValidity : inherited_at_ + kMaxDoubt;
+  return inactive_at + longest_lease;
+}
+
 void WorkerTable::MarkSettled(Worker& worker) {
   if (worker.unsettled) {
     worker.unsettled = false;
@@ -370,13 +432,13 @@
 void WorkerTable::SendHold(Worker& worker) {
   const TimePoint now = context_.Now();
   HoldOrder order{token_, worker.last_end_acknowledged_, 0us, 0us};
-  if (worker.clock_known_ && !worker.silent && !worker.recheck) {
+  if (worker.clock_known_ && !worker.silent && !worker.recheck && MayAct()) {
     order.deadline = worker.ClockAt(now) + std::min(kHoldDuration, context_.settings.max_hold);
     ExtendLease(worker, order.deadline);
   }
   if (worker.hold_confirmed && !worker.silent && !worker.recheck &&
       worker.last_end_seen_ == worker.last_end_acknowledged_) {
-    order.wait = kHoldPollTimeout;
+    order.wait = IsInDoubt() ? kMaxDoubtHoldWait : kHoldPollTimeout;
   }
   worker.hold_in_flight_ = true;
   context_.counters.Add("worker_holds");
@@ -413,9 +475,11 @@
   }
   const bool became_usable = !worker.hold_confirmed || worker.recheck;
   worker.hold_confirmed = true;
+  worker.witnessed_at = std::max(worker.witnessed_at, sent_at);
+  CountFencedWorker(worker);
   worker.recheck = worker.recheck && sent_at < recheck_since_;
   StopVoidedStarts(worker);
-  if (!ApplyLists(worker, answer)) {
+  if (!ApplyLists(worker, sent_at, answer)) {
     return;
   }
   MarkSettled(worker);
@@ -426,12 +490,12 @@
   ScheduleHold(worker, ends_pending ? kUnacknowledgedHoldInterval : 0us);
 }
 
-bool WorkerTable::ApplyLists(Worker& worker, const OrderAnswer& answer) {
+bool WorkerTable::ApplyLists(Worker& worker, TimePoint requested_at, const OrderAnswer& answer) {
   if (answer.worker_clock < worker.lists_clock_) {
     return true;  // Newer lists have arrived on another connection.
   }
   worker.lists_clock_ = answer.worker_clock;
-  worker.lists_applied_at_ = context_.Now();
+  worker.lists_requested_at_ = requested_at;
   const std::shared_ptr<bool> alive = alive_;
   const int64_t seen = worker.last_end_seen_;
   ApplyEnded(worker, answer);
@@ -597,22 +661,22 @@
 // Reads the worker's lists for a start whose answer is overdue: only the answer may have been lost.
 void WorkerTable::CheckOverdueStart(Worker& worker, const RunRef& run) {
   context_.counters.Add("worker_looks_after_starts");
-  orders_.Hold(
-      TargetOf(worker), HoldOrder{token_, worker.last_end_acknowledged_, 0us, 0us},
-      [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run](const OrderAnswer& answer) {
-        Worker* found = *alive ? Find(id) : nullptr;
-        if (found == nullptr || found->entry.born_ms != born || answer.status != OrderStatus::kOk ||
-            !RecordAnswer(*found, answer)) {
-          return;  // OnStartAnswer handles the timeout of the start.
-        }
-        if (!ApplyLists(*found, answer)) {
-          return;
-        }
-        const auto placed = found->placed.find(run);
-        if (placed != found->placed.end() && placed->second.phase == PlacedPhase::kStarting) {
-          AbandonStart(*found, run);
-        }
-      });
+  orders_.Hold(TargetOf(worker), HoldOrder{token_, worker.last_end_acknowledged_, 0us, 0us},
+               [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run,
+                sent_at = context_.Now()](const OrderAnswer& answer) {
+                 Worker* found = *alive ? Find(id) : nullptr;
+                 if (found == nullptr || found->entry.born_ms != born || answer.status != OrderStatus::kOk ||
+                     !RecordAnswer(*found, answer)) {
+                   return;  // OnStartAnswer handles the timeout of the start.
+                 }
+                 if (!ApplyLists(*found, sent_at, answer)) {
+                   return;
+                 }
+                 const auto placed = found->placed.find(run);
+                 if (placed != found->placed.end() && placed->second.phase == PlacedPhase::kStarting) {
+                   AbandonStart(*found, run);
+                 }
+               });
 }
 
 void WorkerTable::Stop(Worker& worker, const RunRef& run) {
@@ -688,15 +752,11 @@
   return true;
 }
 
-// An answer that does not name its life may come from a later one, whose clock starts anew: it shows less time than has
-// passed since the current life was last seen.
+// An answer that does not name its life may come from a later one. Its clock started anew, after the lists of the
+// current life were requested.
 bool WorkerTable::IsFromCurrentLife(const Worker& worker, const OrderAnswer& answer) const {
   const bool bears_its_clock = worker.lists_clock_ > Duration(0) && answer.worker_clock >= worker.lists_clock_;
-  return answer.born_ms != 0 || (bears_its_clock && answer.worker_clock > MaxAgeOfLaterLife(worker));
-}
-
-Duration WorkerTable::MaxAgeOfLaterLife(const Worker& worker) const {
-  return context_.Now() - worker.lists_applied_at_ + kMaxAnswerAge;
+  return answer.born_ms != 0 || (bears_its_clock && answer.worker_clock > context_.Now() - worker.lists_requested_at_);
 }
 
 void WorkerTable::RecordStartDelay(Duration delay) {
@@ -742,7 +802,8 @@
   for (const auto& [id, each] : workers_) {
     Worker& worker = *each;
     ExpireStartsToVoid(worker, now);
-    if ((worker.silent || !worker.hold_confirmed) && now > worker.lease_until_ &&
+    const bool others_are_over = !IsInDoubt() && (!worker.unsettled || now > InheritedRunsOverAt());
+    if ((worker.silent || !worker.hold_confirmed) && now > worker.lease_until_ && others_are_over &&
         (worker.unsettled || !worker.placed.empty())) {
       context_.Log("worker", "event=worker_lapsed worker={} runs_lost={}", id, worker.placed.size());
       worker.lapsed_ = RunsAtCrash(worker);
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -28,6 +28,10 @@
 
 namespace hibiscus::cell {
 
+// An owner in doubt whether it is still the owner stops acting after this time, whatever its workers say. Covers the
+// longest outages of the store for single hosts.
+inline constexpr Duration kMaxDoubt = 12s;
+
 enum class PlacedPhase {
   kStarting,   // The start was sent.
   kRunning,    // The worker has confirmed the start.
@@ -101,8 +105,10 @@
   bool silent = false;          // The last call got no answer.
   bool in_roster = false;       // The stored roster contains this life, so it may receive starts.
   bool unsettled = false;       // It may have runs of an earlier owner that are not known yet.
+  bool inherited = false;       // An earlier owner may have sent it orders.
   bool recheck = false;         // Gets no starts and no longer lease until it answers a hold sent after a pause.
   TimePoint avoid_until{};      // Receives no starts until then because it refused one.
+  TimePoint witnessed_at{};     // When the newest hold was sent that this life has answered with the owner's token.
   std::map<RunRef, PlacedRun> placed;
 
   const Resources& used() const { return used_; }
@@ -123,7 +129,8 @@
   TimePoint last_clock_at_{};                      // Local time at which it was received.
   TimePoint lease_until_{};                        // All its runs are over by then.
   Duration lists_clock_{};                         // Worker clock of the newest lists applied.
-  TimePoint lists_applied_at_{};                   // Local time at which they were.
+  TimePoint lists_requested_at_{};                 // Local time at which they were requested.
+  bool fence_counted_ = false;                     // See WorkerTable::CountFencedWorker.
   bool replaced_ = false;                          // Another instance has its address: its process has ended.
   TimePoint silent_since_{};                       // Valid while silent.
   std::vector<CrashedRun> lapsed_;                 // Runs whose lease expired; it may have crashed under them before.
@@ -135,6 +142,21 @@
   std::map<RunRef, StartToVoid> starts_to_void_;
 };
 
+// Until when the owner may act for the cell.
+struct Authority {
+  TimePoint sole_until = TimePoint::max();  // No other host can own the cell before.
+  // It may start tasks and extend leases before: it is the sole owner, or more than half of the workers were not
+  // fenced.
+  TimePoint active_until = TimePoint::max();
+
+  friend bool operator==(const Authority&, const Authority&) = default;
+};
+
+// Another host may own the cell while this owner cannot reach the store. Then both must not act on the same run, even
+// if each reaches other workers. The workers are witnesses: an owner in doubt extends leases and starts tasks only for
+// kWitnessValidity after more than half of the stored roster has answered its holds, and for kMaxDoubt at most. Its
+// successor takes the runs of a worker that it cannot reach for over only once it has fenced half of the roster, and
+// that time and the longest lease have passed since.
 class WorkerTable {
  public:
   // Receives events about workers and runs. Called while answers are processed; may start and stop runs.
@@ -178,8 +200,6 @@
   // Number of the last end received. Pass it to Acknowledge once the ends up to it are stored.
   int64_t seen(const Worker& worker) const { return worker.last_end_seen_; }
   int64_t acknowledged(const Worker& worker) const { return worker.last_end_acknowledged_; }
-  // True if the worker's clock alone tells its current life from a later one.
-  bool IsLifeEstablished(const Worker& worker) const { return worker.lists_clock_ > MaxAgeOfLaterLife(worker); }
   // True if the process of the worker's life `born_ms` has ended: the worker has begun another life, or another
   // instance has its address.
   bool HasLaterInstance(const Worker& worker, int64_t born_ms) const;
@@ -212,6 +232,15 @@
   // Handles workers whose lease has expired and drops those no longer listed. Call a few times a second.
   void Sweep();
 
+  // The workers to which a successor would look as witnesses. Call when a roster was read, sent and stored.
+  void SetStoredRoster(const std::vector<WorkerInstanceRecord>& roster);
+  void SetPendingRoster(const std::vector<WorkerInstanceRecord>& roster);
+  // Until when the answers received so far let an owner in doubt act.
+  TimePoint WitnessedUntil() const;
+  void SetAuthority(const Authority& authority) { authority_ = authority; }
+  bool IsInDoubt() const { return context_.Now() > authority_.sole_until; }
+  bool MayAct() const { return context_.Now() <= authority_.active_until; }
+
  private:
   std::unique_ptr<Worker> MakeWorker();  // Assigns the next number.
   void BeginLife(Worker& worker, int64_t born_ms);
@@ -219,7 +248,7 @@
   void SendHold(Worker& worker);
   void OnHoldAnswer(Worker& worker, TimePoint sent_at, const OrderAnswer& answer);
   // Returns false if a listener has destroyed this table.
-  bool ApplyLists(Worker& worker, const OrderAnswer& answer);
+  bool ApplyLists(Worker& worker, TimePoint requested_at, const OrderAnswer& answer);
   void ApplyEnded(Worker& worker, const OrderAnswer& answer);
   void ApplyRunning(Worker& worker, const OrderAnswer& answer);
   void ApplyAbsent(Worker& worker, const OrderAnswer& answer);
@@ -229,8 +258,6 @@
   void SendStop(Worker& worker, const RunRef& run);
   bool RecordAnswer(Worker& worker, const OrderAnswer& answer);
   bool IsFromCurrentLife(const Worker& worker, const OrderAnswer& answer) const;
-  // Longest time for which a life after the one last seen can have run.
-  Duration MaxAgeOfLaterLife(const Worker& worker) const;
   void MarkSilent(Worker& worker, OrderStatus status);
   // Another instance answers at the worker's address, or is listed with it: the worker's process has ended.
   void OnReplaced(Worker& worker);
@@ -253,6 +280,11 @@
   void RemoveVoidedStarts(Worker& worker, const std::set<RunRef>& running, Duration clock);
   void MarkSettled(Worker& worker);
   bool HasDeparted(const Worker& worker, TimePoint now) const;
+  TimePoint WitnessedUntil(const std::vector<WorkerInstanceRecord>& roster) const;
+  // Call when an earlier owner can no longer get an answer from the life of the worker that it knew.
+  void CountFencedWorker(Worker& worker);
+  // When the runs of an earlier owner on a worker that was not reached are certainly over.
+  TimePoint InheritedRunsOverAt() const;
   void Retire(Worker& worker);
   // Records that the worker may run tasks until `deadline` on its clock: extends lease_until_ accordingly.
   void ExtendLease(Worker& worker, Duration deadline);
@@ -265,6 +297,13 @@
   const uint64_t token_;
   Listener& listener_;
   std::map<std::string, std::unique_ptr<Worker>> workers_;
+  Authority authority_;
+  std::vector<WorkerInstanceRecord> stored_roster_;
+  std::optional<std::vector<WorkerInstanceRecord>> pending_roster_;  // Sent to the store, no answer yet.
+  size_t inherited_ = 0;                                             // Workers to which an earlier owner had access.
+  size_t fenced_ = 0;                                                // Of them, those that obey this owner.
+  TimePoint inherited_at_{};
+  std::optional<TimePoint> half_fenced_at_;
   int unsettled_ = 0;
   int unknown_demand_runs_ = 0;  // On all workers.
   TenantUsage tenant_usage_;
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -691,6 +691,17 @@
   }
 }
 
+void CellWorld::CutOffWithWorkers(size_t index, const std::set<size_t>& workers, bool cut) {
+  StoreFaultsOf(index).silent = cut;
+  CutPeers(index, cut);
+  for (size_t i = 0; i < workers_.size(); ++i) {
+    for (size_t host = 0; host < hosts_.size(); ++host) {
+      const bool same_side = (host == index) == workers.contains(i);
+      CutPath(host, *workers_[i], cut && !same_side);
+    }
+  }
+}
+
 CallFaults& CellWorld::StoreFaultsOf(size_t index) {
   return store_.host_faults[hosts_[index]->name()];
 }
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -190,6 +190,8 @@
   void CutWorkers(size_t index, bool cut);
   // Disconnects a host from one worker, or reconnects it.
   void CutPath(size_t index, const FakeWorker& worker, bool cut);
+  // Cuts off one host together with some workers from the store and from all other hosts and workers, or ends that.
+  void CutOffWithWorkers(size_t index, const std::set<size_t>& workers, bool cut);
   CallFaults& StoreFaultsOf(size_t index);
   double CounterOf(size_t index, const std::string& name) const;  // 0 if the counter does not exist.
 
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -18,6 +18,7 @@
 constexpr Duration kFaultEvery = 1500ms;
 constexpr Duration kWithdrawalLimit = 5s;
 constexpr double kTenantFaultShare = 0.4;  // Of the faults, in a course with tenants.
+constexpr int kSideTasks = 6;
 constexpr int kSeriesGangs = 5;
 constexpr int kSeriesCrashes = 6;
 constexpr Duration kSeriesInterval = 2500ms;
@@ -139,7 +140,8 @@
         &Course::CrashWorker,  &Course::CutWorker,        &Course::LateOrders,       &Course::LostOrders,
         &Course::SlowClocks,   &Course::CutHost,          &Course::DrainWorker,      &Course::FreezeHost,
         &Course::MessagesLate, &Course::StopLoadingOwner, &Course::RestartCutWorker, &Course::CutPaths,
-        &Course::OneWayWorker, &Course::RestartWorker,    &Course::DeadlyTask,       &Course::CrashSeries};
+        &Course::OneWayWorker, &Course::RestartWorker,    &Course::DeadlyTask,       &Course::CrashSeries,
+        &Course::CutOwnerSide};
     if (over_) {
       return;
     }
@@ -366,6 +368,29 @@
       }
     }
   }
+  // The owner keeps some workers, often few, and loses the store and all else.
+  void CutOwnerSide() {
+    const auto owner = world_.OwnerIndex();
+    if (!owner) {
+      return;
+    }
+    std::set<size_t> workers;
+    const double share = world_.Chance(0.3) ? 0.6 : 0.25;
+    for (size_t i = 0; i < kWorkers; ++i) {
+      if (world_.Chance(share)) {
+        workers.insert(i);
+      }
+    }
+    const Duration cut = Between(2s, 12s);
+    Note(fmt::format("h{} cut off with {} workers {} ms", *owner, workers.size(), Millis(cut)));
+    for (int i = 0; i < kSideTasks; ++i) {
+      SubmitSteps({StepOf(2, 1000)}, TaskBehaviour{Between(4s, 15s), 0});
+    }
+    world_.In(Between(100ms, 900ms), [this, owner = *owner, workers, cut] {
+      world_.CutOffWithWorkers(owner, workers, true);
+      world_.In(cut, [this, owner, workers] { world_.CutOffWithWorkers(owner, workers, false); });
+    });
+  }
   // Orders arrive, and nothing comes back.
   void OneWayWorker() {
     CallFaults faults;
