An owner in doubt does not start a task again whose worker restarted

The successor had received the end `done` from the life before.

A new life proves that the run is over, not how it ended: in doubt, its step waits until the doubt is over.

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -98,6 +98,9 @@
   const TimePoint by_witnesses = std::min(workers_.WitnessedUntil(), authority.sole_until + kMaxDoubt);
   authority.active_until = std::max(authority.sole_until, by_witnesses);
   workers_.SetAuthority(authority);
+  if (!workers_.IsInDoubt()) {
+    steps_on_hold_.clear();
+  }
   if (workers_.MayAct() != was_active_) {
     was_active_ = workers_.MayAct();
     context_.counters.Add("owner_suspensions", was_active_ ? 0 : 1);
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -266,6 +266,8 @@
   void SchedulePlacementPass();
   void RunPlacementPass();
   std::vector<StepRun*> WaitingSteps();
+  // False if a run of the step that the owner does not see may exist or have ended.
+  bool AllRunsKnown(const StepRun& step) const;
   void RefreshWorkers();
   void Execute(const std::vector<Decision>& decisions);
   void Start(const StartTasks& starts);
@@ -303,6 +305,7 @@
   TimePoint last_active_at_{};                  // When CheckForPause was last called.
   TimePoint lease_until_{};                     // Of the owner record, at least.
   std::optional<TimePoint> claimable_since_{};  // Another host may claim the cell since then.
+  std::set<TaskRef> steps_on_hold_;             // Not to be started before the doubt has ended.
   bool was_active_ = true;                      // As of the last UpdateAuthority.
   bool loaded_ = false;
   bool closing_ = false;
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -88,7 +88,7 @@
     }
     for (const auto& [number, occurrence] : job->occurrences) {
       for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
-        if (IsReadyToStart(*step) && !workers_.MayStillStart(step->RefOf(0))) {
+        if (IsReadyToStart(*step) && AllRunsKnown(*step)) {
           waiting.push_back(step.get());
         }
       }
@@ -97,6 +97,11 @@
   return waiting;
 }
 
+bool Owner::AllRunsKnown(const StepRun& step) const {
+  const TaskRef ref = step.RefOf(0);
+  return !workers_.MayStillStart(ref) && !steps_on_hold_.contains(ref);
+}
+
 void Owner::RefreshWorkers() {
   const TimePoint now = context_.Now();
   const bool any_quarantined = context_.settings.policies.quarantine && !quarantine_.quarantined().empty();
@@ -266,7 +271,7 @@
 void Owner::PlaceWithTickets(StepRun& step) {
   CheckForPause();
   if (loaded_ && !closing_ && !is_deposed_ && !step.job->final && step.waiting == step.spec->count &&
-      !workers_.MayStillStart(step.RefOf(0)) && workers_.MayAct()) {
+      AllRunsKnown(step) && workers_.MayAct()) {
     RefreshWorkers();
     Execute(placement_.PlanStep(step, advice_.queues(), CurrentQuotas(), context_.Now()));
   }
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -205,6 +205,10 @@
   if (task == nullptr || !IsCurrent(*task, worker, run)) {
     return;
   }
+  if (reason == GoneReason::kWorkerRestarted && workers_.IsInDoubt()) {
+    // A successor may have taken note that the run was done before the worker started again.
+    steps_on_hold_.insert(step->RefOf(0));
+  }
   RequeueTask(*step, run.task.index);
   OnGangMemberGone(*step);
   SchedulePlacementPass();
