Begin due occurrences before workers are asked about their runs

Cause: a restored job had only the occurrences with stored progress; the others began up to 100 ms later, after the first holds were answered. Reports about their runs were answered like those of unknown jobs (`known=false`). Ruled out: another life of the worker, a lapsed lease between end and acknowledgement.

Change: occurrences that are due begin while their job is restored. A report about a later one shows that an earlier owner began it by a clock that was ahead: it begins, its other tasks wait until it is due by this clock. Finished later occurrences are restored as finished; before, their job never completed. Records keep their form.

--- a/src/cell/job_table.cc
+++ b/src/cell/job_table.cc
@@ -301,6 +301,16 @@
     }
     job.started = true;
   }
+  std::erase_if(job.occurrences, [&](const auto& each) {
+    const bool finished = each.second.finished == static_cast<int>(each.second.steps.size());
+    if (finished) {
+      job.done_out_of_order.insert(each.first);
+    }
+    return finished;
+  });
+  while (job.done_out_of_order.erase(job.occurrences_done) > 0) {
+    ++job.occurrences_done;
+  }
 }
 
 std::string ProblemOf(const JobSpec& spec) {
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -109,6 +109,7 @@
 };
 
 struct Occurrence {
+  bool due = true;  // False: an earlier owner has begun it, and it is not due yet by this host's clock.
   std::vector<std::unique_ptr<StepRun>> steps;
   int finished = 0;  // Number of finished steps.
 };
@@ -140,6 +141,11 @@
   std::vector<std::function<void()>> on_batch_committed;  // Called once the batch being written is stored.
 
   const std::string& id() const { return record.spec.id; }
+  // True if the occurrence was begun, or may have been begun by an earlier owner, and is not finished.
+  bool MayHaveBegun(int occurrence) const {
+    return !final && occurrence >= occurrences_done && occurrence < occurrence_count() &&
+           !done_out_of_order.contains(occurrence);
+  }
   int occurrence_count() const { return record.spec.occurrences == 0 ? 1 : record.spec.occurrences; }
   // Callbacks of submitters until the job is first sent to the store.
   std::vector<std::function<void(Duration retry_after)>> on_withdrawn;
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -244,6 +244,8 @@
   void OpenSteps(Job& job);
   void OpenStep(StepRun& step);
   void BeginDueOccurrences(Job& job);
+  Occurrence& BeginOccurrence(Job& job, int number);  // Unless it was begun before.
+  void BeginReportedOccurrence(const TaskRef& task);
 
   // --- owner_crashes.cc ---
   void OnCrashed(Worker& worker, const std::vector<CrashedRun>& crashed) override;
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -120,6 +120,7 @@
 // A worker reports a run that an earlier owner started. It is adopted if its task is still waiting; if not, returning
 // false has the worker table stop it.
 bool Owner::OnFound(Worker& worker, const RunningRun& row, std::optional<RunDemand>& demand) {
+  BeginReportedOccurrence(row.run.task);
   StepRun* step = nullptr;
   TaskState* task = FindTask(row.run.task, &step);
   if (task == nullptr) {
@@ -159,6 +160,7 @@
 
 void Owner::OnEnded(Worker& worker, const EndedRun& row) {
   context_.counters.Add(fmt::format("runs_ended{{how=\"{}\"}}", NameOf(row.how)));
+  BeginReportedOccurrence(row.run.task);
   StepRun* step = nullptr;
   TaskState* task = FindTask(row.run.task, &step);
   context_.Log("run", "event=ended how={} worker={} end={} job={} step={} index={} run={} ran_ms={} known={}",
@@ -453,7 +455,7 @@
   }
   for (auto& [number, occurrence] : job.occurrences) {
     for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
-      if (!step->open && DependenciesFinished(occurrence, *step)) {
+      if (occurrence.due && !step->open && DependenciesFinished(occurrence, *step)) {
         step->open = true;
         step->opened_at = context_.Now();
       }
@@ -471,14 +473,33 @@
   bool begun = false;
   while (job.next_occurrence < spec.occurrences &&
          now_ms >= spec.first_due_ms + job.next_occurrence * Millis(spec.interval)) {
-    job.occurrences.emplace(job.next_occurrence, MakeOccurrence(job, job.next_occurrence, RunNumberBase(job)));
-    context_.Log("job", "event=occurrence_due job={} occurrence={}", job.id(), job.next_occurrence);
+    if (job.MayHaveBegun(job.next_occurrence)) {
+      BeginOccurrence(job, job.next_occurrence).due = true;
+      begun = true;
+    }
     ++job.next_occurrence;
-    begun = true;
   }
   if (begun) {
     OpenSteps(job);
   }
 }
 
+Occurrence& Owner::BeginOccurrence(Job& job, int number) {
+  const auto [occurrence, is_new] = job.occurrences.try_emplace(number);
+  if (is_new) {
+    occurrence->second = MakeOccurrence(job, number, RunNumberBase(job));
+    context_.Log("job", "event=occurrence_begun job={} occurrence={}", job.id(), number);
+  }
+  return occurrence->second;
+}
+
+// A report about a run shows that an earlier owner began its occurrence, by a clock that may be ahead of this one.
+void Owner::BeginReportedOccurrence(const TaskRef& task) {
+  Job* job = FindJob(task.job);
+  if (job != nullptr && task.occurrence >= job->next_occurrence && job->MayHaveBegun(task.occurrence) &&
+      !job->occurrences.contains(task.occurrence)) {
+    BeginOccurrence(*job, task.occurrence).due = false;
+  }
+}
+
 }  // namespace hibiscus::cell
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -180,6 +180,10 @@
     }
     jobs_[id] = std::move(new_job);
     OpenSteps(job);
+    BeginDueOccurrences(job);  // Before workers report about runs of occurrences without stored progress.
+    if (job.occurrences_done == job.occurrence_count()) {
+      FinishJob(job, JobState::kCompleted);
+    }
   }
 }
 
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -444,7 +444,7 @@
 }
 
 int64_t FakeHost::NowMs() const {
-  return 1'700'000'000'000 + Millis(world_.Now().time_since_epoch());
+  return CellWorld::WallMsAt(world_.Now()) + Millis(wall_offset);
 }
 
 bool FakeHost::Accepts(const char* /*part*/) {
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -35,6 +35,7 @@
   void Call(CallerRequest request, CellWorld::OnReply reply);
   TimePoint NextDue() const;
   void RunDue();
+  Duration wall_offset{};  // Of its time of day from that of the others.
   bool cut_from_peers = false;
   bool cut_from_workers = false;
   std::set<std::string> unreachable_workers;  // Ids of workers that have no path to and from this host.
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -674,6 +674,10 @@
   hosts_[index]->cut_from_peers = cut;
 }
 
+void CellWorld::SetWallOffset(size_t index, Duration offset) {
+  hosts_[index]->wall_offset = offset;
+}
+
 void CellWorld::CutWorkers(size_t index, bool cut) {
   hosts_[index]->cut_from_workers = cut;
 }
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -192,6 +192,9 @@
   void CutPath(size_t index, const FakeWorker& worker, bool cut);
   // Cuts off one host together with some workers from the store and from all other hosts and workers, or ends that.
   void CutOffWithWorkers(size_t index, const std::set<size_t>& workers, bool cut);
+  // Sets a host's time of day off from that of the others.
+  void SetWallOffset(size_t index, Duration offset);
+  static int64_t WallMsAt(TimePoint time) { return 1'700'000'000'000 + Millis(time.time_since_epoch()); }
   CallFaults& StoreFaultsOf(size_t index);
   double CounterOf(size_t index, const std::string& name) const;  // 0 if the counter does not exist.
 
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -18,6 +18,8 @@
 constexpr Duration kFaultEvery = 1500ms;
 constexpr Duration kWithdrawalLimit = 5s;
 constexpr double kTenantFaultShare = 0.4;  // Of the faults, in a course with tenants.
+constexpr int kRepeatedJobs = 3;
+constexpr int kOccurrences = 6;
 constexpr int kSideTasks = 6;
 constexpr int kSeriesGangs = 5;
 constexpr int kSeriesCrashes = 6;
@@ -141,7 +143,7 @@
         &Course::SlowClocks,   &Course::CutHost,          &Course::DrainWorker,      &Course::FreezeHost,
         &Course::MessagesLate, &Course::StopLoadingOwner, &Course::RestartCutWorker, &Course::CutPaths,
         &Course::OneWayWorker, &Course::RestartWorker,    &Course::DeadlyTask,       &Course::CrashSeries,
-        &Course::CutOwnerSide};
+        &Course::CutOwnerSide, &Course::RepeatedJobs};
     if (over_) {
       return;
     }
@@ -391,6 +393,22 @@
       world_.In(cut, [this, owner, workers] { world_.CutOffWithWorkers(owner, workers, false); });
     });
   }
+  // Many short tasks of repeated jobs, through the death of the owner, and hosts whose time of day differs.
+  void RepeatedJobs() {
+    Note("repeated jobs, and clocks that differ");
+    for (size_t host = 0; host < kHosts; ++host) {
+      const Duration offset = world_.Chance(0.5) ? Between(0s, 4s) - 2s : Duration(0);
+      world_.SetWallOffset(host, offset);
+    }
+    for (int i = 0; i < kRepeatedJobs; ++i) {
+      const JobSpec job = RepeatedJobOf(world_, ++jobs_, {StepOf(1 + static_cast<int>(world_.random()() % 5), 500)},
+                                        kOccurrences, Between(400ms, 1500ms));
+      world_.SetKey(job.id, options_.tenants ? AnyKey() : KeyDigest());
+      world_.SubmitWithRetries(job, TaskBehaviour{Between(100ms, 900ms), 0});
+    }
+    world_.In(Between(1s, 3s), [this] { over_ ? void() : KillOwner(); });
+    world_.In(Between(3s, 8s), [this] { over_ ? void() : KillOwner(); });
+  }
   // Orders arrive, and nothing comes back.
   void OneWayWorker() {
     CallFaults faults;
--- a/tests/cell_jobs.h
+++ b/tests/cell_jobs.h
@@ -51,6 +51,20 @@
   return job;
 }
 
+// A job whose steps run `occurrences` times, first after `delay`.
+inline JobSpec RepeatedJobOf(const CellWorld& world,
+                             int number,
+                             std::vector<StepSpec> steps,
+                             int occurrences,
+                             Duration interval,
+                             Duration delay = 500ms) {
+  JobSpec job = JobOf(number, std::move(steps));
+  job.first_due_ms = CellWorld::WallMsAt(world.Now() + delay);
+  job.interval = interval;
+  job.occurrences = occurrences;
+  return job;
+}
+
 inline bool HasOwner(const CellWorld& world) {
   return world.OwnerIndex().has_value();
 }
--- /dev/null
+++ b/tests/cell_takeover_test.cc
@@ -0,0 +1,77 @@
+// What workers report to a new owner about runs of the one before.
+#include <catch2/catch.hpp>
+
+#include "tests/cell_jobs.h"
+
+namespace hibiscus::cell {
+namespace {
+
+constexpr int kTasks = 6;
+constexpr int kOccurrences = 5;
+
+struct RepeatedOutcome {
+  std::optional<JobState> state;
+  std::vector<std::string> violations;
+  int starts = 0;
+};
+
+// Kills the owner while tasks of an occurrence are at work, `kills` times, with hosts that see another time of day.
+RepeatedOutcome PlayRepeated(int kills, Duration successor_offset, Duration interval, Duration takes) {
+  CellWorld world(91, 4, 6);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const JobSpec job = RepeatedJobOf(world, 1, {StepOf(kTasks, 1000)}, kOccurrences, interval);
+  world.SubmitWithRetries(job, TaskBehaviour{takes, 0});
+  for (size_t host = 0; host < world.host_count(); ++host) {
+    world.SetWallOffset(host, host == *world.OwnerIndex() ? Duration(0) : successor_offset);
+  }
+  REQUIRE(world.RunUntil([&] { return world.starts() >= kTasks; }, 5s));
+  for (int i = 0; i < kills; ++i) {
+    world.RunFor(200ms);
+    const size_t owner = *world.OwnerIndex();
+    world.Kill(owner);
+    world.In(3500ms, [&world, owner] { world.Boot(owner); });
+    REQUIRE(world.RunUntil([&] { return HasOwner(world); }, 4s));
+  }
+  world.RunFor(30s);
+  return RepeatedOutcome{world.StateOf("plain", job.id), world.violations(), world.starts()};
+}
+
+// Review case 1: ends of occurrences that the new owner had not begun were acknowledged and forgotten, and their tasks
+// ran again.
+TEST_CASE("ends of a repeated job that are listed in a takeover count, and none of its tasks runs again") {
+  for (const int kills : {1, 2}) {
+    for (const Duration offset : {0s, -3s, 3s}) {
+      for (const Duration takes : {800ms, 2500ms}) {
+        const RepeatedOutcome outcome = PlayRepeated(kills, offset, 1500ms, takes);
+        INFO(kills << " kills, clocks off by " << Millis(offset) << " ms, tasks of " << Millis(takes)
+                   << " ms, first violation: " << (outcome.violations.empty() ? "none" : outcome.violations.front()));
+        CHECK(outcome.violations.empty());
+        CHECK(outcome.starts == kTasks * kOccurrences);
+        CHECK(outcome.state == JobState::kCompleted);
+      }
+    }
+  }
+}
+
+// A later occurrence that had finished first was restored as open, and its job never completed.
+TEST_CASE("a repeated job whose occurrences end out of order completes after a takeover") {
+  Job job;
+  job.record.spec = JobOf(1, {StepOf(2, 1000)});
+  job.record.spec.occurrences = 4;
+  ProgressRecord progress;
+  for (const int finished : {1, 2}) {
+    StepProgress& step = progress.steps.emplace_back();
+    step.occurrence = finished;
+    step.all_done = true;
+  }
+  ApplyProgress(job, progress, 0);
+  CHECK(job.occurrences.size() == 1);
+  CHECK(job.done_out_of_order == std::set<int>{1, 2});
+  CHECK(job.next_occurrence == 3);
+  CHECK_FALSE(job.MayHaveBegun(2));
+  CHECK(job.MayHaveBegun(3));
+}
+
+}  // namespace
+}  // namespace hibiscus::cell
