An end of an earlier run does not restart a task that lasts

Cause: OnTaskDone returned a lasting task to the waiting ones whenever it was placed, whichever run had ended. Evidence: `event=ended run=1`, then at once `event=start run=3` while run 2 was at work. Ruled out: a late start.

Change: ends of tasks that last go the way of all other ends, which act on the current run only. That also mends lasting gangs, which an end `done` had marked as done for good. Checkpoints are taken from the latest run only.

--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -172,7 +172,8 @@
   const int index = row.run.task.index;
   step->job->started = true;
   UpdateQuarantine(worker, *step, row.how);
-  if (row.how == EndKind::kDone) {
+  const bool current = IsCurrent(*task, worker, row.run);
+  if (row.how == EndKind::kDone && !step->spec->long_running) {
     if (step->spec->gang) {
       OnGangDone(*step, row.run.run);
     } else {
@@ -180,10 +181,11 @@
     }
     return;
   }
-  UpdateCheckpoint(*step, index, row.checkpoint);
-  const bool current = IsCurrent(*task, worker, row.run);
+  if (row.run.run >= (step->spec->gang ? step->gang_run : task->run)) {
+    UpdateCheckpoint(*step, index, row.checkpoint);  // That of an earlier run is older than the one in use.
+  }
   if (current) {
-    RequeueTask(*step, index);
+    RequeueTask(*step, index);  // Also a long-running task that is done: it is restarted however it ends.
   }
   if (row.how == EndKind::kFailed) {
     if (step->spec->gang) {
@@ -303,13 +305,6 @@
   if (task.phase == TaskPhase::kDone) {
     return;
   }
-  if (step.spec->long_running) {
-    if (task.phase == TaskPhase::kPlaced) {
-      RequeueTask(step, index);  // Long-running tasks are restarted even if they end without an error.
-    }
-    SchedulePlacementPass();
-    return;
-  }
   if (task.phase == TaskPhase::kPlaced) {
     // The ended run may be an earlier one; the current run is no longer needed.
     Worker* other = workers_.Find(task.worker);
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -248,7 +248,8 @@
     run.size = step.size;
     run.gang = step.gang;
     run.how = order.run.run % 1000 <= behaviour.fails ? EndKind::kFailed : EndKind::kDone;
-    const Duration takes = step.long_running ? kUnboundedRunTime : behaviour.takes;
+    const bool unbounded = step.long_running && !behaviour.ends_by_itself;
+    const Duration takes = unbounded ? kUnboundedRunTime : behaviour.takes;
     run.ends_at = world_.Now() + Duration(static_cast<int64_t>(static_cast<double>(takes.count()) / speed));
     run.started_at = world_.Now();
     if (fails_every_run && !run.gang) {
@@ -382,6 +383,12 @@
   return *next_end_;
 }
 
+void FakeWorker::EndAllRuns(EndKind how) {
+  while (!runs_.empty()) {
+    Finish(runs_.begin()->first, how);
+  }
+}
+
 void FakeWorker::FinishIfRunning(const RunRef& run, EndKind how) {
   if (runs_.contains(run)) {
     Finish(run, how);
@@ -792,6 +799,11 @@
   return behaviours_.at(job);
 }
 
+int CellWorld::RunningCount(const TaskRef& task) const {
+  const auto found = running_.find(task);
+  return found == running_.end() ? 0 : static_cast<int>(found->second.size());
+}
+
 int CellWorld::CompletionCount(const TaskRef& task) const {
   const auto found = completions_.find(task);
   return found == completions_.end() ? 0 : found->second;
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -96,6 +96,7 @@
   void Crash();                           // Loses all runs; Restart starts a new process.
   void Restart(bool write_entry = true);  // Without a path to the store a worker does not write its entry.
   void RestartUnderNewId();               // At the same address.
+  void EndAllRuns(EndKind how);
   void FinishIfRunning(const RunRef& run, EndKind how);  // For members of a gang whose first member has ended.
 
   WorkerEntry entry;
@@ -155,6 +156,7 @@
   int fails = 0;  // Number of runs of each task that fail before one succeeds.
   // Index of the tasks that crash their worker soon after each start; it restarts after some seconds. -1: none.
   int crashes_worker = -1;
+  bool ends_by_itself = false;  // Also a long-running task ends as done when `takes` is over.
   bool restarts_under_new_id = false;
 
   friend bool operator==(const TaskBehaviour&, const TaskBehaviour&) = default;
@@ -214,6 +216,7 @@
   const std::vector<std::string>& violations() const { return violations_; }
   void ReportViolation(const std::string& what);
   int starts() const { return starts_; }
+  int RunningCount(const TaskRef& task) const;
   int CompletionCount(const TaskRef& task) const;
   // Highest number of workers that crashed under a task of the job.
   int CrashCount(const std::string& job) const;
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -11,13 +11,15 @@
 
 constexpr size_t kHosts = 4;
 constexpr size_t kWorkers = 9;
-constexpr Duration kCourse = 25s;  // Load and faults.
-constexpr Duration kCalm = 40s;    // Afterwards: everything that was accepted comes to an end.
+constexpr Duration kCourse = 25s;      // Load and faults.
+constexpr Duration kCalm = 40s;        // Afterwards: everything that was accepted comes to an end.
+constexpr Duration kSettleTime = 25s;  // Of tasks that last, in calm.
 constexpr Duration kLongCalm = 90s;
 constexpr Duration kJobEvery = 120ms;
 constexpr Duration kFaultEvery = 1500ms;
 constexpr Duration kWithdrawalLimit = 5s;
 constexpr double kTenantFaultShare = 0.4;  // Of the faults, in a course with tenants.
+constexpr int kLastingJobs = 2;
 constexpr int kRepeatedJobs = 3;
 constexpr int kOccurrences = 6;
 constexpr int kSideTasks = 6;
@@ -61,6 +63,8 @@
     world_.RunFor(kCourse);
     over_ = true;
     Heal();
+    world_.RunFor(kSettleTime);
+    JudgeLastingTasks();
     world_.RunFor(options_.tenants || options_.dense ? kLongCalm : kCalm);
     return Judge();
   }
@@ -143,7 +147,7 @@
         &Course::SlowClocks,   &Course::CutHost,          &Course::DrainWorker,      &Course::FreezeHost,
         &Course::MessagesLate, &Course::StopLoadingOwner, &Course::RestartCutWorker, &Course::CutPaths,
         &Course::OneWayWorker, &Course::RestartWorker,    &Course::DeadlyTask,       &Course::CrashSeries,
-        &Course::CutOwnerSide, &Course::RepeatedJobs};
+        &Course::CutOwnerSide, &Course::RepeatedJobs,     &Course::LastingTasks};
     if (over_) {
       return;
     }
@@ -307,10 +311,11 @@
       }
     }
   }
-  void SubmitSteps(const std::vector<StepSpec>& steps, const TaskBehaviour& behaviour) {
+  JobSpec SubmitSteps(const std::vector<StepSpec>& steps, const TaskBehaviour& behaviour) {
     const JobSpec job = JobOf(++jobs_, steps);
     world_.SetKey(job.id, options_.tenants ? AnyKey() : KeyDigest());
     world_.SubmitWithRetries(job, behaviour);
+    return job;
   }
   void FaultyWorker(const char* what, const CallFaults& faults) {
     FakeWorker& worker = AnyWorker();
@@ -409,6 +414,19 @@
     world_.In(Between(1s, 3s), [this] { over_ ? void() : KillOwner(); });
     world_.In(Between(3s, 8s), [this] { over_ ? void() : KillOwner(); });
   }
+  // Tasks that last and end by themselves, also while their worker is cut off.
+  void LastingTasks() {
+    Note("tasks that last");
+    for (int i = 0; i < kLastingJobs; ++i) {
+      StepSpec step = StepOf(1 + static_cast<int>(world_.random()() % 4), 50);
+      step.long_running = true;
+      step.gang = world_.Chance(0.2);
+      lasting_.push_back(
+          SubmitSteps({step}, TaskBehaviour{.takes = Between(500ms, 6s), .ends_by_itself = world_.Chance(0.7)}));
+    }
+    CutWorker();
+    CutWorker();
+  }
   // Orders arrive, and nothing comes back.
   void OneWayWorker() {
     CallFaults faults;
@@ -525,6 +543,20 @@
     }
   }
 
+  // Each task that lasts is at work in the end, on one worker; the jobs are then cancelled.
+  void JudgeLastingTasks() {
+    for (const JobSpec& job : lasting_) {
+      for (int i = 0; i < job.steps[0].count && world_.Accepted(job.id); ++i) {
+        const TaskRef task{job.id, 0, 0, i};
+        if (!world_.RunUntil([&] { return world_.RunningCount(task) == 1; }, 6s)) {
+          result_.lost.push_back(fmt::format("lasting task {}.{} runs {} times", job.id, i, world_.RunningCount(task)));
+        }
+      }
+      cancelled_.insert(job.id);
+      world_.Ask(world_.OwnerIndex().value_or(0), CallerKind::kCancel, job.queue, job.id, [](const CallerReply&) {});
+    }
+  }
+
   CellChaosResult Judge() {
     result_.violations = world_.violations();
     result_.starts = world_.starts();
@@ -554,6 +586,7 @@
   CellWorld world_;
   CellChaosResult result_;
   std::set<std::string> cancelled_;
+  std::vector<JobSpec> lasting_;
   std::set<std::string> failing_;  // Some of their runs fail.
   std::set<std::string> deadly_;   // One of their tasks crashes its workers.
   int jobs_ = 0;
--- a/tests/cell_takeover_test.cc
+++ b/tests/cell_takeover_test.cc
@@ -73,5 +73,53 @@
   CHECK(job.MayHaveBegun(3));
 }
 
+// --- Late reports about earlier runs ---
+
+// Review case 5: the end `done` of an earlier run of a task that lasts had it started beside its current run.
+TEST_CASE("a late end of an earlier run of a task that lasts starts nothing beside its current run") {
+  for (const bool gang : {false, true}) {
+    CellWorld world(92, 3, 8);
+    AddQueues(world);
+    REQUIRE(Settle(world));
+    StepSpec step = StepOf(kTasks, 9000);
+    step.long_running = true;
+    step.gang = gang;
+    const JobSpec job = JobOf(1, {step});
+    world.SubmitWithRetries(job, TaskBehaviour{3s, 0});
+    REQUIRE(world.RunUntil([&] { return world.starts() == kTasks; }, 3s));
+    world.RunFor(1s);
+    FakeWorker* worker = nullptr;
+    for (size_t i = 0; i < world.worker_count() && worker == nullptr; ++i) {
+      worker = world.worker(i).IsIdle() ? nullptr : &world.worker(i);
+    }
+    REQUIRE(worker != nullptr);
+    worker->faults.silent = true;
+    world.RunFor(1s);
+    worker->EndAllRuns(EndKind::kDone);
+    world.RunFor(7s);
+    worker->faults.silent = false;
+    world.RunFor(12s);
+    INFO((gang ? "gang" : "single tasks"));
+    CHECK(world.violations().empty());
+    for (int i = 0; i < kTasks; ++i) {
+      CHECK(world.RunningCount(TaskRef{job.id, 0, 0, i}) == 1);
+    }
+  }
+}
+
+TEST_CASE("a task that lasts is restarted when its current run ends as done") {
+  CellWorld world(93, 3, 4);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  StepSpec step = StepOf(2, 1000);
+  step.long_running = true;
+  const JobSpec job = JobOf(1, {step});
+  world.SubmitWithRetries(job, TaskBehaviour{.takes = 1s, .ends_by_itself = true});
+  world.RunFor(10s);
+  CHECK(world.starts() >= 8);
+  CHECK(world.StateOf("plain", job.id) == JobState::kRunning);
+  CHECK(world.violations().empty());
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
