An owner that was cut off does not return after another one has come and gone

Cause: the record was written again on the condition that there is none. Its absence does not show that no other host had the cell.

Change: the head must also be unchanged since this owner's last batch.

Test: "an owner that was cut off does not return to a cell that another owner has had meanwhile" failed before ("task runs in two places").

--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -120,6 +120,7 @@
   void RestoreOwnerRecord();
   void RewriteOwnerRecord(uint64_t lease, TimePoint granted_at);
   void WithdrawOffers();
+  bool HasNewerEpoch(const StoreItem& head) const;
   void OnDeposed();
   void DestroyOwner();
   void MarkRecordReleased(const std::function<void()>& on_left);
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -376,7 +376,7 @@
 }
 
 // The owner record has disappeared although this owner is running. It may be written again if no other host has taken
-// over; batches are fenced by the head key in any case.
+// over, also none that is gone by now: that one would have written the head.
 void Host::RestoreOwnerRecord() {
   if (restoring_ || leaving_ || owner_ == nullptr) {
     return;
@@ -397,9 +397,15 @@
                             }));
 }
 
+// True if the head was written by an owner after this one.
+bool Host::HasNewerEpoch(const StoreItem& head) const {
+  const auto record = DecodeRecord<HeadRecord>(head.value);
+  return !record || record->epoch > owner_->ownership().epoch;
+}
+
 void Host::RewriteOwnerRecord(uint64_t lease, TimePoint granted_at) {
   StoreTransaction transaction;
-  transaction.expected = {RevisionCheck{kOwnerKey, 0}};
+  transaction.expected = {RevisionCheck{kOwnerKey, 0}, RevisionCheck{kHeadKey, owner_->head_revision()}};
   transaction.writes = {StoreWrite{kOwnerKey, EncodeRecord(MakeOwnRecord(owner_->ownership().epoch, false)), lease}};
   context_.store.Commit(transaction, IfAlive([this, lease, granted_at](const StoreAnswer& answer) {
                           restoring_ = false;
@@ -424,6 +430,10 @@
                                 UpdateKnownOwner(item.revision, true, *record);
                                 return;
                               }
+                              if (item.key == kHeadKey && HasNewerEpoch(item)) {
+                                OnDeposed();
+                                return;
+                              }
                               if (item.key == kOwnerKey && record && IsOwn(*record)) {
                                 owner_lease_ = item.lease;
                                 UpdateKnownOwner(item.revision, true, *record);
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -96,6 +96,7 @@
   // How long commits have been waiting without a confirmation from the store; 0 if none waits.
   Duration store_stalled_for() const { return commit_.stalled_for(); }
   const Ownership& ownership() const { return ownership_; }
+  uint64_t head_revision() const { return commit_.head_revision(); }  // Of the head key, as of the last batch.
   // Sets the gauges of the metrics page.
   void UpdateGauges();
 
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -312,7 +312,7 @@
     }
   }
   JobSpec SubmitSteps(const std::vector<StepSpec>& steps, const TaskBehaviour& behaviour) {
-    const JobSpec job = JobOf(++jobs_, steps);
+    JobSpec job = JobOf(++jobs_, steps);
     world_.SetKey(job.id, options_.tenants ? AnyKey() : KeyDigest());
     world_.SubmitWithRetries(job, behaviour);
     return job;
--- a/tests/cell_partition_test.cc
+++ b/tests/cell_partition_test.cc
@@ -43,6 +43,34 @@
   }
 }
 
+// The successor has taken over, run tasks and died before the cut ended, so that no owner record is left.
+TEST_CASE("an owner that was cut off does not return to a cell that another owner has had meanwhile") {
+  CellWorld world(94, 4, kWorkers);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  for (int i = 1; i <= 6; ++i) {
+    world.SubmitWithRetries(JobOf(i, {StepOf(3, 5000)}), TaskBehaviour{20s, 0});
+  }
+  world.RunFor(2s);
+  const size_t owner = *world.OwnerIndex();
+  world.CutOffWithWorkers(owner, FirstWorkers(5), true);
+  world.RunFor(12s);
+  for (size_t host = 0; host < world.host_count(); ++host) {
+    if (host != owner) {
+      world.Kill(host);
+      world.In(3s, [&world, host] { world.Boot(host); });
+    }
+  }
+  world.RunFor(1200ms);  // The successor's lease ends.
+  world.CutOffWithWorkers(owner, FirstWorkers(5), false);
+  world.RunFor(60s);
+  INFO("first violation: " << (world.violations().empty() ? "none" : world.violations().front()));
+  CHECK(world.violations().empty());
+  for (int i = 1; i <= 6; ++i) {
+    CHECK(world.StateOf("plain", JobId(i)) == JobState::kCompleted);
+  }
+}
+
 // An owner that only cannot reach the store goes on: no run lapses and accepted tasks start.
 TEST_CASE("accepted tasks go on and start through an outage of the store that outlasts leases of workers") {
   for (const bool silent : {false, true}) {
