Log who answers about a job, under which term, and how long a watch was silent

New: - event=answered: the host that answers a cancel, or says that a job does not exist, with the term of the owner whose answer it passes on and the owner that it knows itself. - event=unknown_job: the owner that does not know a job, with its term and what is left of its lease. - event=start carries term= and lease_left_ms=; event=ownership_lost names the successor. - dependency_lost, history_lost, dependency_regained and claim_failed say how long the watch had been silent. Nothing that decides has changed.

--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -250,11 +250,20 @@
                  reply.term, found->second.newest_sent_term);
     return;
   }
+  LogAnswer(found->second.request, reply);
   const Reply done = std::move(found->second.reply);
   pending_.erase(found);
   done(reply);
 }
 
+// Names the owner whose knowledge an answer rests on, for the answers that are promises about jobs that don't run.
+void Host::LogAnswer(const CallerRequest& request, const CallerReply& reply) {
+  if (request.kind == CallerKind::kCancel || reply.outcome == CallerOutcome::kNoSuchJob) {
+    context_.Log("caller", "event=answered kind={} job={} outcome={} term={} known_owner={} known_term={}",
+                 NameOf(request.kind), request.job, NameOf(reply.outcome), reply.term, known_.record.host, known_.term);
+  }
+}
+
 void Host::OnDeadline(uint64_t call) {
   const auto found = pending_.find(call);
   if (found == pending_.end()) {
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -82,6 +82,7 @@
   void DispatchIn(uint64_t call, Duration delay);
   void DispatchAll();
   void OnReply(const CallerReply& reply);
+  void LogAnswer(const CallerRequest& request, const CallerReply& reply);
   void OnDeadline(uint64_t call);
   void OnCallerRequest(const CallerRequest& request);
   void OnAdviceRequest(const AdviceRequest& request);
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -298,7 +298,8 @@
 
 void Host::AbortClaim(const char* reason, uint64_t lease) {
   ++claim_id_;  // Outstanding answers for this claim are ignored.
-  context_.Log("owner", "event=claim_failed reason={} known_term={}", reason, known_.term);
+  context_.Log("owner", "event=claim_failed reason={} known_term={} watch_revision={} watch_silent_ms={}", reason,
+               known_.term, live_watch_.revision(), Millis(live_watch_.silent_for()));
   context_.counters.Add("owner_claims_failed");
   known_.handed_over = false;
   hand_overs_ignored_until_ = context_.Now() + kHandOverIgnorePeriod;
@@ -483,6 +484,8 @@
     return;
   }
   context_.counters.Add("owner_deposed");
+  context_.Log("owner", "event=ownership_lost epoch={} term={} known_owner={} known_term={}", owner_->ownership().epoch,
+               owner_->ownership().term, known_.record.host, known_.term);
   if (owner_lease_ != 0) {
     context_.store.EndLease(owner_lease_, [](const StoreAnswer&) {});
   }
--- a/src/cell/messages.cc
+++ b/src/cell/messages.cc
@@ -26,6 +26,42 @@
 
 }  // namespace
 
+const char* NameOf(CallerKind kind) {
+  switch (kind) {
+    case CallerKind::kSubmit:
+      return "submit";
+    case CallerKind::kState:
+      return "state";
+    case CallerKind::kCancel:
+      return "cancel";
+    case CallerKind::kPending:
+      return "pending";
+  }
+  return "unnamed";
+}
+
+const char* NameOf(CallerOutcome outcome) {
+  switch (outcome) {
+    case CallerOutcome::kDone:
+      return "done";
+    case CallerOutcome::kNoSuchJob:
+      return "no_such_job";
+    case CallerOutcome::kRejected:
+      return "rejected";
+    case CallerOutcome::kUnavailable:
+      return "unavailable";
+    case CallerOutcome::kOutcomeUnknown:
+      return "outcome_unknown";
+    case CallerOutcome::kNotOwner:
+      return "not_owner";
+    case CallerOutcome::kUnauthorized:
+      return "unauthorized";
+    case CallerOutcome::kInvalidJob:
+      return "invalid_job";
+  }
+  return "unnamed";
+}
+
 bool IsRefusal(CallerOutcome outcome) {
   return outcome == CallerOutcome::kRejected || outcome == CallerOutcome::kUnavailable ||
          outcome == CallerOutcome::kUnauthorized || outcome == CallerOutcome::kInvalidJob;
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -15,6 +15,7 @@
 namespace hibiscus::cell {
 
 enum class CallerKind { kSubmit, kState, kCancel, kPending };
+const char* NameOf(CallerKind kind);
 
 // A caller's request that a host forwards to the owner. It may be repeated: requests for the same job id are
 // idempotent.
@@ -42,6 +43,7 @@
   kUnauthorized,    // Nothing was done: the call carries no valid API key.
   kInvalidJob,      // Submit: the job was not accepted, and repeating the request will not help.
 };
+const char* NameOf(CallerOutcome outcome);
 // True if the request was refused: it was not carried out and never will be.
 bool IsRefusal(CallerOutcome outcome);
 
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -340,6 +340,7 @@
   }
   Job* job = FindJob(request.job);
   if (job == nullptr || job->record.spec.queue != request.queue || !MayAccess(request, tenant, job->record.tenant)) {
+    LogUnknownJob(request);
     answer(CallerOutcome::kNoSuchJob, JobState::kQueued);
     return;
   }
@@ -363,6 +364,12 @@
   }
 }
 
+void Owner::LogUnknownJob(const CallerRequest& request) {
+  context_.Log("caller", "event=unknown_job kind={} job={} queue={} epoch={} term={} lease_left_ms={} claimable={}",
+               NameOf(request.kind), request.job, request.queue, ownership_.epoch, ownership_.term,
+               Millis(lease_until_ - context_.Now()), claimable());
+}
+
 void Owner::Cancel(const CallerRequest& request, const std::string& tenant, const Reply& reply) {
   const auto done = [call = request.call, reply] { reply(CallerReply{.call = call, .outcome = CallerOutcome::kDone}); };
   const auto ended = ended_jobs_.find(request.job);
@@ -370,6 +377,7 @@
   const bool known = job != nullptr ? job->record.spec.queue == request.queue
                                     : ended != ended_jobs_.end() && ended->second.queue == request.queue;
   if (!known || !MayAccess(request, tenant, *TenantOfJob(request.job))) {
+    LogUnknownJob(request);
     reply(CallerReply{.call = request.call, .outcome = CallerOutcome::kNoSuchJob});
     return;
   }
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -143,6 +143,7 @@
   void SubmitNew(const CallerRequest& request, const std::string& tenant, const Reply& reply);
   void ReplyState(const CallerRequest& request, const std::string& tenant, const Reply& reply);
   void Cancel(const CallerRequest& request, const std::string& tenant, const Reply& reply);
+  void LogUnknownJob(const CallerRequest& request);
   void ReplyPending(const CallerRequest& request, const Reply& reply);
   Job& AcceptJob(JobSpec spec, const QueueSpec& queue, const std::string& tenant);
   void AwaitAcceptance(Job& job, const CallerRequest& request, const Reply& reply);
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -184,9 +184,11 @@
   order.checkpoint = step.spec->gang ? step.gang_checkpoint : task.checkpoint;
   order.ticket = step.advice.For(worker.number).ticket;
   context_.Log("run",
-               "event=start worker={} born_ms={} job={} queue={} step={} index={} run={} waited_ms={} free_cpu={}",
+               "event=start worker={} born_ms={} job={} queue={} step={} index={} run={} waited_ms={} free_cpu={} "
+               "term={} lease_left_ms={}",
                worker.entry.id, worker.entry.born_ms, step.job->id(), step.job->queue.name, step.step, index, task.run,
-               Millis(context_.Now() - step.opened_at), worker.free().cpu_millis);
+               Millis(context_.Now() - step.opened_at), worker.free().cpu_millis, ownership_.term,
+               Millis(lease_until_ - context_.Now()));
   context_.counters.RecordDuration("wait_seconds", step.job->queue.name, context_.Now() - step.opened_at);
   workers_.Start(worker, std::move(order), DemandOf(step, index));
 }
--- a/src/cell/prefix_watch.cc
+++ b/src/cell/prefix_watch.cc
@@ -27,8 +27,8 @@
   context_.counters.Add(fmt::format("store_watch_failures{{status=\"{}\"}}", NameOf(status)));
   if (!failing_) {
     failing_ = true;
-    context_.Log("store", "event=dependency_lost what={} prefix={} status={} revision={}", operation, prefix_,
-                 NameOf(status), revision_);
+    context_.Log("store", "event=dependency_lost what={} prefix={} status={} revision={} silent_ms={}", operation,
+                 prefix_, NameOf(status), revision_, Millis(silent_for()));
   }
 }
 
@@ -50,6 +50,7 @@
     return;
   }
   round_trip_ = context_.Now() - sent;
+  last_answer_at_ = context_.Now();
   items_.insert(items_.end(), answer.items.begin(), answer.items.end());
   if (answer.has_more && !answer.items.empty()) {
     ReadPage(answer.items.back().key);
@@ -71,7 +72,8 @@
 
 void PrefixWatch::OnChanges(const StoreAnswer& answer) {
   if (answer.status == StoreStatus::kHistoryLost) {
-    context_.Log("store", "event=history_lost prefix={} revision={}", prefix_, revision_);
+    context_.Log("store", "event=history_lost prefix={} revision={} silent_ms={}", prefix_, revision_,
+                 Millis(silent_for()));
     ReadPage("");
     return;
   }
@@ -82,8 +84,10 @@
   }
   if (failing_) {
     failing_ = false;
-    context_.Log("store", "event=dependency_regained prefix={} revision={}", prefix_, answer.revision);
+    context_.Log("store", "event=dependency_regained prefix={} revision={} silent_ms={}", prefix_, answer.revision,
+                 Millis(silent_for()));
   }
+  last_answer_at_ = context_.Now();
   for (const StoreItem& item : answer.items) {
     on_change_(item);
     revision_ = std::max(revision_, item.revision);
--- a/src/cell/prefix_watch.h
+++ b/src/cell/prefix_watch.h
@@ -25,6 +25,8 @@
   void Begin() { ReadPage(""); }
   bool healthy() const { return !failing_; }
   uint64_t revision() const { return revision_; }
+  // Time since the store last answered a read or a watch.
+  Duration silent_for() const { return context_.Now() - last_answer_at_; }
   // Duration of the latest successful read from the store.
   Duration round_trip() const { return round_trip_; }
 
@@ -42,6 +44,7 @@
   OnChange on_change_;
   std::vector<StoreItem> items_;
   uint64_t revision_ = 0;
+  TimePoint last_answer_at_{};
   Duration round_trip_{};
   bool failing_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
