Reproduce: a replaced owner denies jobs that its successor has accepted (red)

Calls to a host that stands still now wait for it in the simulation, as they do in a socket, and may be read before what waits on other sockets; before, they got no answer.

--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -156,14 +156,35 @@
 }
 
 void FakeHost::Call(CallerRequest request, CellWorld::OnReply reply) {
-  if (process_ == nullptr || frozen_until_ > world_.Now()) {
+  const bool frozen = frozen_until_ > world_.Now();
+  if (process_ == nullptr || (frozen && !world_.keeps_calls_to_frozen_hosts)) {
     world_.In(kCallTimeout, [reply] { reply(CallerReply{}); });  // The default reply leaves the outcome unknown.
     return;
   }
+  if (frozen) {
+    CallFrozen(std::move(request), std::move(reply));
+    return;
+  }
   Deliver(generation_, [this, request = std::move(request), until = world_.Now() + kCallerTimeout,
                         reply = std::move(reply)] { process_->host.Handle(request, until, reply); });
 }
 
+// The kernel accepts the call, and the process reads it when it continues. The caller has stopped waiting by then if
+// the pause was long.
+void FakeHost::CallFrozen(CallerRequest request, CellWorld::OnReply reply) {
+  const auto waiting = std::make_shared<CellWorld::OnReply>(std::move(reply));
+  const auto answer = [waiting](const CallerReply& result) {
+    if (*waiting) {
+      std::exchange(*waiting, nullptr)(result);
+    }
+  };
+  world_.In(kCallerTimeout, [answer] { answer(CallerReply{}); });
+  // Before what waits on other sockets: their order is not defined.
+  inbox_.push_front([this, request = std::move(request), answer] {
+    process_->host.Handle(request, world_.Now() + kCallerTimeout, answer);
+  });
+}
+
 // --- Store ---
 
 void FakeHost::CallStore(bool changes, const std::function<StoreAnswer()>& apply, const StorePort::Done& done) {
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -33,6 +33,7 @@
   void Kill();
   void Freeze(Duration time);
   void Call(CallerRequest request, CellWorld::OnReply reply);
+  void CallFrozen(CallerRequest request, CellWorld::OnReply reply);
   TimePoint NextDue() const;
   void RunDue();
   Duration wall_offset{};  // Of its time of day from that of the others.
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -237,6 +237,8 @@
   const Policies policies;                                        // Used by all hosts.
   size_t max_direct_workers = CellSettings{}.max_direct_workers;  // Takes effect at a process's next boot.
 
+  // Calls to a host that stands still wait for it, as in a socket; otherwise they get no answer.
+  bool keeps_calls_to_frozen_hosts = true;
   // Share of messages between hosts that are delayed by up to two seconds, so that newer ones overtake them.
   double late_message_share = 0;
   // Processing time of a host per message, answer or round of timers. Zero: processing is instantaneous.
