An owner tells a caller that a job does not exist only if it is proven to be the sole owner

What callers saw: a cancel of an accepted job was answered 410, which counts as acknowledged, and the job's tasks started later (UNASKED). A state query was answered 410 for an accepted job; Pending was 0 although jobs waited.

Cause: an owner that was cut off or paused has a successor that it does not know of. It answered what it did not find in its tables (Owner::Cancel, Owner::ReplyState, Owner::ReplyPending), and nothing showed that the tables were complete. The hosts compare terms of answers only if they have asked a newer owner.

Change: OwnershipProof reads the head after the request has arrived; each claim writes the head under a new epoch, so its own epoch proves that no successor existed then, whatever lease, watch and clock say. Requests that come together share a read. A later epoch deposes the owner and the request goes on to its successor; without an answer in 600 ms the caller gets 503 and a time to come back. Only answers about unknown jobs pay for a read. A count of waiting jobs needs one from 1 s after the owner was last sole on, as it may be 2 s old.

Ruled out: the lease as the proof. A store that drops keys while a lease is confirmed would void it, and it depends on clocks. A check in the hosts: a host may know no newer owner either.

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -10,7 +10,10 @@
 constexpr Duration kTickInterval = 100ms;  // Period of Tick.
 // Less than the time in which another host can take over: the lease of the owner less one renewal interval.
 constexpr Duration kPauseThreshold = 500ms;
-constexpr Duration kMaxPendingCountAge = 500ms;  // Callers accept counts of pending jobs up to 2 s old.
+// Callers accept counts of pending jobs up to 2 s old. Such a count may be that of an owner which has been replaced for
+// as long as the second bound.
+constexpr Duration kMaxPendingCountAge = 500ms;
+constexpr Duration kMaxPendingDoubt = 1s;
 // If the store has not confirmed a job's end by then, a state query gets the last stored state.
 constexpr Duration kStateStallTimeout = 600ms;
 constexpr Duration kUnavailableRetryAfter = 1s;  // A new configuration reaches all hosts within seconds.
@@ -37,6 +40,7 @@
                }
                return read.has_value();
              }),
+      ownership_proof_(context, ownership.epoch, [this] { OnFenced(); }),
       on_deposed_(std::move(on_deposed)),
       relay_(context, ownership.term),
       workers_(context, relay_, ownership.term, *this),
@@ -94,7 +98,7 @@
 
 void Owner::UpdateAuthority() {
   Authority authority;
-  authority.sole_until = std::min(lease_until_, claimable_since_.value_or(TimePoint::max()));
+  authority.sole_until = SoleUntil();
   const TimePoint by_witnesses = std::min(workers_.WitnessedUntil(), authority.sole_until + kMaxDoubt);
   authority.active_until = std::max(authority.sole_until, by_witnesses);
   workers_.SetAuthority(authority);
@@ -335,13 +339,12 @@
   const auto ended = ended_jobs_.find(request.job);
   if (ended != ended_jobs_.end()) {
     const bool own = ended->second.queue == request.queue && MayAccess(request, tenant, ended->second.tenant);
-    answer(own ? CallerOutcome::kDone : CallerOutcome::kNoSuchJob, ended->second.state);
+    own ? answer(CallerOutcome::kDone, ended->second.state) : ReplyUnknownJob(request, reply);
     return;
   }
   Job* job = FindJob(request.job);
   if (job == nullptr || job->record.spec.queue != request.queue || !MayAccess(request, tenant, job->record.tenant)) {
-    LogUnknownJob(request);
-    answer(CallerOutcome::kNoSuchJob, JobState::kQueued);
+    ReplyUnknownJob(request, reply);
     return;
   }
   if (!job->final && job->spec_stored) {
@@ -364,10 +367,28 @@
   }
 }
 
-void Owner::LogUnknownJob(const CallerRequest& request) {
-  context_.Log("caller", "event=unknown_job kind={} job={} queue={} epoch={} term={} lease_left_ms={} claimable={}",
-               NameOf(request.kind), request.job, request.queue, ownership_.epoch, ownership_.term,
-               Millis(lease_until_ - context_.Now()), claimable());
+void Owner::ReplyUnknownJob(const CallerRequest& request, const Reply& reply) {
+  ownership_proof_.Require([this, request, reply](ProofResult result) {
+    context_.Log("caller", "event=unknown_job kind={} job={} queue={} epoch={} term={} lease_left_ms={} proof={}",
+                 NameOf(request.kind), request.job, request.queue, ownership_.epoch, ownership_.term,
+                 Millis(lease_until_ - context_.Now()), NameOf(result));
+    ReplyProven(request, reply, result, CallerReply{.outcome = CallerOutcome::kNoSuchJob});
+  });
+}
+
+// Sends the proven answer, or asks the caller to come back if this owner may have been replaced.
+void Owner::ReplyProven(const CallerRequest& request,
+                        const Reply& reply,
+                        ProofResult result,
+                        const CallerReply& proven) {
+  CallerReply answer = proven;
+  if (result == ProofResult::kReplaced) {
+    answer = CallerReply{.outcome = CallerOutcome::kNotOwner};
+  } else if (result == ProofResult::kUnproven) {
+    answer = CallerReply{.outcome = CallerOutcome::kUnavailable, .retry_after = RetryAfter(CurrentLoad())};
+  }
+  answer.call = request.call;
+  reply(answer);
 }
 
 void Owner::Cancel(const CallerRequest& request, const std::string& tenant, const Reply& reply) {
@@ -377,8 +398,7 @@
   const bool known = job != nullptr ? job->record.spec.queue == request.queue
                                     : ended != ended_jobs_.end() && ended->second.queue == request.queue;
   if (!known || !MayAccess(request, tenant, *TenantOfJob(request.job))) {
-    LogUnknownJob(request);
-    reply(CallerReply{.call = request.call, .outcome = CallerOutcome::kNoSuchJob});
+    ReplyUnknownJob(request, reply);
     return;
   }
   if (job == nullptr) {
@@ -392,15 +412,23 @@
 }
 
 void Owner::ReplyPending(const CallerRequest& request, const Reply& reply) {
-  PendingCount& pending = pending_counts_[request.queue];
+  const auto answer = [this, request, reply](ProofResult result) {
+    ReplyProven(request, reply, result,
+                CallerReply{.outcome = CallerOutcome::kDone, .pending = CountPending(request.queue)});
+  };
+  context_.Now() <= SoleUntil() + kMaxPendingDoubt ? answer(ProofResult::kSoleOwner) : ownership_proof_.Require(answer);
+}
+
+int64_t Owner::CountPending(const std::string& queue) {
+  PendingCount& pending = pending_counts_[queue];
   if (pending.counted_at == TimePoint{} || context_.Now() - pending.counted_at > kMaxPendingCountAge) {
     pending.counted_at = context_.Now();
     pending.count = std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
       const Job& job = *entry.second;
-      return job.spec_stored && !job.started && !job.final && job.record.spec.queue == request.queue;
+      return job.spec_stored && !job.started && !job.final && job.record.spec.queue == queue;
     });
   }
-  reply(CallerReply{.call = request.call, .outcome = CallerOutcome::kDone, .pending = pending.count});
+  return pending.count;
 }
 
 // --- Shutdown ---
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -10,6 +10,7 @@
 #ifndef HIBISCUSSTAND_SRC_CELL_OWNER_H_
 #define HIBISCUSSTAND_SRC_CELL_OWNER_H_
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -28,6 +29,7 @@
 #include "cell/job_table.h"
 #include "cell/messages.h"
 #include "cell/order_relay.h"
+#include "cell/ownership_proof.h"
 #include "cell/placement.h"
 #include "cell/tenant_share.h"
 #include "cell/worker_table.h"
@@ -138,12 +140,17 @@
   void Tick();
   void CheckForPause();
   void UpdateAuthority();
+  // No other host can own the cell before.
+  TimePoint SoleUntil() const { return std::min(lease_until_, claimable_since_.value_or(TimePoint::max())); }
   void Submit(const CallerRequest& request, const Reply& reply);
   void SubmitKnown(const CallerRequest& request, const Reply& reply);
   void SubmitNew(const CallerRequest& request, const std::string& tenant, const Reply& reply);
   void ReplyState(const CallerRequest& request, const std::string& tenant, const Reply& reply);
   void Cancel(const CallerRequest& request, const std::string& tenant, const Reply& reply);
-  void LogUnknownJob(const CallerRequest& request);
+  // Tells the caller that the job does not exist, once it is proven that no other owner can have accepted it.
+  void ReplyUnknownJob(const CallerRequest& request, const Reply& reply);
+  void ReplyProven(const CallerRequest& request, const Reply& reply, ProofResult result, const CallerReply& proven);
+  int64_t CountPending(const std::string& queue);
   void ReplyPending(const CallerRequest& request, const Reply& reply);
   Job& AcceptJob(JobSpec spec, const QueueSpec& queue, const std::string& tenant);
   void AwaitAcceptance(Job& job, const CallerRequest& request, const Reply& reply);
@@ -296,6 +303,7 @@
   // Tasks of ended jobs that may still be running, by tenant; complete as long as there are unsettled workers.
   TenantUsage ended_running_;
   ConfigurationProof proof_;
+  OwnershipProof ownership_proof_;
   std::function<void()> on_deposed_;
   OrderRelay relay_;
   WorkerTable workers_;
