A soak of real hosts under random disruptions, with stand-ins of store, workers and callers

Disruptions, drawn from the seed: processes paused, killed and stopped, first the owner; hosts cut off alone or with some workers, or from store, hosts or workers; the store silent, down, slow, late, losing answers; watches that hear nothing and then lose their history, in series. Checked on what workers and callers see: TWICE, UNASKED, ORDER, LIMIT, REFUSED, LOST, and that no accepted job is answered 410. No verdict hangs on a duration but the platform's own bounds.

A seed gives the same draws, not the same course: real processes interleave differently. Packages: python3-aiohttp.

--- /dev/null
+++ b/tests/process/cell_soak_test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# A cell of real hosts under random disruptions keeps the platform's rules towards workers and callers.
+# Seeds 3, 4, 12: replaced owners answered that accepted jobs do not exist; their tasks started after the cancel.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+for seed in 3 4 12; do
+  tools/cell-soak "$1/hibiscusd" --seed=$seed --seconds=20
+done
--- /dev/null
+++ b/tools/cell_soak/callers.py
@@ -0,0 +1,113 @@
+"""Callers: they submit, ask and cancel jobs over connections that stay open, and retry as the platform's clients do."""
+import asyncio
+import random
+import time
+
+import aiohttp
+
+from tools.cell_soak.checks import Job
+from tools.cell_soak.network import CALLER_PORT
+
+HOST_NAME = "a.example"
+PREFIX = "/jobs/"
+TIMEOUT_S = 3.0
+RETRY_S = 0.3
+MAX_ATTEMPTS = 8
+FINAL_STATES = ("completed", "failed", "cancelled")
+
+
+class Callers:
+    def __init__(self, network, hosts, checks, durations):
+        self.network, self.hosts, self.checks, self.durations = network, hosts, checks, durations
+        self.session = None
+        self.over = False
+
+    async def start(self):
+        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+                                             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60))
+
+    async def call(self, host, method, job, body=None):
+        """The status and body of the answer; 0 without one."""
+        url = f"http://{self.network.host(host)}:{CALLER_PORT}{PREFIX}{job.id}"
+        headers = {"Host": HOST_NAME, "X-Hibiscusstand-Deadline-Ms": str(int(TIMEOUT_S * 1000))}
+        sent_at = time.monotonic()
+        try:
+            async with self.session.request(method, url, json=body, headers=headers) as answer:
+                status, content = answer.status, await answer.json(content_type=None)
+        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError):
+            status, content = 0, {}
+        self.checks.answered(job, method, host, status, sent_at)
+        return status, content or {}
+
+    def any_host(self):
+        return random.randrange(self.hosts)
+
+    async def load(self, seconds, interval):
+        until = time.monotonic() + seconds
+        tasks = []
+        while time.monotonic() < until:
+            tasks.append(asyncio.ensure_future(self.job()))
+            await asyncio.sleep(random.uniform(0.2, 1.8) * interval)
+        self.over = True
+        await asyncio.gather(*tasks)
+
+    async def job(self):
+        steps = [{"Count": random.randint(1, 4), "Cpu": random.choice([500, 1000, 3000]), "MemMb": 256,
+                  "EstimateMs": 800}]
+        if random.random() < 0.5:
+            steps.append({**steps[0], "Count": 2, "After": [0]})
+        job = Job(f"{random.getrandbits(64):016x}", steps)
+        self.checks.jobs[job.id] = job
+        self.durations[job.id] = random.choice([0.2, 0.6, 1.5, 4])
+        if not await self.submit(job):
+            return
+        choice = random.random()
+        if choice < 0.35:
+            await asyncio.sleep(random.choice([0, 0, 0.3, 1.2, 3]))
+            await self.cancel(job, everywhere=random.random() < 0.4)
+        elif choice < 0.7:
+            for _ in range(3):
+                await asyncio.sleep(random.uniform(0, 1.5))
+                await asyncio.gather(*(self.call(host, "GET", job) for host in
+                                       random.sample(range(self.hosts), random.choice([1, 1, self.hosts]))))
+
+    async def submit(self, job):
+        body = {"TaskSpec": f"work {job.id}", "Steps": job.steps}
+        for _ in range(MAX_ATTEMPTS):
+            job.attempts += 1
+            status, _ = await self.call(self.any_host(), "POST", job, body)
+            if status == 200:
+                job.accepted_at = time.monotonic()
+                return True
+            if status in (400, 404, 429, 503):
+                job.refusals += 1
+            await asyncio.sleep(RETRY_S if status else 0)
+        return False
+
+    async def cancel(self, job, everywhere):
+        job.cancel_sent = True
+        if everywhere:
+            await asyncio.gather(*(self.call(host, "DELETE", job) for host in range(self.hosts)))
+        while job.cancelled_at is None:
+            status, _ = await self.call(self.any_host(), "DELETE", job)
+            await asyncio.sleep(0 if status else RETRY_S)
+
+    async def state(self, job):
+        status, body = await self.call(self.any_host(), "GET", job)
+        return body.get("State") if status == 200 else None
+
+    async def wait_for_ends(self, seconds):
+        """Reports each accepted job that has not ended in time."""
+        until = time.monotonic() + seconds
+        waiting = [job for job in self.checks.jobs.values() if job.accepted_at is not None]
+        while waiting and time.monotonic() < until:
+            states = await asyncio.gather(*(self.state(job) for job in waiting))
+            waiting = [job for job, state in zip(waiting, states) if not self.ended(job, state)]
+            await asyncio.sleep(0.5)
+        for job in waiting:
+            self.checks.report("LOST", f"{job.id} is {await self.state(job)}")
+
+    def ended(self, job, state):
+        if state == "failed" or (state == "cancelled" and not job.cancel_sent):
+            self.checks.report("LOST", f"{job.id} is {state} without cause")
+        return state in FINAL_STATES
--- /dev/null
+++ b/tools/cell_soak/checks.py
@@ -0,0 +1,112 @@
+"""Checks the platform's rules on what workers and callers see."""
+import time
+
+CANCEL_S = 3.0   # Bound of starts after an acknowledged cancel.
+CONTACT_S = 4.0  # A host is in touch if nothing has disturbed it or the store for this long.
+
+
+class Run:
+    def __init__(self, task, number, worker, host):
+        self.task, self.number, self.worker, self.host = task, number, worker, host
+        self.started_at = time.monotonic()
+        self.ended_at = None
+        self.how = None
+        self.acknowledged = False
+        self.lapsed = False  # Its worker's lease ran out between its end and the acknowledgement.
+
+    def __str__(self):
+        return f"{self.task} run {self.number} on w{self.worker} from h{self.host}"
+
+
+class Job:
+    def __init__(self, job, steps):
+        self.id, self.steps = job, steps
+        self.attempts = 0
+        self.refusals = 0
+        self.accepted_at = None
+        self.cancel_sent = False
+        self.cancelled_at = None  # When its cancelling was first acknowledged.
+
+
+class Checks:
+    def __init__(self):
+        self.begin = time.monotonic()
+        self.jobs = {}
+        self.runs = {}  # By task.
+        self.violations = []
+        self.starts = 0
+        self.counts = {}
+        self.disturbed_until = {}  # By host; "store" for all.
+
+    def at(self):
+        return time.monotonic() - self.begin
+
+    def report(self, rule, text):
+        self.violations.append(f"{self.at():7.3f} {rule}: {text}")
+        print(self.violations[-1], flush=True)
+
+    def count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def disturb(self, what, seconds=0.0):
+        until = time.monotonic() + seconds + CONTACT_S
+        self.disturbed_until[what] = max(self.disturbed_until.get(what, 0), until)
+
+    def in_touch(self, host):
+        now = time.monotonic()
+        return all(self.disturbed_until.get(what, 0) < now for what in (host, "store"))
+
+    # --- Workers ---
+
+    def started(self, task, number, worker, host, payload):
+        self.starts += 1
+        run = Run(task, number, worker, host)
+        job = self.jobs.get(task.split(".")[0])
+        if job is None or payload != f"work {job.id}":
+            self.report("UNASKED", f"no caller sent it: {run}")
+            return run
+        if job.attempts == job.refusals:
+            self.report("REFUSED", f"each attempt was refused: {run}")
+        for other in self.runs.setdefault(task, []):
+            if other.ended_at is None:
+                self.report("TWICE", f"two runs at once: {run} while {other}")
+            elif other.how == "done" and other.acknowledged and not other.lapsed:
+                self.report("TWICE", f"started after an acknowledged end: {run} after {other}")
+        step = int(task.split(".")[2])
+        for before in job.steps[step].get("After", []):
+            for index in range(job.steps[before]["Count"]):
+                earlier = self.runs.get(f"{job.id}.0.{before}.{index}", [])
+                if not any(each.how == "done" for each in earlier):
+                    self.report("ORDER", f"step {before} is not done: {run}")
+        if job.cancelled_at is not None:
+            late = time.monotonic() - job.cancelled_at
+            self.count("starts after an acknowledged cancel")
+            if late > CANCEL_S:
+                self.report("UNASKED", f"{late:.1f} s after its cancelling was acknowledged: {run}, "
+                                       f"in touch {self.in_touch(host)}")
+        self.runs[task].append(run)
+        return run
+
+    def ended(self, run, how):
+        run.ended_at, run.how = time.monotonic(), how
+
+    def acknowledged(self, run):
+        if run.acknowledged:
+            return
+        run.acknowledged = True
+        if run.how != "done" or run.lapsed:
+            return
+        for other in self.runs[run.task]:
+            if other is not run and other.started_at > run.ended_at:
+                self.report("TWICE", f"an end is acknowledged after the task was started again: {run}, then {other}")
+
+    # --- Callers ---
+
+    def answered(self, job, method, host, status, sent_at):
+        self.count(f"{method} {status}")
+        known = job.accepted_at is not None and job.accepted_at < sent_at
+        if status == 410 and known:
+            self.report("DENIED", f"{method} of accepted {job.id} by h{host} is answered 410, "
+                                  f"in touch {self.in_touch(host)}")
+        if method == "DELETE" and known and status in (200, 410) and job.cancelled_at is None:
+            job.cancelled_at = time.monotonic()
--- /dev/null
+++ b/tools/cell_soak/faults.py
@@ -0,0 +1,170 @@
+"""The disruptions of a soak, drawn from its seed."""
+import asyncio
+import random
+
+OWNER_SHARE = 0.6  # Of the disruptions of a host: that they meet the owner.
+
+
+class Faults:
+    def __init__(self, hosts, links, store, workers, checks):
+        self.hosts, self.links, self.store, self.workers, self.checks = hosts, links, store, workers, checks
+        self.kinds = [self.pause, self.pause, self.kill, self.terminate, self.cut_off, self.cut_off, self.cut_store,
+                      self.cut_peers, self.cut_workers, self.store_down, self.store_unsure, self.silent_watches,
+                      self.cut_worker]
+
+    def note(self, text):
+        print(f"{self.checks.at():7.3f} {text}", flush=True)
+
+    def any_host(self):
+        return self.store.last_writer if random.random() < OWNER_SHARE else random.randrange(len(self.hosts))
+
+    async def run(self, seconds, interval):
+        until = self.checks.at() + seconds
+        running = []
+        while self.checks.at() < until:
+            running.append(asyncio.ensure_future(random.choice(self.kinds)()))
+            await asyncio.sleep(random.uniform(0.2, 1.8) * interval)
+        await asyncio.gather(*running)
+
+    # --- Processes ---
+
+    async def pause(self):
+        host, seconds = self.any_host(), random.choice([0.3, 0.7, 1.5, 3, 6])
+        if not self.hosts[host].running or self.hosts[host].paused:
+            return
+        self.note(f"h{host} stands still for {seconds} s")
+        self.checks.disturb(host, seconds)
+        self.hosts[host].pause()
+        await asyncio.sleep(seconds)
+        self.hosts[host].resume()
+
+    async def kill(self):
+        host = self.any_host()
+        self.note(f"h{host} is killed")
+        self.checks.disturb(host, 3)
+        self.hosts[host].kill()
+        await asyncio.sleep(random.uniform(0.2, 2))
+        self.restart(host)
+
+    async def terminate(self):
+        host = self.any_host()
+        if self.hosts[host].paused or self.hosts[host].stopping or not self.hosts[host].running:
+            return
+        self.note(f"h{host} is stopped")
+        self.checks.disturb(host, 9)
+        await self.hosts[host].terminate()
+        self.restart(host)
+
+    def restart(self, host):
+        if not self.hosts[host].running:
+            self.hosts[host].start()
+
+    # --- Paths ---
+
+    def faults_of(self, host, workers):
+        return [self.workers.all[worker].paths[host].faults for worker in workers]
+
+    async def spoil(self, faults, seconds, one_way):
+        for each in faults:
+            each.silent, each.no_answers = not one_way, one_way
+        await asyncio.sleep(seconds)
+        for each in faults:
+            each.clear()
+
+    async def cut_links(self, host, seconds, directions):
+        links = [link for link in self.links if (link.source == host and "out" in directions) or
+                 (link.target == host and "in" in directions)]
+        for link in links:
+            link.cut(True)
+        await asyncio.sleep(seconds)
+        for link in links:
+            link.cut(False)
+
+    async def cut_off(self):
+        """A host loses the store, the other hosts, and most or all workers."""
+        host, seconds = self.any_host(), random.uniform(1, 8)
+        kept = random.choice([0, 0, 0.25, 0.6])
+        workers = [worker.number for worker in self.workers.all if random.random() >= kept]
+        self.note(f"h{host} is cut off with {len(self.workers.all) - len(workers)} workers for {seconds:.1f} s")
+        self.checks.disturb(host, seconds)
+        await asyncio.gather(self.spoil([self.store.paths[host].faults] + self.faults_of(host, workers), seconds, False),
+                             self.cut_links(host, seconds, ("in", "out")))
+
+    async def cut_store(self):
+        host, seconds, one_way = self.any_host(), random.uniform(1, 8), random.random() < 0.4
+        self.note(f"h{host} loses the store for {seconds:.1f} s, one way {one_way}")
+        self.checks.disturb(host, seconds)
+        await self.spoil([self.store.paths[host].faults], seconds, one_way)
+
+    async def cut_peers(self):
+        host, seconds = self.any_host(), random.uniform(1, 6)
+        directions = random.choice([("in",), ("out",), ("in", "out")])
+        self.note(f"h{host} loses the other hosts for {seconds:.1f} s, {directions}")
+        self.checks.disturb(host, seconds)
+        await self.cut_links(host, seconds, directions)
+
+    async def cut_workers(self):
+        host, seconds, one_way = self.any_host(), random.uniform(1, 7), random.random() < 0.4
+        workers = [worker.number for worker in self.workers.all if random.random() < 0.5]
+        self.note(f"h{host} loses {len(workers)} workers for {seconds:.1f} s, one way {one_way}")
+        self.checks.disturb(host, seconds)
+        await self.spoil(self.faults_of(host, workers), seconds, one_way)
+
+    async def cut_worker(self):
+        worker, seconds = random.choice(self.workers.all), random.uniform(1, 7)
+        self.note(f"w{worker.number} is cut off for {seconds:.1f} s")
+        await self.spoil([path.faults for path in worker.paths], seconds, random.random() < 0.4)
+
+    # --- The store ---
+
+    async def store_down(self):
+        seconds, share = random.uniform(0.5, 5), random.choice([1, 1, 0.5])
+        faults = [path.faults for path in self.store.paths if random.random() < share]
+        silent, self.store.leases_paused = random.random() < 0.5, random.random() < 0.5
+        self.note(f"the store is {'silent' if silent else 'down'} for {len(faults)} hosts, {seconds:.1f} s")
+        self.checks.disturb("store", seconds)
+        for each in faults:
+            each.silent, each.refuse_share = silent, 0 if silent else 1
+        await asyncio.sleep(seconds)
+        self.store.leases_paused = False
+        for each in faults:
+            each.clear()
+
+    async def store_unsure(self):
+        seconds = random.uniform(1, 5)
+        what = random.choice(["lost_share", "late_share", "delay_s"])
+        self.note(f"the store: {what} for {seconds:.1f} s")
+        self.checks.disturb("store", seconds)
+        for path in self.store.paths:
+            setattr(path.faults, what, 0.2 if what == "delay_s" else 0.35)
+        await asyncio.sleep(seconds)
+        for path in self.store.paths:
+            path.faults.clear()
+
+    async def silent_watches(self):
+        """The watches hear nothing, then the history is lost; a few times in series."""
+        for _ in range(random.choice([1, 2, 3])):
+            hosts = [host for host in range(len(self.hosts)) if random.random() < 0.8]
+            seconds = random.uniform(0.5, 3)
+            self.note(f"the watches of {hosts} are silent for {seconds:.1f} s, then the history is lost")
+            self.checks.disturb("store", seconds)
+            for host in hosts:
+                self.store.silence_watches(host, True)
+            await asyncio.sleep(seconds)
+            self.store.forget_history()
+            for host in hosts:
+                self.store.silence_watches(host, False)
+            await asyncio.sleep(random.uniform(1, 6))
+
+    def heal(self):
+        self.store.leases_paused = False
+        for host, process in enumerate(self.hosts):
+            self.store.paths[host].faults.clear()
+            self.store.silence_watches(host, False)
+            process.resume()
+            self.restart(host)
+        for worker in self.workers.all:
+            for path in worker.paths:
+                path.faults.clear()
+        for link in self.links:
+            link.cut(False)
--- /dev/null
+++ b/tools/cell_soak/server.py
@@ -0,0 +1,73 @@
+"""HTTP servers of the stand-ins, and the faults of calls to them."""
+import asyncio
+import json
+import random
+import socket
+
+from aiohttp import web
+
+SILENCE_S = 5  # Longer than any timeout of the hosts; then the connection is reset.
+
+
+class CallFaults:
+    """What happens to the calls on one path."""
+
+    def __init__(self):
+        self.silent = False         # They have no effect and get no answer.
+        self.no_answers = False     # They are carried out and get no answer.
+        self.refuse_share = 0.0     # Refused without an effect.
+        self.lost_share = 0.0       # Carried out; the answer is lost.
+        self.late_share = 0.0       # Carried out seconds later; no answer.
+        self.delay_s = 0.0
+
+    def clear(self):
+        self.__init__()
+
+
+class Path:
+    """The calls of one host to one part of the platform."""
+
+    def __init__(self):
+        self.faults = CallFaults()
+
+
+async def no_answer(request):
+    await asyncio.sleep(SILENCE_S)
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
+
+
+async def call(request, faults, handle):
+    """Applies the faults to a call; `handle` carries it out and returns status and body."""
+    body = await request.read()
+    parsed = json.loads(body) if body else {}
+    if faults.silent:
+        return await no_answer(request)
+    if random.random() < faults.refuse_share:
+        return web.json_response({}, status=503)
+    if random.random() < faults.late_share:
+        await asyncio.sleep(random.uniform(0.5, 4))
+        await handle(parsed)
+        return await no_answer(request)
+    status, answer = await handle(parsed)
+    if faults.silent or faults.no_answers or random.random() < faults.lost_share:
+        return await no_answer(request)
+    if faults.delay_s:
+        await asyncio.sleep(faults.delay_s)
+    return web.json_response(answer, status=status)
+
+
+async def listen(handler, addresses, port):
+    """Serves all addresses; the handler is called with the request and the address that was called."""
+    async def on_request(request):
+        return await handler(request, request.transport.get_extra_info("sockname")[0])
+
+    runner = web.ServerRunner(web.Server(on_request), shutdown_timeout=0.1)
+    await runner.setup()
+    for address in addresses:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((address, port))
+        await web.SockSite(runner, sock, backlog=256).start()
+    return runner
--- /dev/null
+++ b/tools/cell_soak/workers.py
@@ -0,0 +1,168 @@
+"""Stand-ins of the workers: they carry out starts, stops and holds as the platform's pages say, and run no real work."""
+import asyncio
+import json
+import random
+import time
+
+from tools.cell_soak import server
+from tools.cell_soak.network import WORKER_PORT
+
+MAX_HOLD_S = 6.0
+MAX_WAIT_S = 2.0
+STOP_S = 0.05
+HEARTBEAT_S = 1.5
+CAPACITY = {"Cpu": 16000, "MemMb": 65536, "Gpu": 0}
+CLOCK_AT_BIRTH_MS = 1000
+
+
+class Worker:
+    def __init__(self, number, network, store, checks, durations):
+        self.number, self.id = number, f"i-7f3a91{number:02d}"
+        self.network, self.store, self.checks = network, store, checks
+        self.durations = durations  # Seconds of a task, by job.
+        self.paths = [server.Path() for _ in store.paths]
+        self.born = time.monotonic()
+        self.born_ms = int(time.time() * 1000)
+        self.sequence = 0
+        self.token = 0
+        self.lease_until = 0
+        self.last_end = 0
+        self.runs = {}     # (task, number) to [run, ends_at, how, cpu].
+        self.highest = {}  # Highest number that was stopped or ended here, by task.
+        self.ends = []     # [number, run].
+        self.changed = asyncio.Event()
+
+    def clock_ms(self):
+        return CLOCK_AT_BIRTH_MS + int((time.monotonic() - self.born) * 1000)
+
+    def write_entry(self):
+        self.sequence += 1
+        entry = {"Service": "pool", "Address": self.network.listed_worker(self.number), "Zone": f"z{self.number % 3}",
+                 "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Capacity": CAPACITY,
+                 "Labels": ["a", f"r{self.number // 4}"], "ClockMs": self.clock_ms(), "born": self.born_ms,
+                 "Sequence": self.sequence}
+        self.store.put(f"servers/{self.id}", json.dumps(entry).encode())
+
+    async def serve(self, request, host):
+        handlers = {"/run-start": self._start, "/run-stop": self._stop, "/hold": self._hold}
+        handler = handlers.get(request.path)
+        if handler is None:
+            return server.web.json_response({}, status=404)
+
+        async def handle(body):
+            expected = request.headers.get("X-Hibiscusstand-Expect-Instance", self.id)
+            if expected != self.id:
+                return 421, {"ClockMs": self.clock_ms()}
+            self.end_due_runs()
+            status, answer = await handler(body, host)
+            return status, {**answer, "ClockMs": self.clock_ms()}
+        return await server.call(request, self.paths[host].faults, handle)
+
+    def _fenced(self, body):
+        token = body.get("FencingToken", 0)
+        if token < self.token:
+            return True
+        self.token = token
+        return False
+
+    def _extend(self, deadline_ms):
+        self.lease_until = max(self.lease_until, min(deadline_ms, self.clock_ms() + int(MAX_HOLD_S * 1000)))
+
+    async def _start(self, body, host):
+        if self._fenced(body):
+            return 409, {"Reason": "fence"}
+        name = (body["Task"], body["Run"])
+        if body["DeadlineMs"] < self.clock_ms():
+            return 409, {"Reason": "late"}
+        self._extend(body["DeadlineMs"])
+        if name in self.runs:
+            return 200, {}
+        if name[1] <= self.highest.get(name[0], 0):
+            return 409, {"Reason": "old"}
+        run = self.checks.started(*name, self.number, host, body.get("TaskSpec", ""))
+        job, _, step, _ = name[0].split(".")
+        cpu = self.checks.jobs[job].steps[int(step)]["Cpu"] if job in self.checks.jobs else 0
+        used = sum(each[3] for each in self.runs.values())
+        if used + cpu > CAPACITY["Cpu"]:
+            self.checks.report("LIMIT", f"{used} of {CAPACITY['Cpu']} in use: {run}")
+        self.runs[name] = [run, time.monotonic() + self.durations.get(job, 1), "done", cpu]
+        return 200, {}
+
+    async def _stop(self, body, host):
+        if self._fenced(body):
+            return 409, {"Reason": "fence"}
+        name = (body["Task"], body["Run"])
+        if name in self.runs:
+            self.runs[name][1:3] = [time.monotonic() + STOP_S, "stopped"]
+        self.highest[name[0]] = max(self.highest.get(name[0], 0), name[1])
+        return 200, {}
+
+    async def _hold(self, body, host):
+        if self._fenced(body):
+            return 409, {"Reason": "fence"}
+        seen = body.get("LastSeen", 0)
+        for number, run in self.ends:
+            if number <= seen:
+                self.checks.acknowledged(run)
+        self.ends = [end for end in self.ends if end[0] > seen]
+        self._extend(body.get("DeadlineMs", 0))
+        until = time.monotonic() + min(body.get("WaitMs", 0) / 1000, MAX_WAIT_S)
+        while not self.ends and time.monotonic() < until:
+            try:
+                await asyncio.wait_for(self.changed.wait(), until - time.monotonic())
+            except asyncio.TimeoutError:
+                break
+        running = [[*name, "", self._percent(run, ends_at), 0] for name, (run, ends_at, _, _) in self.runs.items()]
+        finished = [[number, run.task, run.number, run.how, ""] for number, run in self.ends[:500]]
+        return 200, {"Running": running, "Finished": finished, "born": self.born_ms}
+
+    @staticmethod
+    def _percent(run, ends_at):
+        now = time.monotonic()
+        return min(100, int(100 * (now - run.started_at) / max(0.01, ends_at - run.started_at)))
+
+    def end_due_runs(self):
+        now, lapsed = time.monotonic(), self.clock_ms() > self.lease_until
+        due = [(name, "lapsed" if lapsed else state[2]) for name, state in self.runs.items()
+               if lapsed or state[1] <= now]
+        for name, how in due:
+            run = self.runs.pop(name)[0]
+            self.last_end += 1
+            self.checks.ended(run, how)
+            self.ends.append((self.last_end, run))
+            self.highest[name[0]] = max(self.highest.get(name[0], 0), name[1])
+        if lapsed:
+            for _, run in self.ends:
+                run.lapsed = True
+        if due:
+            self.changed.set()
+            self.changed = asyncio.Event()
+
+
+class Workers:
+    def __init__(self, count, network, store, checks):
+        self.durations = {}
+        self.all = [Worker(number, network, store, checks, self.durations) for number in range(count)]
+        self.network = network
+
+    async def start(self):
+        hosts = range(len(self.all[0].paths))
+        addresses = {self.network.worker(host, worker.number): (worker, host) for worker in self.all for host in hosts}
+
+        async def on_request(request, address):
+            worker, host = addresses[address]
+            return await worker.serve(request, host)
+        await server.listen(on_request, addresses, WORKER_PORT)
+        asyncio.ensure_future(self._tick())
+
+    async def _tick(self):
+        next_entry = {worker: time.monotonic() + random.random() * HEARTBEAT_S for worker in self.all}
+        for worker in self.all:
+            worker.write_entry()
+        while True:
+            await asyncio.sleep(0.005)
+            for worker in self.all:
+                worker.end_due_runs()
+                if time.monotonic() >= next_entry[worker]:
+                    next_entry[worker] += HEARTBEAT_S
+                    worker.write_entry()
