--- a/tools/cell_soak/callers.py
+++ b/tools/cell_soak/callers.py
@@ -13,6 +13,7 @@
 TIMEOUT_S = 3.0
 RETRY_S = 0.3
 MAX_ATTEMPTS = 8
+TASK_S = [0.2, 0.2, 0.6, 0.6, 0.6, 1.5, 1.5, 4, 4, 14]  # Some outlast the leases of the workers.
 FINAL_STATES = ("completed", "failed", "cancelled")
 
 
@@ -52,13 +53,13 @@
         await asyncio.gather(*tasks)
 
     async def job(self):
-        steps = [{"Count": random.randint(1, 4), "Cpu": random.choice([500, 1000, 3000]), "MemMb": 256,
+        steps = [{"Count": random.randint(1, 4), "Cpu": random.choice([300, 600, 1500]), "MemMb": 256,
                   "EstimateMs": 800}]
         if random.random() < 0.5:
             steps.append({**steps[0], "Count": 2, "After": [0]})
         job = Job(f"{random.getrandbits(64):016x}", steps)
         self.checks.jobs[job.id] = job
-        self.durations[job.id] = random.choice([0.2, 0.6, 1.5, 4])
+        self.durations[job.id] = random.choice(TASK_S)
         if not await self.submit(job):
             return
         choice = random.random()
--- a/tools/cell_soak/faults.py
+++ b/tools/cell_soak/faults.py
@@ -81,14 +81,20 @@
             link.cut(False)
 
     async def cut_off(self):
-        """A host loses the store, the other hosts, and most or all workers."""
-        host, seconds = self.any_host(), random.uniform(1, 8)
-        kept = random.choice([0, 0, 0.25, 0.6])
-        workers = [worker.number for worker in self.workers.all if random.random() >= kept]
-        self.note(f"h{host} is cut off with {len(self.workers.all) - len(workers)} workers for {seconds:.1f} s")
+        """A host, alone or with some workers, and all else no longer reach each other."""
+        host, seconds = self.any_host(), random.choice([1.5, 3, 6, 10, 14])
+        share = random.choice([0, 0, 0.25, 0.6])
+        kept = [worker for worker in self.workers.all if random.random() < share]
+        lost = [worker.number for worker in self.workers.all if worker not in kept]
+        self.note(f"h{host} is cut off with {len(kept)} workers for {seconds:.1f} s")
         self.checks.disturb(host, seconds)
-        await asyncio.gather(self.spoil([self.store.paths[host].faults] + self.faults_of(host, workers), seconds, False),
-                             self.cut_links(host, seconds, ("in", "out")))
+        cut = [self.store.paths[host].faults] + self.faults_of(host, lost)
+        for worker in kept:
+            worker.cut_from_store = True
+            cut += [path.faults for number, path in enumerate(worker.paths) if number != host]
+        await asyncio.gather(self.spoil(cut, seconds, False), self.cut_links(host, seconds, ("in", "out")))
+        for worker in kept:
+            worker.cut_from_store = False
 
     async def cut_store(self):
         host, seconds, one_way = self.any_host(), random.uniform(1, 8), random.random() < 0.4
@@ -164,6 +170,7 @@
             process.resume()
             self.restart(host)
         for worker in self.workers.all:
+            worker.cut_from_store = False
             for path in worker.paths:
                 path.faults.clear()
         for link in self.links:
--- a/tools/cell_soak/store.py
+++ b/tools/cell_soak/store.py
@@ -39,6 +39,12 @@
         self._write(key, value, 0)
         self._wake()
 
+    def remove(self, key):
+        if key in self.items:
+            self.revision += 1
+            self._erase(key)
+            self._wake()
+
     # --- Faults ---
 
     def silence_watches(self, host, silent):
--- a/tools/cell_soak/workers.py
+++ b/tools/cell_soak/workers.py
@@ -11,6 +11,7 @@
 MAX_WAIT_S = 2.0
 STOP_S = 0.05
 HEARTBEAT_S = 1.5
+ENTRY_S = 3 * HEARTBEAT_S  # The store removes the entry of a worker that is silent for longer.
 CAPACITY = {"Cpu": 16000, "MemMb": 65536, "Gpu": 0}
 CLOCK_AT_BIRTH_MS = 1000
 
@@ -24,6 +25,8 @@
         self.born = time.monotonic()
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
+        self.cut_from_store = False
+        self.entry_written_at = time.monotonic()
         self.token = 0
         self.lease_until = 0
         self.last_end = 0
@@ -36,6 +39,11 @@
         return CLOCK_AT_BIRTH_MS + int((time.monotonic() - self.born) * 1000)
 
     def write_entry(self):
+        if self.cut_from_store:
+            if time.monotonic() - self.entry_written_at > ENTRY_S:
+                self.store.remove(f"servers/{self.id}")
+            return
+        self.entry_written_at = time.monotonic()
         self.sequence += 1
         entry = {"Service": "pool", "Address": self.network.listed_worker(self.number), "Zone": f"z{self.number % 3}",
                  "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Capacity": CAPACITY,
