A watch after a read of several pages begins at the revision of the first page

What could be seen: a change of a worker's entry, or of the list of hosts, that falls between two pages of a read is missed until the key changes again: a new owner goes on sending tasks to a worker that drains or has left (DRAIN), a host lists one that is gone. Needs more than one page: some 500 workers or hosts.

Cause: the watch began at the revision of the last page (PrefixWatch::OnPage, Owner::ReadPrefix); the keys of earlier pages had been read before that. The comment 'reported twice, which is harmless' holds for the first page's revision only.

--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -183,12 +183,13 @@
   void ReadJobs();
   void ReadWorkers();
   void FinishLoading();
-  // Reads all keys with the prefix that sort after `after`, page by page. `done` receives the store's revision at the
-  // last page.
+  // Reads all keys with the prefix that sort after `after`, page by page. The pages are not a snapshot: `done` receives
+  // the store's revision at the first page, from which a watch misses no change.
   void ReadPrefix(const std::string& prefix,
                   const std::string& after,
                   const std::function<void(const StoreItem&)>& on_item,
-                  const std::function<void(uint64_t revision)>& done);
+                  const std::function<void(uint64_t revision)>& done,
+                  std::optional<uint64_t> first_revision = std::nullopt);
   void LoadLogItem(const StoreItem& item);
   void LoadEndedItem(const StoreItem& item);
   void RestoreJobs();
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -39,21 +39,22 @@
 void Owner::ReadPrefix(const std::string& prefix,
                        const std::string& after,
                        const std::function<void(const StoreItem&)>& on_item,
-                       const std::function<void(uint64_t)>& done) {
-  context_.store.Range(prefix, after, [this, alive = alive_, prefix, after, on_item, done](const StoreAnswer& answer) {
+                       const std::function<void(uint64_t)>& done,
+                       std::optional<uint64_t> first_revision) {
+  context_.store.Range(prefix, after, [=, this, alive = alive_](const StoreAnswer& answer) {
     if (!*alive) {
       return;
     }
     if (answer.status != StoreStatus::kOk) {
       context_.Log("owner", "event=read_again prefix={} status={}", prefix, NameOf(answer.status));
-      RunAfter(kReadRetryDelay, [this, prefix, after, on_item, done] { ReadPrefix(prefix, after, on_item, done); });
+      RunAfter(kReadRetryDelay, [=, this] { ReadPrefix(prefix, after, on_item, done, first_revision); });
       return;
     }
     std::for_each(answer.items.begin(), answer.items.end(), on_item);
     if (answer.has_more && !answer.items.empty()) {
-      ReadPrefix(prefix, answer.items.back().key, on_item, done);
+      ReadPrefix(prefix, answer.items.back().key, on_item, done, first_revision.value_or(answer.revision));
     } else {
-      done(answer.revision);
+      done(first_revision.value_or(answer.revision));
     }
   });
 }
--- a/src/cell/prefix_watch.cc
+++ b/src/cell/prefix_watch.cc
@@ -49,6 +49,9 @@
     RetryLater([this, after] { ReadPage(after); });
     return;
   }
+  if (after.empty()) {
+    first_page_revision_ = answer.revision;
+  }
   round_trip_ = context_.Now() - sent;
   last_answer_at_ = context_.Now();
   items_.insert(items_.end(), answer.items.begin(), answer.items.end());
@@ -57,7 +60,7 @@
     return;
   }
   // The pages are not a snapshot: changes after the first page may be reported twice, which is harmless.
-  revision_ = answer.revision;
+  revision_ = first_page_revision_;
   on_reset_(std::exchange(items_, {}));
   Watch();
 }
--- a/src/cell/prefix_watch.h
+++ b/src/cell/prefix_watch.h
@@ -44,6 +44,7 @@
   OnChange on_change_;
   std::vector<StoreItem> items_;
   uint64_t revision_ = 0;
+  uint64_t first_page_revision_ = 0;  // Of the read in progress.
   TimePoint last_answer_at_{};
   Duration round_trip_{};
   bool failing_ = false;
--- a/tests/cell_takeover_test.cc
+++ b/tests/cell_takeover_test.cc
@@ -73,6 +73,49 @@
   CHECK(job.MayHaveBegun(3));
 }
 
+// --- Changes of the store while a new owner reads it ---
+
+// The watch of the worker entries began at the revision of the last page, so that a change of an entry of an earlier
+// page was missed.
+TEST_CASE("a new owner learns that a worker drains although it changes while the entries are read page by page") {
+  constexpr int kWorkersOfThreePages = 45;
+  for (int offset_ms = 0; offset_ms < 24; ++offset_ms) {
+    CellWorld world(95, 3, kWorkersOfThreePages);
+    AddQueues(world);
+    REQUIRE(Settle(world));
+    const size_t owner = *world.OwnerIndex();
+    world.Kill(owner);
+    REQUIRE(world.RunUntil([&] { return HasOwner(world); }, 4s));
+    world.RunFor(std::chrono::milliseconds(offset_ms));
+    world.worker(0).entry.draining = true;
+    world.WriteWorkerEntry(world.worker(0));
+    world.RunFor(3s);
+    world.SubmitWithRetries(JobOf(1, {StepOf(kWorkersOfThreePages, 9000)}), TaskBehaviour{5s, 0});
+    world.RunFor(2s);
+    INFO("changed " << offset_ms << " ms after the takeover");
+    CHECK(world.starts() == kWorkersOfThreePages - 1);
+    CHECK(world.worker(0).IsIdle());
+  }
+}
+
+TEST_CASE("a host that starts learns that another one is gone although it goes while the list is read page by page") {
+  constexpr int kHostsOfTwoPages = 30;
+  for (int offset_ms = 0; offset_ms < 16; ++offset_ms) {
+    CellWorld world(96, kHostsOfTwoPages, 2);
+    AddQueues(world);
+    REQUIRE(Settle(world));
+    const size_t starting = *world.OwnerIndex() == 25 ? 26 : 25;
+    world.Kill(1);
+    world.Boot(starting);
+    world.RunFor(std::chrono::milliseconds(offset_ms));
+    world.store().Erase(kHostPrefix + std::string("h1"));
+    world.RunFor(500ms);
+    world.host(starting)->UpdateGauges();
+    INFO("gone " << offset_ms << " ms after the start");
+    CHECK(world.CounterOf(starting, "hosts_listed") == kHostsOfTwoPages - 1);
+  }
+}
+
 // --- Late reports about earlier runs ---
 
 // Review case 5: the end `done` of an earlier run of a task that lasts had it started beside its current run.
