--- a/tests/cell_denied_jobs_test.cc
+++ b/tests/cell_denied_jobs_test.cc
@@ -76,6 +76,28 @@
   }
 }
 
+// The answer to a read that was sent before the cell was lost arrives after it.
+TEST_CASE("a late answer of the store does not prove that a later request meets the sole owner") {
+  CellWorld world(8, kHosts, kWorkers);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const size_t owner = *world.OwnerIndex();
+  world.StoreFaultsOf(owner).extra_delay = 4s;
+  world.Ask(owner, CallerKind::kState, "plain", JobId(77), [](const CallerReply&) {});
+  world.RunFor(5ms);
+  world.CutOffWithWorkers(owner, {}, true);
+  world.RunFor(3s);
+  const JobSpec job = TwoSteps(1);
+  REQUIRE(AcceptElsewhere(world, job, owner));
+  world.RunFor(800ms);
+  std::optional<CallerReply> answer;
+  world.Ask(owner, CallerKind::kCancel, job.queue, job.id, [&](const CallerReply& reply) { answer = reply; });
+  world.RunFor(2500ms);
+  REQUIRE(answer);
+  CHECK(answer->outcome == CallerOutcome::kUnavailable);
+  CHECK(world.violations().empty());
+}
+
 // The number of waiting jobs may be 2 s old.
 TEST_CASE("an owner that is cut off and replaced does not count the jobs of its successor as none") {
   CellWorld world(5, kHosts, kWorkers);
