A job that was accepted while the head was read is not denied

What callers saw: a cancel that overlaps the acceptance of its job was answered 410 up to 600 ms after the job was accepted, and the job ran on. Introduced with OwnershipProof: before it, look-up and answer were one step. Change: when the proof is there, an id that has become known is handled as a known one. The case of the owner that is cut off now also asks for the refusal and its Retry-After.

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -368,7 +368,12 @@
 }
 
 void Owner::ReplyUnknownJob(const CallerRequest& request, const Reply& reply) {
-  ownership_proof_.Require([this, request, reply](ProofResult result) {
+  const bool known_id = TenantOfJob(request.job).has_value();  // Of another queue or tenant.
+  ownership_proof_.Require([this, request, reply, known_id](ProofResult result) {
+    if (!known_id && TenantOfJob(request.job).has_value()) {
+      Handle(request, reply);  // The job was accepted while the store was asked.
+      return;
+    }
     context_.Log("caller", "event=unknown_job kind={} job={} queue={} epoch={} term={} lease_left_ms={} proof={}",
                  NameOf(request.kind), request.job, request.queue, ownership_.epoch, ownership_.term,
                  Millis(lease_until_ - context_.Now()), NameOf(result));
--- a/tests/cell_denied_jobs_test.cc
+++ b/tests/cell_denied_jobs_test.cc
@@ -42,7 +42,9 @@
       world.CutOffWithWorkers(owner, {}, false);
       world.RunFor(15s);
       INFO("seed " << seed << ", " << NameOf(kind) << ", " << (answer ? NameOf(answer->outcome) : "no answer"));
-      CHECK((!answer || answer->outcome != CallerOutcome::kNoSuchJob));
+      REQUIRE(answer);
+      CHECK(answer->outcome == CallerOutcome::kUnavailable);
+      CHECK(answer->retry_after > Duration(0));
       CHECK(world.StateOf("plain", job.id) == JobState::kCompleted);
       CHECK(world.violations().empty());
     }
@@ -98,6 +100,29 @@
   CHECK(world.violations().empty());
 }
 
+// The read of the head took a while, and the job was accepted meanwhile.
+TEST_CASE("a cancel that arrives before its job does not deny it once the job is accepted") {
+  CellWorld world(9, kHosts, kWorkers);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const size_t owner = *world.OwnerIndex();
+  const JobSpec job = TwoSteps(1);
+  std::optional<CallerReply> answer;
+  world.StoreFaultsOf(owner).silent = true;
+  world.Ask(owner, CallerKind::kCancel, job.queue, job.id, [&](const CallerReply& reply) { answer = reply; });
+  world.RunFor(30ms);
+  world.StoreFaultsOf(owner) = CallFaults{};
+  world.Submit(owner, job, TaskBehaviour{1s, 0}, [](const CallerReply&) {});
+  REQUIRE(world.RunUntil([&] { return world.Accepted(job.id); }, 200ms));
+  CHECK_FALSE(answer);
+  world.RunFor(2s);
+  REQUIRE(answer);
+  CHECK(answer->outcome == CallerOutcome::kDone);
+  CHECK(world.StateOf("plain", job.id) == JobState::kCancelled);
+  world.RunFor(8s);
+  CHECK(world.violations().empty());
+}
+
 // The number of waiting jobs may be 2 s old.
 TEST_CASE("an owner that is cut off and replaced does not count the jobs of its successor as none") {
   CellWorld world(5, kHosts, kWorkers);
