A merged batch of ended jobs expires with the newest of them

What callers saw: the state of an ended job was answered 410 before the retention time was over: 5 of 12 jobs that ended 18 s apart (LOST; a late copy of the submission would have run the job again). Cause: Owner::MergeEndedBatches dated the merged batch by its oldest member, and all of its jobs expire together; with one batch of ends every 18 s the newest was remembered for 40 s. Why tests missed it: courses are shorter than the retention.

--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -400,8 +400,9 @@
   if (unmerged <= kEndedMergeCount) {
     return;
   }
-  EndedBatch merged{BatchKey(kEndedPrefix, ownership_.epoch, number) + "m", {}, first->written_at_ms, true};
   const auto last = first + static_cast<std::ptrdiff_t>(kEndedMergeCount);
+  // They expire together, so none may be older than the newest of them.
+  EndedBatch merged{BatchKey(kEndedPrefix, ownership_.epoch, number) + "m", {}, (last - 1)->written_at_ms, true};
   for (auto each = first; each != last; ++each) {
     merged.jobs.insert(merged.jobs.end(), each->jobs.begin(), each->jobs.end());
     batch.removals.push_back(each->key);
--- a/tests/cell_denied_jobs_test.cc
+++ b/tests/cell_denied_jobs_test.cc
@@ -123,6 +123,27 @@
   CHECK(world.violations().empty());
 }
 
+// Ended jobs are stored in batches that are merged and expire together.
+TEST_CASE("the state of an ended job is told for as long as the platform asks") {
+  constexpr Duration kRetention = 120s;  // CellSettings::ended_job_retention.
+  CellWorld world(10, 1, kWorkers);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  int unknown = 0;
+  for (int number = 1; number <= 20; ++number) {
+    const JobSpec job = JobOf(number, {StepOf(1, 1000)});
+    world.SubmitWithRetries(job, TaskBehaviour{500ms, 0});
+    world.In(kRetention, [&world, &unknown, job] {
+      world.Ask(0, CallerKind::kState, job.queue, job.id, [&unknown](const CallerReply& reply) {
+        unknown += reply.outcome == CallerOutcome::kNoSuchJob ? 1 : 0;
+      });
+    });
+    world.RunFor(18s);
+  }
+  world.RunFor(kRetention + 1s);
+  CHECK(unknown == 0);
+}
+
 // The number of waiting jobs may be 2 s old.
 TEST_CASE("an owner that is cut off and replaced does not count the jobs of its successor as none") {
   CellWorld world(5, kHosts, kWorkers);
