A repeated hold names no ends until the worker has answered as the same life

What callers saw: a task that was done was started again (TWICE, "started after its end was acknowledged").

Cause: a hold that names ends and waits for further ones gets no answer if its worker starts again meanwhile. The owner did not know whether the worker had forgotten those ends, and repeated the hold with them 300 ms later, to the next life, which numbers its ends from 1. That life forgot the end of a run that the owner had started without knowing of the new life; the run then was in neither list and was started elsewhere.

After a call without an answer, and after a pause of the owner, a hold names no ends until the same life has answered one that was sent later.

Evidence, release build: the new case of cell_restart_test failed before (24 of 60 assertions, each of the 12 times of the restart) and passes. All cell_*_test but the red one, and order_relay_test, pass.

Ruled out: two owners (one term throughout, one token in the holds and the start).

A hold that names ends and is sent before the restart but arrives after it can still do this.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -466,9 +466,11 @@
 }
 
 // Names ends only until the worker has forgotten them: a hold that is delayed into the next life of the worker, which
-// numbers its ends anew, would make it forget ends that were never received.
+// numbers its ends anew, would make it forget ends that were never received. After a call without an answer, the worker
+// may be in a next life that the owner does not know of, so it must answer a hold first.
 int64_t WorkerTable::EndsToAcknowledge(Worker& worker) {
-  if (worker.last_end_forgotten_ >= worker.last_end_acknowledged_) {
+  const bool may_have_restarted = worker.recheck || worker.witnessed_at <= worker.unanswered_at_;
+  if (may_have_restarted || worker.last_end_forgotten_ >= worker.last_end_acknowledged_) {
     return 0;
   }
   worker.acknowledgement_sent_at_ = context_.Now();
@@ -744,6 +746,7 @@
 bool WorkerTable::RecordAnswer(Worker& worker, const OrderAnswer& answer) {
   if (answer.status == OrderStatus::kUnknown || answer.status == OrderStatus::kNotSent ||
       answer.status == OrderStatus::kOtherInstance) {
+    worker.unanswered_at_ = context_.Now();
     MarkSilent(worker, answer.status);
     return false;
   }
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -133,6 +133,7 @@
   bool fence_counted_ = false;                     // See WorkerTable::CountFencedWorker.
   bool replaced_ = false;                          // Another instance has its address: its process has ended.
   TimePoint silent_since_{};                       // Valid while silent.
+  TimePoint unanswered_at_{};                      // When the newest call without an answer was given up.
   std::vector<CrashedRun> lapsed_;                 // Runs whose lease expired; it may have crashed under them before.
   bool hold_in_flight_ = false;                    // A hold awaits its answer.
   uint64_t hold_timer_ = 0;                        // Number of the newest hold timer; older ones are ignored.
--- a/tests/cell_courses_test.cc
+++ b/tests/cell_courses_test.cc
@@ -45,5 +45,10 @@
   ForEachSeed({21}, [](uint64_t seed) { CheckCourse({.seed = seed, .tenants = true}); });
 }
 
+TEST_CASE("courses in which a repeated hold named ends to a worker's next life") {
+  CheckCourse({.seed = 53, .relays = true});
+  CheckCourse({.seed = 107, .dense = true});
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
--- a/tests/cell_red_courses_test.cc
+++ b/tests/cell_red_courses_test.cc
@@ -15,9 +15,7 @@
 }
 
 TEST_CASE("courses that fail") {
-  CheckCourse({.seed = 53, .relays = true});
   CheckCourse({.seed = 7, .dense = true});
-  CheckCourse({.seed = 107, .dense = true});
   CheckCourse({.seed = 21, .tenants = true});
 }
 
--- a/tests/cell_restart_test.cc
+++ b/tests/cell_restart_test.cc
@@ -189,5 +189,31 @@
   CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
 }
 
+// A hold that named ends of the earlier life gets no answer and is repeated.
+TEST_CASE("a task that ended in a worker's new life before its owner knew of that life is not started again") {
+  for (Duration restart = 10ms; restart < 600ms; restart += 50ms) {
+    CellWorld world(87, 3, 2);
+    AddQueues(world);
+    REQUIRE(Settle(world));
+    StepSpec spread = StepOf(2, 1000);
+    spread.max_per_worker = 1;
+    const JobSpec earlier = JobOf(1, {spread});
+    world.SubmitWithRetries(earlier, TaskBehaviour{100ms, 0});
+    REQUIRE(world.RunUntil([&] { return world.StateOf(earlier.queue, earlier.id) == JobState::kCompleted; }, 2s));
+    world.RunFor(restart);
+    FakeWorker& worker = world.worker(0);
+    worker.Crash();
+    worker.Restart(/*write_entry=*/false);
+    const JobSpec job = JobOf(2, {spread});
+    world.SubmitWithRetries(job, TaskBehaviour{200ms, 0});
+    world.RunFor(8s);
+    INFO("restart after " << Millis(restart) << " ms"
+                          << (world.violations().empty() ? "" : ": " + world.violations().front()));
+    CHECK(world.violations().empty());
+    CHECK(world.starts() == 4);
+    CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+  }
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
