A tenant's tasks that last keep neither its gangs nor its later steps waiting

Cause: no usage was counted that did not exist. A gang of five members of 4500 exceeds the maximum with its last member, which Allows let happen only if the tenant had nothing running at all, so never while tasks last. WaitFor took the gang for one that could run, as it looked at the maximum alone, and closed the quota in each pass for all that came after it, five gangs and the tasks of a4 among them.

The last task may now exceed the maximum if nothing but tasks that last is running, and a gang that finds no room beside them holds nothing back. A start stays within the users' rule (the maximum, a tenth and one task more). Without tasks that last, decisions are as before.

Evidence, release build: the new case of cell_tenants_test fails with the two conditions as they were (12 of 22 assertions) and passes. All cell_*_test but the red one, and order_relay_test, pass.

Ruled out: runs that are not accounted for after the takeover at 22953 (used was exactly the 200 in 208 refusals of each gang), workers silent or with runs of unknown demand, the maximum in force (20000, configuration 5).

Not mended: a gang whose members but one fit the maximum, but not beside the tasks that last, waits until those are cancelled.

--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -173,7 +173,9 @@
   // True if a step of the job can never start under its tenant's maximum.
   bool NeverFits(const JobSpec& spec, const std::string& tenant) const;
   void RefreshUnaccountedRuns();
-  TenantQuotas CurrentQuotas() const { return TenantQuotas(maxima_, workers_.tenant_usage(), unaccounted_); }
+  TenantQuotas CurrentQuotas() const {
+    return TenantQuotas(maxima_, workers_.tenant_usage(), unaccounted_, &workers_.lasting_usage());
+  }
   // Of the tenant's maximum, what tasks of an ending job may still be running.
   Resources StillRunning(const Job& job) const;
   // The tenant of a job that has not expired; empty if the job is unknown.
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -201,7 +201,7 @@
   }
   // Runs that are not accounted for do not matter, as nothing starts here.
   static const UnaccountedRuns kNone;
-  const TenantQuotas quotas(maxima_, workers_.tenant_usage(), kNone);
+  const TenantQuotas quotas(maxima_, workers_.tenant_usage(), kNone, &workers_.lasting_usage());
   for (const auto& [number, occurrence] : job.occurrences) {
     for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
       if (step->spec->after.empty()) {
--- a/src/cell/tenant_quota.cc
+++ b/src/cell/tenant_quota.cc
@@ -19,8 +19,8 @@
   return Resources{size.cpu_millis * count, size.memory_mb * count, size.accelerators * count};
 }
 
-bool FitsMaximum(const Resources& maximum, const Resources& size, int count) {
-  return IsWithin(Multiply(size, count - 1), maximum);
+bool FitsMaximum(const Resources& maximum, const Resources& size, int count, const Resources& beside) {
+  return IsWithin(beside + Multiply(size, count - 1), maximum);
 }
 
 TenantMaxima MaximaOf(const std::vector<TenantSpec>& tenants) {
@@ -59,10 +59,16 @@
     return nullptr;
   }
   const std::optional<Resources> unaccounted = unaccounted_->BoundFor(tenant);
-  Quota quota{maximum->second, unaccounted.value_or(Resources{}), !unaccounted.has_value()};
+  Quota quota{.maximum = maximum->second,
+              .used = unaccounted.value_or(Resources{}),
+              .lasting = Resources{},
+              .closed = !unaccounted.has_value()};
   if (const auto used = usage_->find(tenant); used != usage_->end()) {
     quota.used += used->second;
   }
+  if (lasting_ != nullptr && lasting_->contains(tenant)) {
+    quota.lasting = lasting_->at(tenant);
+  }
   return &quotas_.emplace(tenant, quota).first->second;
 }
 
@@ -74,10 +80,10 @@
   if (quota->closed) {
     return false;
   }
-  if (quota->used == Resources{}) {
-    return FitsMaximum(quota->maximum, size, count);
+  if (IsWithin(quota->used + Multiply(size, count), quota->maximum)) {
+    return true;
   }
-  return IsWithin(quota->used + Multiply(size, count), quota->maximum);
+  return quota->used == quota->lasting && FitsMaximum(quota->maximum, size, count, quota->lasting);
 }
 
 void TenantQuotas::Take(const std::string& tenant, const Resources& size, int count) {
@@ -88,7 +94,7 @@
 
 void TenantQuotas::WaitFor(const std::string& tenant, const Resources& size, int count) {
   if (Quota* quota = Find(tenant); quota != nullptr) {
-    quota->closed = quota->closed || FitsMaximum(quota->maximum, size, count);
+    quota->closed = quota->closed || FitsMaximum(quota->maximum, size, count, quota->lasting);
   }
 }
 
--- a/src/cell/tenant_quota.h
+++ b/src/cell/tenant_quota.h
@@ -36,9 +36,9 @@
   std::optional<Resources> BoundFor(const std::string& tenant) const;
 };
 
-// True if `count` tasks of this size may run at the same time under the maximum. The last one may exceed it, so that a
-// task larger than the maximum can run alone.
-bool FitsMaximum(const Resources& maximum, const Resources& size, int count);
+// True if `count` tasks of this size may run at the same time under the maximum, beside runs that use `beside`. The
+// last one may exceed it, so that a task larger than the maximum can run alone.
+bool FitsMaximum(const Resources& maximum, const Resources& size, int count, const Resources& beside = {});
 
 class TenantQuotas {
  public:
@@ -46,21 +46,27 @@
   TenantQuotas() = default;
   // Looks tenants up as they are asked for; the arguments must outlive this object and stay as they are. Starts are
   // recorded with Take. `unaccounted` bounds what may be running of any one tenant beside `usage`. Without a bound,
-  // tenants that have a maximum start nothing.
-  TenantQuotas(const TenantMaxima& maxima, const TenantUsage& usage, const UnaccountedRuns& unaccounted)
-      : maxima_(&maxima), usage_(&usage), unaccounted_(&unaccounted) {}
+  // tenants that have a maximum start nothing. `lasting`, if given, is the part of `usage` by runs that last, which
+  // does not become free.
+  TenantQuotas(const TenantMaxima& maxima,
+               const TenantUsage& usage,
+               const UnaccountedRuns& unaccounted,
+               const TenantUsage* lasting = nullptr)
+      : maxima_(&maxima), usage_(&usage), unaccounted_(&unaccounted), lasting_(lasting) {}
 
   // True if `count` tasks of this size may start now, all of them.
   bool Allows(const std::string& tenant, const Resources& size, int count = 1) const;
   // Records that `count` tasks of this size are being started.
   void Take(const std::string& tenant, const Resources& size, int count = 1);
-  // Called for a gang that the quota does not allow now: if it could ever run, nothing more of its tenant may start.
+  // Called for a gang that the quota does not allow now: if it could run beside the tenant's runs that last, nothing
+  // more of its tenant may start.
   void WaitFor(const std::string& tenant, const Resources& size, int count);
 
  private:
   struct Quota {
     Resources maximum;
     Resources used;
+    Resources lasting;
     bool closed = false;  // Nothing more may start.
   };
 
@@ -69,6 +75,7 @@
   const TenantMaxima* maxima_ = nullptr;
   const TenantUsage* usage_ = nullptr;
   const UnaccountedRuns* unaccounted_ = nullptr;
+  const TenantUsage* lasting_ = nullptr;
   mutable std::map<std::string, Quota> quotas_;  // Of the tenants that were asked for.
 };
 
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -56,7 +56,10 @@
 }
 
 RunDemand DemandOf(const StepRun& step) {
-  return RunDemand{step.task_size(), step.quota_size(), step.tenant()};
+  return RunDemand{.size = step.task_size(),
+                   .quota_size = step.quota_size(),
+                   .tenant = step.tenant(),
+                   .lasting = step.spec->long_running};
 }
 
 bool Worker::UsableAt(TimePoint now) const {
@@ -370,6 +373,7 @@
   worker.suspicion_ += placed.demand.suspicion;
   if (placed.demand_known) {
     tenant_usage_[placed.demand.tenant] += placed.demand.quota_size;
+    lasting_usage_[placed.demand.tenant] += placed.demand.lasting ? placed.demand.quota_size : Resources{};
   } else {
     ++worker.unknown_demand_runs_;
     ++unknown_demand_runs_;
@@ -386,6 +390,7 @@
   worker.suspicion_ -= placed.demand.suspicion;
   if (placed.demand_known) {
     tenant_usage_[placed.demand.tenant] -= placed.demand.quota_size;
+    lasting_usage_[placed.demand.tenant] -= placed.demand.lasting ? placed.demand.quota_size : Resources{};
   } else {
     --worker.unknown_demand_runs_;
     --unknown_demand_runs_;
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -53,7 +53,8 @@
   Resources size;        // Of its worker's capacity.
   Resources quota_size;  // Of its tenant's maximum.
   std::string tenant;
-  int suspicion = 0;  // Number of earlier runs of its task under which a worker crashed.
+  int suspicion = 0;     // Number of earlier runs of its task under which a worker crashed.
+  bool lasting = false;  // Runs until its job is cancelled.
 
   friend bool operator==(const RunDemand&, const RunDemand&) = default;
 };
@@ -218,6 +219,7 @@
   bool AnyUnknownDemand() const { return unknown_demand_runs_ > 0; }
   // Resources of all runs that may exist and whose tenant is known.
   const TenantUsage& tenant_usage() const { return tenant_usage_; }
+  const TenantUsage& lasting_usage() const { return lasting_usage_; }  // Part of tenant_usage: of runs that last.
   // Upper bound of the resources of the other runs that may exist: the free capacity of workers that may have runs the
   // owner does not know. Empty if the capacity of one of them is unknown.
   std::optional<Resources> UnaccountedResources() const;
@@ -311,6 +313,7 @@
   int unsettled_ = 0;
   int unknown_demand_runs_ = 0;  // On all workers.
   TenantUsage tenant_usage_;
+  TenantUsage lasting_usage_;
   std::map<TaskRef, int> starts_to_void_of_step_;  // Number of starts to void on all workers, by step.
   TimePoint recheck_since_{};                      // Time of the last RecheckAll.
   size_t max_number_ = 0;
--- a/tests/cell_courses_test.cc
+++ b/tests/cell_courses_test.cc
@@ -42,7 +42,7 @@
 }
 
 TEST_CASE("courses of all faults while operators change keys and quotas") {
-  ForEachSeed({21}, [](uint64_t seed) { CheckCourse({.seed = seed, .tenants = true}); });
+  ForEachSeed({}, [](uint64_t seed) { CheckCourse({.seed = seed, .tenants = true}); });
 }
 
 TEST_CASE("courses in which a repeated hold named ends to a worker's next life") {
--- a/tests/cell_red_courses_test.cc
+++ b/tests/cell_red_courses_test.cc
@@ -16,7 +16,6 @@
 
 TEST_CASE("courses that fail") {
   CheckCourse({.seed = 7, .dense = true});
-  CheckCourse({.seed = 21, .tenants = true});
 }
 
 }  // namespace
--- a/tests/cell_tenants_test.cc
+++ b/tests/cell_tenants_test.cc
@@ -394,6 +394,31 @@
   CHECK(world.violations().empty());
 }
 
+// The gang of job 2 exceeds the maximum with its last member; that of job 3 finds no room beside the tasks that last.
+TEST_CASE("tasks that last keep neither a gang that needs the maximum nor what comes after it waiting for ever") {
+  CellWorld world(433, 4, 6);
+  AddQuota(world, 8000);
+  StepSpec lasting = StepOf(2, 50);
+  lasting.long_running = true;
+  SubmitLater(world, 0ms, JobOf(1, {lasting}), "n1", 500ms);
+  StepSpec gang = StepOf(5, 1950);
+  gang.gang = true;
+  SubmitLater(world, 500ms, JobOf(2, {gang}), "n1", 500ms);
+  gang.size.cpu_millis = 2000;
+  SubmitLater(world, 500ms, JobOf(3, {gang}), "n1", 500ms);
+  for (int i = 4; i <= 20; ++i) {
+    SubmitLater(world, 600ms, JobOf(i, {StepOf(1, 2000)}), "n1", 1s);
+  }
+  world.RunFor(12s);
+  for (int i = 2; i <= 20; ++i) {
+    CHECK(world.StateOf("plain", JobId(i)) == (i == 3 ? JobState::kQueued : JobState::kCompleted));
+  }
+  world.Ask(0, CallerKind::kCancel, "plain", JobId(1), [](const CallerReply&) {});
+  world.RunFor(4s);
+  CHECK(world.StateOf("plain", JobId(3)) == JobState::kCompleted);
+  CHECK(world.violations().empty());
+}
+
 TEST_CASE("a gang that its tenant's maximum can never hold is refused at once") {
   CellWorld world(432, 4, 6);
   AddQuota(world, 8000);
