--- a/tools/mutant_table.py
+++ b/tools/mutant_table.py
@@ -51,7 +51,7 @@
            "unaccounted_.any = false;",
            ["cell_tenants_test"]),
     Mutant("let small jobs of a tenant overtake its gangs", "src/cell/tenant_quota.cc",
-           "FitsMaximum(quota->maximum, size, count);\n  }\n}",
+           "FitsMaximum(quota->maximum, size, count, quota->lasting);\n  }\n}",
            "(FitsMaximum(quota->maximum, size, count) && false);\n  }\n}",
            ["cell_tenants_test"]),
     Mutant("show jobs to other tenants", "src/cell/owner_tenants.cc",
