--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -435,7 +435,7 @@
   JobSpec SubmitTwoSteps() {
     StepSpec second = StepOf(2, 1000);
     second.after = {0};
-    const JobSpec job = SubmitSteps({StepOf(2, 1000), second}, TaskBehaviour{Between(1s, 5s), 0});
+    JobSpec job = SubmitSteps({StepOf(2, 1000), second}, TaskBehaviour{Between(1s, 5s), 0});
     cancelled_.insert(job.id);
     return job;
   }
