KNOWN-RED: a task that lasts is given up after crashes that were not its own

Trace: job 0e lasts and its runs end by themselves each 0.55 s, so that it has always just been started; a series of crashes meets three of its workers 20 ms or so after a start (crashes=3 prompt=3 leads=true given_up=true at 41.3 s), and the job ends as failed.

--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -615,7 +615,11 @@
 }
 
 TEST_CASE("seeded courses with several faults at once and longer tasks") {
+  constexpr uint64_t kFailing = 14;  // In cell_red_courses_test.
   for (uint64_t seed = 1; seed <= 40; ++seed) {
+    if (seed == kFailing) {
+      continue;
+    }
     CheckCourse({.seed = seed, .relays = seed % 2 == 0, .dense = true, .fault_kinds = kFaultKindsBeforeCancels});
   }
 }
--- a/tests/cell_red_courses_test.cc
+++ b/tests/cell_red_courses_test.cc
@@ -16,6 +16,7 @@
 
 TEST_CASE("courses that fail") {
   CheckCourse({.seed = 7, .dense = true});
+  CheckCourse({.seed = 14, .relays = true, .dense = true, .fault_kinds = 31});
 }
 
 }  // namespace
