--- a/tests/cell_courses_test.cc
+++ b/tests/cell_courses_test.cc
@@ -4,19 +4,11 @@
 
 #include <catch2/catch.hpp>
 
-#include "tests/cell_chaos.h"
+#include "tests/cell_course_check.h"
 
 namespace hibiscus::cell {
 namespace {
 
-void CheckCourse(const CellChaosOptions& options) {
-  const CellChaosResult result = RunCellChaos(options);
-  INFO("seed " << options.seed
-               << ", first violation: " << (result.violations.empty() ? "none" : result.violations.front())
-               << ", first loss: " << (result.lost.empty() ? "none" : result.lost.front()));
-  CHECK(result.ok());
-}
-
 constexpr uint64_t kSeeds = 40;
 
 // Calls `check` with each seed that is not known to fail.
--- a/tests/cell_faults_test.cc
+++ b/tests/cell_faults_test.cc
@@ -1,7 +1,7 @@
 // The cell scheduler under faults: directed ones first, then seeded courses of all of them.
 #include <catch2/catch.hpp>
 
-#include "tests/cell_chaos.h"
+#include "tests/cell_course_check.h"
 #include "tests/cell_jobs.h"
 
 namespace hibiscus::cell {
@@ -591,14 +591,6 @@
   CHECK(world.violations().empty());
 }
 
-void CheckCourse(const CellChaosOptions& options) {
-  const CellChaosResult result = RunCellChaos(options);
-  INFO("seed " << options.seed
-               << ", first violation: " << (result.violations.empty() ? "none" : result.violations.front())
-               << ", first loss: " << (result.lost.empty() ? "none" : result.lost.front()));
-  CHECK(result.ok());
-}
-
 // Kinds of faults that these courses draw from; cell_courses_test draws from all.
 constexpr size_t kFaultKindsBeforeCancels = 31;
 
