--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -2,6 +2,7 @@
 #include "daemon/settings.h"
 
 #include <cstdlib>
+#include <fstream>
 #include <string>
 #include <vector>
 
@@ -82,6 +83,22 @@
   CHECK(settings->daemon.host.suspect_timeout == 700ms);
 }
 
+// A name that is not a setting is passed over at start, and makes each later reload of the file fail.
+TEST_CASE("the settings file of the platform names only settings that exist") {
+  std::ifstream file(HIBISCUS_SOURCE_DIR "/deploy/settings.flags");
+  int named = 0;
+  for (std::string line; std::getline(file, line);) {
+    const size_t begin = line.find("--");
+    REQUIRE(begin != std::string::npos);
+    const std::string name = line.substr(begin + 2, line.find('=') - begin - 2);
+    std::string current;
+    INFO(line);
+    CHECK(gflags::GetCommandLineOption(name.c_str(), &current));
+    ++named;
+  }
+  CHECK(named > 0);
+}
+
 TEST_CASE("check and help are seen") {
   CHECK(Read({"--check"})->check_only);
   CHECK(Read({"--help"})->help_only);
