Tasks that last do not expire behind newer work of their tenant

What callers saw: a task that lasts, accepted, loses its worker and is not started again until its job is cancelled, 37 s later, with 60 to 87% of the workers free (LOST).

Cause: the scheduling order puts a job behind all others once it is older than three objectives, as its result is worthless to its caller then. A service that has run for three objectives is just what its caller wants. Its tenant had more work than its maximum lets run, so newer jobs took each part that became free, and gangs that wait for the maximum closed it for what came after them. Class: an order that never reaches what stands last (starvation).

Tasks that last are now neither late nor expired: they stand by their due time, which is early, so that they come first among their priority. They still wait for their tenant's maximum.

Evidence, release build: the new case of cell_tenants_test fails before (1 of 5 assertions; not started within 6 s) and passes. All 24 cases of cell_tenants_test pass.

Ruled out: a quota that counts what does not run: from the end of the task at 27.0 s to 62 s its tenant had 4 to 11 tasks running in each second and filled its maximum. The class of (a gang that can never run closes the quota) is another one.

--- a/src/cell/wait_order.cc
+++ b/src/cell/wait_order.cc
@@ -21,10 +21,11 @@
 SortKey SortKeyOf(StepRun& step, TimePoint now, const Policies& policies) {
   const Job& job = *step.job;
   const Duration age = now - job.accepted_at;
-  return SortKey{policies.expired_last && age > job.objective * kExpiryObjectives,
+  const bool lasts = step.spec->long_running;  // It is of use to its caller however late it starts.
+  return SortKey{policies.expired_last && !lasts && age > job.objective * kExpiryObjectives,
                  policies.tenant_shares && job.beyond_share,
                  policies.priority ? job.queue.priority : 0,
-                 policies.late_last && age + job.critical_path_time > job.objective,
+                 policies.late_last && !lasts && age + job.critical_path_time > job.objective,
                  job.accepted_at + (policies.due_first ? job.objective : Duration(0)),
                  &step};
 }
--- a/src/cell/wait_order.h
+++ b/src/cell/wait_order.h
@@ -15,8 +15,8 @@
 
 // Sorts steps into scheduling order: by queue priority, then by due time; within a priority, jobs that can no longer
 // meet their objective come after those that can. After all these come jobs beyond their tenant's share, and then
-// expired jobs. For overload: a job that is
-// already late must not delay one that can still be in time. Baseline: first come, first served.
+// expired jobs; tasks that last neither come too late nor expire. For overload: a job that is already late must not
+// delay one that can still be in time. Baseline: first come, first served.
 std::vector<StepRun*> SortByUrgency(const std::vector<StepRun*>& waiting, TimePoint now, const Policies& policies);
 
 }  // namespace hibiscus::cell
--- a/tests/cell_courses_test.cc
+++ b/tests/cell_courses_test.cc
@@ -42,5 +42,10 @@
   CheckCourse({.seed = 107, .dense = true});
 }
 
+TEST_CASE("courses in which tasks that last waited behind newer work of their tenant") {
+  CheckCourse({.seed = 910004106, .tenants = true, .dense = true, .fault_kinds = 31});
+  CheckCourse({.seed = 910010063, .relays = true, .tenants = true, .dense = true, .fault_kinds = 31});
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
--- a/tests/cell_tenants_test.cc
+++ b/tests/cell_tenants_test.cc
@@ -419,6 +419,38 @@
   CHECK(world.violations().empty());
 }
 
+// Seed 910004106: such tasks counted as expired, behind all newer work of their tenant.
+TEST_CASE("a task that lasts and has lost its worker does not wait for newer work of its tenant") {
+  CellWorld world(421, 3, 6);
+  AddTenants(world);
+  world.configuration.tenants[0].maximum = Resources{4000, 0, 0};
+  world.Configure();
+  StepSpec lasting = StepOf(1, 1000);
+  lasting.long_running = true;
+  const TaskRef task{JobId(1), 0, 0, 0};
+  world.SetKey(task.job, "n1");
+  world.SubmitWithRetries(JobOf(1, {lasting}), TaskBehaviour{});
+  world.RunFor(10s);
+  REQUIRE(world.RunningCount(task) == 1);
+  for (int i = 0; i < 80; ++i) {  // Twice the work that the maximum lets run.
+    world.In(i * 250ms, [&world, i] {
+      world.SetKey(JobId(2 + i), "n1");
+      world.SubmitWithRetries(JobOf(2 + i, {StepOf(1, 1000)}), TaskBehaviour{2s, 0});
+    });
+  }
+  world.RunFor(5s);
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    if (world.worker(i).RunsTask(task)) {
+      world.worker(i).Crash();
+      world.worker(i).Restart();
+      break;
+    }
+  }
+  REQUIRE(world.RunningCount(task) == 0);
+  CHECK(world.RunUntil([&] { return world.RunningCount(task) == 1; }, 6s));
+  CHECK(world.violations().empty());
+}
+
 TEST_CASE("a gang that its tenant's maximum can never hold is refused at once") {
   CellWorld world(432, 4, 6);
   AddQuota(world, 8000);
