Hosts that lost power no longer use up the connections of the workers

Cause: a worker accepts 64 connections and cannot tell that a host has lost power. The HTTP client opened one for every call in progress, kept up to 4,096 idle ones for 118 s, and a host that no longer owned the cell kept its own. Each loss of power left eight to ten at each worker; after seven the workers broke every new connection, so that holds and starts failed. Class: a bounded resource of the other side, used without a bound and not given back.

Half of them are for holds, which so never wait for a start that gets no answer. Other orders wait in order, each until its own deadline; one that expires was not sent, its task is placed again and the worker does not count as silent. A start that waits behind others being answered is not looked for. Idle connections close after 2 s, all when the host loses the cell. A connection that a worker breaks at once is told from silence: logged with the worker, counted, no suspicion of a crash, and tried again with backoff. The new field of an order's answer is the last one; hosts without it read and send as before.

All 36 core tests, http_test, odd_entries_test and settings_test pass.

Not tried: the bound per host that the HTTP library has, whose waiting calls cannot be ordered; one connection for all orders, on which a hold that waits for an end would delay starts by a second.

--- a/include/hibiscusstand/hibiscusstand.h
+++ b/include/hibiscusstand/hibiscusstand.h
@@ -17,21 +17,23 @@
 //  10. Placement   placement.h         index of free capacity: best fit, or spread over racks
 //  11. Retries     retry_budget.h      limits retries to a share of first attempts
 //  12. Policy      policy.h            selects which of these strategies a host uses
+//  13. Connections connection_budget.h bounds the connections to each address; calls above the bound wait in order
 #ifndef HIBISCUSSTAND_HIBISCUSSTAND_H_
 #define HIBISCUSSTAND_HIBISCUSSTAND_H_
 
-#include "hibiscusstand/admission.h"         // IWYU pragma: export
-#include "hibiscusstand/choice.h"            // IWYU pragma: export
-#include "hibiscusstand/clock.h"             // IWYU pragma: export
-#include "hibiscusstand/deadline_queue.h"    // IWYU pragma: export
-#include "hibiscusstand/lease.h"             // IWYU pragma: export
-#include "hibiscusstand/outlier_detector.h"  // IWYU pragma: export
-#include "hibiscusstand/placement.h"         // IWYU pragma: export
-#include "hibiscusstand/policy.h"            // IWYU pragma: export
-#include "hibiscusstand/quarantine.h"        // IWYU pragma: export
-#include "hibiscusstand/rendezvous.h"        // IWYU pragma: export
-#include "hibiscusstand/result.h"            // IWYU pragma: export
-#include "hibiscusstand/retry_budget.h"      // IWYU pragma: export
-#include "hibiscusstand/types.h"             // IWYU pragma: export
+#include "hibiscusstand/admission.h"          // IWYU pragma: export
+#include "hibiscusstand/choice.h"             // IWYU pragma: export
+#include "hibiscusstand/clock.h"              // IWYU pragma: export
+#include "hibiscusstand/connection_budget.h"  // IWYU pragma: export
+#include "hibiscusstand/deadline_queue.h"     // IWYU pragma: export
+#include "hibiscusstand/lease.h"              // IWYU pragma: export
+#include "hibiscusstand/outlier_detector.h"   // IWYU pragma: export
+#include "hibiscusstand/placement.h"          // IWYU pragma: export
+#include "hibiscusstand/policy.h"             // IWYU pragma: export
+#include "hibiscusstand/quarantine.h"         // IWYU pragma: export
+#include "hibiscusstand/rendezvous.h"         // IWYU pragma: export
+#include "hibiscusstand/result.h"             // IWYU pragma: export
+#include "hibiscusstand/retry_budget.h"       // IWYU pragma: export
+#include "hibiscusstand/types.h"              // IWYU pragma: export
 
 #endif  // HIBISCUSSTAND_HIBISCUSSTAND_H_
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -494,6 +494,7 @@
 
 void Host::DestroyOwner() {
   owner_.reset();
+  context_.workers.Disconnect();
   owner_lease_ = 0;
   offered_ = false;
   withdrawing_offers_ = false;
--- a/src/cell/order_relay.h
+++ b/src/cell/order_relay.h
@@ -35,6 +35,7 @@
   void Start(const WorkerTarget& worker, const StartOrder& order, Done done) override;
   void Stop(const WorkerTarget& worker, const RunRef& run, uint64_t token, Done done) override;
   void Hold(const WorkerTarget& worker, const HoldOrder& order, Done done) override;
+  void Disconnect() override { context_.workers.Disconnect(); }
 
   void OnReply(const OrderReply& reply);
   // Completes overdue orders with kUnknown. Must be called a few times per second.
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -12,6 +12,7 @@
 #include <tl/expected.hpp>
 
 #include "cell/values.h"
+#include "hibiscusstand/connection_budget.h"
 
 namespace hibiscus::cell {
 
@@ -148,6 +149,7 @@
   int64_t born_ms = 0;              // Start time of the worker instance that answered; 0: unknown.
   std::vector<RunningRun> running;  // Only in answers to Hold.
   std::vector<EndedRun> ended;      // Only in answers to Hold.
+  UnansweredReason reason = UnansweredReason::kSilence;
 
   friend bool operator==(const OrderAnswer&, const OrderAnswer&) = default;
 };
@@ -187,6 +189,9 @@
   virtual void Start(const WorkerTarget& worker, const StartOrder& order, Done done) = 0;
   virtual void Stop(const WorkerTarget& worker, const RunRef& run, uint64_t token, Done done) = 0;
   virtual void Hold(const WorkerTarget& worker, const HoldOrder& order, Done done) = 0;
+  // Closes the connections to all workers, whose number at each worker is limited. Orders in flight may end without an
+  // answer.
+  virtual void Disconnect() = 0;
 };
 
 // --- Advice ----------------------------------------------------------------------------------------------------------
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -153,7 +153,7 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, OrderAnswer> {
-  return std::tie(self.status, self.worker_clock, self.born_ms, self.running, self.ended);
+  return std::tie(self.status, self.worker_clock, self.born_ms, self.running, self.ended, self.reason);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StartRequest> {
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -12,13 +12,15 @@
 constexpr Duration kHoldPollTimeout = 1s;   // How long a hold waits for an end; bounds the detection of a dead worker.
 constexpr Duration kUnacknowledgedHoldInterval = 400ms;  // Between holds while received ends are not stored yet.
 constexpr Duration kSilentRetryInterval = 300ms;         // Between holds to a silent worker.
-constexpr Duration kStopRetryInterval = 300ms;           // Before an unanswered stop is sent again.
-constexpr Duration kStartDeadline = 1500ms;              // The worker refuses a start that arrives later.
-constexpr Duration kStartCheckDelay = 250ms;  // Before an unanswered start is checked: ten usual region round trips.
-constexpr Duration kRefusalBackoff = 700ms;   // A worker that refused a start receives none for this time.
-constexpr Duration kUnlistedGrace = 2500ms;   // Entries reappear within about two seconds after the store recovers.
-constexpr Duration kUnlistedRetention = 15s;  // Before an unlisted worker without runs is dropped.
-constexpr Duration kMaxOrderDelay = 15s;      // An unanswered order may still be carried out this much later.
+// Between holds to a worker that refuses connections: other hosts need those that become free, too.
+constexpr Duration kMaxRefusedRetryInterval = 1200ms;
+constexpr Duration kStopRetryInterval = 300ms;  // Before an unanswered stop is sent again.
+constexpr Duration kStartDeadline = 1500ms;     // The worker refuses a start that arrives later.
+constexpr Duration kStartCheckDelay = 250ms;    // Before an unanswered start is checked: ten usual region round trips.
+constexpr Duration kRefusalBackoff = 700ms;     // A worker that refused a start receives none for this time.
+constexpr Duration kUnlistedGrace = 2500ms;     // Entries reappear within about two seconds after the store recovers.
+constexpr Duration kUnlistedRetention = 15s;    // Before an unlisted worker without runs is dropped.
+constexpr Duration kMaxOrderDelay = 15s;        // An unanswered order may still be carried out this much later.
 constexpr int kStartDelaySmoothing = 32;  // Divisor of the moving average: limits the effect of a single slow worker.
 constexpr Duration kStartDelayValidity = 1s;  // The average expires this long after the last answered start.
 // How long an answered hold shows that no other owner had fenced the worker: covers a hold that waits for an end and
@@ -487,9 +489,10 @@
   const int64_t born_ms = worker.entry.born_ms;
   if (!RecordAnswer(worker, answer)) {
     const bool new_life = worker.entry.born_ms != born_ms;
-    ScheduleHold(worker, new_life ? Duration(0) : kSilentRetryInterval);
+    ScheduleHold(worker, new_life ? Duration(0) : RetryDelay(worker, answer));
     return;
   }
+  worker.refused_connections_ = 0;
   if (answer.status == OrderStatus::kFenced) {
     listener_.OnFenced();
     return;
@@ -515,6 +518,18 @@
   ScheduleHold(worker, ends_pending ? kUnacknowledgedHoldInterval : 0us);
 }
 
+Duration WorkerTable::RetryDelay(Worker& worker, const OrderAnswer& answer) {
+  if (answer.reason != UnansweredReason::kConnectionRefused) {
+    return kSilentRetryInterval;
+  }
+  Duration delay = kSilentRetryInterval;
+  for (int i = 0; i < worker.refused_connections_ && delay < kMaxRefusedRetryInterval; ++i) {
+    delay *= 2;
+  }
+  ++worker.refused_connections_;
+  return delay / 2 + context_.Jitter(delay / 2);
+}
+
 bool WorkerTable::ApplyLists(Worker& worker, TimePoint requested_at, const OrderAnswer& answer) {
   if (answer.worker_clock < worker.lists_clock_) {
     return true;  // Newer lists have arrived on another connection.
@@ -616,13 +631,7 @@
   order.deadline = worker.ClockAt(now) + kStartDeadline;
   ExtendLease(worker, order.deadline);
   AddRun(worker, order.run, PlacedRun{.demand = demand, .absence_valid_after = order.deadline, .placed_at = now});
-  context_.timers.In(kStartCheckDelay, [this, alive = alive_, id = worker.entry.id, run = order.run] {
-    Worker* found = *alive ? Find(id) : nullptr;
-    const bool still_placed = found != nullptr && found->placed.contains(run);
-    if (still_placed && found->placed[run].phase == PlacedPhase::kStarting && !found->silent) {
-      CheckOverdueStart(*found, run);
-    }
-  });
+  ScheduleStartCheck(worker, order.run);
   orders_.Start(TargetOf(worker), order,
                 [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms,
                  run = order.run](const OrderAnswer& answer) {
@@ -637,6 +646,9 @@
   context_.counters.Add(fmt::format("worker_starts{{status=\"{}\"}}", NameOf(answer.status)));
   const bool answered = RecordAnswer(worker, answer);
   const auto found = worker.placed.find(run);
+  if (answered) {
+    worker.start_answered_at_ = context_.Now();
+  }
   if (answered && found != worker.placed.end()) {
     RecordStartDelay(context_.Now() - found->second.placed_at);
   }
@@ -683,6 +695,22 @@
   SendStop(worker, run);
 }
 
+// A start may wait behind others to the same worker: its answer is not overdue while they are being answered.
+void WorkerTable::ScheduleStartCheck(const Worker& worker, const RunRef& run) {
+  context_.timers.In(kStartCheckDelay, [this, alive = alive_, id = worker.entry.id, run] {
+    Worker* found = *alive ? Find(id) : nullptr;
+    const bool still_placed = found != nullptr && found->placed.contains(run);
+    if (!still_placed || found->placed[run].phase != PlacedPhase::kStarting || found->silent) {
+      return;
+    }
+    if (context_.Now() - found->start_answered_at_ < kStartCheckDelay) {
+      ScheduleStartCheck(*found, run);
+    } else {
+      CheckOverdueStart(*found, run);
+    }
+  });
+}
+
 // Reads the worker's lists for a start whose answer is overdue: only the answer may have been lost.
 void WorkerTable::CheckOverdueStart(Worker& worker, const RunRef& run) {
   context_.counters.Add("worker_looks_after_starts");
@@ -751,8 +779,11 @@
 bool WorkerTable::RecordAnswer(Worker& worker, const OrderAnswer& answer) {
   if (answer.status == OrderStatus::kUnknown || answer.status == OrderStatus::kNotSent ||
       answer.status == OrderStatus::kOtherInstance) {
+    if (answer.reason == UnansweredReason::kNoConnectionFree) {
+      return false;  // Nothing was learnt about the worker.
+    }
     worker.unanswered_at_ = context_.Now();
-    MarkSilent(worker, answer.status);
+    MarkSilent(worker, answer);
     return false;
   }
   if (answer.born_ms != 0 && answer.born_ms != worker.entry.born_ms) {
@@ -794,17 +825,20 @@
   return context_.Now() - start_delay_updated_at_ < kStartDelayValidity ? start_delay_ : Duration(0);
 }
 
-void WorkerTable::MarkSilent(Worker& worker, OrderStatus status) {
+void WorkerTable::MarkSilent(Worker& worker, const OrderAnswer& answer) {
   if (worker.silent) {
     return;
   }
   worker.silent = true;
   worker.silent_since_ = context_.Now();
   context_.counters.Add("worker_silences");
-  context_.Log("worker", "event=worker_silent worker={} status={} runs={} surely_over_in_ms={}", worker.entry.id,
-               NameOf(status), worker.placed.size(),
+  const bool refused = answer.reason == UnansweredReason::kConnectionRefused;
+  context_.Log("worker", "event=worker_silent worker={} status={} connection_refused={} runs={} surely_over_in_ms={}",
+               worker.entry.id, NameOf(answer.status), refused, worker.placed.size(),
                Millis(std::max(Duration(0), worker.lease_until_ - context_.Now())));
-  listener_.OnSilent(worker, RunsAtCrash(worker));
+  if (!refused) {  // A worker that refuses connections has not crashed.
+    listener_.OnSilent(worker, RunsAtCrash(worker));
+  }
   listener_.OnChanged(worker);
 }
 
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -135,6 +135,8 @@
   bool replaced_ = false;                          // Another instance has its address: its process has ended.
   TimePoint silent_since_{};                       // Valid while silent.
   TimePoint unanswered_at_{};                      // When the newest call without an answer was given up.
+  TimePoint start_answered_at_{};                  // When the newest answer to a start was received.
+  int refused_connections_ = 0;                    // By the worker, since it last answered a hold.
   std::vector<CrashedRun> lapsed_;                 // Runs whose lease expired; it may have crashed under them before.
   bool hold_in_flight_ = false;                    // A hold awaits its answer.
   uint64_t hold_timer_ = 0;                        // Number of the newest hold timer; older ones are ignored.
@@ -258,13 +260,16 @@
   void ApplyEnded(Worker& worker, const OrderAnswer& answer);
   void ApplyRunning(Worker& worker, const OrderAnswer& answer);
   void ApplyAbsent(Worker& worker, const OrderAnswer& answer);
+  void ScheduleStartCheck(const Worker& worker, const RunRef& run);
   void CheckOverdueStart(Worker& worker, const RunRef& run);
   void OnStartAnswer(Worker& worker, const RunRef& run, const OrderAnswer& answer);
   void AbandonStart(Worker& worker, const RunRef& run);
   void SendStop(Worker& worker, const RunRef& run);
   bool RecordAnswer(Worker& worker, const OrderAnswer& answer);
   bool IsFromCurrentLife(const Worker& worker, const OrderAnswer& answer) const;
-  void MarkSilent(Worker& worker, OrderStatus status);
+  void MarkSilent(Worker& worker, const OrderAnswer& answer);
+  // How long to wait before the next hold to a worker that did not answer the last one.
+  Duration RetryDelay(Worker& worker, const OrderAnswer& answer);
   // Another instance answers at the worker's address, or is listed with it: the worker's process has ended.
   void OnReplaced(Worker& worker);
   void ReplaceWorkersAt(const WorkerEntry& entry);
--- a/src/daemon/cell_daemon.cc
+++ b/src/daemon/cell_daemon.cc
@@ -10,6 +10,9 @@
 
 // The platform's balancer checks readiness once a second and removes a host after two failed checks.
 constexpr Duration kBalancerRemovalDelay = 2500ms;
+// A host that loses power leaves its connections open at the workers, which cannot tell. Most orders find a connection
+// that is younger.
+constexpr std::chrono::seconds kWorkerIdleTimeout(2);
 constexpr Duration kExitMargin = 700ms;  // Left between the end of the drain and the kill by the platform.
 
 }  // namespace
@@ -18,16 +21,17 @@
     : settings_(settings),
       log_(EventLogOptions{.host = settings.cell.name}, clock_),
       loop_(timers_, clock_, [this] { AfterRound(); }),
+      worker_http_(HttpClientOptions{settings.worker_connections, kWorkerIdleTimeout}),
       store_(
           store_http_,
           [this](std::function<void()> work) { loop_.PostUrgent(std::move(work)); },
           settings.store_address),
       workers_(
-          http_,
+          worker_http_,
           [this](std::function<void()> work) { loop_.Post(std::move(work)); },
           log_),
       advice_(
-          http_,
+          advice_http_,
           [this](std::function<void()> work) { loop_.Post(std::move(work)); },
           settings.cell.advice_address),
       context_{settings.cell, clock_,   wall_clock_, timers_,
@@ -112,7 +116,8 @@
   loop_.Post([this, settings] {
     const bool needs_restart = settings.cell.peer_address != settings_.cell.peer_address ||
                                settings.callers.address != settings_.callers.address ||
-                               settings.callers.port != settings_.callers.port;
+                               settings.callers.port != settings_.callers.port ||
+                               settings.worker_connections != settings_.worker_connections;
     cell::CellSettings cell = settings.cell;
     cell.incarnation = settings_.cell.incarnation;
     cell.peer_address = settings_.cell.peer_address;
@@ -136,6 +141,11 @@
 std::string CellDaemon::RenderMetrics() {
   host_->UpdateGauges();
   counters_.Set("peer_deliveries_lost", static_cast<double>(link_->lost()));
+  const HttpConnectionCounts connections = worker_http_.connection_counts();
+  counters_.Set("worker_connections", static_cast<double>(connections.open));
+  counters_.Set("worker_connections_to_one", static_cast<double>(connections.open_to_one));
+  counters_.Set("worker_connections_opened", static_cast<double>(connections.opened));
+  counters_.Set("worker_connections_refused", static_cast<double>(connections.refused));
   std::string text;
   for (const auto& [name, value] : counters_.values()) {
     text += fmt::format("hibiscus_{} {}\n", name, value);
--- a/src/daemon/cell_daemon.h
+++ b/src/daemon/cell_daemon.h
@@ -31,7 +31,8 @@
   HttpServerOptions balancer;
   HttpServerOptions metrics;
   std::string store_address;
-  Duration grace_period = 6s;  // The platform kills the process this long after SIGTERM.
+  ConnectionLimits worker_connections;  // To each worker.
+  Duration grace_period = 6s;           // The platform kills the process this long after SIGTERM.
 };
 
 class CellDaemon {
@@ -76,7 +77,8 @@
   PeerBatcher peer_batcher_;
   std::unique_ptr<FrameLink> link_;
   TaskLoop loop_;
-  HttpClient http_;
+  HttpClient advice_http_;
+  HttpClient worker_http_;
   HttpClient store_http_;  // Separate, so that replies of the store do not queue behind those of many workers.
   platform::Directory directory_;
   platform::StoreClient store_;
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -43,6 +43,7 @@
 DEFINE_string(state_kept_s, "120", "");
 DEFINE_string(shortest_lease_ms, "1000", "");
 DEFINE_string(grace_s, "6", "");
+DEFINE_string(worker_connections, "64", "");
 DEFINE_string(key_withdrawal_ms, "0", "");
 DEFINE_bool(check, false, "");
 DECLARE_string(flagfile);
@@ -125,6 +126,9 @@
          "milliseconds"},
         {"grace_s", &FLAGS_grace_s, Kind::kNumber, "the platform kills a stopping process after this", 1, 600,
          "seconds"},
+        {"worker_connections", &FLAGS_worker_connections, Kind::kNumber,
+         "connections that a worker accepts, of all hosts together; at least 2 for the owner and 2 for its successor",
+         4, 65'535, "connections"},
         {"key_withdrawal_ms", &FLAGS_key_withdrawal_ms, Kind::kNumber,
          "a withdrawn API key is refused by every host after this, even by one that is cut off; 0: once the host has "
          "the "
@@ -296,6 +300,17 @@
   return options;
 }
 
+// The share of one host. The owner, its successor and relays use a worker's connections, and hosts that lost power
+// leave theirs open. Half of the share is for holds: one that waits for an end, and one that looks for an overdue
+// start.
+ConnectionLimits ShareOfWorkerConnections(size_t accepted) {
+  constexpr size_t kHosts = 16;  // That share them; of these, about a dozen may have lost power since a worker started.
+  constexpr size_t kMinShare = 2;
+  constexpr size_t kMaxShare = 4;
+  const size_t share = std::clamp(accepted / kHosts, kMinShare, kMaxShare);
+  return ConnectionLimits{.total = share, .urgent = share / 2};
+}
+
 CellDaemonSettings CellDaemonSettingsFromFlags() {
   const auto millis = [](const std::string& value) { return std::chrono::milliseconds(ValidatedInt(value)); };
   CellDaemonSettings settings;
@@ -315,6 +330,7 @@
   settings.balancer = ServerOptionsFor(FLAGS_ready);
   settings.metrics = ServerOptionsFor(FLAGS_metrics);
   settings.store_address = FLAGS_store;
+  settings.worker_connections = ShareOfWorkerConnections(static_cast<size_t>(ValidatedInt(FLAGS_worker_connections)));
   settings.grace_period = std::chrono::seconds(ValidatedInt(FLAGS_grace_s));
   return settings;
 }
--- a/src/ports/http_client.cc
+++ b/src/ports/http_client.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -20,6 +21,8 @@
 constexpr int kMaxEpollEvents = 64;  // Events per epoll_wait.
 constexpr long kMaxCachedConnections = 4096;
 constexpr Duration kConnectTimeout = 800ms;
+// A server that accepts a connection above its limit breaks it within a few round trips between regions.
+constexpr Duration kMaxRefusalTime = 100ms;
 constexpr size_t kMaxResponseBytes = size_t{16} * 1024 * 1024;  // A longer answer ends the call as kUnknown.
 
 struct Transfer {
@@ -27,9 +30,17 @@
   HttpClient::Done done;
   std::string body;
   curl_slist* headers = nullptr;
-  int send_count = 0;  // How often the request was sent on a connection.
+  int send_count = 0;   // How often the request was sent on a connection.
+  uint64_t number = 0;  // In the connection budget.
+  TimePoint deadline{};
 };
 
+// Scheme, host and port of a URL.
+std::string AddressOf(const std::string& url) {
+  const size_t scheme_end = url.find("://");
+  return url.substr(0, url.find('/', scheme_end == std::string::npos ? 0 : scheme_end + 3));
+}
+
 size_t OnBody(char* data, size_t size, size_t count, void* target) {
   auto* body = static_cast<std::string*>(target);
   if (body->size() + size * count > kMaxResponseBytes) {
@@ -55,28 +66,49 @@
 }  // namespace
 
 struct HttpClient::State {
+  explicit State(const HttpClientOptions& client_options) : options(client_options), budget(options.connections) {}
+
+  const HttpClientOptions options;
   CURLM* multi = nullptr;
   int epoll_fd = -1;  // epoll: libcurl's sockets and `wake_fd`.
   int wake_fd = -1;   // eventfd: signalled when `submitted` has calls, or to stop.
   SteadyClock clock;
   TimePoint timer_deadline = TimePoint::max();  // When libcurl's timer expires. Client thread only.
   std::mutex mutex;
-  std::vector<std::unique_ptr<Transfer>> submitted;              // Guarded by mutex.
-  std::unordered_map<CURL*, std::unique_ptr<Transfer>> running;  // Client thread only.
-  std::vector<CURL*> idle_handles;                               // For reuse. Client thread only.
-  bool stopping = false;                                         // Guarded by mutex.
+  std::vector<std::unique_ptr<Transfer>> submitted;                 // Guarded by mutex.
+  bool close_requested = false;                                     // Guarded by mutex.
+  bool stopping = false;                                            // Guarded by mutex.
+  HttpConnectionCounts counts;                                      // Guarded by mutex.
+  std::unordered_map<CURL*, std::unique_ptr<Transfer>> running;     // Client thread only, like all below.
+  std::unordered_map<uint64_t, std::unique_ptr<Transfer>> waiting;  // For a connection. By number.
+  std::vector<CURL*> idle_handles;                                  // For reuse.
+  ConnectionBudget budget;
+  uint64_t last_number = 0;
+  std::unordered_map<curl_socket_t, std::string> open_sockets;  // The address of each.
+  std::unordered_map<std::string, size_t> open_to;              // Number of open sockets by address.
+  TimePoint idle_since{};                                       // No call is running since then.
   std::thread thread;
 
   static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* self, void* registered);
   static int OnTimer(CURLM* multi, long timeout_ms, void* self);
+  static curl_socket_t OnOpenSocket(void* self, curlsocktype purpose, curl_sockaddr* address);
+  static int OnCloseSocket(void* self, curl_socket_t socket);
+  void OpenMulti();
+  void CloseMulti();
+  void CloseAll();
+  void CloseIfIdle();
+  TimePoint NextDeadline() const;
   int EpollTimeoutMs() const;
   void Wake() const;
   void ProcessEvents();
   void Run();
   void StartSubmitted();
+  void ExpireWaiting();
+  void StartWaiting(const std::vector<uint64_t>& numbers);
   void Start(std::unique_ptr<Transfer> transfer);
   void FinishCompleted();
   void Finish(CURL* easy, CURLcode code);
+  bool WasRefused(CURL* easy, CURLcode code) const;
 };
 
 // libcurl's socket callback: adds, changes or removes the socket's epoll registration.
@@ -101,11 +133,87 @@
   return 0;
 }
 
+// libcurl keeps this callback, and the next, with the connection.
+curl_socket_t HttpClient::State::OnOpenSocket(void* self, curlsocktype /*purpose*/, curl_sockaddr* address) {
+  auto* state = static_cast<State*>(self);
+  const curl_socket_t opened = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+  if (opened == CURL_SOCKET_BAD) {
+    return opened;
+  }
+  std::string name(reinterpret_cast<const char*>(&address->addr), address->addrlen);
+  const size_t open_to_one = ++state->open_to[name];
+  state->open_sockets[opened] = std::move(name);
+  const std::lock_guard lock(state->mutex);
+  ++state->counts.opened;
+  ++state->counts.open;
+  state->counts.open_to_one = std::max(state->counts.open_to_one, open_to_one);
+  return opened;
+}
+
+int HttpClient::State::OnCloseSocket(void* self, curl_socket_t socket) {
+  auto* state = static_cast<State*>(self);
+  if (const auto closed = state->open_sockets.extract(socket); !closed.empty()) {
+    const auto to = state->open_to.find(closed.mapped());
+    if (--to->second == 0) {
+      state->open_to.erase(to);
+    }
+    size_t open_to_one = 0;
+    for (const auto& [address, count] : state->open_to) {
+      open_to_one = std::max(open_to_one, count);
+    }
+    const std::lock_guard lock(state->mutex);
+    --state->counts.open;
+    state->counts.open_to_one = open_to_one;
+  }
+  return close(socket);
+}
+
+void HttpClient::State::OpenMulti() {
+  multi = curl_multi_init();
+  curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, kMaxCachedConnections);
+  curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &State::OnSocket);
+  curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &State::OnTimer);
+  curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+}
+
+// Closes the connections, of which none is in use.
+void HttpClient::State::CloseMulti() {
+  curl_multi_cleanup(multi);
+  timer_deadline = TimePoint::max();
+}
+
+void HttpClient::State::CloseAll() {
+  while (!running.empty()) {  // A call that waited for the connection of one that ends here ends next.
+    Finish(running.begin()->first, CURLE_ABORTED_BY_CALLBACK);
+  }
+  CloseMulti();
+  OpenMulti();
+}
+
+// libcurl closes idle connections only while it makes calls.
+void HttpClient::State::CloseIfIdle() {
+  if (running.empty() && !open_sockets.empty() && clock.Now() - idle_since > options.idle_timeout) {
+    CloseMulti();
+    OpenMulti();
+  }
+}
+
+// The next moment at which the client's thread has to act.
+TimePoint HttpClient::State::NextDeadline() const {
+  TimePoint next = std::min(timer_deadline, budget.next_deadline().value_or(TimePoint::max()));
+  if (running.empty() && !open_sockets.empty()) {
+    next = std::min(next, idle_since + options.idle_timeout);
+  }
+  return next;
+}
+
 int HttpClient::State::EpollTimeoutMs() const {
-  if (timer_deadline == TimePoint::max()) {
+  const TimePoint next = NextDeadline();
+  if (next == TimePoint::max()) {
     return -1;
   }
-  const Duration left = std::max(Duration(0), timer_deadline - clock.Now());
+  const Duration left = std::max(Duration(0), next - clock.Now());
   return static_cast<int>(Millis(left + 999us));
 }
 
@@ -138,19 +246,24 @@
 
 void HttpClient::State::Run() {
   while (true) {
+    bool close_all = false;
     {
       const std::lock_guard lock(mutex);
       if (stopping) {
         break;
       }
+      close_all = std::exchange(close_requested, false);
+    }
+    if (close_all) {
+      CloseAll();
     }
     StartSubmitted();
     ProcessEvents();
     FinishCompleted();
+    ExpireWaiting();
+    CloseIfIdle();
   }
-  while (!running.empty()) {
-    Finish(running.begin()->first, CURLE_ABORTED_BY_CALLBACK);
-  }
+  CloseAll();
 }
 
 void HttpClient::State::StartSubmitted() {
@@ -160,7 +273,29 @@
     taken.swap(submitted);
   }
   for (std::unique_ptr<Transfer>& transfer : taken) {
-    Start(std::move(transfer));
+    transfer->number = ++last_number;
+    const HttpCall& call = transfer->call;
+    if (budget.Admit(transfer->number, AddressOf(call.url), call.urgent, transfer->deadline)) {
+      Start(std::move(transfer));
+    } else {
+      waiting[transfer->number] = std::move(transfer);
+    }
+  }
+}
+
+void HttpClient::State::ExpireWaiting() {
+  for (const uint64_t number : budget.TakeExpired(clock.Now())) {
+    const auto expired = waiting.extract(number);
+    HttpResult result;
+    result.delivery = Delivery::kNotSent;
+    result.reason = UnansweredReason::kNoConnectionFree;
+    expired.mapped()->done(std::move(result));
+  }
+}
+
+void HttpClient::State::StartWaiting(const std::vector<uint64_t>& numbers) {
+  for (const uint64_t number : numbers) {
+    Start(std::move(waiting.extract(number).mapped()));
   }
 }
 
@@ -186,7 +321,7 @@
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.body.size()));
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
   }
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max(1L, static_cast<long>(Millis(call.timeout))));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max(1L, static_cast<long>(Millis(transfer->deadline - clock.Now()))));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(Millis(kConnectTimeout)));
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   // A call that ends during the lookup of a host name does not wait for the lookup, which would stop all other calls.
@@ -195,6 +330,11 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer->body);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(options.idle_timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &State::OnOpenSocket);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &State::OnCloseSocket);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   running[easy] = std::move(transfer);
   curl_multi_add_handle(multi, easy);
 }
@@ -208,6 +348,22 @@
   }
 }
 
+// A connection that breaks later, or that served calls before, says nothing about the server's limit.
+bool HttpClient::State::WasRefused(CURL* easy, CURLcode code) const {
+  const bool broken = code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR || code == CURLE_GOT_NOTHING ||
+                      code == CURLE_COULDNT_CONNECT;
+  long new_connections = 0;
+  long error = 0;
+  curl_off_t connected_us = 0;
+  curl_off_t total_us = 0;
+  curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &new_connections);
+  curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
+  curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connected_us);
+  curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME_T, &total_us);
+  const bool reset = code != CURLE_COULDNT_CONNECT || error == ECONNRESET;
+  return broken && reset && new_connections > 0 && Duration(total_us - connected_us) < kMaxRefusalTime;
+}
+
 void HttpClient::State::Finish(CURL* easy, CURLcode code) {
   const std::unique_ptr<Transfer> transfer = std::move(running[easy]);
   running.erase(easy);
@@ -221,20 +377,22 @@
   } else if (transfer->send_count == 0) {
     result.delivery = Delivery::kNotSent;
   }
+  if (WasRefused(easy, code)) {
+    result.reason = UnansweredReason::kConnectionRefused;
+    const std::lock_guard lock(mutex);
+    ++counts.refused;
+  }
   curl_multi_remove_handle(multi, easy);
   curl_slist_free_all(transfer->headers);
   idle_handles.push_back(easy);
+  idle_since = clock.Now();
   transfer->done(std::move(result));
+  StartWaiting(budget.Release(transfer->number));
 }
 
-HttpClient::HttpClient() : state_(std::make_unique<State>()) {
+HttpClient::HttpClient(const HttpClientOptions& options) : state_(std::make_unique<State>(options)) {
   InitCurlOnce();
-  state_->multi = curl_multi_init();
-  curl_multi_setopt(state_->multi, CURLMOPT_MAXCONNECTS, kMaxCachedConnections);
-  curl_multi_setopt(state_->multi, CURLMOPT_SOCKETFUNCTION, &State::OnSocket);
-  curl_multi_setopt(state_->multi, CURLMOPT_SOCKETDATA, state_.get());
-  curl_multi_setopt(state_->multi, CURLMOPT_TIMERFUNCTION, &State::OnTimer);
-  curl_multi_setopt(state_->multi, CURLMOPT_TIMERDATA, state_.get());
+  state_->OpenMulti();
   state_->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
   state_->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
   epoll_event event{};
@@ -263,6 +421,7 @@
   auto transfer = std::make_unique<Transfer>();
   transfer->call = std::move(call);
   transfer->done = std::move(done);
+  transfer->deadline = state_->clock.Now() + transfer->call.timeout;
   {
     const std::lock_guard lock(state_->mutex);
     state_->submitted.push_back(std::move(transfer));
@@ -270,6 +429,19 @@
   state_->Wake();
 }
 
+void HttpClient::CloseConnections() {
+  {
+    const std::lock_guard lock(state_->mutex);
+    state_->close_requested = true;
+  }
+  state_->Wake();
+}
+
+HttpConnectionCounts HttpClient::connection_counts() const {
+  const std::lock_guard lock(state_->mutex);
+  return state_->counts;
+}
+
 HttpResult HttpFetch(const HttpCall& call) {
   std::promise<HttpResult> promise;
   std::future<HttpResult> future = promise.get_future();
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -53,6 +53,7 @@
   void Start(const WorkerTarget& worker, const StartOrder& order, WorkerPort::Done done) override;
   void Stop(const WorkerTarget& worker, const RunRef& run, uint64_t token, WorkerPort::Done done) override;
   void Hold(const WorkerTarget& worker, const HoldOrder& order, WorkerPort::Done done) override;
+  void Disconnect() override {}
   void Ask(const TaskRef& step,
            const std::vector<std::string>& workers,
            Duration timeout,
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -64,6 +64,8 @@
       {"--control_lease_ms=99999999999", "--control_lease_ms is '99999999999'; it must be 1000 to 60000 milliseconds"},
       {"--leave_limit_ms=99", "--leave_limit_ms is '99'; it must be 100 to 3600000 milliseconds"},
       {"--leave_linger_ms=-1", "--leave_linger_ms is '-1'; it must be 0 to 600000 milliseconds"},
+      {"--worker_connections=0", "--worker_connections is '0'; it must be 4 to 65535 connections"},
+      {"--worker_connections=3", "--worker_connections is '3'; it must be 4 to 65535 connections"},
       {"--log_level=loud", "--log_level is 'loud'; it must be debug, info, warning or error"},
       {"word", "'word' is no flag; see --help"},
   }));
@@ -99,6 +101,13 @@
   CHECK(named > 0);
 }
 
+TEST_CASE("a host opens its share of the connections that a worker accepts, two at least") {
+  CHECK(Read({"--worker_connections=64"})->cell.worker_connections == ConnectionLimits{.total = 4, .urgent = 2});
+  CHECK(Read({"--worker_connections=48"})->cell.worker_connections == ConnectionLimits{.total = 3, .urgent = 1});
+  CHECK(Read({"--worker_connections=4"})->cell.worker_connections == ConnectionLimits{.total = 2, .urgent = 1});
+  CHECK(Read({"--worker_connections=65535"})->cell.worker_connections == ConnectionLimits{.total = 4, .urgent = 2});
+}
+
 TEST_CASE("check and help are seen") {
   CHECK(Read({"--check"})->check_only);
   CHECK(Read({"--help"})->help_only);
--- a/tools/mutant_table.py
+++ b/tools/mutant_table.py
@@ -13,6 +13,19 @@
 
 
 MUTANTS = [
+    # Connections
+    Mutant("open a connection for every call", "src/core/connection_budget.cc",
+           "  return any_left && (urgent",
+           "  return any_left || (urgent",
+           ["connection_budget_test"]),
+    Mutant("let other calls use the connections of urgent ones", "src/core/connection_budget.cc",
+           "address.others < limits_.total - limits_.urgent);",
+           "address.others < limits_.total);",
+           ["connection_budget_test"]),
+    Mutant("send a call whose deadline has passed", "src/core/connection_budget.cc",
+           "    calls_.erase(call);\n    expired",
+           "    expired",
+           ["connection_budget_test"]),
     # The cell
     Mutant("compact the log while it is being loaded", "src/cell/owner_store.cc",
            "  if (!loaded_) {\n    // Requested by Close",
