Tasks that last are not put behind work within their tenant's share

Cause: a job that came beyond its tenant's share stays so for good, and all such work comes last. That is right for a job that ends; a service is there to stay.

Priorities are as before: a queue of a later priority waits for the tenant's maximum behind earlier ones, whatever its tasks are.

--- a/src/cell/wait_order.cc
+++ b/src/cell/wait_order.cc
@@ -23,7 +23,7 @@
   const Duration age = now - job.accepted_at;
   const bool lasts = step.spec->long_running;  // It is of use to its caller however late it starts.
   return SortKey{policies.expired_last && !lasts && age > job.objective * kExpiryObjectives,
-                 policies.tenant_shares && job.beyond_share,
+                 policies.tenant_shares && !lasts && job.beyond_share,
                  policies.priority ? job.queue.priority : 0,
                  policies.late_last && !lasts && age + job.critical_path_time > job.objective,
                  job.accepted_at + (policies.due_first ? job.objective : Duration(0)),
--- a/tests/cell_tenants_test.cc
+++ b/tests/cell_tenants_test.cc
@@ -419,36 +419,52 @@
   CHECK(world.violations().empty());
 }
 
-// Seed 910004106: such tasks counted as expired, behind all newer work of their tenant.
-TEST_CASE("a task that lasts and has lost its worker does not wait for newer work of its tenant") {
-  CellWorld world(421, 3, 6);
-  AddTenants(world);
-  world.configuration.tenants[0].maximum = Resources{4000, 0, 0};
-  world.Configure();
-  StepSpec lasting = StepOf(1, 1000);
-  lasting.long_running = true;
-  const TaskRef task{JobId(1), 0, 0, 0};
-  world.SetKey(task.job, "n1");
-  world.SubmitWithRetries(JobOf(1, {lasting}), TaskBehaviour{});
-  world.RunFor(10s);
-  REQUIRE(world.RunningCount(task) == 1);
-  for (int i = 0; i < 80; ++i) {  // Twice the work that the maximum lets run.
-    world.In(i * 250ms, [&world, i] {
-      world.SetKey(JobId(2 + i), "n1");
-      world.SubmitWithRetries(JobOf(2 + i, {StepOf(1, 1000)}), TaskBehaviour{2s, 0});
+// Keeps a tenant with twice the work that its maximum lets run, for 20 s.
+void SubmitTwiceTheMaximum(CellWorld& world, int first_number) {
+  for (int i = 0; i < 80; ++i) {
+    world.In(i * 250ms, [&world, number = first_number + i] {
+      world.SetKey(JobId(number), "n1");
+      world.SubmitWithRetries(JobOf(number, {StepOf(1, 1000)}), TaskBehaviour{2s, 0});
     });
   }
-  world.RunFor(5s);
-  for (size_t i = 0; i < world.worker_count(); ++i) {
-    if (world.worker(i).RunsTask(task)) {
-      world.worker(i).Crash();
-      world.worker(i).Restart();
-      break;
+}
+
+// Seed 910004106: such tasks counted as expired, or as beyond their tenant's share, behind all newer work of the
+// tenant.
+TEST_CASE("a task that lasts and has lost its worker does not wait for newer work of its tenant") {
+  constexpr int kBurst = 20;  // Jobs at once, more than the tenant's rate.
+  for (const bool beyond_share : {false, true}) {
+    INFO("accepted beyond the share of its tenant: " << beyond_share);
+    CellWorld world(421, 3, 6);
+    AddTenants(world);
+    world.configuration.tenants[0].maximum = Resources{4000, 0, 0};
+    world.configuration.tenants[0].jobs_per_second = 8;
+    world.Configure();
+    world.RunFor(1s);
+    for (int i = 0; i < kBurst && beyond_share; ++i) {
+      world.SetKey(JobId(100 + i), "n1");
+      world.SubmitWithRetries(JobOf(100 + i, {StepOf(1, 100)}), TaskBehaviour{10ms, 0});
     }
+    StepSpec lasting = StepOf(1, 1000);
+    lasting.long_running = true;
+    const TaskRef task{JobId(1), 0, 0, 0};
+    world.SetKey(task.job, "n1");
+    world.SubmitWithRetries(JobOf(1, {lasting}), TaskBehaviour{});
+    world.RunFor(10s);
+    REQUIRE(world.RunningCount(task) == 1);
+    SubmitTwiceTheMaximum(world, 200);
+    world.RunFor(5s);
+    for (size_t i = 0; i < world.worker_count(); ++i) {
+      if (world.worker(i).RunsTask(task)) {
+        world.worker(i).Crash();
+        world.worker(i).Restart();
+        break;
+      }
+    }
+    REQUIRE(world.RunningCount(task) == 0);
+    CHECK(world.RunUntil([&] { return world.RunningCount(task) == 1; }, 6s));
+    CHECK(world.violations().empty());
   }
-  REQUIRE(world.RunningCount(task) == 0);
-  CHECK(world.RunUntil([&] { return world.RunningCount(task) == 1; }, 6s));
-  CHECK(world.violations().empty());
 }
 
 TEST_CASE("a gang that its tenant's maximum can never hold is refused at once") {
