A call that waited for a connection until its deadline is not sent

Found by the review of the bound on connections. Orders to a worker that does not answer have one timeout; when the first two time out, the two that wait next took their connections with 1 ms left. They were sent, ended without an answer, and the worker counted as silent, where "certainly not sent" lets the task be placed elsewhere at once.

Cause: ended calls were handled before expired ones, and a waiting call could be sent as late as its own deadline. Now expired calls go first, and a call waits for a connection until 250 ms, or half of its timeout, before its deadline.

The new case of http_client_test sends the same and passes: 2 reach it, 14 are known not to be sent.

--- a/src/ports/http_client.cc
+++ b/src/ports/http_client.cc
@@ -21,6 +21,8 @@
 constexpr int kMaxEpollEvents = 64;  // Events per epoll_wait.
 constexpr long kMaxCachedConnections = 4096;
 constexpr Duration kConnectTimeout = 800ms;
+// Left of a call's timeout when it is sent after it has waited for a connection: covers the answer of a busy server.
+constexpr Duration kMinAnswerTime = 250ms;
 // A server that accepts a connection above its limit breaks it within a few round trips between regions.
 constexpr Duration kMaxRefusalTime = 100ms;
 constexpr size_t kMaxResponseBytes = size_t{16} * 1024 * 1024;  // A longer answer ends the call as kUnknown.
@@ -259,8 +261,8 @@
     }
     StartSubmitted();
     ProcessEvents();
+    ExpireWaiting();  // First: a call must not take a connection that becomes free at its own deadline.
     FinishCompleted();
-    ExpireWaiting();
     CloseIfIdle();
   }
   CloseAll();
@@ -275,7 +277,8 @@
   for (std::unique_ptr<Transfer>& transfer : taken) {
     transfer->number = ++last_number;
     const HttpCall& call = transfer->call;
-    if (budget.Admit(transfer->number, AddressOf(call.url), call.urgent, transfer->deadline)) {
+    const TimePoint send_by = transfer->deadline - std::min(kMinAnswerTime, call.timeout / 2);
+    if (budget.Admit(transfer->number, AddressOf(call.url), call.urgent, send_by)) {
       Start(std::move(transfer));
     } else {
       waiting[transfer->number] = std::move(transfer);
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -59,6 +59,7 @@
   size_t most_open() const { return most_open_; }
   size_t accepted() const { return accepted_; }
   size_t refused() const { return refused_; }
+  size_t requests() const { return requests_; }
 
  private:
   struct Connection {
@@ -119,6 +120,7 @@
         const int delay_ms = std::stoi(connection.received.substr(connection.received.find('/') + 1));
         connection.answer_at = clock_.Now() + std::chrono::milliseconds(delay_ms);
         connection.received.clear();
+        ++requests_;
       }
     }
     return true;
@@ -133,6 +135,7 @@
   std::atomic<size_t> most_open_{0};
   std::atomic<size_t> accepted_{0};
   std::atomic<size_t> refused_{0};
+  std::atomic<size_t> requests_{0};
   std::atomic<bool> stopping_{false};
   std::thread thread_;
 };
@@ -259,6 +262,19 @@
   CHECK(first.Count(UnansweredReason::kSilence) == 2);
 }
 
+// With one timeout, all calls reach their deadline when the connections of the first become free.
+TEST_CASE("of calls with one deadline to a server that does not answer only the first are sent") {
+  constexpr int kCalls = 16;
+  ConnectionServer worker(kWorkerConnections);
+  Caller host(kWorkerOptions);
+  for (int i = 0; i < kCalls; ++i) {
+    host.Send(worker.UrlOf(1h), false, 1s);
+  }
+  REQUIRE(host.WaitForAll());
+  CHECK(worker.requests() == 2);
+  CHECK(host.not_sent() == kCalls - 2);
+}
+
 TEST_CASE("a client that closes its connections leaves none at the server, and connects again for the next call") {
   ConnectionServer worker(kWorkerConnections);
   Caller host(kWorkerOptions);
