A host that loses the cell lets its orders in flight end before it disconnects

A host that learns late that it no longer owns the cell may relay orders for the new owner by then; closing all connections at once ended those as unknown, and the new owner took their workers for silent. Calls made just before the request were carried out after it, on connections that stayed.

The client now closes its connections as soon as no call is in flight, which for holds takes up to 2 s; later calls open new ones, and while there are always some, idle connections close by their timeout.

--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -189,8 +189,8 @@
   virtual void Start(const WorkerTarget& worker, const StartOrder& order, Done done) = 0;
   virtual void Stop(const WorkerTarget& worker, const RunRef& run, uint64_t token, Done done) = 0;
   virtual void Hold(const WorkerTarget& worker, const HoldOrder& order, Done done) = 0;
-  // Closes the connections to all workers, whose number at each worker is limited. Orders in flight may end without an
-  // answer.
+  // Closes the connections to all workers, whose number at each worker is limited, once the orders in flight have
+  // ended.
   virtual void Disconnect() = 0;
 };
 
--- a/src/ports/http_client.cc
+++ b/src/ports/http_client.cc
@@ -86,6 +86,7 @@
   std::vector<CURL*> idle_handles;                                  // For reuse.
   ConnectionBudget budget;
   uint64_t last_number = 0;
+  bool closing = false;  // All connections are to be closed once no call is running.
   std::unordered_map<curl_socket_t, std::string> open_sockets;  // The address of each.
   std::unordered_map<std::string, size_t> open_to;              // Number of open sockets by address.
   TimePoint idle_since{};                                       // No call is running since then.
@@ -97,7 +98,7 @@
   static int OnCloseSocket(void* self, curl_socket_t socket);
   void OpenMulti();
   void CloseMulti();
-  void CloseAll();
+  void AbortAll();
   void CloseIfIdle();
   TimePoint NextDeadline() const;
   int EpollTimeoutMs() const;
@@ -185,20 +186,22 @@
   timer_deadline = TimePoint::max();
 }
 
-void HttpClient::State::CloseAll() {
+void HttpClient::State::AbortAll() {
   while (!running.empty()) {  // A call that waited for the connection of one that ends here ends next.
     Finish(running.begin()->first, CURLE_ABORTED_BY_CALLBACK);
   }
-  CloseMulti();
-  OpenMulti();
 }
 
-// libcurl closes idle connections only while it makes calls.
+// libcurl closes idle connections only while it makes calls, and then by itself.
 void HttpClient::State::CloseIfIdle() {
-  if (running.empty() && !open_sockets.empty() && clock.Now() - idle_since > options.idle_timeout) {
+  if (!running.empty()) {
+    return;
+  }
+  if (!open_sockets.empty() && (closing || clock.Now() - idle_since > options.idle_timeout)) {
     CloseMulti();
     OpenMulti();
   }
+  closing = false;
 }
 
 // The next moment at which the client's thread has to act.
@@ -248,16 +251,12 @@
 
 void HttpClient::State::Run() {
   while (true) {
-    bool close_all = false;
     {
       const std::lock_guard lock(mutex);
       if (stopping) {
         break;
       }
-      close_all = std::exchange(close_requested, false);
-    }
-    if (close_all) {
-      CloseAll();
+      closing = closing || std::exchange(close_requested, false);
     }
     StartSubmitted();
     ProcessEvents();
@@ -265,7 +264,7 @@
     FinishCompleted();
     CloseIfIdle();
   }
-  CloseAll();
+  AbortAll();
 }
 
 void HttpClient::State::StartSubmitted() {
--- a/src/ports/http_client.h
+++ b/src/ports/http_client.h
@@ -55,7 +55,7 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   void Send(HttpCall call, Done done);
-  // Closes all connections; calls in flight end with Delivery::kUnknown. Returns before that is done.
+  // Closes all connections as soon as no call is in flight; later calls open new ones. Returns before that is done.
   void CloseConnections();
   HttpConnectionCounts connection_counts() const;
 
