Soak: workers accept 64 connections, and do not learn that a host has lost power

Missing: the stand-in workers of tools/cell-soak took any number of connections and saw the end of those of a dead host, so that no course could use up a worker's connections.

Change: a worker accepts at most 64 connections over all hosts (MAX_CONNECTIONS) and resets those above. The disruption "power", last of Faults.kinds, kills the owner three to six times in series, 4 s apart; the connections that it had open count at the workers for the rest of the run. At most 12 losses in a run, after which a worker must still have room for the owner, its successor and two other hosts at 4 connections each.

--- a/tests/process/cell_soak_test.sh
+++ b/tests/process/cell_soak_test.sh
@@ -6,3 +6,5 @@
 for seed in 3 4 12; do
   tools/cell-soak "$1/hibiscusd" --seed=$seed --seconds=20
 done
+# The owner loses power again and again; the workers, with 64 connections each, do not learn of it.
+tools/cell-soak "$1/hibiscusd" --seed=1 --seconds=15 --kinds=power --fault_interval=4
--- a/tools/cell_soak/faults.py
+++ b/tools/cell_soak/faults.py
@@ -3,6 +3,11 @@
 import random
 
 OWNER_SHARE = 0.6  # Of the disruptions of a host: that they meet the owner.
+POWER_OFF_S = 3.0
+POWER_BACK_S = 1.0  # Before the next loss of a series.
+# In a run. A host may leave 4 connections at a worker; 8 more are for the owner and its successor, 8 for hosts that
+# stand still or are cut off.
+MAX_POWER_LOSSES = 12
 
 
 class Faults:
@@ -10,7 +15,15 @@
         self.hosts, self.links, self.store, self.workers, self.checks = hosts, links, store, workers, checks
         self.kinds = [self.pause, self.pause, self.kill, self.terminate, self.cut_off, self.cut_off, self.cut_store,
                       self.cut_peers, self.cut_workers, self.store_down, self.store_unsure, self.silent_watches,
-                      self.cut_worker]
+                      self.cut_worker, self.power]
+        self.until = 0
+        self.power_losses = 0
+
+    def only(self, names):
+        unknown = set(names) - {kind.__name__ for kind in self.kinds}
+        if unknown:
+            raise SystemExit(f"no such disruptions: {', '.join(sorted(unknown))}")
+        self.kinds = [kind for kind in self.kinds if kind.__name__ in names]
 
     def note(self, text):
         print(f"{self.checks.at():7.3f} {text}", flush=True)
@@ -19,9 +32,9 @@
         return self.store.last_writer if random.random() < OWNER_SHARE else random.randrange(len(self.hosts))
 
     async def run(self, seconds, interval):
-        until = self.checks.at() + seconds
+        self.until = self.checks.at() + seconds
         running = []
-        while self.checks.at() < until:
+        while self.checks.at() < self.until:
             running.append(asyncio.ensure_future(random.choice(self.kinds)()))
             await asyncio.sleep(random.uniform(0.2, 1.8) * interval)
         await asyncio.gather(*running)
@@ -55,6 +68,22 @@
         await self.hosts[host].terminate()
         self.restart(host)
 
+    async def power(self):
+        """The owner loses power, a few times in series; the workers do not learn that its connections have ended."""
+        for _ in range(random.randint(3, 6)):
+            host = self.store.last_writer
+            if self.checks.at() >= self.until or self.power_losses >= MAX_POWER_LOSSES:
+                return
+            if self.hosts[host].running and not self.hosts[host].paused:
+                self.power_losses += 1
+                self.note(f"h{host} loses power")
+                self.checks.disturb(host, POWER_OFF_S)
+                self.workers.lose_power(host)
+                self.hosts[host].kill()
+            await asyncio.sleep(POWER_OFF_S)
+            self.restart(host)
+            await asyncio.sleep(POWER_BACK_S)
+
     def restart(self, host):
         if not self.hosts[host].running:
             self.hosts[host].start()
--- a/tools/cell_soak/server.py
+++ b/tools/cell_soak/server.py
@@ -58,12 +58,37 @@
     return web.json_response(answer, status=status)
 
 
-async def listen(handler, addresses, port):
+def called_address(transport):
+    return transport.get_extra_info("sockname")[0]
+
+
+class LimitedServer(web.Server):
+    """Tells `limits`, by the address that was called, of each connection, and resets those that have no place."""
+
+    def __init__(self, handler, limits):
+        super().__init__(handler)
+        self.limits = limits
+        self.limit_of = {}  # By connection.
+
+    def connection_made(self, handler, transport):
+        super().connection_made(handler, transport)
+        self.limit_of[handler] = self.limits[called_address(transport)]
+        if not self.limit_of[handler].opened(handler):
+            transport.abort()
+
+    def connection_lost(self, handler, exc=None):
+        if handler in self.limit_of:
+            self.limit_of.pop(handler).closed(handler)
+        super().connection_lost(handler, exc)
+
+
+async def listen(handler, addresses, port, limits=None):
     """Serves all addresses; the handler is called with the request and the address that was called."""
     async def on_request(request):
-        return await handler(request, request.transport.get_extra_info("sockname")[0])
+        return await handler(request, called_address(request.transport))
 
-    runner = web.ServerRunner(web.Server(on_request), shutdown_timeout=0.1)
+    server = web.Server(on_request) if limits is None else LimitedServer(on_request, limits)
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
     for address in addresses:
         sock = socket.socket()
--- a/tools/cell_soak/workers.py
+++ b/tools/cell_soak/workers.py
@@ -14,6 +14,44 @@
 ENTRY_S = 3 * HEARTBEAT_S  # The store removes the entry of a worker that is silent for longer.
 CAPACITY = {"Cpu": 16000, "MemMb": 65536, "Gpu": 0}
 CLOCK_AT_BIRTH_MS = 1000
+MAX_CONNECTIONS = 64  # That a worker accepts, of all hosts together.
+
+
+class Connections:
+    """The connections that are open at a worker. It cannot tell that a host has lost power: those stay open."""
+
+    def __init__(self, hosts):
+        self.open = [set() for _ in range(hosts)]  # By host.
+        self.left_open = 0                         # By hosts that lost power.
+        self.most = 0                              # At a time.
+        self.refused = [0] * hosts                 # By host.
+
+    def opened(self, connection, host):
+        """False if the worker has no place for it."""
+        count = self.left_open + sum(len(each) for each in self.open) + 1
+        if count > MAX_CONNECTIONS:
+            self.refused[host] += 1
+            return False
+        self.most = max(self.most, count)
+        self.open[host].add(connection)
+        return True
+
+    def lose_power(self, host):
+        self.left_open += len(self.open[host])
+        self.open[host].clear()
+
+
+class HostConnections:
+    """The connections of one host to a worker."""
+
+    def __init__(self, connections, host):
+        self.connections, self.host = connections, host
+
+    def opened(self, connection):
+        return self.connections.opened(connection, self.host)
+
+    def closed(self, connection):
+        self.connections.open[self.host].discard(connection)
 
 
 class Worker:
@@ -22,6 +60,7 @@
         self.network, self.store, self.checks = network, store, checks
         self.durations = durations  # Seconds of a task, by job.
         self.paths = [server.Path() for _ in store.paths]
+        self.connections = Connections(len(store.paths))
         self.born = time.monotonic()
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
@@ -151,7 +190,7 @@
     def __init__(self, count, network, store, checks):
         self.durations = {}
         self.all = [Worker(number, network, store, checks, self.durations) for number in range(count)]
-        self.network = network
+        self.network, self.checks = network, checks
 
     async def start(self):
         hosts = range(len(self.all[0].paths))
@@ -160,9 +199,26 @@
         async def on_request(request, address):
             worker, host = addresses[address]
             return await worker.serve(request, host)
-        await server.listen(on_request, addresses, WORKER_PORT)
+        limits = {address: HostConnections(worker.connections, host) for address, (worker, host) in addresses.items()}
+        await server.listen(on_request, addresses, WORKER_PORT, limits)
         asyncio.ensure_future(self._tick())
 
+    def lose_power(self, host):
+        """To be called before the host is killed, so that the ends of its connections are not taken note of."""
+        for worker in self.all:
+            worker.connections.lose_power(host)
+
+    def check_connections(self):
+        for worker in self.all:
+            refused = [f"{count} of h{host}" for host, count in enumerate(worker.connections.refused) if count]
+            if refused:
+                self.checks.report("CONNECTIONS", f"w{worker.number} refused those over its {MAX_CONNECTIONS}, "
+                                                  f"{worker.connections.left_open} of them left open by hosts that lost "
+                                                  f"power: {', '.join(refused)}")
+
+    def most_connections(self):
+        return max(worker.connections.most for worker in self.all)
+
     async def _tick(self):
         next_entry = {worker: time.monotonic() + random.random() * HEARTBEAT_S for worker in self.all}
         for worker in self.all:
