Tests of workers that refuse connections and of orders that are not sent

Missing: in virtual time no worker refused connections and no order waited in vain for a connection of its host, so that the order of things in src/cell of had no test.

--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -307,6 +307,12 @@
     answer(kCallTimeout, OrderAnswer{});
     return;
   }
+  if (worker->refuses_connections) {
+    OrderAnswer refused;
+    refused.reason = UnansweredReason::kConnectionRefused;
+    answer(kOneWayDelay * 2, refused);
+    return;
+  }
   if (worker->entry.id != target.id) {
     OrderAnswer other;
     other.status = OrderStatus::kOtherInstance;
@@ -337,6 +343,15 @@
 
 void FakeHost::Start(const WorkerTarget& worker, const StartOrder& order, WorkerPort::Done done) {
   FakeWorker* slow = FindWorker(worker);
+  if (slow != nullptr && slow->orders_not_sent > 0) {
+    --slow->orders_not_sent;
+    OrderAnswer not_sent = AnswerOf(OrderStatus::kNotSent);
+    not_sent.reason = UnansweredReason::kNoConnectionFree;
+    world_.In(kCallTimeout, [this, generation = generation_, done, not_sent] {
+      Deliver(generation, [done, not_sent] { done(not_sent); });
+    });
+    return;
+  }
   if (slow != nullptr && slow->up && slow->starts_in_transit > 0) {
     --slow->starts_in_transit;
     world_.In(slow->transit_time, [slow, order] {
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -104,12 +104,14 @@
 
   WorkerEntry entry;
   bool up = true;
-  bool refuses = false;  // Not up, and its machine refuses connections at once.
+  bool refuses = false;              // Not up, and its machine refuses connections at once.
+  bool refuses_connections = false;  // Has as many connections as it accepts, and breaks those that orders open.
   double speed = 1;
   double clock_rate = 1;         // Speed of the worker's clock relative to virtual time.
   bool hangs = false;            // Runs that start now make no progress, except gang members.
   bool fails_every_run = false;  // Runs that start now fail after 5 ms, except gang members.
   CallFaults faults;
+  int orders_not_sent = 0;    // This many starts wait for a connection of their host until they expire.
   int starts_in_transit = 0;  // This many starts are delivered after `transit_time`, and their answers are lost.
   Duration transit_time{};
   Duration min_stop_time = 50ms;  // Of index 0; other indices take up to four times as long.
--- a/tests/cell_parts_test.cc
+++ b/tests/cell_parts_test.cc
@@ -94,6 +94,42 @@
   CHECK(std::equal(fields.begin(), fields.end(), whole.begin()));
 }
 
+// Hosts of the versions before and after run side by side.
+TEST_CASE("an answer of a host that tells no reason reads as silence, and such a host reads one with a reason") {
+  OrderAnswer with;
+  with.worker_clock = 5s;
+  with.born_ms = 17;
+  with.ended = {EndedRun{3, RunRef{TaskRef{JobId(1), 0, 1, 2}, 3}, EndKind::kDone, "00ff"}};
+  with.reason = UnansweredReason::kConnectionRefused;
+  const nlohmann::json whole = ToJson(with);
+  REQUIRE(whole.size() == 6);
+  nlohmann::json fields = whole;
+  fields.erase(fields.begin() + 5, fields.end());
+  OrderAnswer without;
+  FromJson(fields, without);
+  CHECK(without.reason == UnansweredReason::kSilence);
+  without.reason = with.reason;
+  CHECK(without == with);
+  // The first five fields are what an older host reads; it passes over the others.
+  CHECK(std::equal(fields.begin(), fields.end(), whole.begin()));
+  nlohmann::json longer = whole;
+  longer.push_back("of a later version");
+  OrderAnswer read;
+  FromJson(longer, read);
+  CHECK(read == with);
+}
+
+TEST_CASE("a relayed answer tells why it is missing") {
+  for (const UnansweredReason reason :
+       {UnansweredReason::kSilence, UnansweredReason::kNoConnectionFree, UnansweredReason::kConnectionRefused}) {
+    OrderReply reply{11, AnswerOf(OrderStatus::kUnknown), 60s};
+    reply.answer.reason = reason;
+    const tl::expected<Message, std::string> read = DecodeMessage(EncodeMessage(reply));
+    REQUIRE(read.has_value());
+    CHECK(std::get<OrderReply>(*read) == reply);
+  }
+}
+
 TEST_CASE("messages come back as they were") {
   const std::vector<Message> messages = {
       CallerRequest{7, "h1", CallerKind::kSubmit, "q", JobId(1), EncodeRecord(RichJob()), 12, 2s, "00ff"},
