A worker that breaks a new connection may have crashed

Found by the review of the bound on connections. A worker that reads a start on a new connection and crashes within 100 ms is taken for one that refuses connections, and the silence that follows on its older connections was not reported any more. If the owner died before it saw the worker's next life, its successor did not count that crash under the task (BUDGET).

Such a connection is silence again, as before the bound: a suspicion that is stored and counts only if another life of the worker shows. What is kept is the line in the log, the count and the backoff.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -836,9 +836,8 @@
   context_.Log("worker", "event=worker_silent worker={} status={} connection_refused={} runs={} surely_over_in_ms={}",
                worker.entry.id, NameOf(answer.status), refused, worker.placed.size(),
                Millis(std::max(Duration(0), worker.lease_until_ - context_.Now())));
-  if (!refused) {  // A worker that refuses connections has not crashed.
-    listener_.OnSilent(worker, RunsAtCrash(worker));
-  }
+  // Also if it refused: a process that crashes soon after a new connection looks the same.
+  listener_.OnSilent(worker, RunsAtCrash(worker));
   listener_.OnChanged(worker);
 }
 
