Waiting steps are counted and logged by the gate that holds them

What was missing: accepted work waited while workers were free, and neither logs nor metrics said why. A step can be held by fifteen different conditions between its turn and its start; queue_statistics counts those that wait for a quota or for advice, and steps that never reach the placement pass (an unanswered start, runs of an earlier owner, the owner's doubt) were in no figure at all.

Change: waiting_gate names the conditions in the order in which placement checks them. The placement pass records on the step why it left it; the rest is read from the owner's state. Once a second the owner sets hibiscus_waiting_steps{gate=} and hibiscus_waiting_steps_overdue, and writes event=step_waits for steps that have waited longer than their job's objective while at least half of the usable capacity is free: one line for each step, 20 lines in all, the longest waits first. No decision changes.

A step that gets a waiting task again counts its wait from then (waiting_since), not from when it was opened.

--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -11,6 +11,7 @@
 
 #include "cell/messages.h"
 #include "cell/records.h"
+#include "cell/waiting_gate.h"
 
 namespace hibiscus::cell {
 
@@ -84,6 +85,7 @@
   int done = 0;
   bool open = false;  // Its dependencies are finished and its job is stored.
   TimePoint opened_at{};
+  TimePoint waiting_since{};             // Since when it has been open with at least one waiting task.
   std::map<std::string, int> on_worker;  // Number of placed tasks by worker id.
 
   int gang_run = 0;                // Run number of the gang's last start.
@@ -96,6 +98,9 @@
   StepAdvice advice;
   std::map<size_t, int> tentative_members;  // Tentatively allocated members by worker number.
 
+  WaitingGate left_by = WaitingGate::kPlacement;  // Why the last pass left tasks waiting.
+  GateHold hold;                                  // The gate that holds the waiting tasks, as of the last check.
+
   bool finished() const { return done == spec->count; }
   int placed() const { return spec->count - waiting - done; }
   TaskRef RefOf(int index) const;
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -56,6 +56,7 @@
 
 Owner::~Owner() {
   *alive_ = false;
+  SetWaitingGauges({});
 }
 
 void Owner::Begin() {
@@ -138,6 +139,7 @@
   }
   RequestExpiry();
   ExpireRefusals();
+  CheckWaitingSteps();
   SchedulePlacementPass();
 }
 
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -7,10 +7,12 @@
 //   runs       owner_runs.cc       handles what workers report about runs
 //   crashes    owner_crashes.cc    gives up tasks that crash their workers
 //   placement  owner_placement.cc  executes the decisions of placement.h: starts, and calls to the advice service
+//   waiting    owner_waiting.cc    why steps whose turn has come wait: gauges and log lines
 #ifndef HIBISCUSSTAND_SRC_CELL_OWNER_H_
 #define HIBISCUSSTAND_SRC_CELL_OWNER_H_
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -298,6 +300,23 @@
   // Number from which this owner counts the starts of the job's tasks.
   int RunNumberBase(const Job& job) const;
 
+  // --- owner_waiting.cc ---
+  // Once a second: counts the waiting steps by gate, and logs some of those that wait although workers are free.
+  void CheckWaitingSteps();
+  // By gate, in the order of kWaitingGates.
+  using WaitingCounts = std::array<int, kWaitingGates.size()>;
+  void SetWaitingGauges(const WaitingCounts& counts);
+  // Sets the gauges and returns the steps that have waited longer than their job's objective.
+  std::vector<StepRun*> ObserveWaitingSteps();
+  // Empty if no task of the step waits, or its turn has not come.
+  std::optional<WaitingGate> HoldingGate(const Occurrence& occurrence, const StepRun& step);
+  bool HasRoomWhereRefused(const StepRun& step);
+  // The latest time at which the gate opens. Empty: not known.
+  std::optional<TimePoint> OpensAt(const StepRun& step, WaitingGate gate) const;
+  void LogWaitingStep(const StepRun& step, const PlacementLoad& load);
+  // Since when tasks of a step whose turn has come have waited.
+  TimePoint WaitingSince(const StepRun& step) const { return step.open ? step.waiting_since : step.job->accepted_at; }
+
   Context& context_;
   const Ownership ownership_;
   CellConfiguration configuration_;
@@ -359,6 +378,7 @@
   uint64_t workers_revision_ = 0;                 // Store revision up to which worker entries were read.
   std::vector<Occurrence> finished_occurrences_;  // Freed by the next pass, since callers may still use their steps.
   TimePoint statistics_logged_at_{};              // Last event=queue_statistics line.
+  TimePoint waiting_checked_at_{};                // Last CheckWaitingSteps.
   Duration last_pass_duration_{};                 // Time that the last placement pass took on the control thread.
   bool pass_scheduled_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // Callbacks check this before they use the owner.
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -297,6 +297,10 @@
   task.phase = TaskPhase::kWaiting;
   task.worker.clear();
   task.stopping = false;
+  if (step.waiting == 0) {
+    step.waiting_since = context_.Now();
+    step.hold = GateHold{};
+  }
   ++step.waiting;
 }
 
@@ -453,6 +457,7 @@
       if (occurrence.due && !step->open && DependenciesFinished(occurrence, *step)) {
         step->open = true;
         step->opened_at = context_.Now();
+        step->waiting_since = step->opened_at;
       }
     }
   }
--- a/src/cell/placement.cc
+++ b/src/cell/placement.cc
@@ -98,6 +98,7 @@
   quota_waits_ = 0;
   Pass pass{now, queues, quotas, {}};
   for (StepRun* step : waiting) {
+    step->left_by = WaitingGate::kPlacement;
     if (step->spec->gang) {
       PlaceGang(*step, pass);
     } else {
@@ -208,6 +209,7 @@
 
 void Placement::PlaceSingleTasks(StepRun& step, Pass& pass) {
   if (!pass.quotas.Allows(step.tenant(), step.quota_size())) {
+    step.left_by = WaitingGate::kQuota;
     ++quota_waits_;
     return;
   }
@@ -218,7 +220,7 @@
   const TaskDemand demand = DemandOf(step);
   std::vector<int> waiting = WaitingTasks(step);
   StartProbe(step, waiting, pass);
-  auto [candidates, without_ticket] = FindSingleTaskCandidates(step, demand, pass.now);
+  auto [candidates, without_ticket, findings] = FindSingleTaskCandidates(step, demand, pass.now);
   StartTasks starts{&step, {}, false};
   for (const int index : waiting) {
     const std::optional<size_t> best = BestFor(step, index, candidates);
@@ -238,7 +240,13 @@
   if (!starts.tasks.empty()) {
     pass.decisions.emplace_back(std::move(starts));
   }
-  if (!all && pass.quotas.Allows(step.tenant(), step.quota_size())) {
+  if (all) {
+    return;
+  }
+  findings.quota_used = !pass.quotas.Allows(step.tenant(), step.quota_size());
+  findings.tickets_missing = !without_ticket.empty();
+  step.left_by = GateOf(findings);
+  if (!findings.quota_used) {
     const bool ask_now =
         ShouldAskForTickets(without_ticket.size(), unplaced, policies_.gather_asks && pass.queues.IsBusy(pass.now),
                             pass.now - step.advice.last_request_at);
@@ -253,14 +261,20 @@
                                                                     const TaskDemand& demand,
                                                                     TimePoint now) {
   SingleTaskCandidates found;
+  found.findings.advice_pending = step.advice.pending_requests > 0;
   ForEachAllowed(step, [&](WorkerView& worker) {
     ++inspected_count_;
+    if (!demand.size.FitsIn(worker.free) || !IsEligible(step, worker)) {
+      return;
+    }
     const bool reserved = IsReservedForOther(step, worker) && !mostly_free_;
-    if (worker.quarantined || reserved || !demand.size.FitsIn(worker.free) || !IsEligible(step, worker)) {
+    if (worker.quarantined || reserved) {
+      (worker.quarantined ? found.findings.quarantined : found.findings.reserved) = true;
       return;
     }
     const CandidateView view = ViewOf(step, worker);
     if (SlotsOf(view, demand) == 0) {
+      found.findings.reserved = found.findings.reserved || !demand.size.FitsIn(view.free);
       return;
     }
     if (HasTicket(step, worker, now)) {
@@ -275,6 +289,8 @@
   for (WorkerView* worker : FindUnaskedWorkers(step, kMaxWorkersPerQuestion, demand.size)) {
     if (!worker->quarantined && (!IsReservedForOther(step, *worker) || mostly_free_)) {
       found.without_ticket.push_back(worker);
+    } else {
+      (worker->quarantined ? found.findings.quarantined : found.findings.reserved) = true;
     }
   }
   return found;
@@ -302,11 +318,17 @@
   GangCandidates candidates;
   ForEachAllowed(step, [&](WorkerView& worker) {
     ++inspected_count_;
-    if (worker.quarantined || !IsEligible(step, worker)) {
+    if (!IsEligible(step, worker)) {
+      return;
+    }
+    const bool has_room = step.task_size().FitsIn(worker.free);
+    if (worker.quarantined) {
+      candidates.findings.quarantined = candidates.findings.quarantined || has_room;
       return;
     }
     const CandidateView view = ViewOf(step, worker);
     if (IsReservedForOther(step, worker) && !step.tentative_members.contains(worker.number)) {
+      candidates.findings.reserved = candidates.findings.reserved || has_room;
       if (mostly_free_) {
         candidates.reserved.Add(&worker, view);
       }
@@ -325,10 +347,12 @@
     if (policies_.quota_gangs) {
       pass.quotas.WaitFor(step.tenant(), step.quota_size(), step.spec->count);
     }
+    step.left_by = WaitingGate::kQuota;
     ++quota_waits_;
     return;
   }
   if (step.advice.pending_requests > 0) {
+    step.left_by = WaitingGate::kAdvicePending;
     return;
   }
   if (step.job->queue.advice && !step.advice.has_answer) {
@@ -355,6 +379,7 @@
       return;
     }
   }
+  step.left_by = GateOf(candidates.findings);
   if (policies_.reservations) {
     ReserveWorkers(step, candidates.allowed);
   }
@@ -384,6 +409,7 @@
     }
   }
   if (!tickets) {
+    step.left_by = WaitingGate::kAdvicePending;
     const bool asks = MayAsk(step, pass) && !chosen.empty();
     AskForTickets(step, chosen, pass);
     if (asks && policies_.tentative) {
@@ -447,6 +473,8 @@
 }
 
 void Placement::AskInitially(StepRun& step, Pass& pass) {
+  // Ask changes it if a worker is there that fits.
+  step.left_by = MayAsk(step, pass) ? WaitingGate::kNoCapacity : WaitingGate::kAdvicePending;
   if (MayAsk(step, pass)) {
     Ask(step, FindUnaskedWorkers(step, kMaxWorkersPerQuestion, Resources{}), pass);
   }
@@ -475,6 +503,7 @@
   if (workers.empty()) {
     return;
   }
+  step.left_by = WaitingGate::kAdvicePending;
   pass.queues.Assign(pass.now, ExpectedCallTime(*step.job->queue.advice, workers.size()));
   AskAdvice ask{&step, {}};
   ask.workers.reserve(workers.size());
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -85,7 +85,8 @@
   // Replaces the worker views; no worker has a number above `max_number`.
   void Refresh(std::vector<WorkerView> workers, size_t max_number);
 
-  // Runs one pass over all waiting steps. Reservations of the previous pass end unless their step renews them.
+  // Runs one pass over all waiting steps. Reservations of the previous pass end unless their step renews them. Records
+  // in StepRun::left_by why tasks are left waiting.
   std::vector<Decision> Plan(const std::vector<StepRun*>& waiting,
                              const AdviceQueues& queues,
                              const TenantQuotas& quotas,
@@ -126,11 +127,13 @@
     Candidates with_ticket;  // The gang can start at once.
     Candidates allowed;      // `with_ticket`, and allowed workers whose tickets must be requested first.
     Candidates reserved;     // Allowed, but reserved for another gang; filled only while the cell is mostly free.
+    PassFindings findings;   // Workers left out.
   };
   // Candidates for single tasks: workers with a valid ticket in `candidates`, the others in `without_ticket`.
   struct SingleTaskCandidates {
     Candidates candidates;
     std::vector<WorkerView*> without_ticket;  // Workers already allowed come first.
+    PassFindings findings;                    // Workers left out.
   };
   // Inputs and results of one planning call.
   struct Pass {
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -310,6 +310,18 @@
   }
 }
 
+std::optional<TimePoint> WorkerTable::StartsOverAt(const TaskRef& step) const {
+  std::optional<TimePoint> over;
+  for (const auto& [id, worker] : workers_) {
+    for (const auto& [run, start] : worker->starts_to_void_) {
+      if (StepOf(run) == step) {
+        over = std::max(over.value_or(TimePoint{}), start.unanswered_since + kMaxOrderDelay);
+      }
+    }
+  }
+  return over;
+}
+
 void WorkerTable::SetStoredRoster(const std::vector<WorkerInstanceRecord>& roster) {
   stored_roster_ = roster;
   pending_roster_.reset();
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -218,6 +218,12 @@
   bool AnyUnsettled() const { return unsettled_ > 0; }
   // True if a start of this step, identified by a task with index 0, may still arrive in a new life of its worker.
   bool MayStillStart(const TaskRef& step) const { return starts_to_void_of_step_.contains(step); }
+  // When the last such start can no longer arrive, whether or not its worker answers. Empty if there is none.
+  std::optional<TimePoint> StartsOverAt(const TaskRef& step) const;
+  // When the runs of an earlier owner on a worker that was not reached are certainly over.
+  TimePoint InheritedRunsOverAt() const;
+  // When an owner in doubt stops acting, whatever its workers say.
+  TimePoint DoubtOverAt() const { return authority_.sole_until + kMaxDoubt; }
   bool AnyUnknownDemand() const { return unknown_demand_runs_ > 0; }
   // Resources of all runs that may exist and whose tenant is known.
   const TenantUsage& tenant_usage() const { return tenant_usage_; }
@@ -294,8 +300,6 @@
   TimePoint WitnessedUntil(const std::vector<WorkerInstanceRecord>& roster) const;
   // Call when an earlier owner can no longer get an answer from the life of the worker that it knew.
   void CountFencedWorker(Worker& worker);
-  // When the runs of an earlier owner on a worker that was not reached are certainly over.
-  TimePoint InheritedRunsOverAt() const;
   void Retire(Worker& worker);
   // Records that the worker may run tasks until `deadline` on its clock: extends lease_until_ accordingly.
   void ExtendLease(Worker& worker, Duration deadline);
