A host that no longer owns the cell reports no overdue steps

What was missing: waiting_steps_overdue kept its last value on a host whose ownership had ended, unlike waiting_steps by gate.

Change: both are set back when the owner ends.

Evidence: cell_waiting_test passes on this code; it does not look at a host after its ownership.

--- a/src/cell/owner_waiting.cc
+++ b/src/cell/owner_waiting.cc
@@ -64,6 +64,7 @@
 }
 
 void Owner::SetWaitingGauges(const WaitingCounts& counts) {
+  context_.counters.Set(kOverdueGauge, 0);  // CheckWaitingSteps sets it; an owner that ends leaves none.
   for (const WaitingGate gate : kWaitingGates) {
     context_.counters.Set(fmt::format("waiting_steps{{gate=\"{}\"}}", NameOf(gate)), counts[static_cast<size_t>(gate)]);
   }
