Courses of the cell report work that waits although it could run

Missing: the courses told of LOST only at their end, so that waits of half a minute after the last fault went unseen.

Change: WaitingCheck looks each 100 ms of virtual time, between events too, and adds no event and no draw. A finding of a job that ends as failed counts unless three of its runs failed or two crashes fell on one of its tasks.

Evidence: cell_waiting_invariant_test passes, 47 assertions. Not run: the mutant, cell_courses_test, cell_faults_test.

--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -13,7 +13,6 @@
 
 constexpr Duration kOneWayDelay = 2ms;        // Network delay to the store, a worker or another host.
 constexpr Duration kCallTimeout = 1s;         // Of calls to the store, to workers and to hosts that are down.
-constexpr int kDefaultAllowedPercent = 85;    // Workers that the advice service allows a step.
 constexpr Duration kMaxMessageDelay = 2s;     // Exclusive bound for delayed messages between hosts.
 constexpr Duration kMaxExecutionDelay = 11s;  // Exclusive bound for calls carried out late.
 constexpr Duration kMaxTransitTime = 1500ms;  // Of an order that reaches a worker late.
@@ -117,6 +116,11 @@
   frozen_until_ = world_.Now() + time;
 }
 
+bool FakeHost::IsDisturbed() const {
+  return process_ == nullptr || frozen_until_ > world_.Now() || cut_from_peers || cut_from_workers ||
+         !unreachable_workers.empty();
+}
+
 TimePoint FakeHost::NextDue() const {
   if (process_ == nullptr) {
     return TimePoint::max();
@@ -426,14 +430,10 @@
   const Duration cost = queue->advice->base + queue->advice->per_worker * static_cast<int64_t>(workers.size());
   advice_free_at_ = std::max(advice_free_at_, world_.Now()) + cost;
   world_.advice_seconds += std::chrono::duration<double>(cost).count();
-  const auto configured = world_.allowed_percent.find(queue->name);
-  const auto allowed =
-      static_cast<size_t>(configured == world_.allowed_percent.end() ? kDefaultAllowedPercent : configured->second);
   const Duration valid_until = advice_free_at_.time_since_epoch() + queue->advice->valid;
   AdviceAnswer answer{true, {}};
   for (const std::string& worker : workers) {
-    const size_t hash_percent = std::hash<std::string>()(fmt::format("{}.{}.{}", step.job, step.step, worker)) % 100;
-    if (hash_percent < allowed) {
+    if (world_.AdviceAllows(*queue, step, worker)) {
       answer.allowed.push_back(Ticket{worker, std::to_string(valid_until.count())});
     }
   }
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -32,6 +32,8 @@
   void Boot();
   void Kill();
   void Freeze(Duration time);
+  // The process is down or stands still, or a path to or from it is cut.
+  bool IsDisturbed() const;
   void Call(CallerRequest request, CellWorld::OnReply reply);
   void CallFrozen(CallerRequest request, CellWorld::OnReply reply);
   TimePoint NextDue() const;
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -23,6 +23,7 @@
 constexpr int kMaxCrashes = 3;                 // Under a task; then at most two starts more.
 constexpr Duration kMinRetention = 120s;       // Of an ended job; limit of the platform.
 constexpr Duration kMaxStartAfterCancel = 3s;  // Limit of the platform.
+constexpr int kDefaultAllowedPercent = 85;     // Workers that the advice service allows a step.
 constexpr Duration kUnboundedRunTime = 1h;     // Run time of long-running and hanging tasks.
 
 }  // namespace
@@ -172,6 +173,7 @@
 }
 
 void FakeStore::RevokeLeases() {
+  world_.waiting_.NoteDisruption();
   std::vector<std::string> gone;
   for (const auto& [key, item] : items_) {
     if (item.lease != 0) {
@@ -184,6 +186,7 @@
 }
 
 void FakeStore::ForgetHistory() {
+  world_.waiting_.NoteDisruption();
   history_.clear();
   history_from_ = revision_;
 }
@@ -439,6 +442,7 @@
 }
 
 void FakeWorker::Restart(bool write_entry) {
+  world_.waiting_.NoteDisruption();
   up = true;
   refuses = false;
   next_end_.reset();
@@ -491,6 +495,9 @@
 void CellWorld::Configure() {
   ++configuration.version;
   published_.emplace_back(Now(), configuration);
+  if (LowersMaximum()) {
+    waiting_.NoteDisruption();
+  }
   store_.Put("configuration", std::to_string(configuration.version));
 }
 
@@ -520,6 +527,32 @@
   return found == published_.rend() ? std::string() : found->second.FindTenantByKey(key)->name;
 }
 
+std::string CellWorld::TenantOfJob(const std::string& job) const {
+  const auto key = keys_.find(job);
+  return key == keys_.end() || key->second.empty() ? std::string() : TenantOfKey(key->second);
+}
+
+bool CellWorld::LowersMaximum() const {
+  if (published_.size() < 2) {
+    return false;
+  }
+  const CellConfiguration& before = published_[published_.size() - 2].second;
+  const auto lower = [](int64_t now, int64_t then) { return now != 0 && (then == 0 || now < then); };
+  return std::any_of(configuration.tenants.begin(), configuration.tenants.end(), [&](const TenantSpec& tenant) {
+    const TenantSpec* former = before.FindTenant(tenant.name);
+    const Resources then = former == nullptr ? Resources{} : former->maximum;
+    return lower(tenant.maximum.cpu_millis, then.cpu_millis) || lower(tenant.maximum.memory_mb, then.memory_mb) ||
+           lower(tenant.maximum.accelerators, then.accelerators);
+  });
+}
+
+bool CellWorld::AdviceAllows(const QueueSpec& queue, const TaskRef& step, const std::string& worker) const {
+  const auto configured = allowed_percent.find(queue.name);
+  const int allowed = configured == allowed_percent.end() ? kDefaultAllowedPercent : configured->second;
+  const size_t hash_percent = std::hash<std::string>()(fmt::format("{}.{}.{}", step.job, step.step, worker)) % 100;
+  return hash_percent < static_cast<size_t>(allowed);
+}
+
 // Of the configurations that may be in force, the one with the highest maximum counts.
 void CellWorld::CheckQuota(const StartOrder& order, const StepSpec& step) {
   const std::string tenant = TenantOfKey(keys_[order.run.task.job]);
@@ -591,10 +624,16 @@
 }
 
 void CellWorld::Call(size_t index, const CallerRequest& request, OnReply reply) {
+  if (request.kind == CallerKind::kCancel) {
+    waiting_.Close(request.job);
+  }
   hosts_[index]->Call(request, [this, request, sent = Now(), reply = std::move(reply)](const CallerReply& answer) {
     CheckKey(request, sent, answer);
     CheckUnknownJob(request, sent, answer);
     RecordCancel(request, sent, answer);
+    if (request.kind == CallerKind::kState && answer.outcome == CallerOutcome::kDone && IsFinal(answer.state)) {
+      waiting_.Close(request.job);
+    }
     reply(answer);
   });
 }
@@ -639,6 +678,11 @@
 
 void CellWorld::Step(TimePoint until) {
   const TimePoint next = std::min(NextEvent(), until);
+  // Checks between two events only observe: an event of their own would have leases expire earlier.
+  while (checks_waiting && waiting_.next_check() > Now() && waiting_.next_check() < next) {
+    clock_.Set(waiting_.next_check());
+    waiting_.RunDue();
+  }
   if (next > clock_.Now()) {
     clock_.Set(next);
   }
@@ -650,6 +694,9 @@
   for (const std::unique_ptr<FakeHost>& host : hosts_) {
     host->RunDue();
   }
+  if (checks_waiting) {
+    waiting_.RunDue();
+  }
 }
 
 void CellWorld::RunFor(Duration time) {
@@ -688,14 +735,17 @@
 }
 
 void CellWorld::Kill(size_t index) {
+  waiting_.NoteDisruption();
   hosts_[index]->Kill();
 }
 
 void CellWorld::Boot(size_t index) {
+  waiting_.NoteDisruption();
   hosts_[index]->Boot();
 }
 
 void CellWorld::Freeze(size_t index, Duration time) {
+  waiting_.NoteDisruption();
   hosts_[index]->Freeze(time);
 }
 
@@ -704,6 +754,7 @@
 }
 
 void CellWorld::Leave(size_t index) {
+  waiting_.NoteDisruption();
   hosts_[index]->host()->Leave([] {});
 }
 
@@ -712,6 +763,7 @@
 }
 
 void CellWorld::SetWallOffset(size_t index, Duration offset) {
+  waiting_.NoteDisruption();
   hosts_[index]->wall_offset = offset;
 }
 
@@ -945,6 +997,7 @@
 
 void CellWorld::OnRunEnded(FakeWorker& worker, const RunRef& run, EndKind how) {
   running_[run.task].erase({worker.entry.id, run.run});
+  waiting_.NoteRunEnded(run, how);
   const JobSpec* spec = SpecOf(run.task.job);
   if (how != EndKind::kDone || spec == nullptr) {
     return;
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -7,7 +7,8 @@
 // three of them have crashed under it. And on the replies to callers: none reports success for a key that no
 // configuration held, that was withdrawn longer ago than allowed, or that is of another tenant than the job. No start
 // brings a tenant above a tenth more than its maximum and one task. No caller hears that an accepted job does not
-// exist, and no task starts long after its job's cancelling was acknowledged, which such an answer does too.
+// exist, and no task starts long after its job's cancelling was acknowledged, which such an answer does too. Work that
+// waits although it could run is in lost(), if that is checked.
 #ifndef HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
 #define HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
 
@@ -23,6 +24,7 @@
 
 #include "cell/host.h"
 #include "hibiscusstand/clock.h"
+#include "standins/cell_waiting_check.h"
 
 namespace hibiscus::cell {
 
@@ -121,6 +123,8 @@
   bool IsIdle() const { return runs_.empty(); }
 
  private:
+  friend class WaitingCheck;
+
   struct Run {
     Resources size;
     TimePoint ends_at{};  // Max: a gang member whose gang is incomplete.
@@ -222,6 +226,8 @@
   // --- Invariants and counts ---
   const std::vector<std::string>& violations() const { return violations_; }
   void ReportViolation(const std::string& what);
+  // Work that waited although it could run; empty unless `checks_waiting`.
+  const std::vector<LostWork>& lost() const { return waiting_.found(); }
   int starts() const { return starts_; }
   int RunningCount(const TaskRef& task) const;
   int CompletionCount(const TaskRef& task) const;
@@ -252,12 +258,14 @@
   Duration event_cost{};
   // By queue: percentage of the workers that the advice service allows a step; 85 without an entry.
   std::map<std::string, int> allowed_percent;
-  double advice_seconds = 0;  // Total processing time of the advice service for all hosts.
+  bool checks_waiting = false;  // Looks for work that waits although it could run.
+  double advice_seconds = 0;    // Total processing time of the advice service for all hosts.
 
  private:
   friend class FakeStore;
   friend class FakeWorker;
   friend class FakeHost;
+  friend class WaitingCheck;
 
   // A pending watch or hold. Resumes exactly once: when its condition holds or at its timeout.
   struct Waiter {
@@ -276,7 +284,12 @@
   const CellConfiguration* ConfigurationOf(uint64_t version) const;
   // The tenant of this key in the configurations that may be in force for a request sent at that time.
   std::optional<std::string> TenantAt(const KeyDigest& key, TimePoint sent) const;
-  std::string TenantOfKey(const KeyDigest& key) const;  // In the newest configuration that has it; empty if none has.
+  std::string TenantOfKey(const KeyDigest& key) const;    // In the newest configuration that has it; empty if none has.
+  std::string TenantOfJob(const std::string& job) const;  // By the key of its requests.
+  // Whether the newest configuration lowers the maximum of a tenant.
+  bool LowersMaximum() const;
+  // Whether the advice service allows the tasks of a step on this worker.
+  bool AdviceAllows(const QueueSpec& queue, const TaskRef& step, const std::string& worker) const;
   void CheckQuota(const StartOrder& order, const StepSpec& step);
   void CheckKey(const CallerRequest& request, TimePoint sent, const CallerReply& reply);
   void CheckUnknownJob(const CallerRequest& request, TimePoint sent, const CallerReply& reply);
@@ -327,6 +340,7 @@
   std::map<TaskRef, std::set<int>> starts_after_crashes_;  // Run numbers, after kMaxCrashes.
   std::map<RunRef, GangRun> gangs_;                        // Keyed by step and run, with index 0.
   std::vector<std::string> violations_;
+  WaitingCheck waiting_{*this};
   int starts_ = 0;
 };
 
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -40,6 +40,7 @@
  public:
   explicit Course(const CellChaosOptions& options) : options_(options), world_(options.seed, kHosts, kWorkers) {
     world_.log_to_stdout = options.log;
+    world_.checks_waiting = true;
     AddQueues(world_);
     world_.keeps_calls_to_frozen_hosts = options.fault_kinds == 0;  // Earlier seeds were found without it.
     if (options.relays) {
@@ -625,6 +626,7 @@
   CellChaosResult Judge() {
     result_.violations = world_.violations();
     result_.starts = world_.starts();
+    std::set<std::string> given_up;
     for (int i = 1; i <= jobs_; ++i) {
       if (!world_.Accepted(JobId(i))) {
         continue;
@@ -643,6 +645,14 @@
       } else if (*state == JobState::kCompleted && deadly_.contains(JobId(i))) {
         result_.lost.push_back(fmt::format("job {} is completed and cannot be", JobId(i)));
       }
+      if (state == JobState::kFailed) {
+        given_up.insert(JobId(i));
+      }
+    }
+    for (const LostWork& each : world_.lost()) {
+      if (!each.may_be_given_up || !given_up.contains(each.job)) {
+        result_.lost.push_back(each.text);
+      }
     }
     return result_;
   }
--- a/tests/cell_chaos.h
+++ b/tests/cell_chaos.h
@@ -22,7 +22,7 @@
 
 struct CellChaosResult {
   std::vector<std::string> violations;  // What must always hold and did not.
-  std::vector<std::string> lost;        // Accepted jobs that did not come to an end.
+  std::vector<std::string> lost;        // Accepted jobs that did not come to an end, or waited although they could run.
   std::vector<std::string> faults;      // What was done, in order.
   int accepted = 0;
   int starts = 0;
--- a/tools/mutant_table.py
+++ b/tools/mutant_table.py
@@ -75,6 +75,10 @@
            "existing->submissions.contains(call)",
            "existing->submissions.contains(call) && false",
            ["cell_tenants_test"]),
+    Mutant("leave steps on hold when the doubt is over", "src/cell/owner.cc",
+           "    steps_on_hold_.clear();\n",
+           "",
+           ["cell_waiting_invariant_test"]),
     # Calls, tasks, claims, workers, servers, configuration
     Mutant("start without a token check", "standins/fakes.cc",
            "if (call.token != token_ || lapsed) {\n    answer.status",
