A gang larger than its tenant's maximum starts beside what the maximum leaves

Cause: the last member of such a gang may exceed the maximum, but only if nothing but tasks that last was running. So the gang waited until its tenant ran nothing else, and closed the maximum for all that came after it. Now it starts as soon as all members but the last are within the maximum beside what runs. The users' rule allows a tenth and one task more; single tasks larger than the maximum still run alone.

Evidence: the new case of cell_tenants_test fails before (1 of 5 assertions).

--- a/src/cell/tenant_quota.cc
+++ b/src/cell/tenant_quota.cc
@@ -83,7 +83,9 @@
   if (IsWithin(quota->used + Multiply(size, count), quota->maximum)) {
     return true;
   }
-  return quota->used == quota->lasting && FitsMaximum(quota->maximum, size, count, quota->lasting);
+  const bool alone = quota->used == quota->lasting;
+  const bool too_large_gang = count > 1 && !IsWithin(Multiply(size, count), quota->maximum);
+  return (alone || too_large_gang) && FitsMaximum(quota->maximum, size, count, quota->used);
 }
 
 void TenantQuotas::Take(const std::string& tenant, const Resources& size, int count) {
--- a/src/cell/tenant_quota.h
+++ b/src/cell/tenant_quota.h
@@ -54,7 +54,8 @@
                const TenantUsage* lasting = nullptr)
       : maxima_(&maxima), usage_(&usage), unaccounted_(&unaccounted), lasting_(lasting) {}
 
-  // True if `count` tasks of this size may start now, all of them.
+  // True if `count` tasks of this size may start now, all of them. The last one may exceed the maximum if there is no
+  // other way: of a gang that is larger than the maximum, or if nothing but tasks that last is running.
   bool Allows(const std::string& tenant, const Resources& size, int count = 1) const;
   // Records that `count` tasks of this size are being started.
   void Take(const std::string& tenant, const Resources& size, int count = 1);
--- a/tests/cell_tenants_test.cc
+++ b/tests/cell_tenants_test.cc
@@ -246,6 +246,19 @@
   CHECK_FALSE(TenantQuotas(maxima, some, all_known).Allows("a", Cpu(3000)));
 }
 
+// Seed 41 --tenants: such a gang waited for the last other task of its tenant, and all work behind it for the gang.
+TEST_CASE("a gang larger than its tenant's maximum starts beside what the maximum leaves") {
+  const TenantMaxima maxima = MaximaOf({Limited("a", 20'000)});
+  const TenantUsage little = {{"a", Cpu(2000)}};
+  const TenantUsage more = {{"a", Cpu(2001)}};
+  const UnaccountedRuns all_known;
+  CHECK(TenantQuotas(maxima, little, all_known).Allows("a", Cpu(4500), 5));
+  CHECK_FALSE(TenantQuotas(maxima, more, all_known).Allows("a", Cpu(4500), 5));
+  CHECK_FALSE(TenantQuotas(maxima, little, all_known).Allows("a", Cpu(4500), 6));
+  CHECK_FALSE(TenantQuotas(maxima, little, all_known).Allows("a", Cpu(19'000), 1));
+  CHECK_FALSE(TenantQuotas(maxima, little, all_known).Allows("a", Cpu(4000), 5));
+}
+
 TEST_CASE(
     "what may be running unknown counts, by the lower of its bounds, and without a bound nothing limited starts") {
   const TenantMaxima maxima = MaximaOf({Limited("a", 8000), Limited("b", 0), Limited("c", 8000)});
