--- a/tests/cell_red_courses_test.cc
+++ b/tests/cell_red_courses_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "tests/cell_course_check.h"
+#include "tests/cell_jobs.h"
 
 namespace hibiscus::cell {
 namespace {
@@ -10,6 +11,26 @@
   CheckCourse({.seed = 7, .dense = true});
   CheckCourse({.seed = 14, .relays = true, .dense = true, .fault_kinds = 31});
   CheckCourse({.seed = 34, .relays = true, .tenants = true, .fault_kinds = 31});
+  CheckCourse({.seed = 69, .relays = true, .dense = true, .fault_kinds = 31});
+  CheckCourse({.seed = 88, .relays = true, .dense = true});
+  CheckCourse({.seed = 100, .dense = true});
+}
+
+// A successor that has fenced less than half of its predecessor's workers waits for that owner's longest doubt.
+TEST_CASE("tasks start again in time after the owner and most of the workers are lost") {
+  constexpr Duration kMaxRecovery = 14s;  // Limit of the platform, after the end of the load.
+  constexpr int kTasks = 8;
+  CellWorld world(77, 3, kTasks);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.SubmitWithRetries(JobOf(1, {StepOf(kTasks, 9000)}), TaskBehaviour{3s, 0});  // One on each worker.
+  REQUIRE(world.RunUntil([&] { return world.starts() == kTasks; }, 2s));
+  world.Kill(*world.OwnerIndex());
+  for (size_t i = 0; i < 5; ++i) {
+    world.worker(i).Crash();
+  }
+  CHECK(world.RunUntil([&] { return world.starts() > kTasks; }, kMaxRecovery));
+  CHECK(world.violations().empty());
 }
 
 }  // namespace
