Three connections to a worker are for starts, and stops do not wait behind them

Cause: a new owner starts many tasks on each worker at once, and only two of its four connections were for starts and stops. A stop of a start that gets no answer waited behind that start. Now one connection is kept for urgent orders, and stops are urgent like holds; the number for each host stays four, so the bound on what a loss of power leaves is as before.

--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -301,14 +301,13 @@
 }
 
 // The share of one host. The owner, its successor and relays use a worker's connections, and hosts that lost power
-// leave theirs open. Half of the share is for holds: one that waits for an end, and one that looks for an overdue
-// start.
+// leave theirs open. A new owner starts many tasks at once, so only one of its share is kept for urgent orders.
 ConnectionLimits ShareOfWorkerConnections(size_t accepted) {
   constexpr size_t kHosts = 16;  // That share them; of these, about a dozen may have lost power since a worker started.
   constexpr size_t kMinShare = 2;
   constexpr size_t kMaxShare = 4;
   const size_t share = std::clamp(accepted / kHosts, kMinShare, kMaxShare);
-  return ConnectionLimits{.total = share, .urgent = share / 2};
+  return ConnectionLimits{.total = share, .urgent = 1};
 }
 
 CellDaemonSettings CellDaemonSettingsFromFlags() {
