--- a/standins/cell_waiting_check.cc
+++ b/standins/cell_waiting_check.cc
@@ -238,7 +238,8 @@
     const int64_t fitting = CountThatFits(spec.size, usage.free.at(worker));
     room += spec.max_per_worker > 0 ? std::min<int64_t>(fitting, spec.max_per_worker) : fitting;
   }
-  return room >= 2 * (spec.gang ? spec.count : 1);
+  const int64_t starting = spec.gang ? spec.count : 1;
+  return room >= 2 * starting;
 }
 
 bool WaitingCheck::IsWithinHalfOfMaximum(const JobSpec& job, const StepSpec& step, const Usage& usage) const {
