Each read of the configuration leaves a line: its end, size and time

A read that ended by its timeout left no line, so repeated reads could not be told from a store that does not answer. part=config event=answer with the status, the bytes of the value, the time it took and the requests that wait for it; counter configuration_bytes.

--- a/src/cell/configuration_refresh.cc
+++ b/src/cell/configuration_refresh.cc
@@ -40,6 +40,10 @@
 }
 
 void ConfigurationRefresh::OnAnswer(const StoreAnswer& answer, TimePoint sent_at) {
+  const size_t bytes = answer.items.empty() ? 0 : answer.items.front().value.size();
+  context_.counters.Add("configuration_bytes", static_cast<double>(bytes));
+  context_.Log("config", "event=answer kind=read status={} bytes={} took_ms={} waiting={}", NameOf(answer.status),
+               bytes, Millis(context_.Now() - sent_at), requests_.size());
   if (answer.status != StoreStatus::kOk || answer.items.empty() || !apply_(answer.items.front())) {
     return;
   }
