--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -13,6 +13,7 @@
 
 constexpr Duration kOneWayDelay = 2ms;           // Network delay to the store, a worker or another host.
 constexpr Duration kCallTimeout = 1s;            // Of calls to the store, to workers and to hosts that are down.
+constexpr Duration kReadTimeout = 2s;            // Of ranges.
 constexpr Duration kWatchTimeoutMargin = 800ms;  // Added to the wait of a watch.
 constexpr Duration kMaxMessageDelay = 2s;        // Exclusive bound for delayed messages between hosts.
 constexpr Duration kMaxExecutionDelay = 11s;     // Exclusive bound for calls carried out late.
@@ -20,6 +21,16 @@
 constexpr Duration kCallerTimeout = 2800ms;      // Deadline of a caller's request.
 constexpr char kHostName[] = "a.example";        // Of all requests; the path begins with the name of the queue.
 
+// Size of the store's answer: values are sent as base64, in a frame of names and revisions.
+size_t BytesOf(const StoreAnswer& answer) {
+  constexpr size_t kFrameBytes = 200;
+  size_t bytes = kFrameBytes;
+  for (const StoreItem& item : answer.items) {
+    bytes += kFrameBytes + item.value.size() * 4 / 3;
+  }
+  return bytes;
+}
+
 // Answers to starts and stops do not say which life of the worker gave them.
 OrderAnswer WithoutLife(OrderAnswer answer) {
   answer.born_ms = 0;
@@ -187,7 +198,6 @@
     reply(refusal);
     return;
   }
-  const size_t index = std::stoul(name_.substr(1));
   host.HandleUnknownRoute(kHostName, fmt::format("/{}/{}", request.queue, request.job), until,
                           [=, this, &host](RouteOutcome outcome) {
                             if (outcome == RouteOutcome::kFound) {
@@ -195,7 +205,7 @@
                               return;
                             }
                             if (outcome == RouteOutcome::kNoSuchQueue) {
-                              world_.routes_.OnAnswer(index, request.queue, sent, false);
+                              world_.routes_.OnAnswer(index(), request.queue, sent, false);
                             }
                             reply(refusal);
                           });
@@ -219,7 +229,10 @@
 
 // --- Store ---
 
-void FakeHost::CallStore(bool changes, const std::function<StoreAnswer()>& apply, const StorePort::Done& done) {
+void FakeHost::CallStore(bool changes,
+                         const std::function<StoreAnswer()>& apply,
+                         const StorePort::Done& done,
+                         TimePoint timeout_at) {
   const auto host_override = world_.store_.host_faults.find(name_);
   CallFaults faults = world_.store_.faults;
   if (host_override != world_.store_.host_faults.end() && !(host_override->second == CallFaults{})) {
@@ -240,20 +253,43 @@
     return;
   }
   const bool lost = changes && world_.Chance(faults.lost_answer_share);
-  world_.In(kOneWayDelay, [apply, answer, lost, extra_delay = faults.extra_delay] {
+  world_.In(kOneWayDelay, [=, this, generation = generation_, extra_delay = faults.extra_delay] {
     const StoreAnswer result = apply();
-    lost ? answer(kCallTimeout, StoreAnswer{}) : answer(kOneWayDelay + extra_delay, result);
+    if (lost || !world_.links.IsLimited(index())) {
+      lost ? answer(kCallTimeout, StoreAnswer{}) : answer(kOneWayDelay + extra_delay, result);
+      return;
+    }
+    world_.In(kOneWayDelay + extra_delay, [=, this] {
+      if (generation == generation_) {
+        Transmit(result, done, timeout_at);
+      }
+    });
+  });
+}
+
+void FakeHost::Transmit(const StoreAnswer& answer, const StorePort::Done& done, TimePoint timeout_at) {
+  const auto ended = std::make_shared<bool>(false);
+  const auto end = [this, ended, done, generation = generation_](const StoreAnswer& result) {
+    if (!std::exchange(*ended, true)) {
+      Deliver(generation, [done, result] { done(result); });
+    }
+  };
+  const StoreLinks::Transmission number = world_.links.Send(
+      index(), BytesOf(answer), [] {}, [end, answer] { end(answer); });
+  world_.In(timeout_at - world_.Now(), [this, end, number] {
+    world_.links.Cancel(number);
+    end(StoreAnswer{});
   });
 }
 
 void FakeHost::Read(const std::string& key, StorePort::Done done) {
   CallStore(
-      false, [this, key] { return world_.store_.Read(key); }, done);
+      false, [this, key] { return world_.store_.Read(key); }, done, world_.Now() + kCallTimeout);
 }
 
 void FakeHost::Range(const std::string& prefix, const std::string& after, StorePort::Done done) {
   CallStore(
-      false, [this, prefix, after] { return world_.store_.Range(prefix, after); }, done);
+      false, [this, prefix, after] { return world_.store_.Range(prefix, after); }, done, world_.Now() + kReadTimeout);
 }
 
 void FakeHost::Watch(const std::string& prefix, uint64_t after, Duration wait, StorePort::Done done) {
@@ -311,27 +347,28 @@
           return;
         }
         done(answer);
-      });
+      },
+      until + kWatchTimeoutMargin);
 }
 
 void FakeHost::Commit(const StoreTransaction& transaction, StorePort::Done done) {
   CallStore(
-      true, [this, transaction] { return world_.store_.Commit(transaction); }, done);
+      true, [this, transaction] { return world_.store_.Commit(transaction); }, done, world_.Now() + kCallTimeout);
 }
 
 void FakeHost::GrantLease(Duration ttl, StorePort::Done done) {
   CallStore(
-      true, [this, ttl] { return world_.store_.GrantLease(ttl); }, done);
+      true, [this, ttl] { return world_.store_.GrantLease(ttl); }, done, world_.Now() + kCallTimeout);
 }
 
 void FakeHost::KeepLease(uint64_t lease, StorePort::Done done) {
   CallStore(
-      false, [this, lease] { return world_.store_.KeepLease(lease); }, done);
+      false, [this, lease] { return world_.store_.KeepLease(lease); }, done, world_.Now() + kCallTimeout);
 }
 
 void FakeHost::EndLease(uint64_t lease, StorePort::Done done) {
   CallStore(
-      true, [this, lease] { return world_.store_.EndLease(lease); }, done);
+      true, [this, lease] { return world_.store_.EndLease(lease); }, done, world_.Now() + kCallTimeout);
 }
 
 // --- Workers ---
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -76,7 +76,13 @@
   // Delivers an answer to the process of this generation, and drops it if that has ended. Queues it in the inbox while
   // the process is frozen or if events cost time.
   void Deliver(uint64_t generation, std::function<void()> work);
-  void CallStore(bool changes, const std::function<StoreAnswer()>& apply, const StorePort::Done& done);
+  // A call whose answer has not arrived whole by `timeout` ends without it, and none of the rest is sent.
+  void CallStore(bool changes,
+                 const std::function<StoreAnswer()>& apply,
+                 const StorePort::Done& done,
+                 TimePoint timeout_at);
+  void Transmit(const StoreAnswer& answer, const StorePort::Done& done, TimePoint timeout_at);
+  size_t index() const { return std::stoul(name_.substr(1)); }
   void CallWorker(const WorkerTarget& target,
                   const std::function<OrderAnswer(FakeWorker&)>& apply,
                   const WorkerPort::Done& done);
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -516,7 +516,9 @@
   if (LowersMaximum()) {
     waiting_.NoteDisruption();
   }
-  store_.Put("configuration", std::to_string(configuration.version));
+  std::string value = std::to_string(configuration.version);
+  value.resize(std::max(value.size(), configuration_bytes), ' ');
+  store_.Put("configuration", value);
 }
 
 const CellConfiguration* CellWorld::ConfigurationOf(uint64_t version) const {
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -24,6 +24,7 @@
 
 #include "cell/host.h"
 #include "hibiscusstand/clock.h"
+#include "standins/cell_links.h"
 #include "standins/cell_route_check.h"
 #include "standins/cell_waiting_check.h"
 
@@ -251,6 +252,8 @@
   CellConfiguration configuration;
   // Publishes `configuration` to all hosts under a new version.
   void Configure();
+  size_t configuration_bytes = 0;  // Least size of the configuration in the store.
+  StoreLinks links{*this};
   // Time after which withdrawn keys must be refused; takes effect at a process's next boot. 0: no limit.
   Duration key_withdrawal_limit{};
   void WriteWorkerEntry(const FakeWorker& worker);
