A large configuration is read once, whoever asks for unknown paths

Cause, of the class "a call whose answer takes longer than its timeout is given up and repeated, and its repetitions take the bandwidth that it needs": each request for an unknown path and each overdue watch read the whole configuration, every 100 to 200 ms, without waiting for earlier reads, and each read, page and watch was cut at a fixed time from its sending whatever arrived. A host that fell behind got all versions since, whole. The owner in a deployment with API keys read the whole configuration every 300 ms.

Change: ConfigurationFollower replaces the watch, ConfigurationRefresh and ConfigurationProof. A check asks the store for the configuration only if its revision is another (a transaction without writes: 200, or 412 with the newest item alone), so it costs some hundred bytes while nothing has changed. While an answer arrives no other call is sent, and calls that would bring the same are cancelled, which closes their connections. After a large answer, and after lost history, the next call is such a check: versions in between are not sent. Checks are 200 ms apart at least (reads were 100), as transactions count as writes at the store; 39 hosts that are all asked for unknown paths without pause take a sixth of its limit. The HTTP client's timeout may end when the answer begins; then a second without any byte of it ends the call (StoreClient, all calls). Messages and records are as before, so builds before and after work side by side.

--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -27,12 +27,13 @@
 constexpr Duration kStepDownCooldown = 2s;            // Time for a stronger host to take over.
 // The strongest host must have this many times the owner's processor time to justify the 200 ms of a planned takeover.
 constexpr double kStepDownProcessorRatio = 1.5;
-// A silent watch is detected early enough for several reads within the limit: their connections may be dead, too.
+// A silent watch is detected early enough for several checks within the limit: their connections may be dead, too.
 constexpr double kWatchShareOfLimit = 0.6;
+constexpr Duration kMaxConfigurationWait = 2500ms;  // Of the store in a watch on the configuration.
 
 Duration ConfigurationWait(const CellSettings& settings) {
   const std::chrono::duration<double, Duration::period> share = settings.configuration_limit * kWatchShareOfLimit;
-  return std::min(PrefixWatch::kDefaultWait, std::chrono::duration_cast<Duration>(share));
+  return std::min(kMaxConfigurationWait, std::chrono::duration_cast<Duration>(share));
 }
 
 }  // namespace
@@ -45,15 +46,10 @@
 Host::Host(Context& context, ConfigurationCallback on_configuration)
     : context_(context),
       on_configuration_(std::move(on_configuration)),
-      configuration_watch_(
+      configuration_follower_(
           context,
-          context.directory.configuration_key(),
-          [this](const std::vector<StoreItem>& items) {
-            std::for_each(items.begin(), items.end(), [this](const StoreItem& item) { OnConfigurationItem(item); });
-          },
-          [this](const StoreItem& item) { OnConfigurationItem(item); },
+          [this](const StoreItem& item) { return OnConfigurationItem(item); },
           ConfigurationWait(context.settings)),
-      configuration_refresh_(context, [this](const StoreItem& item) { return OnConfigurationItem(item); }),
       live_watch_(
           context,
           kLivePrefix,
@@ -71,7 +67,7 @@
 }
 
 void Host::Begin() {
-  configuration_watch_.Begin();
+  configuration_follower_.Begin();
   live_watch_.Begin();
   registration_.Begin();
   Tick();
@@ -79,7 +75,7 @@
 
 void Host::Tick() {
   context_.timers.In(kTickInterval, IfAlive([this] { Tick(); }));
-  RefreshOverdueConfiguration();
+  configuration_follower_.Tick();
   if (owner_ != nullptr) {
     NoteOwnerContact();
     OfferHandOverIfStalled();
@@ -171,7 +167,7 @@
 
 void Host::UpdateGauges() {
   context_.counters.Set("config_version", static_cast<double>(configuration_.version));
-  if (const std::optional<Duration> age = ConfigurationAge(); age) {
+  if (const std::optional<Duration> age = configuration_follower_.age(); age) {
     context_.counters.Set("config_age", std::chrono::duration<double>(*age).count());
   }
   context_.counters.Set("is_owner", owner_ != nullptr ? 1 : 0);
@@ -197,9 +193,9 @@
                               const std::string& path,
                               TimePoint deadline,
                               const RouteReply& reply) {
-  configuration_refresh_.Require(deadline, IfAlive([this, host_name, path, reply](bool confirmed) {
-                                   reply(AnswerUnknownRoute(host_name, path, confirmed));
-                                 }));
+  configuration_follower_.Require(deadline, IfAlive([this, host_name, path, reply](bool confirmed) {
+                                    reply(AnswerUnknownRoute(host_name, path, confirmed));
+                                  }));
 }
 
 RouteOutcome Host::AnswerUnknownRoute(const std::string& host_name, const std::string& path, bool confirmed) {
@@ -207,27 +203,14 @@
   const RouteOutcome outcome = found       ? RouteOutcome::kFound
                                : confirmed ? RouteOutcome::kNoSuchQueue
                                            : RouteOutcome::kUnconfirmed;
-  const std::optional<Duration> age = ConfigurationAge();
+  const std::optional<Duration> age = configuration_follower_.age();
   context_.counters.Add(fmt::format("unknown_routes{{outcome=\"{}\"}}", NameOf(outcome)));
-  context_.Log("route", "event=unknown outcome={} asked={}{} config={} config_age_ms={} watch_silent_ms={}",
+  context_.Log("route", "event=unknown outcome={} asked={}{} config={} config_age_ms={} store_silent_ms={}",
                NameOf(outcome), host_name, path, configuration_.version, age ? Millis(*age) : -1,
-               Millis(configuration_watch_.silent_for()));
+               Millis(configuration_follower_.silent_for()));
   return outcome;
 }
 
-// The connection of the watch may be dead, which its client notices only later.
-void Host::RefreshOverdueConfiguration() {
-  if (configuration_watch_.overdue()) {
-    configuration_refresh_.Read();
-  }
-}
-
-std::optional<Duration> Host::ConfigurationAge() const {
-  const std::optional<Duration> by_watch = configuration_watch_.confirmed_age();
-  const std::optional<Duration> by_read = configuration_refresh_.age();
-  return by_watch && by_read ? std::min(by_watch, by_read) : by_watch ? by_watch : by_read;
-}
-
 void Host::CountUnknownKey(const KeyDigest& key, uint64_t version) {
   const char* reason = key.empty() ? "no_key" : "unknown_key";
   context_.counters.Add(fmt::format("key_refusals{{reason=\"{}\"}}", reason));
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "cell/configuration_refresh.h"
+#include "cell/configuration_follower.h"
 #include "cell/context.h"
 #include "cell/live_lease.h"
 #include "cell/messages.h"
@@ -101,8 +101,6 @@
   void LogAnswer(const CallerRequest& request, const CallerReply& reply);
   // What to answer to a request for an unknown queue, by the configuration in force.
   RouteOutcome AnswerUnknownRoute(const std::string& host_name, const std::string& path, bool confirmed);
-  void RefreshOverdueConfiguration();
-  std::optional<Duration> ConfigurationAge() const;
   void OnDeadline(uint64_t call);
   void OnCallerRequest(const CallerRequest& request);
   void OnAdviceRequest(const AdviceRequest& request);
@@ -162,8 +160,7 @@
   Context& context_;
   ConfigurationCallback on_configuration_;
   CellConfiguration configuration_;
-  PrefixWatch configuration_watch_;
-  ConfigurationRefresh configuration_refresh_;
+  ConfigurationFollower configuration_follower_;
   PrefixWatch live_watch_;
   LiveLease registration_;                   // Lists this host in the store.
   std::map<std::string, HostRecord> hosts_;  // All listed hosts, by store key.
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -325,7 +325,7 @@
   owner_lease_ = lease;
   owner_since_ = context_.Now();
   known_ = KnownOwner{ownership.term, true, false, MakeOwnRecord(ownership.epoch, false)};
-  owner_ = std::make_unique<Owner>(context_, ownership, configuration_, [this] {
+  owner_ = std::make_unique<Owner>(context_, ownership, configuration_, configuration_follower_, [this] {
     // Called from inside the owner, which is destroyed after that call has returned.
     context_.timers.In(Duration(0), IfAlive([this] { OnDeposed(); }));
   });
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -27,19 +27,13 @@
 Owner::Owner(Context& context,
              const Ownership& ownership,
              CellConfiguration configuration,
+             ConfigurationFollower& configuration_follower,
              std::function<void()> on_deposed)
     : context_(context),
       ownership_(ownership),
       configuration_(std::move(configuration)),
       maxima_(MaximaOf(configuration_.tenants)),
-      proof_(context,
-             [this](const StoreItem& item) {
-               const auto read = context_.directory.ReadConfiguration(item);
-               if (read) {
-                 OnConfiguration(*read);
-               }
-               return read.has_value();
-             }),
+      configuration_follower_(configuration_follower),
       ownership_proof_(context, ownership.epoch, [this] { OnFenced(); }),
       on_deposed_(std::move(on_deposed)),
       relay_(context, ownership.term),
@@ -63,7 +57,7 @@
   context_.Log("owner", "event=takeover epoch={} term={}", ownership_.epoch, ownership_.term);
   loading_began_at_ = context_.Now();
   last_active_at_ = context_.Now();
-  BeginProofIfNeeded();
+  ConfirmConfigurationIfNeeded();
   ReadJobs();
   Tick();
 }
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -25,7 +25,7 @@
 
 #include "cell/admission.h"
 #include "cell/advice_dispatcher.h"
-#include "cell/configuration_proof.h"
+#include "cell/configuration_follower.h"
 #include "cell/context.h"
 #include "cell/group_commit.h"
 #include "cell/job_table.h"
@@ -63,6 +63,7 @@
   Owner(Context& context,
         const Ownership& ownership,
         CellConfiguration configuration,
+        ConfigurationFollower& configuration_follower,
         std::function<void()> on_deposed);
   ~Owner() override;
   Owner(const Owner&) = delete;
@@ -165,7 +166,10 @@
   void RequestExpiry();
 
   // --- owner_tenants.cc ---
-  void BeginProofIfNeeded();
+  void ConfirmConfigurationIfNeeded();
+  void ConfirmConfiguration();
+  // Whether the configuration in force is new enough to accept or refuse an API key.
+  bool MayJudgeKeys() const;
   // The tenant for which the request acts; empty if its queue needs no key. Replies and returns nothing if the request
   // must not be served.
   std::optional<std::string> Authorize(const CallerRequest& request, const Reply& reply);
@@ -333,7 +337,7 @@
   UnaccountedRuns unaccounted_;  // As of the last pass.
   // Tasks of ended jobs that may still be running, by tenant; complete as long as there are unsettled workers.
   TenantUsage ended_running_;
-  ConfigurationProof proof_;
+  ConfigurationFollower& configuration_follower_;
   OwnershipProof ownership_proof_;
   std::function<void()> on_deposed_;
   OrderRelay relay_;
@@ -351,6 +355,7 @@
   std::set<TaskRef> steps_on_hold_;             // Not to be started before the doubt has ended.
   bool was_active_ = true;                      // As of the last UpdateAuthority.
   bool loaded_ = false;
+  bool confirms_configuration_ = false;  // Periodically.
   bool closing_ = false;
   bool is_deposed_ = false;
   std::function<void()> on_closed_;
--- a/src/cell/owner_tenants.cc
+++ b/src/cell/owner_tenants.cc
@@ -3,11 +3,19 @@
 // Every answer that reports success comes from the owner, so the owner alone decides whether a key is valid, however
 // old the configuration of the host that took the request is.
 #include <algorithm>
+#include <utility>
 
 #include "cell/owner.h"
 
 namespace hibiscus::cell {
 
+namespace {
+
+constexpr Duration kConfirmInterval = 300ms;  // Bounds the age of the confirmation at the start of a store outage.
+constexpr int kClockErrorDivisor = 50;        // Clocks of hosts may run 2% off, which shortens the limit.
+
+}  // namespace
+
 void Owner::OnConfiguration(const CellConfiguration& configuration) {
   if (configuration.version <= configuration_.version) {
     return;
@@ -16,7 +24,7 @@
   maxima_ = MaximaOf(configuration_.tenants);
   context_.Log("config", "event=config_at_owner version={} tenants={}", configuration_.version,
                configuration_.tenants.size());
-  BeginProofIfNeeded();
+  ConfirmConfigurationIfNeeded();
   for (const auto& [id, job] : jobs_) {
     if (const QueueSpec* queue = configuration_.FindQueue(job->record.spec.queue); queue != nullptr) {
       SetQueue(*job, *queue);
@@ -25,10 +33,28 @@
   SchedulePlacementPass();
 }
 
-void Owner::BeginProofIfNeeded() {
-  if (configuration_.needs_keys && context_.settings.key_withdrawal_limit > Duration(0)) {
-    proof_.Begin();
+void Owner::ConfirmConfigurationIfNeeded() {
+  const bool needed = configuration_.needs_keys && context_.settings.key_withdrawal_limit > Duration(0);
+  if (needed && !std::exchange(confirms_configuration_, true)) {
+    ConfirmConfiguration();
+  }
+}
+
+void Owner::ConfirmConfiguration() {
+  configuration_follower_.Check();
+  RunAfter(kConfirmInterval, [this] { ConfirmConfiguration(); });
+}
+
+// A withdrawn API key must not be accepted for longer than a limit after the withdrawal, also if this host is cut off
+// or was paused. A confirmation holds as of the time at which its call was sent, because a newer configuration may be
+// stored at any time after that.
+bool Owner::MayJudgeKeys() const {
+  const Duration limit = context_.settings.key_withdrawal_limit;
+  if (limit == Duration(0)) {
+    return true;
   }
+  const std::optional<Duration> age = configuration_follower_.confirmed_age();
+  return age && *age < limit - limit / kClockErrorDivisor;
 }
 
 std::optional<std::string> Owner::Authorize(const CallerRequest& request, const Reply& reply) {
@@ -40,8 +66,7 @@
   if (!configuration_.NeedsKey(configuration_.FindQueue(request.queue))) {
     return name;
   }
-  const Duration limit = context_.settings.key_withdrawal_limit;
-  if (limit > Duration(0) && !proof_.IsFresh(limit)) {
+  if (!MayJudgeKeys()) {
     RefuseKey(request, reply, CallerOutcome::kUnavailable, "config_unconfirmed");
     return std::nullopt;
   }
@@ -54,7 +79,7 @@
 
 void Owner::RefuseKey(const CallerRequest& request, const Reply& reply, CallerOutcome outcome, const char* reason) {
   context_.counters.Add(fmt::format("key_refusals{{reason=\"{}\"}}", reason));
-  const std::optional<Duration> age = proof_.age();
+  const std::optional<Duration> age = configuration_follower_.confirmed_age();
   context_.Log("key", "event=refused reason={} key={} job={} queue={} config={} config_age_ms={}", reason,
                LoggedDigits(request.key), request.job, request.queue, configuration_.version, age ? Millis(*age) : -1);
   // An earlier owner may have accepted another copy of this request, which "not accepted" would deny.
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -78,9 +78,14 @@
   friend bool operator==(const StoreAnswer&, const StoreAnswer&) = default;
 };
 
+// Number of a call to the store that can be cancelled.
+using StoreCall = uint64_t;
+
 class StorePort {
  public:
   using Done = std::function<void(const StoreAnswer&)>;
+  // Called from time to time while a large answer arrives; never for one of a few packets.
+  using Progress = std::function<void()>;
 
   virtual ~StorePort() = default;
   virtual void Read(const std::string& key, Done done) = 0;
@@ -88,6 +93,13 @@
   virtual void Range(const std::string& prefix, const std::string& after, Done done) = 0;
   // Returns the changes after a revision. Waits up to `wait` for the first one.
   virtual void Watch(const std::string& prefix, uint64_t after, Duration wait, Done done) = 0;
+  // Reads of one item whose value may be large. Such a call goes on as long as its answer arrives.
+  virtual StoreCall ReadLarge(const std::string& key, Progress progress, Done done) = 0;
+  virtual StoreCall WatchLarge(const std::string& key, uint64_t after, Duration wait, Progress progress, Done done) = 0;
+  // Answers with the item if `revision` is not that of its last change, and without items otherwise.
+  virtual StoreCall ReadLargeIfChanged(const std::string& key, uint64_t revision, Progress progress, Done done) = 0;
+  // Ends a large read, of which nothing more arrives then. Its callbacks are not invoked any more.
+  virtual void Cancel(StoreCall call) = 0;
   virtual void Commit(const StoreTransaction& transaction, Done done) = 0;
   virtual void GrantLease(Duration ttl, Done done) = 0;
   virtual void KeepLease(uint64_t lease, Done done) = 0;
--- a/src/cell/prefix_watch.cc
+++ b/src/cell/prefix_watch.cc
@@ -7,21 +7,13 @@
 
 namespace {
 
-constexpr Duration kRetryDelay = 150ms;      // After a failed call.
-constexpr Duration kMaxAnswerDelay = 250ms;  // Of a store that is reachable, beyond the time that it waits.
+constexpr Duration kWatchTimeout = 2500ms;  // A dead connection is detected shortly after this.
+constexpr Duration kRetryDelay = 150ms;     // After a failed call.
 
 }  // namespace
 
-PrefixWatch::PrefixWatch(Context& context, std::string prefix, OnReset on_reset, OnChange on_change, Duration wait)
-    : context_(context),
-      prefix_(std::move(prefix)),
-      wait_(wait),
-      on_reset_(std::move(on_reset)),
-      on_change_(std::move(on_change)) {}
-
-bool PrefixWatch::overdue() const {
-  return silent_for() > wait_ + kMaxAnswerDelay && context_.Now() - last_call_at_ > kMaxAnswerDelay;
-}
+PrefixWatch::PrefixWatch(Context& context, std::string prefix, OnReset on_reset, OnChange on_change)
+    : context_(context), prefix_(std::move(prefix)), on_reset_(std::move(on_reset)), on_change_(std::move(on_change)) {}
 
 void PrefixWatch::RetryLater(std::function<void()> retry) {
   context_.timers.In(kRetryDelay, [alive = alive_, retry = std::move(retry)] {
@@ -44,7 +36,6 @@
   if (after.empty()) {
     items_.clear();
   }
-  last_call_at_ = context_.Now();
   context_.store.Range(prefix_, after, [this, alive = alive_, after, sent = context_.Now()](const StoreAnswer& answer) {
     if (*alive) {
       OnPage(answer, after, sent);
@@ -60,7 +51,6 @@
   }
   if (after.empty()) {
     first_page_revision_ = answer.revision;
-    first_page_sent_at_ = sent;
   }
   round_trip_ = context_.Now() - sent;
   last_answer_at_ = context_.Now();
@@ -71,26 +61,19 @@
   }
   // The pages are not a snapshot: changes after the first page may be reported twice, which is harmless.
   revision_ = first_page_revision_;
-  confirmed_at_ = first_page_sent_at_;
   on_reset_(std::exchange(items_, {}));
   Watch();
 }
 
 void PrefixWatch::Watch() {
-  last_call_at_ = context_.Now();
-  context_.store.Watch(prefix_, revision_, wait_,
-                       [this, alive = alive_, sent = context_.Now()](const StoreAnswer& answer) {
-                         if (*alive) {
-                           OnChanges(answer, sent);
-                         }
-                       });
-}
-
-std::optional<Duration> PrefixWatch::confirmed_age() const {
-  return confirmed_at_ ? std::optional(context_.Now() - *confirmed_at_) : std::nullopt;
+  context_.store.Watch(prefix_, revision_, kWatchTimeout, [this, alive = alive_](const StoreAnswer& answer) {
+    if (*alive) {
+      OnChanges(answer);
+    }
+  });
 }
 
-void PrefixWatch::OnChanges(const StoreAnswer& answer, TimePoint sent) {
+void PrefixWatch::OnChanges(const StoreAnswer& answer) {
   if (answer.status == StoreStatus::kHistoryLost) {
     context_.Log("store", "event=history_lost prefix={} revision={} silent_ms={}", prefix_, revision_,
                  Millis(silent_for()));
@@ -108,7 +91,6 @@
                  Millis(silent_for()));
   }
   last_answer_at_ = context_.Now();
-  confirmed_at_ = sent;
   for (const StoreItem& item : answer.items) {
     on_change_(item);
     revision_ = std::max(revision_, item.revision);
--- a/src/cell/prefix_watch.h
+++ b/src/cell/prefix_watch.h
@@ -5,7 +5,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,10 +17,7 @@
   using OnReset = std::function<void(const std::vector<StoreItem>&)>;  // All current items.
   using OnChange = std::function<void(const StoreItem&)>;              // One change; changes come in order.
 
-  static constexpr Duration kDefaultWait = 2500ms;
-
-  // `wait` is how long the store waits for a change before it answers; a dead connection is detected shortly after.
-  PrefixWatch(Context& context, std::string prefix, OnReset on_reset, OnChange on_change, Duration wait = kDefaultWait);
+  PrefixWatch(Context& context, std::string prefix, OnReset on_reset, OnChange on_change);
   ~PrefixWatch() { *alive_ = false; }
   PrefixWatch(const PrefixWatch&) = delete;
   PrefixWatch& operator=(const PrefixWatch&) = delete;
@@ -31,11 +27,6 @@
   uint64_t revision() const { return revision_; }
   // Time since the store last answered a read or a watch.
   Duration silent_for() const { return context_.Now() - last_answer_at_; }
-  // Time since the items known here were certainly the newest: when the last call was sent that the store answered.
-  // Empty: never.
-  std::optional<Duration> confirmed_age() const;
-  // True if the store should have answered the pending call by now, and has not answered others lately.
-  bool overdue() const;
   // Duration of the latest successful read from the store.
   Duration round_trip() const { return round_trip_; }
 
@@ -43,22 +34,18 @@
   void ReadPage(const std::string& after);
   void OnPage(const StoreAnswer& answer, const std::string& after, TimePoint sent);
   void Watch();
-  void OnChanges(const StoreAnswer& answer, TimePoint sent);
+  void OnChanges(const StoreAnswer& answer);
   void OnFailure(const char* operation, StoreStatus status);
   void RetryLater(std::function<void()> retry);
 
   Context& context_;
   const std::string prefix_;
-  const Duration wait_;
   OnReset on_reset_;
   OnChange on_change_;
   std::vector<StoreItem> items_;
   uint64_t revision_ = 0;
   uint64_t first_page_revision_ = 0;  // Of the read in progress.
-  TimePoint first_page_sent_at_{};
   TimePoint last_answer_at_{};
-  TimePoint last_call_at_{};
-  std::optional<TimePoint> confirmed_at_;
   Duration round_trip_{};
   bool failing_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/ports/http_client.cc
+++ b/src/ports/http_client.cc
@@ -27,14 +27,23 @@
 constexpr Duration kMaxRefusalTime = 100ms;
 constexpr size_t kMaxResponseBytes = size_t{16} * 1024 * 1024;  // A longer answer ends the call as kUnknown.
 
+constexpr Duration kProgressInterval = 50ms;               // Between reports of the progress of one call.
+constexpr size_t kSmallResponseBytes = size_t{16} * 1024;  // Up to which progress is not reported.
+constexpr Duration kMaxTransferTime = 30s;                 // Of a call that ends after a stall.
+
 struct Transfer {
   HttpCall call;
   HttpClient::Done done;
+  const Clock* clock = nullptr;
   std::string body;
   curl_slist* headers = nullptr;
   int send_count = 0;   // How often the request was sent on a connection.
   uint64_t number = 0;  // In the connection budget.
   TimePoint deadline{};
+  TimePoint latest_end{};   // If it ends after a stall.
+  TimePoint reported_at{};  // When its progress was last reported.
+
+  bool ends_after_stall() const { return call.stall_timeout > Duration(0); }
 };
 
 // Scheme, host and port of a URL.
@@ -43,12 +52,26 @@
   return url.substr(0, url.find('/', scheme_end == std::string::npos ? 0 : scheme_end + 3));
 }
 
+// Part of the answer has arrived.
+void NoteProgress(Transfer& transfer) {
+  const TimePoint now = transfer.clock->Now();
+  if (transfer.ends_after_stall()) {
+    transfer.deadline = std::min(transfer.latest_end, now + transfer.call.stall_timeout);
+  }
+  const bool is_large = transfer.body.size() > kSmallResponseBytes;
+  if (is_large && transfer.call.on_progress && now - transfer.reported_at >= kProgressInterval) {
+    transfer.reported_at = now;
+    transfer.call.on_progress();
+  }
+}
+
 size_t OnBody(char* data, size_t size, size_t count, void* target) {
-  auto* body = static_cast<std::string*>(target);
-  if (body->size() + size * count > kMaxResponseBytes) {
+  auto* transfer = static_cast<Transfer*>(target);
+  if (transfer->body.size() + size * count > kMaxResponseBytes) {
     return 0;
   }
-  body->append(data, size * count);
+  transfer->body.append(data, size * count);
+  NoteProgress(*transfer);
   return size * count;
 }
 
@@ -79,13 +102,15 @@
   std::mutex mutex;
   std::vector<std::unique_ptr<Transfer>> submitted;                 // Guarded by mutex.
   bool close_requested = false;                                     // Guarded by mutex.
+  std::vector<uint64_t> cancelled;                                  // Numbers of calls. Guarded by mutex.
+  uint64_t last_number = 0;                                         // Guarded by mutex.
   bool stopping = false;                                            // Guarded by mutex.
   HttpConnectionCounts counts;                                      // Guarded by mutex.
   std::unordered_map<CURL*, std::unique_ptr<Transfer>> running;     // Client thread only, like all below.
   std::unordered_map<uint64_t, std::unique_ptr<Transfer>> waiting;  // For a connection. By number.
   std::vector<CURL*> idle_handles;                                  // For reuse.
+  std::unordered_map<uint64_t, CURL*> stalling;                     // Running calls that end after a stall. By number.
   ConnectionBudget budget;
-  uint64_t last_number = 0;
   bool closing = false;  // All connections are to be closed once no call is running.
   std::unordered_map<curl_socket_t, std::string> open_sockets;  // The address of each.
   std::unordered_map<std::string, size_t> open_to;              // Number of open sockets by address.
@@ -106,7 +131,9 @@
   void ProcessEvents();
   void Run();
   void StartSubmitted();
+  void EndCalls(const std::vector<uint64_t>& numbers);
   void ExpireWaiting();
+  void ExpireStalled();
   void StartWaiting(const std::vector<uint64_t>& numbers);
   void Start(std::unique_ptr<Transfer> transfer);
   void FinishCompleted();
@@ -210,6 +237,9 @@
   if (running.empty() && !open_sockets.empty()) {
     next = std::min(next, idle_since + options.idle_timeout);
   }
+  for (const auto& [number, easy] : stalling) {
+    next = std::min(next, running.at(easy)->deadline);
+  }
   return next;
 }
 
@@ -262,6 +292,7 @@
     ProcessEvents();
     ExpireWaiting();  // First: a call must not take a connection that becomes free at its own deadline.
     FinishCompleted();
+    ExpireStalled();
     CloseIfIdle();
   }
   AbortAll();
@@ -269,12 +300,13 @@
 
 void HttpClient::State::StartSubmitted() {
   std::vector<std::unique_ptr<Transfer>> taken;
+  std::vector<uint64_t> to_end;
   {
     const std::lock_guard lock(mutex);
     taken.swap(submitted);
+    to_end.swap(cancelled);
   }
   for (std::unique_ptr<Transfer>& transfer : taken) {
-    transfer->number = ++last_number;
     const HttpCall& call = transfer->call;
     const TimePoint send_by = transfer->deadline - std::min(kMinAnswerTime, call.timeout / 2);
     if (budget.Admit(transfer->number, AddressOf(call.url), call.urgent, send_by)) {
@@ -283,6 +315,7 @@
       waiting[transfer->number] = std::move(transfer);
     }
   }
+  EndCalls(to_end);
 }
 
 void HttpClient::State::ExpireWaiting() {
@@ -295,6 +328,30 @@
   }
 }
 
+// libcurl's own time limit cannot be moved while a call is running.
+void HttpClient::State::ExpireStalled() {
+  const TimePoint now = clock.Now();
+  std::vector<CURL*> expired;
+  for (const auto& [number, easy] : stalling) {
+    if (running.at(easy)->deadline <= now) {
+      expired.push_back(easy);
+    }
+  }
+  for (CURL* easy : expired) {
+    Finish(easy, CURLE_OPERATION_TIMEDOUT);
+  }
+}
+
+void HttpClient::State::EndCalls(const std::vector<uint64_t>& numbers) {
+  for (const uint64_t number : numbers) {
+    const auto found =
+        std::find_if(running.begin(), running.end(), [&](const auto& each) { return each.second->number == number; });
+    if (found != running.end()) {
+      Finish(found->first, CURLE_ABORTED_BY_CALLBACK);
+    }
+  }
+}
+
 void HttpClient::State::StartWaiting(const std::vector<uint64_t>& numbers) {
   for (const uint64_t number : numbers) {
     Start(std::move(waiting.extract(number).mapped()));
@@ -323,13 +380,18 @@
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.body.size()));
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
   }
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max(1L, static_cast<long>(Millis(transfer->deadline - clock.Now()))));
+  if (transfer->ends_after_stall()) {
+    stalling[transfer->number] = easy;
+  } else {
+    const long left = static_cast<long>(Millis(transfer->deadline - clock.Now()));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max(1L, left));
+  }
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(Millis(kConnectTimeout)));
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   // A call that ends during the lookup of a host name does not wait for the lookup, which would stop all other calls.
   curl_easy_setopt(easy, CURLOPT_QUICK_EXIT, 1L);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
-  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer->body);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(options.idle_timeout.count()));
@@ -369,6 +431,7 @@
 void HttpClient::State::Finish(CURL* easy, CURLcode code) {
   const std::unique_ptr<Transfer> transfer = std::move(running[easy]);
   running.erase(easy);
+  stalling.erase(transfer->number);
   HttpResult result;
   long status = 0;
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
@@ -419,16 +482,30 @@
   close(state_->epoll_fd);
 }
 
-void HttpClient::Send(HttpCall call, Done done) {
+uint64_t HttpClient::Send(HttpCall call, Done done) {
   auto transfer = std::make_unique<Transfer>();
   transfer->call = std::move(call);
   transfer->done = std::move(done);
+  transfer->clock = &state_->clock;
   transfer->deadline = state_->clock.Now() + transfer->call.timeout;
+  transfer->latest_end = state_->clock.Now() + kMaxTransferTime;
+  uint64_t number = 0;
   {
     const std::lock_guard lock(state_->mutex);
+    number = ++state_->last_number;
+    transfer->number = number;
     state_->submitted.push_back(std::move(transfer));
   }
   state_->Wake();
+  return number;
+}
+
+void HttpClient::Cancel(uint64_t number) {
+  {
+    const std::lock_guard lock(state_->mutex);
+    state_->cancelled.push_back(number);
+  }
+  state_->Wake();
 }
 
 void HttpClient::CloseConnections() {
--- a/src/ports/http_client.h
+++ b/src/ports/http_client.h
@@ -22,9 +22,15 @@
   std::string method = "POST";
   std::string url;
   std::string body;
-  Duration timeout = 1s;
+  Duration timeout = 1s;                  // Of the whole call, unless `stall_timeout` is set.
   std::vector<std::string> headers = {};  // "Name: value", in addition to Content-Type.
   bool urgent = false;                    // See ConnectionLimits.
+  // If set, `timeout` is the time until the answer begins to arrive, and the call goes on while more of it arrives: it
+  // ends after this time without any. A large answer over a slow link then has the time that it takes.
+  Duration stall_timeout = 0us;
+  // Called from time to time while an answer of more than 16 KiB arrives, on the client's thread. Must not block. May
+  // be empty.
+  std::function<void()> on_progress = nullptr;
 };
 
 struct HttpResult {
@@ -54,7 +60,11 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  void Send(HttpCall call, Done done);
+  // Returns a number for Cancel.
+  uint64_t Send(HttpCall call, Done done);
+  // Ends a call that was sent and has no complete answer yet, and closes its connection; `done` is called as for a lost
+  // answer. Has no effect on other calls.
+  void Cancel(uint64_t number);
   // Closes all connections as soon as no call is in flight; later calls open new ones. Returns before that is done.
   void CloseConnections();
   HttpConnectionCounts connection_counts() const;
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -13,7 +13,6 @@
 
 constexpr Duration kOneWayDelay = 2ms;           // Network delay to the store, a worker or another host.
 constexpr Duration kCallTimeout = 1s;            // Of calls to the store, to workers and to hosts that are down.
-constexpr Duration kReadTimeout = 2s;            // Of ranges.
 constexpr Duration kWatchTimeoutMargin = 800ms;  // Added to the wait of a watch.
 constexpr Duration kMaxMessageDelay = 2s;        // Exclusive bound for delayed messages between hosts.
 constexpr Duration kMaxExecutionDelay = 11s;     // Exclusive bound for calls carried out late.
@@ -120,6 +119,10 @@
 void FakeHost::Kill() {
   ++generation_;
   process_.reset();
+  for (const auto& [call, read] : large_reads_) {
+    world_.links.Cancel(read.transmission);
+  }
+  large_reads_.clear();
   inbox_.clear();
   frozen_until_ = TimePoint{};
   busy_until_ = TimePoint{};
@@ -232,7 +235,7 @@
 void FakeHost::CallStore(bool changes,
                          const std::function<StoreAnswer()>& apply,
                          const StorePort::Done& done,
-                         TimePoint timeout_at) {
+                         StoreCall large) {
   const auto host_override = world_.store_.host_faults.find(name_);
   CallFaults faults = world_.store_.faults;
   if (host_override != world_.store_.host_faults.end() && !(host_override->second == CallFaults{})) {
@@ -261,47 +264,124 @@
     }
     world_.In(kOneWayDelay + extra_delay, [=, this] {
       if (generation == generation_) {
-        Transmit(result, done, timeout_at);
+        Transmit(result, done, large);
       }
     });
   });
 }
 
-void FakeHost::Transmit(const StoreAnswer& answer, const StorePort::Done& done, TimePoint timeout_at) {
-  const auto ended = std::make_shared<bool>(false);
-  const auto end = [this, ended, done, generation = generation_](const StoreAnswer& result) {
-    if (!std::exchange(*ended, true)) {
-      Deliver(generation, [done, result] { done(result); });
+void FakeHost::Transmit(const StoreAnswer& answer, const StorePort::Done& done, StoreCall large) {
+  if (large != 0 && !large_reads_.contains(large)) {
+    return;
+  }
+  const auto on_part = [this, generation = generation_, large] {
+    Deliver(generation, [this, large] {
+      if (const auto found = large_reads_.find(large); found != large_reads_.end()) {
+        found->second.progress();
+      }
+    });
+  };
+  const auto on_end = [this, generation = generation_, done, answer] {
+    Deliver(generation, [done, answer] { done(answer); });
+  };
+  const StoreLinks::Transmission number = world_.links.Send(index(), BytesOf(answer), on_part, on_end);
+  if (large != 0) {
+    large_reads_.at(large).transmission = number;
+  }
+}
+
+StoreCall FakeHost::BeginLarge(Progress progress, StorePort::Done done) {
+  large_reads_[++last_large_] = LargeRead{std::move(progress), std::move(done), 0};
+  return last_large_;
+}
+
+StorePort::Done FakeHost::EndOf(StoreCall large) {
+  return [this, large](const StoreAnswer& answer) {
+    if (const auto ended = large_reads_.extract(large); !ended.empty()) {
+      ended.mapped().done(answer);
     }
   };
-  const StoreLinks::Transmission number = world_.links.Send(
-      index(), BytesOf(answer), [] {}, [end, answer] { end(answer); });
-  world_.In(timeout_at - world_.Now(), [this, end, number] {
-    world_.links.Cancel(number);
-    end(StoreAnswer{});
-  });
+}
+
+void FakeHost::LoseTransfers() {
+  for (const auto& [call, read] : large_reads_) {
+    if (read.transmission != 0) {
+      world_.links.Cancel(read.transmission);
+      world_.In(kCallTimeout, [this, generation = generation_, done = EndOf(call)] {
+        Deliver(generation, [done] { done(StoreAnswer{}); });
+      });
+    }
+  }
+}
+
+void FakeHost::Cancel(StoreCall call) {
+  if (const auto cancelled = large_reads_.extract(call); !cancelled.empty()) {
+    world_.links.Cancel(cancelled.mapped().transmission);
+  }
+}
+
+StoreCall FakeHost::ReadLarge(const std::string& key, Progress progress, StorePort::Done done) {
+  const StoreCall large = BeginLarge(std::move(progress), std::move(done));
+  CallStore(
+      false, [this, key] { return world_.store_.Read(key); }, EndOf(large), large);
+  return large;
+}
+
+StoreCall FakeHost::ReadLargeIfChanged(const std::string& key,
+                                       uint64_t revision,
+                                       Progress progress,
+                                       StorePort::Done done) {
+  const StoreCall large = BeginLarge(std::move(progress), std::move(done));
+  const auto apply = [this, key, revision] {
+    StoreAnswer answer = world_.store_.Read(key);
+    if (!answer.items.empty() && answer.items.front().revision == revision) {
+      answer.items.clear();
+    }
+    return answer;
+  };
+  CallStore(false, apply, EndOf(large), large);
+  return large;
+}
+
+StoreCall FakeHost::WatchLarge(const std::string& key,
+                               uint64_t after,
+                               Duration wait,
+                               Progress progress,
+                               StorePort::Done done) {
+  const StoreCall large = BeginLarge(std::move(progress), std::move(done));
+  const StorePort::Done on_answer = EndOf(large);
+  if (watches_to_lose_ > 0) {
+    LoseAnswerOfWatch(wait, on_answer);
+  } else {
+    PollWatch(key, after, world_.Now() + wait, generation_, on_answer, large);
+  }
+  return large;
 }
 
 void FakeHost::Read(const std::string& key, StorePort::Done done) {
   CallStore(
-      false, [this, key] { return world_.store_.Read(key); }, done, world_.Now() + kCallTimeout);
+      false, [this, key] { return world_.store_.Read(key); }, done);
 }
 
 void FakeHost::Range(const std::string& prefix, const std::string& after, StorePort::Done done) {
   CallStore(
-      false, [this, prefix, after] { return world_.store_.Range(prefix, after); }, done, world_.Now() + kReadTimeout);
+      false, [this, prefix, after] { return world_.store_.Range(prefix, after); }, done);
 }
 
 void FakeHost::Watch(const std::string& prefix, uint64_t after, Duration wait, StorePort::Done done) {
   if (watches_to_lose_ > 0) {
-    --watches_to_lose_;
-    world_.In(wait + kWatchTimeoutMargin,
-              [this, generation = generation_, done] { Deliver(generation, [done] { done(StoreAnswer{}); }); });
+    LoseAnswerOfWatch(wait, done);
     return;
   }
   PollWatch(prefix, after, world_.Now() + wait, generation_, done);
 }
 
+void FakeHost::LoseAnswerOfWatch(Duration wait, const StorePort::Done& done) {
+  --watches_to_lose_;
+  world_.In(wait + kWatchTimeoutMargin,
+            [this, generation = generation_, done] { Deliver(generation, [done] { done(StoreAnswer{}); }); });
+}
+
 // The pending watches do not notice: each call ends when its host stops waiting for an answer.
 void FakeHost::LoseWatches(int later) {
   ++watch_losses_;
@@ -312,7 +392,8 @@
                          uint64_t after,
                          TimePoint until,
                          uint64_t generation,
-                         const StorePort::Done& done) {
+                         const StorePort::Done& done,
+                         StoreCall large) {
   const auto silent = [this] { return world_.store_.silent_watches.contains(name_); };
   if (silent()) {
     world_.AddWaiter(
@@ -326,7 +407,7 @@
         const auto changes = world_.store_.Changes(prefix, after);
         return changes.value_or(StoreAnswer{StoreStatus::kOk, 0, 0, {}, false});
       },
-      [this, prefix, after, until, generation, done, silent](const StoreAnswer& answer) {
+      [this, prefix, after, until, generation, done, silent, large](const StoreAnswer& answer) {
         const bool nothing = answer.status == StoreStatus::kOk && answer.items.empty();
         if (nothing && world_.Now() < until) {
           world_.AddWaiter(
@@ -334,41 +415,41 @@
               [this, prefix, after, silent, losses = watch_losses_] {
                 return losses == watch_losses_ && !silent() && world_.store_.Changes(prefix, after).has_value();
               },
-              [this, prefix, after, until, generation, done, losses = watch_losses_] {
+              [this, prefix, after, until, generation, done, large, losses = watch_losses_] {
                 if (losses != watch_losses_) {
                   world_.In(kWatchTimeoutMargin,
                             [this, generation, done] { Deliver(generation, [done] { done(StoreAnswer{}); }); });
                   return;
                 }
-                if (generation == generation_) {
-                  PollWatch(prefix, after, until, generation, done);
+                if (generation == generation_ && (large == 0 || large_reads_.contains(large))) {
+                  PollWatch(prefix, after, until, generation, done, large);
                 }
               });
           return;
         }
         done(answer);
       },
-      until + kWatchTimeoutMargin);
+      large);
 }
 
 void FakeHost::Commit(const StoreTransaction& transaction, StorePort::Done done) {
   CallStore(
-      true, [this, transaction] { return world_.store_.Commit(transaction); }, done, world_.Now() + kCallTimeout);
+      true, [this, transaction] { return world_.store_.Commit(transaction); }, done);
 }
 
 void FakeHost::GrantLease(Duration ttl, StorePort::Done done) {
   CallStore(
-      true, [this, ttl] { return world_.store_.GrantLease(ttl); }, done, world_.Now() + kCallTimeout);
+      true, [this, ttl] { return world_.store_.GrantLease(ttl); }, done);
 }
 
 void FakeHost::KeepLease(uint64_t lease, StorePort::Done done) {
   CallStore(
-      false, [this, lease] { return world_.store_.KeepLease(lease); }, done, world_.Now() + kCallTimeout);
+      false, [this, lease] { return world_.store_.KeepLease(lease); }, done);
 }
 
 void FakeHost::EndLease(uint64_t lease, StorePort::Done done) {
   CallStore(
-      true, [this, lease] { return world_.store_.EndLease(lease); }, done, world_.Now() + kCallTimeout);
+      true, [this, lease] { return world_.store_.EndLease(lease); }, done);
 }
 
 // --- Workers ---
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -33,6 +33,8 @@
   void Kill();
   void Freeze(Duration time);
   void LoseWatches(int later);
+  // Of the large answers that are arriving nothing more arrives, which their reads notice after a while.
+  void LoseTransfers();
   // The process is down or stands still, or a path to or from it is cut.
   bool IsDisturbed() const;
   void Call(CallerRequest request, CellWorld::OnReply reply);
@@ -49,6 +51,17 @@
   void Read(const std::string& key, StorePort::Done done) override;
   void Range(const std::string& prefix, const std::string& after, StorePort::Done done) override;
   void Watch(const std::string& prefix, uint64_t after, Duration wait, StorePort::Done done) override;
+  StoreCall ReadLarge(const std::string& key, Progress progress, StorePort::Done done) override;
+  StoreCall WatchLarge(const std::string& key,
+                       uint64_t after,
+                       Duration wait,
+                       Progress progress,
+                       StorePort::Done done) override;
+  StoreCall ReadLargeIfChanged(const std::string& key,
+                               uint64_t revision,
+                               Progress progress,
+                               StorePort::Done done) override;
+  void Cancel(StoreCall call) override;
   void Commit(const StoreTransaction& transaction, StorePort::Done done) override;
   void GrantLease(Duration ttl, StorePort::Done done) override;
   void KeepLease(uint64_t lease, StorePort::Done done) override;
@@ -72,16 +85,24 @@
 
  private:
   struct Process;
+  struct LargeRead {
+    Progress progress;
+    StorePort::Done done;
+    StoreLinks::Transmission transmission = 0;  // Of its answer. 0: none yet.
+  };
 
   // Delivers an answer to the process of this generation, and drops it if that has ended. Queues it in the inbox while
   // the process is frozen or if events cost time.
   void Deliver(uint64_t generation, std::function<void()> work);
-  // A call whose answer has not arrived whole by `timeout` ends without it, and none of the rest is sent.
+  // A large read has a number, and none of its answer is sent once it is cancelled.
   void CallStore(bool changes,
                  const std::function<StoreAnswer()>& apply,
                  const StorePort::Done& done,
-                 TimePoint timeout_at);
-  void Transmit(const StoreAnswer& answer, const StorePort::Done& done, TimePoint timeout_at);
+                 StoreCall large = 0);
+  void Transmit(const StoreAnswer& answer, const StorePort::Done& done, StoreCall large);
+  StoreCall BeginLarge(Progress progress, StorePort::Done done);
+  // Receives the answer of a large read, and passes it on unless the read was cancelled.
+  StorePort::Done EndOf(StoreCall large);
   size_t index() const { return std::stoul(name_.substr(1)); }
   void CallWorker(const WorkerTarget& target,
                   const std::function<OrderAnswer(FakeWorker&)>& apply,
@@ -98,7 +119,9 @@
                  uint64_t after,
                  TimePoint until,
                  uint64_t generation,
-                 const StorePort::Done& done);
+                 const StorePort::Done& done,
+                 StoreCall large = 0);
+  void LoseAnswerOfWatch(Duration wait, const StorePort::Done& done);
   // Handles a request as the platform's ingress does: first looks for its queue.
   void Handle(const CallerRequest& request, TimePoint sent, TimePoint until, const CellWorld::OnReply& reply);
   FakeWorker* FindWorker(const WorkerTarget& target) const;
@@ -111,8 +134,10 @@
   TimePoint busy_until_{};                   // End of processing of the last batch, if events cost time.
   std::deque<std::function<void()>> inbox_;  // Work queued while frozen or busy.
   TimePoint advice_free_at_{};
-  int watch_losses_ = 0;     // Watches that waited at the last one are lost.
-  int watches_to_lose_ = 0;  // Of those to come.
+  StoreCall last_large_ = 0;
+  std::map<StoreCall, LargeRead> large_reads_;  // Neither answered nor cancelled.
+  int watch_losses_ = 0;                        // Watches that waited at the last one are lost.
+  int watches_to_lose_ = 0;                     // Of those to come.
 };
 
 }  // namespace hibiscus::cell
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -842,6 +842,12 @@
   hosts_[index]->LoseWatches(later);
 }
 
+void CellWorld::LoseTransfers(size_t index) {
+  waiting_.NoteDisruption();
+  routes_.NoteDisturbed(index);
+  hosts_[index]->LoseTransfers();
+}
+
 CallFaults& CellWorld::StoreFaultsOf(size_t index) {
   return store_.host_faults[hosts_[index]->name()];
 }
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -215,6 +215,8 @@
   void SilenceWatches(size_t index, bool silent);
   // The pending watches of a host and this many later ones are lost: each call times out without an answer.
   void LoseWatches(size_t index, int later);
+  // The connections on which large answers of the store are arriving at a host die.
+  void LoseTransfers(size_t index);
   double CounterOf(size_t index, const std::string& name) const;  // 0 if the counter does not exist.
 
   // --- Callers ---
--- a/tests/cell_large_configuration_test.cc
+++ b/tests/cell_large_configuration_test.cc
@@ -149,5 +149,20 @@
   CHECK(HostsWithVersion(*world, world->configuration.version) == kHosts);
 }
 
+TEST_CASE("a large configuration is in force in time although a connection dies during its transfer") {
+  for (const Duration after : {50ms, 200ms, 600ms}) {
+    const auto world = WorldWithLinks(606);
+    AskForUnknownPaths(*world, 1s, 15s);
+    PublishQueue(*world, "new");
+    world->RunFor(after);
+    for (size_t host = 0; host < kHosts; host += 2) {
+      world->LoseTransfers(host);
+    }
+    world->RunFor(4s);  // Since then a host is in touch.
+    INFO("lost after " << Millis(after) << " ms");
+    CHECK(HostsWithVersion(*world, world->configuration.version) == kHosts);
+  }
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
--- a/tools/cell_soak/store.py
+++ b/tools/cell_soak/store.py
@@ -137,7 +137,9 @@
             if item:
                 states.append(self._render(host, check["Key"], item))
         if not holds:
-            return 412, {"items": states}
+            return 412, {"items": states, "Revision": self.revision}
+        if not body.get("Writes") and not body.get("Remove"):
+            return 200, {"Revision": self.revision}  # Changes nothing.
         if any(write.get("Lease", 0) and write["Lease"] not in self.leases for write in body.get("Writes", [])):
             return 404, {}
         self.revision += 1
