--- a/tests/cell_large_configuration_test.cc
+++ b/tests/cell_large_configuration_test.cc
@@ -164,5 +164,80 @@
   }
 }
 
+// A random choice from a range, both ends included.
+int64_t Draw(CellWorld& world, int64_t least, int64_t most) {
+  return least + static_cast<int64_t>(world.random()() % static_cast<uint64_t>(most - least + 1));
+}
+
+void DisruptStore(CellWorld& world, CallFaults faults, Duration time) {
+  world.store().faults = faults;
+  world.In(time, [&world] { world.store().faults = CallFaults{}; });
+}
+
+void DisruptOnce(CellWorld& world) {
+  const auto host = static_cast<size_t>(Draw(world, 0, kHosts - 1));
+  switch (Draw(world, 0, 7)) {
+    case 0:
+      DisruptStore(world, CallFaults{.silent = true}, Draw(world, 300, 5000) * 1ms);
+      break;
+    case 1:
+      DisruptStore(world, CallFaults{.down = true}, Draw(world, 300, 3000) * 1ms);
+      break;
+    case 2:
+      DisruptStore(world, CallFaults{.extra_delay = Draw(world, 50, 300) * 1ms}, Draw(world, 500, 4000) * 1ms);
+      break;
+    case 3:
+      world.LoseWatches(host, static_cast<int>(Draw(world, 0, 3)));
+      break;
+    case 4:
+      world.LoseTransfers(host);
+      break;
+    case 5:
+      world.store().ForgetHistory();
+      break;
+    default:
+      world.configuration_bytes = static_cast<size_t>(Draw(world, 1, 500)) * 1000;
+      PublishQueue(world, fmt::format("new{}", world.configuration.version));
+      break;
+  }
+}
+
+// Random versions and disruptions, then a version that is published under the last of them, and one after them.
+void CheckRandomCourse(uint64_t seed) {
+  constexpr int kDisruptions = 30;
+  constexpr Duration kContact = 4s;  // Limit of the platform: undisturbed for this long a host is in touch.
+  const auto world = WorldWithLinks(seed);
+  AskForUnknownPaths(*world, Draw(*world, 50, 5000) * 1ms, 60s);
+  for (int i = 0; i < kDisruptions; ++i) {
+    DisruptOnce(*world);
+    world->RunFor(Draw(*world, 50, 1500) * 1ms);
+  }
+  world->configuration_bytes = kConfigurationBytes;
+  PublishQueue(*world, "last_disturbed");
+  world->RunUntil([&] { return world->store().faults == CallFaults{}; }, 10s);
+  world->RunFor(kContact);
+  INFO("seed " << seed);
+  CHECK(HostsWithVersion(*world, world->configuration.version) == kHosts);
+  const size_t before = world->links.bytes_sent();
+  PublishQueue(*world, "undisturbed");
+  world->RunFor(kConfigurationLimit);
+  CHECK(HostsWithVersion(*world, world->configuration.version) == kHosts);
+  CHECK(TimesSent(*world, before) < 1.5);
+  CHECK(world->violations() == std::vector<std::string>());
+}
+
+TEST_CASE("large versions are in force in time after random disruptions") {
+  for (uint64_t seed = 1; seed <= 30; ++seed) {
+    CheckRandomCourse(seed);
+  }
+}
+
+// Run by hand: cell_large_configuration_test "[.long]"
+TEST_CASE("large versions are in force in time after random disruptions, many seeds", "[.long]") {
+  for (uint64_t seed = 31; seed <= 1000; ++seed) {
+    CheckRandomCourse(seed);
+  }
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
