No watch on the configuration is sent while the store does not answer

The bound is 4 s.

Cause: the watch that a host sends late in a silence of the store waits on a dead connection. It is overdue only 2.65 s after its sending, and the transfers of the region take 1 to 2 s more.

Change: after a call that failed the next one is a check, which has its answer at once or is followed by another 200 ms later; the watch follows when the store has answered. The stand-in's large watches that meet a silent store end at their own timeout, as the HTTP client's do, not after 1 s.

--- a/src/cell/configuration_follower.cc
+++ b/src/cell/configuration_follower.cc
@@ -35,7 +35,7 @@
     SendNext();
   } else if (item_revision_ == 0) {
     SendOverdueRead();
-  } else if (IsWatchOverdue() || HasStalledCall()) {
+  } else if (check_next_ || IsWatchOverdue() || HasStalledCall()) {
     Check();
   }
 }
@@ -181,7 +181,10 @@
   in_force_ = apply_(*newest);
 }
 
+// The watch follows once a check is answered: one that is sent while the store is silent may wait on a dead connection
+// long after the store is back.
 void ConfigurationFollower::OnFailure(StoreStatus status) {
+  check_next_ = true;
   context_.counters.Add(fmt::format("store_watch_failures{{status=\"{}\"}}", NameOf(status)));
   if (!failing_ && status != StoreStatus::kNotFound) {  // Not found: the operator has not published any version yet.
     failing_ = true;
--- a/src/cell/configuration_follower.h
+++ b/src/cell/configuration_follower.h
@@ -65,8 +65,8 @@
   };
 
   void Send(Kind kind);
-  // Sends the call that the present state needs: a read before the first version, a check after a large answer, and a
-  // watch otherwise.
+  // Sends the call that the present state needs: a read before the first version, a check after a large answer or a
+  // failure, and a watch otherwise.
   void SendNext();
   void SendOverdueRead();
   void OnProgress(Calls::iterator call);
@@ -96,7 +96,7 @@
   uint64_t store_revision_ = 0;
   uint64_t item_revision_ = 0;  // Of the newest configuration that was read. 0: none.
   bool in_force_ = false;       // That one is in force: it was readable.
-  bool check_next_ = false;     // There may be several newer versions.
+  bool check_next_ = false;     // Before the next watch: there may be several newer versions, or the store is silent.
   std::deque<Request> requests_;
   TimePoint last_answer_at_{};
   TimePoint last_arrival_at_{};            // Of a part of an answer.
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr Duration kOneWayDelay = 2ms;           // Network delay to the store, a worker or another host.
-constexpr Duration kCallTimeout = 1s;            // Of calls to the store, to workers and to hosts that are down.
 constexpr Duration kWatchTimeoutMargin = 800ms;  // Added to the wait of a watch.
 constexpr Duration kMaxMessageDelay = 2s;        // Exclusive bound for delayed messages between hosts.
 constexpr Duration kMaxExecutionDelay = 11s;     // Exclusive bound for calls carried out late.
@@ -80,6 +79,7 @@
     settings.max_direct_workers = self.world_.max_direct_workers;
     settings.policies = self.world_.policies;
     settings.key_withdrawal_limit = self.world_.key_withdrawal_limit;
+    settings.configuration_limit = self.world_.configuration_limit;
     return settings;
   }
 
@@ -235,7 +235,8 @@
 void FakeHost::CallStore(bool changes,
                          const std::function<StoreAnswer()>& apply,
                          const StorePort::Done& done,
-                         StoreCall large) {
+                         StoreCall large,
+                         Duration timeout) {
   const auto host_override = world_.store_.host_faults.find(name_);
   CallFaults faults = world_.store_.faults;
   if (host_override != world_.store_.host_faults.end() && !(host_override->second == CallFaults{})) {
@@ -252,7 +253,7 @@
     if (!faults.silent) {
       world_.In(Duration(static_cast<int64_t>(world_.random()() % kMaxExecutionDelay.count())), [apply] { apply(); });
     }
-    answer(kCallTimeout, StoreAnswer{});
+    answer(timeout, StoreAnswer{});
     return;
   }
   const bool lost = changes && world_.Chance(faults.lost_answer_share);
@@ -429,7 +430,7 @@
         }
         done(answer);
       },
-      large);
+      large, large == 0 ? kCallTimeout : until + kWatchTimeoutMargin - world_.Now());
 }
 
 void FakeHost::Commit(const StoreTransaction& transaction, StorePort::Done done) {
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -15,6 +15,8 @@
 // Encodes a worker's entry in the simulation's own JSON format.
 std::string EncodeWorkerEntry(const WorkerEntry& entry);
 
+constexpr Duration kCallTimeout = 1s;  // Of calls to the store, to workers and to hosts that are down.
+
 class FakeHost final : public StorePort,
                        public WorkerPort,
                        public AdvicePort,
@@ -94,11 +96,13 @@
   // Delivers an answer to the process of this generation, and drops it if that has ended. Queues it in the inbox while
   // the process is frozen or if events cost time.
   void Deliver(uint64_t generation, std::function<void()> work);
-  // A large read has a number, and none of its answer is sent once it is cancelled.
+  // A large read has a number, and none of its answer is sent once it is cancelled. `timeout` applies if the store is
+  // silent.
   void CallStore(bool changes,
                  const std::function<StoreAnswer()>& apply,
                  const StorePort::Done& done,
-                 StoreCall large = 0);
+                 StoreCall large = 0,
+                 Duration timeout = kCallTimeout);
   void Transmit(const StoreAnswer& answer, const StorePort::Done& done, StoreCall large);
   StoreCall BeginLarge(Progress progress, StorePort::Done done);
   // Receives the answer of a large read, and passes it on unless the read was cancelled.
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -258,6 +258,7 @@
   StoreLinks links{*this};
   // Time after which withdrawn keys must be refused; takes effect at a process's next boot. 0: no limit.
   Duration key_withdrawal_limit{};
+  Duration configuration_limit = CellSettings{}.configuration_limit;  // Takes effect at a process's next boot.
   void WriteWorkerEntry(const FakeWorker& worker);
   bool log_to_stdout = false;
   const Policies policies;                                        // Used by all hosts.
--- a/tests/cell_large_configuration_test.cc
+++ b/tests/cell_large_configuration_test.cc
@@ -136,6 +136,28 @@
   }
 }
 
+// The watch of a host that is sent late in the silence waits on a dead connection for longer than the transfers leave.
+TEST_CASE("a watch that was sent while the store was silent does not delay a large configuration") {
+  for (Duration silence = 2s; silence <= 6s; silence += 250ms) {
+    const auto world = WorldWithLinks(607);
+    world->configuration_limit = 4s;
+    for (size_t host = 0; host < kHosts; ++host) {
+      world->Kill(host);
+      world->Boot(host);
+    }
+    world->RunFor(6s);
+    world->links.shared_bandwidth = 30 * kBytesPerMbit;
+    world->store().faults.silent = true;
+    world->RunFor(silence - 600ms);
+    PublishQueue(*world, "new");
+    world->RunFor(600ms);
+    world->store().faults.silent = false;
+    world->RunFor(4s);  // Since then a host is in touch.
+    INFO("silent for " << Millis(silence) << " ms");
+    CHECK(HostsWithVersion(*world, world->configuration.version) == kHosts);
+  }
+}
+
 TEST_CASE("a large configuration that has not changed is not read again when the store's history is lost") {
   const auto world = WorldWithLinks(605);
   PublishQueue(*world, "new");
