--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -1,8 +1,6 @@
 // The HTTP client's use of connections, against a server on loopback that counts them and refuses those over its limit.
 #include "ports/http_client.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -18,6 +16,8 @@
 #include <fmt/core.h>
 #include <catch2/catch.hpp>
 
+#include "tests/loopback_listener.h"
+
 namespace hibiscus {
 
 namespace {
@@ -30,15 +30,7 @@
 // connections open until the other side closes them, and resets those over its limit.
 class ConnectionServer {
  public:
-  explicit ConnectionServer(size_t limit) : limit_(limit), listener_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-    REQUIRE(listen(listener_, SOMAXCONN) == 0);
-    socklen_t size = sizeof(address);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-    port_ = ntohs(address.sin_port);
+  explicit ConnectionServer(size_t limit) : limit_(limit), listener_(SOCK_NONBLOCK) {
     thread_ = std::thread([this] { Run(); });
   }
   ~ConnectionServer() {
@@ -47,13 +39,12 @@
     for (const auto& [fd, connection] : connections_) {
       close(fd);
     }
-    close(listener_);
   }
   ConnectionServer(const ConnectionServer&) = delete;
   ConnectionServer& operator=(const ConnectionServer&) = delete;
 
   std::string UrlOf(Duration answer_delay) const {
-    return fmt::format("http://127.0.0.1:{}/{}", port_, Millis(answer_delay));
+    return fmt::format("http://{}/{}", listener_.address(), Millis(answer_delay));
   }
   size_t open() const { return open_; }
   size_t most_open() const { return most_open_; }
@@ -76,8 +67,9 @@
   }
 
   void Accept() {
-    for (int fd = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK); fd >= 0;
-         fd = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK)) {
+    const int listener = listener_.socket_descriptor();
+    for (int fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK); fd >= 0;
+         fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK)) {
       if (connections_.size() >= limit_) {
         const linger reset{1, 0};
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -127,8 +119,7 @@
   }
 
   const size_t limit_;
-  const int listener_;
-  uint16_t port_ = 0;
+  const LoopbackListener listener_;
   SteadyClock clock_;
   std::map<int, Connection> connections_;  // By descriptor.
   std::atomic<size_t> open_{0};
--- a/tests/http_transfer_test.cc
+++ b/tests/http_transfer_test.cc
@@ -1,7 +1,4 @@
 // Answers that arrive in parts over a long time, from a server on loopback.
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,6 +11,7 @@
 #include <catch2/catch.hpp>
 
 #include "ports/http_client.h"
+#include "tests/loopback_listener.h"
 
 namespace hibiscus {
 namespace {
@@ -26,31 +24,18 @@
  public:
   // Sends `sent` of `parts` parts.
   SlowServer(size_t parts, size_t sent, Duration interval)
-      : parts_(parts), sent_(sent), interval_(interval), listener_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-    REQUIRE(listen(listener_, SOMAXCONN) == 0);
-    socklen_t size = sizeof(address);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-    port_ = ntohs(address.sin_port);
-    thread_ = std::thread([this] { Serve(); });
-  }
-  ~SlowServer() {
-    thread_.join();
-    close(listener_);
-  }
+      : parts_(parts), sent_(sent), interval_(interval), thread_([this] { Serve(); }) {}
+  ~SlowServer() { thread_.join(); }
   SlowServer(const SlowServer&) = delete;
   SlowServer& operator=(const SlowServer&) = delete;
 
-  std::string url() const { return fmt::format("http://127.0.0.1:{}/", port_); }
+  std::string url() const { return fmt::format("http://{}/", listener_.address()); }
   size_t body_bytes() const { return parts_ * kPartBytes; }
   size_t parts_sent() const { return parts_sent_; }
 
  private:
   void Serve() {
-    const int fd = accept(listener_, nullptr, nullptr);
+    const int fd = accept(listener_.socket_descriptor(), nullptr, nullptr);
     std::string received;
     char buffer[4096];
     while (!received.ends_with("\r\n\r\n")) {
@@ -74,10 +59,9 @@
   const size_t parts_;
   const size_t sent_;
   const Duration interval_;
-  const int listener_;
-  uint16_t port_ = 0;
+  const LoopbackListener listener_;
   std::atomic<size_t> parts_sent_{0};
-  std::thread thread_;
+  std::thread thread_;  // Last: it uses the others.
 };
 
 HttpCall CallOf(const SlowServer& server, Duration timeout, Duration stall_timeout) {
