Requests that wait for a newer call to the store have one class

ConfigurationFollower had written again the waiting, the periodic look and the replies of OwnershipProof. WaitingRequests serves both.

--- a/src/cell/configuration_follower.cc
+++ b/src/cell/configuration_follower.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace hibiscus::cell {
 
@@ -16,12 +15,11 @@
 constexpr Duration kStallTimeout = 500ms;
 // Time in which nothing arrives from the store after which a caller is asked to come back. Covers two checks.
 constexpr Duration kConfirmTimeout = 600ms;
-constexpr Duration kRequestCheckInterval = 50ms;
 
 }  // namespace
 
 ConfigurationFollower::ConfigurationFollower(Context& context, Apply apply, Duration wait)
-    : context_(context), apply_(std::move(apply)), wait_(wait) {}
+    : context_(context), apply_(std::move(apply)), wait_(wait), requests_(context, [this] { CheckRequests(); }) {}
 
 void ConfigurationFollower::Begin() {
   SendNext();
@@ -161,7 +159,7 @@
   if (call.kind == Kind::kWatch) {
     return;
   }
-  Reply(true, [&](const Request& request) { return request.made_at <= call.sent_at; });
+  requests_.Reply(true, [&](const Requests::Request& request) { return request.made_at <= call.sent_at; });
 }
 
 void ConfigurationFollower::ApplyNewest(const StoreAnswer& answer) {
@@ -239,28 +237,14 @@
 // --- Requests for a confirmation ---
 
 void ConfigurationFollower::Require(TimePoint deadline, Done done) {
-  requests_.push_back(Request{context_.Now(), deadline, std::move(done)});
   Check();
-  ScheduleRequestCheck();
-}
-
-void ConfigurationFollower::ScheduleRequestCheck() {
-  if (request_check_scheduled_ || requests_.empty()) {
-    return;
-  }
-  request_check_scheduled_ = true;
-  context_.timers.In(kRequestCheckInterval, [this, alive = alive_] {
-    if (*alive) {
-      request_check_scheduled_ = false;
-      CheckRequests();
-    }
-  });
+  requests_.Add(deadline, std::move(done));
 }
 
 void ConfigurationFollower::CheckRequests() {
-  const TimePoint next = context_.Now() + kRequestCheckInterval;
+  const TimePoint next = context_.Now() + Requests::kCheckInterval;
   const bool arriving = IsArriving();
-  Reply(false, [&](const Request& request) {
+  requests_.Reply(false, [&](const Requests::Request& request) {
     const TimePoint waits_since = std::max(request.made_at, last_arrival_at_);
     return next > request.deadline || (!arriving && next > waits_since + kConfirmTimeout);
   });
@@ -268,26 +252,10 @@
     return;
   }
   // The newest check does not confirm requests that came after it was sent.
-  const bool unchecked = !last_check_at_ || requests_.back().made_at > *last_check_at_;
+  const bool unchecked = !last_check_at_ || requests_.newest_made_at() > *last_check_at_;
   if (unchecked || context_.Now() - *last_check_at_ >= kAnswerTimeout) {
     Check();
   }
-  ScheduleRequestCheck();
-}
-
-// A callback may make a new request.
-void ConfigurationFollower::Reply(bool confirmed, const std::function<bool(const Request&)>& matches) {
-  std::vector<Done> callbacks;
-  std::erase_if(requests_, [&](Request& request) {
-    const bool matched = matches(request);
-    if (matched) {
-      callbacks.push_back(std::move(request.done));
-    }
-    return matched;
-  });
-  for (const Done& done : callbacks) {
-    done(confirmed);
-  }
 }
 
 std::optional<Duration> ConfigurationFollower::confirmed_age() const {
--- a/src/cell/configuration_follower.h
+++ b/src/cell/configuration_follower.h
@@ -9,13 +9,13 @@
 #ifndef HIBISCUSSTAND_SRC_CELL_CONFIGURATION_FOLLOWER_H_
 #define HIBISCUSSTAND_SRC_CELL_CONFIGURATION_FOLLOWER_H_
 
-#include <deque>
 #include <functional>
 #include <list>
 #include <memory>
 #include <optional>
 
 #include "cell/context.h"
+#include "cell/waiting_requests.h"
 
 namespace hibiscus::cell {
 
@@ -58,11 +58,7 @@
     std::optional<TimePoint> arriving_since;  // Empty: nothing of the answer has arrived.
   };
   using Calls = std::list<Call>;
-  struct Request {
-    TimePoint made_at{};  // A check that was sent then or later confirms.
-    TimePoint deadline{};
-    Done done;
-  };
+  using Requests = WaitingRequests<bool>;
 
   void Send(Kind kind);
   // Sends the call that the present state needs: a read before the first version, a check after a large answer or a
@@ -84,9 +80,7 @@
   bool HasStalledCall() const;
   // Whether the store should have answered the watch by now.
   bool IsWatchOverdue() const;
-  void ScheduleRequestCheck();
   void CheckRequests();
-  void Reply(bool confirmed, const std::function<bool(const Request&)>& matches);
 
   Context& context_;
   const Apply apply_;
@@ -97,14 +91,13 @@
   uint64_t item_revision_ = 0;  // Of the newest configuration that was read. 0: none.
   bool in_force_ = false;       // That one is in force: it was readable.
   bool check_next_ = false;     // Before the next watch: there may be several newer versions, or the store is silent.
-  std::deque<Request> requests_;
+  Requests requests_;           // Waiting for a check.
   TimePoint last_answer_at_{};
   TimePoint last_arrival_at_{};            // Of a part of an answer.
   std::optional<TimePoint> watched_at_;    // When the newest watch was sent that was answered.
   std::optional<TimePoint> confirmed_at_;  // When the newest check or read was sent that was answered.
   std::optional<TimePoint> last_check_at_;
   bool failing_ = false;
-  bool request_check_scheduled_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/cell/ownership_proof.cc
+++ b/src/cell/ownership_proof.cc
@@ -1,8 +1,6 @@
 #include "cell/ownership_proof.h"
 
-#include <algorithm>
 #include <utility>
-#include <vector>
 
 #include "cell/records.h"
 
@@ -12,8 +10,7 @@
 
 // Time without an answer from the store after which a caller is asked to come back. Covers two reads.
 constexpr Duration kProofTimeout = 600ms;
-constexpr Duration kReadTimeout = 250ms;   // Then another read is sent: the connection may be dead.
-constexpr Duration kCheckInterval = 50ms;  // While requests wait.
+constexpr Duration kReadTimeout = 250ms;  // Then another read is sent: the connection may be dead.
 
 }  // namespace
 
@@ -27,11 +24,10 @@
     done(ProofResult::kReplaced);
     return;
   }
-  requests_.push_back(Request{context_.Now(), std::move(done)});
-  if (requests_.size() == 1) {
+  if (requests_.empty()) {
     Read();
   }
-  ScheduleCheck();
+  requests_.Add(context_.Now() + kProofTimeout, std::move(done));
 }
 
 void OwnershipProof::Read() {
@@ -55,59 +51,28 @@
   }
   const std::shared_ptr<bool> alive = alive_;
   if (head->epoch == epoch_) {
-    Reply(ProofResult::kSoleOwner, [sent_at](const Request& request) { return request.made_at <= sent_at; });
-    if (*alive && !requests_.empty() && requests_.back().made_at > last_read_at_) {
+    requests_.Reply(ProofResult::kSoleOwner,
+                    [sent_at](const Requests::Request& request) { return request.made_at <= sent_at; });
+    if (*alive && !requests_.empty() && requests_.newest_made_at() > last_read_at_) {
       Read();  // For requests that came after that read was sent.
     }
     return;
   }
   replaced_ = true;
   context_.Log("owner", "event=replaced epoch={} head_epoch={} requests={}", epoch_, head->epoch, requests_.size());
-  Reply(ProofResult::kReplaced, [](const Request&) { return true; });
+  requests_.Reply(ProofResult::kReplaced, [](const Requests::Request&) { return true; });
   if (*alive) {
     on_replaced_();
   }
 }
 
-void OwnershipProof::ScheduleCheck() {
-  if (check_scheduled_ || requests_.empty()) {
-    return;
-  }
-  check_scheduled_ = true;
-  context_.timers.In(kCheckInterval, [this, alive = alive_] {
-    if (*alive) {
-      check_scheduled_ = false;
-      Check();
-    }
-  });
-}
-
 void OwnershipProof::Check() {
   const TimePoint now = context_.Now();
   const std::shared_ptr<bool> alive = alive_;
-  Reply(ProofResult::kUnproven, [now](const Request& request) { return now - request.made_at >= kProofTimeout; });
-  if (!*alive) {
-    return;
-  }
-  if (!requests_.empty() && now - last_read_at_ >= kReadTimeout) {
+  requests_.Reply(ProofResult::kUnproven, [now](const Requests::Request& request) { return now >= request.deadline; });
+  if (*alive && !requests_.empty() && now - last_read_at_ >= kReadTimeout) {
     Read();
   }
-  ScheduleCheck();
-}
-
-// A callback may destroy this proof or make a new request.
-void OwnershipProof::Reply(ProofResult result, const std::function<bool(const Request&)>& matches) {
-  std::vector<Done> callbacks;
-  std::erase_if(requests_, [&](Request& request) {
-    const bool matched = matches(request);
-    if (matched) {
-      callbacks.push_back(std::move(request.done));
-    }
-    return matched;
-  });
-  for (const Done& done : callbacks) {
-    done(result);
-  }
 }
 
 }  // namespace hibiscus::cell
--- a/src/cell/ownership_proof.h
+++ b/src/cell/ownership_proof.h
@@ -8,11 +8,11 @@
 #ifndef HIBISCUSSTAND_SRC_CELL_OWNERSHIP_PROOF_H_
 #define HIBISCUSSTAND_SRC_CELL_OWNERSHIP_PROOF_H_
 
-#include <deque>
 #include <functional>
 #include <memory>
 
 #include "cell/context.h"
+#include "cell/waiting_requests.h"
 
 namespace hibiscus::cell {
 
@@ -30,7 +30,10 @@
 
   // Calls `on_replaced` once, after all callbacks, when the head shows a later epoch than `epoch`.
   OwnershipProof(Context& context, uint64_t epoch, std::function<void()> on_replaced)
-      : context_(context), epoch_(epoch), on_replaced_(std::move(on_replaced)) {}
+      : context_(context),
+        epoch_(epoch),
+        on_replaced_(std::move(on_replaced)),
+        requests_(context, [this] { Check(); }) {}
   ~OwnershipProof() { *alive_ = false; }
   OwnershipProof(const OwnershipProof&) = delete;
   OwnershipProof& operator=(const OwnershipProof&) = delete;
@@ -39,24 +42,18 @@
   void Require(Done done);
 
  private:
-  struct Request {
-    TimePoint made_at{};  // A read that was sent then or later is a proof.
-    Done done;
-  };
+  using Requests = WaitingRequests<ProofResult>;
 
   void Read();
   void OnHead(const StoreAnswer& answer, TimePoint sent_at);
-  void ScheduleCheck();
   void Check();
-  void Reply(ProofResult result, const std::function<bool(const Request&)>& matches);
 
   Context& context_;
   const uint64_t epoch_;
   const std::function<void()> on_replaced_;
-  std::deque<Request> requests_;  // Waiting for a proof.
-  TimePoint last_read_at_{};      // When the newest read was sent.
+  Requests requests_;         // Waiting for a proof.
+  TimePoint last_read_at_{};  // When the newest read was sent.
   bool replaced_ = false;
-  bool check_scheduled_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
