The log line of a second start tells why the run before counts as over

event=start of a task that had a run before under this owner carries earlier_run, earlier_worker and over (how it ended, a reason of event=gone or a status of event=start_refused). Its starts without an answer have lines of their own.

No test of its own.

--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cell/messages.h"
@@ -42,6 +43,15 @@
   friend bool operator==(const CrashHistory&, const CrashHistory&) = default;
 };
 
+// The last run of a task that is over, for logs.
+struct EarlierRun {
+  int run = 0;  // 0: none.
+  std::string worker;
+  std::string_view over;  // How it ended, or why it counts as over.
+
+  friend bool operator==(const EarlierRun&, const EarlierRun&) = default;
+};
+
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
   int run = 0;                // Highest run number assigned to a start so far.
@@ -53,6 +63,7 @@
   TimePoint progressed_at{};  // When `percent` last changed.
   bool stopping = false;      // Placed, and a stop was sent.
   CrashHistory crashes;
+  EarlierRun earlier;
 
   friend bool operator==(const TaskState&, const TaskState&) = default;
 };
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -245,7 +245,8 @@
   void OnFenced() override;
   StepRun* FindStep(const TaskRef& task);
   TaskState* FindTask(const TaskRef& task, StepRun** step);
-  void RequeueTask(StepRun& step, int index);
+  // `over` says how the run ended or why it counts as over: a string literal.
+  void RequeueTask(StepRun& step, int index, std::string_view over);
   void OnTaskDone(StepRun& step, int index);
   void OnTaskFailed(StepRun& step, int index, int run);
   void OnGangDone(StepRun& step, int run);
@@ -302,6 +303,8 @@
   void Start(const StartTasks& starts);
   int NextRun(const StepRun& step, int last_run) const;
   void StartTask(StepRun& step, int index, Worker& worker, bool suspect);
+  // Fields of the log line of a start that tell of the run before. Empty if there was none.
+  std::string DescribeEarlierRun(const StepRun& step, int index) const;
   void Ask(const AskAdvice& ask);
   void RequestAdviceAhead(Job& job);
   void OnAdviceAnswer(StepRun& step, const std::vector<std::string>& asked, const AdviceAnswer& answer);
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -186,10 +186,10 @@
   order.ticket = step.advice.For(worker.number).ticket;
   context_.Log("run",
                "event=start worker={} born_ms={} job={} queue={} step={} index={} run={} waited_ms={} free_cpu={} "
-               "term={} lease_left_ms={} once_stored={}",
+               "term={} lease_left_ms={} once_stored={}{}",
                worker.entry.id, worker.entry.born_ms, step.job->id(), step.job->queue.name, step.step, index, task.run,
                Millis(context_.Now() - step.opened_at), worker.free().cpu_millis, ownership_.term,
-               Millis(lease_until_ - context_.Now()), suspect);
+               Millis(lease_until_ - context_.Now()), suspect, DescribeEarlierRun(step, index));
   context_.counters.RecordDuration("wait_seconds", step.job->queue.name, context_.Now() - step.opened_at);
   if (suspect) {
     StartOnceStored(step, worker, order);
@@ -198,6 +198,14 @@
   }
 }
 
+std::string Owner::DescribeEarlierRun(const StepRun& step, int index) const {
+  const EarlierRun& earlier = step.tasks[static_cast<size_t>(index)].earlier;
+  if (earlier.run == 0) {
+    return {};
+  }
+  return fmt::format(" earlier_run={} earlier_worker={} over={}", earlier.run, earlier.worker, earlier.over);
+}
+
 // --- Advice ---
 
 void Owner::RequestAdviceAhead(Job& job) {
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -190,7 +190,8 @@
     UpdateCheckpoint(*step, index, row.checkpoint);  // That of an earlier run is older than the one in use.
   }
   if (current) {
-    RequeueTask(*step, index);  // Also a long-running task that is done: it is restarted however it ends.
+    RequeueTask(*step, index,
+                NameOf(row.how));  // Also a long-running task that is done: it is restarted however it ends.
   }
   if (row.how == EndKind::kFailed) {
     if (step->spec->gang) {
@@ -221,7 +222,7 @@
     // A successor may have taken note that the run was done before the worker started again.
     steps_on_hold_.insert(step->RefOf(0));
   }
-  RequeueTask(*step, run.task.index);
+  RequeueTask(*step, run.task.index, NameOf(reason));
   OnGangMemberGone(*step);
   SchedulePlacementPass();
 }
@@ -246,7 +247,7 @@
   if (status == OrderStatus::kNoTicket) {
     step->advice.At(worker.number).valid_until = TimePoint{};
   }
-  RequeueTask(*step, run.task.index);
+  RequeueTask(*step, run.task.index, NameOf(status));
   OnGangMemberGone(*step);
   SchedulePlacementPass();
 }
@@ -303,8 +304,9 @@
 // --- Tasks ---
 
 // Returns a placed task to the waiting tasks of its step.
-void Owner::RequeueTask(StepRun& step, int index) {
+void Owner::RequeueTask(StepRun& step, int index, std::string_view over) {
   TaskState& task = step.tasks[static_cast<size_t>(index)];
+  task.earlier = EarlierRun{task.run, task.worker, over};
   if (--step.on_worker[task.worker] <= 0) {
     step.on_worker.erase(task.worker);
   }
@@ -329,7 +331,7 @@
     if (other != nullptr) {
       workers_.Stop(*other, RunRef{step.RefOf(index), task.run});
     }
-    RequeueTask(step, index);
+    RequeueTask(step, index, "earlier_run_done");
   }
   task.phase = TaskPhase::kDone;
   --step.waiting;
