A late order for a worker's earlier life no longer extends leases in the next one

Cause: a hold or start that stays without an answer may be carried out seconds later by the next life of its worker, and extends the lease of everything there by up to MaxHoldMs from its arrival. The owner counted only what it had sent to the new life, took runs of a worker that was cut off for over too early and started their tasks elsewhere.

Orders to a new life now bear a higher token than all orders to earlier lives: the revision of a stored batch, as after a hold that names ends. The new life gets starts only once it has answered a hold with that token; from then on it refuses every late order, starts too, with fence. Its lease counts at the longest from that answer. If no higher revision is known, it waits for the next batch, which its entry in the roster needs in any case. The first hold to a new life no longer waits for one that is in flight to the earlier life (up to 2 s); the answer to that one changes nothing but if it tells of a later life still.

Ruled out: counting the lease from the last moment at which such an order may arrive (15 s and 6 s after it): tasks of a worker that crashes twice would wait up to 21 s.

Evidence, cell_late_orders_test.

Without revisions above the token, and after 15 s without a stored batch, the token is raised by the next batch: by reading, no test reaches it.

From the review, by reading, without tests of their own: the lease counts at the longest with each answer until the life has seen the token, and a worker that waits for a token twice is not blocked anew by the first batch.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -70,8 +70,9 @@
   const bool entry_good = listed || now - unlisted_since < kUnlistedGrace;
   const bool acknowledgement_overdue =
       ends_deferred_since_ && now - *ends_deferred_since_ > kMaxAcknowledgementDeferral;
-  return entry_good && unknown_demand_runs_ == 0 && !entry.draining && hold_confirmed && !silent && in_roster &&
-         !unsettled && !recheck && now >= avoid_until && now >= starts_blocked_until_ && !acknowledgement_in_flight_ &&
+  const bool obeys = hold_confirmed && fenced_;
+  return entry_good && unknown_demand_runs_ == 0 && !entry.draining && obeys && !silent && in_roster && !unsettled &&
+         !recheck && now >= avoid_until && now >= starts_blocked_until_ && !acknowledgement_in_flight_ &&
          !acknowledgement_overdue;
 }
 
@@ -211,9 +212,8 @@
   worker.last_end_acknowledged_ = 0;
   worker.last_end_forgotten_ = 0;
   worker.ends_deferred_since_.reset();
-  if (std::exchange(worker.acknowledgement_in_flight_, false)) {
-    RaiseToken(worker);
-  }
+  worker.acknowledgement_in_flight_ = false;
+  FenceEarlierLives(worker);
   worker.lease_until_ = TimePoint{};
   for (auto& [run, start] : worker.starts_to_void_) {
     start.stopped_at = Duration(0);
@@ -246,9 +246,24 @@
   RemoveLostRuns(worker, lost);
   // An earlier owner's order may have reached the new life, so an unsettled worker stays so until it answers a hold.
   StopVoidedStarts(worker);
+  worker.hold_in_flight_ = false;  // That one is to an earlier life.
+  ++worker.hold_number_;
   ScheduleHold(worker, 0us);
 }
 
+void WorkerTable::FenceEarlierLives(Worker& worker) {
+  worker.earlier_lives_token_ = worker.token_;
+  worker.fenced_ = false;
+  RaiseToken(worker);
+}
+
+void WorkerTable::NoteTokenSeen(Worker& worker, uint64_t token) {
+  if (!worker.fenced_) {
+    worker.fenced_ = token > worker.earlier_lives_token_;
+    ExtendLeaseToMaximum(worker);  // A late order may have arrived before.
+  }
+}
+
 void WorkerTable::RemoveLostRuns(Worker& worker, const std::vector<RunRef>& lost) {
   for (const RunRef& run : lost) {
     RemoveRun(worker, run);
@@ -484,19 +499,24 @@
   }
   // A hold that names ends is answered at once, so that starts don't wait for long.
   worker.acknowledgement_in_flight_ = order.acknowledged > 0;
-  if (order.acknowledged == 0 && worker.hold_confirmed && !worker.silent && !worker.recheck &&
+  if (order.acknowledged == 0 && worker.hold_confirmed && worker.fenced_ && !worker.silent && !worker.recheck &&
       worker.last_end_seen_ <= worker.last_end_forgotten_) {
     order.wait = IsInDoubt() ? kMaxDoubtHoldWait : kHoldPollTimeout;
   }
   worker.hold_in_flight_ = true;
+  ++worker.hold_number_;
   context_.counters.Add("worker_holds");
   orders_.Hold(TargetOf(worker), order,
                [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, address = worker.entry.address,
-                sent_at = now, order](const OrderAnswer& answer) {
+                sent_at = now, order, number = worker.hold_number_](const OrderAnswer& answer) {
                  Worker* found = *alive ? Find(id) : nullptr;
                  if (found == nullptr) {
                    return;
                  }
+                 if (found->hold_number_ != number) {
+                   OnOldHoldAnswer(*found, answer);
+                   return;
+                 }
                  const bool same_life = found->entry.born_ms == born && found->entry.address == address;
                  if (found->entry.born_ms == born && order.acknowledged > 0) {
                    OnAcknowledgementAnswer(*found, order.acknowledged, answer);
@@ -554,6 +574,9 @@
   if (raised) {
     worker.token_ = highest_token_;
     worker.starts_blocked_until_ = TimePoint{};
+    if (!worker.fenced_ && !worker.hold_in_flight_) {
+      ScheduleHold(worker, 0us);
+    }
     context_.counters.Add("worker_tokens_raised");
   } else {
     worker.starts_blocked_until_ = context_.Now() + kMaxOrderDelay;
@@ -571,7 +594,8 @@
   highest_token_ = revision;
   for (const std::string& id : std::exchange(awaiting_token_, {})) {
     Worker* worker = Find(id);
-    if (worker != nullptr && context_.Now() < worker->starts_blocked_until_) {
+    const bool waits = worker != nullptr && (context_.Now() < worker->starts_blocked_until_ || !worker->fenced_);
+    if (waits && worker->token_ < highest_token_) {
       RaiseToken(*worker);
       listener_.OnChanged(*worker);
     }
@@ -582,6 +606,12 @@
   return answer.status == OrderStatus::kFenced && order_token >= worker.token_;
 }
 
+void WorkerTable::OnOldHoldAnswer(Worker& worker, const OrderAnswer& answer) {
+  if (answer.born_ms > worker.entry.born_ms) {
+    RecordAnswer(worker, answer);
+  }
+}
+
 void WorkerTable::OnHoldAnswer(Worker& worker, TimePoint sent_at, const HoldOrder& order, const OrderAnswer& answer) {
   worker.hold_in_flight_ = false;
   const int64_t born_ms = worker.entry.born_ms;
@@ -599,8 +629,9 @@
     ScheduleHold(worker, kSilentRetryInterval);
     return;
   }
-  const bool became_usable = !worker.hold_confirmed || worker.recheck;
+  const bool became_usable = !worker.hold_confirmed || !worker.fenced_ || worker.recheck;
   worker.hold_confirmed = true;
+  NoteTokenSeen(worker, order.token);
   worker.witnessed_at = std::max(worker.witnessed_at, sent_at);
   CountFencedWorker(worker);
   worker.recheck = worker.recheck && sent_at < recheck_since_;
@@ -616,7 +647,8 @@
   // A hold that named ends and was answered, but not by this life, does not help if it is repeated at once.
   const bool ends_deferred =
       worker.last_end_forgotten_ < worker.last_end_acknowledged_ && (order.acknowledged > 0 || MayReceiveStart(worker));
-  ScheduleHold(worker, ends_unstored || ends_deferred ? kUnacknowledgedHoldInterval : 0us);
+  const bool at_once = !ends_unstored && !ends_deferred && worker.fenced_;
+  ScheduleHold(worker, at_once ? 0us : kUnacknowledgedHoldInterval);
 }
 
 Duration WorkerTable::RetryDelay(Worker& worker, const OrderAnswer& answer) {
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -14,7 +14,9 @@
 //
 // A new life under the same id has seen no token, knows of no stop and has its own clock, on which old deadlines lie
 // far ahead. A start that reaches it may run there although an earlier life stopped it. Such a start is voided: it is
-// stopped in the new life, and its step waits until a list of that life shows that it does not run.
+// stopped in the new life, and its step waits until a list of that life shows that it does not run. A late hold or
+// start also extends the lease of what runs there. So orders to a new life bear a higher token than those to earlier
+// ones, and it gets starts only once it has answered a hold with that token: it refuses all late orders from then on.
 #ifndef HIBISCUSSTAND_SRC_CELL_WORKER_TABLE_H_
 #define HIBISCUSSTAND_SRC_CELL_WORKER_TABLE_H_
 
@@ -154,6 +156,9 @@
   TimePoint starts_blocked_until_{};               // Such a hold with the current token may still arrive until then.
   std::optional<TimePoint> ends_deferred_since_;   // Starts in flight keep ends from being named since then.
   uint64_t token_ = 0;                             // Of the orders to it: the highest so far.
+  uint64_t earlier_lives_token_ = 0;               // The highest of the orders to earlier lives; 0: none.
+  bool fenced_ = false;                            // This life has answered a hold with a higher token than that.
+  uint64_t hold_number_ = 0;                       // Of the newest hold sent.
   TimePoint newest_unconfirmed_start_{};           // When a start was last found to have no answer.
   std::map<RunRef, TimePoint> unanswered_starts_;  // Starts without an answer, and when that was recorded.
   std::map<RunRef, StartToVoid> starts_to_void_;
@@ -275,6 +280,10 @@
  private:
   std::unique_ptr<Worker> MakeWorker();  // Assigns the next number.
   void BeginLife(Worker& worker, int64_t born_ms, int64_t earlier_born_ms);
+  // Orders to earlier lives may still arrive: raises the token, so that the new life refuses them once it has seen it.
+  void FenceEarlierLives(Worker& worker);
+  // Call when the worker's current life has answered a hold that bore this token.
+  void NoteTokenSeen(Worker& worker, uint64_t token);
   void ScheduleHold(Worker& worker, Duration delay);
   void SendHold(Worker& worker);
   int64_t EndsToAcknowledge(Worker& worker);
@@ -286,6 +295,8 @@
   void OnAcknowledgementAnswer(Worker& worker, int64_t acknowledged, const OrderAnswer& answer);
   // True if the refusal shows that another owner has fenced the worker, and not only a later order of this one.
   bool IsFencedByOther(const Worker& worker, uint64_t order_token, const OrderAnswer& answer) const;
+  // A hold to an earlier life was answered after one had been sent to the current life.
+  void OnOldHoldAnswer(Worker& worker, const OrderAnswer& answer);
   void OnHoldAnswer(Worker& worker, TimePoint sent_at, const HoldOrder& order, const OrderAnswer& answer);
   // Returns false if a listener has destroyed this table.
   bool ApplyLists(Worker& worker, TimePoint requested_at, const OrderAnswer& answer);
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -552,8 +552,12 @@
 void FakeHost::Hold(const WorkerTarget& worker, const HoldOrder& order, WorkerPort::Done done) {
   FakeWorker* target = FindWorker(worker);
   const TimePoint until = world_.Now() + order.wait;
-  if (target != nullptr && target->up && order.acknowledged > 0 && target->acknowledgements_in_transit > 0) {
-    --target->acknowledgements_in_transit;
+  int* in_transit = nullptr;
+  if (target != nullptr && target->up) {
+    in_transit = order.acknowledged > 0 ? &target->acknowledgements_in_transit : &target->holds_in_transit;
+  }
+  if (in_transit != nullptr && *in_transit > 0) {
+    --*in_transit;
     DeliverWithoutAnswer(*target, done, [order](FakeWorker& late) { late.Hold(order); });
     return;
   }
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -118,6 +118,7 @@
   int orders_not_sent = 0;    // This many starts wait for a connection of their host until they expire.
   int starts_in_transit = 0;  // This many starts are delivered after `transit_time`, and their answers are lost.
   int acknowledgements_in_transit = 0;  // The same for holds that name ends to forget.
+  int holds_in_transit = 0;             // The same for holds that name none.
   Duration transit_time{};
   Duration min_stop_time = 50ms;  // Of index 0; other indices take up to four times as long.
 
