The log tells of the widest waiting gang

The log did not tell why: a gang that never starts leaves no line with its width, and nothing said on how many workers it could start.

event=widest_gang, once a second beside queue_statistics: members, gate, age, workers asked about and allowed, members that fit there now and if nothing ran, and reservations. widest= in event=accepted and event=job_ended. No decision depends on it.

--- a/src/cell/job_table.cc
+++ b/src/cell/job_table.cc
@@ -126,6 +126,14 @@
   return longest;
 }
 
+int WidestStep(const JobSpec& spec) {
+  int widest = 0;
+  for (const StepSpec& step : spec.steps) {
+    widest = std::max(widest, step.count);
+  }
+  return widest;
+}
+
 namespace {
 
 std::vector<int> ToVector(const std::set<int>& runs) {
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -184,6 +184,9 @@
 // Returns the longest chain of declared run times through the steps.
 Duration CriticalPathTime(const JobSpec& spec);
 
+// Returns the number of tasks of the widest step.
+int WidestStep(const JobSpec& spec);
+
 // Converts the progress of a job to its stored form, and restores it into a newly created job.
 ProgressRecord ProgressOf(const Job& job);
 void ApplyProgress(Job& job, const ProgressRecord& progress, int run_base);
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -317,8 +317,9 @@
     job.next_occurrence = 1;
   }
   context_.counters.Add(fmt::format("accepted{{queue=\"{}\"}}", queue.name));
-  context_.Log("admission", "event=accepted job={} queue={} tenant={} steps={} jobs={} config={}", job.id(), queue.name,
-               tenant, job.record.spec.steps.size(), jobs_.size(), configuration_.version);
+  context_.Log("admission", "event=accepted job={} queue={} tenant={} steps={} widest={} jobs={} config={}", job.id(),
+               queue.name, tenant, job.record.spec.steps.size(), WidestStep(job.record.spec), jobs_.size(),
+               configuration_.version);
   MarkDirty(job);
   if (ReasonToRefuse(CurrentLoad(), context_.settings.policies) == RefusalReason::kNone) {
     RequestAdviceAhead(job);  // Not while overloaded: the job may still be withdrawn.
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -313,6 +313,7 @@
   // Sets the queue of a job and the objective derived from it.
   void SetQueue(Job& job, const QueueSpec& queue);
   void LogQueueStatistics(const std::vector<StepRun*>& waiting);
+  void LogWidestGang(const StepRun& step);
   // Number from which this owner counts the starts of the job's tasks.
   int RunNumberBase(const Job& job) const;
 
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -61,8 +61,13 @@
   int gangs = 0;
   int tasks = 0;
   int asking_steps = 0;
+  const StepRun* widest = nullptr;
   for (const StepRun* step : waiting) {
-    gangs += step->spec->gang && step->waiting > 0 ? 1 : 0;
+    const bool is_gang = step->spec->gang && step->waiting > 0;
+    gangs += is_gang ? 1 : 0;
+    if (is_gang && (widest == nullptr || step->spec->count > widest->spec->count)) {
+      widest = step;
+    }
     tasks += step->spec->gang ? 0 : step->waiting;
     asking_steps += step->advice.pending_requests > 0 ? 1 : 0;
   }
@@ -74,6 +79,23 @@
                gangs, tasks, asking_steps, advice_.calls(), load.workers, load.reserved_workers,
                placement_.quota_waits(), capacity == 0 ? 0 : 100 * load.free.cpu_millis / capacity,
                last_pass_duration_.count());
+  if (widest != nullptr) {
+    LogWidestGang(*widest);
+  }
+}
+
+// Logs what the widest waiting gang still lacks.
+void Owner::LogWidestGang(const StepRun& step) {
+  const TimePoint now = context_.Now();
+  const GangFit fit = placement_.FitOf(step);
+  const Duration age = now - step.job->accepted_at;
+  context_.Log(
+      "placement",
+      "event=widest_gang job={} step={} members={} gate={} waited_ms={} age_ms={} objective_ms={} chain_ms={} "
+      "workers_asked={} workers_allowed={} slots={} slots_when_empty={} workers_reserved={} reserved_by_others={}",
+      step.job->id(), step.step, step.spec->count, NameOf(step.left_by), Millis(now - step.waiting_since), Millis(age),
+      Millis(step.job->objective), Millis(step.job->critical_path_time), step.advice.permits.size(),
+      fit.workers_allowed, fit.slots, fit.slots_when_empty, fit.workers_reserved, fit.reserved_by_others);
 }
 
 // --- Inputs of a pass ---
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -449,9 +449,10 @@
   context_.counters.Add(fmt::format("jobs_ended{{queue=\"{}\",state=\"{}\"}}", job.queue.name, NameOf(state)));
   const Duration age = context_.Now() - job.accepted_at;
   context_.counters.RecordDuration("job_seconds", job.queue.name, age);
-  context_.Log("job", "event=job_ended state={} job={} queue={} age_ms={} objective_ms={} chain_ms={} target_ms={}",
+  context_.Log("job",
+               "event=job_ended state={} job={} queue={} age_ms={} objective_ms={} chain_ms={} target_ms={} widest={}",
                NameOf(state), job.id(), job.queue.name, Millis(age), Millis(job.objective),
-               Millis(job.critical_path_time), Millis(job.queue.target_latency));
+               Millis(job.critical_path_time), Millis(job.queue.target_latency), WidestStep(job.record.spec));
   for (auto& [number, occurrence] : job.occurrences) {
     for (const std::unique_ptr<StepRun>& step : occurrence.steps) {
       placement_.ReleaseTentative(*step);
--- a/src/cell/placement.cc
+++ b/src/cell/placement.cc
@@ -85,6 +85,23 @@
   return load;
 }
 
+GangFit Placement::FitOf(const StepRun& step) {
+  GangFit fit;
+  ForEachAllowed(step, [&](WorkerView& worker) {
+    if (!IsEligible(step, worker)) {
+      return;
+    }
+    CandidateView view = ViewOf(step, worker);
+    ++fit.workers_allowed;
+    fit.slots += SlotsOf(view, DemandOf(step));
+    view.free = view.capacity;
+    fit.slots_when_empty += SlotsOf(view, DemandOf(step));
+    fit.workers_reserved += reserved_for_[worker.number] == &step ? 1 : 0;
+    fit.reserved_by_others += IsReservedForOther(step, worker) ? 1 : 0;
+  });
+  return fit;
+}
+
 std::vector<Decision> Placement::Plan(const std::vector<StepRun*>& waiting,
                                       const AdviceQueues& queues,
                                       const TenantQuotas& quotas,
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -78,6 +78,17 @@
   friend bool operator==(const PlacementLoad&, const PlacementLoad&) = default;
 };
 
+// What a waiting gang finds on the workers that it may use, for logs.
+struct GangFit {
+  int workers_allowed = 0;     // Usable workers that the advice service allows.
+  int slots = 0;               // Members that fit there now.
+  int slots_when_empty = 0;    // Members that would fit there if nothing ran.
+  int workers_reserved = 0;    // Of the allowed workers: reserved for the gang.
+  int reserved_by_others = 0;  // Of the allowed workers: reserved for other gangs.
+
+  friend bool operator==(const GangFit&, const GangFit&) = default;
+};
+
 class Placement {
  public:
   explicit Placement(const Policies& policies) : policies_(policies) {}
@@ -106,6 +117,8 @@
   void ReleaseTentative(StepRun& step);
 
   PlacementLoad load() const;
+  // The state of a waiting gang after the last pass.
+  GangFit FitOf(const StepRun& step);
   // Number of steps that the last pass left waiting for their tenant's quota.
   int quota_waits() const { return quota_waits_; }
   // Number of workers inspected since the last call: a measure of the cost of passes.
