The soak can let open connections go silent for good

--kinds=silence_connections: a share (0.3, 0.7 or all) of the open connections of some hosts to the store, and of one host to half of the workers, carries no answer any more; calls over them have no effect, those under way lose their answer; new connections work. The connection stays open until the host closes it. The proxy had cuts of whole paths only, which end.

--- a/tools/cell_soak/faults.py
+++ b/tools/cell_soak/faults.py
@@ -16,10 +16,12 @@
         self.kinds = [self.pause, self.pause, self.kill, self.terminate, self.cut_off, self.cut_off, self.cut_store,
                       self.cut_peers, self.cut_workers, self.store_down, self.store_unsure, self.silent_watches,
                       self.cut_worker, self.power, self.crash_workers]
+        self.named_kinds = [self.silence_connections]  # Only with --kinds: the draws of a seed stay the same without.
         self.until = 0
         self.power_losses = 0
 
     def only(self, names):
+        self.kinds += self.named_kinds
         unknown = set(names) - {kind.__name__ for kind in self.kinds}
         if unknown:
             raise SystemExit(f"no such disruptions: {', '.join(sorted(unknown))}")
@@ -150,6 +152,18 @@
         self.note(f"w{worker.number} is cut off for {seconds:.1f} s")
         await self.spoil([path.faults for path in worker.paths], seconds, random.random() < 0.4)
 
+    async def silence_connections(self):
+        """Open connections to the store, and of a host to workers, carry no answer any more; new ones do."""
+        share = random.choice([0.3, 0.7, 1])
+        hosts = [host for host in range(len(self.hosts)) if random.random() < 0.7]
+        host, workers = self.any_host(), [worker for worker in self.workers.all if random.random() < 0.5]
+        silent = sum(self.store.paths[each].silence_connections(share) for each in hosts)
+        orders = sum(worker.paths[host].silence_connections(share) for worker in workers)
+        self.note(f"{silent} connections of {hosts} to the store, {orders} of h{host} to workers are silent for good")
+        for each in {*hosts, host}:
+            self.checks.disturb(each, 0)
+        self.checks.disturb("store", 0)
+
     # --- Workers ---
 
     async def crash_workers(self):
--- a/tools/cell_soak/server.py
+++ b/tools/cell_soak/server.py
@@ -3,10 +3,14 @@
 import json
 import random
 import socket
+import weakref
 
 from aiohttp import web
 
 SILENCE_S = 5  # Longer than any timeout of the hosts; then the connection is reset.
+CLOSED_CHECK_S = 0.2
+
+silent_connections = weakref.WeakSet()  # Transports that carry no answer any more, whatever is sent on them.
 
 
 class CallFaults:
@@ -29,9 +33,26 @@
 
     def __init__(self):
         self.faults = CallFaults()
+        self.connections = weakref.WeakSet()  # Transports on which calls have come.
+
+    def add(self, request):
+        if request.transport is not None:
+            self.connections.add(request.transport)
+
+    def silence_connections(self, share):
+        """A share of those that are open carry no answer any more; new ones do."""
+        chosen = [each for each in self.connections if not each.is_closing() and random.random() < share]
+        silent_connections.update(chosen)
+        return len(chosen)
+
+
+def is_silent(request):
+    return request.transport in silent_connections
 
 
 async def no_answer(request):
+    while is_silent(request):  # Until the host closes it.
+        await asyncio.sleep(CLOSED_CHECK_S)
     await asyncio.sleep(SILENCE_S)
     if request.transport is not None:
         request.transport.abort()
@@ -42,7 +63,7 @@
     """Applies the faults to a call; `handle` carries it out and returns status and body."""
     body = await request.read()
     parsed = json.loads(body) if body else {}
-    if faults.silent:
+    if faults.silent or is_silent(request):
         return await no_answer(request)
     if random.random() < faults.refuse_share:
         return web.json_response({}, status=503)
@@ -55,6 +76,8 @@
         return await no_answer(request)
     if faults.delay_s:
         await asyncio.sleep(faults.delay_s)
+    if is_silent(request):
+        return await no_answer(request)
     return web.json_response(answer, status=status)
 
 
--- a/tools/cell_soak/store.py
+++ b/tools/cell_soak/store.py
@@ -60,6 +60,7 @@
     # --- Calls ---
 
     async def _serve(self, request, host):
+        self.paths[host].add(request)
         await asyncio.sleep(ANSWER_S)
         path, query = request.path, request.query
         faults = self.paths[host].faults
@@ -107,7 +108,7 @@
                     await self._next_change(0.2)
                 request.transport and request.transport.abort()
                 return server.web.Response(status=500)
-            if self.paths[host].faults.silent:
+            if self.paths[host].faults.silent or server.is_silent(request):
                 return await server.no_answer(request)
             if after < self.history_from:
                 return server.web.json_response({}, status=410)
--- a/tools/cell_soak/workers.py
+++ b/tools/cell_soak/workers.py
@@ -119,6 +119,7 @@
         self.store.put(f"servers/{self.id}", json.dumps(entry).encode())
 
     async def serve(self, request, host):
+        self.paths[host].add(request)
         handlers = {"/run-start": self._start, "/run-stop": self._stop, "/hold": self._hold}
         handler = handlers.get(request.path)
         if handler is None:
