A gang asks about the workers that it lacks while a quarter of the hosts is idle

Cause: the first question to the advice service names 100 workers, a quarter of which a step of this class may use. Further workers were asked about only while more than half of the hosts had no call. From 24 s on the gangs that come first kept that half in use, and others were never asked for.

The change: a gang whose allowed workers, empty, would hold it less than twice asks about as many more as that lacks while over a quarter of the hosts have no call. Others ask further as before, while most hosts have none. The quarter is left for the short calls of quick jobs.

Test failed before: CHECK( WorkersAskedFurther(60, 3) >= 100 ) with expansion: 0 >= 100

Ruled out: rejection (9,062 of 9,066 accepted), members that end alone (0), repeated starts (11 of 423 jobs), takeovers alone (three owners).

--- a/src/cell/advice_policy.cc
+++ b/src/cell/advice_policy.cc
@@ -31,10 +31,10 @@
   return queue != queues_.size() && queues_[queue].busy_until > now;
 }
 
-bool AdviceQueues::IsMostlyIdle(TimePoint now) const {
+bool AdviceQueues::HasIdleShare(TimePoint now, size_t divisor) const {
   const auto idle =
       std::count_if(queues_.begin(), queues_.end(), [now](const AdviceQueue& each) { return each.busy_until <= now; });
-  return static_cast<size_t>(idle) * 2 > queues_.size();
+  return static_cast<size_t>(idle) * divisor > queues_.size();
 }
 
 size_t AdviceQueues::Assign(TimePoint now, Duration expected_time) {
--- a/src/cell/advice_policy.h
+++ b/src/cell/advice_policy.h
@@ -32,7 +32,9 @@
   // Returns true if a call made now would wait for others.
   bool IsBusy(TimePoint now) const;
   // Returns true if more than half of the hosts have no call in progress.
-  bool IsMostlyIdle(TimePoint now) const;
+  bool IsMostlyIdle(TimePoint now) const { return HasIdleShare(now, 2); }
+  // Returns true if more than a quarter of the hosts have no call in progress: short calls seldom wait.
+  bool IsPartlyIdle(TimePoint now) const { return HasIdleShare(now, 4); }
   // Adds a call to the queue that is free earliest and returns the index of that queue. There must be at least one.
   size_t Assign(TimePoint now, Duration expected_time);
   void Avoid(size_t queue, TimePoint until) { queues_[queue].avoid_until = until; }
@@ -41,6 +43,7 @@
 
  private:
   size_t FindEarliestFree(TimePoint now) const;  // Returns queues_.size() if there is none.
+  bool HasIdleShare(TimePoint now, size_t divisor) const;
 
   std::vector<AdviceQueue> queues_;
 };
--- a/src/cell/placement.cc
+++ b/src/cell/placement.cc
@@ -13,6 +13,9 @@
 constexpr double kMaxReservedShare = 0.5;  // Of the usable workers; limits the capacity that reservations keep idle.
 constexpr double kMostlyFreeShare = 0.4;   // Free share of the capacity from which reserved workers are open to others.
 constexpr int kMinFitsOnReserved = 2;  // How many times a gang must fit before it may use workers reserved for others.
+// How many times a gang must fit on its allowed workers if nothing ran there. With less it waits for nearly all of them
+// to drain, or can never start.
+constexpr int kMinFitsWhenEmpty = 2;
 constexpr size_t kExtraWorkersAsked = 2;  // Workers asked about beyond the number of waiting tasks.
 
 constexpr size_t kNotUsable = std::numeric_limits<size_t>::max();
@@ -344,6 +347,9 @@
       return;
     }
     const CandidateView view = ViewOf(step, worker);
+    CandidateView empty = view;
+    empty.free = empty.capacity;
+    candidates.slots_when_empty += SlotsOf(empty, DemandOf(step));
     if (IsReservedForOther(step, worker) && !step.tentative_members.contains(worker.number)) {
       candidates.findings.reserved = candidates.findings.reserved || has_room;
       if (mostly_free_) {
@@ -401,7 +407,7 @@
     ReserveWorkers(step, candidates.allowed);
   }
   if (policies_.ask_further) {
-    AskAboutMoreWorkers(step, pass);
+    AskAboutMoreWorkers(step, candidates.slots_when_empty, pass);
   }
 }
 
@@ -497,12 +503,29 @@
   }
 }
 
-void Placement::AskAboutMoreWorkers(StepRun& step, Pass& pass) {
-  if (step.advice.pending_requests > 0 || !step.job->queue.advice || !pass.queues.IsMostlyIdle(pass.now)) {
+size_t Placement::MissingWorkers(const StepRun& step, int slots_when_empty) {
+  const int missing = kMinFitsWhenEmpty * step.spec->count - slots_when_empty;
+  if (missing <= 0) {
+    return 0;
+  }
+  const size_t asked = step.advice.permits.size();
+  return slots_when_empty == 0 ? kMaxWorkersPerQuestion
+                               : static_cast<size_t>(missing) * asked / static_cast<size_t>(slots_when_empty) + 1;
+}
+
+void Placement::AskAboutMoreWorkers(StepRun& step, int slots_when_empty, Pass& pass) {
+  if (step.advice.pending_requests > 0 || !step.job->queue.advice) {
+    return;
+  }
+  const auto missing = static_cast<std::ptrdiff_t>(MissingWorkers(step, slots_when_empty));
+  const auto may_ask = [&](std::ptrdiff_t asked) {
+    return pass.queues.IsMostlyIdle(pass.now) || (asked < missing && pass.queues.IsPartlyIdle(pass.now));
+  };
+  if (!may_ask(0)) {
     return;
   }
   const std::vector<WorkerView*> workers = FindUnaskedWorkers(step, workers_.size(), Resources{});
-  for (auto next = workers.begin(); next != workers.end() && pass.queues.IsMostlyIdle(pass.now);) {
+  for (auto next = workers.begin(); next != workers.end() && may_ask(next - workers.begin());) {
     const auto end = next + std::min<std::ptrdiff_t>(workers.end() - next, kMaxWorkersPerQuestion);
     Ask(step, std::vector<WorkerView*>(next, end), pass);
     next = end;
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -137,10 +137,11 @@
   };
   // Candidates for a gang, by what must happen before it can start there.
   struct GangCandidates {
-    Candidates with_ticket;  // The gang can start at once.
-    Candidates allowed;      // `with_ticket`, and allowed workers whose tickets must be requested first.
-    Candidates reserved;     // Allowed, but reserved for another gang; filled only while the cell is mostly free.
-    PassFindings findings;   // Workers left out.
+    Candidates with_ticket;    // The gang can start at once.
+    Candidates allowed;        // `with_ticket`, and allowed workers whose tickets must be requested first.
+    Candidates reserved;       // Allowed, but reserved for another gang; filled only while the cell is mostly free.
+    PassFindings findings;     // Workers left out.
+    int slots_when_empty = 0;  // Members that would fit on all allowed workers if nothing ran there.
   };
   // Candidates for single tasks: workers with a valid ticket in `candidates`, the others in `without_ticket`.
   struct SingleTaskCandidates {
@@ -185,8 +186,12 @@
 
   bool MayAsk(const StepRun& step, const Pass& pass) const;
   void AskInitially(StepRun& step, Pass& pass);
-  // Asks about more workers, through several hosts at once, while most hosts have no call in progress.
-  void AskAboutMoreWorkers(StepRun& step, Pass& pass);
+  // Returns how many further workers a gang should ask about so that it can collect enough room; 0: it has asked about
+  // enough.
+  static size_t MissingWorkers(const StepRun& step, int slots_when_empty);
+  // Asks about more workers, through several hosts at once: about missing ones while a quarter of the hosts have no
+  // call in progress, about others while most have none.
+  void AskAboutMoreWorkers(StepRun& step, int slots_when_empty, Pass& pass);
   // Requests tickets for workers with free resources whose tickets have expired or that were never asked about.
   void AskForTickets(StepRun& step, const std::vector<WorkerView*>& workers, Pass& pass);
   void Ask(StepRun& step, const std::vector<WorkerView*>& workers, Pass& pass);
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -172,6 +172,35 @@
   CHECK(PassesUntilGangStarts(none) == -1);
 }
 
+// A gang that the advice service has answered about the first 100 of 300 workers, 25 of which it may use, all full,
+// while most hosts have a call in progress.
+size_t WorkersAskedFurther(int members, size_t idle_hosts) {
+  PassRig rig(300);
+  for (size_t number = 1; number <= 300; ++number) {
+    rig.worker(number).free.cpu_millis = 4000;
+  }
+  std::vector<AdviceQueue> queues(8, AdviceQueue{rig.now + 1s, {}});
+  std::fill_n(queues.begin(), idle_hosts, AdviceQueue{});
+  rig.queues = AdviceQueues(queues);
+  StepRun& gang = rig.Add(members, 8000, true);
+  gang.job->queue.advice = AdviceSpec{400ms, 5ms, 1500ms};
+  gang.advice.has_answer = true;
+  for (size_t number = 1; number <= 100; ++number) {
+    gang.advice.At(number).verdict = number <= 25 ? StepAdvice::Verdict::kAllowed : StepAdvice::Verdict::kRefused;
+  }
+  size_t asked = 0;
+  for (const AskAdvice& ask : Of<AskAdvice>(rig.Pass())) {
+    asked += ask.workers.size();
+  }
+  return asked;
+}
+
+TEST_CASE("a wide gang is never started because most hosts ask for others") {
+  CHECK(WorkersAskedFurther(60, 3) >= 100);  // 50 fit on 25 empty workers.
+  CHECK(WorkersAskedFurther(10, 3) == 0);    // Fits often enough; calls are left to others.
+  CHECK(WorkersAskedFurther(60, 2) == 0);    // Short calls need an idle host.
+}
+
 TEST_CASE("more work than fits: what can still be in time comes before what cannot") {
   PassRig rig(1);
   StepRun& late = rig.Add(1, 16'000, false, 1s);
