Tests of starts that are late and reach a worker's next life, listed

The second test does the same with a member of a gang, which fits the three-part name of the users' report.

build/release/bin/cell_late_starts_test fails in all 12 and all 3 combinations of delay and restart. A mend was tried and is not in the code: a task whose start stayed without an answer is started again on that worker only. It passes both tests, but "short tasks are in time although some starts have no answer" (cell_faults_test) then completes 94 of 100 where 95 are required.

--- a/tests/cell_late_orders_test.cc
+++ b/tests/cell_late_orders_test.cc
@@ -2,53 +2,11 @@
 // a clock on which their deadlines lie far ahead.
 #include <catch2/catch.hpp>
 
-#include "tests/cell_jobs.h"
+#include "tests/cell_late_orders.h"
 
 namespace hibiscus::cell {
 namespace {
 
-constexpr Duration kFirstLife = 10s;  // Puts the deadlines of its orders far ahead on the clock of the next life.
-
-void RestartWorker(FakeWorker& worker) {
-  worker.Crash();
-  worker.Restart();
-}
-
-// Each worker's next start arrives after `transit_time`.
-void DelayNextStarts(CellWorld& world, Duration transit_time) {
-  for (size_t i = 0; i < world.worker_count(); ++i) {
-    world.worker(i).starts_in_transit = 1;
-    world.worker(i).transit_time = transit_time;
-  }
-}
-
-// Waits for the first delayed start and delays no further ones.
-FakeWorker* WorkerOfDelayedStart(CellWorld& world) {
-  FakeWorker* worker = nullptr;
-  world.RunUntil(
-      [&] {
-        for (size_t i = 0; i < world.worker_count(); ++i) {
-          worker = world.worker(i).starts_in_transit == 0 ? &world.worker(i) : worker;
-        }
-        return worker != nullptr;
-      },
-      2s);
-  for (size_t i = 0; i < world.worker_count(); ++i) {
-    world.worker(i).starts_in_transit = 0;
-  }
-  return worker;
-}
-
-StepSpec OneOnEach(int count) {
-  StepSpec step = StepOf(count, 1000);
-  step.max_per_worker = 1;
-  return step;
-}
-
-std::string ViolationsOf(const CellWorld& world) {
-  return world.violations().empty() ? "" : ": " + world.violations().front();
-}
-
 // The worker's next life is known, runs a task and is cut off.
 void CheckLateLease(CellWorld& world, FakeWorker& worker, Duration cut_after) {
   RestartWorker(worker);
--- /dev/null
+++ b/tests/cell_late_starts_test.cc
@@ -0,0 +1,88 @@
+// Starts that reach a life of their worker that the owner does not know yet. They fail for a known fault; see
+// KNOWN-RED.txt.
+#include <catch2/catch.hpp>
+
+#include "tests/cell_late_orders.h"
+
+namespace hibiscus::cell {
+namespace {
+
+// Two tasks that leave no room for another one: a small one that runs on, and a large one that ends soon. The worker is
+// the tightest fit from then on.
+void FillWorkerFor(CellWorld& world, Duration time) {
+  const int64_t capacity = world.worker(0).entry.capacity.cpu_millis;
+  world.SubmitWithRetries(JobOf(91, {StepOf(1, 2000)}), TaskBehaviour{40s, 0});
+  REQUIRE(world.RunUntil([&] { return world.starts() == 1; }, 2s));
+  world.SubmitWithRetries(JobOf(92, {StepOf(1, capacity - 2500)}), TaskBehaviour{time, 0});
+  REQUIRE(world.RunUntil([&] { return world.starts() == 2; }, 2s));
+}
+
+// The start is given up, stopped and absent from the worker's lists; then its worker starts again.
+void CheckLateStart(Duration transit_time, Duration restart_before) {
+  CellWorld world(301, 3, 3);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.RunFor(kFirstLife);
+  FillWorkerFor(world, 200ms);
+  DelayNextStarts(world, transit_time);
+  const JobSpec job = JobOf(1, {StepOf(1, 1000)});
+  world.SubmitWithRetries(job, TaskBehaviour{6s, 0});
+  FakeWorker* worker = WorkerOfDelayedStart(world);
+  REQUIRE(worker != nullptr);
+  world.RunFor(transit_time - restart_before);
+  RestartUnnoticed(*worker);
+  world.RunFor(14s);
+  INFO("start " << Millis(transit_time) << " ms in transit, restart " << Millis(restart_before) << " ms before"
+                << ViolationsOf(world));
+  CHECK(world.violations().empty());
+  CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+}
+
+TEST_CASE("a task does not run elsewhere when its late start reaches a life of its worker that is not known yet") {
+  for (const Duration transit_time : {1400ms, 3000ms, 5000ms}) {
+    for (const Duration restart_before : {10ms, 30ms, 100ms, 200ms}) {
+      CheckLateStart(transit_time, restart_before);
+    }
+  }
+}
+
+// Returns false if no member was placed on the worker.
+bool CheckLateStartOfMember(size_t delayed, Duration transit_time) {
+  CellWorld world(302, 3, 5);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.RunFor(kFirstLife);
+  FillWorkerFor(world, 400ms);
+  FakeWorker& worker = world.worker(delayed);
+  worker.starts_in_transit = 1;
+  worker.transit_time = transit_time;
+  StepSpec gang = OneOnEach(3);
+  gang.gang = true;
+  const JobSpec job = JobOf(1, {gang});
+  world.SubmitWithRetries(job, TaskBehaviour{5s, 0});
+  REQUIRE(world.RunUntil([&] { return world.starts() >= 4; }, 2s));
+  if (worker.starts_in_transit > 0) {
+    return false;
+  }
+  constexpr Duration kRestartBefore = 30ms;
+  world.RunFor(transit_time - kRestartBefore);
+  RestartUnnoticed(worker);
+  world.RunFor(20s);
+  INFO("member on worker " << delayed << ", start " << Millis(transit_time) << " ms in transit" << ViolationsOf(world));
+  CHECK(world.violations().empty());
+  CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+  return true;
+}
+
+TEST_CASE("a gang does not run twice when a member's late start reaches a life of its worker that is not known yet") {
+  int checked = 0;
+  for (const Duration transit_time : {1400ms, 3000ms, 5000ms}) {
+    for (size_t delayed = 0; delayed < 5; ++delayed) {
+      checked += CheckLateStartOfMember(delayed, transit_time) ? 1 : 0;
+    }
+  }
+  CHECK(checked > 0);
+}
+
+}  // namespace
+}  // namespace hibiscus::cell
--- a/tests/cell_restart_test.cc
+++ b/tests/cell_restart_test.cc
@@ -2,22 +2,11 @@
 // token, knows of no stop and has a clock of its own.
 #include <catch2/catch.hpp>
 
-#include "tests/cell_jobs.h"
+#include "tests/cell_late_orders.h"
 
 namespace hibiscus::cell {
 namespace {
 
-void RestartWorker(FakeWorker& worker) {
-  worker.Crash();
-  worker.Restart();
-}
-
-// The store does not tell of the new life.
-void RestartUnnoticed(FakeWorker& worker) {
-  worker.Crash();
-  worker.Restart(/*write_entry=*/false);
-}
-
 // Two tasks that run on different workers.
 StepSpec OneOnEachOfTwo() {
   StepSpec step = StepOf(2, 1000);
