--- a/tests/cell_red_courses_test.cc
+++ b/tests/cell_red_courses_test.cc
@@ -13,6 +13,7 @@
   CheckCourse({.seed = 21, .tenants = true, .fault_kinds = 31});
   CheckCourse({.seed = 34, .relays = true, .tenants = true, .fault_kinds = 31});
   CheckCourse({.seed = 40, .relays = true, .tenants = true, .fault_kinds = 31});
+  CheckCourse({.seed = 49, .tenants = true, .fault_kinds = 31});
   CheckCourse({.seed = 88, .relays = true, .dense = true});
   CheckCourse({.seed = 107, .dense = true});
 }
