Checks of the configuration do not add up while the store does not answer

Each that is answered begins to send a version of 524 KB, and each transfer that stands still for a second is given up and begins anew. From 23 to 37 s they fill the link between the regions; the list that shows the end of a task at 23.4 s arrives at 37.3 s, its worker's lease is taken for expired at 28.8 s, and the task is started again at 32.3 s.

At most three checks are on their way at a time: one over any connection, the others over new ones, as connections that were used before may be dead. The newest is replaced after 250 ms without an answer, so that a caller who asks soon after a short silence of the store is served; the others have the time that an answer takes to begin over a crowded link, 3 s for new connections. Reads before the first version are limited in the same way.

--- a/src/cell/configuration_follower.cc
+++ b/src/cell/configuration_follower.cc
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr Duration kRetryDelay = 150ms;        // After a failed call.
+constexpr Duration kRetryDelay = 150ms;    // After a failed call.
+constexpr size_t kMaxUnansweredReads = 2;  // One may be on a dead connection.
+constexpr size_t kMaxUnansweredChecks = 3;
 constexpr Duration kMinCheckInterval = 200ms;  // All hosts share the store's limits on calls.
 // Time without any part of an answer after which the connection of a call may be dead.
 constexpr Duration kAnswerTimeout = 250ms;
@@ -19,7 +21,11 @@
 }  // namespace
 
 ConfigurationFollower::ConfigurationFollower(Context& context, Apply apply, Duration wait)
-    : context_(context), apply_(std::move(apply)), wait_(wait), requests_(context, [this] { CheckRequests(); }) {}
+    : context_(context),
+      apply_(std::move(apply)),
+      wait_(wait),
+
+      requests_(context, [this] { CheckRequests(); }) {}
 
 void ConfigurationFollower::Begin() {
   SendNext();
@@ -40,9 +46,9 @@
 
 // --- Calls to the store ---
 
-void ConfigurationFollower::Send(Kind kind) {
+void ConfigurationFollower::Send(Kind kind, StoreConnection connection) {
   const std::string key = context_.directory.configuration_key();
-  const auto call = calls_.insert(calls_.end(), Call{kind, 0, context_.Now(), std::nullopt});
+  const auto call = calls_.insert(calls_.end(), Call{kind, connection, 0, context_.Now(), std::nullopt});
   const StorePort::Progress on_progress = [this, alive = alive_, call] {
     if (*alive) {
       OnProgress(call);
@@ -63,7 +69,7 @@
     case Kind::kCheck:
       context_.counters.Add("configuration_reads");
       last_check_at_ = context_.Now();
-      call->number = context_.store.ReadLargeIfChanged(key, item_revision_, on_progress, on_answer);
+      call->number = context_.store.ReadLargeIfChanged(key, item_revision_, connection, on_progress, on_answer);
       break;
   }
 }
@@ -72,24 +78,35 @@
   const Kind kind = item_revision_ > 0 && check_next_             ? Kind::kCheck
                     : item_revision_ == 0 || store_revision_ == 0 ? Kind::kRead
                                                                   : Kind::kWatch;
-  if (!IsArriving() && !HasCall(kind)) {
+  if (!IsArriving() && CallCount(kind) == 0) {
     Send(kind);
   }
 }
 
-// Does not wait for earlier calls, whose connections may be dead, unless their answer is arriving.
+// A check without an answer is joined by others over new connections, as its own may be dead. Their number is limited:
+// each that is answered begins to send a newer version. The newest is replaced, and the others have the time that an
+// answer takes to begin over a crowded link.
 void ConfigurationFollower::Check() {
   const bool too_soon = last_check_at_ && context_.Now() - *last_check_at_ < kMinCheckInterval;
-  if (item_revision_ > 0 && !too_soon && !IsArriving()) {
-    Send(Kind::kCheck);
+  if (item_revision_ == 0 || too_soon || IsArriving()) {
+    return;
+  }
+  if (CallCount(Kind::kCheck) == kMaxUnansweredChecks) {
+    const auto newest =
+        std::find_if(calls_.rbegin(), calls_.rend(), [](const Call& call) { return call.kind == Kind::kCheck; });
+    if (context_.Now() - newest->sent_at < kAnswerTimeout) {
+      return;
+    }
+    CancelCall(std::prev(newest.base()));
   }
+  Send(Kind::kCheck, CallCount(Kind::kCheck) == 0 ? StoreConnection::kAny : StoreConnection::kNew);
 }
 
 void ConfigurationFollower::SendOverdueRead() {
   const bool overdue = std::all_of(calls_.begin(), calls_.end(), [this](const Call& call) {
     return context_.Now() - call.sent_at >= kAnswerTimeout;
   });
-  if (overdue && !calls_.empty()) {
+  if (overdue && CallCount(Kind::kRead) < kMaxUnansweredReads) {
     Send(Kind::kRead);
   }
 }
@@ -108,6 +125,8 @@
 
 void ConfigurationFollower::CancelCall(Calls::iterator call) {
   context_.counters.Add("configuration_calls_cancelled");
+  context_.Log("config", "event=cancelled kind={} sent_ms={} arriving_ms={}", NameOf(call->kind),
+               Millis(context_.Now() - call->sent_at), ArrivingMillis(*call));
   context_.store.Cancel(call->number);
   calls_.erase(call);
 }
@@ -183,11 +202,11 @@
 // long after the store is back.
 void ConfigurationFollower::OnFailure(StoreStatus status) {
   check_next_ = true;
-  context_.counters.Add(fmt::format("store_watch_failures{{status=\"{}\"}}", NameOf(status)));
+  context_.counters.Add(fmt::format("store_watch_failures{{status=\"{}\"}}", cell::NameOf(status)));
   if (!failing_ && status != StoreStatus::kNotFound) {  // Not found: the operator has not published any version yet.
     failing_ = true;
     context_.Log("store", "event=dependency_lost what=configuration prefix={} status={} revision={} silent_ms={}",
-                 context_.directory.configuration_key(), NameOf(status), store_revision_, Millis(silent_for()));
+                 context_.directory.configuration_key(), cell::NameOf(status), store_revision_, Millis(silent_for()));
   }
   context_.timers.In(kRetryDelay, [this, alive = alive_] {
     if (*alive) {
@@ -198,7 +217,6 @@
 
 // A line for each answer that took bandwidth or failed; the others are the usual ones.
 void ConfigurationFollower::LogAnswer(const Call& call, const StoreAnswer& answer) {
-  constexpr const char* kKindNames[] = {"read", "watch", "check"};
   const bool is_empty = answer.status == StoreStatus::kOk && answer.items.empty();
   if (is_empty || answer.status == StoreStatus::kNotFound) {
     return;
@@ -210,12 +228,22 @@
   const TimePoint now = context_.Now();
   context_.counters.Add("configuration_bytes", static_cast<double>(bytes));
   context_.Log("config", "event=answer kind={} status={} versions={} bytes={} took_ms={} arriving_ms={} others={}",
-               kKindNames[static_cast<size_t>(call.kind)], NameOf(answer.status), answer.items.size(), bytes,
-               Millis(now - call.sent_at), call.arriving_since ? Millis(now - *call.arriving_since) : 0, calls_.size());
+               NameOf(call.kind), cell::NameOf(answer.status), answer.items.size(), bytes, Millis(now - call.sent_at),
+               ArrivingMillis(call), calls_.size());
+}
+
+const char* ConfigurationFollower::NameOf(Kind kind) {
+  constexpr const char* kNames[] = {"read", "watch", "check"};
+  return kNames[static_cast<size_t>(kind)];
+}
+
+long long ConfigurationFollower::ArrivingMillis(const Call& call) const {
+  return call.arriving_since ? Millis(context_.Now() - *call.arriving_since) : 0;
 }
 
-bool ConfigurationFollower::HasCall(Kind kind) const {
-  return std::any_of(calls_.begin(), calls_.end(), [kind](const Call& call) { return call.kind == kind; });
+size_t ConfigurationFollower::CallCount(Kind kind) const {
+  return static_cast<size_t>(
+      std::count_if(calls_.begin(), calls_.end(), [kind](const Call& call) { return call.kind == kind; }));
 }
 
 bool ConfigurationFollower::IsArriving() const {
--- a/src/cell/configuration_follower.h
+++ b/src/cell/configuration_follower.h
@@ -53,6 +53,7 @@
   enum class Kind { kRead, kWatch, kCheck };
   struct Call {
     Kind kind = Kind::kRead;
+    StoreConnection connection = StoreConnection::kAny;
     StoreCall number = 0;
     TimePoint sent_at{};
     std::optional<TimePoint> arriving_since;  // Empty: nothing of the answer has arrived.
@@ -60,7 +61,7 @@
   using Calls = std::list<Call>;
   using Requests = WaitingRequests<bool>;
 
-  void Send(Kind kind);
+  void Send(Kind kind, StoreConnection connection = StoreConnection::kAny);
   // Sends the call that the present state needs: a read before the first version, a check after a large answer or a
   // failure, and a watch otherwise.
   void SendNext();
@@ -73,7 +74,9 @@
   void LogAnswer(const Call& call, const StoreAnswer& answer);
   void CancelCall(Calls::iterator call);
   void CancelAllExcept(const Call* kept);
-  bool HasCall(Kind kind) const;
+  static const char* NameOf(Kind kind);
+  long long ArrivingMillis(const Call& call) const;  // Since its answer began to arrive; 0 if it has not.
+  size_t CallCount(Kind kind) const;
   // Whether an answer is on its way in: a call has received a part of it, and the last one lately.
   bool IsArriving() const;
   // Whether an answer has begun to arrive and does not go on.
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -81,6 +81,10 @@
 // Number of a call to the store that can be cancelled.
 using StoreCall = uint64_t;
 
+// Over which connection a call is sent. One that was used before may be dead without a sign of it, so its calls are
+// given up early; an answer over a new one may be as late as a crowded link makes it.
+enum class StoreConnection { kAny, kNew };
+
 class StorePort {
  public:
   using Done = std::function<void(const StoreAnswer&)>;
@@ -97,7 +101,11 @@
   virtual StoreCall ReadLarge(const std::string& key, Progress progress, Done done) = 0;
   virtual StoreCall WatchLarge(const std::string& key, uint64_t after, Duration wait, Progress progress, Done done) = 0;
   // Answers with the item if `revision` is not that of its last change, and without items otherwise.
-  virtual StoreCall ReadLargeIfChanged(const std::string& key, uint64_t revision, Progress progress, Done done) = 0;
+  virtual StoreCall ReadLargeIfChanged(const std::string& key,
+                                       uint64_t revision,
+                                       StoreConnection connection,
+                                       Progress progress,
+                                       Done done) = 0;
   // Ends a large read, of which nothing more arrives then. Its callbacks are not invoked any more.
   virtual void Cancel(StoreCall call) = 0;
   virtual void Commit(const StoreTransaction& transaction, Done done) = 0;
--- a/src/ports/http_client.cc
+++ b/src/ports/http_client.cc
@@ -386,7 +386,9 @@
     const long left = static_cast<long>(Millis(transfer->deadline - clock.Now()));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max(1L, left));
   }
-  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(Millis(kConnectTimeout)));
+  const Duration connect_timeout = call.new_connection ? call.timeout : kConnectTimeout;
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(Millis(connect_timeout)));
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.new_connection ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   // A call that ends during the lookup of a host name does not wait for the lookup, which would stop all other calls.
   curl_easy_setopt(easy, CURLOPT_QUICK_EXIT, 1L);
--- a/src/ports/http_client.h
+++ b/src/ports/http_client.h
@@ -25,6 +25,7 @@
   Duration timeout = 1s;                  // Of the whole call, unless `stall_timeout` is set.
   std::vector<std::string> headers = {};  // "Name: value", in addition to Content-Type.
   bool urgent = false;                    // See ConnectionLimits.
+  bool new_connection = false;            // Not over one that was used before; it may take all of `timeout` to open.
   // If set, `timeout` is the time until the answer begins to arrive, and the call goes on while more of it arrives: it
   // ends after this time without any. A large answer over a slow link then has the time that it takes.
   Duration stall_timeout = 0us;
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -13,6 +13,7 @@
 
 constexpr Duration kOneWayDelay = 2ms;           // Network delay to the store, a worker or another host.
 constexpr Duration kWatchTimeoutMargin = 800ms;  // Added to the wait of a watch.
+constexpr Duration kNewConnectionTimeout = 3s;   // Of large reads over a new connection.
 constexpr Duration kMaxMessageDelay = 2s;        // Exclusive bound for delayed messages between hosts.
 constexpr Duration kMaxExecutionDelay = 11s;     // Exclusive bound for calls carried out late.
 constexpr Duration kMaxTransitTime = 1500ms;     // Of an order that reaches a worker late.
@@ -333,6 +334,7 @@
 
 StoreCall FakeHost::ReadLargeIfChanged(const std::string& key,
                                        uint64_t revision,
+                                       StoreConnection connection,
                                        Progress progress,
                                        StorePort::Done done) {
   const StoreCall large = BeginLarge(std::move(progress), std::move(done));
@@ -343,7 +345,8 @@
     }
     return answer;
   };
-  CallStore(false, apply, EndOf(large), large);
+  CallStore(false, apply, EndOf(large), large,
+            connection == StoreConnection::kNew ? kNewConnectionTimeout : kCallTimeout);
   return large;
 }
 
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -37,6 +37,8 @@
   void LoseWatches(int later);
   // Of the large answers that are arriving nothing more arrives, which their reads notice after a while.
   void LoseTransfers();
+  // Large reads of the store without an answer yet.
+  size_t large_reads() const { return large_reads_.size(); }
   // The process is down or stands still, or a path to or from it is cut.
   bool IsDisturbed() const;
   bool IsFrozen() const;
@@ -62,6 +64,7 @@
                        StorePort::Done done) override;
   StoreCall ReadLargeIfChanged(const std::string& key,
                                uint64_t revision,
+                               StoreConnection connection,
                                Progress progress,
                                StorePort::Done done) override;
   void Cancel(StoreCall call) override;
--- a/standins/cell_links.h
+++ b/standins/cell_links.h
@@ -27,8 +27,8 @@
   bool IsLimited(size_t host) const { return shared_bandwidth > 0 || host_bandwidth.contains(host); }
   // Sends an answer of this size to a host. Calls `on_part` for each part that arrives, and `on_end` after the last.
   Transmission Send(size_t host, size_t bytes, std::function<void()> on_part, std::function<void()> on_end);
-  // What has not been sent of the answer is not sent any more, and its callbacks are not called.
-  void Cancel(Transmission number) { transmissions_.erase(number); }
+  // What is not on its way yet is not sent any more, and the callbacks are not called.
+  void Cancel(Transmission number);
 
   // Bytes sent so far, to all hosts.
   size_t bytes_sent() const { return bytes_sent_; }
@@ -42,6 +42,8 @@
   };
 
   void SendPart(Transmission number);
+  // Occupies the links of the host with these bytes; returns when they have arrived.
+  TimePoint Occupy(size_t host, size_t bytes);
 
   CellWorld& world_;
   std::map<Transmission, Progress> transmissions_;
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -769,6 +769,10 @@
   hosts_[index]->Kill();
 }
 
+size_t CellWorld::LargeReadsOf(size_t host) const {
+  return hosts_[host]->large_reads();
+}
+
 void CellWorld::Boot(size_t index) {
   waiting_.NoteDisruption();
   routes_.NoteStarted(index);
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -216,6 +216,8 @@
   void SilenceWatches(size_t index, bool silent);
   // The pending watches of a host and this many later ones are lost: each call times out without an answer.
   void LoseWatches(size_t index, int later);
+  // Number of the host's large reads of the store that are without an answer yet.
+  size_t LargeReadsOf(size_t host) const;
   // The connections on which large answers of the store are arriving at a host die.
   void LoseTransfers(size_t index);
   double CounterOf(size_t index, const std::string& name) const;  // 0 if the counter does not exist.
--- a/tests/cell_large_configuration_test.cc
+++ b/tests/cell_large_configuration_test.cc
@@ -121,18 +121,23 @@
   CHECK(HostsWithVersion(*world, world->configuration.version) == kHosts);
 }
 
+// The store is silent, and a large version is published shortly before it is back.
+void CheckVersionOfSilence(CellWorld& world, Duration silence) {
+  world.store().faults.silent = true;
+  world.RunFor(silence - 600ms);
+  PublishQueue(world, "new");
+  world.RunFor(600ms);
+  world.store().faults.silent = false;
+  world.RunFor(4s);  // Since then a host is in touch.
+  INFO("silent for " << Millis(silence) << " ms");
+  CHECK(HostsWithVersion(world, world.configuration.version) == kHosts);
+}
+
 TEST_CASE("a large configuration that is published while the store is silent is in force in time after it") {
   for (const Duration silence : {3s, 4s, 5s, 6s}) {
     const auto world = WorldWithLinks(604);
     AskForUnknownPaths(*world, 1s, 15s);
-    world->store().faults.silent = true;
-    world->RunFor(silence - 600ms);
-    PublishQueue(*world, "new");
-    world->RunFor(600ms);
-    world->store().faults.silent = false;
-    world->RunFor(4s);  // Since then a host is in touch.
-    INFO("silent for " << Millis(silence) << " ms");
-    CHECK(HostsWithVersion(*world, world->configuration.version) == kHosts);
+    CheckVersionOfSilence(*world, silence);
   }
 }
 
@@ -147,15 +152,24 @@
     }
     world->RunFor(6s);
     world->links.shared_bandwidth = 30 * kBytesPerMbit;
-    world->store().faults.silent = true;
-    world->RunFor(silence - 600ms);
-    PublishQueue(*world, "new");
-    world->RunFor(600ms);
-    world->store().faults.silent = false;
-    world->RunFor(4s);  // Since then a host is in touch.
-    INFO("silent for " << Millis(silence) << " ms");
-    CHECK(HostsWithVersion(*world, world->configuration.version) == kHosts);
+    CheckVersionOfSilence(*world, silence);
+  }
+}
+
+// Each check that is answered begins to send a new version, so that they would crowd the link when the store is back.
+TEST_CASE("checks of the configuration do not add up while the store does not answer") {
+  constexpr size_t kMaxReads = 4;  // Three checks and the watch.
+  const auto world = WorldWithLinks(608);
+  AskForUnknownPaths(*world, 100ms, 10s);
+  world->store().faults.silent = true;
+  size_t most = 0;
+  for (Duration time = 0s; time < 10s; time += 50ms) {
+    world->RunFor(50ms);
+    for (size_t host = 0; host < kHosts; ++host) {
+      most = std::max(most, world->LargeReadsOf(host));
+    }
   }
+  CHECK(most <= kMaxReads);
 }
 
 TEST_CASE("a large configuration that has not changed is not read again when the store's history is lost") {
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -323,6 +324,21 @@
   CHECK(host.client().connection_counts().open_to_one == 0);
 }
 
+TEST_CASE("a call over a new connection does not use one that was used before") {
+  ConnectionServer server(kWorkerConnections);
+  HttpClient client;
+  for (const bool new_connection : {false, false, true, false}) {
+    HttpCall call;
+    call.method = "GET";
+    call.url = server.UrlOf(0ms);
+    call.new_connection = new_connection;
+    std::promise<Delivery> delivery;
+    client.Send(std::move(call), [&delivery](const HttpResult& result) { delivery.set_value(result.delivery); });
+    CHECK(delivery.get_future().get() == Delivery::kAnswered);
+  }
+  CHECK(server.accepted() == 2);
+}
+
 // Fails for a known fault, see KNOWN-RED.txt; CMakeLists.txt makes it a test of its own.
 TEST_CASE("after connections have gone silent, calls do not wait for the timeout of each of them", "[.silent]") {
   constexpr int kConnections = 12;
