--- a/src/cell/configuration_follower.cc
+++ b/src/cell/configuration_follower.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
-constexpr Duration kRetryDelay = 150ms;    // After a failed call.
-constexpr size_t kMaxUnansweredReads = 2;  // One may be on a dead connection.
-constexpr size_t kMaxUnansweredChecks = 3;
+constexpr Duration kRetryDelay = 150ms;        // After a failed call.
+constexpr size_t kMaxUnansweredReads = 2;      // One may be on a dead connection.
+constexpr size_t kMaxUnansweredChecks = 3;     // One over any connection, two over new ones, of which one is replaced.
 constexpr Duration kMinCheckInterval = 200ms;  // All hosts share the store's limits on calls.
 // Time without any part of an answer after which the connection of a call may be dead.
 constexpr Duration kAnswerTimeout = 250ms;
@@ -21,11 +21,7 @@
 }  // namespace
 
 ConfigurationFollower::ConfigurationFollower(Context& context, Apply apply, Duration wait)
-    : context_(context),
-      apply_(std::move(apply)),
-      wait_(wait),
-
-      requests_(context, [this] { CheckRequests(); }) {}
+    : context_(context), apply_(std::move(apply)), wait_(wait), requests_(context, [this] { CheckRequests(); }) {}
 
 void ConfigurationFollower::Begin() {
   SendNext();
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -190,8 +190,8 @@
     UpdateCheckpoint(*step, index, row.checkpoint);  // That of an earlier run is older than the one in use.
   }
   if (current) {
-    RequeueTask(*step, index,
-                NameOf(row.how));  // Also a long-running task that is done: it is restarted however it ends.
+    // Also a long-running task that is done: it is restarted however it ends.
+    RequeueTask(*step, index, NameOf(row.how));
   }
   if (row.how == EndKind::kFailed) {
     if (step->spec->gang) {
--- a/src/cell/placement.cc
+++ b/src/cell/placement.cc
@@ -347,9 +347,11 @@
       return;
     }
     const CandidateView view = ViewOf(step, worker);
-    CandidateView empty = view;
-    empty.free = empty.capacity;
-    candidates.slots_when_empty += SlotsOf(empty, DemandOf(step));
+    if (step.job->queue.advice) {
+      CandidateView empty = view;
+      empty.free = empty.capacity;
+      candidates.slots_when_empty += SlotsOf(empty, DemandOf(step));
+    }
     if (IsReservedForOther(step, worker) && !step.tentative_members.contains(worker.number)) {
       candidates.findings.reserved = candidates.findings.reserved || has_room;
       if (mostly_free_) {
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -141,7 +141,7 @@
     Candidates allowed;        // `with_ticket`, and allowed workers whose tickets must be requested first.
     Candidates reserved;       // Allowed, but reserved for another gang; filled only while the cell is mostly free.
     PassFindings findings;     // Workers left out.
-    int slots_when_empty = 0;  // Members that would fit on all allowed workers if nothing ran there.
+    int slots_when_empty = 0;  // Members that would fit on all allowed workers if nothing ran there; with advice only.
   };
   // Candidates for single tasks: workers with a valid ticket in `candidates`, the others in `without_ticket`.
   struct SingleTaskCandidates {
