--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -29,6 +29,8 @@
 constexpr double kSeriesShare = 0.14;  // Of the workers, as the platform's largest crashes.
 constexpr int kCancelledJobs = 3;
 constexpr int kSilences = 3;
+constexpr Duration kLateOrdersTime = 6s;  // Of late orders at all workers.
+constexpr double kLateOrdersShare = 0.5;
 constexpr int kHotJobs = 25;  // Of one tenant at once.
 constexpr int kRoutes = 4;    // Queues that come and go.
 constexpr Duration kRouteChangeEvery = 900ms;
@@ -351,10 +353,35 @@
     FaultyWorker("cut", faults);
   }
   void LateOrders() {
+    if (options_.late_orders) {
+      LateOrdersEverywhere();
+      return;
+    }
     CallFaults faults;
     faults.late_execution_share = 0.3;
     FaultyWorker("orders late at", faults);
   }
+  // Orders that are on their way when their worker crashes reach its next process.
+  void LateOrdersEverywhere() {
+    Note("orders late everywhere");
+    for (size_t i = 0; i < kWorkers; ++i) {
+      FakeWorker& worker = world_.worker(i);
+      worker.faults.late_execution_share = kLateOrdersShare;
+      world_.In(kLateOrdersTime, [&worker] { worker.faults.late_execution_share = 0; });
+      world_.In(Between(500ms, kLateOrdersTime), [this, &worker] { CrashBriefly(worker); });
+    }
+  }
+  void CrashBriefly(FakeWorker& worker) {
+    if (!worker.up) {
+      return;
+    }
+    worker.Crash();
+    world_.In(300ms, [&worker] {
+      if (!worker.up) {
+        worker.Restart();
+      }
+    });
+  }
   void LostOrders() {
     CallFaults faults;
     faults.lost_answer_share = 0.3;
--- a/tests/cell_chaos.h
+++ b/tests/cell_chaos.h
@@ -12,11 +12,12 @@
 struct CellChaosOptions {
   uint64_t seed = 1;
   bool log = false;
-  bool relays = false;     // The owner's orders go through other hosts.
-  bool tenants = false;    // Callers have API keys and quotas, and operators change both.
-  bool dense = false;      // More faults at the same time, and longer tasks.
-  bool routes = false;     // Operators add and drop queues in series, and callers ask for them.
-  size_t fault_kinds = 0;  // Draws only from the first kinds of faults, as seeds found earlier did. 0: from all.
+  bool relays = false;       // The owner's orders go through other hosts.
+  bool tenants = false;      // Callers have API keys and quotas, and operators change both.
+  bool dense = false;        // More faults at the same time, and longer tasks.
+  bool routes = false;       // Operators add and drop queues in series, and callers ask for them.
+  bool late_orders = false;  // Orders are late at all workers at the same time, and each worker starts again meanwhile.
+  size_t fault_kinds = 0;    // Draws only from the first kinds of faults, as seeds found earlier did. 0: from all.
 
   friend bool operator==(const CellChaosOptions&, const CellChaosOptions&) = default;
 };
