A start without an answer does not make its worker silent that has answered since

A silent worker gets no starts and no longer lease until it answers a hold, which waits for up to 1 s, and its tasks count as suspects of a crash. A copy of a start whose first was lost was not checked while that lasted, so the start was never given up.

Now a call without an answer says nothing against an answer to a later call. Ends are still named only after a hold that was sent later has been answered.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -213,6 +213,7 @@
   worker.replaced_ = false;
   worker.clock_known_ = false;
   worker.lists_clock_ = Duration(0);
+  worker.newest_answered_at_ = TimePoint{};
   const bool acknowledgement_may_arrive = worker.last_end_forgotten_ < worker.last_end_acknowledged_;
   if (acknowledgement_may_arrive) {
     worker.avoid_until = std::max(worker.avoid_until, worker.acknowledgement_sent_at_ + kMaxOrderDelay);
@@ -678,6 +679,7 @@
   }
   worker.lists_clock_ = answer.worker_clock;
   worker.lists_requested_at_ = requested_at;
+  worker.newest_answered_at_ = std::max(worker.newest_answered_at_, requested_at);
   const std::shared_ptr<bool> alive = alive_;
   const int64_t seen = worker.last_end_seen_;
   ApplyEnded(worker, answer);
@@ -805,20 +807,26 @@
   ++placed.sends;
   ScheduleStartCheck(worker, run);
   orders_.Start(TargetOf(worker), order,
-                [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run,
-                 token = order.token](const OrderAnswer& answer) {
+                [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run, token = order.token,
+                 sent_at = now](const OrderAnswer& answer) {
                   Worker* found = *alive ? Find(id) : nullptr;
                   if (found != nullptr && found->entry.born_ms == born) {
-                    OnStartAnswer(*found, run, token, answer);
+                    OnStartAnswer(*found, run, token, sent_at, answer);
                   }
                 });
 }
 
-void WorkerTable::OnStartAnswer(Worker& worker, const RunRef& run, uint64_t order_token, const OrderAnswer& answer) {
+void WorkerTable::OnStartAnswer(Worker& worker,
+                                const RunRef& run,
+                                uint64_t order_token,
+                                TimePoint sent_at,
+                                const OrderAnswer& answer) {
   context_.counters.Add(fmt::format("worker_starts{{status=\"{}\"}}", NameOf(answer.status)));
-  const bool answered = RecordAnswer(worker, answer);
+  const bool has_answered_since = worker.newest_answered_at_ > sent_at;
+  const bool answered = RecordAnswer(worker, answer, has_answered_since);
   const auto found = worker.placed.find(run);
   if (answered) {
+    worker.newest_answered_at_ = std::max(worker.newest_answered_at_, sent_at);
     worker.start_answered_at_ = context_.Now();
   }
   if (answered && found != worker.placed.end() && found->second.sends == 1) {
@@ -1002,15 +1010,16 @@
                });
 }
 
-// Updates clock and state from an answer. Returns false if there was none or it came from another life.
-bool WorkerTable::RecordAnswer(Worker& worker, const OrderAnswer& answer) {
+bool WorkerTable::RecordAnswer(Worker& worker, const OrderAnswer& answer, bool has_answered_since) {
   if (answer.status == OrderStatus::kUnknown || answer.status == OrderStatus::kNotSent ||
       answer.status == OrderStatus::kOtherInstance) {
     if (answer.reason == UnansweredReason::kNoConnectionFree) {
       return false;  // Nothing was learnt about the worker.
     }
     worker.unanswered_at_ = context_.Now();
-    MarkSilent(worker, answer);
+    if (!has_answered_since) {
+      MarkSilent(worker, answer);
+    }
     return false;
   }
   if (answer.born_ms != 0 && answer.born_ms != worker.entry.born_ms) {
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -146,6 +146,7 @@
   TimePoint lease_until_{};                        // All its runs are over by then.
   Duration lists_clock_{};                         // Worker clock of the newest lists applied.
   TimePoint lists_requested_at_{};                 // Local time at which they were requested.
+  TimePoint newest_answered_at_{};                 // When the newest call was sent that this life has answered.
   bool fence_counted_ = false;                     // See WorkerTable::CountFencedWorker.
   bool replaced_ = false;                          // Another instance has its address: its process has ended.
   TimePoint silent_since_{};                       // Valid while silent.
@@ -319,11 +320,17 @@
   void RepeatOrAbandonStart(Worker& worker, const RunRef& run);
   // A copy of the start was refused; earlier ones have no answer.
   void OnCopyRefused(Worker& worker, const RunRef& run, uint64_t order_token, const OrderAnswer& answer);
-  void OnStartAnswer(Worker& worker, const RunRef& run, uint64_t order_token, const OrderAnswer& answer);
+  void OnStartAnswer(Worker& worker,
+                     const RunRef& run,
+                     uint64_t order_token,
+                     TimePoint sent_at,
+                     const OrderAnswer& answer);
   void RecordUnansweredStart(Worker& worker, const RunRef& run);
   void AbandonStart(Worker& worker, const RunRef& run);
   void SendStop(Worker& worker, const RunRef& run);
-  bool RecordAnswer(Worker& worker, const OrderAnswer& answer);
+  // Updates clock and state from an answer. Returns false if there was none or it came from another life. A call
+  // without an answer makes the worker silent, unless it has answered one that was sent later.
+  bool RecordAnswer(Worker& worker, const OrderAnswer& answer, bool has_answered_since = false);
   bool IsFromCurrentLife(const Worker& worker, const OrderAnswer& answer) const;
   void MarkSilent(Worker& worker, const OrderAnswer& answer);
   // How long to wait before the next hold to a worker that did not answer the last one.
--- a/tests/cell_late_starts_test.cc
+++ b/tests/cell_late_starts_test.cc
@@ -45,6 +45,19 @@
   }
 }
 
+TEST_CASE("a start without an answer does not make its worker silent that answers later calls") {
+  CellWorld world(304, 3, 3);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  const auto silences = [&world] { return world.CounterOf(*world.OwnerIndex(), "worker_silences"); };
+  const double silences_before = silences();
+  DelayNextStarts(world, 20s);
+  world.SubmitWithRetries(JobOf(1, {StepOf(1, 1000)}), TaskBehaviour{6s, 0});
+  REQUIRE(WorkerOfDelayedStart(world) != nullptr);
+  world.RunFor(3s);
+  CHECK(silences() == silences_before);
+}
+
 // All copies of the start are late, and it is given up before the last one arrives.
 TEST_CASE("a task whose start was given up does not run elsewhere while a copy is on its way") {
   constexpr int kCopies = 4;
