A task whose run has failed waits while a copy of its start may be on its way

The first copy of a start is late, the second begins and ends as failed, and the task starts elsewhere; the worker starts again and the first copy begins there.

Now a run that ends otherwise than done, and of which several copies were sent, holds its step back until the newest copy has had its 1.5 s, as starts of an earlier life do. Test: "a task whose run has failed does not run elsewhere ..." (12 cases). Open: a gang whose end is acknowledged on the workers of other members while a copy of one is on its way.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -352,8 +352,39 @@
   }
 }
 
+bool WorkerTable::MayStillStart(const TaskRef& step) const {
+  return starts_to_void_of_step_.contains(step) || copies_of_step_.contains(step);
+}
+
+// A run is over that was started by one copy, and others may still arrive in the worker's next life.
+void WorkerTable::NoteCopies(const Worker& worker, const std::pair<const RunRef, PlacedRun>& run) {
+  const TimePoint arrived_by = run.second.placed_at + kMaxTransitTime;
+  if (run.second.sends <= 1 || arrived_by <= context_.Now()) {
+    return;
+  }
+  const TaskRef step = StepOf(run.first);
+  TimePoint& of_step = copies_of_step_[step];
+  of_step = std::max(of_step, arrived_by);
+  context_.timers.In(arrived_by - context_.Now(), [this, alive = alive_, step, id = worker.entry.id] {
+    if (!*alive) {
+      return;
+    }
+    const auto found = copies_of_step_.find(step);
+    if (found == copies_of_step_.end() || context_.Now() < found->second) {
+      return;
+    }
+    copies_of_step_.erase(found);
+    if (Worker* sender = Find(id); sender != nullptr) {
+      listener_.OnChanged(*sender);
+    }
+  });
+}
+
 std::optional<TimePoint> WorkerTable::StartsOverAt(const TaskRef& step) const {
   std::optional<TimePoint> over;
+  if (const auto copies = copies_of_step_.find(step); copies != copies_of_step_.end()) {
+    over = copies->second;
+  }
   for (const auto& [id, worker] : workers_) {
     for (const auto& [run, start] : worker->starts_to_void_) {
       if (StepOf(run) == step) {
@@ -702,6 +733,10 @@
       continue;
     }
     worker.last_end_seen_ = row.number;
+    const auto placed = worker.placed.find(row.run);
+    if (placed != worker.placed.end() && (row.how != EndKind::kDone || placed->second.demand.lasting)) {
+      NoteCopies(worker, *placed);
+    }
     RemoveRun(worker, row.run);
     listener_.OnEnded(worker, row);
   }
@@ -753,6 +788,7 @@
   }
   for (const RunRef& run : absent) {
     const bool was_running = worker.placed[run].confirmed;
+    NoteCopies(worker, *worker.placed.find(run));
     RemoveRun(worker, run);
     listener_.OnGone(worker, run, was_running ? GoneReason::kNotListed : GoneReason::kNeverRan);
   }
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -259,7 +259,7 @@
   size_t max_number() const { return max_number_; }  // Highest worker number assigned so far.
   bool AnyUnsettled() const { return unsettled_ > 0; }
   // True if a start of this step, identified by a task with index 0, may still arrive in a new life of its worker.
-  bool MayStillStart(const TaskRef& step) const { return starts_to_void_of_step_.contains(step); }
+  bool MayStillStart(const TaskRef& step) const;
   // When the last such start can no longer arrive, whether or not its worker answers. Empty if there is none.
   std::optional<TimePoint> StartsOverAt(const TaskRef& step) const;
   // When the runs of an earlier owner on a worker that was not reached are certainly over.
@@ -332,6 +332,7 @@
   // A copy of the start was refused; earlier ones have no answer.
   void OnCopyRefused(Worker& worker, const SentStart& start, const OrderAnswer& answer);
   void OnStartAnswer(Worker& worker, const SentStart& start, const OrderAnswer& answer);
+  void NoteCopies(const Worker& worker, const std::pair<const RunRef, PlacedRun>& run);
   void RecordUnansweredStart(Worker& worker, const RunRef& run);
   void AbandonStart(Worker& worker, const RunRef& run);
   void SendStop(Worker& worker, const RunRef& run);
@@ -393,6 +394,7 @@
   int unknown_demand_runs_ = 0;  // On all workers.
   TenantUsage tenant_usage_;
   TenantUsage lasting_usage_;
+  std::map<TaskRef, TimePoint> copies_of_step_;    // By when all copies of starts of ended runs have arrived, by step.
   std::map<TaskRef, int> starts_to_void_of_step_;  // Number of starts to void on all workers, by step.
   TimePoint recheck_since_{};                      // Time of the last RecheckAll.
   size_t max_number_ = 0;
--- a/tests/cell_late_starts_test.cc
+++ b/tests/cell_late_starts_test.cc
@@ -96,6 +96,32 @@
   CHECK(world.starts() == 0);
 }
 
+// The first copy is late; the second starts a run that fails, and the task starts again.
+TEST_CASE("a task whose run has failed does not run elsewhere while a copy of its start is on its way") {
+  constexpr Duration kTransitTime = 1400ms;
+  for (const Duration takes : {100ms, 300ms, 600ms, 900ms}) {
+    for (const Duration restart_before : {10ms, 30ms, 100ms}) {
+      CellWorld world(305, 3, 3);
+      AddQueues(world);
+      REQUIRE(Settle(world));
+      world.RunFor(kFirstLife);
+      FillWorkerFor(world, 200ms);
+      DelayNextStarts(world, kTransitTime);
+      const JobSpec job = JobOf(1, {StepOf(1, 1000)});
+      world.SubmitWithRetries(job, TaskBehaviour{takes, 1});
+      FakeWorker* worker = WorkerOfDelayedStart(world);
+      REQUIRE(worker != nullptr);
+      world.RunFor(kTransitTime - restart_before);
+      RestartUnnoticed(*worker);
+      world.RunFor(14s);
+      INFO("takes " << Millis(takes) << " ms, restart " << Millis(restart_before) << " ms before"
+                    << ViolationsOf(world));
+      CHECK(world.violations().empty());
+      CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+    }
+  }
+}
+
 // Returns false if no member was placed on the worker.
 bool CheckLateStartOfMember(size_t delayed, Duration transit_time) {
   CellWorld world(302, 3, 5);
