HTTP calls that are given up reset their connections

What callers saw: a call that timed out or was cancelled could still reach its server, seconds later when a partition was over. The cell then starts the task elsewhere, and the late start begins it a second time.

Cause: libcurl closes the connection of such a call in the ordinary way, and the kernel goes on delivering what it holds.

Change: the client ends calls at their deadlines itself (libcurl's own limit closes before anybody is told), and a connection that is closed because its call is ended without an answer is reset (SO_LINGER of 0 s): on timeout, stall, Cancel, and the end of the client. Connections whose last call was answered are closed as before. The clock of the deadlines is passed in.

Test: http_given_up_test.

--- a/src/ports/http_client.cc
+++ b/src/ports/http_client.cc
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -10,8 +11,10 @@
 #include <cerrno>
 #include <future>
 #include <mutex>
+#include <set>
 #include <thread>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace hibiscus {
@@ -83,6 +86,17 @@
   return transfer->send_count == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
+// Lets the next close of a socket reset its connection, such that the kernel drops what it has not delivered yet.
+void ResetOnClose(curl_socket_t socket) {
+  const linger reset{.l_onoff = 1, .l_linger = 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+const Clock& DefaultClock() {
+  static const SteadyClock kClock;
+  return kClock;
+}
+
 void InitCurlOnce() {
   static const CURLcode kInit = curl_global_init(CURL_GLOBAL_DEFAULT);
   (void)kInit;
@@ -91,14 +105,16 @@
 }  // namespace
 
 struct HttpClient::State {
-  explicit State(const HttpClientOptions& client_options) : options(client_options), budget(options.connections) {}
+  State(const HttpClientOptions& client_options, const Clock& client_clock)
+      : options(client_options), clock(client_clock), budget(options.connections) {}
 
   const HttpClientOptions options;
+  const Clock& clock;      // Of the deadlines.
+  SteadyClock curl_clock;  // Of libcurl's timer.
   CURLM* multi = nullptr;
-  int epoll_fd = -1;  // epoll: libcurl's sockets and `wake_fd`.
-  int wake_fd = -1;   // eventfd: signalled when `submitted` has calls, or to stop.
-  SteadyClock clock;
-  TimePoint timer_deadline = TimePoint::max();  // When libcurl's timer expires. Client thread only.
+  int epoll_fd = -1;                            // epoll: libcurl's sockets and `wake_fd`.
+  int wake_fd = -1;                             // eventfd: signalled when `submitted` has calls, or to stop.
+  TimePoint timer_deadline = TimePoint::max();  // When libcurl's timer expires, by `curl_clock`. Client thread only.
   std::mutex mutex;
   std::vector<std::unique_ptr<Transfer>> submitted;                 // Guarded by mutex.
   bool close_requested = false;                                     // Guarded by mutex.
@@ -110,8 +126,10 @@
   std::unordered_map<uint64_t, std::unique_ptr<Transfer>> waiting;  // For a connection. By number.
   std::vector<CURL*> idle_handles;                                  // For reuse.
   std::unordered_map<uint64_t, CURL*> stalling;                     // Running calls that end after a stall. By number.
+  std::set<std::pair<TimePoint, CURL*>> deadlines;                  // Of the other running calls.
   ConnectionBudget budget;
-  bool closing = false;  // All connections are to be closed once no call is running.
+  bool giving_up = false;  // A call is being ended without an answer: its connection is to be reset.
+  bool closing = false;    // All connections are to be closed once no call is running.
   std::unordered_map<curl_socket_t, std::string> open_sockets;  // The address of each.
   std::unordered_map<std::string, size_t> open_to;              // Number of open sockets by address.
   TimePoint idle_since{};                                       // No call is running since then.
@@ -133,7 +151,7 @@
   void StartSubmitted();
   void EndCalls(const std::vector<uint64_t>& numbers);
   void ExpireWaiting();
-  void ExpireStalled();
+  void ExpireRunning();
   void StartWaiting(const std::vector<uint64_t>& numbers);
   void Start(std::unique_ptr<Transfer> transfer);
   void FinishCompleted();
@@ -159,7 +177,7 @@
 int HttpClient::State::OnTimer(CURLM* /*multi*/, long timeout_ms, void* self) {
   auto* state = static_cast<State*>(self);
   state->timer_deadline =
-      timeout_ms < 0 ? TimePoint::max() : state->clock.Now() + std::chrono::milliseconds(timeout_ms);
+      timeout_ms < 0 ? TimePoint::max() : state->curl_clock.Now() + std::chrono::milliseconds(timeout_ms);
   return 0;
 }
 
@@ -195,6 +213,9 @@
     --state->counts.open;
     state->counts.open_to_one = open_to_one;
   }
+  if (state->giving_up) {
+    ResetOnClose(socket);
+  }
   return close(socket);
 }
 
@@ -231,24 +252,26 @@
   closing = false;
 }
 
-// The next moment at which the client's thread has to act.
+// The next moment at which the client's thread has to act, beside libcurl's timer.
 TimePoint HttpClient::State::NextDeadline() const {
-  TimePoint next = std::min(timer_deadline, budget.next_deadline().value_or(TimePoint::max()));
+  TimePoint next = budget.next_deadline().value_or(TimePoint::max());
   if (running.empty() && !open_sockets.empty()) {
     next = std::min(next, idle_since + options.idle_timeout);
   }
   for (const auto& [number, easy] : stalling) {
     next = std::min(next, running.at(easy)->deadline);
   }
-  return next;
+  return deadlines.empty() ? next : std::min(next, deadlines.begin()->first);
 }
 
 int HttpClient::State::EpollTimeoutMs() const {
   const TimePoint next = NextDeadline();
-  if (next == TimePoint::max()) {
+  if (next == TimePoint::max() && timer_deadline == TimePoint::max()) {
     return -1;
   }
-  const Duration left = std::max(Duration(0), next - clock.Now());
+  const Duration until_deadline = next == TimePoint::max() ? Duration::max() : next - clock.Now();
+  const Duration until_timer = timer_deadline == TimePoint::max() ? Duration::max() : timer_deadline - curl_clock.Now();
+  const Duration left = std::max(Duration(0), std::min(until_deadline, until_timer));
   return static_cast<int>(Millis(left + 999us));
 }
 
@@ -260,6 +283,8 @@
 void HttpClient::State::ProcessEvents() {
   std::array<epoll_event, kMaxEpollEvents> events{};
   const int count = epoll_wait(epoll_fd, events.data(), kMaxEpollEvents, EpollTimeoutMs());
+  ExpireWaiting();  // First: a call must not take a connection that becomes free at its own deadline.
+  ExpireRunning();  // Before the events: a request that is partly sent is not continued after its deadline.
   int running_count = 0;
   for (int i = 0; i < count; ++i) {
     const epoll_event& event = events[static_cast<size_t>(i)];
@@ -273,7 +298,7 @@
                      ((event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
     curl_multi_socket_action(multi, event.data.fd, what, &running_count);
   }
-  if (timer_deadline <= clock.Now()) {
+  if (timer_deadline <= curl_clock.Now()) {
     timer_deadline = TimePoint::max();
     curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running_count);
   }
@@ -290,9 +315,8 @@
     }
     StartSubmitted();
     ProcessEvents();
-    ExpireWaiting();  // First: a call must not take a connection that becomes free at its own deadline.
+    ExpireWaiting();
     FinishCompleted();
-    ExpireStalled();
     CloseIfIdle();
   }
   AbortAll();
@@ -328,10 +352,13 @@
   }
 }
 
-// libcurl's own time limit cannot be moved while a call is running.
-void HttpClient::State::ExpireStalled() {
+// libcurl's own time limit cannot be moved while a call is running, and closes the connection without a reset.
+void HttpClient::State::ExpireRunning() {
   const TimePoint now = clock.Now();
   std::vector<CURL*> expired;
+  for (auto next = deadlines.begin(); next != deadlines.end() && next->first <= now; ++next) {
+    expired.push_back(next->second);
+  }
   for (const auto& [number, easy] : stalling) {
     if (running.at(easy)->deadline <= now) {
       expired.push_back(easy);
@@ -383,8 +410,7 @@
   if (transfer->ends_after_stall()) {
     stalling[transfer->number] = easy;
   } else {
-    const long left = static_cast<long>(Millis(transfer->deadline - clock.Now()));
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max(1L, left));
+    deadlines.emplace(transfer->deadline, easy);
   }
   const Duration connect_timeout = call.new_connection ? call.timeout : kConnectTimeout;
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(Millis(connect_timeout)));
@@ -434,6 +460,7 @@
   const std::unique_ptr<Transfer> transfer = std::move(running[easy]);
   running.erase(easy);
   stalling.erase(transfer->number);
+  deadlines.erase({transfer->deadline, easy});
   HttpResult result;
   long status = 0;
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
@@ -449,7 +476,9 @@
     const std::lock_guard lock(mutex);
     ++counts.refused;
   }
-  curl_multi_remove_handle(multi, easy);
+  giving_up = code != CURLE_OK;
+  curl_multi_remove_handle(multi, easy);  // Closes the connection of a call that has not ended by itself.
+  giving_up = false;
   curl_slist_free_all(transfer->headers);
   idle_handles.push_back(easy);
   idle_since = clock.Now();
@@ -457,7 +486,10 @@
   StartWaiting(budget.Release(transfer->number));
 }
 
-HttpClient::HttpClient(const HttpClientOptions& options) : state_(std::make_unique<State>(options)) {
+HttpClient::HttpClient(const HttpClientOptions& options) : HttpClient(options, DefaultClock()) {}
+
+HttpClient::HttpClient(const HttpClientOptions& options, const Clock& clock)
+    : state_(std::make_unique<State>(options, clock)) {
   InitCurlOnce();
   state_->OpenMulti();
   state_->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
--- a/src/ports/http_client.h
+++ b/src/ports/http_client.h
@@ -57,13 +57,15 @@
   using Done = std::function<void(HttpResult)>;
 
   explicit HttpClient(const HttpClientOptions& options = {});
+  // `clock`: of the deadlines. Must outlive the client, and is read on all threads.
+  HttpClient(const HttpClientOptions& options, const Clock& clock);
   ~HttpClient();  // Calls in flight end with Delivery::kUnknown.
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
   // Returns a number for Cancel.
   uint64_t Send(HttpCall call, Done done);
-  // Ends a call that was sent and has no complete answer yet, and closes its connection; `done` is called as for a lost
+  // Ends a call that was sent and has no complete answer yet, and resets its connection; `done` is called as for a lost
   // answer. Has no effect on other calls.
   void Cancel(uint64_t number);
   // Closes all connections as soon as no call is in flight; later calls open new ones. Returns before that is done.
