HTTP calls are not sent after their deadline, also when the machine was suspended

What callers saw: after a pause of the process, calls that stood in the queue were started with 1 ms left and could be sent seconds after their caller had sent them; time in which the machine was suspended did not count at all. A call that never left the process during a pause could also make its worker count as silent.

Cause: libcurl's limit runs by the steady clock, and was rounded up to 1 ms for a call that was overdue already.

Change: the clock of the deadlines is BootClock by default. A call that is overdue when it would be started, at once or after it has waited for a connection, ends as not sent, with the reason of a call that found no connection free (nothing was learnt about the server), and passes its place on. The deadline is checked again just before the request is sent.

Test: two cases of http_given_up_test with a clock that the test advances. The check just before sending has no test of its own: it acts only if the process stands still within one round of events.

--- a/src/ports/http_client.cc
+++ b/src/ports/http_client.cc
@@ -17,6 +17,8 @@
 #include <utility>
 #include <vector>
 
+#include "ports/boot_clock.h"
+
 namespace hibiscus {
 
 namespace {
@@ -46,6 +48,7 @@
   TimePoint latest_end{};   // If it ends after a stall.
   TimePoint reported_at{};  // When its progress was last reported.
 
+  bool IsOverdue() const { return deadline <= clock->Now(); }
   bool ends_after_stall() const { return call.stall_timeout > Duration(0); }
 };
 
@@ -78,10 +81,14 @@
   return size * count;
 }
 
-// Called just before a request is sent. libcurl resends a request by itself when a reused connection closes without an
-// answer; the server may have executed the first one, so the second is aborted.
+// Called just before a request is sent, which may be long after its connection was requested. libcurl resends a request
+// by itself when a reused connection closes without an answer; the server may have executed the first one, so the
+// second is aborted.
 int OnBeforeSend(void* target, char* /*to_ip*/, char* /*from_ip*/, int /*to_port*/, int /*from_port*/) {
   auto* transfer = static_cast<Transfer*>(target);
+  if (transfer->IsOverdue()) {
+    return CURL_PREREQFUNC_ABORT;
+  }
   ++transfer->send_count;
   return transfer->send_count == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
@@ -93,7 +100,7 @@
 }
 
 const Clock& DefaultClock() {
-  static const SteadyClock kClock;
+  static const BootClock kClock;
   return kClock;
 }
 
@@ -152,7 +159,8 @@
   void EndCalls(const std::vector<uint64_t>& numbers);
   void ExpireWaiting();
   void ExpireRunning();
-  void StartWaiting(const std::vector<uint64_t>& numbers);
+  void StartWaiting(std::vector<uint64_t> numbers);
+  static void EndUnsent(const Transfer& transfer);
   void Start(std::unique_ptr<Transfer> transfer);
   void FinishCompleted();
   void Finish(CURL* easy, CURLcode code);
@@ -333,10 +341,11 @@
   for (std::unique_ptr<Transfer>& transfer : taken) {
     const HttpCall& call = transfer->call;
     const TimePoint send_by = transfer->deadline - std::min(kMinAnswerTime, call.timeout / 2);
-    if (budget.Admit(transfer->number, AddressOf(call.url), call.urgent, send_by)) {
-      Start(std::move(transfer));
-    } else {
-      waiting[transfer->number] = std::move(transfer);
+    const uint64_t number = transfer->number;
+    const bool admitted = budget.Admit(number, AddressOf(call.url), call.urgent, send_by);
+    waiting[number] = std::move(transfer);
+    if (admitted) {
+      StartWaiting({number});
     }
   }
   EndCalls(to_end);
@@ -345,13 +354,18 @@
 void HttpClient::State::ExpireWaiting() {
   for (const uint64_t number : budget.TakeExpired(clock.Now())) {
     const auto expired = waiting.extract(number);
-    HttpResult result;
-    result.delivery = Delivery::kNotSent;
-    result.reason = UnansweredReason::kNoConnectionFree;
-    expired.mapped()->done(std::move(result));
+    EndUnsent(*expired.mapped());
   }
 }
 
+// Nothing was learnt about the server.
+void HttpClient::State::EndUnsent(const Transfer& transfer) {
+  HttpResult result;
+  result.delivery = Delivery::kNotSent;
+  result.reason = UnansweredReason::kNoConnectionFree;
+  transfer.done(std::move(result));
+}
+
 // libcurl's own time limit cannot be moved while a call is running, and closes the connection without a reset.
 void HttpClient::State::ExpireRunning() {
   const TimePoint now = clock.Now();
@@ -379,9 +393,18 @@
   }
 }
 
-void HttpClient::State::StartWaiting(const std::vector<uint64_t>& numbers) {
-  for (const uint64_t number : numbers) {
-    Start(std::move(waiting.extract(number).mapped()));
+// Calls that have a connection each. One that is overdue passes its connection on.
+void HttpClient::State::StartWaiting(std::vector<uint64_t> numbers) {
+  for (size_t i = 0; i < numbers.size(); ++i) {
+    const uint64_t number = numbers[i];
+    std::unique_ptr<Transfer> transfer = std::move(waiting.extract(number).mapped());
+    if (!transfer->IsOverdue()) {
+      Start(std::move(transfer));
+      continue;
+    }
+    EndUnsent(*transfer);
+    const std::vector<uint64_t> next = budget.Release(number);
+    numbers.insert(numbers.end(), next.begin(), next.end());
   }
 }
 
--- a/src/ports/http_client.h
+++ b/src/ports/http_client.h
@@ -57,13 +57,14 @@
   using Done = std::function<void(HttpResult)>;
 
   explicit HttpClient(const HttpClientOptions& options = {});
-  // `clock`: of the deadlines. Must outlive the client, and is read on all threads.
+  // `clock`: of the deadlines; BootClock by default, so that time in which the machine is suspended counts. Must
+  // outlive the client, and is read on all threads.
   HttpClient(const HttpClientOptions& options, const Clock& clock);
   ~HttpClient();  // Calls in flight end with Delivery::kUnknown.
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  // Returns a number for Cancel.
+  // Returns a number for Cancel. The call is not sent after its deadline, also if the process stood still meanwhile.
   uint64_t Send(HttpCall call, Done done);
   // Ends a call that was sent and has no complete answer yet, and resets its connection; `done` is called as for a lost
   // answer. Has no effect on other calls.
--- a/tests/http_given_up_test.cc
+++ b/tests/http_given_up_test.cc
@@ -22,6 +22,7 @@
 
 constexpr size_t kHeldRequestBytes = size_t{32} * 1024 * 1024;  // More than the buffers of a connection take.
 constexpr int kEnoughMs = 30'000;                               // A test fails if it waits longer.
+constexpr std::chrono::milliseconds kPollInterval(10);
 constexpr std::chrono::milliseconds kEnough(kEnoughMs);
 constexpr Duration kTimeout = 1h;  // Of calls; passes only by TestClock.
 
@@ -64,6 +65,18 @@
   void Answer(const std::string& text) {
     REQUIRE(send(connection_, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
   }
+  // Waits until a call has ended. True if instead another request or connection arrives after the first request.
+  bool SendsMore(const std::future<HttpResult>& end) {
+    std::array<char, 4096> first{};
+    REQUIRE(recv(connection_, first.data(), first.size(), 0) > 0);
+    std::array<pollfd, 2> events{pollfd{connection_, POLLIN, 0}, pollfd{listener_.socket_descriptor(), POLLIN, 0}};
+    while (end.wait_for(kPollInterval) != std::future_status::ready) {
+      if (poll(events.data(), events.size(), 0) > 0 && ((events[0].revents | events[1].revents) & POLLHUP) == 0) {
+        return true;
+      }
+    }
+    return false;
+  }
   // Not read yet.
   size_t arrived_bytes() const {
     int bytes = 0;
@@ -184,5 +197,50 @@
   CHECK(received.bytes.ends_with("\r\n\r\nx"));
 }
 
+TEST_CASE("a call whose deadline passes before the client's thread runs again is not sent") {
+  HeldServer server;
+  TestClock clock;
+  std::promise<void> thread_stands;
+  std::promise<void> thread_goes_on;
+  std::promise<HttpResult> ended;
+  HttpClient client(HttpClientOptions{}, clock);
+  client.Send(HttpCall{"POST", server.url(), "first", kTimeout}, [&](const HttpResult& /*result*/) {
+    thread_stands.set_value();
+    thread_goes_on.get_future().wait();
+  });
+  server.AwaitRequest();
+  server.Answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+  REQUIRE(thread_stands.get_future().wait_for(kEnough) == std::future_status::ready);
+  client.Send(HttpCall{"POST", server.url(), "second", kTimeout},
+              [&](const HttpResult& result) { ended.set_value(result); });
+  clock.Advance(kTimeout + 1ms);
+  thread_goes_on.set_value();
+  std::future<HttpResult> end = ended.get_future();
+  CHECK(!server.SendsMore(end));
+  REQUIRE(end.wait_for(kEnough) == std::future_status::ready);
+  const HttpResult result = end.get();
+  CHECK(result.delivery == Delivery::kNotSent);
+  CHECK(result.reason == UnansweredReason::kNoConnectionFree);
+}
+
+TEST_CASE("a call whose deadline passes while it waits for a connection is not sent over the next free one") {
+  HeldServer server;
+  TestClock clock;
+  std::promise<HttpResult> ended;
+  HttpClient client(HttpClientOptions{.connections = {.total = 1, .urgent = 0}}, clock);
+  const uint64_t first = client.Send(HttpCall{"POST", server.url(), "first", 3 * kTimeout}, [](const HttpResult&) {});
+  server.AwaitRequest();
+  client.Send(HttpCall{"POST", server.url(), "second", kTimeout},
+              [&](const HttpResult& result) { ended.set_value(result); });
+  clock.Advance(kTimeout + 1ms);
+  client.Cancel(first);
+  std::future<HttpResult> end = ended.get_future();
+  CHECK(!server.SendsMore(end));
+  REQUIRE(end.wait_for(kEnough) == std::future_status::ready);
+  const HttpResult result = end.get();
+  CHECK(result.delivery == Delivery::kNotSent);
+  CHECK(result.reason == UnansweredReason::kNoConnectionFree);
+}
+
 }  // namespace
 }  // namespace hibiscus
