Connections between hosts that are given up are reset

What hosts saw: after a connection stopped acknowledging and was replaced, its messages could arrive after newer ones of the next connection. FrameLink promises that messages arrive in order or are lost.

Cause: the connection was closed in the ordinary way after kAckTimeout, and the kernel went on delivering what it held.

Change: such a connection is reset (SO_LINGER of 0 s). Connections that break by themselves, and those of a host that ends, are closed as before: its last messages are still delivered.

Test: a receiver that reads only after the sender has given up.

--- a/src/ports/frame_link.cc
+++ b/src/ports/frame_link.cc
@@ -156,6 +156,9 @@
   void CheckTimeout() {
     const SteadyTime now = std::chrono::steady_clock::now();
     if (waiting_since_ != SteadyTime{} && now - waiting_since_ > kAckTimeout) {
+      // Otherwise the kernel goes on delivering, and old messages arrive after those of the next connection.
+      boost::system::error_code ignored;  // The socket may be closed.
+      socket_.set_option(asio::socket_base::linger(true, 0), ignored);
       Disconnect();
       DropQueued();
     }
--- a/tests/frame_link_test.cc
+++ b/tests/frame_link_test.cc
@@ -1,5 +1,10 @@
 // Messages between the hosts of a cell: real sockets on loopback, over a relay that can be cut.
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <memory>
 #include <mutex>
@@ -10,13 +15,15 @@
 
 #include "ports/frame_link.h"
 #include "standins/relay.h"
+#include "tests/loopback_listener.h"
 
 namespace hibiscus {
 
 namespace {
 
 constexpr std::chrono::milliseconds kSendEvery(50);
-constexpr int kMostSends = 600;  // Only ends a hopeless run.
+constexpr size_t kHeldMessageBytes = 4'000'000;  // More than the receiver's buffer takes.
+constexpr int kMostSends = 600;                  // Only ends a hopeless run.
 
 // Keeps what arrives.
 class Inbox {
@@ -104,6 +111,29 @@
   CHECK(Arrives(sender, address, inbox));
 }
 
+// The receiver reads only once the sender has given up.
+TEST_CASE("messages of a connection that was given up do not arrive later") {
+  const LoopbackListener receiver;
+  FrameLink sender("127.0.0.1:0", [](const std::string&) {});
+  sender.Send(receiver.address(), {std::string(kHeldMessageBytes, 'x')});
+  const int connection = accept(receiver.socket_descriptor(), nullptr, nullptr);
+  REQUIRE(connection >= 0);
+  CHECK(Comes([&] { return sender.lost() > 0; }));
+  int arrived_bytes = 0;
+  REQUIRE(ioctl(connection, FIONREAD, &arrived_bytes) == 0);
+  std::vector<char> buffer(kHeldMessageBytes);
+  ssize_t received_bytes = 0;
+  ssize_t count = 0;
+  while ((count = recv(connection, buffer.data(), buffer.size(), 0)) > 0) {
+    received_bytes += count;
+  }
+  const int error = errno;
+  close(connection);
+  CHECK(count < 0);
+  CHECK(error == ECONNRESET);
+  CHECK(received_bytes == arrived_bytes);
+}
+
 TEST_CASE("a host that comes back at its address is reached again") {
   Inbox inbox;
   auto receiver = std::make_unique<FrameLink>("127.0.0.1:0", inbox.receiver());
