Connections of hosts that went silent are closed by the host that accepted them

What hosts saw: each connection from another host that went silent for good cost one descriptor and its buffers, until the process ended.

Cause: an incoming connection had neither a timeout nor keep-alive, and its sender only opens another one.

Ruled out: closing incoming connections that are idle. A message that is sent before the close arrives would be lost.

Change: accepted connections have keep-alive probes (idle 5 s, 5 probes 1 s apart), and TCP_USER_TIMEOUT of 10 s for an acknowledgement that is under way, as there are no probes meanwhile. Idle healthy connections stay open.

Test: on loopback the kernel answers the probes, so the test checks the settings of the accepted socket; before, the system's default of up to 7,875 s and no probes.

--- a/src/ports/frame_link.cc
+++ b/src/ports/frame_link.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include <fmt/core.h>
+#include <netinet/tcp.h>
 #include <boost/asio.hpp>
 
 namespace hibiscus {
@@ -24,6 +25,11 @@
 constexpr std::chrono::milliseconds kAckInterval(200);  // Period of sending acks and of checking for timeouts.
 constexpr std::chrono::milliseconds kAckTimeout(1000);  // A connection without an ack for this long is closed.
 constexpr std::chrono::milliseconds kReconnectDelay(100);
+// Of an incoming connection, whose sender may be idle for any time. It is closed when its sender no longer answers.
+constexpr std::chrono::seconds kKeepAliveIdle(5);
+constexpr std::chrono::seconds kKeepAliveInterval(1);
+constexpr int kKeepAliveProbes = 5;
+constexpr std::chrono::milliseconds kMaxUnacknowledged(10000);  // By the kernel of the sender, of what it was sent.
 constexpr size_t kLengthBytes = 4;
 constexpr size_t kAckBytes = 8;
 constexpr size_t kReadBufferBytes = size_t{16} * 1024;       // Bytes per read.
@@ -58,11 +64,30 @@
   return tcp::endpoint(ip, static_cast<uint16_t>(port));
 }
 
+using KeepAliveIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using KeepAliveInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using KeepAliveProbes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+// A sender whose connection goes silent opens another one and does not close this one. Closing idle connections instead
+// would lose what is sent meanwhile.
+void KeepAlive(tcp::socket& socket) {
+  boost::system::error_code ignored;  // Without it the connection stays open.
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(KeepAliveIdle(static_cast<int>(kKeepAliveIdle.count())), ignored);
+  socket.set_option(KeepAliveInterval(static_cast<int>(kKeepAliveInterval.count())), ignored);
+  socket.set_option(KeepAliveProbes(kKeepAliveProbes), ignored);
+  // There are no probes while an ack of ours is under way.
+  socket.set_option(UserTimeout(static_cast<int>(kMaxUnacknowledged.count())), ignored);
+}
+
 // A connection opened by another host.
 class IncomingConnection : public std::enable_shared_from_this<IncomingConnection> {
  public:
   IncomingConnection(tcp::socket socket, const FrameLink::Receiver& receiver)
-      : socket_(std::move(socket)), receiver_(receiver) {}
+      : socket_(std::move(socket)), receiver_(receiver) {
+    KeepAlive(socket_);
+  }
 
   void Read() {
     socket_.async_read_some(asio::buffer(chunk_),
--- a/tests/frame_link_test.cc
+++ b/tests/frame_link_test.cc
@@ -1,4 +1,6 @@
 // Messages between the hosts of a cell: real sockets on loopback, over a relay that can be cut.
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -6,6 +8,7 @@
 #include <atomic>
 #include <cerrno>
 #include <chrono>
+#include <filesystem>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -67,6 +70,30 @@
   return inbox.messages().size() > before;
 }
 
+int OptionOf(int socket, int level, int name) {
+  int value = 0;
+  socklen_t size = sizeof(value);
+  REQUIRE(getsockopt(socket, level, name, &value, &size) == 0);
+  return value;
+}
+
+// The socket of this process that was accepted at the port; -1 if there is none.
+int AcceptedAt(uint16_t port) {
+  for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) {
+    const int descriptor = std::stoi(entry.path().filename().string());
+    sockaddr_in local{};
+    sockaddr_in remote{};
+    socklen_t local_size = sizeof(local);
+    socklen_t remote_size = sizeof(remote);
+    if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &local_size) == 0 &&
+        getpeername(descriptor, reinterpret_cast<sockaddr*>(&remote), &remote_size) == 0 &&
+        ntohs(local.sin_port) == port) {
+      return descriptor;
+    }
+  }
+  return -1;
+}
+
 }  // namespace
 
 TEST_CASE("messages arrive whole and in order, short, long and empty ones") {
@@ -134,6 +161,25 @@
   CHECK(received_bytes == arrived_bytes);
 }
 
+// On loopback the kernel answers the probes, so that only the settings can be checked.
+TEST_CASE("an incoming connection whose sender is gone ends within a bounded time, idle or not") {
+  constexpr int kMaxSilenceSeconds = 10;
+  Inbox inbox;
+  FrameLink receiver("127.0.0.1:0", inbox.receiver());
+  FrameLink sender("127.0.0.1:0", [](const std::string&) {});
+  const auto port = static_cast<uint16_t>(receiver.port());
+  REQUIRE(Arrives(sender, AddressOf(port), inbox));
+  const int accepted = AcceptedAt(port);
+  REQUIRE(accepted >= 0);
+  CHECK(OptionOf(accepted, SOL_SOCKET, SO_KEEPALIVE) == 1);
+  CHECK(OptionOf(accepted, IPPROTO_TCP, TCP_KEEPIDLE) +
+            OptionOf(accepted, IPPROTO_TCP, TCP_KEEPINTVL) * OptionOf(accepted, IPPROTO_TCP, TCP_KEEPCNT) <=
+        kMaxSilenceSeconds);
+  const int unacknowledged_ms = OptionOf(accepted, IPPROTO_TCP, TCP_USER_TIMEOUT);
+  CHECK(unacknowledged_ms > 0);
+  CHECK(unacknowledged_ms <= kMaxSilenceSeconds * 1000);
+}
+
 TEST_CASE("a host that comes back at its address is reached again") {
   Inbox inbox;
   auto receiver = std::make_unique<FrameLink>("127.0.0.1:0", inbox.receiver());
