Randomised courses in which all messages between hosts are lost while the owner changes

An option, not a kind: courses of existing seeds stay as they are. Messages that are lost in one direction only are not covered.

--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -31,8 +31,10 @@
 constexpr int kSilences = 3;
 constexpr Duration kLateOrdersTime = 6s;  // Of late orders at all workers.
 constexpr double kLateOrdersShare = 0.5;
-constexpr int kHotJobs = 25;  // Of one tenant at once.
-constexpr int kRoutes = 4;    // Queues that come and go.
+constexpr Duration kSilentHostsEvery = 4s;  // At most, from the end of one silence to the next.
+constexpr int kChangesInSilence = 2;        // Of the owner.
+constexpr int kHotJobs = 25;                // Of one tenant at once.
+constexpr int kRoutes = 4;                  // Queues that come and go.
 constexpr Duration kRouteChangeEvery = 900ms;
 constexpr Duration kRouteRequestEvery = 25ms;
 constexpr Duration kWatchLossEvery = 5s;
@@ -82,6 +84,9 @@
       AskForRoutes();
       LoseWatches();
     }
+    if (options_.silent_hosts) {
+      SilenceHosts();
+    }
     world_.RunFor(kCourse);
     over_ = true;
     Heal();
@@ -554,6 +559,38 @@
     world_.CutPeers(host, true);
     world_.In(Between(1s, 6s), [this, host] { world_.CutPeers(host, false); });
   }
+  // All messages between hosts are lost for seconds, in series, while the owner is stopped, dies or stands still.
+  void SilenceHosts() {
+    if (over_) {
+      return;
+    }
+    const Duration silence = Between(1500ms, 6s);
+    Note(fmt::format("no messages between hosts for {} ms", Millis(silence)));
+    SetSilentHosts(true);
+    for (int i = 0; i < kChangesInSilence; ++i) {
+      world_.In(Between(1ms, silence), [this] { over_ ? void() : ChangeOwner(); });
+    }
+    world_.In(silence, [this] {
+      SetSilentHosts(false);
+      world_.In(Between(kSilentHostsEvery / 4, kSilentHostsEvery), [this] { SilenceHosts(); });
+    });
+  }
+  void SetSilentHosts(bool silent) {
+    for (size_t i = 0; i < kHosts; ++i) {
+      world_.CutPeers(i, silent);
+    }
+  }
+  void ChangeOwner() {
+    const auto owner = world_.OwnerIndex();
+    const uint64_t how = world_.random()() % 3;
+    if (how == 0) {
+      KillOwner();
+    } else if (how == 1 && owner) {
+      StopHost(*owner);
+    } else if (owner) {
+      Freeze(*owner);
+    }
+  }
   void MessagesLate() {
     Note("messages between hosts late");
     world_.late_message_share = 0.3;
--- a/tests/cell_chaos_main.cc
+++ b/tests/cell_chaos_main.cc
@@ -3,6 +3,7 @@
 //   hibiscus_cell_chaos --seeds=1..300 --tenants
 //   hibiscus_cell_chaos --seeds=1..300 --routes
 //   hibiscus_cell_chaos --seeds=1..300 --late_orders
+//   hibiscus_cell_chaos --seeds=1..300 --silent_hosts
 //   hibiscus_cell_chaos --seeds=17..17 --log
 #include <atomic>
 #include <cstdio>
@@ -23,6 +24,7 @@
 DEFINE_bool(dense, false, "more faults at the same time, and longer tasks");
 DEFINE_bool(routes, false, "operators add and drop queues in series, and callers ask for them");
 DEFINE_bool(late_orders, false, "orders are late at all workers at once, each of which starts again meanwhile");
+DEFINE_bool(silent_hosts, false, "all messages between hosts are lost for seconds, while the owner changes");
 DEFINE_int32(fault_kinds, 0, "draws only from this many kinds of faults, the oldest first; 0: from all");
 DEFINE_bool(log, false, "prints what the hosts log; for one seed");
 
@@ -42,6 +44,7 @@
                                                         .dense = FLAGS_dense,
                                                         .routes = FLAGS_routes,
                                                         .late_orders = FLAGS_late_orders,
+                                                        .silent_hosts = FLAGS_silent_hosts,
                                                         .fault_kinds = static_cast<size_t>(FLAGS_fault_kinds)});
       (result.ok() ? passed : failed)++;
       if (result.ok()) {
