The soak plays late orders that reach the next lives of workers, and silent paths between hosts

The soak's crashes of workers put single orders in transit, and its cuts between hosts met one host; neither showed it.

Each late start that a next life carries out is printed. - split_peers: the paths between two groups of hosts are silent, both ways or one way, in series, beside kills.

--- a/tests/process/cell_soak_test.sh
+++ b/tests/process/cell_soak_test.sh
@@ -8,3 +8,6 @@
 done
 # The owner loses power again and again; the workers, with 64 connections each, do not learn of it.
 tools/cell-soak "$1/hibiscusd" --seed=1 --seconds=15 --kinds=power --fault_interval=4
+# Late orders reach the next lives of workers, beside silent paths and connections between the hosts.
+tools/cell-soak "$1/hibiscusd" --seed=5 --seconds=6 --kinds=late_orders,split_peers,silence_peers --fault_interval=2 \
+  --longest_task=0.6
--- a/tools/cell_soak/callers.py
+++ b/tools/cell_soak/callers.py
@@ -20,8 +20,9 @@
 
 
 class Callers:
-    def __init__(self, network, hosts, checks, durations):
+    def __init__(self, network, hosts, checks, durations, longest_task):
         self.network, self.hosts, self.checks, self.durations = network, hosts, checks, durations
+        self.task_seconds = [each for each in TASK_S if each <= longest_task]
         self.session = None
         self.over = False
 
@@ -65,7 +66,7 @@
                 job = Job(f"{random.getrandbits(64):016x}",
                           [{"Count": 2, "Cpu": 300, "MemMb": 256, "EstimateMs": 800}], PASSING_PREFIX)
                 self.checks.jobs[job.id] = job
-                self.durations[job.id] = random.choice(TASK_S)
+                self.durations[job.id] = random.choice(self.task_seconds)
                 tasks.append(asyncio.ensure_future(self.submit(job)))
             await asyncio.sleep(COUNT_INTERVAL_S)
         await asyncio.gather(*tasks)
@@ -77,7 +78,7 @@
             steps.append({**steps[0], "Count": 2, "After": [0]})
         job = Job(f"{random.getrandbits(64):016x}", steps, PREFIX)
         self.checks.jobs[job.id] = job
-        self.durations[job.id] = random.choice(TASK_S)
+        self.durations[job.id] = random.choice(self.task_seconds)
         if not await self.submit(job):
             return
         choice = random.random()
--- a/tools/cell_soak/faults.py
+++ b/tools/cell_soak/faults.py
@@ -16,12 +16,15 @@
         self.kinds = [self.pause, self.pause, self.kill, self.terminate, self.cut_off, self.cut_off, self.cut_store,
                       self.cut_peers, self.cut_workers, self.store_down, self.store_unsure, self.silent_watches,
                       self.cut_worker, self.power, self.crash_workers]
-        self.named_kinds = [self.silence_connections]  # Only with --kinds: the draws of a seed stay the same without.
+        # Only with --kinds: the draws of a seed stay the same without.
+        self.named_kinds = [self.silence_connections, self.late_orders, self.split_peers, self.silence_peers]
         self.until = 0
         self.power_losses = 0
 
     def only(self, names):
         self.kinds += self.named_kinds
+        if names == ["all"]:
+            return
         unknown = set(names) - {kind.__name__ for kind in self.kinds}
         if unknown:
             raise SystemExit(f"no such disruptions: {', '.join(sorted(unknown))}")
@@ -164,8 +167,68 @@
             self.checks.disturb(each, 0)
         self.checks.disturb("store", 0)
 
+    async def split_peers(self):
+        """Paths between two groups of hosts are silent, a few times in series; a host may be killed meanwhile."""
+        for _ in range(random.randint(1, 4)):
+            if self.checks.at() >= self.until:
+                return
+            share = random.choice([0.2, 0.5])
+            one = [host for host in range(len(self.hosts)) if random.random() < share]
+            seconds, one_way = random.uniform(0.5, 4), random.random() < 0.5
+            links = [link for link in self.links if link.source in one and link.target not in one or
+                     not one_way and link.source not in one and link.target in one]
+            self.note(f"{one} lose the other hosts for {seconds:.1f} s, one way {one_way}")
+            for host in range(len(self.hosts)):
+                self.checks.disturb(host, seconds)
+            for link in links:
+                link.cut(True, holds_closes=True)
+            kill = self.kill() if random.random() < 0.5 else asyncio.sleep(0)
+            await asyncio.gather(asyncio.sleep(seconds), self.after(random.uniform(0, seconds), kill))
+            for link in links:
+                link.cut(False)
+            await asyncio.sleep(random.uniform(0, 1))
+
+    async def silence_peers(self):
+        """Open connections between hosts carry nothing any more; new ones do. A few times in series, beside kills."""
+        for _ in range(random.randint(1, 3)):
+            if self.checks.at() >= self.until:
+                return
+            share, host = random.choice([0.3, 0.7, 1]), self.any_host()
+            links = random.choice([self.links, [link for link in self.links if host in (link.source, link.target)]])
+            silent = sum(link.silence_connections(share) for link in links)
+            self.note(f"{silent} connections between hosts are silent for good, of {len(links)} paths")
+            for each in range(len(self.hosts)):
+                self.checks.disturb(each, 0)
+            if random.random() < 0.4:
+                await self.after(random.uniform(0, 1), self.kill())
+            await asyncio.sleep(random.uniform(0.3, 3))
+
+    @staticmethod
+    async def after(seconds, disruption):
+        await asyncio.sleep(seconds)
+        await disruption
+
     # --- Workers ---
 
+    async def late_orders(self):
+        """Orders to several workers get no answer and arrive late; each starts again under its id meanwhile."""
+        workers = [worker for worker in random.sample(self.workers.all, min(random.randint(3, 8), len(self.workers.all)))
+                   if worker.up and not worker.crash_near and not worker.orders_late]
+        self.note(f"orders to {len(workers)} workers are late")
+        await asyncio.gather(*(self.restart_with_late_orders(worker) for worker in workers))
+
+    async def restart_with_late_orders(self, worker):
+        worker.orders_late = True
+        worker.start_late.clear()
+        await asyncio.wait([asyncio.ensure_future(worker.start_late.wait())], timeout=3)
+        await asyncio.sleep(random.uniform(0.4, 1.2))  # The start is found not to run, or repeated.
+        down, entry_late = 0.1, random.choice([0, 0.5, 2])
+        if worker.up and not worker.crash_near:
+            self.note(f"w{worker.number} starts again after {down} s, its entry comes {entry_late} s later")
+            await self.workers.crash(worker, down, entry_late)
+        await asyncio.sleep(random.uniform(0.3, 2))
+        worker.orders_late = False
+
     async def crash_workers(self):
         """Workers crash and start again under their ids, a few in series; orders in transit may reach the next life."""
         for _ in range(random.randint(1, 4)):
@@ -231,6 +294,7 @@
             self.restart(host)
         for worker in self.workers.all:
             worker.cut_from_store = False
+            worker.orders_late = False
             for path in worker.paths:
                 path.faults.clear()
         for link in self.links:
--- a/tools/cell_soak/network.py
+++ b/tools/cell_soak/network.py
@@ -4,6 +4,8 @@
 itself. All addresses are of the same length: replacing one by another changes no length in an encoded message.
 """
 import asyncio
+import random
+import weakref
 
 PEER_PORT = 7720
 METRICS_PORT = 7721
@@ -49,18 +51,31 @@
 
 
 class PeerLink:
-    """Carries the messages of one host to another. While it is cut, bytes wait and nothing is reset."""
+    """Carries the messages of one host to another. While it is cut, bytes wait and nothing is reset.
+
+    Single connections can be silent for good: their bytes are lost, and neither end learns that the other has closed.
+    """
 
     def __init__(self, network, source, target):
         self.network, self.source, self.target = network, source, target
         self.open = asyncio.Event()
         self.open.set()
+        self.holds_closes = False             # While it is cut, a close waits as bytes do.
+        self.connections = weakref.WeakSet()  # Writers to the source.
+        self.silent = weakref.WeakSet()       # Of these: they carry nothing any more.
 
     async def start(self):
         await asyncio.start_server(self._serve, self.network.peer_link(self.source, self.target), PEER_PORT)
 
-    def cut(self, cut):
+    def cut(self, cut, holds_closes=False):
         self.open.clear() if cut else self.open.set()
+        self.holds_closes = cut and holds_closes
+
+    def silence_connections(self, share):
+        """A share of those that are open carry nothing any more; new ones do."""
+        chosen = [each for each in self.connections if not each.is_closing() and random.random() < share]
+        self.silent.update(chosen)
+        return len(chosen)
 
     async def _serve(self, reader, writer):
         await self.open.wait()
@@ -69,18 +84,25 @@
         except OSError:
             writer.transport.abort()
             return
-        await asyncio.wait([asyncio.ensure_future(self._messages(reader, out_writer)),
-                            asyncio.ensure_future(self._acks(out_reader, writer))],
-                           return_when=asyncio.FIRST_COMPLETED)
+        self.connections.add(writer)
+        parts = [asyncio.ensure_future(self._messages(reader, out_writer, writer)),
+                 asyncio.ensure_future(self._acks(out_reader, writer))]
+        await asyncio.wait(parts, return_when=asyncio.FIRST_COMPLETED)
+        if self.holds_closes:
+            await self.open.wait()
+        if writer in self.silent:
+            await asyncio.wait(parts)
         writer.transport.abort()
         out_writer.transport.abort()
 
-    async def _messages(self, reader, writer):
+    async def _messages(self, reader, writer, connection):
         try:
             while True:
                 length = await reader.readexactly(4)
                 message = await reader.readexactly(int.from_bytes(length, "big"))
                 await self.open.wait()
+                if connection in self.silent:
+                    continue
                 writer.write(length + self.network.seen_by(self.network.sent_by(message, self.source), self.target))
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError):
@@ -90,6 +112,8 @@
         try:
             while data := await reader.read(4096):
                 await self.open.wait()
+                if writer in self.silent:
+                    continue
                 writer.write(data)
                 await writer.drain()
         except OSError:
--- a/tools/cell_soak/workers.py
+++ b/tools/cell_soak/workers.py
@@ -16,7 +16,10 @@
 CLOCK_AT_BIRTH_MS = 1000
 MAX_CONNECTIONS = 64  # That a worker accepts, of all hosts together.
 IN_TRANSIT_SHARE = 0.3  # Of the orders that are sent to a worker about to crash.
-MAX_TRANSIT_S = 1.5
+TRANSIT_S = (0.2, 1.5)
+LATE_S = (0.3, 1.4)  # Of orders that are late while Worker.orders_late is set.
+LATE_START_SHARE = 0.5
+LATE_ORDER_SHARE = 0.1  # Of stops and holds; most answers show that a late start has not come.
 
 
 class Connections:
@@ -72,6 +75,8 @@
         self.entry_written_at = time.monotonic()
         self.entry_due_at = 0    # The first one of this life.
         self.crash_near = False
+        self.orders_late = False  # Some get no answer and arrive late.
+        self.start_late = asyncio.Event()
         self.in_transit = set()  # Connections of orders that the crash overtakes; their senders do not learn of it.
         self.ends_named = asyncio.Event()  # By one of these orders, a hold.
         self.told_life = {}      # That the last lists named, by host.
@@ -128,10 +133,14 @@
             body = await request.json()
             if body.get("LastSeen") or random.random() < IN_TRANSIT_SHARE:
                 self.in_transit.add(request.protocol)
-                asyncio.ensure_future(self._carry_out_late(handler, body, host))
+                asyncio.ensure_future(self._carry_out_late(handler, body, host, TRANSIT_S))
                 if body.get("LastSeen"):
                     self.ends_named.set()
                 return await server.no_answer(request)
+        elif self.orders_late and not self.paths[host].faults.silent and self._is_late(request.path):
+            self.in_transit.add(request.protocol)
+            asyncio.ensure_future(self._carry_out_late(handler, await request.json(), host, LATE_S))
+            return await server.no_answer(request)
 
         async def handle(body):
             if not self.up:  # The crash came while the connection was being accepted.
@@ -148,16 +157,28 @@
             return status, {**answer, "ClockMs": self.clock_ms()}
         return await server.call(request, self.paths[host].faults, handle)
 
-    async def _carry_out_late(self, handler, body, host):
+    def _is_late(self, path):
+        late = random.random() < (LATE_START_SHARE if path == "/run-start" else LATE_ORDER_SHARE)
+        if late and path == "/run-start":
+            self.start_late.set()
+        return late
+
+    async def _carry_out_late(self, handler, body, host, seconds):
         """An order in transit: it reaches whichever process runs by then."""
         sent_at, born_ms, told = time.monotonic(), self.born_ms, self.told_life.get(host, self.born_ms)
-        await asyncio.sleep(random.uniform(0.2, MAX_TRANSIT_S))
+        await asyncio.sleep(random.uniform(*seconds))
         if self.up:
             if self.born_ms != born_ms:
-                self.checks.count(f"{handler.__name__[1:]}s carried out by the next life")
+                self._note_next_life(handler.__name__[1:], body, host, time.monotonic() - sent_at)
             self.end_due_runs()
             await handler(body, host, sent_at, told)
 
+    def _note_next_life(self, order, body, host, age):
+        self.checks.count(f"{order}s carried out by the next life")
+        if order == "start":
+            print(f"{self.checks.at():7.3f} w{self.number}: the start of {body['Task']} run {body['Run']} by h{host} "
+                  f"reaches the next life after {age:.3f} s", flush=True)
+
     def _fenced(self, body):
         token = body.get("FencingToken", 0)
         if token < self.token:
