Tests of late starts and of given-up calls: one check each instead of copies

The three cases of late starts share CheckLateStart, with 20 s instead of 14 s after the restart; the three of given-up calls share CheckNothingMoreArrives.

--- a/tests/cell_late_starts_test.cc
+++ b/tests/cell_late_starts_test.cc
@@ -16,23 +16,30 @@
   REQUIRE(world.RunUntil([&] { return world.starts() == 2; }, 2s));
 }
 
-// The start is given up, stopped and absent from the worker's lists; then its worker starts again.
-void CheckLateStart(Duration transit_time, Duration restart_before) {
-  CellWorld world(301, 3, 3);
+struct LateStart {
+  uint64_t seed = 0;
+  Duration transit_time{};
+  Duration restart_before{};  // The worker starts again unnoticed, this long before the last late copy arrives.
+  int late_copies = 1;
+  TaskBehaviour behaviour{6s, 0};
+};
+
+void CheckLateStart(const LateStart& start) {
+  CellWorld world(start.seed, 3, 3);
   AddQueues(world);
   REQUIRE(Settle(world));
   world.RunFor(kFirstLife);
   FillWorkerFor(world, 200ms);
-  DelayNextStarts(world, transit_time);
+  DelayNextStarts(world, start.transit_time, start.late_copies);
   const JobSpec job = JobOf(1, {StepOf(1, 1000)});
-  world.SubmitWithRetries(job, TaskBehaviour{6s, 0});
+  world.SubmitWithRetries(job, start.behaviour);
   FakeWorker* worker = WorkerOfDelayedStart(world);
   REQUIRE(worker != nullptr);
-  world.RunFor(transit_time - restart_before);
+  world.RunFor(start.transit_time - start.restart_before);
   RestartUnnoticed(*worker);
-  world.RunFor(14s);
-  INFO("start " << Millis(transit_time) << " ms in transit, restart " << Millis(restart_before) << " ms before"
-                << ViolationsOf(world));
+  world.RunFor(20s);
+  INFO("start " << Millis(start.transit_time) << " ms in transit, restart " << Millis(start.restart_before)
+                << " ms before, takes " << Millis(start.behaviour.takes) << " ms" << ViolationsOf(world));
   CHECK(world.violations().empty());
   CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
 }
@@ -40,7 +47,7 @@
 TEST_CASE("a task does not run elsewhere when its late start reaches a life of its worker that is not known yet") {
   for (const Duration transit_time : {1400ms, 3000ms, 5000ms}) {
     for (const Duration restart_before : {10ms, 30ms, 100ms, 200ms}) {
-      CheckLateStart(transit_time, restart_before);
+      CheckLateStart({.seed = 301, .transit_time = transit_time, .restart_before = restart_before});
     }
   }
 }
@@ -60,25 +67,8 @@
 
 // All copies of the start are late, and it is given up before the last one arrives.
 TEST_CASE("a task whose start was given up does not run elsewhere while a copy is on its way") {
-  constexpr int kCopies = 6;
-  constexpr Duration kTransitTime = 1400ms;
   for (const Duration restart_before : {10ms, 30ms, 100ms}) {
-    CellWorld world(303, 3, 3);
-    AddQueues(world);
-    REQUIRE(Settle(world));
-    world.RunFor(kFirstLife);
-    FillWorkerFor(world, 200ms);
-    DelayNextStarts(world, kTransitTime, kCopies);
-    const JobSpec job = JobOf(1, {StepOf(1, 1000)});
-    world.SubmitWithRetries(job, TaskBehaviour{6s, 0});
-    FakeWorker* worker = WorkerOfDelayedStart(world);
-    REQUIRE(worker != nullptr);
-    world.RunFor(kTransitTime - restart_before);
-    RestartUnnoticed(*worker);
-    world.RunFor(20s);
-    INFO("restart " << Millis(restart_before) << " ms before" << ViolationsOf(world));
-    CHECK(world.violations().empty());
-    CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+    CheckLateStart({.seed = 303, .transit_time = 1400ms, .restart_before = restart_before, .late_copies = 6});
   }
 }
 
@@ -98,26 +88,12 @@
 
 // The first copy is late; the second starts a run that fails, and the task starts again.
 TEST_CASE("a task whose run has failed does not run elsewhere while a copy of its start is on its way") {
-  constexpr Duration kTransitTime = 1400ms;
   for (const Duration takes : {100ms, 300ms, 600ms, 900ms}) {
     for (const Duration restart_before : {10ms, 30ms, 100ms}) {
-      CellWorld world(305, 3, 3);
-      AddQueues(world);
-      REQUIRE(Settle(world));
-      world.RunFor(kFirstLife);
-      FillWorkerFor(world, 200ms);
-      DelayNextStarts(world, kTransitTime);
-      const JobSpec job = JobOf(1, {StepOf(1, 1000)});
-      world.SubmitWithRetries(job, TaskBehaviour{takes, 1});
-      FakeWorker* worker = WorkerOfDelayedStart(world);
-      REQUIRE(worker != nullptr);
-      world.RunFor(kTransitTime - restart_before);
-      RestartUnnoticed(*worker);
-      world.RunFor(14s);
-      INFO("takes " << Millis(takes) << " ms, restart " << Millis(restart_before) << " ms before"
-                    << ViolationsOf(world));
-      CHECK(world.violations().empty());
-      CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+      CheckLateStart({.seed = 305,
+                      .transit_time = 1400ms,
+                      .restart_before = restart_before,
+                      .behaviour = TaskBehaviour{takes, 1}});
     }
   }
 }
--- a/tests/http_given_up_test.cc
+++ b/tests/http_given_up_test.cc
@@ -139,11 +139,8 @@
   uint64_t number_ = 0;
 };
 
-TEST_CASE("the rest of a request is not delivered after its timeout") {
-  HeldServer server;
-  OneCall call(server, kHeldRequestBytes);
-  server.AwaitRequest();
-  call.PassTimeout();
+// The call has been given up.
+void CheckNothingMoreArrives(HeldServer& server, OneCall& call) {
   CHECK(call.AwaitEnd() == Delivery::kUnknown);
   const size_t arrived_bytes = server.arrived_bytes();
   const Received received = server.ReadToEnd();
@@ -151,16 +148,20 @@
   CHECK(received.bytes.size() == arrived_bytes);
 }
 
+TEST_CASE("the rest of a request is not delivered after its timeout") {
+  HeldServer server;
+  OneCall call(server, kHeldRequestBytes);
+  server.AwaitRequest();
+  call.PassTimeout();
+  CheckNothingMoreArrives(server, call);
+}
+
 TEST_CASE("the rest of a request is not delivered after it was cancelled") {
   HeldServer server;
   OneCall call(server, kHeldRequestBytes);
   server.AwaitRequest();
   call.Cancel();
-  CHECK(call.AwaitEnd() == Delivery::kUnknown);
-  const size_t arrived_bytes = server.arrived_bytes();
-  const Received received = server.ReadToEnd();
-  CHECK(received.reset);
-  CHECK(received.bytes.size() == arrived_bytes);
+  CheckNothingMoreArrives(server, call);
 }
 
 TEST_CASE("the rest of a request is not delivered after its client was destroyed") {
@@ -168,11 +169,7 @@
   OneCall call(server, kHeldRequestBytes);
   server.AwaitRequest();
   call.DestroyClient();
-  CHECK(call.AwaitEnd() == Delivery::kUnknown);
-  const size_t arrived_bytes = server.arrived_bytes();
-  const Received received = server.ReadToEnd();
-  CHECK(received.reset);
-  CHECK(received.bytes.size() == arrived_bytes);
+  CheckNothingMoreArrives(server, call);
 }
 
 TEST_CASE("a call without an answer resets its connection") {
