--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -838,26 +838,26 @@
   if (reserved == worker.placed.end() || reserved->second.phase != PlacedPhase::kStarting || reserved->second.sent) {
     return;
   }
-  const RunRef run = order.run;
   reserved->second.sent = true;
-  reserved->second.order = std::make_shared<const StartOrder>(std::move(order));
-  SendStart(worker, run);
+  SendStart(worker, std::move(order));
 }
 
-void WorkerTable::SendStart(Worker& worker, const RunRef& run) {
+void WorkerTable::SendStart(Worker& worker, StartOrder order) {
+  const RunRef run = order.run;
   PlacedRun& placed = worker.placed.at(run);
   const TimePoint now = context_.Now();
-  StartOrder order = *placed.order;
   order.token = worker.token_;
   order.deadline = worker.ClockAt(now) + kStartDeadline;
   ExtendLease(worker, order.deadline);
   placed.absence_valid_after = order.deadline;
   placed.placed_at = now;
   ++placed.sends;
+  const auto sent = std::make_shared<const StartOrder>(std::move(order));
+  placed.order = sent;
   ScheduleStartCheck(worker, run);
   orders_.Start(
-      TargetOf(worker), order,
-      [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run, token = order.token,
+      TargetOf(worker), *sent,
+      [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run, token = sent->token,
        copy = placed.sends, sent_at = now, note_answer = NoteSentStart(worker, run)](const OrderAnswer& answer) {
         if (!*alive) {
           return;
@@ -976,12 +976,11 @@
     AbandonStart(worker, run);
     return;
   }
-  placed.order = std::make_shared<const StartOrder>(std::move(order));
   RecordUnansweredStart(worker, run);
   context_.counters.Add("worker_starts_repeated");
   context_.Log("worker", "event=start_repeated worker={} job={} step={} index={} run={} sends={}", worker.entry.id,
                run.task.job, run.task.step, run.task.index, run.run, placed.sends + 1);
-  SendStart(worker, run);
+  SendStart(worker, std::move(order));
 }
 
 // Stops a start that was not confirmed; its task may be placed elsewhere once the run is certainly over.
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -334,8 +334,8 @@
   void ApplyAbsent(Worker& worker, TimePoint requested_at, const OrderAnswer& answer);
   void ScheduleStartCheck(const Worker& worker, const RunRef& run);
   void CheckOverdueStart(Worker& worker, const RunRef& run);
-  // Sends a copy of the run's start.
-  void SendStart(Worker& worker, const RunRef& run);
+  // Sends a copy of a start, and keeps it in case it has to be sent again.
+  void SendStart(Worker& worker, StartOrder order);
   // Notes a copy of a start for StartsArrivedBy. Returns what to call with its answer.
   std::function<void(const OrderAnswer&)> NoteSentStart(const Worker& worker, const RunRef& run);
   // The worker's lists lack a run whose start has no answer.
