--- a/tests/cell_late_starts_test.cc
+++ b/tests/cell_late_starts_test.cc
@@ -21,6 +21,7 @@
   Duration transit_time{};
   Duration restart_before{};  // The worker starts again unnoticed, this long before the last late copy arrives.
   int late_copies = 1;
+  bool drains = false;  // Its worker gets no copy.
   TaskBehaviour behaviour{6s, 0};
 };
 
@@ -35,6 +36,10 @@
   world.SubmitWithRetries(job, start.behaviour);
   FakeWorker* worker = WorkerOfDelayedStart(world);
   REQUIRE(worker != nullptr);
+  if (start.drains) {
+    worker->entry.draining = true;
+    world.WriteWorkerEntry(*worker);
+  }
   world.RunFor(start.transit_time - start.restart_before);
   RestartUnnoticed(*worker);
   world.RunFor(20s);
@@ -65,13 +70,19 @@
   CHECK(silences() == silences_before);
 }
 
-// All copies of the start are late, and it is given up before the last one arrives.
-TEST_CASE("a task whose start was given up does not run elsewhere while a copy is on its way") {
+TEST_CASE("a task does not run elsewhere when all copies of its start are late") {
   for (const Duration restart_before : {10ms, 30ms, 100ms}) {
     CheckLateStart({.seed = 303, .transit_time = 1400ms, .restart_before = restart_before, .late_copies = 6});
   }
 }
 
+// The worker begins to drain, so the start is given up without a copy.
+TEST_CASE("a task whose start was given up does not run elsewhere while it is on its way") {
+  for (const Duration restart_before : {10ms, 30ms, 100ms}) {
+    CheckLateStart({.seed = 303, .transit_time = 1400ms, .restart_before = restart_before, .drains = true});
+  }
+}
+
 TEST_CASE("a start without an answer is not sent again to a worker that its queue no longer uses") {
   CellWorld world(306, 3, 3);
   AddQueues(world);
