The review's stand-in fills in the time for a configuration

The cases of review/ did not run: the settings template names Bounds.ConfigApplyMs since the bound of configurations is a setting, and the stand-in left the placeholder, so every host refused its settings (exit code 2).

--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -41,10 +41,10 @@
 }
 
 // As on the sheet of a small deployment.
-const std::map<std::string, std::string> kFields = {{"Limits.CpuShare", "0.25"},  {"Limits.Cores", "1"},
-                                                    {"Bounds.MaxHoldMs", "6000"}, {"Bounds.GangTimeoutMs", "3000"},
-                                                    {"Bounds.status_s", "120"},   {"platform.MinTtlMs", "1000"},
-                                                    {"Bounds.GraceS", "6"}};
+const std::map<std::string, std::string> kFields = {{"Limits.CpuShare", "0.25"},      {"Limits.Cores", "1"},
+                                                    {"Bounds.MaxHoldMs", "6000"},     {"Bounds.ConfigApplyMs", "2500"},
+                                                    {"Bounds.GangTimeoutMs", "3000"}, {"Bounds.status_s", "120"},
+                                                    {"platform.MinTtlMs", "1000"},    {"Bounds.GraceS", "6"}};
 
 }  // namespace
 
