The stand-in carries late orders out in whatever life of the worker is up

PROTOCOL: "A call that receives no response may have been executed. It may also be executed seconds later, after newer calls", and "A minion may start again under the Id that it had. It then holds and knows nothing of before".

Change: FakeHost::CarryOutLate carries an order out in the life that is up by then, up to 11.5 s after it was sent (late_execution_share; the draws are as before), and by transit_time. An order for another id is dropped, also below 1.5 s, where it was carried out before: "X-Hibiscusstand-Expect-Instance names the intended incarnation. Any other incarnation responds with 421". One line of the log for each such order: order_carried_out_late, with the worker, born_ms, the kind of order, its run, the answer and how late it is.

--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -16,7 +16,6 @@
 constexpr Duration kNewConnectionTimeout = 3s;   // Of large reads over a new connection.
 constexpr Duration kMaxMessageDelay = 2s;        // Exclusive bound for delayed messages between hosts.
 constexpr Duration kMaxExecutionDelay = 11s;     // Exclusive bound for calls carried out late.
-constexpr Duration kMaxTransitTime = 1500ms;     // Of an order that reaches a worker late.
 constexpr Duration kCallerTimeout = 2800ms;      // Deadline of a caller's request.
 constexpr char kHostName[] = "a.example";        // Of all requests; the path begins with the name of the queue.
 
@@ -36,6 +35,11 @@
   return answer;
 }
 
+std::string TextOf(const RunRef& run) {
+  return fmt::format(" job={} occurrence={} step={} index={} run={}", run.task.job, run.task.occurrence, run.task.step,
+                     run.task.index, run.run);
+}
+
 }  // namespace
 
 std::string EncodeWorkerEntry(const WorkerEntry& entry) {
@@ -461,15 +465,29 @@
 
 // --- Workers ---
 
+FakeHost::Order FakeHost::HoldOf(const HoldOrder& order) {
+  return Order{"hold", std::nullopt, [order](FakeWorker& target) { return target.Hold(order); }};
+}
+
 FakeWorker* FakeHost::FindWorker(const WorkerTarget& target) const {
   const auto found = std::find_if(world_.workers_.begin(), world_.workers_.end(),
                                   [&](const auto& worker) { return worker->entry.address == target.address; });
   return found == world_.workers_.end() ? nullptr : found->get();
 }
 
-void FakeHost::CallWorker(const WorkerTarget& target,
-                          const std::function<OrderAnswer(FakeWorker&)>& apply,
-                          const WorkerPort::Done& done) {
+void FakeHost::CarryOutLate(FakeWorker& worker, const std::string& id, const Order& order, Duration delay) {
+  world_.In(delay, [&world = world_, &worker, id, order, delay] {
+    if (!worker.up || worker.entry.id != id) {
+      return;
+    }
+    const OrderAnswer answer = order.apply(worker);
+    world.Log(fmt::format("order_carried_out_late worker={} born_ms={} order={}{} status={} late_ms={}", id,
+                          worker.entry.born_ms, order.kind, order.run ? TextOf(*order.run) : "", NameOf(answer.status),
+                          Millis(delay)));
+  });
+}
+
+void FakeHost::CallWorker(const WorkerTarget& target, const Order& order, const WorkerPort::Done& done) {
   FakeWorker* worker = FindWorker(target);
   const auto answer = [this, generation = generation_, done](Duration delay, const OrderAnswer& result) {
     world_.In(delay, [this, generation, done, result] { Deliver(generation, [done, result] { done(result); }); });
@@ -497,17 +515,12 @@
   }
   if (world_.Chance(worker->faults.late_execution_share)) {
     const Duration late = 500ms + Duration(static_cast<int64_t>(world_.random()() % kMaxExecutionDelay.count()));
-    // An order in transit may reach the next process; one that a worker has received is lost if its process ends.
-    world_.In(late, [worker, apply, in_transit = late < kMaxTransitTime, born = worker->entry.born_ms] {
-      if (worker->up && (in_transit || worker->entry.born_ms == born)) {
-        apply(*worker);
-      }
-    });
+    CarryOutLate(*worker, target.id, order, late);
     answer(kCallTimeout, OrderAnswer{});
     return;
   }
   const bool lost = world_.Chance(worker->faults.lost_answer_share);
-  world_.In(kOneWayDelay, [worker, apply, answer, lost] {
+  world_.In(kOneWayDelay, [worker, apply = order.apply, answer, lost] {
     if (!worker->up) {
       answer(kCallTimeout, OrderAnswer{});
       return;
@@ -517,20 +530,18 @@
   });
 }
 
-// The order reaches the worker, or its next process, after its transit time.
+// The order is carried out after the worker's transit time.
 void FakeHost::DeliverWithoutAnswer(FakeWorker& worker,
-                                    const WorkerPort::Done& done,
-                                    const std::function<void(FakeWorker&)>& apply) {
-  world_.In(worker.transit_time, [&worker, apply] {
-    if (worker.up) {
-      apply(worker);
-    }
-  });
+                                    const WorkerTarget& target,
+                                    const Order& order,
+                                    const WorkerPort::Done& done) {
+  CarryOutLate(worker, target.id, order, worker.transit_time);
   world_.In(kCallTimeout,
             [this, generation = generation_, done] { Deliver(generation, [done] { done(OrderAnswer{}); }); });
 }
 
 void FakeHost::Start(const WorkerTarget& worker, const StartOrder& order, WorkerPort::Done done) {
+  const Order start{"start", order.run, [order](FakeWorker& target) { return WithoutLife(target.Start(order)); }};
   FakeWorker* slow = FindWorker(worker);
   if (slow != nullptr && slow->orders_not_sent > 0) {
     --slow->orders_not_sent;
@@ -543,16 +554,15 @@
   }
   if (slow != nullptr && slow->up && slow->starts_in_transit > 0) {
     --slow->starts_in_transit;
-    DeliverWithoutAnswer(*slow, done, [order](FakeWorker& late) { late.Start(order); });
+    DeliverWithoutAnswer(*slow, worker, start, done);
     return;
   }
-  CallWorker(
-      worker, [order](FakeWorker& target) { return WithoutLife(target.Start(order)); }, done);
+  CallWorker(worker, start, done);
 }
 
 void FakeHost::Stop(const WorkerTarget& worker, const RunRef& run, uint64_t token, WorkerPort::Done done) {
-  CallWorker(
-      worker, [run, token](FakeWorker& target) { return WithoutLife(target.Stop(run, token)); }, done);
+  const Order stop{"stop", run, [run, token](FakeWorker& target) { return WithoutLife(target.Stop(run, token)); }};
+  CallWorker(worker, stop, done);
 }
 
 void FakeHost::Hold(const WorkerTarget& worker, const HoldOrder& order, WorkerPort::Done done) {
@@ -564,18 +574,17 @@
   }
   if (in_transit != nullptr && *in_transit > 0) {
     --*in_transit;
-    DeliverWithoutAnswer(*target, done, [order](FakeWorker& late) { late.Hold(order); });
+    DeliverWithoutAnswer(*target, worker, HoldOf(order), done);
     return;
   }
-  CallWorker(
-      worker, [order](FakeWorker& target_worker) { return target_worker.Hold(order); },
-      [this, worker, target, order, until, done = std::move(done)](const OrderAnswer& answer) {
-        if (answer.status == OrderStatus::kOk && answer.ended.empty() && world_.Now() < until) {
-          WaitForEnd(worker, *target, order, until, done);
-        } else {
-          done(answer);
-        }
-      });
+  CallWorker(worker, HoldOf(order),
+             [this, worker, target, order, until, done = std::move(done)](const OrderAnswer& answer) {
+               if (answer.status == OrderStatus::kOk && answer.ended.empty() && world_.Now() < until) {
+                 WaitForEnd(worker, *target, order, until, done);
+               } else {
+                 done(answer);
+               }
+             });
 }
 
 // Waits for an end to report or for the timeout, then answers with the worker's current lists without extending its
@@ -598,8 +607,7 @@
         }
         HoldOrder poll_order = order;
         poll_order.deadline = Duration(0);
-        CallWorker(
-            target, [poll_order](FakeWorker& target_worker) { return target_worker.Hold(poll_order); }, done);
+        CallWorker(target, HoldOf(poll_order), done);
       });
 }
 
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -91,6 +91,11 @@
 
  private:
   struct Process;
+  struct Order {
+    const char* kind;
+    std::optional<RunRef> run;
+    std::function<OrderAnswer(FakeWorker&)> apply;
+  };
   struct LargeRead {
     Progress progress;
     StorePort::Done done;
@@ -112,12 +117,15 @@
   // Receives the answer of a large read, and passes it on unless the read was cancelled.
   StorePort::Done EndOf(StoreCall large);
   size_t index() const { return std::stoul(name_.substr(1)); }
-  void CallWorker(const WorkerTarget& target,
-                  const std::function<OrderAnswer(FakeWorker&)>& apply,
-                  const WorkerPort::Done& done);
+  // Carries the order out after `delay`, in whatever process the worker has by then, and drops it if that has another
+  // id or is down.
+  void CarryOutLate(FakeWorker& worker, const std::string& id, const Order& order, Duration delay);
+  void CallWorker(const WorkerTarget& target, const Order& order, const WorkerPort::Done& done);
   void DeliverWithoutAnswer(FakeWorker& worker,
-                            const WorkerPort::Done& done,
-                            const std::function<void(FakeWorker&)>& apply);
+                            const WorkerTarget& target,
+                            const Order& order,
+                            const WorkerPort::Done& done);
+  static Order HoldOf(const HoldOrder& order);
   void WaitForEnd(const WorkerTarget& target,
                   FakeWorker& worker,
                   const HoldOrder& order,
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -34,11 +34,12 @@
 
 // Faults currently injected into calls to one part of the simulation. Shares are probabilities from 0 to 1.
 struct CallFaults {
-  bool down = false;                // Calls are refused without any effect.
-  bool silent = false;              // Calls have no effect and get no answer.
-  double lost_answer_share = 0;     // Calls that are carried out but whose answer is lost.
-  double late_execution_share = 0;  // Calls without an answer that are carried out seconds later.
-  Duration extra_delay{};           // Added to each answer.
+  bool down = false;             // Calls are refused without any effect.
+  bool silent = false;           // Calls have no effect and get no answer.
+  double lost_answer_share = 0;  // Calls that are carried out but whose answer is lost.
+  // Calls without an answer that are carried out seconds later, by whatever process the callee has by then.
+  double late_execution_share = 0;
+  Duration extra_delay{};  // Added to each answer.
 
   friend bool operator==(const CallFaults&, const CallFaults&) = default;
 };
