The stand-in judges late starts of cancelled jobs by when they are gone

Cause: the check holds for all starts.

Change: exactly the starts that FakeHost::CarryOutLate makes are exempt from this one bound. LateRunCheck reports a run of theirs whose job is cancelled and that is still there StopMs (200 ms) after the latest of: 4 s after its start, 3 s after the acknowledgement, and 7 s (ContactMs and cancel_ms) after the last disruption that WaitingCheck knows. It looks in all worlds, whether they check for waiting work or not; a call that is made late counts as a disruption. All other checks of late starts stay as they are.

--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -480,7 +480,9 @@
     if (!worker.up || worker.entry.id != id) {
       return;
     }
+    world.carries_out_late_ = true;
     const OrderAnswer answer = order.apply(worker);
+    world.carries_out_late_ = false;
     world.Log(fmt::format("order_carried_out_late worker={} born_ms={} order={}{} status={} late_ms={}", id,
                           worker.entry.born_ms, order.kind, order.run ? TextOf(*order.run) : "", NameOf(answer.status),
                           Millis(delay)));
@@ -514,6 +516,7 @@
     return;
   }
   if (world_.Chance(worker->faults.late_execution_share)) {
+    world_.waiting_.NoteDisruption();
     const Duration late = 500ms + Duration(static_cast<int64_t>(world_.random()() % kMaxExecutionDelay.count()));
     CarryOutLate(*worker, target.id, order, late);
     answer(kCallTimeout, OrderAnswer{});
--- a/standins/cell_waiting_check.cc
+++ b/standins/cell_waiting_check.cc
@@ -51,9 +51,7 @@
     return;
   }
   next_check_ = world_.Now() + kCheckInterval;
-  if (IsDisturbed()) {
-    NoteDisruption();
-  }
+  Observe();
   if (world_.Now() - disturbed_at_ <= kRecoveryTime) {
     waiting_since_.clear();
     return;
@@ -68,6 +66,12 @@
   std::erase_if(waiting_since_, [this](const auto& each) { return !still_waiting_.contains(each.first); });
 }
 
+void WaitingCheck::Observe() {
+  if (IsDisturbed()) {
+    NoteDisruption();
+  }
+}
+
 void WaitingCheck::NoteDisruption() {
   disturbed_at_ = world_.Now();
 }
--- a/standins/cell_waiting_check.h
+++ b/standins/cell_waiting_check.h
@@ -40,6 +40,9 @@
   // Checks, at most once in each interval of the check.
   void RunDue();
   TimePoint next_check() const { return next_check_; }
+  // Notes the disruptions that last.
+  void Observe();
+  TimePoint disturbed_at() const { return disturbed_at_; }  // Of the last disruption that was noted.
   // A disruption that lasts no time, such as a restart. The check notices by itself what goes on for a while.
   void NoteDisruption();
   // Nothing is expected of this job any longer.
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -724,6 +724,7 @@
   if (checks_routes) {
     routes_.Observe();
   }
+  late_runs_.Check();
   if (checks_waiting) {
     waiting_.RunDue();
   }
@@ -972,7 +973,8 @@
     ReportViolation("started after its end was acknowledged: " + name);
   }
   const auto cancelled = acknowledged_cancels_.find(task.job);
-  if (cancelled != acknowledged_cancels_.end() && Now() - cancelled->second > kMaxStartAfterCancel) {
+  const bool bounded_in_time = !carries_out_late_;  // LateRunCheck judges the others.
+  if (bounded_in_time && cancelled != acknowledged_cancels_.end() && Now() - cancelled->second > kMaxStartAfterCancel) {
     ReportViolation(fmt::format("started {} ms after its cancelling was acknowledged: {}",
                                 Millis(Now() - cancelled->second), name));
   }
@@ -998,6 +1000,9 @@
   }
   CheckCrashes(order.run, step);
   running_[task].insert({worker.entry.id, order.run.run});
+  if (carries_out_late_) {
+    late_runs_.NoteStarted(worker, order.run);
+  }
 }
 
 // All members of a gang that run at the same time belong to the same run.
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -7,8 +7,9 @@
 // three of them have crashed under it. And on the replies to callers: none reports success for a key that no
 // configuration held, that was withdrawn longer ago than allowed, or that is of another tenant than the job. No start
 // brings a tenant above a tenth more than its maximum and one task. No caller hears that an accepted job does not
-// exist, and no task starts long after its job's cancelling was acknowledged, which such an answer does too. Work that
-// waits although it could run is in lost(), if that is checked, and so is what RouteCheck finds in violations().
+// exist, and no task starts long after its job's cancelling was acknowledged, which such an answer does too; one that a
+// late order starts must be gone again soon (LateRunCheck). Work that waits although it could run is in lost(), if that
+// is checked, and so is what RouteCheck finds in violations().
 #ifndef HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
 #define HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
 
@@ -24,6 +25,7 @@
 
 #include "cell/host.h"
 #include "hibiscusstand/clock.h"
+#include "standins/cell_late_run_check.h"
 #include "standins/cell_links.h"
 #include "standins/cell_route_check.h"
 #include "standins/cell_waiting_check.h"
@@ -286,6 +288,7 @@
   friend class FakeWorker;
   friend class FakeHost;
   friend class WaitingCheck;
+  friend class LateRunCheck;
   friend class RouteCheck;
 
   // A pending watch or hold. Resumes exactly once: when its condition holds or at its timeout.
@@ -361,7 +364,9 @@
   std::map<TaskRef, std::set<int>> starts_after_crashes_;  // Run numbers, after kMaxCrashes.
   std::map<RunRef, GangRun> gangs_;                        // Keyed by step and run, with index 0.
   std::vector<std::string> violations_;
+  bool carries_out_late_ = false;  // A worker is carrying out an order that is late.
   WaitingCheck waiting_{*this};
+  LateRunCheck late_runs_{*this};
   RouteCheck routes_{*this};
   int starts_ = 0;
 };
