A gang whose allowed workers have gone asks about their replacements while hosts are busy

The workers that it might use had crashed, and it did not ask about those that came instead under new ids.

Cause: a gang with an answer asks further only while over a quarter of the hosts have no call in progress. A first question, and every ticket, needs only a host on which the call waits less than 300 ms. That the first question was answered was remembered for good, whatever became of the workers in it.

The change: a gang that lacks workers and whose usable, not quarantined workers among those asked about are fewer than one question names (100) asks about as many more as that leaves, in one call at a time, under the condition of a first question. While hosts are busy it gathers workers for up to a second, as requests for tickets do. So it asks about no more than a first question asked now would. A gang whose 100 are still there waits for the quarter, as before. The estimate of how many workers a gang lacks divides by the usable ones only.

Ruled out: a request that never completes (the gate would be advice_pending); a number used again by a replacement (numbers are never used again).

Test failed before: CHECK( ReplacedWorkersPlay(21, 0).WorkersAsked().size() == 10 ) with expansion: 0 == 10

--- a/src/cell/placement.cc
+++ b/src/cell/placement.cc
@@ -505,12 +505,19 @@
   }
 }
 
-size_t Placement::MissingWorkers(const StepRun& step, int slots_when_empty) {
+size_t Placement::CountUsableAsked(const StepRun& step) {
+  return static_cast<size_t>(
+      std::count_if(step.advice.permits.begin(), step.advice.permits.end(), [this](const auto& permit) {
+        const WorkerView* worker = Find(permit.first);
+        return worker != nullptr && !worker->quarantined;
+      }));
+}
+
+size_t Placement::MissingWorkers(const StepRun& step, int slots_when_empty, size_t asked) {
   const int missing = kMinFitsWhenEmpty * step.spec->count - slots_when_empty;
   if (missing <= 0) {
     return 0;
   }
-  const size_t asked = step.advice.permits.size();
   return slots_when_empty == 0 ? kMaxWorkersPerQuestion
                                : static_cast<size_t>(missing) * asked / static_cast<size_t>(slots_when_empty) + 1;
 }
@@ -519,11 +526,15 @@
   if (step.advice.pending_requests > 0 || !step.job->queue.advice) {
     return;
   }
-  const auto missing = static_cast<std::ptrdiff_t>(MissingWorkers(step, slots_when_empty));
+  const size_t usable_asked = CountUsableAsked(step);
+  const auto missing = static_cast<std::ptrdiff_t>(MissingWorkers(step, slots_when_empty, usable_asked));
   const auto may_ask = [&](std::ptrdiff_t asked) {
     return pass.queues.IsMostlyIdle(pass.now) || (asked < missing && pass.queues.IsPartlyIdle(pass.now));
   };
   if (!may_ask(0)) {
+    if (missing > 0 && usable_asked < kMaxWorkersPerQuestion) {
+      AskAboutReplacements(step, kMaxWorkersPerQuestion - usable_asked, pass);
+    }
     return;
   }
   const std::vector<WorkerView*> workers = FindUnaskedWorkers(step, workers_.size(), Resources{});
@@ -534,6 +545,17 @@
   }
 }
 
+void Placement::AskAboutReplacements(StepRun& step, size_t limit, Pass& pass) {
+  if (!MayAsk(step, pass)) {
+    return;
+  }
+  const std::vector<WorkerView*> workers = FindUnaskedWorkers(step, limit, Resources{});
+  if (ShouldAskForTickets(workers.size(), step.spec->count, pass.queues.IsBusy(pass.now),
+                          pass.now - step.advice.last_request_at)) {
+    Ask(step, workers, pass);
+  }
+}
+
 void Placement::AskForTickets(StepRun& step, const std::vector<WorkerView*>& workers, Pass& pass) {
   if (MayAsk(step, pass)) {
     const auto end = workers.begin() + static_cast<std::ptrdiff_t>(std::min(workers.size(), kMaxWorkersPerQuestion));
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -186,12 +186,18 @@
 
   bool MayAsk(const StepRun& step, const Pass& pass) const;
   void AskInitially(StepRun& step, Pass& pass);
-  // Returns how many further workers a gang should ask about so that it can collect enough room; 0: it has asked about
-  // enough.
-  static size_t MissingWorkers(const StepRun& step, int slots_when_empty);
+  // Returns the number of workers that the step has asked about and that are still usable: answers about others no
+  // longer tell where the step may run.
+  size_t CountUsableAsked(const StepRun& step);
+  // Returns how many further workers a gang should ask about so that it can collect enough room, of which it has
+  // `slots_when_empty` on the usable workers among the `asked`; 0: it has asked about enough.
+  static size_t MissingWorkers(const StepRun& step, int slots_when_empty, size_t asked);
   // Asks about more workers, through several hosts at once: about missing ones while a quarter of the hosts have no
-  // call in progress, about others while most have none.
+  // call in progress, about others while most have none. While hosts are busier, only about replacements.
   void AskAboutMoreWorkers(StepRun& step, int slots_when_empty, Pass& pass);
+  // Asks about at most `limit` workers that have come since the first question, in one call, under the same condition
+  // on the queues as that question: of the workers that it was about, too few are left.
+  void AskAboutReplacements(StepRun& step, size_t limit, Pass& pass);
   // Requests tickets for workers with free resources whose tickets have expired or that were never asked about.
   void AskForTickets(StepRun& step, const std::vector<WorkerView*>& workers, Pass& pass);
   void Ask(StepRun& step, const std::vector<WorkerView*>& workers, Pass& pass);
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -201,6 +201,68 @@
   CHECK(WorkersAskedFurther(60, 2) == 0);    // Short calls need an idle host.
 }
 
+// A gang of 11 that was answered about `asked` workers, of which it may use three; all hosts but one have a call in
+// progress. Those workers are gone but for `remaining`, of which the last one is allowed, and ten others have come.
+class ReplacedWorkersPlay {
+ public:
+  explicit ReplacedWorkersPlay(size_t asked, size_t remaining) : rig(static_cast<int>(remaining) + 10) {
+    rig.queues = AdviceQueues(
+        {AdviceQueue{}, AdviceQueue{kBegin + 1s, {}}, AdviceQueue{kBegin + 1s, {}}, AdviceQueue{kBegin + 1s, {}}});
+    gang = &rig.Add(11, 9000, true);
+    gang->job->queue.advice = AdviceSpec{650ms, 9ms, 2500ms};
+    gang->advice.has_answer = true;
+    for (size_t i = 0; i < asked; ++i) {
+      // Numbers of workers that have gone are above those of the usable ones here, which makes no difference.
+      const size_t number = i < remaining ? i + 1 : 1000 + i;
+      const bool allowed = i + 1 == remaining || i + 2 >= asked;
+      gang->advice.At(number).verdict = allowed ? StepAdvice::Verdict::kAllowed : StepAdvice::Verdict::kRefused;
+    }
+  }
+
+  std::vector<size_t> WorkersAsked() {
+    std::vector<size_t> asked;
+    for (const AskAdvice& ask : Of<AskAdvice>(rig.Pass())) {
+      asked.insert(asked.end(), ask.workers.begin(), ask.workers.end());
+    }
+    return asked;
+  }
+
+  PassRig rig;
+  StepRun* gang = nullptr;
+};
+
+TEST_CASE("a gang whose workers have gone asks about those that have come, as it asked first") {
+  CHECK(ReplacedWorkersPlay(21, 0).WorkersAsked().size() == 10);
+  CHECK(ReplacedWorkersPlay(21, 1).WorkersAsked().size() == 10);
+  CHECK(ReplacedWorkersPlay(100, 40).WorkersAsked().size() == 10);
+  CHECK(ReplacedWorkersPlay(300, 1).WorkersAsked().size() == 10);
+}
+
+TEST_CASE("asking about replaced workers takes no more calls than a first question") {
+  ReplacedWorkersPlay play(21, 1);
+  CHECK(Of<AskAdvice>(play.rig.Pass()).size() == 1);
+  CHECK(play.WorkersAsked().empty());  // One call at a time.
+  ReplacedWorkersPlay full(100, 100);
+  CHECK(full.WorkersAsked().empty());  // The first question stands: further ones leave idle hosts to short calls.
+  ReplacedWorkersPlay nearly(100, 97);
+  CHECK(nearly.WorkersAsked().size() == 3);  // Together with those that remain, as many as one question names.
+  ReplacedWorkersPlay busy(21, 0);
+  busy.rig.queues = AdviceQueues({AdviceQueue{kBegin + 400ms, {}}, AdviceQueue{kBegin + 400ms, {}}});
+  CHECK(busy.WorkersAsked().empty());
+}
+
+TEST_CASE("while hosts are busy, a gang gathers workers that come one by one into one call") {
+  ReplacedWorkersPlay play(21, 1);
+  for (size_t number = 2; number <= 10; ++number) {
+    play.gang->advice.At(number).verdict = StepAdvice::Verdict::kRefused;  // Only worker 11 was not asked about.
+  }
+  play.rig.queues = AdviceQueues({AdviceQueue{kBegin + 100ms, {}}, AdviceQueue{kBegin + 1s, {}}});
+  play.gang->advice.last_request_at = kBegin - 500ms;
+  CHECK(play.WorkersAsked().empty());
+  play.gang->advice.last_request_at = kBegin - 1s;
+  CHECK(play.WorkersAsked() == std::vector<size_t>{11});
+}
+
 TEST_CASE("more work than fits: what can still be in time comes before what cannot") {
   PassRig rig(1);
   StepRun& late = rig.Add(1, 16'000, false, 1s);
