Soak: received orders that a next life carries out, replaced workers, hosts that come and go, advice

The soak carried late orders out after 1.4 s at most, its workers and hosts were the same ones all the time, and no queue had advice. So it could show neither a start that a later life of its worker carries out, nor a roster that changes.

An order that is late while its worker is down reaches its next life now; it was dropped.

--- a/tools/cell_soak/faults.py
+++ b/tools/cell_soak/faults.py
@@ -2,12 +2,17 @@
 import asyncio
 import random
 
+from tools.cell_soak.workers import LATE_S, RECEIVED_LATE_S
+
 OWNER_SHARE = 0.6  # Of the disruptions of a host: that they meet the owner.
 POWER_OFF_S = 3.0
 POWER_BACK_S = 1.0  # Before the next loss of a series.
 # In a run. A host may leave 4 connections at a worker; 8 more are for the owner and its successor, 8 for hosts that
 # stand still or are cut off.
 MAX_POWER_LOSSES = 12
+REMOVED_SHARE = 0.35    # Of the hosts, at most.
+DRAIN_S = 2.5           # That a worker serves on, at least, once it drains.
+ADDRESS_REUSE_S = 2.0   # Before another worker has the address of one that has left.
 
 
 class Faults:
@@ -17,7 +22,10 @@
                       self.cut_peers, self.cut_workers, self.store_down, self.store_unsure, self.silent_watches,
                       self.cut_worker, self.power, self.crash_workers]
         # Only with --kinds: the draws of a seed stay the same without.
-        self.named_kinds = [self.silence_connections, self.late_orders, self.split_peers, self.silence_peers]
+        self.named_kinds = [self.silence_connections, self.late_orders, self.split_peers, self.silence_peers,
+                            self.received_orders, self.release, self.join_host, self.remove_host]
+        self.not_joined = []  # Hosts that have not started yet.
+        self.removed = set()  # Hosts that are gone for good.
         self.until = 0
         self.power_losses = 0
 
@@ -89,8 +97,29 @@
             self.restart(host)
             await asyncio.sleep(POWER_BACK_S)
 
+    async def join_host(self):
+        if self.not_joined:
+            host = self.not_joined.pop(0)
+            self.note(f"h{host} joins")
+            self.checks.disturb(host, 0)
+            self.hosts[host].start()
+
+    async def remove_host(self):
+        """With or without a notice."""
+        host, planned = self.any_host(), random.random() < 0.5
+        gone = len(self.removed) + 1 > REMOVED_SHARE * len(self.hosts)
+        if gone or host in self.removed or not self.hosts[host].running or self.hosts[host].stopping:
+            return
+        self.note(f"h{host} is removed for good, planned {planned}")
+        self.removed.add(host)
+        self.checks.disturb(host, 9)
+        if planned and not self.hosts[host].paused:
+            await self.hosts[host].terminate()
+        self.hosts[host].kill()
+
     def restart(self, host):
-        if not self.hosts[host].running:
+        absent = host in self.removed or host in self.not_joined
+        if not absent and not self.hosts[host].running:
             self.hosts[host].start()
 
     # --- Paths ---
@@ -212,22 +241,56 @@
 
     async def late_orders(self):
         """Orders to several workers get no answer and arrive late; each starts again under its id meanwhile."""
+        await self.delay_orders(LATE_S)
+
+    async def received_orders(self):
+        """The same with orders that are carried out much later, whether their process still runs or its next life."""
+        await self.delay_orders(RECEIVED_LATE_S)
+
+    async def delay_orders(self, late_s):
+        steady = self.workers.steady
         workers = [worker for worker in random.sample(self.workers.all, min(random.randint(3, 8), len(self.workers.all)))
-                   if worker.up and not worker.crash_near and not worker.orders_late]
-        self.note(f"orders to {len(workers)} workers are late")
-        await asyncio.gather(*(self.restart_with_late_orders(worker) for worker in workers))
+                   if worker in steady]
+        self.note(f"orders to {len(workers)} workers are late, {late_s} s")
+        await asyncio.gather(*(self.restart_with_late_orders(worker, late_s) for worker in workers))
 
-    async def restart_with_late_orders(self, worker):
-        worker.orders_late = True
+    async def restart_with_late_orders(self, worker, late_s):
+        worker.late_s = late_s
         worker.start_late.clear()
         await asyncio.wait([asyncio.ensure_future(worker.start_late.wait())], timeout=3)
         await asyncio.sleep(random.uniform(0.4, 1.2))  # The start is found not to run, or repeated.
         down, entry_late = 0.1, random.choice([0, 0.5, 2])
-        if worker.up and not worker.crash_near:
+        if worker.up and not worker.crash_near and not worker.leaving:
             self.note(f"w{worker.number} starts again after {down} s, its entry comes {entry_late} s later")
             await self.workers.crash(worker, down, entry_late)
         await asyncio.sleep(random.uniform(0.3, 2))
-        worker.orders_late = False
+        worker.late_s = None
+
+    async def release(self):
+        """Workers are replaced in turn: the new one starts first, the old one drains and leaves."""
+        replaced = []
+        for worker in random.sample(self.workers.steady, random.randint(1, max(1, len(self.workers.steady) // 2))):
+            replaced.append(asyncio.ensure_future(self.replace(worker)))
+            await asyncio.sleep(random.uniform(0.2, 1))
+        await asyncio.gather(*replaced)
+
+    async def replace(self, worker):
+        successor = await self.workers.join() if worker in self.workers.steady else None
+        if successor is None:
+            return
+        worker.leaving = True
+        await asyncio.sleep(random.uniform(0.2, 1))
+        seconds, cut_off, reused = DRAIN_S + random.choice([0.5, 2, 6]), random.random() < 0.3, random.random() < 0.4
+        self.note(f"w{worker.number} drains for {seconds} s, cut off {cut_off}, w{successor.number} has come")
+        worker.state = "draining"
+        worker.write_entry()
+        worker.cut_from_store = cut_off
+        await self.spoil([path.faults for path in worker.paths] if cut_off else [], seconds, False)
+        self.workers.leave(worker)
+        if reused:
+            await asyncio.sleep(ADDRESS_REUSE_S)
+            again = await self.workers.join(worker.slot)
+            self.note(f"w{again.number} has the address of w{worker.number}")
 
     async def crash_workers(self):
         """Workers crash and start again under their ids, a few in series; orders in transit may reach the next life."""
@@ -235,7 +298,7 @@
             worker = random.choice(self.workers.all)
             if self.checks.at() >= self.until:
                 return
-            if worker.up and not worker.crash_near:
+            if worker.up and not worker.crash_near and not worker.leaving:
                 down, entry_late = random.choice([0.1, 0.1, 0.1, 0.3, 1, 3]), random.choice([0, 0.5, 2, 5])
                 worker.crash_near = True
                 await asyncio.wait([asyncio.ensure_future(worker.ends_named.wait())], timeout=random.uniform(0.05, 0.6))
@@ -294,7 +357,7 @@
             self.restart(host)
         for worker in self.workers.all:
             worker.cut_from_store = False
-            worker.orders_late = False
+            worker.late_s = None
             for path in worker.paths:
                 path.faults.clear()
         for link in self.links:
--- a/tools/cell_soak/hosts.py
+++ b/tools/cell_soak/hosts.py
@@ -29,6 +29,7 @@
         flags = {"mode": "cell", "name": self.name, "data_centre": f"z{self.number % 3}", "http": f"{ip}:{CALLER_PORT}",
                  "ready": f"{ip}:{READY_PORT}", "peer": f"{ip}:{PEER_PORT}", "metrics": f"{ip}:{METRICS_PORT}",
                  "store": f"{self.network.store(self.number)}:{STORE_PORT}", "connections": 500,
+                 "advice": f"{self.network.advice(self.number)}:{STORE_PORT}",
                  "processor_share": 0.25, "processor_speed": 1, "most_hold_ms": 6000, "state_kept_s": 120,
                  "shortest_lease_ms": 1000, "grace_s": GRACE_S}
         with open(self.log, "ab") as log:
--- a/tools/cell_soak/network.py
+++ b/tools/cell_soak/network.py
@@ -34,6 +34,9 @@
     def worker(self, host, worker):
         return f"{self.prefix}{50 + host}.{10 + worker}"
 
+    def advice(self, host):
+        return f"{self.prefix}{70 + host}.10"
+
     def listed_worker(self, worker):
         return f"{self.prefix}{WORKER_NET}.{10 + worker}:{WORKER_PORT}"
 
--- a/tools/cell_soak/operator.py
+++ b/tools/cell_soak/operator.py
@@ -10,8 +10,9 @@
 
 
 class Operator:
-    def __init__(self, store, checks):
-        self.store, self.checks = store, checks
+    def __init__(self, store, checks, advice):
+        """`advice` is that of the route that stays, or None."""
+        self.store, self.checks, self.advice = store, checks, advice
         self.version = 7
         self.write([PREFIX])
 
@@ -19,6 +20,8 @@
         routes = [{"Name": prefix.strip("/"), "Host": HOST_NAME, "Prefix": prefix, "Kind": "unsafe", "TimeoutMs": 3000,
                    "TargetLatencyMs": 1200, "Priority": 1, "Service": "pool", "MaxAttempts": 4, "Stretch": 2.2}
                   for prefix in prefixes]
+        if self.advice:
+            routes[0]["Advice"] = self.advice
         service = {"Name": "pool", "HealthPath": "/health", "EnforcesCapacity": False}
         configuration = {"Version": self.version, "Routes": routes, "Services": [service],
                          "Limits": {"MaxBodyBytes": 262144}}
--- a/tools/cell_soak/workers.py
+++ b/tools/cell_soak/workers.py
@@ -5,6 +5,7 @@
 import time
 
 from tools.cell_soak import server
+from tools.cell_soak.callers import PREFIX
 from tools.cell_soak.network import WORKER_PORT
 
 MAX_HOLD_S = 6.0
@@ -14,10 +15,13 @@
 ENTRY_S = 3 * HEARTBEAT_S  # The store removes the entry of a worker that is silent for longer.
 CAPACITY = {"Cpu": 16000, "MemMb": 65536, "Gpu": 0}
 CLOCK_AT_BIRTH_MS = 1000
+LAST_SLOT = 89  # Addresses of workers have numbers of two digits.
 MAX_CONNECTIONS = 64  # That a worker accepts, of all hosts together.
 IN_TRANSIT_SHARE = 0.3  # Of the orders that are sent to a worker about to crash.
 TRANSIT_S = (0.2, 1.5)
-LATE_S = (0.3, 1.4)  # Of orders that are late while Worker.orders_late is set.
+LATE_S = (0.3, 1.4)  # Of orders that are late, see Worker.late_s.
+RECEIVED_LATE_S = (2, 12)  # Of orders that a process has received and that it, or its next life, carries out.
+RESTART_CHECK_S = 0.02
 LATE_START_SHARE = 0.5
 LATE_ORDER_SHARE = 0.1  # Of stops and holds; most answers show that a late start has not come.
 
@@ -65,17 +69,21 @@
 
 
 class Worker:
-    def __init__(self, number, network, store, checks, durations):
+    def __init__(self, number, slot, network, store, checks, durations, tickets):
         self.number, self.id = number, f"i-7f3a91{number:02d}"
+        self.slot = slot  # Of its addresses.
         self.network, self.store, self.checks = network, store, checks
         self.durations = durations  # Seconds of a task, by job.
+        self.tickets = tickets  # None: its queues have no advice.
         self.paths = [server.Path() for _ in store.paths]
         self.connections = Connections(len(store.paths))
         self.cut_from_store = False
         self.entry_written_at = time.monotonic()
         self.entry_due_at = 0    # The first one of this life.
         self.crash_near = False
-        self.orders_late = False  # Some get no answer and arrive late.
+        self.late_s = None       # Some orders get no answer and arrive so much later.
+        self.state = "ready"
+        self.leaving = False     # It is being replaced, and has left if it is not up.
         self.start_late = asyncio.Event()
         self.in_transit = set()  # Connections of orders that the crash overtakes; their senders do not learn of it.
         self.ends_named = asyncio.Event()  # By one of these orders, a hold.
@@ -117,8 +125,8 @@
             return
         self.entry_written_at = time.monotonic()
         self.sequence += 1
-        entry = {"Service": "pool", "Address": self.network.listed_worker(self.number), "Zone": f"z{self.number % 3}",
-                 "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Capacity": CAPACITY,
+        entry = {"Service": "pool", "Address": self.network.listed_worker(self.slot), "Zone": f"z{self.number % 3}",
+                 "Version": "v1", "Slots": 8, "State": self.state, "ColdLeftMs": 0, "Capacity": CAPACITY,
                  "Labels": ["a", f"r{self.number // 4}"], "ClockMs": self.clock_ms(), "born": self.born_ms,
                  "Sequence": self.sequence}
         self.store.put(f"servers/{self.id}", json.dumps(entry).encode())
@@ -137,9 +145,9 @@
                 if body.get("LastSeen"):
                     self.ends_named.set()
                 return await server.no_answer(request)
-        elif self.orders_late and not self.paths[host].faults.silent and self._is_late(request.path):
+        elif self.late_s and not self.paths[host].faults.silent and self._is_late(request.path):
             self.in_transit.add(request.protocol)
-            asyncio.ensure_future(self._carry_out_late(handler, await request.json(), host, LATE_S))
+            asyncio.ensure_future(self._carry_out_late(handler, await request.json(), host, self.late_s))
             return await server.no_answer(request)
 
         async def handle(body):
@@ -164,9 +172,11 @@
         return late
 
     async def _carry_out_late(self, handler, body, host, seconds):
-        """An order in transit: it reaches whichever process runs by then."""
+        """An order in transit: it reaches whichever process runs by then, or the next one if none does."""
         sent_at, born_ms, told = time.monotonic(), self.born_ms, self.told_life.get(host, self.born_ms)
         await asyncio.sleep(random.uniform(*seconds))
+        while not self.up and not self.leaving:
+            await asyncio.sleep(RESTART_CHECK_S)
         if self.up:
             if self.born_ms != born_ms:
                 self._note_next_life(handler.__name__[1:], body, host, time.monotonic() - sent_at)
@@ -200,6 +210,9 @@
             return 200, {}
         if name[1] <= self.highest.get(name[0], 0):
             return 409, {"Reason": "old"}
+        if not self._may_run(body):
+            self.checks.count("starts refused for their ticket")
+            return 409, {"Reason": "ticket"}
         run = self.checks.started(*name, self.number, host, body.get("TaskSpec", ""), sent_at)
         job, _, step, _ = name[0].split(".")
         cpu = self.checks.jobs[job].steps[int(step)]["Cpu"] if job in self.checks.jobs else 0
@@ -209,6 +222,12 @@
         self.runs[name] = [run, time.monotonic() + self.durations.get(job, 1), "done", cpu]
         return 200, {}
 
+    def _may_run(self, body):
+        job, occurrence, step, _ = body["Task"].split(".")
+        if self.tickets is None or job not in self.checks.jobs or self.checks.jobs[job].prefix != PREFIX:
+            return True
+        return self.tickets.is_valid(body.get("Ticket"), f"{job}.{occurrence}.{step}", self)
+
     async def _stop(self, body, host, *_):
         if self._fenced(body):
             return 409, {"Reason": "fence"}
@@ -268,37 +287,73 @@
 
 
 class Workers:
-    def __init__(self, count, network, store, checks):
+    def __init__(self, count, network, store, checks, tickets):
         self.durations = {}
-        self.all = [Worker(number, network, store, checks, self.durations) for number in range(count)]
-        self.network, self.checks = network, checks
+        self.network, self.store, self.checks, self.tickets = network, store, checks, tickets
+        self.all = []        # Also those that have left.
+        self.next_slot = count
+        self.callees = {}    # (worker, host) by address.
+        self.limits = {}     # By address.
+        for slot in range(count):
+            self._add(slot)
         self.listeners = None
 
-    async def start(self):
-        hosts = range(len(self.all[0].paths))
-        addresses = {self.network.worker(host, worker.number): (worker, host) for worker in self.all for host in hosts}
+    def _add(self, slot):
+        worker = Worker(len(self.all), slot, self.network, self.store, self.checks, self.durations, self.tickets)
+        self.all.append(worker)
+        for host, address in enumerate(self._addresses(worker)):
+            self.callees[address] = (worker, host)
+            self.limits[address] = HostConnections(worker.connections, host)
+        return worker
 
+    def _addresses(self, worker):
+        return [self.network.worker(host, worker.slot) for host in range(len(worker.paths))]
+
+    async def start(self):
         async def on_request(request, address):
-            worker, host = addresses[address]
+            worker, host = self.callees[address]
             return await worker.serve(request, host)
-        limits = {address: HostConnections(worker.connections, host) for address, (worker, host) in addresses.items()}
-        self.listeners = await server.listen(on_request, addresses, WORKER_PORT, limits)
+        self.listeners = await server.listen(on_request, self.callees, WORKER_PORT, self.limits)
         asyncio.ensure_future(self._tick())
 
     async def crash(self, worker, seconds, entry_late):
         """It starts again under its id after that time; its entry in the store follows later."""
-        addresses = [self.network.worker(host, worker.number) for host in range(len(worker.paths))]
-        for address in addresses:
+        for address in self._addresses(worker):
             self.listeners.close(address)
         worker.end_life()
         await asyncio.sleep(seconds)
         worker.begin_life()
         worker.entry_due_at = time.monotonic() + entry_late
-        for address in addresses:
+        for address in self._addresses(worker):
             await self.listeners.open(address)
         if not entry_late:
             worker.write_entry()
 
+    async def join(self, slot=None):
+        """A worker starts under a new id, at a new address or one that is free again. None if there is no address."""
+        if slot is None:
+            if self.next_slot > LAST_SLOT:
+                return None
+            slot, self.next_slot = self.next_slot, self.next_slot + 1
+        worker = self._add(slot)
+        for address in self._addresses(worker):
+            await self.listeners.open(address)
+        worker.write_entry()
+        return worker
+
+    def leave(self, worker):
+        for address in self._addresses(worker):
+            self.listeners.close(address)
+        worker.end_life()
+        if not worker.cut_from_store:
+            self.store.remove(f"servers/{worker.id}")
+
+    @property
+    def steady(self):
+        """Those that are not about to crash or to leave."""
+        return [worker for worker in self.all if worker.up and not worker.crash_near and not worker.late_s and
+                not worker.leaving]
+
     def lose_power(self, host):
         """To be called before the host is killed, so that the ends of its connections are not taken note of."""
         for worker in self.all:
@@ -323,6 +378,6 @@
             await asyncio.sleep(0.005)
             for worker in self.all:
                 worker.end_due_runs()
-                if time.monotonic() >= next_entry[worker]:
+                if time.monotonic() >= next_entry.setdefault(worker, time.monotonic() + HEARTBEAT_S):
                     next_entry[worker] += HEARTBEAT_S
                     worker.write_entry()
