A gang's calls about replacements take at most a twentieth of a host's time while hosts are busy

The change: a gang asks about replacements while hosts are busy only once 20 times the expected time of the call has passed since it asked last.

Not covered: a service with more first questions than it can answer. There a gang may still wait as long as these go on.

--- a/src/cell/placement.cc
+++ b/src/cell/placement.cc
@@ -16,6 +16,8 @@
 // How many times a gang must fit on its allowed workers if nothing ran there. With less it waits for nearly all of them
 // to drain, or can never start.
 constexpr int kMinFitsWhenEmpty = 2;
+// A gang asks about replacements, while hosts are busy, for at most this part of one host's time.
+constexpr int kReplacementCallsDivisor = 20;
 constexpr size_t kExtraWorkersAsked = 2;  // Workers asked about beyond the number of waiting tasks.
 
 constexpr size_t kNotUsable = std::numeric_limits<size_t>::max();
@@ -550,6 +552,10 @@
     return;
   }
   const std::vector<WorkerView*> workers = FindUnaskedWorkers(step, limit, Resources{});
+  const Duration expected_time = ExpectedCallTime(*step.job->queue.advice, workers.size());
+  if (pass.now - step.advice.last_request_at < kReplacementCallsDivisor * expected_time) {
+    return;
+  }
   if (ShouldAskForTickets(workers.size(), step.spec->count, pass.queues.IsBusy(pass.now),
                           pass.now - step.advice.last_request_at)) {
     Ask(step, workers, pass);
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -196,7 +196,8 @@
   // call in progress, about others while most have none. While hosts are busier, only about replacements.
   void AskAboutMoreWorkers(StepRun& step, int slots_when_empty, Pass& pass);
   // Asks about at most `limit` workers that have come since the first question, in one call, under the same condition
-  // on the queues as that question: of the workers that it was about, too few are left.
+  // on the queues as that question: of the workers that it was about, too few are left. A long call follows the last
+  // one later than a short one, so that it leaves the hosts to others.
   void AskAboutReplacements(StepRun& step, size_t limit, Pass& pass);
   // Requests tickets for workers with free resources whose tickets have expired or that were never asked about.
   void AskForTickets(StepRun& step, const std::vector<WorkerView*>& workers, Pass& pass);
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -201,6 +201,8 @@
   CHECK(WorkersAskedFurther(60, 2) == 0);    // Short calls need an idle host.
 }
 
+constexpr AdviceSpec kShortCalls{7ms, 100us, 2500ms};
+
 // A gang of 11 that was answered about `asked` workers, of which it may use three; all hosts but one have a call in
 // progress. Those workers are gone but for `remaining`, of which the last one is allowed, and ten others have come.
 class ReplacedWorkersPlay {
@@ -257,12 +259,26 @@
     play.gang->advice.At(number).verdict = StepAdvice::Verdict::kRefused;  // Only worker 11 was not asked about.
   }
   play.rig.queues = AdviceQueues({AdviceQueue{kBegin + 100ms, {}}, AdviceQueue{kBegin + 1s, {}}});
+  play.gang->job->queue.advice = kShortCalls;
   play.gang->advice.last_request_at = kBegin - 500ms;
   CHECK(play.WorkersAsked().empty());
   play.gang->advice.last_request_at = kBegin - 1s;
   CHECK(play.WorkersAsked() == std::vector<size_t>{11});
 }
 
+TEST_CASE(
+    "while hosts are busy, a gang that asks about replacements leaves 19 of 20 parts of a host's time to others") {
+  for (const AdviceSpec& advice : {kShortCalls, AdviceSpec{650ms, 9ms, 2500ms}}) {
+    ReplacedWorkersPlay play(21, 1);
+    play.gang->job->queue.advice = advice;
+    const Duration pause = 20 * ExpectedCallTime(advice, 10);
+    play.gang->advice.last_request_at = kBegin - pause + 1ms;
+    CHECK(play.WorkersAsked().empty());
+    play.gang->advice.last_request_at = kBegin - pause;
+    CHECK(play.WorkersAsked().size() == 10);
+  }
+}
+
 TEST_CASE("more work than fits: what can still be in time comes before what cannot") {
   PassRig rig(1);
   StepRun& late = rig.Add(1, 16'000, false, 1s);
