Workers are replaced and hosts join and leave in the randomised courses of a cell

The number of workers and hosts of a CellWorld was fixed.

A late order goes to the process that has the address by then. Callers ask no removed host: counted in, they used up the retention of 120 s in the final questions, and jobs were "not known".

--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -470,20 +470,24 @@
 }
 
 FakeWorker* FakeHost::FindWorker(const WorkerTarget& target) const {
-  const auto found = std::find_if(world_.workers_.begin(), world_.workers_.end(),
-                                  [&](const auto& worker) { return worker->entry.address == target.address; });
-  return found == world_.workers_.end() ? nullptr : found->get();
+  FakeWorker* last = nullptr;  // Of those that have had the address.
+  for (const auto& worker : world_.workers_) {
+    last = worker->entry.address == target.address ? worker.get() : last;
+  }
+  return last;
 }
 
-void FakeHost::CarryOutLate(FakeWorker& worker, const std::string& id, const Order& order, Duration delay) {
-  world_.In(delay, [&world = world_, &worker, id, order, delay] {
-    if (!worker.up || worker.entry.id != id) {
+void FakeHost::CarryOutLate(const WorkerTarget& target, const Order& order, Duration delay) {
+  world_.In(delay, [this, &world = world_, target, order, delay] {
+    FakeWorker* found = FindWorker(target);
+    if (found == nullptr || !found->up || found->entry.id != target.id) {
       return;
     }
+    FakeWorker& worker = *found;
     world.carries_out_late_ = true;
     const OrderAnswer answer = order.apply(worker);
     world.carries_out_late_ = false;
-    world.Log(fmt::format("order_carried_out_late worker={} born_ms={} order={}{} status={} late_ms={}", id,
+    world.Log(fmt::format("order_carried_out_late worker={} born_ms={} order={}{} status={} late_ms={}", target.id,
                           worker.entry.born_ms, order.kind, order.run ? TextOf(*order.run) : "", NameOf(answer.status),
                           Millis(delay)));
   });
@@ -518,7 +522,7 @@
   if (world_.Chance(worker->faults.late_execution_share)) {
     world_.waiting_.NoteDisruption();
     const Duration late = 500ms + Duration(static_cast<int64_t>(world_.random()() % kMaxExecutionDelay.count()));
-    CarryOutLate(*worker, target.id, order, late);
+    CarryOutLate(target, order, late);
     answer(kCallTimeout, OrderAnswer{});
     return;
   }
@@ -538,7 +542,7 @@
                                     const WorkerTarget& target,
                                     const Order& order,
                                     const WorkerPort::Done& done) {
-  CarryOutLate(worker, target.id, order, worker.transit_time);
+  CarryOutLate(target, order, worker.transit_time);
   world_.In(kCallTimeout,
             [this, generation = generation_, done] { Deliver(generation, [done] { done(OrderAnswer{}); }); });
 }
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -47,6 +47,7 @@
   TimePoint NextDue() const;
   void RunDue();
   Duration wall_offset{};  // Of its time of day from that of the others.
+  bool removed = false;    // For good.
   bool cut_from_peers = false;
   bool cut_from_workers = false;
   std::set<std::string> unreachable_workers;  // Ids of workers that have no path to and from this host.
@@ -117,9 +118,9 @@
   // Receives the answer of a large read, and passes it on unless the read was cancelled.
   StorePort::Done EndOf(StoreCall large);
   size_t index() const { return std::stoul(name_.substr(1)); }
-  // Carries the order out after `delay`, in whatever process the worker has by then, and drops it if that has another
-  // id or is down.
-  void CarryOutLate(FakeWorker& worker, const std::string& id, const Order& order, Duration delay);
+  // Carries the order out after `delay`, in whatever process is at the address by then, and drops it if that has
+  // another id or is down.
+  void CarryOutLate(const WorkerTarget& target, const Order& order, Duration delay);
   void CallWorker(const WorkerTarget& target, const Order& order, const WorkerPort::Done& done);
   void DeliverWithoutAnswer(FakeWorker& worker,
                             const WorkerTarget& target,
--- a/standins/cell_waiting_check.cc
+++ b/standins/cell_waiting_check.cc
@@ -93,9 +93,10 @@
                                         [](const auto& each) { return each.second != CallFaults{}; });
   return store_faults || world_.late_message_share > 0 ||
          std::any_of(world_.hosts_.begin(), world_.hosts_.end(),
-                     [](const auto& host) { return host->IsDisturbed(); }) ||
-         std::any_of(world_.workers_.begin(), world_.workers_.end(),
-                     [](const auto& worker) { return !worker->up || worker->faults != CallFaults{}; });
+                     [](const auto& host) { return !host->removed && host->IsDisturbed(); }) ||
+         std::any_of(world_.workers_.begin(), world_.workers_.end(), [](const auto& worker) {
+           return !worker->departed && (!worker->up || worker->faults != CallFaults{});
+         });
 }
 
 bool WaitingCheck::IsSound(const FakeWorker& worker) const {
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -439,6 +439,17 @@
 
 void FakeWorker::Crash() {
   world_.OnWorkerCrash(*this);
+  LoseProcess();
+}
+
+void FakeWorker::Depart() {
+  world_.waiting_.NoteDisruption();
+  LoseProcess();
+  departed = true;
+  world_.RemoveWorkerEntry(*this);
+}
+
+void FakeWorker::LoseProcess() {
   up = false;
   next_end_.reset();
   while (!runs_.empty()) {
@@ -453,6 +464,9 @@
 }
 
 void FakeWorker::Restart(bool write_entry) {
+  if (departed) {
+    return;
+  }
   world_.waiting_.NoteDisruption();
   up = true;
   refuses = false;
@@ -485,12 +499,10 @@
     entry.data_centre = fmt::format("dc{}", i % 3);
     entry.capacity = Resources{16'000, 64'000, 0};
     entry.labels = {"a", fmt::format("r{}", i / 4)};
-    workers_.push_back(std::make_unique<FakeWorker>(*this, entry));
-    WriteWorkerEntry(*workers_.back());
+    AddWorker(entry);
   }
   for (int i = 0; i < hosts; ++i) {
-    hosts_.push_back(std::make_unique<FakeHost>(*this, fmt::format("h{}", i)));
-    Boot(static_cast<size_t>(i));
+    AddHost();
   }
 }
 
@@ -506,8 +518,29 @@
   violations_.push_back(fmt::format("{} ms: {}", Millis(Now().time_since_epoch()) - 3'600'000, what));
 }
 
+bool CellWorld::IsReplacedUnderItsId(const FakeWorker& worker) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& each) {
+    return each->entry.id == worker.entry.id && each->entry.born_ms > worker.entry.born_ms;
+  });
+}
+
 void CellWorld::WriteWorkerEntry(const FakeWorker& worker) {
-  store_.Put("workers/" + worker.entry.id, EncodeWorkerEntry(worker.entry));
+  if (!worker.departed && !IsReplacedUnderItsId(worker)) {
+    store_.Put("workers/" + worker.entry.id, EncodeWorkerEntry(worker.entry));
+  }
+}
+
+void CellWorld::RemoveWorkerEntry(const FakeWorker& worker) {
+  if (!IsReplacedUnderItsId(worker)) {
+    store_.Erase("workers/" + worker.entry.id);
+  }
+}
+
+size_t CellWorld::AddWorker(const WorkerEntry& entry) {
+  waiting_.NoteDisruption();
+  workers_.push_back(std::make_unique<FakeWorker>(*this, entry));
+  WriteWorkerEntry(*workers_.back());
+  return workers_.size() - 1;
 }
 
 void CellWorld::Configure() {
@@ -776,6 +809,9 @@
 
 void CellWorld::Boot(size_t index) {
   waiting_.NoteDisruption();
+  if (hosts_[index]->removed) {
+    return;
+  }
   routes_.NoteStarted(index);
   hosts_[index]->Boot();
 }
@@ -785,6 +821,17 @@
   hosts_[index]->Freeze(time);
 }
 
+size_t CellWorld::AddHost() {
+  hosts_.push_back(std::make_unique<FakeHost>(*this, fmt::format("h{}", hosts_.size())));
+  Boot(hosts_.size() - 1);
+  return hosts_.size() - 1;
+}
+
+void CellWorld::RemoveHost(size_t index) {
+  Kill(index);
+  hosts_[index]->removed = true;
+}
+
 void CellWorld::SetProcessorMillis(size_t index, int millis) {
   hosts_[index]->processor_millis = millis;
 }
@@ -882,8 +929,19 @@
   });
 }
 
+// Callers find no host that was removed.
+size_t CellWorld::AnyHost() {
+  std::vector<size_t> present;
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    if (!hosts_[i]->removed) {
+      present.push_back(i);
+    }
+  }
+  return present[random_() % present.size()];
+}
+
 void CellWorld::SubmitWithRetries(const JobSpec& job, const TaskBehaviour& behaviour) {
-  const size_t index = random_() % hosts_.size();
+  const size_t index = AnyHost();
   auto answered = std::make_shared<bool>(false);
   Submit(index, job, behaviour, [this, job, behaviour, answered](const CallerReply& reply) {
     *answered = true;
@@ -912,7 +970,7 @@
 std::optional<JobState> CellWorld::StateOf(const std::string& queue, const std::string& job) {
   std::optional<CallerReply> final_reply;
   for (int i = 0; i < 30 && !final_reply; ++i) {
-    Ask(random_() % hosts_.size(), CallerKind::kState, queue, job, [&](const CallerReply& reply) {
+    Ask(AnyHost(), CallerKind::kState, queue, job, [&](const CallerReply& reply) {
       if (reply.outcome == CallerOutcome::kDone || reply.outcome == CallerOutcome::kNoSuchJob) {
         final_reply = reply;
       }
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -106,11 +106,13 @@
   void Crash();                           // Loses all runs; Restart starts a new process.
   void Restart(bool write_entry = true);  // Without a path to the store a worker does not write its entry.
   void RestartUnderNewId();               // At the same address.
+  void Depart();                          // Leaves for good after a drain: everything on it ends.
   void EndAllRuns(EndKind how);
   void FinishIfRunning(const RunRef& run, EndKind how);  // For members of a gang whose first member has ended.
 
   WorkerEntry entry;
   bool up = true;
+  bool departed = false;             // Has left for good.
   bool refuses = false;              // Not up, and its machine refuses connections at once.
   bool refuses_connections = false;  // Has as many connections as it accepts, and breaks those that orders open.
   double speed = 1;
@@ -146,6 +148,7 @@
   friend class CellWorld;
 
   void CrashSoon(const RunRef& run, bool new_id);
+  void LoseProcess();
   Duration ClockNow() const;
   TimePoint TimeAtClock(Duration clock) const;
   void Finish(const RunRef& ended, EndKind how);
@@ -204,6 +207,10 @@
   void Freeze(size_t index, Duration time);
   void SetProcessorMillis(size_t index, int millis);  // Takes effect at the next boot.
   void Leave(size_t index);
+  // Starts another host, which joins the others, and returns its index.
+  size_t AddHost();
+  // Ends a host's process for good.
+  void RemoveHost(size_t index);
   // Disconnect a host from all other hosts or from all workers, or reconnect it.
   void CutPeers(size_t index, bool cut);
   void CutWorkers(size_t index, bool cut);
@@ -252,6 +259,8 @@
   int CrashCount(const std::string& job) const;
 
   FakeStore& store() { return store_; }
+  // Starts another worker and writes its entry. Returns its index.
+  size_t AddWorker(const WorkerEntry& entry);
   FakeWorker& worker(size_t index) { return *workers_[index]; }
   size_t worker_count() const { return workers_.size(); }
   std::mt19937_64& random() { return random_; }
@@ -265,7 +274,9 @@
   // Time after which withdrawn keys must be refused; takes effect at a process's next boot. 0: no limit.
   Duration key_withdrawal_limit{};
   Duration configuration_limit = CellSettings{}.configuration_limit;  // Takes effect at a process's next boot.
+  // Does nothing for a worker that has left, or if another one has the same id and a later start.
   void WriteWorkerEntry(const FakeWorker& worker);
+  void RemoveWorkerEntry(const FakeWorker& worker);
   bool log_to_stdout = false;
   const Policies policies;                                        // Used by all hosts.
   size_t max_direct_workers = CellSettings{}.max_direct_workers;  // Takes effect at a process's next boot.
@@ -305,6 +316,8 @@
 
   void Step(TimePoint until);
   TimePoint NextEvent() const;
+  size_t AnyHost();
+  bool IsReplacedUnderItsId(const FakeWorker& worker) const;
   const CellConfiguration* ConfigurationOf(uint64_t version) const;
   // The tenant of this key in the configurations that may be in force for a request sent at that time.
   std::optional<std::string> TenantAt(const KeyDigest& key, TimePoint sent) const;
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <functional>
 
+#include "tests/cell_chaos_releases.h"
 #include "tests/cell_jobs.h"
 
 namespace hibiscus::cell {
@@ -52,7 +53,10 @@
 class Course {
  public:
   explicit Course(const CellChaosOptions& options)
-      : options_(options), world_(options.seed, kHosts, kWorkers), route_random_(options.seed) {
+      : options_(options),
+        world_(options.seed, kHosts, kWorkers),
+        route_random_(options.seed),
+        releases_(world_, options.seed, options.same_id_at_once, [this](const std::string& what) { Note(what); }) {
     world_.log_to_stdout = options.log;
     world_.checks_waiting = true;
     AddQueues(world_);
@@ -87,8 +91,12 @@
     if (options_.silent_hosts) {
       SilenceHosts();
     }
+    if (options_.releases) {
+      releases_.Begin();
+    }
     world_.RunFor(kCourse);
     over_ = true;
+    releases_.Stop();
     Heal();
     world_.RunFor(kSettleTime);
     JudgeLastingTasks();
@@ -103,7 +111,8 @@
     result_.faults.push_back(fmt::format("{} ms: {}", Millis(world_.Now().time_since_epoch()) - 3'600'000, what));
   }
   size_t AnyHost() { return world_.random()() % kHosts; }
-  FakeWorker& AnyWorker() { return world_.worker(world_.random()() % kWorkers); }
+  FakeWorker& AnyWorker() { return WorkerAt(world_.random()() % kWorkers); }
+  FakeWorker& WorkerAt(size_t place) { return world_.worker(releases_.WorkerAt(place)); }
   Duration Between(Duration least, Duration most) {
     return least + Duration(static_cast<int64_t>(world_.random()() % static_cast<uint64_t>((most - least).count())));
   }
@@ -329,7 +338,7 @@
   }
   void CrashSome() {
     for (size_t i = 0; i < kWorkers; ++i) {
-      FakeWorker& worker = world_.worker(i);
+      FakeWorker& worker = WorkerAt(i);
       if (!over_ && worker.up && world_.Chance(kSeriesShare)) {
         worker.Crash();
         world_.In(Between(200ms, 1600ms), [&worker, born = worker.entry.born_ms] {
@@ -370,7 +379,7 @@
   void LateOrdersEverywhere() {
     Note("orders late everywhere");
     for (size_t i = 0; i < kWorkers; ++i) {
-      FakeWorker& worker = world_.worker(i);
+      FakeWorker& worker = WorkerAt(i);
       worker.faults.late_execution_share = kLateOrdersShare;
       world_.In(kLateOrdersTime, [&worker] { worker.faults.late_execution_share = 0; });
       world_.In(Between(500ms, kLateOrdersTime), [this, &worker] { CrashBriefly(worker); });
@@ -423,8 +432,9 @@
       }
       for (size_t i = 0; i < kWorkers; ++i) {
         if (world_.Chance(0.25)) {
-          world_.CutPath(host, world_.worker(i), true);
-          world_.In(cut, [this, host, i] { world_.CutPath(host, world_.worker(i), false); });
+          FakeWorker& worker = WorkerAt(i);
+          world_.CutPath(host, worker, true);
+          world_.In(cut, [this, host, &worker] { world_.CutPath(host, worker, false); });
         }
       }
     }
@@ -439,7 +449,7 @@
     const double share = world_.Chance(0.3) ? 0.6 : 0.25;
     for (size_t i = 0; i < kWorkers; ++i) {
       if (world_.Chance(share)) {
-        workers.insert(i);
+        workers.insert(releases_.WorkerAt(i));
       }
     }
     const Duration cut = Between(2s, 12s);
@@ -576,7 +586,7 @@
     });
   }
   void SetSilentHosts(bool silent) {
-    for (size_t i = 0; i < kHosts; ++i) {
+    for (size_t i = 0; i < world_.host_count(); ++i) {
       world_.CutPeers(i, silent);
     }
   }
@@ -718,14 +728,14 @@
     }
     world_.store().faults = CallFaults{};
     world_.late_message_share = 0;
-    for (size_t i = 0; i < kHosts; ++i) {
+    for (size_t i = 0; i < world_.host_count(); ++i) {
       world_.StoreFaultsOf(i) = CallFaults{};
       world_.SilenceWatches(i, false);
       world_.CutPeers(i, false);
     }
-    for (size_t i = 0; i < kWorkers; ++i) {
+    for (size_t i = 0; i < world_.worker_count(); ++i) {
       world_.worker(i).faults = CallFaults{};
-      if (!world_.worker(i).up) {
+      if (!world_.worker(i).up && !world_.worker(i).departed) {
         world_.worker(i).Restart();
       }
     }
@@ -785,6 +795,7 @@
   CellWorld world_;
   CellChaosResult result_;
   std::mt19937_64 route_random_;
+  CellReleases releases_;
   std::set<std::string> cancelled_;
   std::vector<JobSpec> lasting_;
   std::set<std::string> failing_;  // Some of their runs fail.
--- a/tests/cell_chaos.h
+++ b/tests/cell_chaos.h
@@ -17,8 +17,10 @@
   bool dense = false;        // More faults at the same time, and longer tasks.
   bool routes = false;       // Operators add and drop queues in series, and callers ask for them.
   bool late_orders = false;  // Orders are late at all workers at the same time, and each worker starts again meanwhile.
-  bool silent_hosts = false;  // All messages between hosts are lost for seconds, while the owner changes.
-  size_t fault_kinds = 0;     // Draws only from the first kinds of faults, as seeds found earlier did. 0: from all.
+  bool silent_hosts = false;     // All messages between hosts are lost for seconds, while the owner changes.
+  bool releases = false;         // Workers drain, leave and are replaced; hosts join and are removed.
+  bool same_id_at_once = false;  // With releases: a worker may join under the id of one that still runs.
+  size_t fault_kinds = 0;        // Draws only from the first kinds of faults, as seeds found earlier did. 0: from all.
 
   friend bool operator==(const CellChaosOptions&, const CellChaosOptions&) = default;
 };
--- a/tests/cell_courses_test.cc
+++ b/tests/cell_courses_test.cc
@@ -41,6 +41,10 @@
   ForEachSeed({}, [](uint64_t seed) { CheckCourse({.seed = seed, .routes = true}); });
 }
 
+TEST_CASE("courses of all faults while workers and hosts are replaced") {
+  ForEachSeed({}, [](uint64_t seed) { CheckCourse({.seed = seed, .releases = true}); });
+}
+
 TEST_CASE("courses in which a repeated hold named ends to a worker's next life") {
   CheckCourse({.seed = 53, .relays = true});
 }
