--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -11,8 +11,8 @@
 // carried out (OpenCopy::until). A next life of its worker may carry it out whatever the earlier one answered or
 // listed: it knows neither a stop nor a token of before. So a run with open copies stays placed although it is over,
 // and its task gets no other worker until then (PlacedRun::over). In the meantime the same run is sent again to the
-// same worker, which carries out one copy at most. And no end is named to a worker as received while a copy to it is
-// open: the end may be that of the run which begins again.
+// same worker, which carries out one copy at most. And an end is not named to its worker as received while a copy of
+// its run's start is open, or of a start of the same gang: the run may begin again.
 //
 // A hold that names ends to forget may also reach the next life, which numbers its ends anew, and make it forget the
 // end of a run that the owner has not received. So it is sent only while no start can be on its way to the worker, and
@@ -105,7 +105,7 @@
   bool check_scheduled = false;  // Whether its start is answered is checked soon.
   bool over = false;             // It is not running in the life that is known. Stays placed until no copy is open.
   GoneReason over_reason = GoneReason::kNeverRan;
-  bool overdue = false;  // Its start had no answer for long enough to be stored for the next owner.
+  bool overdue = false;  // Its start has had no answer for so long that it is stored for the next owner.
 
   // When the last open copy can no longer be carried out. TimePoint{}: none is open.
   TimePoint OpenUntil() const;
@@ -253,7 +253,7 @@
   void AddOpenStart(const OpenStartRecord& start);
   // The starts that have no answer for long enough to be stored for the next owner, or all without an answer.
   std::vector<OpenStartRecord> open_starts(bool all) const;
-  // Changes whenever open_starts(false) has other starts than before.
+  // Changes whenever open_starts(false) has other starts than before, or their times have grown.
   uint64_t open_starts_version() const { return open_starts_version_; }
   // Called when a worker's entry in the store was written or removed.
   void OnEntry(const WorkerEntry& entry);
