A job whose start has no answer counts as waiting after a change of the owner

Cause: an owner that loads an open start places its task, and a job with a placed task counted as begun. Callers saw too few waiting jobs, and "running" for one that had not begun.

Now only a run that is listed, ended or answered makes its job begun. The test in cell_open_starts_test failed before (state, and 0 waiting jobs instead of 1).

--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -133,6 +133,7 @@
   // The task may be waiting for this: a copy of its start was carried out after the run had been taken for over.
   const bool awaited = IsCurrent(*task, worker, row.run) && !task->stopping && !step->gang_ending;
   const bool adopted = !step->job->final && (awaited || Adopt(*step, row.run.task.index, worker, row.run));
+  step->job->started = step->job->started || adopted;
   context_.Log("run", "event={} worker={} born_ms={} job={} step={} index={} run={} placed_on={} current_run={}",
                adopted ? "adopted" : "stop_found_run", worker.entry.id, worker.entry.born_ms, row.run.task.job,
                row.run.task.step, row.run.task.index, row.run.run, adopted ? "" : task->worker, task->run);
@@ -153,7 +154,12 @@
   BeginReportedOccurrence(run.task);
   StepRun* step = nullptr;
   const TaskState* task = FindTask(run.task, &step);
-  const bool waits = task != nullptr && !step->job->final && Adopt(*step, run.task.index, worker, run);
+  bool waits = false;
+  if (task != nullptr && !step->job->final) {
+    const bool started = step->job->started;
+    waits = Adopt(*step, run.task.index, worker, run);
+    step->job->started = started;  // It may not have begun.
+  }
   context_.Log("run", "event=waits_for_open_start worker={} job={} step={} index={} run={} waits={}", worker.entry.id,
                run.task.job, run.task.step, run.task.index, run.run, waits);
 }
--- a/tests/cell_open_starts_test.cc
+++ b/tests/cell_open_starts_test.cc
@@ -213,6 +213,28 @@
   CHECK(world.starts() == 2);
 }
 
+// The next owner knows of the start, and not that anything has begun.
+TEST_CASE("a job whose start has no answer counts as waiting after a crash of its owner") {
+  CellWorld world(310, 3, 3);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.RunFor(kFirstLife);
+  DelayNextStarts(world, 11s, 6);
+  const JobSpec job = JobOf(1, {StepOf(1, 1000)});
+  world.SubmitWithRetries(job, TaskBehaviour{});
+  world.RunFor(600ms);
+  const size_t owner = *world.OwnerIndex();
+  world.Kill(owner);
+  REQUIRE(world.RunUntil([&] { return HasOwner(world) && *world.OwnerIndex() != owner; }, 5s));
+  world.RunFor(2s);
+  CHECK(world.StateOf(job.queue, job.id) == JobState::kQueued);
+  int64_t pending = 0;
+  world.Ask(*world.OwnerIndex(), CallerKind::kPending, job.queue, "",
+            [&](const CallerReply& reply) { pending = reply.pending; });
+  world.RunFor(1s);
+  CHECK(pending == 1);
+}
+
 // Throughput while a share of the orders is late.
 TEST_CASE("work goes on while a share of the orders is late") {
   for (const double share : {0.0, 0.02, 0.1}) {
