One decoder for the roster and the open starts of an earlier owner

No behaviour changes: cell_handover_test, cell_takeover_test and cell_open_starts_test pass as before.

--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -60,25 +60,23 @@
 }
 
 void Owner::ReadJobs() {
-  const auto on_item = [this](const StoreItem& item) {
+  const auto load = [this]<class Record>(const StoreItem& item, Record& target) {
+    auto record = DecodeRecord<Record>(item.value);
+    if (record) {
+      target = std::move(*record);
+    } else {
+      context_.Log("owner", "event=unreadable key={} reason=\"{}\"", item.key, record.error());
+    }
+  };
+  const auto on_item = [this, load](const StoreItem& item) {
     if (item.key.starts_with(kLogPrefix)) {
       LoadLogItem(item);
     } else if (item.key.starts_with(kEndedPrefix)) {
       LoadEndedItem(item);
     } else if (item.key == kRosterKey) {
-      auto roster = DecodeRecord<std::vector<WorkerInstanceRecord>>(item.value);
-      if (roster) {
-        loading_.roster = std::move(*roster);
-      } else {
-        context_.Log("owner", "event=unreadable key={} reason=\"{}\"", item.key, roster.error());
-      }
+      load(item, loading_.roster);
     } else if (item.key == kOpenStartsKey) {
-      auto starts = DecodeRecord<std::vector<OpenStartRecord>>(item.value);
-      if (starts) {
-        loading_.open_starts = std::move(*starts);
-      } else {
-        context_.Log("owner", "event=unreadable key={} reason=\"{}\"", item.key, starts.error());
-      }
+      load(item, loading_.open_starts);
     }
   };
   ReadPrefix(kDataPrefix, "", on_item, [this](uint64_t) { ReadWorkers(); });
