--- a/tests/cell_late_starts_test.cc
+++ b/tests/cell_late_starts_test.cc
@@ -145,6 +145,13 @@
   }
 }
 
+// A copy waits up to 0.9 s for a connection, and is carried out 12 s after it was sent.
+TEST_CASE("a task does not run twice when a copy that waited for a connection is carried out 12 s later") {
+  for (const Duration transit_time : {Duration(12s), Duration(12400ms), Duration(12900ms)}) {
+    CheckLateStart({.seed = 303, .transit_time = transit_time, .restart_before = 30ms, .drains = true});
+  }
+}
+
 TEST_CASE("a start without an answer is not sent again to a worker that its queue no longer uses") {
   CellWorld world(306, 3, 3);
   AddQueues(world);
--- a/tests/cell_open_starts_test.cc
+++ b/tests/cell_open_starts_test.cc
@@ -278,27 +278,5 @@
   }
 }
 
-// A copy waits up to 0.9 s for a connection, and is carried out 12 s after it was sent.
-TEST_CASE("a task does not run twice when a copy that waited for a connection is carried out 12 s later") {
-  for (const Duration transit : {Duration(12s), Duration(12400ms), Duration(12900ms)}) {
-    CellWorld world(303, 3, 3);
-    AddQueues(world);
-    REQUIRE(Settle(world));
-    world.RunFor(kFirstLife);
-    DelayNextStarts(world, transit);
-    const JobSpec job = JobOf(1, {StepOf(1, 1000)});
-    world.SubmitWithRetries(job, TaskBehaviour{6s, 0});
-    FakeWorker* worker = WorkerOfDelayedStart(world);
-    REQUIRE(worker != nullptr);
-    worker->entry.draining = true;
-    world.WriteWorkerEntry(*worker);
-    world.RunFor(transit - 30ms);
-    RestartUnnoticed(*worker);
-    world.RunFor(30s);
-    INFO("transit " << Millis(transit) << ViolationsOf(world));
-    CHECK(world.violations().empty());
-  }
-}
-
 }  // namespace
 }  // namespace hibiscus::cell
