A task waits until a found run that is being stopped is over

Cause: a new owner that finds a run on a worker while its task is placed with another one has the found run stopped, and keeps no record of that for the task. The stop takes up to StopMs (900 ms on the platform). If the other run is over before, the task starts again beside the one that is being stopped.

Ruled out: a stop that is lost or late in a relay (it took 432 ms, within the stand-in's bound); a start that is carried out late (run 1 never began).

Change: a run that the owner does not keep is marked until it is over, and the step of its task starts nothing meanwhile; the same for an open start whose task is placed with another run. step_waits shows it as gate=unwanted_run. A start that waits to be stored first is held by the same condition.

--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -252,7 +252,7 @@
   void OnFenced() override;
   void OnOpenStartsChanged() override { commit_.Request(); }
   bool MayBeGang(const RunRef& run) const override;
-  void OnOpenStart(Worker& worker, const RunRef& run) override;
+  bool OnOpenStart(Worker& worker, const RunRef& run) override;
   StepRun* FindStep(const TaskRef& task);
   TaskState* FindTask(const TaskRef& task, StepRun** step);
   // `over` says how the run ended or why it counts as over: a string literal.
--- a/src/cell/owner_crashes.cc
+++ b/src/cell/owner_crashes.cc
@@ -126,12 +126,12 @@
   if (worker == nullptr || !IsPlaced(order.run)) {
     return;
   }
-  if (closing_ || is_deposed_ || !workers_.MayAct() || !worker->UsableAt(context_.Now())) {
+  StepRun* step = nullptr;
+  TaskState* task = FindTask(order.run.task, &step);
+  if (closing_ || is_deposed_ || !workers_.MayAct() || !worker->UsableAt(context_.Now()) || !AllRunsKnown(*step)) {
     workers_.Stop(*worker, order.run);
     return;
   }
-  StepRun* step = nullptr;
-  TaskState* task = FindTask(order.run.task, &step);
   task->placed_at = context_.Now();
   task->progressed_at = task->placed_at;
   workers_.StartReserved(*worker, order);
--- a/src/cell/owner_placement.cc
+++ b/src/cell/owner_placement.cc
@@ -120,7 +120,7 @@
 }
 
 bool Owner::AllRunsKnown(const StepRun& step) const {
-  return !steps_on_hold_.contains(step.RefOf(0));
+  return !steps_on_hold_.contains(step.RefOf(0)) && !workers_.HasUnwantedRun(step.RefOf(0));
 }
 
 void Owner::RefreshWorkers() {
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -150,18 +150,20 @@
   return !known || job->second->record.spec.steps[static_cast<size_t>(run.task.step)].gang;
 }
 
-void Owner::OnOpenStart(Worker& worker, const RunRef& run) {
+bool Owner::OnOpenStart(Worker& worker, const RunRef& run) {
   BeginReportedOccurrence(run.task);
   StepRun* step = nullptr;
   const TaskState* task = FindTask(run.task, &step);
   bool waits = false;
-  if (task != nullptr && !step->job->final) {
+  const bool may_start = task != nullptr && !step->job->final && task->phase != TaskPhase::kDone;
+  if (may_start) {
     const bool started = step->job->started;
     waits = Adopt(*step, run.task.index, worker, run);
     step->job->started = started;  // It may not have begun.
   }
   context_.Log("run", "event=waits_for_open_start worker={} job={} step={} index={} run={} waits={}", worker.entry.id,
                run.task.job, run.task.step, run.task.index, run.run, waits);
+  return waits || !may_start;
 }
 
 bool Owner::Adopt(StepRun& step, int index, Worker& worker, const RunRef& run) {
--- a/src/cell/owner_waiting.cc
+++ b/src/cell/owner_waiting.cc
@@ -84,6 +84,7 @@
   gates.gang_ending = step.gang_ending;
   gates.gang_partly_started = step.spec->gang && step.waiting < step.spec->count;
   gates.may_still_start = step.waiting == 0;
+  gates.unwanted_run = workers_.HasUnwantedRun(step.RefOf(0));
   gates.owner_in_doubt = steps_on_hold_.contains(step.RefOf(0));
   if (const std::optional<WaitingGate> gate = GateOf(gates); gate) {
     return gate;
--- a/src/cell/waiting_gate.cc
+++ b/src/cell/waiting_gate.cc
@@ -16,6 +16,8 @@
       return "gang_partly_started";
     case WaitingGate::kMayStillStart:
       return "may_still_start";
+    case WaitingGate::kUnwantedRun:
+      return "unwanted_run";
     case WaitingGate::kOwnerInDoubt:
       return "owner_in_doubt";
     case WaitingGate::kQuota:
@@ -50,6 +52,7 @@
       Row{&PassGates::gang_ending, WaitingGate::kGangEnding},
       Row{&PassGates::gang_partly_started, WaitingGate::kGangPartlyStarted},
       Row{&PassGates::may_still_start, WaitingGate::kMayStillStart},
+      Row{&PassGates::unwanted_run, WaitingGate::kUnwantedRun},
       Row{&PassGates::owner_in_doubt, WaitingGate::kOwnerInDoubt},
   };
   for (const Row& row : kRows) {
--- a/src/cell/waiting_gate.h
+++ b/src/cell/waiting_gate.h
@@ -18,6 +18,7 @@
   kGangEnding,         // Members of its last start are being stopped.
   kGangPartlyStarted,  // Some members were found running after a takeover, others not.
   kMayStillStart,      // An unanswered start may still arrive in a worker's next life.
+  kUnwantedRun,        // A run that was found and not kept is not over yet.
   kOwnerInDoubt,       // A run was lost while another host could own the cell.
   kQuota,              // Its tenant's maximum is in use, or kept for a gang of the tenant.
   kAdvicePending,      // The advice service has not answered, or has as many calls as it may have.
@@ -30,10 +31,12 @@
 };
 
 inline constexpr std::array kWaitingGates{
-    WaitingGate::kAuthority,         WaitingGate::kNotStored,     WaitingGate::kEarlierRuns,  WaitingGate::kGangEnding,
-    WaitingGate::kGangPartlyStarted, WaitingGate::kMayStillStart, WaitingGate::kOwnerInDoubt, WaitingGate::kQuota,
-    WaitingGate::kAdvicePending,     WaitingGate::kNoTicket,      WaitingGate::kNotAllowed,   WaitingGate::kReserved,
-    WaitingGate::kQuarantined,       WaitingGate::kNoCapacity,    WaitingGate::kPlacement,
+    WaitingGate::kAuthority,     WaitingGate::kNotStored,         WaitingGate::kEarlierRuns,
+    WaitingGate::kGangEnding,    WaitingGate::kGangPartlyStarted, WaitingGate::kMayStillStart,
+    WaitingGate::kUnwantedRun,   WaitingGate::kOwnerInDoubt,      WaitingGate::kQuota,
+    WaitingGate::kAdvicePending, WaitingGate::kNoTicket,          WaitingGate::kNotAllowed,
+    WaitingGate::kReserved,      WaitingGate::kQuarantined,       WaitingGate::kNoCapacity,
+    WaitingGate::kPlacement,
 };
 
 const char* NameOf(WaitingGate gate);
@@ -46,6 +49,7 @@
   bool gang_ending = false;
   bool gang_partly_started = false;
   bool may_still_start = false;
+  bool unwanted_run = false;
   bool owner_in_doubt = false;
 
   friend auto operator<=>(const PassGates&, const PassGates&) = default;
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -434,7 +434,9 @@
                    .overdue = true});
   ++open_starts_version_;
   MarkOver(*slot, start.run, GoneReason::kNeverRan);
-  listener_.OnOpenStart(*slot, start.run);
+  if (!listener_.OnOpenStart(*slot, start.run)) {
+    MarkUnwanted(*slot, start.run);
+  }
 }
 
 void WorkerTable::SetStoredRoster(const std::vector<WorkerInstanceRecord>& roster) {
@@ -521,10 +523,19 @@
   if (const auto of_step = over_of_step_.find(StepOf(run)); found->second.over && --of_step->second == 0) {
     over_of_step_.erase(of_step);
   }
+  if (const auto of_step = unwanted_of_step_.find(StepOf(run)); found->second.unwanted && --of_step->second == 0) {
+    unwanted_of_step_.erase(of_step);
+  }
   ForgetOpenRun(run, found->second);
   worker.placed.erase(found);
 }
 
+void WorkerTable::MarkUnwanted(Worker& worker, const RunRef& run) {
+  if (!std::exchange(worker.placed.at(run).unwanted, true)) {
+    ++unwanted_of_step_[StepOf(run)];
+  }
+}
+
 void WorkerTable::SubtractDemand(Worker& worker, const PlacedRun& placed) {
   worker.used_ -= placed.demand.size;
   worker.suspicion_ -= placed.demand.suspicion;
@@ -881,6 +892,7 @@
     }
     AddRun(worker, row.run, run);
     if (!keep) {
+      MarkUnwanted(worker, row.run);
       Stop(worker, row.run);
     }
   }
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -105,7 +105,8 @@
   bool check_scheduled = false;  // Whether its start is answered is checked soon.
   bool over = false;             // It is not running in the life that is known. Stays placed until no copy is open.
   GoneReason over_reason = GoneReason::kNeverRan;
-  bool overdue = false;  // Its start has had no answer for so long that it is stored for the next owner.
+  bool overdue = false;   // Its start has had no answer for so long that it is stored for the next owner.
+  bool unwanted = false;  // Found there and not kept: its task waits until it is over.
 
   // When the last open copy can no longer be carried out. TimePoint{}: none is open.
   TimePoint OpenUntil() const;
@@ -237,8 +238,9 @@
     virtual void OnFenced() = 0;                  // A worker has seen a higher token.
     virtual void OnOpenStartsChanged() = 0;       // Store open_starts() soon.
     virtual bool MayBeGang(const RunRef& run) const = 0;  // True if its job is not known.
-    // A start of an earlier owner may still be carried out; OnGone follows once that is excluded.
-    virtual void OnOpenStart(Worker& worker, const RunRef& run) = 0;
+    // A start of an earlier owner may still be carried out; OnGone follows once that is excluded. Returns false
+    // if its task is placed with another run, and may not start again before that.
+    virtual bool OnOpenStart(Worker& worker, const RunRef& run) = 0;
   };
 
   // Sends orders through `orders`.
@@ -287,6 +289,8 @@
   bool MayStartAgain(const TaskRef& step) const { return over_of_step_.contains(step); }
   // When the last such start can no longer be carried out. Empty if there is none.
   std::optional<TimePoint> StartsOverAt(const TaskRef& step) const;
+  // True if a run of this step that the owner did not keep is not over yet: it is being stopped, or may still begin.
+  bool HasUnwantedRun(const TaskRef& step) const { return unwanted_of_step_.contains(step); }
   // When the runs of an earlier owner on a worker that was not reached are certainly over.
   TimePoint InheritedRunsOverAt() const;
   // By when every start sent so far is answered, or its call given up. Not later than now if all are.
@@ -403,6 +407,7 @@
   void RecordStartDelay(Duration delay);
   void AddRun(Worker& worker, const RunRef& run, const PlacedRun& placed);
   void RemoveRun(Worker& worker, const RunRef& run);
+  void MarkUnwanted(Worker& worker, const RunRef& run);
   void SubtractDemand(Worker& worker, const PlacedRun& placed);
   static bool HasRuns(const Worker& worker);  // That are not over.
   // Removes runs that ended with the worker's process.
@@ -441,8 +446,9 @@
   TenantUsage lasting_usage_;
   std::map<RunRef, std::string> open_runs_;  // Placed runs with open copies, and their workers.
   uint64_t open_starts_version_ = 0;
-  std::map<TaskRef, int> over_of_step_;  // Number of placed runs that are over, by step.
-  TimePoint recheck_since_{};            // Time of the last RecheckAll.
+  std::map<TaskRef, int> over_of_step_;      // Number of placed runs that are over, by step.
+  std::map<TaskRef, int> unwanted_of_step_;  // Number of placed runs that are unwanted, by step.
+  TimePoint recheck_since_{};                // Time of the last RecheckAll.
   size_t max_number_ = 0;
   std::unordered_map<size_t, Worker*> by_number_;
   Duration start_delay_{};
--- /dev/null
+++ b/tests/cell_found_runs_test.cc
@@ -0,0 +1,127 @@
+// Runs that a new owner finds on the workers beside open starts that its predecessor stored.
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "cell/records.h"
+#include "tests/cell_late_orders.h"
+
+namespace hibiscus::cell {
+namespace {
+
+constexpr Duration kMaxStopTime = 900ms;  // Limit of the platform.
+
+void SlowDownStops(CellWorld& world) {
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    world.worker(i).min_stop_time = kMaxStopTime;
+  }
+}
+
+FakeWorker* WorkerThatRuns(CellWorld& world, const TaskRef& task) {
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    if (world.worker(i).RunsTask(task)) {
+      return &world.worker(i);
+    }
+  }
+  return nullptr;
+}
+
+// The record names a later run than the one that is found, so the found one is stopped.
+TEST_CASE("a task does not start again while a run of it that a new owner found is being stopped") {
+  for (const bool gang : {false, true}) {
+    for (const Duration open_for : {50ms, 300ms, 600ms, 850ms}) {
+      CellWorld world(801, 3, 4);
+      AddQueues(world);
+      REQUIRE(Settle(world));
+      SlowDownStops(world);
+      StepSpec step = OneOnEach(2);
+      step.gang = gang;
+      const JobSpec job = JobOf(1, {step});
+      world.SubmitWithRetries(job, TaskBehaviour{5s, 0});
+      REQUIRE(world.RunUntil([&] { return world.starts() == 2; }, 3s));
+      world.RunFor(500ms);
+      constexpr int kLaterRun = 500;
+      std::vector<OpenStartRecord> open;
+      for (int index = 0; index < 2; ++index) {
+        const TaskRef task{job.id, 0, 0, index};
+        REQUIRE(WorkerThatRuns(world, task) != nullptr);
+        const bool on_first = WorkerThatRuns(world, task) == &world.worker(0);
+        open.push_back(OpenStartRecord{RunRef{task, kLaterRun}, world.worker(on_first ? 1 : 0).entry.id, open_for});
+      }
+      world.store().Commit(StoreTransaction{{}, {StoreWrite{kOpenStartsKey, EncodeRecord(open), 0}}, {}});
+      world.Kill(*world.OwnerIndex());
+      world.RunFor(20s);
+      INFO("gang " << gang << " open for " << Millis(open_for) << " ms" << ViolationsOf(world));
+      CHECK(world.violations().empty());
+      CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+    }
+  }
+}
+
+struct StaleRecordOutcome {
+  int starts_before = 0;  // Before the owner changed.
+  int starts = 0;
+  std::vector<std::string> violations;
+  std::optional<JobState> state;
+};
+
+// A start has no answer and is stored as open. Once its ticket has expired the task is started on another worker, while
+// the store is away, and then the owner restarts. The record is written again for another job's start, so that its time
+// is nearly over.
+StaleRecordOutcome PlayStaleRecord(const JobSpec& job, Duration second_start_after) {
+  constexpr Duration kOutageAfter = 1500ms;   // Both starts are stored by then, and the ticket is valid.
+  constexpr Duration kRestartAfter = 2100ms;  // The task runs elsewhere by then.
+  CellWorld world(802, 3, 4);
+  AddQueues(world);
+  world.allowed_percent["advised"] = 100;
+  REQUIRE(Settle(world));
+  SlowDownStops(world);
+  const auto delay_one = [&world](const JobSpec& delayed) {
+    DelayNextStarts(world, 11s, 1);
+    world.SubmitWithRetries(delayed, TaskBehaviour{5s, 0});
+    FakeWorker* worker = WorkerOfDelayedStart(world);
+    REQUIRE(worker != nullptr);
+    worker->entry.draining = true;  // Gets no further copies.
+    world.WriteWorkerEntry(*worker);
+  };
+  delay_one(job);
+  const TimePoint sent_at = world.Now();
+  world.RunFor(second_start_after);
+  delay_one(JobOf(2, {StepOf(1, 1000)}, "advised"));
+  world.RunFor(sent_at + kOutageAfter - world.Now());
+  world.store().leases_paused = true;
+  world.store().faults.down = true;
+  world.RunFor(sent_at + kRestartAfter - world.Now());
+  StaleRecordOutcome outcome;
+  outcome.starts_before = world.starts();
+  const size_t owner = *world.OwnerIndex();
+  world.Kill(owner);
+  world.Boot(owner);
+  world.store().leases_paused = false;
+  world.store().faults = CallFaults{};
+  world.RunFor(20s);
+  outcome.starts = world.starts();
+  outcome.violations = world.violations();
+  outcome.state = world.StateOf(job.queue, job.id);
+  return outcome;
+}
+
+TEST_CASE("a task that was started again does not run twice when its owner restarts after an outage of the store") {
+  for (const bool gang : {false, true}) {
+    for (const Duration second_start_after : {300ms, 600ms, 900ms, 1100ms}) {
+      StepSpec step = OneOnEach(gang ? 2 : 1);
+      step.gang = gang;
+      const StaleRecordOutcome outcome = PlayStaleRecord(JobOf(1, {step}, "advised"), second_start_after);
+      INFO("gang " << gang << " second start after " << Millis(second_start_after) << " ms, starts "
+                   << outcome.starts_before << " and " << outcome.starts
+                   << (outcome.violations.empty() ? "" : ": " + outcome.violations.front()));
+      CHECK(outcome.starts_before > 0);
+      CHECK(outcome.violations.empty());
+      CHECK(outcome.state == JobState::kCompleted);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace hibiscus::cell
--- a/tests/cell_waiting_test.cc
+++ b/tests/cell_waiting_test.cc
@@ -56,6 +56,8 @@
   CHECK_FALSE(GateOf(PassGates{}).has_value());
   CHECK(GateOf(PassGates{.earlier_runs = true, .may_still_start = true}) == WaitingGate::kEarlierRuns);
   CHECK(GateOf(PassGates{.may_still_start = true, .owner_in_doubt = true}) == WaitingGate::kMayStillStart);
+  CHECK(GateOf(PassGates{.unwanted_run = true, .owner_in_doubt = true}) == WaitingGate::kUnwantedRun);
+  CHECK(GateOf(PassGates{.may_still_start = true, .unwanted_run = true}) == WaitingGate::kMayStillStart);
   CHECK(GateOf(PassGates{.authority = true, .gang_ending = true}) == WaitingGate::kAuthority);
   CHECK(GateOf(PassFindings{}) == WaitingGate::kNoCapacity);
   CHECK(GateOf(PassFindings{.quota_used = true, .tickets_missing = true}) == WaitingGate::kQuota);
