A new owner keeps a run that is later than a stored open start of its task

What callers saw: work that ran on a sound worker was stopped after a change of the owner and started again seconds later, though nothing was wrong with it.

Cause: an owner whose store is away starts a task again once its unanswered start can no longer be carried out, but the record of open starts still names that start.

Why this works: an owner starts a task or gang again only after its earlier runs are over and none of their starts can be carried out, and run numbers rise from owner to owner. So a run that is found, or open, shows that open starts of earlier runs of its task or gang are out of date: they are dropped, and the later run is adopted. Also if the gang was being stopped because of such a start. The log says event=open_start_outdated.

--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -264,7 +264,10 @@
   void CheckProgress(StepRun& step, int index, Worker& worker, int percent);
   void UpdateQuarantine(const Worker& worker, const StepRun& step, EndKind how);
   void UpdateCheckpoint(StepRun& step, int index, const std::string& checkpoint);
+  // Places the task with a run that is found or may still begin. Returns false if it is placed with another one.
   bool Adopt(StepRun& step, int index, Worker& worker, const RunRef& run);
+  // If the task, or its gang, is placed only with open starts of runs before this one, it waits again.
+  void DropOutdatedStarts(StepRun& step, int index, int later_run);
   void StopGang(StepRun& step);
   void OnGangMemberGone(StepRun& step);
   void StopPlacedTasks(StepRun& step);
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -166,8 +166,36 @@
   return waits || !may_start;
 }
 
+// An owner starts a task or a gang again only once its earlier runs are over and none of their starts can be carried
+// out any more.
+void Owner::DropOutdatedStarts(StepRun& step, int index, int later_run) {
+  const int first = step.spec->gang ? 0 : index;
+  const int last = step.spec->gang ? step.spec->count - 1 : index;
+  std::vector<int> outdated;
+  for (int i = first; i <= last; ++i) {
+    const TaskState& task = step.tasks[static_cast<size_t>(i)];
+    if (task.phase != TaskPhase::kPlaced) {
+      continue;
+    }
+    const Worker* worker = workers_.Find(task.worker);
+    const bool is_open_start = worker != nullptr && workers_.MayStartAgain(*worker, RunRef{step.RefOf(i), task.run});
+    if (!is_open_start || task.run >= later_run) {
+      return;
+    }
+    outdated.push_back(i);
+  }
+  for (const int i : outdated) {
+    const TaskState& task = step.tasks[static_cast<size_t>(i)];
+    context_.Log("run", "event=open_start_outdated worker={} job={} step={} index={} run={} later_run={}", task.worker,
+                 step.job->id(), step.step, i, task.run, later_run);
+    RequeueTask(step, i, "outdated");
+  }
+  step.gang_ending = step.gang_ending && outdated.empty();
+}
+
 bool Owner::Adopt(StepRun& step, int index, Worker& worker, const RunRef& run) {
   TaskState& task = step.tasks[static_cast<size_t>(index)];
+  DropOutdatedStarts(step, index, run.run);
   const bool other_gang_run = step.spec->gang && step.placed() > 0 && step.gang_run != run.run;
   if (task.phase != TaskPhase::kWaiting || step.gang_ending || other_gang_run) {
     return false;
--- a/tests/cell_found_runs_test.cc
+++ b/tests/cell_found_runs_test.cc
@@ -69,9 +69,8 @@
 // A start has no answer and is stored as open. Once its ticket has expired the task is started on another worker, while
 // the store is away, and then the owner restarts. The record is written again for another job's start, so that its time
 // is nearly over.
-StaleRecordOutcome PlayStaleRecord(const JobSpec& job, Duration second_start_after) {
-  constexpr Duration kOutageAfter = 1500ms;   // Both starts are stored by then, and the ticket is valid.
-  constexpr Duration kRestartAfter = 2100ms;  // The task runs elsewhere by then.
+StaleRecordOutcome PlayStaleRecord(const JobSpec& job, Duration second_start_after, Duration restart_after) {
+  constexpr Duration kOutageAfter = 1500ms;  // Both starts are stored by then, and the ticket is valid.
   CellWorld world(802, 3, 4);
   AddQueues(world);
   world.allowed_percent["advised"] = 100;
@@ -92,7 +91,7 @@
   world.RunFor(sent_at + kOutageAfter - world.Now());
   world.store().leases_paused = true;
   world.store().faults.down = true;
-  world.RunFor(sent_at + kRestartAfter - world.Now());
+  world.RunFor(sent_at + restart_after - world.Now());
   StaleRecordOutcome outcome;
   outcome.starts_before = world.starts();
   const size_t owner = *world.OwnerIndex();
@@ -107,21 +106,39 @@
   return outcome;
 }
 
+constexpr Duration kStartedAgain = 2100ms;  // After the first start.
+constexpr Duration kGangStartedAgain = 4s;
+
 TEST_CASE("a task that was started again does not run twice when its owner restarts after an outage of the store") {
   for (const bool gang : {false, true}) {
     for (const Duration second_start_after : {300ms, 600ms, 900ms, 1100ms}) {
       StepSpec step = OneOnEach(gang ? 2 : 1);
       step.gang = gang;
-      const StaleRecordOutcome outcome = PlayStaleRecord(JobOf(1, {step}, "advised"), second_start_after);
+      const StaleRecordOutcome outcome =
+          PlayStaleRecord(JobOf(1, {step}, "advised"), second_start_after, gang ? kGangStartedAgain : kStartedAgain);
       INFO("gang " << gang << " second start after " << Millis(second_start_after) << " ms, starts "
                    << outcome.starts_before << " and " << outcome.starts
                    << (outcome.violations.empty() ? "" : ": " + outcome.violations.front()));
-      CHECK(outcome.starts_before > 0);
+      CHECK(outcome.starts_before == (gang ? 4 : 1));  // The other job is started again, too, beside the gang.
       CHECK(outcome.violations.empty());
       CHECK(outcome.state == JobState::kCompleted);
     }
   }
 }
 
+TEST_CASE("a run is not stopped by a new owner for an open start of an earlier run") {
+  for (const bool gang : {false, true}) {
+    for (const Duration second_start_after : {300ms, 600ms, 900ms, 1100ms}) {
+      StepSpec step = OneOnEach(gang ? 2 : 1);
+      step.gang = gang;
+      const StaleRecordOutcome outcome =
+          PlayStaleRecord(JobOf(1, {step}, "advised"), second_start_after, gang ? kGangStartedAgain : kStartedAgain);
+      INFO("gang " << gang << " second start after " << Millis(second_start_after) << " ms");
+      CHECK(outcome.starts == (gang ? 4 : 2));  // The other job starts once, the member that had an answer twice.
+      CHECK(outcome.violations.empty());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
