--- a/standins/cell_late_run_check.cc
+++ b/standins/cell_late_run_check.cc
@@ -12,7 +12,6 @@
 
 constexpr Duration kContactTime = 4s;          // Limits of the platform.
 constexpr Duration kMaxStartAfterCancel = 3s;  // After the cancelling was acknowledged.
-constexpr Duration kMaxStopTime = 200ms;
 
 }  // namespace
 
@@ -26,7 +25,8 @@
     return TimePoint::max();
   }
   const TimePoint in_calm = world_.waiting_.disturbed_at() + kContactTime + kMaxStartAfterCancel;
-  return std::max({late.started_at + kContactTime, cancelled->second + kMaxStartAfterCancel, in_calm}) + kMaxStopTime;
+  return std::max({late.started_at + kContactTime, cancelled->second + kMaxStartAfterCancel, in_calm}) +
+         world_.max_stop_time();
 }
 
 void LateRunCheck::Check() {
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -14,7 +14,6 @@
 
 constexpr size_t kPageItems = 20;  // Small, so that tests exercise paging.
 constexpr Duration kMaxHold = 6s;
-constexpr int kStopTimeSteps = 4;
 constexpr Duration kGangFormationTimeout = 3s;
 constexpr Duration kConfigurationDelay = 15s;  // A configuration is in force by then, however long the store was out.
 constexpr Duration kCrashDelay = 10ms;         // From the start of a task that crashes its worker.
@@ -539,10 +538,18 @@
 size_t CellWorld::AddWorker(const WorkerEntry& entry) {
   waiting_.NoteDisruption();
   workers_.push_back(std::make_unique<FakeWorker>(*this, entry));
+  workers_.back()->min_stop_time = max_stop_time_ / FakeWorker::kStopTimeSteps;
   WriteWorkerEntry(*workers_.back());
   return workers_.size() - 1;
 }
 
+void CellWorld::SetMaxStopTime(Duration time) {
+  max_stop_time_ = time;
+  for (const auto& worker : workers_) {
+    worker->min_stop_time = time / FakeWorker::kStopTimeSteps;
+  }
+}
+
 void CellWorld::Configure() {
   ++configuration.version;
   published_.emplace_back(Now(), configuration);
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -94,6 +94,8 @@
 // ended runs until they are acknowledged.
 class FakeWorker {
  public:
+  static constexpr int kStopTimeSteps = 4;
+
   FakeWorker(CellWorld& world, WorkerEntry entry);
 
   OrderAnswer Start(const StartOrder& order);
@@ -125,7 +127,7 @@
   int acknowledgements_in_transit = 0;  // The same for holds that name ends to forget.
   int holds_in_transit = 0;             // The same for holds that name none.
   Duration transit_time{};
-  Duration min_stop_time = 50ms;  // Of index 0; other indices take up to four times as long.
+  Duration min_stop_time = 50ms;  // Of index 0; other indices take up to kStopTimeSteps times as long.
 
   bool IsRunning(const RunRef& run) const { return runs_.contains(run); }
   bool RunsTask(const TaskRef& task) const;  // Any run of it.
@@ -261,6 +263,9 @@
   FakeStore& store() { return store_; }
   // Starts another worker and writes its entry. Returns its index.
   size_t AddWorker(const WorkerEntry& entry);
+  // The longest time that a stop may take, a limit of the platform. Workers take up to that from now on.
+  void SetMaxStopTime(Duration time);
+  Duration max_stop_time() const { return max_stop_time_; }
   FakeWorker& worker(size_t index) { return *workers_[index]; }
   size_t worker_count() const { return workers_.size(); }
   std::mt19937_64& random() { return random_; }
@@ -380,6 +385,7 @@
   bool carries_out_late_ = false;  // A worker is carrying out an order that is late.
   WaitingCheck waiting_{*this};
   LateRunCheck late_runs_{*this};
+  Duration max_stop_time_ = 200ms;
   RouteCheck routes_{*this};
   int starts_ = 0;
 };
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -34,6 +34,7 @@
 constexpr double kLateOrdersShare = 0.5;
 constexpr Duration kSilentHostsEvery = 4s;  // At most, from the end of one silence to the next.
 constexpr int kChangesInSilence = 2;        // Of the owner.
+constexpr Duration kSlowStopTime = 900ms;   // The platform's longest.
 constexpr int kHotJobs = 25;                // Of one tenant at once.
 constexpr int kRoutes = 4;                  // Queues that come and go.
 constexpr Duration kRouteChangeEvery = 900ms;
@@ -64,6 +65,9 @@
     if (options.relays) {
       world_.max_direct_workers = 0;
     }
+    if (options.slow_stops) {
+      world_.SetMaxStopTime(kSlowStopTime);
+    }
     if (options.tenants) {
       world_.key_withdrawal_limit = kWithdrawalLimit;
       world_.configuration.needs_keys = true;
--- a/tests/cell_chaos.h
+++ b/tests/cell_chaos.h
@@ -20,6 +20,7 @@
   bool silent_hosts = false;     // All messages between hosts are lost for seconds, while the owner changes.
   bool releases = false;         // Workers drain, leave and are replaced; hosts join and are removed.
   bool same_id_at_once = false;  // With releases: a worker may join under the id of one that still runs.
+  bool slow_stops = false;       // Stops take up to the platform's longest time.
   size_t fault_kinds = 0;        // Draws only from the first kinds of faults, as seeds found earlier did. 0: from all.
 
   friend bool operator==(const CellChaosOptions&, const CellChaosOptions&) = default;
--- a/tests/cell_chaos_main.cc
+++ b/tests/cell_chaos_main.cc
@@ -5,6 +5,7 @@
 //   hibiscus_cell_chaos --seeds=1..300 --late_orders
 //   hibiscus_cell_chaos --seeds=1..300 --silent_hosts
 //   hibiscus_cell_chaos --seeds=1..300 --releases
+//   hibiscus_cell_chaos --seeds=1..300 --slow_stops
 //   hibiscus_cell_chaos --seeds=17..17 --log
 #include <atomic>
 #include <cstdio>
@@ -28,6 +29,7 @@
 DEFINE_bool(silent_hosts, false, "all messages between hosts are lost for seconds, while the owner changes");
 DEFINE_bool(releases, false, "workers drain, leave and are replaced, and hosts join and are removed");
 DEFINE_bool(same_id_at_once, false, "with --releases: a worker may join under the id of one that still runs");
+DEFINE_bool(slow_stops, false, "stops take up to the platform's longest time");
 DEFINE_int32(fault_kinds, 0, "draws only from this many kinds of faults, the oldest first; 0: from all");
 DEFINE_bool(log, false, "prints what the hosts log; for one seed");
 
@@ -50,6 +52,7 @@
                                                         .silent_hosts = FLAGS_silent_hosts,
                                                         .releases = FLAGS_releases,
                                                         .same_id_at_once = FLAGS_same_id_at_once,
+                                                        .slow_stops = FLAGS_slow_stops,
                                                         .fault_kinds = static_cast<size_t>(FLAGS_fault_kinds)});
       (result.ok() ? passed : failed)++;
       if (result.ok()) {
--- a/tests/cell_courses_test.cc
+++ b/tests/cell_courses_test.cc
@@ -62,6 +62,11 @@
   CheckCourse({.seed = 952060008, .dense = true, .late_orders = true});
 }
 
+TEST_CASE("courses in which a task started again beside a found run that was being stopped") {
+  CheckCourse({.seed = 997060167, .relays = true, .dense = true, .routes = true});
+  CheckCourse({.seed = 998030030, .relays = true, .dense = true, .late_orders = true, .slow_stops = true});
+}
+
 TEST_CASE("courses in which tasks that last waited behind newer work of their tenant") {
   CheckCourse({.seed = 910004106, .tenants = true, .dense = true, .fault_kinds = 31});
 }
