--- a/tests/cell_courses_test.cc
+++ b/tests/cell_courses_test.cc
@@ -45,6 +45,12 @@
   ForEachSeed({}, [](uint64_t seed) { CheckCourse({.seed = seed, .releases = true}); });
 }
 
+TEST_CASE("courses with late orders through relays and slow stops") {
+  ForEachSeed({}, [](uint64_t seed) {
+    CheckCourse({.seed = seed, .relays = true, .dense = true, .late_orders = true, .slow_stops = true});
+  });
+}
+
 TEST_CASE("courses in which a repeated hold named ends to a worker's next life") {
   CheckCourse({.seed = 53, .relays = true});
 }
