--- a/tests/cell_found_runs_test.cc
+++ b/tests/cell_found_runs_test.cc
@@ -59,6 +59,9 @@
   }
 }
 
+// When the other job's start is sent, after the first one.
+constexpr Duration kSecondStarts[] = {300ms, 600ms, 900ms, 1100ms};
+
 struct StaleRecordOutcome {
   int starts_before = 0;  // Before the owner changed.
   int starts = 0;
@@ -66,11 +69,15 @@
   std::optional<JobState> state;
 };
 
-// A start has no answer and is stored as open. Once its ticket has expired the task is started on another worker, while
-// the store is away, and then the owner restarts. The record is written again for another job's start, so that its time
-// is nearly over.
-StaleRecordOutcome PlayStaleRecord(const JobSpec& job, Duration second_start_after, Duration restart_after) {
-  constexpr Duration kOutageAfter = 1500ms;  // Both starts are stored by then, and the ticket is valid.
+// A start of a task, or of a gang of two, has no answer and is stored as open. Once its ticket has expired the task is
+// started on another worker, while the store is away, and then the owner restarts. The record is written again for
+// another job's start, so that its time is nearly over.
+StaleRecordOutcome PlayStaleRecord(bool gang, Duration second_start_after) {
+  constexpr Duration kOutageAfter = 1500ms;           // Both starts are stored by then, and the ticket is valid.
+  const Duration restart_after = gang ? 4s : 2100ms;  // The task, or the gang, was started again by then.
+  StepSpec step = OneOnEach(gang ? 2 : 1);
+  step.gang = gang;
+  const JobSpec job = JobOf(1, {step}, "advised");
   CellWorld world(802, 3, 4);
   AddQueues(world);
   world.allowed_percent["advised"] = 100;
@@ -106,16 +113,10 @@
   return outcome;
 }
 
-constexpr Duration kStartedAgain = 2100ms;  // After the first start.
-constexpr Duration kGangStartedAgain = 4s;
-
 TEST_CASE("a task that was started again does not run twice when its owner restarts after an outage of the store") {
   for (const bool gang : {false, true}) {
-    for (const Duration second_start_after : {300ms, 600ms, 900ms, 1100ms}) {
-      StepSpec step = OneOnEach(gang ? 2 : 1);
-      step.gang = gang;
-      const StaleRecordOutcome outcome =
-          PlayStaleRecord(JobOf(1, {step}, "advised"), second_start_after, gang ? kGangStartedAgain : kStartedAgain);
+    for (const Duration second_start_after : kSecondStarts) {
+      const StaleRecordOutcome outcome = PlayStaleRecord(gang, second_start_after);
       INFO("gang " << gang << " second start after " << Millis(second_start_after) << " ms, starts "
                    << outcome.starts_before << " and " << outcome.starts
                    << (outcome.violations.empty() ? "" : ": " + outcome.violations.front()));
@@ -128,11 +129,8 @@
 
 TEST_CASE("a run is not stopped by a new owner for an open start of an earlier run") {
   for (const bool gang : {false, true}) {
-    for (const Duration second_start_after : {300ms, 600ms, 900ms, 1100ms}) {
-      StepSpec step = OneOnEach(gang ? 2 : 1);
-      step.gang = gang;
-      const StaleRecordOutcome outcome =
-          PlayStaleRecord(JobOf(1, {step}, "advised"), second_start_after, gang ? kGangStartedAgain : kStartedAgain);
+    for (const Duration second_start_after : kSecondStarts) {
+      const StaleRecordOutcome outcome = PlayStaleRecord(gang, second_start_after);
       INFO("gang " << gang << " second start after " << Millis(second_start_after) << " ms");
       CHECK(outcome.starts == (gang ? 4 : 2));  // The other job starts once, the member that had an answer twice.
       CHECK(outcome.violations.empty());
