--- a/tests/cell_courses_test.cc
+++ b/tests/cell_courses_test.cc
@@ -73,6 +73,10 @@
   CheckCourse({.seed = 998030030, .relays = true, .dense = true, .late_orders = true, .slow_stops = true});
 }
 
+TEST_CASE("courses in which a version is published while a request waits for it") {
+  CheckCourse({.seed = 998040088, .relays = true, .dense = true, .routes = true, .slow_stops = true});
+}
+
 TEST_CASE("courses in which tasks that last waited behind newer work of their tenant") {
   CheckCourse({.seed = 910004106, .tenants = true, .dense = true, .fault_kinds = 31});
 }
