Logs of a worker's silence tell the lease that it was given

The log did not tell which. worker_lapsed names the latest deadline of the owner's orders on the worker's clock, and worker_answers that and the worker's clock.

Deadlines given by an earlier owner are not in it.

--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -227,6 +227,7 @@
   worker.silent = false;
   worker.replaced_ = false;
   worker.clock_known_ = false;
+  worker.latest_deadline_ = Duration(0);
   worker.lists_clock_ = Duration(0);
   worker.newest_answered_at_ = TimePoint{};
   const bool acknowledgement_may_arrive = worker.last_end_forgotten_ < worker.last_end_acknowledged_;
@@ -571,6 +572,7 @@
 }
 
 void WorkerTable::ExtendLease(Worker& worker, Duration deadline) {
+  worker.latest_deadline_ = std::max(worker.latest_deadline_, deadline);
   const TimePoint over = worker.last_clock_at_ + MaxLocalTime(deadline - worker.last_clock_) + kClockTolerance;
   worker.lease_until_ = std::max(worker.lease_until_, over);
 }
@@ -1232,7 +1234,8 @@
   if (worker.silent && IsFromCurrentLife(worker, answer)) {
     ReportNoCrash(worker);
     worker.silent = false;
-    context_.Log("worker", "event=worker_answers worker={} runs={}", worker.entry.id, worker.placed.size());
+    context_.Log("worker", "event=worker_answers worker={} runs={} clock_ms={} deadline_ms={}", worker.entry.id,
+                 worker.placed.size(), Millis(answer.worker_clock), Millis(worker.latest_deadline_));
     listener_.OnChanged(worker);
   }
   return true;
@@ -1288,7 +1291,8 @@
 void WorkerTable::LapseRuns(Worker& worker, TimePoint now) {
   const bool lapses = worker.unsettled || HasRuns(worker);
   if (lapses) {
-    context_.Log("worker", "event=worker_lapsed worker={} runs_lost={}", worker.entry.id, worker.placed.size());
+    context_.Log("worker", "event=worker_lapsed worker={} runs_lost={} deadline_ms={}", worker.entry.id,
+                 worker.placed.size(), Millis(worker.latest_deadline_));
     for (CrashedRun run : RunsAtCrash(worker)) {
       run.certain = false;
       worker.lapsed_.push_back(run);
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -167,6 +167,7 @@
   Duration last_clock_{};                         // Latest worker clock received.
   TimePoint last_clock_at_{};                     // Local time at which it was received.
   TimePoint lease_until_{};                       // All its runs are over by then.
+  Duration latest_deadline_{};                    // Of the orders to this life, on its clock. For logs.
   Duration lists_clock_{};                        // Worker clock of the newest lists applied.
   TimePoint lists_requested_at_{};                // Local time at which they were requested.
   TimePoint newest_answered_at_{};                // When the newest call was sent that this life has answered.
