Ends that an owner received and could not store reach the next owner

What callers saw: a task that was done is run once more. The task starts again once the worker's lease is over. The same when the store turns the owner away while workers leave or crash.

Cause: what an owner has received and not stored died with its ownership. It relied on the worker to list the end again.

Ruled out: a lease that had not lapsed (worker's clock against the latest deadline, commit before); starts wrongly taken for not carried out (all `stale` refusals were starts that a stop had overtaken); workers that are up after worker_replaced (none shows a sign of life).

Change: EndReports. A host that loses the ownership, or has released it, sends the ends done and failed that it could not store to the other hosts until each has answered, also those in answers that arrive after its owner is gone. Hosts keep them for 30 s, and whoever owns the cell applies them; a host that leaves passes on what it heard. An end is a fact that stays true, so a late, lost or repeated report does no harm. An older host does not know the message and ignores it.

Remaining: an owner that is killed takes with it what it has not stored.

--- a/src/cell/group_commit.h
+++ b/src/cell/group_commit.h
@@ -38,6 +38,7 @@
   void Request();
   // Sends no further transactions after the one in flight.
   void Close() { closed_ = true; }
+  bool closed() const { return closed_; }
 
   bool in_flight() const { return in_flight_; }
   // Time since the batch in flight was first sent; 0 if none is in flight.
--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -62,6 +62,10 @@
           kHostPrefix + context.settings.name,
           EncodeRecord(HostRecord{context.settings.name, context.settings.peer_address, context.settings.incarnation,
                                   context.settings.processor_millis, context.settings.data_centre})),
+      end_reports_(
+          context,
+          [this](const std::string& address, const Message& message) { Send(address, message); },
+          [this] { return OtherHosts(); }),
       last_call_(context.random()) {}
 
 Host::~Host() {
@@ -80,6 +84,7 @@
   configuration_follower_.Tick();
   if (owner_ != nullptr) {
     NoteOwnerContact();
+    ReportUnstoredEnds();
     OfferHandOverIfStalled();
     WithdrawOffers();
     StepDownForStrongerHost();
@@ -386,10 +391,12 @@
                    RelayOrder(request, [&](auto done) { context_.workers.Hold(request.worker, request.order, done); });
                  },
                  [&](const OrderReply& reply) {
-                   if (owner_ != nullptr) {
-                     owner_->OnOrderReply(reply);
+                   if (owner_ == nullptr || !owner_->OnOrderReply(reply)) {
+                     ReportEnds(reply.answer.ended);
                    }
                  },
+                 [&](const EndReport& report) { OnEndReport(report); },
+                 [&](const EndReportReply& reply) { end_reports_.OnReply(reply); },
              },
              *message);
 }
@@ -438,6 +445,36 @@
   Send(address, OrderReply{call, answer, context_.Now().time_since_epoch()});
 }
 
+std::vector<HostRecord> Host::OtherHosts() const {
+  std::vector<HostRecord> hosts = ListedHosts();
+  std::erase_if(hosts, [this](const HostRecord& host) { return host.address == context_.settings.peer_address; });
+  return hosts;
+}
+
+void Host::ReportUnstoredEnds() {
+  if (owner_->stopped_writing()) {
+    ReportEnds(owner_->TakeUnstoredEnds());
+  }
+}
+
+// Only these ends decide whether a task may start again.
+void Host::ReportEnds(const std::vector<EndedRun>& ends) {
+  std::vector<EndedRun> decisive;
+  std::copy_if(ends.begin(), ends.end(), std::back_inserter(decisive),
+               [](const EndedRun& end) { return end.how == EndKind::kDone || end.how == EndKind::kFailed; });
+  end_reports_.Report(decisive);
+  if (owner_ != nullptr && !owner_->stopped_writing()) {
+    owner_->OnReportedEnds(decisive);  // They were listed to an earlier owner of this host.
+  }
+}
+
+void Host::OnEndReport(const EndReport& report) {
+  const std::vector<EndedRun> added = end_reports_.OnReport(report);
+  if (owner_ != nullptr) {
+    owner_->OnReportedEnds(added);
+  }
+}
+
 void Host::OnOwnerQuery(const OwnerQuery& ping) {
   OwnerAnnouncement announcement;
   if (!IsUnowned()) {
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -14,6 +14,7 @@
 
 #include "cell/configuration_follower.h"
 #include "cell/context.h"
+#include "cell/end_reports.h"
 #include "cell/live_lease.h"
 #include "cell/messages.h"
 #include "cell/owner.h"
@@ -121,6 +122,11 @@
   int MaxProcessorMillis() const;
   void StepDownForStrongerHost();
   void Send(const std::string& address, const Message& message);
+  std::vector<HostRecord> OtherHosts() const;
+  // Reports what the owner of this host has received and cannot store.
+  void ReportUnstoredEnds();
+  void ReportEnds(const std::vector<EndedRun>& ends);
+  void OnEndReport(const EndReport& report);
   void NoteOwnerContact() { last_owner_contact_ = context_.Now(); }
   void Tick();
 
@@ -194,6 +200,8 @@
   bool withdrawing_offers_ = false;
   bool leaving_ = false;
 
+  EndReports end_reports_;
+
   std::map<uint64_t, PendingRequest> pending_;
   uint64_t last_call_;
   // A request that waited for a newer configuration is not served by it if that would not have served a later one.
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -330,10 +330,13 @@
   owner_lease_ = lease;
   owner_since_ = context_.Now();
   known_ = KnownOwner{ownership.term, true, false, MakeOwnRecord(ownership.epoch, false)};
-  owner_ = std::make_unique<Owner>(context_, ownership, configuration_, configuration_follower_, [this] {
+  const auto on_deposed = [this] {
     // Called from inside the owner, which is destroyed after that call has returned.
     context_.timers.In(Duration(0), IfAlive([this] { OnDeposed(); }));
-  });
+  };
+  owner_ = std::make_unique<Owner>(context_, ownership, configuration_, configuration_follower_, on_deposed,
+                                   IfAlive([this](const std::vector<EndedRun>& ends) { ReportEnds(ends); }));
+  owner_->OnReportedEnds(end_reports_.Recent());
   for (const auto& [key, host] : hosts_) {
     if (host.address != context_.settings.peer_address) {
       Send(host.address, OwnerAnnouncement{ownership.term, context_.settings.name, context_.settings.peer_address});
@@ -500,7 +503,9 @@
 }
 
 void Host::DestroyOwner() {
+  const std::vector<EndedRun> unstored_ends = owner_->TakeUnstoredEnds();
   owner_.reset();
+  ReportEnds(unstored_ends);
   context_.workers.Disconnect();
   owner_lease_ = 0;
   offered_ = false;
@@ -520,6 +525,7 @@
   }
   leaving_ = true;
   registration_.End();
+  end_reports_.Report(end_reports_.Recent());  // To hosts that have started since.
   if (owner_ == nullptr) {
     on_left();
     return;
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -144,6 +144,24 @@
   friend bool operator==(const OrderReply&, const OrderReply&) = default;
 };
 
+// Ends of runs that the sender received as the owner of the cell and could not store, see EndReports. Answered with
+// EndReportReply; hosts that do not know the message answer nothing.
+struct EndReport {
+  uint64_t call = 0;
+  std::string reply_to;
+  std::vector<EndedRun> ends;
+
+  friend bool operator==(const EndReport&, const EndReport&) = default;
+};
+
+struct EndReportReply {
+  uint64_t call = 0;
+  std::string from;          // Peer address of the host that answers.
+  uint64_t incarnation = 0;  // Of that host.
+
+  friend bool operator==(const EndReportReply&, const EndReportReply&) = default;
+};
+
 // A message is encoded with its index in this list: add new types at the end only.
 using Message = std::variant<CallerRequest,
                              CallerReply,
@@ -155,7 +173,9 @@
                              StartRequest,
                              StopRequest,
                              HoldRequest,
-                             OrderReply>;
+                             OrderReply,
+                             EndReport,
+                             EndReportReply>;
 
 std::string EncodeMessage(const Message& message);
 tl::expected<Message, std::string> DecodeMessage(const std::string& bytes);
--- a/src/cell/order_relay.cc
+++ b/src/cell/order_relay.cc
@@ -122,10 +122,10 @@
   Send(*relay, worker, std::move(request), order.wait, std::move(done));
 }
 
-void OrderRelay::OnReply(const OrderReply& reply) {
+bool OrderRelay::OnReply(const OrderReply& reply) {
   const auto call = calls_.find(reply.call);
   if (call == calls_.end()) {
-    return;  // Already timed out in Sweep.
+    return false;  // Already timed out in Sweep, or of an earlier owner.
   }
   if (Relay* relay = FindRelay(call->second.relay); relay != nullptr) {
     relay->clock_known = true;
@@ -135,6 +135,7 @@
   const Done done = std::move(call->second.done);
   calls_.erase(call);
   done(reply.answer);
+  return true;
 }
 
 void OrderRelay::Sweep() {
--- a/src/cell/order_relay.h
+++ b/src/cell/order_relay.h
@@ -37,7 +37,8 @@
   void Hold(const WorkerTarget& worker, const HoldOrder& order, Done done) override;
   void Disconnect() override { context_.workers.Disconnect(); }
 
-  void OnReply(const OrderReply& reply);
+  // Returns false if no such reply is awaited.
+  bool OnReply(const OrderReply& reply);
   // Completes overdue orders with kUnknown. Must be called a few times per second.
   void Sweep();
 
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -28,7 +28,8 @@
              const Ownership& ownership,
              CellConfiguration configuration,
              ConfigurationFollower& configuration_follower,
-             std::function<void()> on_deposed)
+             std::function<void()> on_deposed,
+             WorkerTable::LateEnds on_late_ends)
     : context_(context),
       ownership_(ownership),
       configuration_(std::move(configuration)),
@@ -37,7 +38,7 @@
       ownership_proof_(context, ownership.epoch, [this] { OnFenced(); }),
       on_deposed_(std::move(on_deposed)),
       relay_(context, ownership.term),
-      workers_(context, relay_, ownership.term, *this),
+      workers_(context, relay_, ownership.term, *this, std::move(on_late_ends)),
       advice_(context),
       placement_(context.settings.policies),
       commit_(
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -60,11 +60,13 @@
   static constexpr Duration kDuplicateWindow = kMaxCallerWait;
 
   // Calls `on_deposed` once when it detects that another host owns the cell; it writes and orders nothing after that.
+  // `on_late_ends` receives the ends that workers list when this owner no longer exists.
   Owner(Context& context,
         const Ownership& ownership,
         CellConfiguration configuration,
         ConfigurationFollower& configuration_follower,
-        std::function<void()> on_deposed);
+        std::function<void()> on_deposed,
+        WorkerTable::LateEnds on_late_ends = {});
   ~Owner() override;
   Owner(const Owner&) = delete;
   Owner& operator=(const Owner&) = delete;
@@ -83,7 +85,8 @@
   bool claimable() const { return claimable_since_.has_value(); }
   // The owner record was rewritten: the hosts that relay orders now know this owner under that revision as its term.
   void OnRecordRevision(uint64_t revision) { relay_.SetTerm(revision); }
-  void OnOrderReply(const OrderReply& reply) { relay_.OnReply(reply); }
+  // Returns false if this owner awaits no such reply.
+  bool OnOrderReply(const OrderReply& reply) { return relay_.OnReply(reply); }
   // Puts the configuration in force unless it or a newer one already is.
   void OnConfiguration(const CellConfiguration& configuration);
   void OnHosts(const std::vector<HostRecord>& hosts) {
@@ -101,6 +104,11 @@
   void OnStoreReachable() { commit_.RetryNow(); }
   // Sends no further batch, even if changes are not committed yet.
   void StopWriting() { commit_.Close(); }
+  bool stopped_writing() const { return commit_.closed(); }
+  // Returns the ends that were received from workers and are not known to be stored, each once.
+  std::vector<EndedRun> TakeUnstoredEnds();
+  // Ends that earlier owners received and could not store.
+  void OnReportedEnds(const std::vector<EndedRun>& ends);
 
   // How long commits have been waiting without a confirmation from the store; 0 if none waits.
   Duration store_stalled_for() const { return commit_.stalled_for(); }
@@ -218,7 +226,8 @@
     bool has_roster = false;  // `roster` is part of the batch.
     std::vector<WorkerInstanceRecord> roster;
     std::vector<EndAcknowledgement> acknowledgements;
-    bool last = false;  // The owner is closing and sends no further batch.
+    uint64_t ends_stored = 0;  // All of the first so many ends are stored with the batch.
+    bool last = false;         // The owner is closing and sends no further batch.
   };
   void AddExpiredRemovals(Batch& batch);
   void AddRoster(Batch& batch, BatchContents& contents);
@@ -241,6 +250,7 @@
   void OnRunning(Worker& worker, const RunningRun& row) override;
   bool OnFound(Worker& worker, const RunningRun& row, std::optional<RunDemand>& demand) override;
   void OnEnded(Worker& worker, const EndedRun& row) override;
+  void ApplyReportedEnd(const EndedRun& row);
   void OnGone(Worker& worker, const RunRef& run, GoneReason reason) override;
   void OnStarted(Worker& worker, const RunRef& run) override;
   bool MayRepeat(Worker& worker, StartOrder& order) override;
@@ -406,6 +416,10 @@
   // Runs under which a worker may have crashed in the time of an earlier owner, by its id and born_ms.
   std::map<std::pair<std::string, int64_t>, std::vector<CrashedRun>> restored_suspects_;
 
+  uint64_t ends_received_ = 0;           // Of known tasks, since the owner has begun.
+  std::deque<EndedRun> unstored_ends_;   // The last of them, in the order in which they were received.
+  std::vector<EndedRun> reported_ends_;  // Received before loading was done.
+
   bool roster_dirty_ = false;        // The stored roster is out of date.
   uint64_t stored_open_starts_ = 0;  // WorkerTable::open_starts_version of the batch that wrote them last.
   bool any_open_start_stored_ = false;
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -222,6 +222,10 @@
                NameOf(row.how), worker.entry.id, row.number, row.run.task.job, row.run.task.step, row.run.task.index,
                row.run.run, task == nullptr ? -1 : Millis(context_.Now() - task->placed_at), task != nullptr);
   ForgetStart(row.run);
+  if (task != nullptr && !step->spec->long_running && (row.how == EndKind::kDone || row.how == EndKind::kFailed)) {
+    ++ends_received_;
+    unstored_ends_.push_back(row);
+  }
   if (task == nullptr || step->job->final) {
     return;
   }
@@ -260,6 +264,48 @@
   SchedulePlacementPass();
 }
 
+std::vector<EndedRun> Owner::TakeUnstoredEnds() {
+  std::vector<EndedRun> ends(unstored_ends_.begin(), unstored_ends_.end());
+  unstored_ends_.clear();
+  ends.insert(ends.end(), reported_ends_.begin(), reported_ends_.end());
+  reported_ends_.clear();
+  return ends;
+}
+
+void Owner::OnReportedEnds(const std::vector<EndedRun>& ends) {
+  if (!loaded_) {
+    reported_ends_.insert(reported_ends_.end(), ends.begin(), ends.end());
+    return;
+  }
+  std::for_each(ends.begin(), ends.end(), [this](const EndedRun& row) { ApplyReportedEnd(row); });
+}
+
+// The run's worker may list its end, too, or have left. If the run is placed there, it stays so until that is known.
+void Owner::ApplyReportedEnd(const EndedRun& row) {
+  BeginReportedOccurrence(row.run.task);
+  StepRun* step = nullptr;
+  const TaskState* task = FindTask(row.run.task, &step);
+  const bool open =
+      task != nullptr && !step->job->final && !step->spec->long_running && task->phase != TaskPhase::kDone;
+  context_.Log("run", "event=end_reported how={} job={} step={} index={} run={} open={}", NameOf(row.how),
+               row.run.task.job, row.run.task.step, row.run.task.index, row.run.run, open);
+  if (!open) {
+    return;
+  }
+  context_.counters.Add("reported_ends_applied");
+  ++ends_received_;
+  unstored_ends_.push_back(row);
+  ForgetStart(row.run);
+  const bool gang = step->spec->gang;
+  step->job->started = true;
+  if (row.how == EndKind::kDone) {
+    gang ? OnGangDone(*step, row.run.run) : OnTaskDone(*step, row.run.task.index);
+  } else if (row.how == EndKind::kFailed) {
+    gang ? OnGangFailed(*step, row.run.run) : OnTaskFailed(*step, row.run.task.index, row.run.run);
+  }
+  SchedulePlacementPass();
+}
+
 void Owner::OnGone(Worker& worker, const RunRef& run, GoneReason reason) {
   context_.counters.Add(fmt::format("runs_gone{{reason=\"{}\"}}", NameOf(reason)));
   context_.Log("run", "event=gone reason={} worker={} job={} step={} index={} run={}", NameOf(reason), worker.entry.id,
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -146,6 +146,8 @@
   }
   workers_.SetStoredRoster(loading_.roster);
   RestoreJobs();
+  loaded_ = true;
+  OnReportedEnds(std::exchange(reported_ends_, {}));  // A run that is known to have ended did not crash.
   RestoreCrashes();
   for (const OpenStartRecord& start : loading_.open_starts) {
     workers_.AddOpenStart(start);
@@ -155,7 +157,6 @@
                loading_.open_starts.size());
   context_.counters.RecordDuration("takeover_seconds", "load", context_.Now() - loading_began_at_);
   loading_ = Loading{};
-  loaded_ = true;
   WatchWorkers();
   std::vector<std::pair<CallerRequest, Reply>> deferred = std::exchange(deferred_requests_, {});
   for (auto& [request, reply] : deferred) {
@@ -456,6 +457,7 @@
   if (!dirty_jobs_.empty()) {
     commit_.Request();
   } else {
+    contents.ends_stored = ends_received_;
     for (const auto& [id, worker] : workers_.workers()) {
       if (workers_.seen(*worker) > workers_.acknowledged(*worker)) {
         contents.acknowledgements.push_back(EndAcknowledgement{id, worker->entry.born_ms, workers_.seen(*worker)});
@@ -468,6 +470,9 @@
 
 void Owner::OnBatchCommitted(const BatchContents& contents) {
   workers_.OnCommitted(commit_.head_revision());
+  while (!unstored_ends_.empty() && ends_received_ - unstored_ends_.size() < contents.ends_stored) {
+    unstored_ends_.pop_front();
+  }
   for (const EndAcknowledgement& each : contents.acknowledgements) {
     workers_.Acknowledge(each.worker, each.born_ms, each.number);
   }
@@ -520,7 +525,7 @@
   jobs_.erase(ended.id);
 }
 
-// Changes after the last batch need not be stored: the workers report them to the next owner.
+// Changes after the last batch are not stored: the workers report them to the next owner, as does this host.
 void Owner::FinishClosing() {
   commit_.Close();
   if (on_closed_) {
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -175,6 +175,14 @@
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, OrderReply> {
   return std::tie(self.call, self.answer, self.sender_clock);
 }
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, EndReport> {
+  return std::tie(self.call, self.reply_to, self.ends);
+}
+template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, EndReportReply> {
+  return std::tie(self.call, self.from, self.incarnation);
+}
 
 template <class Value>
 concept HasFields = requires(Value& value) {
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -103,8 +103,17 @@
   return last_clock_ + (now - last_clock_at_);
 }
 
-WorkerTable::WorkerTable(Context& context, WorkerPort& orders, uint64_t token, Listener& listener)
-    : context_(context), orders_(orders), token_(token), highest_token_(token), listener_(listener) {}
+WorkerTable::WorkerTable(Context& context,
+                         WorkerPort& orders,
+                         uint64_t token,
+                         Listener& listener,
+                         LateEnds on_late_ends)
+    : context_(context),
+      orders_(orders),
+      token_(token),
+      highest_token_(token),
+      listener_(listener),
+      on_late_ends_(std::move(on_late_ends)) {}
 
 WorkerTable::~WorkerTable() {
   *alive_ = false;
@@ -617,26 +626,30 @@
   worker.hold_in_flight_ = true;
   ++worker.hold_number_;
   context_.counters.Add("worker_holds");
-  orders_.Hold(TargetOf(worker), order,
-               [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, address = worker.entry.address,
-                sent_at = now, order, number = worker.hold_number_](const OrderAnswer& answer) {
-                 Worker* found = *alive ? Find(id) : nullptr;
-                 if (found == nullptr) {
-                   return;
-                 }
-                 if (found->hold_number_ != number) {
-                   OnOldHoldAnswer(*found, answer);
-                   return;
-                 }
-                 const bool same_life = found->entry.born_ms == born && found->entry.address == address;
-                 if (found->entry.born_ms == born && order.acknowledged > 0) {
-                   OnAcknowledgementAnswer(*found, order.acknowledged, answer);
-                 }
-                 OnHoldAnswer(*found, sent_at, order, answer);
-                 if (same_life && answer.status == OrderStatus::kOtherInstance) {
-                   OnReplaced(*found);
-                 }
-               });
+  orders_.Hold(
+      TargetOf(worker), order,
+      [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, address = worker.entry.address,
+       sent_at = now, order, number = worker.hold_number_, late_ends = on_late_ends_](const OrderAnswer& answer) {
+        if (!*alive && late_ends && !answer.ended.empty()) {
+          late_ends(answer.ended);
+        }
+        Worker* found = *alive ? Find(id) : nullptr;
+        if (found == nullptr) {
+          return;
+        }
+        if (found->hold_number_ != number) {
+          OnOldHoldAnswer(*found, answer);
+          return;
+        }
+        const bool same_life = found->entry.born_ms == born && found->entry.address == address;
+        if (found->entry.born_ms == born && order.acknowledged > 0) {
+          OnAcknowledgementAnswer(*found, order.acknowledged, answer);
+        }
+        OnHoldAnswer(*found, sent_at, order, answer);
+        if (same_life && answer.status == OrderStatus::kOtherInstance) {
+          OnReplaced(*found);
+        }
+      });
 }
 
 // Names ends only until the worker has forgotten them: a hold that is delayed into the next life of the worker, which
@@ -1145,7 +1158,11 @@
   context_.counters.Add("worker_looks_after_starts");
   orders_.Hold(TargetOf(worker), HoldOrder{worker.token_, 0, 0us, 0us},
                [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run,
-                copies = worker.placed.at(run).sends, sent_at = context_.Now()](const OrderAnswer& answer) {
+                copies = worker.placed.at(run).sends, sent_at = context_.Now(),
+                late_ends = on_late_ends_](const OrderAnswer& answer) {
+                 if (!*alive && late_ends && !answer.ended.empty()) {
+                   late_ends(answer.ended);
+                 }
                  Worker* found = *alive ? Find(id) : nullptr;
                  if (found == nullptr || found->entry.born_ms != born || answer.status != OrderStatus::kOk ||
                      !RecordAnswer(*found, answer)) {
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -27,6 +27,7 @@
 #ifndef HIBISCUSSTAND_SRC_CELL_WORKER_TABLE_H_
 #define HIBISCUSSTAND_SRC_CELL_WORKER_TABLE_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -213,6 +214,8 @@
 // that time and the longest lease have passed since.
 class WorkerTable {
  public:
+  using LateEnds = std::function<void(const std::vector<EndedRun>& ends)>;
+
   // Receives events about workers and runs. Called while answers are processed; may start and stop runs.
   class Listener {
    public:
@@ -245,7 +248,8 @@
   };
 
   // Sends orders through `orders`.
-  WorkerTable(Context& context, WorkerPort& orders, uint64_t token, Listener& listener);
+  // `on_late_ends` receives the ends of answers that arrive when the table no longer exists.
+  WorkerTable(Context& context, WorkerPort& orders, uint64_t token, Listener& listener, LateEnds on_late_ends = {});
   ~WorkerTable();
   WorkerTable(const WorkerTable&) = delete;
   WorkerTable& operator=(const WorkerTable&) = delete;
@@ -433,6 +437,7 @@
   uint64_t highest_token_;  // Token of the ownership or revision of the newest batch known to be stored.
   std::vector<std::string> awaiting_token_;  // Ids of workers that need a higher token.
   Listener& listener_;
+  const LateEnds on_late_ends_;
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   Authority authority_;
   std::vector<WorkerInstanceRecord> stored_roster_;
