Ends after one that cannot be read are not named as received

What callers could see: a task that was done started again, again and again while its row stayed unreadable. A row of a worker's `Finished` that cannot be decoded was passed over. The ends after it raised the last number seen, so that LastSeen covered the unreadable one and the worker forgot it. Its run, in neither list, counted as not listed. And a list of 500 rows of which one was unreadable had 499 and passed for complete.

Change: an answer tells from which of its ends on one may follow an unreadable end (OrderAnswer::unreadable_from). These are not taken, so the last number seen stays below the unreadable one. Such a list counts as partial, as one of 500 ends does: nothing follows from runs that it lacks, and no worker is settled by it. Numbers need not be consecutive by the protocol, so a gap alone shows nothing. While a row is unreadable the worker answers holds at once: the next follows after 400 ms.

Relays: the answer has a new last field. The readable rows stay in the list, since an owner of the version before would take all runs whose ends are cut off for lost; it behaves as before. What a host of the version before relays lacks the field and is taken as before: the fault is left there until all hosts have this version.

Cost of a row that stays unreadable until its worker's life is over: that worker's later ends are never taken or named, whatever starts there stays placed and keeps its room (it still gets starts while it has room by the owner's count), and those tasks start again, though they may be done, once the life is over.

--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -170,6 +170,10 @@
   std::vector<RunningRun> running;  // Only in answers to Hold.
   std::vector<EndedRun> ended;      // Only in answers to Hold.
   UnansweredReason reason = UnansweredReason::kSilence;
+  // Index in `ended` from which rows may follow an end that could not be read; -1: all were read. The rows stay in the
+  // list for hosts of the version before, which would take runs whose ends it lacks for lost. Answers that such a host
+  // relays come without this field, as if all had been read.
+  int unreadable_from = -1;
 
   friend bool operator==(const OrderAnswer&, const OrderAnswer&) = default;
 };
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -157,7 +157,8 @@
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, OrderAnswer> {
-  return std::tie(self.status, self.worker_clock, self.born_ms, self.running, self.ended, self.reason);
+  return std::tie(self.status, self.worker_clock, self.born_ms, self.running, self.ended, self.reason,
+                  self.unreadable_from);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, StartRequest> {
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -47,9 +47,16 @@
   return step;
 }
 
-// A worker with more ends lists the others once these are acknowledged.
+// Taking an end takes those with lower numbers for received, too, and one of them may be unreadable.
+size_t CountEndsToTake(const OrderAnswer& answer) {
+  const bool all_read = answer.unreadable_from < 0;
+  return all_read ? answer.ended.size() : std::min(answer.ended.size(), static_cast<size_t>(answer.unreadable_from));
+}
+
+// A worker with more ends lists the others once these are acknowledged. One of which an end is unreadable may list the
+// end of any run there.
 bool ListsAllEnds(const OrderAnswer& answer) {
-  return answer.ended.size() < kMaxEndedRuns;
+  return answer.unreadable_from < 0 && answer.ended.size() < kMaxEndedRuns;
 }
 
 Duration MaxLocalTime(Duration worker_time) {
@@ -815,7 +822,9 @@
   // A hold that named ends and was answered, but not by this life, does not help if it is repeated at once.
   const bool ends_deferred =
       worker.last_end_forgotten_ < worker.last_end_acknowledged_ && (order.acknowledged > 0 || MayReceiveStart(worker));
-  const bool at_once = !ends_unstored && !ends_deferred && worker.fenced_;
+  // While a worker lists an end that is not named, it answers without waiting.
+  const bool ends_unreadable = answer.unreadable_from >= 0;
+  const bool at_once = !ends_unstored && !ends_deferred && !ends_unreadable && worker.fenced_;
   ScheduleHold(worker, at_once ? 0us : kUnacknowledgedHoldInterval);
 }
 
@@ -856,7 +865,9 @@
 }
 
 void WorkerTable::ApplyEnded(Worker& worker, const OrderAnswer& answer) {
-  for (const EndedRun& row : answer.ended) {
+  const size_t count = CountEndsToTake(answer);
+  for (size_t i = 0; i < count; ++i) {
+    const EndedRun& row = answer.ended[i];
     if (row.number <= worker.last_end_seen_) {
       continue;
     }
--- a/standins/cell_world.cc
+++ b/standins/cell_world.cc
@@ -343,7 +343,11 @@
   answer.ended.assign(ended_.begin(),
                       ended_.begin() + static_cast<std::ptrdiff_t>(std::min(ended_.size(), kMaxEndedRuns)));
   last_end_listed_ = answer.ended.empty() ? last_end_listed_ : answer.ended.back().number;
-  return answer;
+  return change_lists ? change_lists(answer) : answer;
+}
+
+bool FakeWorker::ListsEndOf(const TaskRef& task) const {
+  return std::any_of(ended_.begin(), ended_.end(), [&](const EndedRun& row) { return row.run.task == task; });
 }
 
 void FakeWorker::Finish(const RunRef& ended, EndKind how) {
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -101,6 +101,7 @@
   OrderAnswer Start(const StartOrder& order);
   OrderAnswer Stop(const RunRef& run, uint64_t token);
   OrderAnswer Hold(const HoldOrder& order);
+  bool ListsEndOf(const TaskRef& task) const;
   bool HasEnds(int64_t acknowledged) const { return !ended_.empty() && ended_.back().number > acknowledged; }
 
   void FinishDueRuns();                   // Ends all runs that are due.
@@ -127,6 +128,7 @@
   int acknowledgements_in_transit = 0;  // The same for holds that name ends to forget.
   int holds_in_transit = 0;             // The same for holds that name none.
   Duration transit_time{};
+  std::function<OrderAnswer(const OrderAnswer&)> change_lists;  // What the hosts read of each answer with lists.
   Duration min_stop_time = 50ms;  // Of index 0; other indices take up to kStopTimeSteps times as long.
 
   bool IsRunning(const RunRef& run) const { return runs_.contains(run); }
--- a/tests/cell_parts_test.cc
+++ b/tests/cell_parts_test.cc
@@ -119,7 +119,7 @@
   with.ended = {EndedRun{3, RunRef{TaskRef{JobId(1), 0, 1, 2}, 3}, EndKind::kDone, "00ff"}};
   with.reason = UnansweredReason::kConnectionRefused;
   const nlohmann::json whole = ToJson(with);
-  REQUIRE(whole.size() == 6);
+  REQUIRE(whole.size() == 7);
   nlohmann::json fields = whole;
   fields.erase(fields.begin() + 5, fields.end());
   OrderAnswer without;
@@ -136,6 +136,25 @@
   CHECK(read == with);
 }
 
+// Hosts of the versions before and after run side by side.
+TEST_CASE("an answer of a host that tells no unreadable end reads as a whole one, and such a host reads one with it") {
+  OrderAnswer with;
+  with.status = OrderStatus::kOk;
+  with.ended = {EndedRun{3, RunRef{TaskRef{JobId(1), 0, 1, 2}, 3}, EndKind::kDone, "00ff"}};
+  with.unreadable_from = 0;
+  const nlohmann::json whole = ToJson(with);
+  REQUIRE(whole.size() == 7);
+  nlohmann::json fields = whole;
+  fields.erase(fields.begin() + 6);
+  OrderAnswer without;
+  FromJson(fields, without);
+  CHECK(without.unreadable_from == -1);
+  without.unreadable_from = with.unreadable_from;
+  CHECK(without == with);
+  // The first six fields are what an older host reads: all ends that could be read.
+  CHECK(std::equal(fields.begin(), fields.end(), whole.begin()));
+}
+
 TEST_CASE("a relayed answer tells why it is missing") {
   for (const UnansweredReason reason :
        {UnansweredReason::kSilence, UnansweredReason::kNoConnectionFree, UnansweredReason::kConnectionRefused}) {
