--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -145,6 +145,8 @@
   void ResolveUnansweredClaim(const Ownership& wanted, uint64_t lease);
   void AbortClaim(const char* reason, uint64_t lease);
   void BecomeOwner(const Ownership& ownership, uint64_t lease);
+  // Releases a claim that succeeded after this host began to leave.
+  void ReleaseUnusedClaim(const Ownership& ownership, uint64_t lease);
   void RenewLease();
   void ScheduleRenewal(Duration delay);
   void RestoreOwnerRecord();
--- a/src/cell/host_election.cc
+++ b/src/cell/host_election.cc
@@ -256,9 +256,13 @@
   claim.expected = {RevisionCheck{kOwnerKey, record_revision}, RevisionCheck{kHeadKey, claim_.head_revision}};
   claim.writes = {StoreWrite{kOwnerKey, EncodeRecord(MakeOwnRecord(claim_.epoch, false)), claim_.lease},
                   StoreWrite{kHeadKey, EncodeRecord(HeadRecord{claim_.epoch, 0}), 0}};
-  context_.store.Commit(claim, IfAlive([this, record_revision](const StoreAnswer& answer) {
+  // The claim replaces exactly this record, or none.
+  const bool by_release = known_.present && known_.record.released;
+  const Duration earlier_owners_act_for = by_release ? known_.record.owners_act_for : Duration::max();
+  context_.store.Commit(claim, IfAlive([this, record_revision, earlier_owners_act_for](const StoreAnswer& answer) {
                           const Duration ttl = std::max(kOwnerLeaseTtl, context_.settings.min_lease_ttl);
-                          const Ownership wanted{claim_.epoch, answer.revision, answer.revision, claim_.begun_at + ttl};
+                          const Ownership wanted{claim_.epoch, answer.revision, answer.revision, claim_.begun_at + ttl,
+                                                 earlier_owners_act_for};
                           if (answer.status == StoreStatus::kOk) {
                             BecomeOwner(wanted, claim_.lease);
                           } else if (answer.status == StoreStatus::kUnknown) {
@@ -290,17 +294,19 @@
 // The claim had no answer. Reads the owner record to find out whether it was applied. If it is applied later, the watch
 // reports a record of this process although it is not the owner, and that record is released.
 void Host::ResolveUnansweredClaim(const Ownership& wanted, uint64_t lease) {
-  context_.store.Read(kOwnerKey, IfAlive([this, wanted, lease](const StoreAnswer& answer) {
-                        const bool found = answer.status == StoreStatus::kOk && !answer.items.empty();
-                        const auto record = found ? DecodeRecord<OwnerRecord>(answer.items.front().value)
-                                                  : tl::unexpected(std::string("absent"));
-                        if (record && IsOwn(*record) && record->epoch == wanted.epoch && !record->released) {
-                          const uint64_t revision = answer.items.front().revision;
-                          BecomeOwner(Ownership{wanted.epoch, revision, revision, wanted.lease_until}, lease);
-                          return;
-                        }
-                        AbortClaim("unanswered", lease);
-                      }));
+  context_.store.Read(
+      kOwnerKey, IfAlive([this, wanted, lease](const StoreAnswer& answer) {
+        const bool found = answer.status == StoreStatus::kOk && !answer.items.empty();
+        const auto record =
+            found ? DecodeRecord<OwnerRecord>(answer.items.front().value) : tl::unexpected(std::string("absent"));
+        if (record && IsOwn(*record) && record->epoch == wanted.epoch && !record->released) {
+          const uint64_t revision = answer.items.front().revision;
+          BecomeOwner(Ownership{wanted.epoch, revision, revision, wanted.lease_until, wanted.earlier_owners_act_for},
+                      lease);
+          return;
+        }
+        AbortClaim("unanswered", lease);
+      }));
 }
 
 void Host::AbortClaim(const char* reason, uint64_t lease) {
@@ -323,7 +329,7 @@
   ++claim_id_;
   claiming_ = false;
   if (leaving_) {
-    context_.store.EndLease(lease, [](const StoreAnswer&) {});
+    ReleaseUnusedClaim(ownership, lease);
     return;
   }
   context_.counters.Add("owner_takeovers");
@@ -348,6 +354,18 @@
   DispatchAll();
 }
 
+// This host has sent no order under the claim: what it knows of earlier owners still holds for the next one.
+void Host::ReleaseUnusedClaim(const Ownership& ownership, uint64_t lease) {
+  OwnerRecord released = MakeOwnRecord(ownership.epoch, true);
+  released.owners_act_for = ownership.earlier_owners_act_for;
+  StoreTransaction transaction;
+  transaction.expected = {RevisionCheck{kOwnerKey, ownership.term}};
+  transaction.writes = {StoreWrite{kOwnerKey, EncodeRecord(released), 0}};
+  context_.store.Commit(transaction, IfAlive([this, lease](const StoreAnswer&) {
+                          context_.store.EndLease(lease, [](const StoreAnswer&) {});
+                        }));
+}
+
 // --- Renewing ownership ---
 
 // Does not wait for the answer to the previous renewal, whose connection may be dead.
@@ -573,11 +591,13 @@
     return;
   }
   owner_->StopWriting();
-  owner_->OnClaimable();
+  owner_->OnReleasing();
   ++renewal_number_;  // Cancels the scheduled renewal.
+  OwnerRecord released = MakeOwnRecord(owner_->ownership().epoch, true);
+  released.owners_act_for = owner_->OwnersActFor();
   StoreTransaction transaction;
   transaction.expected = {RevisionCheck{kOwnerKey, known_.term}};
-  transaction.writes = {StoreWrite{kOwnerKey, EncodeRecord(MakeOwnRecord(owner_->ownership().epoch, true)), 0}};
+  transaction.writes = {StoreWrite{kOwnerKey, EncodeRecord(released), 0}};
   context_.store.Commit(transaction, IfAlive([this, on_left](const StoreAnswer& answer) {
                           context_.Log("owner", "event=released status={}", NameOf(answer.status));
                           if (answer.status == StoreStatus::kOk) {
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -92,10 +92,24 @@
   UpdateAuthority();
 }
 
+void Owner::OnReleasing() {
+  releasing_since_ = releasing_since_.value_or(context_.Now());
+  OnClaimable();
+}
+
+Duration Owner::OwnersActFor() const {
+  const TimePoint now = context_.Now();
+  const Duration own = releasing_since_.value_or(now) + kMaxReleasedDoubt - now;
+  // An owner that has not loaded its workers has sent them nothing.
+  const Duration earlier = loaded_ ? workers_.EarlierOwnersInactiveAt() - now : ownership_.earlier_owners_act_for;
+  return std::max({Duration(0), own, earlier});
+}
+
 void Owner::UpdateAuthority() {
   Authority authority;
   authority.sole_until = SoleUntil();
-  const TimePoint by_witnesses = std::min(workers_.WitnessedUntil(), authority.sole_until + kMaxDoubt);
+  const Duration max_doubt = releasing_since_ ? kMaxReleasedDoubt : kMaxDoubt;
+  const TimePoint by_witnesses = std::min(workers_.WitnessedUntil(), authority.sole_until + max_doubt);
   authority.active_until = std::max(authority.sole_until, by_witnesses);
   workers_.SetAuthority(authority);
   if (!workers_.IsInDoubt()) {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -47,6 +47,8 @@
   uint64_t term = 0;           // Revision of the owner record; increases with each owner and is the fencing token.
   uint64_t head_revision = 0;  // Revision of the head key, written in the same transaction as the owner record.
   TimePoint lease_until{};     // The lease of the owner record runs until then, at least.
+  // All earlier owners act for this time at most, from the claim on.
+  Duration earlier_owners_act_for = Duration::max();
 
   friend auto operator<=>(const Ownership&, const Ownership&) = default;
 };
@@ -83,6 +85,10 @@
   // The owner record stands at a new revision, which no claim expects.
   void OnRecordRenewed();
   bool claimable() const { return claimable_since_.has_value(); }
+  // The owner record is about to be marked as released, for good.
+  void OnReleasing();
+  // How long this owner, once it is releasing, and all earlier ones act at most from now on.
+  Duration OwnersActFor() const;
   // The owner record was rewritten: the hosts that relay orders now know this owner under that revision as its term.
   void OnRecordRevision(uint64_t revision) { relay_.SetTerm(revision); }
   // Returns false if this owner awaits no such reply.
@@ -156,7 +162,10 @@
   void CheckForPause();
   void UpdateAuthority();
   // No other host can own the cell before.
-  TimePoint SoleUntil() const { return std::min(lease_until_, claimable_since_.value_or(TimePoint::max())); }
+  TimePoint SoleUntil() const {
+    return std::min(
+        {lease_until_, claimable_since_.value_or(TimePoint::max()), releasing_since_.value_or(TimePoint::max())});
+  }
   void Submit(const CallerRequest& request, const Reply& reply);
   void SubmitKnown(const CallerRequest& request, const Reply& reply);
   void SubmitNew(const CallerRequest& request, const std::string& tenant, const Reply& reply);
@@ -380,8 +389,9 @@
   TimePoint last_active_at_{};                  // When CheckForPause was last called.
   TimePoint lease_until_{};                     // Of the owner record, at least.
   std::optional<TimePoint> claimable_since_{};  // Another host may claim the cell since then.
-  std::set<TaskRef> steps_on_hold_;             // Not to be started before the doubt has ended.
-  bool was_active_ = true;                      // As of the last UpdateAuthority.
+  std::optional<TimePoint> releasing_since_{};
+  std::set<TaskRef> steps_on_hold_;  // Not to be started before the doubt has ended.
+  bool was_active_ = true;           // As of the last UpdateAuthority.
   bool loaded_ = false;
   bool confirms_configuration_ = false;  // Periodically.
   bool closing_ = false;
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -141,6 +141,8 @@
   for (const WorkerEntry& entry : loading_.workers) {
     workers_.OnEntry(entry);
   }
+  // The claim was committed before loading began.
+  workers_.SetEarlierOwners(loading_began_at_ + std::min(ownership_.earlier_owners_act_for, kMaxDoubt));
   for (const WorkerInstanceRecord& instance : loading_.roster) {
     workers_.AddFromRoster(instance);
   }
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -19,7 +19,7 @@
 // Fields returns references to the fields of a record or message in their encoded order, which must not change.
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, OwnerRecord> {
-  return std::tie(self.host, self.address, self.incarnation, self.epoch, self.released);
+  return std::tie(self.host, self.address, self.incarnation, self.epoch, self.released, self.owners_act_for);
 }
 template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, HeadRecord> {
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -42,6 +42,9 @@
   uint64_t incarnation = 0;  // Random id of the owner's process.
   uint64_t epoch = 0;        // Increases by one with each takeover.
   bool released = false;     // The owner has stepped down; the cell may be claimed.
+  // Once the released record is written, this owner and all earlier ones act for this time at most. Earlier versions do
+  // not write it.
+  Duration owners_act_for = Duration::max();
 
   friend bool operator==(const OwnerRecord&, const OwnerRecord&) = default;
 };
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -160,6 +160,11 @@
   return worker;
 }
 
+void WorkerTable::SetEarlierOwners(TimePoint inactive_by) {
+  earlier_inactive_by_ = inactive_by;
+  inherited_at_ = context_.Now();
+}
+
 void WorkerTable::AddFromRoster(const WorkerInstanceRecord& life) {
   std::unique_ptr<Worker>& slot = workers_[life.id];
   if (slot == nullptr) {
@@ -506,10 +511,14 @@
   }
 }
 
+TimePoint WorkerTable::EarlierOwnersInactiveAt() const {
+  const TimePoint by_fencing = half_fenced_at_ ? *half_fenced_at_ + kWitnessValidity : TimePoint::max();
+  return std::min({by_fencing, earlier_inactive_by_, inherited_at_ + kMaxDoubt});
+}
+
 TimePoint WorkerTable::InheritedRunsOverAt() const {
   const Duration longest_lease = MaxLocalTime(std::min(kHoldDuration, context_.settings.max_hold)) + kClockTolerance;
-  const TimePoint inactive_at = half_fenced_at_ ? *half_fenced_at_ + kWitnessValidity : inherited_at_ + kMaxDoubt;
-  return inactive_at + longest_lease;
+  return EarlierOwnersInactiveAt() + longest_lease;
 }
 
 void WorkerTable::MarkSettled(Worker& worker) {
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -46,6 +46,9 @@
 // An owner in doubt whether it is still the owner stops acting after this time, whatever its workers say. Covers the
 // longest outages of the store for single hosts.
 inline constexpr Duration kMaxDoubt = 12s;
+// The same for an owner that has released the cell, since the release. A successor that cannot fence the earlier owner,
+// as half of the workers have left, waits no longer for the release than for fenced workers: kWitnessValidity.
+inline constexpr Duration kMaxReleasedDoubt = 2s;
 
 enum class PlacedPhase {
   kStarting,   // The start was sent.
@@ -209,9 +212,11 @@
 
 // Another host may own the cell while this owner cannot reach the store. Then both must not act on the same run, even
 // if each reaches other workers. The workers are witnesses: an owner in doubt extends leases and starts tasks only for
-// kWitnessValidity after more than half of the stored roster has answered its holds, and for kMaxDoubt at most. Its
-// successor takes the runs of a worker that it cannot reach for over only once it has fenced half of the roster, and
-// that time and the longest lease have passed since.
+// kWitnessValidity after more than half of the stored roster has answered its holds, and for kMaxDoubt at most, or
+// kMaxReleasedDoubt once it releases the cell. Its successor takes the runs of a worker that it cannot reach for over
+// only once it has fenced half of the roster, and that time and the longest lease have passed since, or once the
+// longest lease has passed since all earlier owners have certainly stopped acting. An owner that releases the cell
+// hands on when that is the case.
 class WorkerTable {
  public:
   using LateEnds = std::function<void(const std::vector<EndedRun>& ends)>;
@@ -254,6 +259,8 @@
   WorkerTable(const WorkerTable&) = delete;
   WorkerTable& operator=(const WorkerTable&) = delete;
 
+  // All earlier owners have stopped acting by then. Call before AddFromRoster.
+  void SetEarlierOwners(TimePoint inactive_by);
   // Adds a worker to which an earlier owner may have sent orders.
   void AddFromRoster(const WorkerInstanceRecord& life);
   // Adds a start of an earlier owner that may still be carried out. Call after AddFromRoster.
@@ -296,6 +303,8 @@
   std::optional<TimePoint> StartsOverAt(const TaskRef& step) const;
   // True if a run of this step that the owner did not keep is not over yet: it is being stopped, or may still begin.
   bool HasUnwantedRun(const TaskRef& step) const { return unwanted_of_step_.contains(step); }
+  // When all earlier owners have certainly stopped acting.
+  TimePoint EarlierOwnersInactiveAt() const;
   // When the runs of an earlier owner on a worker that was not reached are certainly over.
   TimePoint InheritedRunsOverAt() const;
   // By when every start sent so far is answered, or its call given up. Not later than now if all are.
@@ -445,6 +454,7 @@
   size_t inherited_ = 0;                                             // Workers to which an earlier owner had access.
   size_t fenced_ = 0;                                                // Of them, those that obey this owner.
   TimePoint inherited_at_{};
+  TimePoint earlier_inactive_by_ = TimePoint::max();  // As the owner before has stored.
   std::optional<TimePoint> half_fenced_at_;
   int unsettled_ = 0;
   int unknown_demand_runs_ = 0;  // On all workers.
--- a/tests/cell_release_test.cc
+++ b/tests/cell_release_test.cc
@@ -10,6 +10,7 @@
 constexpr Duration kDrainTime = 2500ms;
 constexpr Duration kAddressReuse = 2s;
 constexpr int kJobs = 6;
+constexpr int kTasksPerJob = 2;
 constexpr size_t kJoiningHost = 4;
 
 // The worker drains, leaves, and another one starts at its address under another id. Without a path to the store
@@ -123,5 +124,85 @@
   }
 }
 
+// The worker leaves as in a scale-in: no other one takes its address.
+void RemoveFromCell(CellWorld& world, size_t number) {
+  FakeWorker& worker = world.worker(number);
+  worker.entry.draining = true;
+  world.WriteWorkerEntry(worker);
+  world.In(kDrainTime, [&world, &worker] {
+    worker.EndAllRuns(EndKind::kHoldExpired);
+    worker.Crash();
+    worker.refuses = true;
+    world.store().Erase("workers/" + worker.entry.id);
+  });
+}
+
+struct OwnersInTurn {
+  size_t leaving_workers = 0;
+  int owners = 1;  // That are stopped as planned, one after the other.
+  Duration gap{};  // Between them.
+};
+
+// How many tasks of the jobs neither run nor are done.
+int TasksAway(const CellWorld& world, int jobs) {
+  int away = 0;
+  for (int i = 1; i <= jobs; ++i) {
+    for (int index = 0; index < kTasksPerJob; ++index) {
+      const TaskRef task{JobId(i), 0, 0, index};
+      away += world.RunningCount(task) == 0 && world.CompletionCount(task) == 0 ? 1 : 0;
+    }
+  }
+  return away;
+}
+
+// Returns how long after the last takeover all tasks run again, and `limit` if they do not.
+Duration PlayOwnersInTurn(const OwnersInTurn& course, uint64_t seed, Duration limit) {
+  CellWorld world(seed, 5, kWorkers);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.RunFor(kMaxDoubt);  // Until then the first owner cannot exclude that there is an earlier one.
+  for (int i = 1; i <= kJobs; ++i) {
+    world.SubmitWithRetries(JobOf(i, {StepOf(kTasksPerJob, 2000)}), TaskBehaviour{25s, 0});
+  }
+  world.RunFor(2s);
+  REQUIRE(TasksAway(world, kJobs) == 0);
+  for (size_t i = 0; i < course.leaving_workers; ++i) {
+    RemoveFromCell(world, i);
+  }
+  world.RunFor(kDrainTime - 50ms);
+  for (int i = 0; i < course.owners; ++i) {
+    const size_t owner = *world.OwnerIndex();
+    world.Leave(owner);
+    REQUIRE(world.RunUntil([&] { return HasOwner(world) && *world.OwnerIndex() != owner; }, 5s));
+    if (i + 1 < course.owners) {
+      world.RunFor(course.gap);
+    }
+  }
+  world.RunFor(100ms);  // The workers have left.
+  const TimePoint begun_at = world.Now();
+  REQUIRE(TasksAway(world, kJobs) > 0);
+  const bool all_run = world.RunUntil([&] { return TasksAway(world, kJobs) == 0; }, limit);
+  const Duration time = all_run ? world.Now() - begun_at : limit;
+  world.RunFor(60s);
+  INFO("first violation: " << (world.violations().empty() ? "none" : world.violations().front()));
+  CHECK(world.violations().empty());
+  return time;
+}
+
+// Most workers of the roster have left, so that no new owner can fence half of it.
+TEST_CASE("the tasks of workers that have left start again soon although the owners are stopped in turn") {
+  for (const int owners : {1, 2, 3}) {
+    for (const Duration gap : {0s, 1s}) {
+      for (uint64_t seed = 7501; seed <= 7503; ++seed) {
+        const Duration time = PlayOwnersInTurn({.leaving_workers = 8, .owners = owners, .gap = gap}, seed, 30s);
+        INFO(owners << " owners stopped, " << Millis(gap) << " ms between them, seed " << seed << ": " << Millis(time)
+                    << " ms");
+        // The longest lease is 6.2 s.
+        CHECK(time < 8s);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace hibiscus::cell
