Late ends go to the owner of this host, if there is one, and to no other

An end that arrives late, listed to an earlier owner of this host or relayed after the time limit of its order, was applied by the host's present owner and also sent to all other hosts, each of which answers. The owner stores it, and reports it itself if it cannot, so the messages told nobody anything: with many hosts a late relay cost one to each. Only a host that owns nothing, or writes no more, reports to the others.

--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -462,9 +462,10 @@
   std::vector<EndedRun> decisive;
   std::copy_if(ends.begin(), ends.end(), std::back_inserter(decisive),
                [](const EndedRun& end) { return end.how == EndKind::kDone || end.how == EndKind::kFailed; });
-  end_reports_.Report(decisive);
   if (owner_ != nullptr && !owner_->stopped_writing()) {
-    owner_->OnReportedEnds(decisive);  // They were listed to an earlier owner of this host.
+    owner_->OnReportedEnds(decisive);  // They were listed to an earlier owner of this host, or late.
+  } else {
+    end_reports_.Report(decisive);
   }
 }
 
