--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -277,6 +277,9 @@
   TaskState* FindTask(const TaskRef& task, StepRun** step);
   // `over` says how the run ended or why it counts as over: a string literal.
   void RequeueTask(StepRun& step, int index, std::string_view over);
+  // One end of a gang stands for all its members.
+  void OnRunDone(StepRun& step, const RunRef& run);
+  void OnRunFailed(StepRun& step, const RunRef& run);
   void OnTaskDone(StepRun& step, int index);
   void OnTaskFailed(StepRun& step, int index, int run);
   void OnGangDone(StepRun& step, int run);
--- a/src/cell/owner_runs.cc
+++ b/src/cell/owner_runs.cc
@@ -237,11 +237,7 @@
   UpdateQuarantine(worker, *step, row.how);
   const bool current = IsCurrent(*task, worker, row.run);
   if (row.how == EndKind::kDone && !step->spec->long_running) {
-    if (step->spec->gang) {
-      OnGangDone(*step, row.run.run);
-    } else {
-      OnTaskDone(*step, index);
-    }
+    OnRunDone(*step, row.run);
     return;
   }
   if (row.run.run >= (step->spec->gang ? step->gang_run : task->run)) {
@@ -252,11 +248,7 @@
     RequeueTask(*step, index, NameOf(row.how));
   }
   if (row.how == EndKind::kFailed) {
-    if (step->spec->gang) {
-      OnGangFailed(*step, row.run.run);
-    } else {
-      OnTaskFailed(*step, index, row.run.run);
-    }
+    OnRunFailed(*step, row.run);
   }
   if (current && !step->job->final) {
     OnGangMemberGone(*step);
@@ -296,12 +288,11 @@
   ++ends_received_;
   unstored_ends_.push_back(row);
   ForgetStart(row.run);
-  const bool gang = step->spec->gang;
   step->job->started = true;
   if (row.how == EndKind::kDone) {
-    gang ? OnGangDone(*step, row.run.run) : OnTaskDone(*step, row.run.task.index);
+    OnRunDone(*step, row.run);
   } else if (row.how == EndKind::kFailed) {
-    gang ? OnGangFailed(*step, row.run.run) : OnTaskFailed(*step, row.run.task.index, row.run.run);
+    OnRunFailed(*step, row.run);
   }
   SchedulePlacementPass();
 }
@@ -441,6 +432,14 @@
   ++step.waiting;
 }
 
+void Owner::OnRunDone(StepRun& step, const RunRef& run) {
+  step.spec->gang ? OnGangDone(step, run.run) : OnTaskDone(step, run.task.index);
+}
+
+void Owner::OnRunFailed(StepRun& step, const RunRef& run) {
+  step.spec->gang ? OnGangFailed(step, run.run) : OnTaskFailed(step, run.task.index, run.run);
+}
+
 void Owner::OnTaskDone(StepRun& step, int index) {
   TaskState& task = step.tasks[static_cast<size_t>(index)];
   if (task.phase == TaskPhase::kDone) {
--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -642,30 +642,36 @@
   worker.hold_in_flight_ = true;
   ++worker.hold_number_;
   context_.counters.Add("worker_holds");
-  orders_.Hold(
-      TargetOf(worker), order,
-      [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, address = worker.entry.address,
-       sent_at = now, order, number = worker.hold_number_, late_ends = on_late_ends_](const OrderAnswer& answer) {
-        if (!*alive && late_ends && !answer.ended.empty()) {
-          late_ends(answer.ended);
-        }
-        Worker* found = *alive ? Find(id) : nullptr;
-        if (found == nullptr) {
-          return;
-        }
-        if (found->hold_number_ != number) {
-          OnOldHoldAnswer(*found, answer);
-          return;
-        }
-        const bool same_life = found->entry.born_ms == born && found->entry.address == address;
-        if (found->entry.born_ms == born && order.acknowledged > 0) {
-          OnAcknowledgementAnswer(*found, order.acknowledged, answer);
-        }
-        OnHoldAnswer(*found, sent_at, order, answer);
-        if (same_life && answer.status == OrderStatus::kOtherInstance) {
-          OnReplaced(*found);
-        }
-      });
+  orders_.Hold(TargetOf(worker), order,
+               OrLateEnds([this, id = worker.entry.id, born = worker.entry.born_ms, address = worker.entry.address,
+                           sent_at = now, order, number = worker.hold_number_](const OrderAnswer& answer) {
+                 Worker* found = Find(id);
+                 if (found == nullptr) {
+                   return;
+                 }
+                 if (found->hold_number_ != number) {
+                   OnOldHoldAnswer(*found, answer);
+                   return;
+                 }
+                 const bool same_life = found->entry.born_ms == born && found->entry.address == address;
+                 if (found->entry.born_ms == born && order.acknowledged > 0) {
+                   OnAcknowledgementAnswer(*found, order.acknowledged, answer);
+                 }
+                 OnHoldAnswer(*found, sent_at, order, answer);
+                 if (same_life && answer.status == OrderStatus::kOtherInstance) {
+                   OnReplaced(*found);
+                 }
+               }));
+}
+
+WorkerPort::Done WorkerTable::OrLateEnds(WorkerPort::Done done) const {
+  return [alive = alive_, late_ends = on_late_ends_, done = std::move(done)](const OrderAnswer& answer) {
+    if (*alive) {
+      done(answer);
+    } else if (late_ends && !answer.ended.empty()) {
+      late_ends(answer.ended);
+    }
+  };
 }
 
 // Names ends only until the worker has forgotten them: a hold that is delayed into the next life of the worker, which
@@ -1177,13 +1183,9 @@
 void WorkerTable::CheckOverdueStart(Worker& worker, const RunRef& run) {
   context_.counters.Add("worker_looks_after_starts");
   orders_.Hold(TargetOf(worker), HoldOrder{worker.token_, 0, 0us, 0us},
-               [this, alive = alive_, id = worker.entry.id, born = worker.entry.born_ms, run,
-                copies = worker.placed.at(run).sends, sent_at = context_.Now(),
-                late_ends = on_late_ends_](const OrderAnswer& answer) {
-                 if (!*alive && late_ends && !answer.ended.empty()) {
-                   late_ends(answer.ended);
-                 }
-                 Worker* found = *alive ? Find(id) : nullptr;
+               OrLateEnds([this, id = worker.entry.id, born = worker.entry.born_ms, run,
+                           copies = worker.placed.at(run).sends, sent_at = context_.Now()](const OrderAnswer& answer) {
+                 Worker* found = Find(id);
                  if (found == nullptr || found->entry.born_ms != born || answer.status != OrderStatus::kOk ||
                      !RecordAnswer(*found, answer)) {
                    return;  // OnStartAnswer handles the timeout of the start.
@@ -1196,7 +1198,7 @@
                      placed->second.sends == copies && !placed->second.check_scheduled) {
                    RepeatOrAbandonStart(*found, run);
                  }
-               });
+               }));
 }
 
 void WorkerTable::Stop(Worker& worker, const RunRef& run) {
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -350,6 +350,8 @@
   void NoteTokenSeen(Worker& worker, uint64_t token);
   void ScheduleHold(Worker& worker, Duration delay);
   void SendHold(Worker& worker);
+  // Calls `done` with the answer, or passes its ends on if this table no longer exists by then.
+  WorkerPort::Done OrLateEnds(WorkerPort::Done done) const;
   int64_t EndsToAcknowledge(Worker& worker);
   // Starts that were sent to the worker and may still be carried out, or have been by a life that is not known yet.
   enum class StartsInTransit { kNone, kRecent, kLate };
