Review case 10: gangs stay shut out of a minion that was at fault for seconds

Cause: only single tasks probe a quarantined minion, so one that only gangs use is released after five minutes. Change: the case replaces the one before it.

--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -1,4 +1,5 @@
-// A job none of whose runs has ended failed is shown as failed after some crashes of its minions.
+// Gangs that fit one minion only do not start for minutes after it was at fault
+// for some seconds.
 #include <algorithm>
 #include <cstdlib>
 #include <exception>
@@ -11,86 +12,101 @@
 using Json = nlohmann::json;
 
 constexpr int kDaemons = 3;
-constexpr int kMinions = 8;      // One of them is a share of 0.125.
-constexpr int kWorkMs = 16'000;  // The longest work of a kind of request on the small sites.
-constexpr int kMaxCrashes = 6;
-constexpr double kCrashAfterS = 3;  // Of the run's start.
-constexpr double kDownS = 3;
-constexpr double kDayS = 90;
+constexpr int kPlainMinions = 11;  // With the other one: one of twelve is a share of 0.083.
+constexpr int kGangs = 4;
+constexpr int kMembers = 2;
+constexpr double kGreyS = 6.5;
+constexpr double kLateAfterS = 5;  // Another gang comes so long after the fault.
+constexpr double kTrafficS = 15;   // After that.
+constexpr double kFinishS = 14;    // LOST: jobs are asked for so long after the end of the traffic.
+constexpr double kObservedS = 40;
+constexpr double kIdleLimitS = 3;  // LOST: nothing of a job runs for this long.
 
-Json LongJob() {
-  const Json step{{"Count", 1}, {"Cpu", 2000}, {"MemMb", 1000}, {"EstimateMs", kWorkMs}};
-  return Json{{"TaskSpec", "work_ms=" + std::to_string(kWorkMs)}, {"Steps", Json::array({step})}};
+Json Gang() {
+  const Json step{{"Count", kMembers}, {"Cpu", 1000},  {"MemMb", 1000},
+                  {"Gpu", 1},          {"Gang", true}, {"EstimateMs", 3000}};
+  return Json{{"TaskSpec", "work_ms=3000 gang=" + std::to_string(kMembers)}, {"Steps", Json::array({step})}};
 }
 
-Json SmallJob() {
-  const Json step{{"Count", 2}, {"Cpu", 1000}, {"MemMb", 500}, {"EstimateMs", 600}};
+Json PlainJob() {
+  const Json step{{"Count", 2}, {"Cpu", 6000}, {"MemMb", 1000}, {"EstimateMs", 600}};
   return Json{{"TaskSpec", "work_ms=600"}, {"Steps", Json::array({step})}};
 }
 
-review::Minion* MinionOf(Deployment& day, const std::string& job, double min_age) {
-  for (const review::WorkingRun& run : day.Working()) {
-    const double age = std::chrono::duration<double>(review::Clock::now() - run.since).count();
-    if (run.task.starts_with(job) && age >= min_age) {
-      for (const auto& minion : day.minions()) {
-        if (minion->settings().id == run.minion) {
-          return minion.get();
-        }
-      }
-    }
-  }
-  return nullptr;
-}
-
 int Run(const std::string& folder) {
   Deployment day(folder, kDaemons);
-  review::MinionSettings settings;
-  settings.labels = {"a", "r1"};
-  settings.cpu = 32'000;
-  settings.memory_mb = 65'536;
-  for (int i = 0; i < kMinions; ++i) {
-    day.AddMinion(settings);
+  review::MinionSettings plain;
+  plain.labels = {"a", "r1"};
+  plain.cpu = 32'000;
+  plain.memory_mb = 65'536;
+  for (int i = 0; i < kPlainMinions; ++i) {
+    day.AddMinion(plain);
   }
+  review::MinionSettings with_gpus = plain;
+  with_gpus.labels = {"b", "r1"};
+  with_gpus.cpu = 5000;
+  with_gpus.gpu = 16;
+  review::Minion& gpu_minion = day.AddMinion(with_gpus);
   if (!day.Start()) {
     return 2;
   }
-  const std::string job = day.NewId();
-  if (day.Submit(job, LongJob(), review::Millis(10'000)) != 200) {
-    return 2;
+  if (review::HasTrouble()) {
+    gpu_minion.SetFailsStarts(true);
   }
-  const double end = day.record().Seconds() + kDayS;
-  review::Minion* down = nullptr;
-  double down_until = 0;
-  int crashes = 0;
-  std::string state;
-  while (day.record().Seconds() < end && state != "failed" && state != "completed") {
-    day.Submit(day.NewId(), SmallJob(), review::Millis(3000));
-    day.Wait(0.25);
-    if (down != nullptr && day.record().Seconds() >= down_until) {
-      down->Start();
-      down = nullptr;
+  const double grey_until = day.record().Seconds() + kGreyS;
+  std::vector<std::string> jobs;
+  for (int i = 0; i < kGangs; ++i) {
+    jobs.push_back(day.NewId());
+    if (day.Submit(jobs.back(), Gang(), review::Millis(10'000)) != 200) {
+      return 2;
     }
-    if (review::HasTrouble() && down == nullptr && crashes < kMaxCrashes) {
-      down = MinionOf(day, job, kCrashAfterS);
-      if (down != nullptr) {
-        down->Crash();
-        down_until = day.record().Seconds() + kDownS;
-        ++crashes;
-      }
+  }
+  day.Wait(grey_until - day.record().Seconds());
+  gpu_minion.SetFailsStarts(false);
+  day.Wait(kLateAfterS);
+  jobs.push_back(day.NewId());
+  if (day.Submit(jobs.back(), Gang(), review::Millis(10'000)) != 200) {
+    return 2;
+  }
+  day.record().Say("gang " + jobs.back() + " is handed in after the fault");
+
+  const double traffic_ends = day.record().Seconds() + kTrafficS;
+  while (day.record().Seconds() < traffic_ends) {
+    day.Submit(day.NewId(), PlainJob(), review::Millis(3000));
+    day.Wait(0.5);
+  }
+  day.record().Say("the traffic has ended");
+  day.Wait(kFinishS);
+  const double end = day.record().Seconds() + kObservedS;
+  std::map<std::string, double> idle_since;
+  std::map<std::string, double> longest_idle;
+  while (day.record().Seconds() < end) {
+    const double now = day.record().Seconds();
+    const std::vector<review::WorkingRun> working = day.Working();
+    for (const std::string& job : jobs) {
+      const bool works = std::any_of(working.begin(), working.end(),
+                                     [&](const review::WorkingRun& run) { return run.task.starts_with(job); });
+      const bool over = works || gpu_minion.EndsOf(job).done > 0;
+      idle_since[job] = over || !idle_since.contains(job) ? now : idle_since[job];
+      longest_idle[job] = std::max(longest_idle[job], now - idle_since[job]);
     }
-    state = day.StateOf(job, review::Millis(3000));
+    day.Wait(0.02);
   }
-  review::EndedCounts ends;
-  for (const auto& minion : day.minions()) {
-    const review::EndedCounts each = minion->EndsOf(job);
-    ends.done += each.done;
-    ends.failed += each.failed;
-    ends.lost += each.lost;
+  bool broken = false;
+  for (const std::string& job : jobs) {
+    const review::EndedCounts ends = gpu_minion.EndsOf(job);
+    const std::string state = day.StateOf(job, review::Millis(5000));
+    std::string line = "gang " + job;
+    line += " is shown as ";
+    line += state;
+    line += "; starts of members " + std::to_string(gpu_minion.StartsOf(job));
+    line += ", failed " + std::to_string(ends.failed);
+    line += ", done " + std::to_string(ends.done);
+    line += "; seconds on end in which nothing of it ran: ";
+    line += std::to_string(longest_idle[job]);
+    day.record().Say(line);
+    broken = broken || (longest_idle[job] >= kIdleLimitS && state != "completed" && state != "failed");
   }
-  day.record().Say("the job is shown as " + state + " after " + std::to_string(crashes) +
-                   " crashes; its runs: " + std::to_string(ends.failed) + " failed, " + std::to_string(ends.done) +
-                   " done, " + std::to_string(ends.lost) + " lost with their minion");
-  const bool broken = state == "failed" && ends.failed < day.route().max_attempts;
   day.record().Say(broken ? "LOST is broken" : "LOST holds");
   return broken ? 1 : 0;
 }
