--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -1,6 +1,7 @@
-// Gangs that fit one minion only do not start for minutes after it was at fault
-// for some seconds.
+// A job whose cancelling was acknowledged runs: the daemon that had its request
+// stood still meanwhile.
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <exception>
 
@@ -11,103 +12,92 @@
 using review::Deployment;
 using Json = nlohmann::json;
 
-constexpr int kDaemons = 3;
-constexpr int kPlainMinions = 11;  // With the other one: one of twelve is a share of 0.083.
-constexpr int kGangs = 4;
-constexpr int kMembers = 2;
-constexpr double kGreyS = 6.5;
-constexpr double kLateAfterS = 5;  // Another gang comes so long after the fault.
-constexpr double kTrafficS = 15;   // After that.
-constexpr double kFinishS = 14;    // LOST: jobs are asked for so long after the end of the traffic.
-constexpr double kObservedS = 40;
-constexpr double kIdleLimitS = 3;  // LOST: nothing of a job runs for this long.
+constexpr int kDaemons = 4;
+constexpr int kMinions = 6;
+constexpr review::Millis kDeadline(3000);  // As on the sheets.
+constexpr int kWorkMs = 16'000;            // The longest work of a kind of request on the small sites.
+constexpr double kFreezeS = 4;
+constexpr double kSendAfterS = 0.3;  // After the freeze has begun.
+constexpr double kContactS = 4;      // A disruption is near for so long.
+constexpr double kCancelS = 3;       // UNASKED: cancel_ms and StopMs after the cancelling was acknowledged.
+constexpr double kStopS = 0.9;
+constexpr double kObservedS = 8;
 
-Json Gang() {
-  const Json step{{"Count", kMembers}, {"Cpu", 1000},  {"MemMb", 1000},
-                  {"Gpu", 1},          {"Gang", true}, {"EstimateMs", 3000}};
-  return Json{{"TaskSpec", "work_ms=3000 gang=" + std::to_string(kMembers)}, {"Steps", Json::array({step})}};
+Json Job(int work_ms) {
+  const Json step{{"Count", 2}, {"Cpu", 1000}, {"MemMb", 500}, {"EstimateMs", work_ms}};
+  return Json{{"TaskSpec", "work_ms=" + std::to_string(work_ms)}, {"Steps", Json::array({step})}};
 }
 
-Json PlainJob() {
-  const Json step{{"Count", 2}, {"Cpu", 6000}, {"MemMb", 1000}, {"EstimateMs", 600}};
-  return Json{{"TaskSpec", "work_ms=600"}, {"Steps", Json::array({step})}};
+// A daemon that does not own the cell.
+const review::DaemonProcess* AnyOther(Deployment& day, const std::string& owner) {
+  const auto found = std::find_if(day.daemons().begin(), day.daemons().end(),
+                                  [&](const review::DaemonProcess& each) { return each.name != owner; });
+  return found == day.daemons().end() ? nullptr : &*found;
 }
 
 int Run(const std::string& folder) {
   Deployment day(folder, kDaemons);
-  review::MinionSettings plain;
-  plain.labels = {"a", "r1"};
-  plain.cpu = 32'000;
-  plain.memory_mb = 65'536;
-  for (int i = 0; i < kPlainMinions; ++i) {
-    day.AddMinion(plain);
+  review::MinionSettings settings;
+  settings.labels = {"a", "r1"};
+  settings.cpu = 32'000;
+  settings.memory_mb = 65'536;
+  for (int i = 0; i < kMinions; ++i) {
+    day.AddMinion(settings);
   }
-  review::MinionSettings with_gpus = plain;
-  with_gpus.labels = {"b", "r1"};
-  with_gpus.cpu = 5000;
-  with_gpus.gpu = 16;
-  review::Minion& gpu_minion = day.AddMinion(with_gpus);
   if (!day.Start()) {
     return 2;
   }
-  if (review::HasTrouble()) {
-    gpu_minion.SetFailsStarts(true);
+  for (int i = 0; i < 5; ++i) {
+    day.Submit(day.NewId(), Job(500), review::Millis(3000));
   }
-  const double grey_until = day.record().Seconds() + kGreyS;
-  std::vector<std::string> jobs;
-  for (int i = 0; i < kGangs; ++i) {
-    jobs.push_back(day.NewId());
-    if (day.Submit(jobs.back(), Gang(), review::Millis(10'000)) != 200) {
-      return 2;
-    }
+  day.Wait(2);
+  const std::string owner = day.OwnerName();
+  const review::DaemonProcess* frozen = AnyOther(day, owner);
+  const review::DaemonProcess* other = nullptr;
+  for (const review::DaemonProcess& daemon : day.daemons()) {
+    other = frozen != nullptr && daemon.name != frozen->name ? &daemon : other;
   }
-  day.Wait(grey_until - day.record().Seconds());
-  gpu_minion.SetFailsStarts(false);
-  day.Wait(kLateAfterS);
-  jobs.push_back(day.NewId());
-  if (day.Submit(jobs.back(), Gang(), review::Millis(10'000)) != 200) {
+  if (owner.empty() || frozen == nullptr || other == nullptr) {
     return 2;
   }
-  day.record().Say("gang " + jobs.back() + " is handed in after the fault");
-
-  const double traffic_ends = day.record().Seconds() + kTrafficS;
-  while (day.record().Seconds() < traffic_ends) {
-    day.Submit(day.NewId(), PlainJob(), review::Millis(3000));
-    day.Wait(0.5);
+  const std::string job = day.NewId();
+  const std::map<std::string, std::string> headers{{"Host", day.route().host},
+                                                   {"X-Hibiscusstand-Deadline-Ms", std::to_string(kDeadline.count())}};
+  const double begin = day.record().Seconds();
+  if (review::HasTrouble()) {
+    kill(frozen->pid, SIGSTOP);
+    day.record().Say(frozen->name + " stands still; the owner is " + owner);
   }
-  day.record().Say("the traffic has ended");
-  day.Wait(kFinishS);
-  const double end = day.record().Seconds() + kObservedS;
-  std::map<std::string, double> idle_since;
-  std::map<std::string, double> longest_idle;
-  while (day.record().Seconds() < end) {
-    const double now = day.record().Seconds();
-    const std::vector<review::WorkingRun> working = day.Working();
-    for (const std::string& job : jobs) {
-      const bool works = std::any_of(working.begin(), working.end(),
-                                     [&](const review::WorkingRun& run) { return run.task.starts_with(job); });
-      const bool over = works || gpu_minion.EndsOf(job).done > 0;
-      idle_since[job] = over || !idle_since.contains(job) ? now : idle_since[job];
-      longest_idle[job] = std::max(longest_idle[job], now - idle_since[job]);
-    }
-    day.Wait(0.02);
+  day.Wait(kSendAfterS);
+  day.record().Write("client POST " + job + " at " + frozen->name);
+  const review::HttpResponse submitted =
+      review::Send(frozen->front, "POST", day.route().prefix + job, headers, Job(kWorkMs).dump(), kDeadline);
+  day.record().Say("POST " + job + " -> " + std::to_string(submitted.status) + "; the client has left");
+  const review::HttpResponse cancelled =
+      review::Send(other->front, "DELETE", day.route().prefix + job, headers, "", kDeadline);
+  const double cancelled_s = day.record().Seconds();
+  day.record().Say("DELETE " + job + " at " + other->name + " -> " + std::to_string(cancelled.status) + " " +
+                   cancelled.body);
+  if (review::HasTrouble()) {
+    day.Wait(std::max(0.0, begin + kFreezeS - day.record().Seconds()));
+    kill(frozen->pid, SIGCONT);
+    day.record().Say(frozen->name + " goes on");
   }
-  bool broken = false;
-  for (const std::string& job : jobs) {
-    const review::EndedCounts ends = gpu_minion.EndsOf(job);
-    const std::string state = day.StateOf(job, review::Millis(5000));
-    std::string line = "gang " + job;
-    line += " is shown as ";
-    line += state;
-    line += "; starts of members " + std::to_string(gpu_minion.StartsOf(job));
-    line += ", failed " + std::to_string(ends.failed);
-    line += ", done " + std::to_string(ends.done);
-    line += "; seconds on end in which nothing of it ran: ";
-    line += std::to_string(longest_idle[job]);
-    day.record().Say(line);
-    broken = broken || (longest_idle[job] >= kIdleLimitS && state != "completed" && state != "failed");
+  const bool acknowledged = cancelled.status == 200 || cancelled.status == 410;
+  const double judged_from = std::max(cancelled_s + kCancelS + kStopS, begin + kFreezeS + kContactS);
+  day.Wait(std::max(0.0, judged_from - day.record().Seconds()));
+  int working = 0;
+  const double end = day.record().Seconds() + kObservedS;
+  while (day.record().Seconds() < end && working == 0) {
+    const std::vector<review::WorkingRun> runs = day.Working();
+    working = static_cast<int>(std::count_if(runs.begin(), runs.end(),
+                                             [&](const review::WorkingRun& run) { return run.task.starts_with(job); }));
+    day.Wait(0.05);
   }
-  day.record().Say(broken ? "LOST is broken" : "LOST holds");
+  day.record().Say("tasks of the job at work: " + std::to_string(working) + "; it is shown as " +
+                   day.StateOf(job, review::Millis(3000)));
+  const bool broken = acknowledged && working > 0;
+  day.record().Say(broken ? "UNASKED is broken" : "UNASKED holds");
   return broken ? 1 : 0;
 }
 
--- a/review/standin-2/http.cc
+++ b/review/standin-2/http.cc
@@ -209,6 +209,14 @@
   idle_.wait(lock, [this] { return threads_ == 0; });
 }
 
+void HttpListener::ResetConnections() {
+  const std::lock_guard lock(mutex_);
+  for (const int each : sockets_) {
+    ResetOnClose(each);
+    shutdown(each, SHUT_RDWR);
+  }
+}
+
 void HttpListener::Accept(int listener) {
   while (true) {
     const int accepted = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
--- a/review/standin-2/http.h
+++ b/review/standin-2/http.h
@@ -42,6 +42,8 @@
   // Port 0 takes any free one. Returns the port.
   int Start(const std::string& ip, int port);
   void Stop();
+  // The connections of a process that ends; the listening socket stays open for the next one.
+  void ResetConnections();
 
  private:
   void Accept(int listener);
