--- a/src/cell/host.cc
+++ b/src/cell/host.cc
@@ -196,6 +196,11 @@
     reply(CallerReply{.call = call, .outcome = CallerOutcome::kUnavailable, .retry_after = kUnavailableRetryAfter});
     return;
   }
+  deadline = std::min(deadline, answer_by_);
+  if (context_.Now() >= answer_by_) {
+    reply(CallerReply{.call = call, .outcome = CallerOutcome::kUnavailable, .retry_after = kUnavailableRetryAfter});
+    return;
+  }
   newest_calls_[request.queue] = context_.Now();
   request.reply_to = context_.settings.peer_address;
   pending_[call] = PendingRequest{std::move(request), deadline, std::move(reply), false, 0, 0, kFirstResendDelay};
@@ -210,7 +215,7 @@
   const auto answer = [this, host_name, path, reply, asked_at = context_.Now()](bool confirmed) {
     reply(AnswerUnknownRoute(host_name, path, confirmed, asked_at));
   };
-  configuration_follower_.Require(deadline, IfAlive(answer));
+  configuration_follower_.Require(std::min(deadline, answer_by_), IfAlive(answer));
 }
 
 RouteOutcome Host::AnswerUnknownRoute(const std::string& host_name,
@@ -342,6 +347,21 @@
   pending.reply(CallerReply{.call = call, .outcome = outcome, .retry_after = kUnavailableRetryAfter});
 }
 
+void Host::AnswerBy(TimePoint latest) {
+  answer_by_ = latest;
+  context_.timers.In(std::max(Duration(0), latest - context_.Now()), IfAlive([this] { EndAllPending(); }));
+}
+
+void Host::EndAllPending() {
+  std::vector<uint64_t> calls;
+  for (const auto& [call, pending] : pending_) {
+    calls.push_back(call);
+  }
+  for (const uint64_t call : calls) {
+    OnDeadline(call);
+  }
+}
+
 // --- Other hosts ---
 
 void Host::Send(const std::string& address, const Message& message) {
--- a/src/cell/host.h
+++ b/src/cell/host.h
@@ -61,6 +61,9 @@
 
   // Starts a planned shutdown: an owner releases its ownership, and callers are still served. Calls `on_left` once.
   void Leave(const std::function<void()>& on_left);
+  // Ends a planned shutdown: no request is answered later than `latest`, whatever its deadline, and none that comes
+  // after that is passed on.
+  void AnswerBy(TimePoint latest);
 
   // True if this host can serve callers.
   bool ready() const;
@@ -108,6 +111,7 @@
                                   TimePoint asked_at);
   void NoteDroppedQueues();
   void OnDeadline(uint64_t call);
+  void EndAllPending();
   void OnCallerRequest(const CallerRequest& request);
   void OnAdviceRequest(const AdviceRequest& request);
   void OnOwnerAnnouncement(const OwnerAnnouncement& announcement);
@@ -204,6 +208,7 @@
 
   EndReports end_reports_;
 
+  TimePoint answer_by_ = TimePoint::max();  // Upper bound of all deadlines; see AnswerBy.
   std::map<uint64_t, PendingRequest> pending_;
   uint64_t last_call_;
   // A request that waited for a newer configuration is not served by it if that would not have served a later one.
--- a/src/ports/connection_guard.cc
+++ b/src/ports/connection_guard.cc
@@ -26,8 +26,8 @@
   EnterPhase(connection, Phase::kReceiving);
 }
 
-void ConnectionGuard::OnRequestReceived(const void* connection) {
-  EnterPhase(connection, Phase::kAnswering);
+bool ConnectionGuard::OnRequestReceived(const void* connection) {
+  return EnterPhase(connection, Phase::kAnswering);
 }
 
 void ConnectionGuard::OnRequestCompleted(const void* connection) {
@@ -60,17 +60,18 @@
   return entries_.size();
 }
 
-void ConnectionGuard::EnterPhase(const void* connection, Phase phase) {
+bool ConnectionGuard::EnterPhase(const void* connection, Phase phase) {
   const std::lock_guard lock(mutex_);
   const auto entry = entries_.find(connection);
   if (entry == entries_.end()) {
-    return;
+    return true;
   }
   entry->second.phase = phase;
   entry->second.had_request = true;
   if (phase == Phase::kIdle) {
     entry->second.since = clock_.Now();
   }
+  return !entry->second.shut_down;
 }
 
 void ConnectionGuard::ShutDownOverdue() {
--- a/src/ports/connection_guard.h
+++ b/src/ports/connection_guard.h
@@ -25,8 +25,10 @@
 
   // Events of a connection. Its socket must stay open until OnConnectionClosed returns.
   void OnConnectionOpened(const void* connection, int socket);
-  void OnRequestStarted(const void* connection);   // The request line has arrived.
-  void OnRequestReceived(const void* connection);  // No time limit applies until the answer is sent.
+  void OnRequestStarted(const void* connection);  // The request line has arrived.
+  // No time limit applies until the answer is sent. Returns false if the connection was shut down before, so that the
+  // request must not be carried out: its caller may have been told that it took too long.
+  [[nodiscard]] bool OnRequestReceived(const void* connection);
   void OnRequestCompleted(const void* connection);
   void OnConnectionClosed(const void* connection);
 
@@ -49,7 +51,8 @@
     bool shut_down = false;
   };
 
-  void EnterPhase(const void* connection, Phase phase);
+  // Returns false if the connection is shut down.
+  bool EnterPhase(const void* connection, Phase phase);
   void ShutDownOverdue();
   void ShutDownLongestIdle();
   static void ShutDown(Entry& entry);
--- a/src/ports/http_server.cc
+++ b/src/ports/http_server.cc
@@ -38,7 +38,7 @@
   HttpReply reply;
   bool dispatched = false;
   bool too_large = false;
-  bool replied = false;
+  bool abandoned = false;  // The server stops: the connection is closed without an answer.
 };
 
 size_t DeclaredContentLength(MHD_Connection* connection) {
@@ -83,6 +83,7 @@
   std::atomic<ExchangeId> next_id{1};
   std::mutex mutex;
   std::map<ExchangeId, Exchange*> unanswered;  // Dispatched to the handler, no reply yet. Guarded by mutex.
+  bool dispatching = true;                     // Guarded by mutex.
 
   static MHD_Result OnAccess(void* cls,
                              MHD_Connection* connection,
@@ -97,7 +98,8 @@
   static void* OnRequestLine(void* cls, const char* url, MHD_Connection* connection);
   MHD_Result OnHeaders(MHD_Connection* connection, const char* url, const char* method, void** context);
   void Sweep();
-  void Dispatch(Exchange& exchange);
+  // Passes the request to the handler. Returns false if it must not be, and its connection is to be closed.
+  bool Dispatch(Exchange& exchange);
   void AcceptPending(int listener);
 };
 
@@ -125,11 +127,13 @@
   if (exchange->too_large) {
     return QueueReply(connection, HttpReply{413, kTooLargeBody}, true);
   }
+  if (exchange->abandoned) {
+    return MHD_NO;  // Closes the connection.
+  }
   if (exchange->dispatched) {
     return QueueReply(connection, exchange->reply, state->close_after_replies);
   }
-  state->Dispatch(*exchange);
-  return MHD_YES;
+  return state->Dispatch(*exchange) ? MHD_YES : MHD_NO;
 }
 
 MHD_Result HttpServer::State::OnHeaders(MHD_Connection* connection,
@@ -182,15 +186,21 @@
   }
 }
 
-void HttpServer::State::Dispatch(Exchange& exchange) {
+bool HttpServer::State::Dispatch(Exchange& exchange) {
   exchange.dispatched = true;
-  guard.OnRequestReceived(exchange.connection);
-  MHD_suspend_connection(exchange.connection);
+  if (!guard.OnRequestReceived(exchange.connection)) {
+    return false;  // Its caller was told that nothing ran.
+  }
   {
     const std::lock_guard lock(mutex);
+    if (!dispatching) {
+      return false;
+    }
+    MHD_suspend_connection(exchange.connection);
     unanswered[exchange.id] = &exchange;
   }
   handler(exchange.id, exchange.request);
+  return true;
 }
 
 void HttpServer::State::OnCompleted(void* cls,
@@ -258,8 +268,9 @@
   state_->sweeper.join();
   {
     const std::lock_guard lock(state_->mutex);
+    state_->dispatching = false;
     for (const auto& [id, exchange] : state_->unanswered) {
-      exchange->reply = HttpReply{503, R"({"code":206,"name":"host_leaving","verdict":"unknown"})"};
+      exchange->abandoned = true;
       MHD_resume_connection(exchange->connection);
     }
     state_->unanswered.clear();
--- a/src/ports/http_server.h
+++ b/src/ports/http_server.h
@@ -49,6 +49,8 @@
 
   // Throws std::runtime_error if the port cannot be opened.
   HttpServer(const HttpServerOptions& options, Handler handler);
+  // Closes the connections of requests without a reply. Only the handler's owner knows what has become of them, so a
+  // status that says more than that must come from a Reply before.
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/tools/cell_soak/callers.py
+++ b/tools/cell_soak/callers.py
@@ -1,5 +1,6 @@
 """Callers: they submit, ask and cancel jobs over connections that stay open, and retry as the platform's clients do."""
 import asyncio
+import json
 import random
 import time
 
@@ -16,6 +17,7 @@
 RETRY_S = 0.3
 MAX_ATTEMPTS = 8
 TASK_S = [0.2, 0.2, 0.6, 0.6, 0.6, 1.5, 1.5, 4, 4, 14]  # Some outlast the leases of the workers.
+REFUSALS = (400, 404, 408, 429, 503)  # The job was not accepted and never runs.
 FINAL_STATES = ("completed", "failed", "cancelled")
 
 
@@ -71,7 +73,7 @@
             await asyncio.sleep(COUNT_INTERVAL_S)
         await asyncio.gather(*tasks)
 
-    async def job(self):
+    def new_job(self):
         steps = [{"Count": random.randint(1, 4), "Cpu": random.choice([300, 600, 1500]), "MemMb": 256,
                   "EstimateMs": 800}]
         if random.random() < 0.5:
@@ -79,6 +81,10 @@
         job = Job(f"{random.getrandbits(64):016x}", steps, PREFIX)
         self.checks.jobs[job.id] = job
         self.durations[job.id] = random.choice(self.task_seconds)
+        return job
+
+    async def job(self):
+        job = self.new_job()
         if not await self.submit(job):
             return
         choice = random.random()
@@ -99,11 +105,41 @@
             if status == 200:
                 job.accepted_at = time.monotonic()
                 return True
-            if status in (400, 404, 429, 503):
+            if status in REFUSALS:
                 job.refusals += 1
             await asyncio.sleep(RETRY_S if status else 0)
         return False
 
+    async def connect(self, host):
+        """A connection on which nothing was sent yet; None if it cannot be opened."""
+        try:
+            return await asyncio.open_connection(self.network.host(host), CALLER_PORT)
+        except OSError:
+            return None
+
+    async def submit_once(self, host, connection):
+        """Submits a job in one attempt over the connection, and leaves at the deadline. Returns the job."""
+        job = self.new_job()
+        reader, writer = connection
+        body = json.dumps({"TaskSpec": f"work {job.id}", "Steps": job.steps})
+        sent_at = time.monotonic()
+        job.attempts += 1
+        try:
+            writer.write(f"POST {job.prefix}{job.id} HTTP/1.1\r\nHost: {HOST_NAME}\r\nContent-Type: application/json\r\n"
+                         f"X-Hibiscusstand-Deadline-Ms: {int(TIMEOUT_S * 1000)}\r\nContent-Length: {len(body)}\r\n\r\n"
+                         f"{body}".encode())
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n"), TIMEOUT_S)
+            status = int(head.split()[1])
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            status = 0
+        writer.close()
+        self.checks.answered(job, "POST", host, status, sent_at)
+        if status == 200:
+            job.accepted_at = time.monotonic()
+        if status in REFUSALS:
+            job.refusals += 1
+        return job
+
     async def cancel(self, job, everywhere):
         job.cancel_sent = True
         if everywhere:
--- a/tools/cell_soak/checks.py
+++ b/tools/cell_soak/checks.py
@@ -112,6 +112,13 @@
         if method == "DELETE" and known and status in (200, 410) and job.cancelled_at is None:
             job.cancelled_at = time.monotonic()
 
+    def check_refusals(self):
+        """No task of a job has started whose attempts were all refused, at whatever time."""
+        started = {task.split(".")[0] for task in self.runs}
+        for job in self.jobs.values():
+            if job.id in started and job.attempts == job.refusals:
+                self.report("REFUSED", f"all {job.attempts} attempts of {job.id} were refused, and it has started")
+
     # --- Configuration ---
 
     def configured(self, prefixes):
--- a/tools/cell_soak/faults.py
+++ b/tools/cell_soak/faults.py
@@ -12,18 +12,23 @@
 MAX_POWER_LOSSES = 12
 REMOVED_SHARE = 0.35    # Of the hosts, at most.
 DRAIN_S = 2.5           # That a worker serves on, at least, once it drains.
+BURST_CALLERS = 32      # That send at the same time.
+BURST_S = 0.02            # As long as the owner collects a batch.
+SILENT_STORE_S = 4.2    # As long as the platform's store may be.
 ADDRESS_REUSE_S = 2.0   # Before another worker has the address of one that has left.
 
 
 class Faults:
-    def __init__(self, hosts, links, store, workers, checks):
+    def __init__(self, hosts, links, store, workers, callers, checks):
         self.hosts, self.links, self.store, self.workers, self.checks = hosts, links, store, workers, checks
+        self.callers = callers
         self.kinds = [self.pause, self.pause, self.kill, self.terminate, self.cut_off, self.cut_off, self.cut_store,
                       self.cut_peers, self.cut_workers, self.store_down, self.store_unsure, self.silent_watches,
                       self.cut_worker, self.power, self.crash_workers]
         # Only with --kinds: the draws of a seed stay the same without.
         self.named_kinds = [self.silence_connections, self.late_orders, self.split_peers, self.silence_peers,
-                            self.received_orders, self.release, self.join_host, self.remove_host]
+                            self.received_orders, self.release, self.join_host, self.remove_host,
+                            self.stop_beside_silence]
         self.not_joined = []  # Hosts that have not started yet.
         self.removed = set()  # Hosts that are gone for good.
         self.until = 0
@@ -81,6 +86,35 @@
         await self.hosts[host].terminate()
         self.restart(host)
 
+    async def stop_beside_silence(self):
+        """Hosts are stopped in turn while the store falls silent. Callers have connected before the balancer noticed, and
+        send what the host cannot have stored before it exits."""
+        for _ in range(random.randint(1, 3)):
+            running = [host for host, process in enumerate(self.hosts)
+                       if process.running and not process.paused and not process.stopping]
+            host = random.choice([each for each in running if each != self.store.last_writer] or running or [None])
+            if self.checks.at() >= self.until or host is None:
+                return
+            self.note(f"h{host} is stopped; the store will be silent")
+            self.checks.disturb(host, 9)
+            stop = asyncio.ensure_future(self.hosts[host].terminate())
+            await asyncio.sleep(random.uniform(1.75, 1.9))
+            connections = await asyncio.gather(*(self.callers.connect(host) for _ in range(BURST_CALLERS)))
+            await asyncio.sleep(random.uniform(0.5, 0.7))
+            faults = [path.faults for path in self.store.paths]
+            self.checks.disturb("store", SILENT_STORE_S)
+            # Some requests are in a batch when the silence begins: their owner cannot know what becomes of them.
+            attempts = asyncio.gather(*(self.callers.submit_once(host, each) for each in connections if each))
+            await asyncio.sleep(random.uniform(0.3, 1) * BURST_S)
+            for each in faults:
+                each.silent = True
+            await asyncio.sleep(SILENT_STORE_S)
+            for each in faults:
+                each.clear()
+            await asyncio.gather(stop, attempts)
+            self.restart(host)
+            await asyncio.sleep(random.uniform(0.5, 2))
+
     async def power(self):
         """The owner loses power, a few times in series; the workers do not learn that its connections have ended."""
         for _ in range(random.randint(3, 6)):
