--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -73,6 +73,15 @@
   return latest;
 }
 
+bool PlacedRun::HasUnansweredCopy() const {
+  return std::any_of(open_copies.begin(), open_copies.end(), [](const OpenCopy& copy) { return !copy.answered; });
+}
+
+bool PlacedRun::MayBeInUnknownLife(TimePoint now) const {
+  return std::any_of(open_copies.begin(), open_copies.end(),
+                     [now](const OpenCopy& copy) { return copy.answered || copy.until > now; });
+}
+
 const char* NameOf(GoneReason reason) {
   switch (reason) {
     case GoneReason::kNeverRan:
@@ -323,16 +332,33 @@
     return;
   }
   PlacedRun& placed = found->second;
-  std::erase_if(placed.open_copies, [&](const OpenCopy& copy) { return copy.number == start.copy; });
-  placed.copy_answered = placed.copy_answered || answer.status == OrderStatus::kOk;
-  placed.carried_out = placed.carried_out || answer.status == OrderStatus::kOk;
+  const auto copy = std::find_if(placed.open_copies.begin(), placed.open_copies.end(),
+                                 [&](const OpenCopy& each) { return each.number == start.copy; });
+  const bool carried_out = answer.status == OrderStatus::kOk;
+  placed.carried_out = placed.carried_out || carried_out;
+  if (copy == placed.open_copies.end()) {
+    return;  // A list has shown it, or it has expired.
+  }
+  if (carried_out && !IsFromKnownLife(worker, answer)) {
+    copy->answered = true;
+    copy->until = std::min(copy->until, context_.Now());
+  } else {
+    placed.copy_answered = placed.copy_answered || carried_out;
+    placed.open_copies.erase(copy);
+  }
   if (placed.open_copies.empty()) {
     ForgetOpenRun(start.run, placed);
+  } else if (!placed.HasUnansweredCopy()) {
+    ForgetOverdueStart(placed);
   }
 }
 
 void WorkerTable::ForgetOpenRun(const RunRef& run, PlacedRun& placed) {
   open_runs_.erase(run);
+  ForgetOverdueStart(placed);
+}
+
+void WorkerTable::ForgetOverdueStart(PlacedRun& placed) {
   if (std::exchange(placed.overdue, false)) {
     ++open_starts_version_;
     listener_.OnOpenStartsChanged();
@@ -422,7 +448,7 @@
   TimePoint latest{};
   for (const auto& [run, worker] : open_runs_) {
     for (const OpenCopy& copy : workers_.at(worker)->placed.at(run).open_copies) {
-      latest = std::max(latest, copy.sent_at + kMaxAnswerTime);
+      latest = copy.answered ? latest : std::max(latest, copy.sent_at + kMaxAnswerTime);
     }
   }
   return latest;
@@ -712,7 +738,7 @@
   for (const auto& [run, placed] : worker.placed) {
     for (const OpenCopy& copy : placed.open_copies) {
       const bool open = copy.until > now;
-      recent = recent || (open && now - copy.sent_at < kMaxAnswerTime);
+      recent = recent || copy.answered || (open && now - copy.sent_at < kMaxAnswerTime);
       late = late || (open && !placed.carried_out);
     }
     recent = recent || !placed.sent || (placed.confirmed && !placed.in_current_life && !placed.over);
@@ -726,7 +752,7 @@
 bool WorkerTable::MayRunAgain(const RunRef& ended) const {
   const TimePoint now = context_.Now();
   const auto is_open = [&](const auto& each) {
-    return workers_.at(each.second)->placed.at(each.first).OpenUntil() > now;
+    return workers_.at(each.second)->placed.at(each.first).MayBeInUnknownLife(now);
   };
   if (!listener_.MayBeGang(ended)) {
     const auto found = open_runs_.find(ended);
@@ -1164,7 +1190,7 @@
     }
     PlacedRun& placed = found->placed[run];
     placed.check_scheduled = false;
-    if (!placed.open_copies.empty() && !std::exchange(placed.overdue, true)) {
+    if (placed.HasUnansweredCopy() && !std::exchange(placed.overdue, true)) {
       ++open_starts_version_;
       listener_.OnOpenStartsChanged();
     }
@@ -1287,6 +1313,10 @@
   return answer.born_ms != 0 || (bears_its_clock && answer.worker_clock > context_.Now() - worker.lists_requested_at_);
 }
 
+bool WorkerTable::IsFromKnownLife(const Worker& worker, const OrderAnswer& answer) const {
+  return answer.born_ms != 0 ? answer.born_ms <= worker.entry.born_ms : IsFromCurrentLife(worker, answer);
+}
+
 void WorkerTable::RecordStartDelay(Duration delay) {
   start_delay_ = (start_delay() * (kStartDelaySmoothing - 1) + delay) / kStartDelaySmoothing;
   start_delay_updated_at_ = context_.Now();
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -8,11 +8,13 @@
 // over once the last deadline has passed on the slowest permitted clock.
 //
 // A copy of a start is open until it is answered, is shown by a list to have been carried out, or can no longer be
-// carried out (OpenCopy::until). A next life of its worker may carry it out whatever the earlier one answered or
-// listed: it knows neither a stop nor a token of before. So a run with open copies stays placed although it is over,
-// and its task gets no other worker until then (PlacedRun::over). In the meantime the same run is sent again to the
-// same worker, which carries out one copy at most. And an end is not named to its worker as received while a copy of
-// its run's start is open, or of a start of the same gang: the run may begin again.
+// carried out (OpenCopy::until). An answer names no life, so a copy that a later life than the known one may have
+// carried out stays open until a list of the known life shows that it had not ended by then. A next life of its worker
+// may carry it out whatever the earlier one answered or listed: it knows neither a stop nor a token of before. So a run
+// with open copies stays placed although it is over, and its task gets no other worker until then (PlacedRun::over). In
+// the meantime the same run is sent again to the same worker, which carries out one copy at most. And an end is not
+// named to its worker as received while a copy of its run's start is open, or of a start of the same gang: the run may
+// begin again.
 //
 // A hold that names ends to forget may also reach the next life, which numbers its ends anew, and make it forget the
 // end of a run that the owner has not received. So it is sent only while no start can be on its way to the worker, and
@@ -80,11 +82,12 @@
 RunDemand DemandOf(const StepRun& step);
 RunDemand DemandOf(const StepRun& step, int index);
 
-// A copy of a start that its worker may still carry out.
+// A copy of a start that its worker may still carry out, or has carried out in a life that is not known.
 struct OpenCopy {
   int number = 0;  // Of the copies of its start, from 1.
   TimePoint sent_at{};
-  TimePoint until{};  // It is carried out before this time, by whatever life of the worker, or never.
+  TimePoint until{};      // It is carried out before this time, by whatever life of the worker, or never.
+  bool answered = false;  // It was carried out before `until`.
 
   friend bool operator==(const OpenCopy&, const OpenCopy&) = default;
 };
@@ -114,6 +117,9 @@
 
   // When the last open copy can no longer be carried out. TimePoint{}: none is open.
   TimePoint OpenUntil() const;
+  bool HasUnansweredCopy() const;
+  // Whether a life that is not known may have begun the run, or one may begin it from now on.
+  bool MayBeInUnknownLife(TimePoint now) const;
   friend bool operator==(const PlacedRun&, const PlacedRun&) = default;
 };
 
@@ -387,6 +393,8 @@
   void NoteCarriedOut(const RunRef& run, PlacedRun& placed);
   // No copy of the run's start is open any more.
   void ForgetOpenRun(const RunRef& run, PlacedRun& placed);
+  // Every copy of the run's start is answered.
+  void ForgetOverdueStart(PlacedRun& placed);
   // Copies that cannot be carried out later than at `time` are open no longer.
   void ExpireCopies(Worker& worker, TimePoint time);
   // The run is not running in the life that is known; its task waits for its open copies.
@@ -408,6 +416,8 @@
   // without an answer makes the worker silent, unless it has answered one that was sent later.
   bool RecordAnswer(Worker& worker, const OrderAnswer& answer, bool has_answered_since = false);
   bool IsFromCurrentLife(const Worker& worker, const OrderAnswer& answer) const;
+  // True if no later life than the known one can have sent the answer.
+  bool IsFromKnownLife(const Worker& worker, const OrderAnswer& answer) const;
   void MarkSilent(Worker& worker, const OrderAnswer& answer);
   // How long to wait before the next hold to a worker that did not answer the last one.
   Duration RetryDelay(Worker& worker, const OrderAnswer& answer);
--- a/standins/cell_fake_host.cc
+++ b/standins/cell_fake_host.cc
@@ -495,6 +495,27 @@
 }
 
 void FakeHost::CallWorker(const WorkerTarget& target, const Order& order, const WorkerPort::Done& done) {
+  const FakeWorker* worker = FindWorker(target);
+  if (worker == nullptr || worker->faults.waiting_share == 0 || !world_.Chance(worker->faults.waiting_share)) {
+    CallWorkerNow(target, order, done);
+    return;
+  }
+  CallWorkerAfter(Duration(static_cast<int64_t>(world_.random()() % kMaxConnectionWait.count())), target, order, done);
+}
+
+// The order waits for a connection. It is not sent if the process ends meanwhile.
+void FakeHost::CallWorkerAfter(Duration wait,
+                               const WorkerTarget& target,
+                               const Order& order,
+                               const WorkerPort::Done& done) {
+  world_.In(wait, [this, generation = generation_, target, order, done] {
+    if (generation == generation_) {
+      CallWorkerNow(target, order, done);
+    }
+  });
+}
+
+void FakeHost::CallWorkerNow(const WorkerTarget& target, const Order& order, const WorkerPort::Done& done) {
   FakeWorker* worker = FindWorker(target);
   const auto answer = [this, generation = generation_, done](Duration delay, const OrderAnswer& result) {
     world_.In(delay, [this, generation, done, result] { Deliver(generation, [done, result] { done(result); }); });
@@ -547,7 +568,10 @@
 }
 
 void FakeHost::Start(const WorkerTarget& worker, const StartOrder& order, WorkerPort::Done done) {
-  const Order start{"start", order.run, [order](FakeWorker& target) { return WithoutLife(target.Start(order)); }};
+  const Order start{"start", order.run, [order](FakeWorker& target) {
+                      const OrderAnswer answer = target.Start(order);
+                      return target.names_life ? answer : WithoutLife(answer);
+                    }};
   FakeWorker* slow = FindWorker(worker);
   if (slow != nullptr && slow->orders_not_sent > 0) {
     --slow->orders_not_sent;
@@ -558,6 +582,12 @@
     });
     return;
   }
+  if (slow != nullptr && !slow->start_waits.empty()) {
+    const Duration wait = slow->start_waits.front();
+    slow->start_waits.pop_front();
+    CallWorkerAfter(wait, worker, start, done);
+    return;
+  }
   if (slow != nullptr && slow->up && slow->starts_in_transit > 0) {
     --slow->starts_in_transit;
     DeliverWithoutAnswer(*slow, worker, start, done);
--- a/standins/cell_fake_host.h
+++ b/standins/cell_fake_host.h
@@ -15,7 +15,8 @@
 // Encodes a worker's entry in the simulation's own JSON format.
 std::string EncodeWorkerEntry(const WorkerEntry& entry);
 
-constexpr Duration kCallTimeout = 1s;  // Of calls to the store, to workers and to hosts that are down.
+constexpr Duration kMaxConnectionWait = 700ms;  // Of an order; it must have its answer within the next.
+constexpr Duration kCallTimeout = 1s;           // Of calls to the store, to workers and to hosts that are down.
 
 class FakeHost final : public StorePort,
                        public WorkerPort,
@@ -122,6 +123,8 @@
   // another id or is down.
   void CarryOutLate(const WorkerTarget& target, const Order& order, Duration delay);
   void CallWorker(const WorkerTarget& target, const Order& order, const WorkerPort::Done& done);
+  void CallWorkerAfter(Duration wait, const WorkerTarget& target, const Order& order, const WorkerPort::Done& done);
+  void CallWorkerNow(const WorkerTarget& target, const Order& order, const WorkerPort::Done& done);
   void DeliverWithoutAnswer(FakeWorker& worker,
                             const WorkerTarget& target,
                             const Order& order,
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -43,6 +43,8 @@
   // Calls without an answer that are carried out seconds later, by whatever process the callee has by then.
   double late_execution_share = 0;
   Duration extra_delay{};  // Added to each answer.
+  // Orders that wait for a free connection for up to 700 ms, and reach whatever process the worker has by then.
+  double waiting_share = 0;
 
   friend bool operator==(const CallFaults&, const CallFaults&) = default;
 };
@@ -124,8 +126,10 @@
   bool hangs = false;            // Runs that start now make no progress, except gang members.
   bool fails_every_run = false;  // Runs that start now fail after 5 ms, except gang members.
   CallFaults faults;
-  int orders_not_sent = 0;    // This many starts wait for a connection of their host until they expire.
-  int starts_in_transit = 0;  // This many starts are delivered after `transit_time`, and their answers are lost.
+  int orders_not_sent = 0;           // This many starts wait for a connection of their host until they expire.
+  bool names_life = false;           // In its answers to starts, too.
+  std::deque<Duration> start_waits;  // How long each of the next starts waits for a connection before it is sent.
+  int starts_in_transit = 0;         // This many starts are delivered after `transit_time`, and their answers are lost.
   int acknowledgements_in_transit = 0;  // The same for holds that name ends to forget.
   int holds_in_transit = 0;             // The same for holds that name none.
   Duration transit_time{};
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -32,6 +32,9 @@
 constexpr int kSilences = 3;
 constexpr Duration kLateOrdersTime = 6s;  // Of late orders at all workers.
 constexpr double kLateOrdersShare = 0.5;
+constexpr double kWaitingOrdersShare = 0.5;
+constexpr double kWaitingWorkersShare = 0.4;
+constexpr Duration kWaitingOrdersTime = 2s;
 constexpr Duration kSilentHostsEvery = 4s;  // At most, from the end of one silence to the next.
 constexpr int kChangesInSilence = 2;        // Of the owner.
 constexpr Duration kLongHold = 10s;
@@ -97,6 +100,9 @@
       AskForRoutes();
       LoseWatches();
     }
+    if (options_.waiting_orders) {
+      world_.In(kWaitingOrdersTime, [this] { WaitingOrders(); });
+    }
     if (options_.silent_hosts) {
       SilenceHosts();
     }
@@ -394,6 +400,34 @@
       world_.In(Between(500ms, kLateOrdersTime), [this, &worker] { CrashBriefly(worker); });
     }
   }
+  // A few workers at a time, again and again.
+  void WaitingOrders() {
+    if (over_) {
+      return;
+    }
+    for (size_t i = 0; i < kWorkers; ++i) {
+      if (world_.Chance(kWaitingWorkersShare)) {
+        OrdersWaitAt(WorkerAt(i));
+      }
+    }
+    world_.In(Between(kWaitingOrdersTime, 2 * kWaitingOrdersTime), [this] { WaitingOrders(); });
+  }
+  // Orders wait for connections that late ones take up. The worker's supervisor keeps its listening socket, so that its
+  // next life gets them.
+  void OrdersWaitAt(FakeWorker& worker) {
+    Note("orders wait at " + worker.entry.id);
+    worker.faults.waiting_share = kWaitingOrdersShare;
+    worker.faults.extra_delay = Between(0ms, 100ms);
+    world_.In(kWaitingOrdersTime, [&worker] { worker.faults.waiting_share = 0; });
+    world_.In(kWaitingOrdersTime, [&worker] { worker.faults.extra_delay = Duration(0); });
+    world_.In(Between(300ms, kWaitingOrdersTime), [this, &worker] {
+      if (worker.up) {
+        worker.Crash();
+        worker.Restart(/*write_entry=*/false);
+        world_.In(Between(0ms, 500ms), [this, &worker] { world_.WriteWorkerEntry(worker); });
+      }
+    });
+  }
   void CrashBriefly(FakeWorker& worker) {
     if (!worker.up) {
       return;
--- a/tests/cell_courses_test.cc
+++ b/tests/cell_courses_test.cc
@@ -84,6 +84,12 @@
   CheckCourse({.seed = 952060008, .dense = true, .late_orders = true});
 }
 
+TEST_CASE("courses in which copies of a start were answered by two lives of their worker") {
+  CheckCourse({.seed = 810010004, .waiting_orders = true});
+  CheckCourse({.seed = 810020084, .dense = true, .waiting_orders = true});
+  CheckCourse({.seed = 810040009, .relays = true, .waiting_orders = true, .releases = true});
+}
+
 TEST_CASE("courses in which a task started again beside a found run that was being stopped") {
   CheckCourse({.seed = 997060167, .relays = true, .dense = true, .routes = true});
   CheckCourse({.seed = 998030030, .relays = true, .dense = true, .late_orders = true, .slow_stops = true});
--- a/tests/cell_late_starts_test.cc
+++ b/tests/cell_late_starts_test.cc
@@ -1,5 +1,6 @@
 // Starts that reach a life of their worker that the owner does not know yet.
 #include <array>
+#include <deque>
 
 #include <catch2/catch.hpp>
 
@@ -66,6 +67,94 @@
   }
 }
 
+struct WaitingStart {
+  std::deque<Duration> waits;  // Of the copies, for a connection.
+  Duration restart_after{};    // Of the first copy being sent; the worker is back at once.
+  Duration entry_after{};      // Of the restart.
+  Duration takes{};
+  bool owner_leaves = false;  // Just after the restart.
+  bool names_life = false;    // The answers to starts name the life.
+};
+
+// The lists of a worker's next life come after its task could be placed elsewhere.
+constexpr Duration kSlowAnswer = 100ms;
+
+void CheckWaitingStart(const WaitingStart& start) {
+  CellWorld world(311, 3, 3);
+  AddQueues(world);
+  REQUIRE(Settle(world));
+  world.RunFor(kFirstLife);
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    world.worker(i).start_waits = start.waits;
+    world.worker(i).faults.extra_delay = kSlowAnswer;
+    world.worker(i).names_life = start.names_life;
+  }
+  const JobSpec job = JobOf(1, {StepOf(1, 1000)});
+  world.SubmitWithRetries(job, TaskBehaviour{start.takes, 0});
+  FakeWorker* worker = nullptr;
+  REQUIRE(world.RunUntil(
+      [&] {
+        for (size_t i = 0; i < world.worker_count(); ++i) {
+          worker = world.worker(i).start_waits.size() < start.waits.size() ? &world.worker(i) : worker;
+        }
+        return worker != nullptr;
+      },
+      2s));
+  for (size_t i = 0; i < world.worker_count(); ++i) {
+    if (&world.worker(i) != worker) {
+      world.worker(i).start_waits.clear();
+      world.worker(i).faults.extra_delay = Duration(0);
+    }
+  }
+  world.RunFor(start.restart_after);
+  RestartUnnoticed(*worker);
+  world.In(start.entry_after, [&world, worker] { world.WriteWorkerEntry(*worker); });
+  if (start.owner_leaves) {
+    world.Leave(*world.OwnerIndex());
+  }
+  world.RunFor(20s);
+  INFO("restart after " << Millis(start.restart_after) << " ms, entry after " << Millis(start.entry_after)
+                        << " ms, takes " << Millis(start.takes) << " ms" << ViolationsOf(world));
+  CHECK(world.violations().empty());
+  CHECK(world.StateOf(job.queue, job.id) == JobState::kCompleted);
+}
+
+// TWICE: the first copy was answered by the worker's life, and the second, which had waited for a connection, by its
+// next one, which an answer does not tell. The run counted as ended with the earlier life.
+TEST_CASE("a task does not run elsewhere when copies of its start are answered by two lives of its worker") {
+  for (const Duration restart_after : {320ms, 360ms, 420ms, 520ms, 540ms}) {
+    for (const Duration entry_after : {0ms, 60ms, 200ms, 500ms}) {
+      for (const Duration takes : {100ms, 1000ms, 6000ms}) {
+        for (const bool owner_leaves : {false, true}) {
+          CheckWaitingStart({{300ms, 300ms}, restart_after, entry_after, takes, owner_leaves});
+        }
+        CheckWaitingStart({{300ms, 300ms}, restart_after, entry_after, takes, false, true});
+      }
+    }
+  }
+}
+
+// The first copy is overtaken by the second one, and reaches the next life.
+TEST_CASE("a task does not run elsewhere when the first copy of its start is answered after the second one") {
+  for (const Duration restart_after : {270ms, 300ms, 400ms, 500ms, 560ms}) {
+    for (const Duration entry_after : {0ms, 60ms, 200ms, 500ms}) {
+      for (const Duration takes : {100ms, 6000ms}) {
+        CheckWaitingStart({{600ms, 0ms}, restart_after, entry_after, takes});
+      }
+    }
+  }
+}
+
+TEST_CASE("a task does not run elsewhere when only a life of its worker that is not known has answered its start") {
+  for (const Duration restart_after : {20ms, 100ms, 240ms}) {
+    for (const Duration entry_after : {0ms, 60ms, 200ms, 500ms}) {
+      for (const Duration takes : {100ms, 6000ms}) {
+        CheckWaitingStart({{245ms}, restart_after, entry_after, takes});
+      }
+    }
+  }
+}
+
 TEST_CASE("a start without an answer does not make its worker silent that answers later calls") {
   CellWorld world(304, 3, 3);
   AddQueues(world);
