--- a/src/cell/worker_table.cc
+++ b/src/cell/worker_table.cc
@@ -77,11 +77,6 @@
   return std::any_of(open_copies.begin(), open_copies.end(), [](const OpenCopy& copy) { return !copy.answered; });
 }
 
-bool PlacedRun::MayBeInUnknownLife(TimePoint now) const {
-  return std::any_of(open_copies.begin(), open_copies.end(),
-                     [now](const OpenCopy& copy) { return copy.answered || copy.until > now; });
-}
-
 const char* NameOf(GoneReason reason) {
   switch (reason) {
     case GoneReason::kNeverRan:
@@ -448,7 +443,7 @@
   TimePoint latest{};
   for (const auto& [run, worker] : open_runs_) {
     for (const OpenCopy& copy : workers_.at(worker)->placed.at(run).open_copies) {
-      latest = copy.answered ? latest : std::max(latest, copy.sent_at + kMaxAnswerTime);
+      latest = std::max(latest, copy.sent_at + kMaxAnswerTime);
     }
   }
   return latest;
@@ -752,7 +747,7 @@
 bool WorkerTable::MayRunAgain(const RunRef& ended) const {
   const TimePoint now = context_.Now();
   const auto is_open = [&](const auto& each) {
-    return workers_.at(each.second)->placed.at(each.first).MayBeInUnknownLife(now);
+    return workers_.at(each.second)->placed.at(each.first).OpenUntil() > now;
   };
   if (!listener_.MayBeGang(ended)) {
     const auto found = open_runs_.find(ended);
--- a/src/cell/worker_table.h
+++ b/src/cell/worker_table.h
@@ -118,8 +118,6 @@
   // When the last open copy can no longer be carried out. TimePoint{}: none is open.
   TimePoint OpenUntil() const;
   bool HasUnansweredCopy() const;
-  // Whether a life that is not known may have begun the run, or one may begin it from now on.
-  bool MayBeInUnknownLife(TimePoint now) const;
   friend bool operator==(const PlacedRun&, const PlacedRun&) = default;
 };
 
