--- a/src/cell/job_table.cc
+++ b/src/cell/job_table.cc
@@ -329,8 +329,12 @@
   }
 }
 
+bool IsJobId(const std::string& id) {
+  return id.size() == kIdLength && IsHex(id);
+}
+
 std::string ProblemOf(const JobSpec& spec) {
-  if (spec.id.size() != kIdLength || !IsHex(spec.id)) {
+  if (!IsJobId(spec.id)) {
     return fmt::format("'{}' is no job id; it must be {} hexadecimal digits", spec.id.substr(0, 40), kIdLength);
   }
   if (spec.payload.size() > kMaxPayloadBytes) {
--- a/src/cell/job_table.h
+++ b/src/cell/job_table.h
@@ -192,6 +192,9 @@
 ProgressRecord ProgressOf(const Job& job);
 void ApplyProgress(Job& job, const ProgressRecord& progress, int run_base);
 
+// True if it may be the id of a job.
+bool IsJobId(const std::string& id);
+
 // Validates a submitted job: returns an error message in one sentence, or an empty string if the job is valid.
 std::string ProblemOf(const JobSpec& spec);
 
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -16,6 +16,9 @@
 constexpr Duration kMaxPendingDoubt = 1s;
 // If the store has not confirmed a job's end by then, a state query gets the last stored state.
 constexpr Duration kStateStallTimeout = 600ms;
+// For which cancels of unknown jobs are collected: anybody can send any number of them.
+constexpr Duration kCancelWindow = 50ms;
+constexpr Duration kCancelStallTimeout = 600ms;  // If the cancel is not stored by then, the caller is to come back.
 constexpr Duration kUnavailableRetryAfter = 1s;  // A new configuration reaches all hosts within seconds.
 
 Duration CallerTimeLeft(const CallerRequest& request) {
@@ -250,6 +253,14 @@
     Refuse(request, reply, CallerReply{.outcome = CallerOutcome::kUnavailable, .retry_after = kUnavailableRetryAfter});
     return;
   }
+  if (const Duration left = cancelled_ids_.RefusedFor(CancelledIdOf(request, tenant), context_.Now());
+      left > Duration(0)) {
+    context_.Log("admission", "event=rejected job={} queue={} tenant={} reason=cancelled for_ms={}", request.job,
+                 request.queue, tenant, Millis(left));
+    context_.counters.Add(fmt::format("rejected{{queue=\"{}\"}}", queue->name));
+    Refuse(request, reply, CallerReply{.outcome = CallerOutcome::kRejected, .retry_after = left});
+    return;
+  }
   if (NeverFits(*spec, tenant)) {
     context_.Log("admission", "event=rejected job={} queue={} tenant={} reason=above_maximum config={}", request.job,
                  request.queue, tenant, configuration_.version);
@@ -418,7 +429,9 @@
   const bool known = job != nullptr ? job->record.spec.queue == request.queue
                                     : ended != ended_jobs_.end() && ended->second.queue == request.queue;
   if (!known || !MayAccess(request, tenant, *TenantOfJob(request.job))) {
-    ReplyUnknownJob(request, reply);
+    // An id of another queue or tenant stays theirs, and no other id than a valid one is ever accepted.
+    const bool may_come = !TenantOfJob(request.job).has_value() && IsJobId(request.job);
+    may_come ? CancelUnknownJob(request, tenant, reply) : ReplyUnknownJob(request, reply);
     return;
   }
   if (job == nullptr) {
@@ -431,6 +444,38 @@
   job->WhenStored(done);
 }
 
+CancelledId Owner::CancelledIdOf(const CallerRequest& request, const std::string& tenant) const {
+  const bool has_tenant = configuration_.NeedsKey(configuration_.FindQueue(request.queue));
+  return CancelledId{request.job, request.queue, has_tenant ? tenant : std::string()};
+}
+
+// The batch that stores the id proves that no other host had taken over by then.
+void Owner::CancelUnknownJob(const CallerRequest& request, const std::string& tenant, const Reply& reply) {
+  const auto answered = std::make_shared<bool>(false);
+  const auto answer = [this, request, reply, answered](CallerOutcome outcome) {
+    if (std::exchange(*answered, true)) {
+      return;
+    }
+    context_.Log("caller", "event=unknown_job kind={} job={} queue={} epoch={} term={} outcome={} refused_for_ms={}",
+                 NameOf(request.kind), request.job, request.queue, ownership_.epoch, ownership_.term, NameOf(outcome),
+                 Millis(CancelledIds::kRetention));
+    reply(CallerReply{.call = request.call, .outcome = outcome, .retry_after = RetryAfter(CurrentLoad())});
+  };
+  const auto on_stored = [answer] { answer(CallerOutcome::kNoSuchJob); };
+  if (!cancelled_ids_.Add(CancelledIdOf(request, tenant), context_.Now(), on_stored)) {
+    context_.counters.Add("cancels_refused");
+    answer(CallerOutcome::kUnavailable);
+    return;
+  }
+  RunAfter(kCancelStallTimeout, [answer] { answer(CallerOutcome::kUnavailable); });
+  if (!std::exchange(cancel_batch_scheduled_, true)) {
+    RunAfter(kCancelWindow, [this] {
+      cancel_batch_scheduled_ = false;
+      commit_.Request();
+    });
+  }
+}
+
 void Owner::ReplyPending(const CallerRequest& request, const Reply& reply) {
   const auto answer = [this, request, reply](ProofResult result) {
     ReplyProven(request, reply, result,
@@ -473,7 +518,8 @@
 }
 
 void Owner::RequestExpiry() {
-  if (!ended_batches_.empty() && HasExpired(ended_batches_.front())) {
+  const bool jobs_expired = !ended_batches_.empty() && HasExpired(ended_batches_.front());
+  if (jobs_expired || cancelled_ids_.HasExpired(context_.Now())) {
     commit_.Request();  // The next batch removes the expired keys.
   }
 }
@@ -482,6 +528,7 @@
   Counters& counters = context_.counters;
   counters.Set("jobs_open", static_cast<double>(jobs_.size()));
   counters.Set("jobs_ended_remembered", static_cast<double>(ended_jobs_.size()));
+  counters.Set("cancelled_ids_remembered", static_cast<double>(cancelled_ids_.size()));
   counters.Set("workers_known", static_cast<double>(workers_.workers().size()));
   const TimePoint now = context_.Now();
   const auto usable_workers = std::count_if(workers_.workers().begin(), workers_.workers().end(),
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -25,6 +25,7 @@
 
 #include "cell/admission.h"
 #include "cell/advice_dispatcher.h"
+#include "cell/cancelled_ids.h"
 #include "cell/configuration_follower.h"
 #include "cell/context.h"
 #include "cell/group_commit.h"
@@ -171,6 +172,10 @@
   void SubmitNew(const CallerRequest& request, const std::string& tenant, const Reply& reply);
   void ReplyState(const CallerRequest& request, const std::string& tenant, const Reply& reply);
   void Cancel(const CallerRequest& request, const std::string& tenant, const Reply& reply);
+  // Cancels a job that is not known: refuses requests for it that are still under way, and tells the caller once that
+  // is stored.
+  void CancelUnknownJob(const CallerRequest& request, const std::string& tenant, const Reply& reply);
+  CancelledId CancelledIdOf(const CallerRequest& request, const std::string& tenant) const;
   // Tells the caller that the job does not exist, once it is proven that no other owner can have accepted it.
   void ReplyUnknownJob(const CallerRequest& request, const Reply& reply);
   void ReplyProven(const CallerRequest& request, const Reply& reply, ProofResult result, const CallerReply& proven);
@@ -404,6 +409,8 @@
   // Replies to refused requests: a duplicate that arrives later gets the same refusal.
   std::map<CallId, CallerReply> refusals_;
   std::deque<std::pair<TimePoint, CallId>> refusal_times_;
+  CancelledIds cancelled_ids_;
+  bool cancel_batch_scheduled_ = false;
   // State read from the store so far; used only while loading.
   struct LoadedJob {
     JobRecord record;
--- a/src/cell/owner_store.cc
+++ b/src/cell/owner_store.cc
@@ -74,6 +74,10 @@
       LoadLogItem(item);
     } else if (item.key.starts_with(kEndedPrefix)) {
       LoadEndedItem(item);
+    } else if (item.key.starts_with(kCancelledPrefix)) {
+      std::vector<CancelledId> ids;
+      load(item, ids);
+      cancelled_ids_.Load(item.key, ids, context_.Now());
     } else if (item.key == kRosterKey) {
       load(item, loading_.roster);
     } else if (item.key == kOpenStartsKey) {
@@ -455,7 +459,11 @@
   AddOpenStarts(batch);
   AddJobs(batch, contents, BatchKey(kLogPrefix, ownership_.epoch, number));
   AddEndedJobs(batch, contents, number);
-  contents.last = on_closed_ && dirty_jobs_.empty();
+  cancelled_ids_.Fill(batch, ownership_.epoch, number, context_.Now());
+  contents.last = on_closed_ && dirty_jobs_.empty() && !cancelled_ids_.HasUnstored();
+  if (cancelled_ids_.HasUnstored()) {
+    commit_.Request();
+  }
   if (!dirty_jobs_.empty()) {
     commit_.Request();
   } else {
@@ -472,6 +480,8 @@
 
 void Owner::OnBatchCommitted(const BatchContents& contents) {
   workers_.OnCommitted(commit_.head_revision());
+  const std::vector<CancelledIds::Done> cancels = cancelled_ids_.TakeStored();
+  std::for_each(cancels.begin(), cancels.end(), [](const auto& done) { done(); });
   while (!unstored_ends_.empty() && ends_received_ - unstored_ends_.size() < contents.ends_stored) {
     unstored_ends_.pop_front();
   }
--- a/src/cell/record_json.h
+++ b/src/cell/record_json.h
@@ -94,6 +94,10 @@
   return std::tie(self.id, self.queue, self.state, self.ended_at_ms, self.tenant, self.still_running);
 }
 template <class Self>
+auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, CancelledId> {
+  return std::tie(self.id, self.queue, self.tenant);
+}
+template <class Self>
 auto Fields(Self& self) requires std::is_same_v<std::remove_const_t<Self>, TaskRef> {
   return std::tie(self.job, self.occurrence, self.step, self.index);
 }
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -53,5 +53,6 @@
 HIBISCUS_CELL_RECORD(ProgressRecord)
 HIBISCUS_CELL_RECORD(LogRecord)
 HIBISCUS_CELL_RECORD(std::vector<EndedJob>)
+HIBISCUS_CELL_RECORD(std::vector<CancelledId>)
 
 }  // namespace hibiscus::cell
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -7,6 +7,7 @@
 //   live/host/N     host N; expires with that host's lease
 //   data/log/E-B    batch B of epoch E: accepted jobs and the progress of jobs; the newest record of a job counts
 //   data/ended/E-B  ended jobs, from one batch or merged from several
+//   data/cancelled/E-B  ids that were cancelled while no such job was known
 //   data/roster     worker instances to which the owner may have given orders
 #ifndef HIBISCUSSTAND_SRC_CELL_RECORDS_H_
 #define HIBISCUSSTAND_SRC_CELL_RECORDS_H_
@@ -25,6 +26,7 @@
 inline const std::string kDataPrefix = kCellPrefix + "data/";
 inline const std::string kLogPrefix = kDataPrefix + "log/";
 inline const std::string kEndedPrefix = kDataPrefix + "ended/";
+inline const std::string kCancelledPrefix = kDataPrefix + "cancelled/";  // Earlier versions neither read nor write it.
 inline const std::string kRosterKey = kDataPrefix + "roster";
 inline const std::string kOpenStartsKey = kDataPrefix + "open_starts";  // Earlier versions neither read nor write it.
 inline const std::string kHeadKey = kCellPrefix + "head";
@@ -177,6 +179,15 @@
   friend bool operator==(const EndedJob&, const EndedJob&) = default;
 };
 
+// A job that was cancelled while no such job was known.
+struct CancelledId {
+  std::string id;
+  std::string queue;
+  std::string tenant;  // Whose API key cancelled it; empty if the queue needs none.
+
+  friend auto operator<=>(const CancelledId&, const CancelledId&) = default;
+};
+
 // Encode a record, and decode it; bytes that cannot be decoded give an error message.
 template <class Record>
 std::string EncodeRecord(const Record& record);
--- a/standins/cell_world.h
+++ b/standins/cell_world.h
@@ -8,8 +8,9 @@
 // success for a key that no configuration held, that was withdrawn longer ago than allowed, or that is of another
 // tenant than the job. No start brings a tenant above a tenth more than its maximum and one task. No caller hears that
 // an accepted job does not exist, and no task starts long after its job's cancelling was acknowledged, which such an
-// answer does too; one that a late order starts must be gone again soon (LateRunCheck). Work that waits although it
-// could run is in lost(), if that is checked, and so is what RouteCheck finds in violations().
+// answer does too, also of a job that was not accepted by then; one that a late order starts must be gone again soon
+// (LateRunCheck). Work that waits although it could run is in lost(), if that is checked, and so is what RouteCheck
+// finds in violations().
 #ifndef HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
 #define HIBISCUSSTAND_STANDINS_CELL_WORLD_H_
 
@@ -354,6 +355,7 @@
   void CheckKey(const CallerRequest& request, TimePoint sent, const CallerReply& reply);
   void CheckUnknownJob(const CallerRequest& request, TimePoint sent, const CallerReply& reply);
   void RecordCancel(const CallerRequest& request, TimePoint sent, const CallerReply& reply);
+  void CheckCancelOfUnknown(const std::string& job);
   bool AcceptedBefore(const std::string& job, TimePoint time) const;
   void Call(size_t index, const CallerRequest& request, OnReply reply);
   void AddWaiter(Waiters& waiters, TimePoint until, std::function<bool()> is_ready, std::function<void()> resume);
@@ -389,6 +391,10 @@
   std::vector<std::pair<TimePoint, CellConfiguration>> published_;  // All configurations, oldest first.
   std::map<std::string, TimePoint> accepted_;                       // When a caller first heard it, by job id.
   std::map<std::string, TimePoint> acknowledged_cancels_;           // When a caller first heard it, by job id.
+  // By job: when a caller first heard that a job which was not accepted does not exist, in answer to a cancel after
+  // which it has not submitted the job again.
+  std::map<std::string, TimePoint> cancels_of_unknown_;
+  std::map<std::string, TimePoint> last_submissions_;  // By job id.
   // By job: number of submissions, and of replies that it was rejected or the cell unavailable.
   std::map<std::string, std::pair<int, int>> submission_counts_;
   std::map<TaskRef, std::set<std::pair<std::string, int>>> running_;  // Worker id and run number.
--- a/tests/cell_chaos.cc
+++ b/tests/cell_chaos.cc
@@ -32,6 +32,7 @@
 constexpr int kSilences = 3;
 constexpr Duration kLateOrdersTime = 6s;  // Of late orders at all workers.
 constexpr double kLateOrdersShare = 0.5;
+constexpr Duration kUnreadTime = 4s;  // For which a host stands still.
 constexpr double kWaitingOrdersShare = 0.5;
 constexpr double kWaitingWorkersShare = 0.4;
 constexpr Duration kWaitingOrdersTime = 2s;
@@ -100,6 +101,9 @@
       AskForRoutes();
       LoseWatches();
     }
+    if (options_.unread_requests) {
+      UnreadRequests();
+    }
     if (options_.waiting_orders) {
       world_.In(kWaitingOrdersTime, [this] { WaitingOrders(); });
     }
@@ -400,6 +404,31 @@
       world_.In(Between(500ms, kLateOrdersTime), [this, &worker] { CrashBriefly(worker); });
     }
   }
+  // A host stands still with a request unread. Its caller leaves at its timeout, cancels the job at another host and
+  // never submits it again; the owner may change in between.
+  void UnreadRequests() {
+    if (over_) {
+      return;
+    }
+    const auto owner = world_.OwnerIndex();
+    const size_t host = AnyHost();
+    if (owner && host != *owner && world_.host(host) != nullptr) {
+      Note(fmt::format("h{} stands still with a request", host));
+      const JobSpec job = JobOf(++jobs_, {StepOf(2, 1000)});
+      cancelled_.insert(job.id);
+      world_.SetKey(job.id, options_.tenants ? AnyKey() : KeyDigest());
+      world_.Freeze(host, kUnreadTime);
+      world_.Submit(host, job, TaskBehaviour{Between(4s, 20s), 0}, [this, job](const CallerReply& reply) {
+        if (reply.outcome == CallerOutcome::kOutcomeUnknown && !over_) {
+          Cancel(job);
+          if (world_.Chance(0.4)) {
+            world_.In(Between(50ms, 800ms), [this] { over_ ? void() : ChangeOwner(); });
+          }
+        }
+      });
+    }
+    world_.In(Between(kUnreadTime / 2, kUnreadTime * 2), [this] { UnreadRequests(); });
+  }
   // A few workers at a time, again and again.
   void WaitingOrders() {
     if (over_) {
--- a/tests/cell_chaos.h
+++ b/tests/cell_chaos.h
@@ -18,6 +18,7 @@
   bool routes = false;       // Operators add and drop queues in series, and callers ask for them.
   bool late_orders = false;  // Orders are late at all workers at the same time, and each worker starts again meanwhile.
   bool waiting_orders = false;   // Orders wait for connections to workers that start again and are back at once.
+  bool unread_requests = false;  // Hosts stand still with requests whose callers leave and cancel them elsewhere.
   bool silent_hosts = false;     // All messages between hosts are lost for seconds, while the owner changes.
   bool releases = false;         // Workers drain, leave and are replaced; hosts join and are removed.
   bool same_id_at_once = false;  // With releases: a worker may join under the id of one that still runs.
--- a/tests/cell_chaos_main.cc
+++ b/tests/cell_chaos_main.cc
@@ -4,6 +4,7 @@
 //   hibiscus_cell_chaos --seeds=1..300 --routes
 //   hibiscus_cell_chaos --seeds=1..300 --late_orders
 //   hibiscus_cell_chaos --seeds=1..300 --waiting_orders
+//   hibiscus_cell_chaos --seeds=1..300 --unread_requests
 //   hibiscus_cell_chaos --seeds=1..300 --silent_hosts
 //   hibiscus_cell_chaos --seeds=1..300 --releases
 //   hibiscus_cell_chaos --seeds=1..300 --slow_stops
@@ -29,6 +30,7 @@
 DEFINE_bool(routes, false, "operators add and drop queues in series, and callers ask for them");
 DEFINE_bool(late_orders, false, "orders are late at all workers at once, each of which starts again meanwhile");
 DEFINE_bool(waiting_orders, false, "orders wait for connections to workers that start again and are back at once");
+DEFINE_bool(unread_requests, false, "hosts stand still with requests whose callers leave and cancel them elsewhere");
 DEFINE_bool(silent_hosts, false, "all messages between hosts are lost for seconds, while the owner changes");
 DEFINE_bool(releases, false, "workers drain, leave and are replaced, and hosts join and are removed");
 DEFINE_bool(same_id_at_once, false, "with --releases: a worker may join under the id of one that still runs");
@@ -55,6 +57,7 @@
                                                         .routes = FLAGS_routes,
                                                         .late_orders = FLAGS_late_orders,
                                                         .waiting_orders = FLAGS_waiting_orders,
+                                                        .unread_requests = FLAGS_unread_requests,
                                                         .silent_hosts = FLAGS_silent_hosts,
                                                         .releases = FLAGS_releases,
                                                         .same_id_at_once = FLAGS_same_id_at_once,
--- a/tests/cell_courses_test.cc
+++ b/tests/cell_courses_test.cc
@@ -90,6 +90,12 @@
   CheckCourse({.seed = 810040009, .relays = true, .waiting_orders = true, .releases = true});
 }
 
+TEST_CASE("courses in which jobs were cancelled while a host that stood still had their requests") {
+  CheckCourse({.seed = 820010002, .unread_requests = true});
+  CheckCourse({.seed = 820030006, .relays = true, .dense = true, .unread_requests = true});
+  CheckCourse({.seed = 820060003, .tenants = true, .unread_requests = true});
+}
+
 TEST_CASE("courses in which a task started again beside a found run that was being stopped") {
   CheckCourse({.seed = 997060167, .relays = true, .dense = true, .routes = true});
   CheckCourse({.seed = 998030030, .relays = true, .dense = true, .late_orders = true, .slow_stops = true});
