--- a/src/cell/cancelled_ids.cc
+++ b/src/cell/cancelled_ids.cc
@@ -10,7 +10,7 @@
 
 constexpr size_t kSegmentIds = 200;      // Under one key, which is written again with each batch that adds some.
 constexpr Duration kSegmentTime = 5s;    // For which ids are added to one key: they expire together.
-constexpr size_t kMaxIdsPerBatch = 500;  // With queue and tenant about 50 KB.
+constexpr size_t kMaxIdsPerBatch = 500;  // Bounds the value that is written.
 
 }  // namespace
 
--- a/src/cell/cancelled_ids.h
+++ b/src/cell/cancelled_ids.h
@@ -28,7 +28,7 @@
   // A request arrives within this time after its caller has left: it waits in its host for 30 s at most, the longest
   // timeout of callers, and that host, or the path to the owner, may stand still for some seconds before.
   static constexpr Duration kRetention = 45s;
-  static constexpr size_t kMaxIds = 20'000;  // Remembered at the same time; about 300 bytes each.
+  static constexpr size_t kMaxIds = 20'000;  // Remembered at the same time.
 
   // Refuses requests for this id from now on, and calls `on_stored` once that holds for the next owner, too. Returns
   // false if too many ids are remembered already.
